--- /dev/null
+++ b/src/libs/http/asyncserver.cpp
@@ -0,0 +1,227 @@
+#include "asyncserver.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <stdexcept>
+
+namespace oriolebay::http {
+
+namespace {
+
+/// Idle connections are kept this long: longer than callers keep theirs, so
+/// that the caller closes first and no request meets a closing connection.
+constexpr unsigned IdleTimeoutS = 120;
+
+/// One request from its first byte to the end of its answer.
+struct Exchange {
+  MHD_Connection *Connection = nullptr;
+  std::string Body;
+  bool TooLarge = false;
+  bool Handed = false;
+  // Guarded by the server's mutex.
+  bool Suspended = false;
+  std::optional<HttpResponse> Answer;
+};
+
+} // namespace
+
+struct AsyncServer::Impl {
+  AsyncServerOptions Options;
+  Handler Serve;
+  MHD_Daemon *Daemon = nullptr;
+  int Port = 0;
+  std::atomic<bool> Closing{false};
+  std::atomic<int> Unanswered{0};
+  std::mutex Mu;
+  std::set<std::shared_ptr<Exchange>> Open;
+  bool Stopped = false;
+
+  HttpRequest read(Exchange &exchange, const char *url, const char *method);
+  void answer(const std::shared_ptr<Exchange> &exchange, HttpResponse response);
+  MHD_Result send(MHD_Connection *connection, const HttpResponse &response);
+};
+
+namespace {
+
+using State = std::shared_ptr<Exchange>;
+
+// The request's Respond dropped without an answer still ends it.
+struct Responder {
+  std::weak_ptr<AsyncServer::Impl> Server;
+  State Request;
+
+  void give(HttpResponse response) {
+    if (auto server = Server.lock())
+      server->answer(Request, std::move(response));
+  }
+  ~Responder() {
+    give({500, R"({"error":"the request was dropped; try again"})"});
+  }
+};
+
+struct ServerRef {
+  std::weak_ptr<AsyncServer::Impl> Server;
+};
+
+} // namespace
+
+HttpRequest AsyncServer::Impl::read(Exchange &exchange, const char *url,
+                                    const char *method) {
+  HttpRequest request{method, url, std::move(exchange.Body)};
+  for (const std::string &name : Options.KeptHeaders) {
+    const char *value = MHD_lookup_connection_value(
+        exchange.Connection, MHD_HEADER_KIND, name.c_str());
+    if (value != nullptr)
+      request.Headers[name] = value;
+  }
+  return request;
+}
+
+void AsyncServer::Impl::answer(const State &exchange, HttpResponse response) {
+  std::lock_guard<std::mutex> lock(Mu);
+  if (exchange->Answer || Open.count(exchange) == 0)
+    return;
+  exchange->Answer = std::move(response);
+  if (exchange->Suspended) {
+    exchange->Suspended = false;
+    MHD_resume_connection(exchange->Connection);
+  }
+}
+
+MHD_Result AsyncServer::Impl::send(MHD_Connection *connection,
+                                   const HttpResponse &response) {
+  MHD_Response *reply = MHD_create_response_from_buffer(
+      response.Body.size(), const_cast<char *>(response.Body.data()),
+      MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(reply, "Content-Type", response.ContentType.c_str());
+  for (const auto &[name, value] : response.Headers)
+    MHD_add_response_header(reply, name.c_str(), value.c_str());
+  if (Closing)
+    MHD_add_response_header(reply, "Connection", "close");
+  const MHD_Result ec = MHD_queue_response(
+      connection, static_cast<unsigned>(response.Status), reply);
+  MHD_destroy_response(reply);
+  return ec;
+}
+
+namespace {
+
+MHD_Result onRequest(void *cls, MHD_Connection *connection, const char *url,
+                     const char *method, const char * /*version*/,
+                     const char *data, size_t *size, void **state) {
+  auto server = static_cast<ServerRef *>(cls)->Server.lock();
+  if (server == nullptr)
+    return MHD_NO;
+  if (*state == nullptr) {
+    auto exchange = std::make_shared<Exchange>();
+    exchange->Connection = connection;
+    ++server->Unanswered;
+    std::lock_guard<std::mutex> lock(server->Mu);
+    server->Open.insert(exchange);
+    *state = new State(std::move(exchange));
+    return MHD_YES;
+  }
+  const State exchange = *static_cast<State *>(*state);
+  if (*size != 0) {
+    if (exchange->Body.size() + *size > server->Options.MaxBodyBytes)
+      exchange->TooLarge = true;
+    else
+      exchange->Body.append(data, *size);
+    *size = 0;
+    return MHD_YES;
+  }
+  if (exchange->TooLarge)
+    return server->send(
+        connection,
+        {413, R"({"error":"the body is too large; send a smaller one"})"});
+  if (!exchange->Handed) {
+    exchange->Handed = true;
+    auto responder = std::make_shared<Responder>(server, exchange);
+    server->Serve(
+        server->read(*exchange, url, method),
+        [responder](HttpResponse r) { responder->give(std::move(r)); });
+  }
+  std::lock_guard<std::mutex> lock(server->Mu);
+  if (exchange->Answer)
+    return server->send(connection, *exchange->Answer);
+  exchange->Suspended = true;
+  MHD_suspend_connection(connection);
+  return MHD_YES;
+}
+
+void onCompleted(void *cls, MHD_Connection * /*connection*/, void **state,
+                 MHD_RequestTerminationCode /*code*/) {
+  auto *held = static_cast<State *>(*state);
+  if (held == nullptr)
+    return;
+  if (auto server = static_cast<ServerRef *>(cls)->Server.lock()) {
+    --server->Unanswered;
+    std::lock_guard<std::mutex> lock(server->Mu);
+    server->Open.erase(*held);
+  }
+  delete held;
+  *state = nullptr;
+}
+
+} // namespace
+
+AsyncServer::AsyncServer(AsyncServerOptions options, Handler handler)
+    : D(std::make_shared<Impl>()) {
+  D->Options = std::move(options);
+  D->Serve = std::move(handler);
+  sockaddr_in addr{};
+  addr.sin_family = AF_INET;
+  addr.sin_port = htons(static_cast<uint16_t>(D->Options.Port));
+  if (inet_pton(AF_INET, D->Options.Host.c_str(), &addr.sin_addr) != 1)
+    throw std::runtime_error("not an IPv4 address: " + D->Options.Host);
+  // Lives as long as the daemon, which ends with the process or in stop().
+  auto *ref = new ServerRef{D};
+  D->Daemon = MHD_start_daemon(
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+          MHD_USE_ERROR_LOG,
+      static_cast<uint16_t>(D->Options.Port), nullptr, nullptr, &onRequest, ref,
+      MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&addr),
+      MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<unsigned>(D->Options.MaxConnections),
+      MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
+      &onCompleted, ref, MHD_OPTION_END);
+  if (D->Daemon == nullptr) {
+    delete ref;
+    throw std::runtime_error("cannot listen on " + D->Options.Host + ":" +
+                             std::to_string(D->Options.Port));
+  }
+  const MHD_DaemonInfo *info =
+      MHD_get_daemon_info(D->Daemon, MHD_DAEMON_INFO_BIND_PORT);
+  D->Port = info != nullptr ? info->port : D->Options.Port;
+}
+
+AsyncServer::~AsyncServer() { stop(); }
+
+int AsyncServer::port() const { return D->Port; }
+
+void AsyncServer::closeAfterAnswers() { D->Closing = true; }
+
+int AsyncServer::unanswered() const { return D->Unanswered; }
+
+void AsyncServer::stop() {
+  std::set<State> open;
+  {
+    std::lock_guard<std::mutex> lock(D->Mu);
+    if (D->Stopped)
+      return;
+    D->Stopped = true;
+    open = D->Open;
+  }
+  for (const State &exchange : open)
+    D->answer(exchange, {503, R"({"error":"stopping; try another entry"})"});
+  MHD_stop_daemon(D->Daemon);
+}
+
+} // namespace oriolebay::http
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -6,11 +6,14 @@
 namespace oriolebay::http {
 
 /// What a call returned. Status is zero when no HTTP answer came at all
-/// (refused, timed out, connection lost); Error then says why.
+/// (refused, timed out, connection lost); Error then says why. Sent says
+/// whether any byte of the request had left: if not, the peer cannot have
+/// acted on it.
 struct HttpResult {
   int Status = 0;
   std::string Body;
   std::string Error;
+  bool Sent = true;
 
   bool answered() const { return Status != 0; }
 };
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -7,11 +7,19 @@
 
 namespace oriolebay::http {
 
-/// One HTTP request as the server read it whole.
+/// One HTTP request as the server read it whole. Headers holds those that the
+/// server was asked to keep, under the names it was asked for.
 struct HttpRequest {
   std::string Method;
   std::string Path;
   std::string Body;
+  std::map<std::string, std::string> Headers = {};
+
+  /// The value of a kept header, empty when the request has none.
+  std::string header(const std::string &name) const {
+    auto it = Headers.find(name);
+    return it == Headers.end() ? std::string() : it->second;
+  }
 };
 
 /// The answer a handler gives. Headers are added as they are.
