Store as asynchronous calls, election, config freshness, jobs of steps as values

Change: platform::Store (hooks that a form supplies), PrefixFollower (a view without gaps), Election, StoreHealth; core::JobSpec and SiteConfig; operators::ConfigFollower, which confirms its view by an empty transaction; messages between agent and leader; node settings with timeouts derived from the site's bounds. Ruled out: trusting a watch as proof of freshness (docs/SYSTEM-DESIGN.md).

--- a/src/libs/core/codec.h
+++ b/src/libs/core/codec.h
@@ -2,6 +2,7 @@
 
 #include "answer.h"
 #include "job.h"
+#include "jobspec.h"
 #include "profile.h"
 #include "shape.h"
 #include "workerinfo.h"
@@ -34,6 +35,9 @@
                                "store_unavailable"},
                               {NotRunReason::Cancelled, "cancelled"}})
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Resources, MilliCores, MemoryMb,
+                                   Accelerators)
+
 void to_json(nlohmann::json &j, const Shape &v);
 void from_json(const nlohmann::json &j, Shape &v);
 void to_json(nlohmann::json &j, const Guarantee &v);
--- /dev/null
+++ b/src/libs/core/jobspec.cpp
@@ -0,0 +1,86 @@
+#include "jobspec.h"
+
+#include <cstdio>
+
+namespace oriolebay::core {
+
+namespace {
+
+int64_t countOf(int64_t need, int64_t have, int64_t most) {
+  return need <= 0 ? most : std::min(most, have / need);
+}
+
+std::string validateStep(const StepSpec &step, int number) {
+  const std::string where = "step " + std::to_string(number);
+  if (step.Count < 1 || step.Count > MaxTasksPerJob)
+    return where + ": the number of tasks must be from 1 to " +
+           std::to_string(MaxTasksPerJob);
+  const Resources &r = step.PerTask;
+  if (r.MilliCores < 0 || r.MemoryMb < 0 || r.Accelerators < 0)
+    return where + ": cores, memory and accelerators cannot be negative";
+  if (step.MaxPerWorker < 0 || step.EstimateMs < 0 || step.MayMiss < 0)
+    return where + ": limits and estimates cannot be negative";
+  for (int after : step.After)
+    if (after < 0 || after >= number)
+      return where + ": it can only wait for earlier steps";
+  return "";
+}
+
+} // namespace
+
+int64_t Resources::countIn(const Resources &room, int64_t most) const {
+  int64_t n = countOf(MilliCores, room.MilliCores, most);
+  n = countOf(MemoryMb, room.MemoryMb, n);
+  n = countOf(Accelerators, room.Accelerators, n);
+  return std::max<int64_t>(n, 0);
+}
+
+std::string validate(const JobSpec &spec) {
+  if (spec.Id.empty())
+    return "the job has no id; choose one";
+  if (spec.Steps.empty())
+    return "the job has no steps; give at least one";
+  if (spec.Steps.size() > MaxStepsPerJob)
+    return "the job has more than " + std::to_string(MaxStepsPerJob) +
+           " steps; split it";
+  if (spec.Payload.size() > MaxPayloadBytes)
+    return "the job's text is longer than " + std::to_string(MaxPayloadBytes) +
+           " bytes; shorten it";
+  if (spec.Repeats < 0 || spec.Repeats > MaxRepeats)
+    return "the job must repeat from 0 to " + std::to_string(MaxRepeats) +
+           " times";
+  if (spec.Repeats > 0 && spec.IntervalMs < 0)
+    return "the interval cannot be negative";
+  int tasks = 0;
+  for (size_t i = 0; i < spec.Steps.size(); ++i) {
+    const std::string problem =
+        validateStep(spec.Steps[i], static_cast<int>(i));
+    if (!problem.empty())
+      return problem;
+    tasks += spec.Steps[i].Count;
+  }
+  if (tasks > MaxTasksPerJob)
+    return "the job has more than " + std::to_string(MaxTasksPerJob) +
+           " tasks; split it";
+  return "";
+}
+
+std::string taskName(const TaskId &task) {
+  return task.Job + "." + std::to_string(task.Occurrence) + "." +
+         std::to_string(task.Step) + "." + std::to_string(task.Index);
+}
+
+bool parseTaskName(const std::string &name, TaskId &task) {
+  const size_t dot = name.find('.');
+  if (dot == std::string::npos || dot == 0)
+    return false;
+  int n = 0;
+  const int fields = std::sscanf(name.c_str() + dot, ".%d.%d.%d%n",
+                                 &task.Occurrence, &task.Step, &task.Index, &n);
+  if (fields != 3 || dot + static_cast<size_t>(n) != name.size())
+    return false;
+  task.Job = name.substr(0, dot);
+  return true;
+}
+
+} // namespace oriolebay::core
--- /dev/null
+++ b/src/libs/endpoints/asyncreplyserver.cpp
@@ -0,0 +1,142 @@
+#include "asyncreplyserver.h"
+
+#include "utils/eventloop.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/rep.h>
+
+#include <atomic>
+#include <stdexcept>
+#include <vector>
+
+namespace oriolebay::endpoints {
+
+namespace {
+/// Requests that may be unanswered at the same time; more wait in the sockets.
+constexpr int MostExchanges = 16;
+} // namespace
+
+struct AsyncReplyServer::Impl {
+  utils::EventLoop &Loop;
+  Handler Serve;
+  nng_socket Socket = NNG_SOCKET_INITIALIZER;
+  std::string Bound;
+  std::atomic<bool> Closed{false};
+  std::vector<std::unique_ptr<Exchange>> Exchanges;
+
+  Impl(utils::EventLoop &loop, Handler serve)
+      : Loop(loop), Serve(std::move(serve)) {}
+};
+
+/// One nng context: it receives a request, waits for its answer, sends that
+/// and receives the next.
+class AsyncReplyServer::Exchange {
+public:
+  Exchange(Impl &server, std::weak_ptr<Impl> weak)
+      : Server(server), Weak(std::move(weak)) {
+    nng_ctx_open(&Ctx, Server.Socket);
+    nng_aio_alloc(&Aio, &Exchange::onEvent, this);
+    receive();
+  }
+  ~Exchange() {
+    nng_aio_free(Aio);
+    nng_ctx_close(Ctx);
+  }
+  Exchange(const Exchange &) = delete;
+  Exchange &operator=(const Exchange &) = delete;
+
+private:
+  static void onEvent(void *self) { static_cast<Exchange *>(self)->advance(); }
+
+  void receive() {
+    Sending = false;
+    nng_ctx_recv(Ctx, Aio);
+  }
+
+  void advance() {
+    const int ec = nng_aio_result(Aio);
+    if (Server.Closed || ec == NNG_ECLOSED || ec == NNG_ECANCELED)
+      return;
+    if (Sending) {
+      // The requester has gone; its answer goes nowhere.
+      if (ec != 0)
+        nng_msg_free(nng_aio_get_msg(Aio));
+      receive();
+      return;
+    }
+    if (ec != 0) {
+      receive();
+      return;
+    }
+    nng_msg *msg = nng_aio_get_msg(Aio);
+    const std::string bytes(static_cast<const char *>(nng_msg_body(msg)),
+                            nng_msg_len(msg));
+    nng_msg_free(msg);
+    Server.Loop.post([this, weak = Weak, bytes] {
+      if (auto server = weak.lock())
+        serve(weak, bytes);
+    });
+  }
+
+  void serve(const std::weak_ptr<Impl> &weak, const std::string &bytes) {
+    auto respond = [this, weak](const Message &reply) {
+      if (auto server = weak.lock())
+        send(reply);
+    };
+    utils::handle<bool>(
+        [&]() -> utils::Result<bool> {
+          BOOST_LEAF_AUTO(request, decode(bytes));
+          Server.Serve(request, respond);
+          return true;
+        },
+        [&](const utils::Error &e) {
+          respond(Ack{false, e.text()});
+          return false;
+        });
+  }
+
+  void send(const Message &reply) {
+    const std::string bytes = encode(reply);
+    nng_msg *msg = nullptr;
+    nng_msg_alloc(&msg, 0);
+    nng_msg_append(msg, bytes.data(), bytes.size());
+    nng_aio_set_msg(Aio, msg);
+    Sending = true;
+    nng_ctx_send(Ctx, Aio);
+  }
+
+  Impl &Server;
+  const std::weak_ptr<Impl> Weak;
+  nng_ctx Ctx = NNG_CTX_INITIALIZER;
+  nng_aio *Aio = nullptr;
+  bool Sending = false;
+};
+
+AsyncReplyServer::AsyncReplyServer(utils::EventLoop &loop,
+                                   const std::string &address, Handler handler)
+    : D(std::make_shared<Impl>(loop, std::move(handler))) {
+  if (nng_rep0_open(&D->Socket) != 0)
+    throw std::runtime_error("cannot open an nng reply socket");
+  nng_listener listener;
+  const int ec = nng_listen(D->Socket, address.c_str(), &listener, 0);
+  if (ec != 0) {
+    nng_close(D->Socket);
+    throw std::runtime_error("cannot listen on " + address + ": " +
+                             nng_strerror(ec));
+  }
+  int port = 0;
+  nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
+  D->Bound = address.substr(0, address.rfind(':') + 1) + std::to_string(port);
+  for (int i = 0; i < MostExchanges; ++i)
+    D->Exchanges.push_back(std::make_unique<Exchange>(*D, D));
+}
+
+AsyncReplyServer::~AsyncReplyServer() {
+  D->Closed = true;
+  nng_close(D->Socket);
+  D->Exchanges.clear();
+}
+
+std::string AsyncReplyServer::address() const { return D->Bound; }
+
+} // namespace oriolebay::endpoints
--- a/src/libs/endpoints/channel.cpp
+++ b/src/libs/endpoints/channel.cpp
@@ -1,7 +1,8 @@
 #include "channel.h"
 
+#include "pendingcall.h"
+
 #include <nng/protocol/reqrep0/rep.h>
-#include <nng/protocol/reqrep0/req.h>
 
 #include <deque>
 #include <optional>
@@ -9,99 +10,6 @@
 
 namespace oriolebay::endpoints {
 
-namespace Internal {
-
-/// One nng req socket. A call that still uses it keeps it open after the
-/// channel has gone on to a new one.
-class Socket {
-public:
-  explicit Socket(const std::string &address) {
-    nng_req0_open(&Handle);
-    nng_socket_set_ms(Handle, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
-    nng_socket_set_ms(Handle, NNG_OPT_RECONNMINT, ReconnectMinMs);
-    nng_socket_set_ms(Handle, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
-    nng_dial(Handle, address.c_str(), nullptr, NNG_FLAG_NONBLOCK);
-  }
-  ~Socket() { nng_close(Handle); }
-  Socket(const Socket &) = delete;
-  Socket &operator=(const Socket &) = delete;
-
-  nng_socket Handle = NNG_SOCKET_INITIALIZER;
-
-private:
-  static constexpr int ReconnectMinMs = 50;
-  static constexpr int ReconnectMaxMs = 1000;
-};
-
-} // namespace Internal
-
-namespace Internal {
-
-/// One request on its own nng context. It sends, receives and reports its
-/// outcome on nng's threads, without a thread of ours waiting for it.
-class PendingCall {
-public:
-  /// Gets zero and the reply, or an nng error number.
-  using Done = std::function<void(int ec, const std::string &reply)>;
-
-  PendingCall(std::shared_ptr<Socket> socket, const Message &message,
-              int timeoutMs, Done done)
-      : Sock(std::move(socket)), Report(std::move(done)) {
-    nng_ctx_open(&Ctx, Sock->Handle);
-    nng_aio_alloc(&Aio, &PendingCall::onEvent, this);
-    nng_aio_set_timeout(Aio, timeoutMs);
-    const std::string bytes = encode(message);
-    nng_msg *msg = nullptr;
-    nng_msg_alloc(&msg, 0);
-    nng_msg_append(msg, bytes.data(), bytes.size());
-    nng_aio_set_msg(Aio, msg);
-    nng_ctx_send(Ctx, Aio);
-  }
-  ~PendingCall() {
-    nng_aio_free(Aio);
-    nng_ctx_close(Ctx);
-  }
-  PendingCall(const PendingCall &) = delete;
-  PendingCall &operator=(const PendingCall &) = delete;
-
-  const std::shared_ptr<Socket> &socket() const { return Sock; }
-
-private:
-  static void onEvent(void *self) {
-    static_cast<PendingCall *>(self)->advance();
-  }
-
-  void advance() {
-    const int ec = nng_aio_result(Aio);
-    if (!Sent) {
-      if (ec != 0) {
-        nng_msg_free(nng_aio_get_msg(Aio));
-        nng_aio_set_msg(Aio, nullptr);
-        return Report(ec, "");
-      }
-      Sent = true;
-      nng_ctx_recv(Ctx, Aio);
-      return;
-    }
-    std::string reply;
-    if (ec == 0) {
-      nng_msg *msg = nng_aio_get_msg(Aio);
-      reply.assign(static_cast<const char *>(nng_msg_body(msg)),
-                   nng_msg_len(msg));
-      nng_msg_free(msg);
-    }
-    Report(ec, reply);
-  }
-
-  std::shared_ptr<Socket> Sock;
-  const Done Report;
-  nng_ctx Ctx = NNG_CTX_INITIALIZER;
-  nng_aio *Aio = nullptr;
-  bool Sent = false;
-};
-
-} // namespace Internal
-
 RequestChannel::RequestChannel(std::string address)
     : Address(std::move(address)),
       Current(std::make_shared<Internal::Socket>(Address)) {}
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -28,6 +28,77 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Cancel, Organisation, JobId)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Ack, Ok, Detail, Epoch, ConfigVersion,
                                    TaskLeaseMs)
+NLOHMANN_JSON_SERIALIZE_ENUM(RunEnd, {{RunEnd::Done, "done"},
+                                      {RunEnd::Failed, "failed"},
+                                      {RunEnd::Stopped, "stopped"},
+                                      {RunEnd::Lapsed, "lapsed"},
+                                      {RunEnd::Broken, "broken"},
+                                      {RunEnd::Alone, "alone"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(OrderOutcome,
+                             {{OrderOutcome::Started, "started"},
+                              {OrderOutcome::Refused, "refused"},
+                              {OrderOutcome::Busy, "busy"},
+                              {OrderOutcome::Gone, "gone"},
+                              {OrderOutcome::NoRoom, "no_room"},
+                              {OrderOutcome::Fenced, "fenced"},
+                              {OrderOutcome::Unconfirmed, "unconfirmed"},
+                              {OrderOutcome::Absent, "absent"}})
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningTask, Task, Run, Saved, Percent)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndedTask, Number, Task, Run, How, Saved)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OrderResult, Task, Run, Outcome, Detail)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerState, Life, Service, FailureDomain,
+                                   Rack, Labels, Capacity, Draining,
+                                   RemainingMs, ColdMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerReport, Agent, AgentAddress, Worker,
+                                   Sequence, Reachable, Epoch, Running, Ended,
+                                   Results)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportAck, Epoch, Leader, Entries, GrantMs,
+                                   SeenUpto)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
+                                   Ticket)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopOrder, Task, Run)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders, Epoch, Life, Starts, Stops)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobWritten, Key, Value, Revision)
+
+const char *runEndName(RunEnd end) {
+  switch (end) {
+  case RunEnd::Done:
+    return "done";
+  case RunEnd::Failed:
+    return "failed";
+  case RunEnd::Stopped:
+    return "stopped";
+  case RunEnd::Lapsed:
+    return "lapsed";
+  case RunEnd::Broken:
+    return "broken";
+  case RunEnd::Alone:
+    return "alone";
+  }
+  return "unknown";
+}
+
+const char *orderOutcomeName(OrderOutcome outcome) {
+  switch (outcome) {
+  case OrderOutcome::Started:
+    return "started";
+  case OrderOutcome::Refused:
+    return "refused";
+  case OrderOutcome::Busy:
+    return "busy";
+  case OrderOutcome::Gone:
+    return "gone";
+  case OrderOutcome::NoRoom:
+    return "no_room";
+  case OrderOutcome::Fenced:
+    return "fenced";
+  case OrderOutcome::Unconfirmed:
+    return "unconfirmed";
+  case OrderOutcome::Absent:
+    return "absent";
+  }
+  return "unknown";
+}
 
 namespace {
 
@@ -43,11 +114,20 @@
 // In the order of Message's alternatives.
 const std::array<MessageKind, std::variant_size_v<Message>> &kinds() {
   static const std::array<MessageKind, std::variant_size_v<Message>> table = {
-      kindOf<Announce>("announce"), kindOf<TaskResult>("task_result"),
-      kindOf<Reserve>("reserve"),   kindOf<Run>("run"),
-      kindOf<Release>("release"),   kindOf<Stop>("stop"),
-      kindOf<Submit>("submit"),     kindOf<Answered>("answered"),
-      kindOf<Cancel>("cancel"),     kindOf<Ack>("ack")};
+      kindOf<Announce>("announce"),
+      kindOf<TaskResult>("task_result"),
+      kindOf<Reserve>("reserve"),
+      kindOf<Run>("run"),
+      kindOf<Release>("release"),
+      kindOf<Stop>("stop"),
+      kindOf<Submit>("submit"),
+      kindOf<Answered>("answered"),
+      kindOf<Cancel>("cancel"),
+      kindOf<Ack>("ack"),
+      kindOf<WorkerReport>("worker_report"),
+      kindOf<ReportAck>("report_ack"),
+      kindOf<WorkerOrders>("worker_orders"),
+      kindOf<JobWritten>("job_written")};
   return table;
 }
 
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -2,6 +2,7 @@
 
 #include "core/answer.h"
 #include "core/job.h"
+#include "core/jobspec.h"
 #include "core/workerinfo.h"
 #include "utils/error.h"
 
@@ -132,8 +133,151 @@
   auto operator<=>(const Ack &) const = default;
 };
 
+/// A task that a worker runs, as it last listed it.
+struct RunningTask {
+  /// core::taskName().
+  std::string Task;
+  int64_t Run = 0;
+  /// Checkpoint to resume from; empty when there is none.
+  std::string Saved;
+  /// How much of its work is done; 100 for a long-running task at work.
+  int Percent = 0;
+  auto operator<=>(const RunningTask &) const = default;
+};
+
+/// How a run ended at its worker. Failed: by its own fault or the worker's.
+/// Lapsed: nobody kept it alive. Broken: another member of its gang ended.
+/// Alone: the other members of its gang did not come.
+enum class RunEnd { Done, Failed, Stopped, Lapsed, Broken, Alone };
+
+/// The stable name of end, for logs.
+const char *runEndName(RunEnd end);
+
+/// A run that ended, under the number that the worker gave the end.
+struct EndedTask {
+  int64_t Number = 0;
+  std::string Task;
+  int64_t Run = 0;
+  RunEnd How = RunEnd::Done;
+  std::string Saved;
+  auto operator<=>(const EndedTask &) const = default;
+};
+
+/// What became of an order. Started: the run is there. Refused: it is not and
+/// will not come. Busy: the worker is unhealthy and did nothing. Gone: that
+/// life of the worker has ended. NoRoom: the worker has no room. Fenced: a
+/// newer leader has given orders. Unconfirmed: the run may be there or come.
+/// Absent: a stop found nothing, and the run can no longer come.
+enum class OrderOutcome {
+  Started,
+  Refused,
+  Busy,
+  Gone,
+  NoRoom,
+  Fenced,
+  Unconfirmed,
+  Absent
+};
+
+/// The stable name of outcome, for logs.
+const char *orderOutcomeName(OrderOutcome outcome);
+
+struct OrderResult {
+  std::string Task;
+  int64_t Run = 0;
+  OrderOutcome Outcome = OrderOutcome::Unconfirmed;
+  std::string Detail;
+  auto operator<=>(const OrderResult &) const = default;
+};
+
+/// A worker as its agent knows it. Life is the worker's id, which is new after
+/// each start.
+struct WorkerState {
+  std::string Life;
+  std::string Service;
+  std::string FailureDomain;
+  std::string Rack;
+  std::vector<std::string> Labels;
+  core::Resources Capacity;
+  bool Draining = false;
+  /// While it drains: it stays at least so long.
+  int64_t RemainingMs = 0;
+  /// It is still slow for so long after its start.
+  int64_t ColdMs = 0;
+  auto operator<=>(const WorkerState &) const = default;
+};
+
+/// Agent to the leading entry, periodically and at once on news: the worker
+/// and all that it runs or that ended and is not acknowledged. An empty Life:
+/// no worker has shown up.
+struct WorkerReport {
+  std::string Agent;
+  std::string AgentAddress;
+  WorkerState Worker;
+  /// Grows with each report of this life, also when the agent restarts.
+  int64_t Sequence = 0;
+  /// The worker answers its agent. While it does not, nothing is granted.
+  bool Reachable = true;
+  /// The highest epoch that the worker had seen when it listed its tasks:
+  /// orders of a lower one can no longer take effect.
+  int64_t Epoch = 0;
+  std::vector<RunningTask> Running;
+  std::vector<EndedTask> Ended;
+  std::vector<OrderResult> Results;
+  auto operator<=>(const WorkerReport &) const = default;
+};
+
+/// The answer to a WorkerReport. Epoch is zero when the entry does not lead;
+/// Leader is then where the leader is, if known. GrantMs: the agent may keep
+/// the worker's tasks alive for so long from the moment it sent the report.
+/// SeenUpto: ends up to this number of this life are recorded.
+struct ReportAck {
+  int64_t Epoch = 0;
+  std::string Leader;
+  std::vector<std::string> Entries;
+  int64_t GrantMs = 0;
+  int64_t SeenUpto = 0;
+  auto operator<=>(const ReportAck &) const = default;
+};
+
+/// Leading entry to agent: start this run.
+struct StartOrder {
+  std::string Task;
+  int64_t Run = 0;
+  std::string Payload;
+  std::string Saved;
+  std::string Ticket;
+  auto operator<=>(const StartOrder &) const = default;
+};
+
+struct StopOrder {
+  std::string Task;
+  int64_t Run = 0;
+  auto operator<=>(const StopOrder &) const = default;
+};
+
+/// Leading entry to agent: orders for one life of its worker. The agent says
+/// at once that it has them; what became of each comes in a report.
+struct WorkerOrders {
+  int64_t Epoch = 0;
+  std::string Life;
+  std::vector<StartOrder> Starts;
+  std::vector<StopOrder> Stops;
+  auto operator<=>(const WorkerOrders &) const = default;
+};
+
+/// Entry to the leading entry: a job's record was written. It comes besides
+/// the store's watch, which may be silent.
+struct JobWritten {
+  std::string Key;
+  std::string Value;
+  int64_t Revision = 0;
+  auto operator<=>(const JobWritten &) const = default;
+};
+
 using Message = std::variant<Announce, TaskResult, Reserve, Run, Release, Stop,
-                             Submit, Answered, Cancel, Ack>;
+                             Submit, Answered, Cancel, Ack, WorkerReport,
+                             ReportAck, WorkerOrders, JobWritten>;
 
 /// CBOR bytes of message.
 std::string encode(const Message &message);
--- a/src/libs/eventlog/eventlog.cpp
+++ b/src/libs/eventlog/eventlog.cpp
@@ -85,6 +85,54 @@
     return "leader.lost";
   case Event::LeaderFollowed:
     return "leader.followed";
+  case Event::CallAnswered:
+    return "call.answered";
+  case Event::LastingJobEnded:
+    return "job.ended";
+  case Event::StepWaiting:
+    return "step.waiting";
+  case Event::RunPlaced:
+    return "run.placed";
+  case Event::RunStarted:
+    return "run.started";
+  case Event::RunRefused:
+    return "run.refused";
+  case Event::RunStopping:
+    return "run.stopping";
+  case Event::RunEnded:
+    return "run.ended";
+  case Event::RunSettled:
+    return "run.settled";
+  case Event::OrderReceived:
+    return "order.received";
+  case Event::OrderCarriedOut:
+    return "order.carried_out";
+  case Event::GrantEnded:
+    return "grant.ended";
+  case Event::StoreLost:
+    return "store.lost";
+  case Event::StoreRegained:
+    return "store.regained";
+  case Event::ConfigAccepted:
+    return "config.accepted";
+  case Event::ConfigRefused:
+    return "config.refused";
+  case Event::RecordRefused:
+    return "record.refused";
+  case Event::WorkerLifeBegan:
+    return "worker.life_began";
+  case Event::WorkerLifeEnded:
+    return "worker.life_ended";
+  case Event::WorkerDraining:
+    return "worker.draining";
+  case Event::WorkerUnreachable:
+    return "worker.unreachable";
+  case Event::WorkerReachable:
+    return "worker.reachable";
+  case Event::SettingsReloaded:
+    return "settings.reloaded";
+  case Event::LeaderUnreachable:
+    return "leader.unreachable";
   }
   return "unknown";
 }
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -10,6 +10,7 @@
   ProcessStopped = 102,
   SettingsRejected = 103,
   ListenerBound = 104,
+  SettingsReloaded = 105,
 
   JobReceived = 200,
   JobPlaced = 201,
@@ -20,12 +21,20 @@
   GangStopping = 206,
   GangRequeued = 207,
   GangAdopted = 208,
+  CallAnswered = 210,
+  LastingJobEnded = 211,
+  StepWaiting = 212,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
   WorkerLost = 302,
   WorkerHeartbeatFailed = 303,
   WorkerKeptOut = 305,
+  WorkerLifeBegan = 306,
+  WorkerLifeEnded = 307,
+  WorkerDraining = 308,
+  WorkerUnreachable = 309,
+  WorkerReachable = 310,
 
   TaskReserved = 400,
   TaskStarted = 401,
@@ -33,6 +42,15 @@
   TaskReleased = 403,
   TaskDuplicateRefused = 404,
   TaskStopAsked = 405,
+  RunPlaced = 410,
+  RunStarted = 411,
+  RunRefused = 412,
+  RunStopping = 413,
+  RunEnded = 414,
+  RunSettled = 415,
+  OrderReceived = 420,
+  OrderCarriedOut = 421,
+  GrantEnded = 422,
 
   ProfileAccepted = 500,
   ProfileRefusedStale = 501,
@@ -40,10 +58,16 @@
   ProfileConflict = 503,
   StoreCallFailed = 504,
   ProfileInForce = 505,
+  StoreLost = 506,
+  StoreRegained = 507,
+  ConfigAccepted = 508,
+  ConfigRefused = 509,
+  RecordRefused = 510,
 
   LeaderElected = 600,
   LeaderLost = 601,
   LeaderFollowed = 602,
+  LeaderUnreachable = 603,
 };
 
 /// The stable dotted name of event, printed beside its number.
--- /dev/null
+++ b/src/libs/platform/election.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "leaderelection.h"
+#include "prefixfollower.h"
+#include "store.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oriolebay::platform {
+
+/// The keys of an election and how it keeps time.
+struct ElectionOptions {
+  std::string LeaderKey = "oriolebay/leader";
+  std::string EntryPrefix = "oriolebay/entries/";
+  /// This entry's name and the address that others reach it at.
+  std::string Name;
+  std::string Address;
+  /// How long the leader may be silent before the store removes its key.
+  absl::Duration LeaseTtl = absl::Seconds(2);
+  /// Renewals in one lease's time: three may be lost before it lapses.
+  int RenewalsPerLease = 4;
+  FollowTiming Follow;
+};
+
+/// Elects one leader among the entries with a lease in the store, on one event
+/// loop. An entry leads when the leader's key carries its lease. In an outage
+/// the leader stays leader until it learns otherwise; confirmed() says how old
+/// that belief is, and the store refuses its writes once it has been replaced.
+class Election {
+public:
+  using OnChange = std::function<void(const Leadership &)>;
+  using OnTrouble = std::function<void(StoreStatus, const std::string &why)>;
+
+  Election(utils::EventLoop &loop, const Store &store, ElectionOptions options,
+           OnChange onChange, OnTrouble onTrouble);
+  ~Election();
+  Election(const Election &) = delete;
+  Election &operator=(const Election &) = delete;
+
+  void start();
+  const Leadership &known() const { return Known; }
+  /// When the store last confirmed this entry's lease while it led (the time
+  /// the confirmed call was sent, on the boot clock).
+  absl::Time confirmed() const { return Confirmed; }
+  /// Gives up the lease and takes no part any more. Done is called once the
+  /// store answered, or did not.
+  void resign(std::function<void()> done);
+
+private:
+  template <class T> OnStoreReply<T> guarded(OnStoreReply<T> handler);
+  void grant();
+  void onGranted(const StoreReply<StoreLease> &reply, absl::Time sent);
+  void registerEntry();
+  void keepLater();
+  void keep();
+  void onKept(const StoreReply<StoreLease> &reply, absl::Time sent);
+  void loseLease();
+  void onLeaderKey(const StoreEvent &event);
+  void onView();
+  void contend();
+  void change(Leadership next);
+  absl::Duration period() const;
+
+  utils::EventLoop &Loop;
+  const Store &Calls;
+  const ElectionOptions Options;
+  const OnChange Changed;
+  const OnTrouble Trouble;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  PrefixFollower Follower;
+  int64_t Lease = 0;
+  absl::Time LeaseConfirmed = absl::InfinitePast();
+  absl::Time Confirmed = absl::InfinitePast();
+  bool ViewComplete = false;
+  bool Contending = false;
+  bool Resigned = false;
+  /// The leader's key as the follower saw it last; Epoch zero when absent.
+  Leadership Known;
+};
+
+} // namespace oriolebay::platform
--- /dev/null
+++ b/src/libs/platform/keyvalue.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace oriolebay::platform {
+
+/// One key of the platform's store with the revisions the store gave it.
+struct KeyValue {
+  std::string Key;
+  std::string Value;
+  int64_t CreateRevision = 0;
+  int64_t ModRevision = 0;
+  int64_t Lease = 0;
+
+  auto operator<=>(const KeyValue &) const = default;
+};
+
+} // namespace oriolebay::platform
--- a/src/libs/platform/kvclient.h
+++ b/src/libs/platform/kvclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/httpclient.h"
+#include "keyvalue.h"
 #include "utils/error.h"
 
 #include <absl/synchronization/mutex.h>
@@ -14,17 +15,6 @@
 
 namespace oriolebay::platform {
 
-/// One key of the platform's store with the revisions the store gave it.
-struct KeyValue {
-  std::string Key;
-  std::string Value;
-  int64_t CreateRevision = 0;
-  int64_t ModRevision = 0;
-  int64_t Lease = 0;
-
-  auto operator<=>(const KeyValue &) const = default;
-};
-
 /// The result of a compare-and-swap. When Succeeded is false, Current holds
 /// the value that won (absent when the key does not exist).
 struct CasResult {
--- /dev/null
+++ b/src/libs/platform/prefixfollower.cpp
@@ -0,0 +1,128 @@
+#include "prefixfollower.h"
+
+#include "utils/eventloop.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace oriolebay::platform {
+
+PrefixFollower::PrefixFollower(utils::EventLoop &loop, const Store &store,
+                               std::string prefix, FollowTiming timing,
+                               OnChange onChange, OnComplete onComplete,
+                               OnTrouble onTrouble)
+    : Loop(loop), Calls(store), Prefix(std::move(prefix)), Timing(timing),
+      Changed(std::move(onChange)), Complete(std::move(onComplete)),
+      Trouble(std::move(onTrouble)), Pause(timing.FirstPause) {}
+
+PrefixFollower::~PrefixFollower() { ++*Round; }
+
+void PrefixFollower::start() { readAgain(); }
+
+void PrefixFollower::readAgain() {
+  const uint64_t round = ++*Round;
+  Reading.clear();
+  ReadingFrom = 0;
+  readPage(round, "");
+}
+
+void PrefixFollower::readPage(uint64_t round, std::string after) {
+  Calls.Range(Prefix, after, ReadMode::Linearizable,
+              [this, alive = Round, round](StoreReply<StorePage> reply) {
+                if (*alive == round)
+                  onPage(round, std::move(reply));
+              });
+}
+
+void PrefixFollower::onPage(uint64_t round, StoreReply<StorePage> reply) {
+  if (!reply.ok()) {
+    Trouble(reply.Status, reply.Why);
+    retry(round, [this] { readAgain(); });
+    return;
+  }
+  Pause = Timing.FirstPause;
+  // Pages are not a snapshot: watching on from the first page's revision
+  // repeats some changes, but misses none.
+  if (ReadingFrom == 0)
+    ReadingFrom = reply.Value.Revision;
+  std::string last;
+  for (KeyValue &item : reply.Value.Items) {
+    last = item.Key;
+    Reading[last] = std::move(item);
+  }
+  if (reply.Value.More && !last.empty())
+    readPage(round, last);
+  else
+    finishReading(round);
+}
+
+void PrefixFollower::finishReading(uint64_t round) {
+  std::vector<std::string> gone;
+  for (const auto &[key, revision] : Known)
+    if (!Reading.contains(key) && revision <= ReadingFrom)
+      gone.push_back(key);
+  for (const std::string &key : gone) {
+    StoreEvent event{{key, "", 0, ReadingFrom, 0}, true};
+    apply(event);
+  }
+  auto read = std::move(Reading);
+  Reading.clear();
+  for (auto &[key, item] : read)
+    apply({std::move(item), false});
+  Seen = std::max(Seen, ReadingFrom);
+  Complete(Seen);
+  if (*Round == round)
+    watch(round);
+}
+
+void PrefixFollower::apply(const StoreEvent &event) {
+  const auto it = Known.find(event.Item.Key);
+  if (it != Known.end() && it->second >= event.Item.ModRevision)
+    return;
+  if (event.Deleted) {
+    if (it == Known.end())
+      return;
+    Known.erase(it);
+  } else {
+    Known[event.Item.Key] = event.Item.ModRevision;
+  }
+  Changed(event);
+}
+
+void PrefixFollower::learn(KeyValue item) { apply({std::move(item), false}); }
+
+void PrefixFollower::watch(uint64_t round) {
+  Calls.Watch(Prefix, Seen, absl::ToInt64Milliseconds(Timing.WatchWait),
+              [this, alive = Round, round](StoreReply<StoreEvents> reply) {
+                if (*alive == round)
+                  onEvents(round, std::move(reply));
+              });
+}
+
+void PrefixFollower::onEvents(uint64_t round, StoreReply<StoreEvents> reply) {
+  if (!reply.ok()) {
+    Trouble(reply.Status, reply.Why);
+    // A watch that was cut may have been silent for a while before: the
+    // history it would go on from can be gone, or hold changes that were
+    // never sent. Reading anew leaves no gap.
+    retry(round, [this] { readAgain(); });
+    return;
+  }
+  Pause = Timing.FirstPause;
+  for (const StoreEvent &event : reply.Value.Events)
+    apply(event);
+  Seen = std::max(Seen, reply.Value.Revision);
+  if (*Round == round)
+    watch(round);
+}
+
+void PrefixFollower::retry(uint64_t round, std::function<void()> step) {
+  const absl::Duration pause = Pause;
+  Pause = std::min(Pause * 2, Timing.LongestPause);
+  Loop.runAfter(pause, [alive = Round, round, step = std::move(step)] {
+    if (*alive == round)
+      step();
+  });
+}
+
+} // namespace oriolebay::platform
--- /dev/null
+++ b/src/libs/platform/storehealth.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "store.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oriolebay::platform {
+
+/// Whether the store answers this process, going by all of its calls. Owned by
+/// one event loop.
+class StoreHealth {
+public:
+  /// The store was lost (Ok false, with why) or answers again.
+  using OnChange = std::function<void(bool ok, const std::string &why)>;
+
+  explicit StoreHealth(OnChange onChange) : Changed(std::move(onChange)) {}
+
+  /// The same store with every outcome noted here. The result must not outlive
+  /// this object.
+  Store watching(Store inner);
+
+  /// False once calls have failed for grace and none succeeded since.
+  bool usable(absl::Time now, absl::Duration grace) const {
+    return now - FailingSince < grace;
+  }
+  int64_t calls() const { return Calls; }
+  int64_t failures() const { return Failures; }
+
+private:
+  template <class T> OnStoreReply<T> noting(OnStoreReply<T> done);
+  void note(StoreStatus status, const std::string &why);
+
+  const OnChange Changed;
+  absl::Time FailingSince = absl::InfiniteFuture();
+  int64_t Calls = 0;
+  int64_t Failures = 0;
+};
+
+} // namespace oriolebay::platform
--- /dev/null
+++ b/src/libs/settings/nodesettings.cpp
@@ -0,0 +1,143 @@
+#include "nodesettings.h"
+
+#include "reader.h"
+
+#include <algorithm>
+
+namespace oriolebay::settings {
+
+using Internal::parseObject;
+using Internal::Reader;
+using nlohmann::json;
+using utils::ErrorKind;
+
+namespace {
+
+/// Reports in one heartbeat period, and those that may be lost in a row before
+/// a worker is suspect.
+constexpr int ReportsPerHeartbeat = 3;
+/// A worker's clock may run so much slower than real time.
+constexpr double WorkerClockSlack = 1.02;
+/// A call that keeps tasks alive may be on its way for so long.
+constexpr absl::Duration CallOnItsWay = absl::Milliseconds(300);
+/// Time left before the kill when a process leaves after SIGTERM.
+constexpr absl::Duration LeaveSlack = absl::Milliseconds(800);
+
+utils::Result<void> readAddress(Reader &r, const char *key, bool required,
+                                HostPort &out) {
+  std::string text;
+  BOOST_LEAF_CHECK(r.get(key, text, required));
+  if (text.empty() && !required)
+    return {};
+  const size_t colon = text.rfind(':');
+  int port = -1;
+  if (colon != std::string::npos && colon + 1 < text.size() &&
+      text.find_first_not_of("0123456789", colon + 1) == std::string::npos &&
+      text.size() - colon <= 6)
+    port = std::stoi(text.substr(colon + 1));
+  if (colon == 0 || port < 0 || port > 65535)
+    return utils::fail(ErrorKind::BadSettings,
+                       std::string("setting ") + key + " is not an address",
+                       "write it as IP:PORT");
+  out = {text.substr(0, colon), port};
+  return {};
+}
+
+utils::Result<void> readMs(Reader &r, const char *key, int &out) {
+  BOOST_LEAF_CHECK(r.get(key, out, false));
+  if (out <= 0)
+    return utils::fail(ErrorKind::BadSettings,
+                       std::string("setting bounds.") + key +
+                           " must be above zero",
+                       "give a positive number of milliseconds");
+  return {};
+}
+
+utils::Result<SiteBounds> readBounds(const json &object) {
+  SiteBounds b;
+  if (object.is_null())
+    return b;
+  if (!object.is_object())
+    return utils::fail(ErrorKind::BadSettings, "setting bounds is no object",
+                       "give bounds as {\"hold_max_ms\": 6000, ...}");
+  Reader r(object, "bounds.");
+  BOOST_LEAF_CHECK(readMs(r, "hold_max_ms", b.HoldMaxMs));
+  BOOST_LEAF_CHECK(readMs(r, "stop_grace_ms", b.StopGraceMs));
+  BOOST_LEAF_CHECK(readMs(r, "gang_wait_ms", b.GangWaitMs));
+  BOOST_LEAF_CHECK(readMs(r, "config_apply_ms", b.ConfigApplyMs));
+  BOOST_LEAF_CHECK(readMs(r, "revoke_ms", b.RevokeMs));
+  BOOST_LEAF_CHECK(readMs(r, "lease_ms", b.LeaseMs));
+  BOOST_LEAF_CHECK(readMs(r, "restore_ms", b.RestoreMs));
+  double seconds = b.TermGraceMs / 1000.0;
+  BOOST_LEAF_CHECK(r.get("term_grace_s", seconds, false));
+  b.TermGraceMs = static_cast<int>(seconds * 1000);
+  seconds = b.KeepFinishedMs / 1000.0;
+  BOOST_LEAF_CHECK(r.get("keep_finished_s", seconds, false));
+  b.KeepFinishedMs = static_cast<int>(seconds * 1000);
+  seconds = b.CheckpointMs / 1000.0;
+  BOOST_LEAF_CHECK(r.get("checkpoint_s", seconds, false));
+  b.CheckpointMs = static_cast<int>(seconds * 1000);
+  BOOST_LEAF_CHECK(r.get("remote_factor", b.RemoteFactor, false));
+  BOOST_LEAF_CHECK(r.noOthers());
+  if (b.TermGraceMs <= 0 || b.KeepFinishedMs <= 0 || b.RemoteFactor < 1)
+    return utils::fail(ErrorKind::BadSettings,
+                       "setting bounds has a value that cannot be",
+                       "term_grace_s and keep_finished_s must be above zero, "
+                       "remote_factor at least 1");
+  return b;
+}
+
+} // namespace
+
+utils::Result<NodeSettings> parseNodeSettings(const std::string &text) {
+  BOOST_LEAF_AUTO(j, parseObject(text));
+  NodeSettings s;
+  Reader r(j, "");
+  BOOST_LEAF_CHECK(r.get("name", s.Name, true));
+  BOOST_LEAF_CHECK(r.get("failure_domain", s.FailureDomain, true));
+  BOOST_LEAF_CHECK(readAddress(r, "callers_listen", false, s.Callers));
+  BOOST_LEAF_CHECK(readAddress(r, "ready_listen", false, s.Ready));
+  BOOST_LEAF_CHECK(readAddress(r, "control_listen", false, s.Control));
+  BOOST_LEAF_CHECK(readAddress(r, "peers_listen", true, s.Peers));
+  BOOST_LEAF_CHECK(readAddress(r, "metrics_listen", false, s.Metrics));
+  BOOST_LEAF_CHECK(readAddress(r, "worker_address", false, s.Worker));
+  BOOST_LEAF_CHECK(readAddress(r, "store_address", true, s.Store));
+  BOOST_LEAF_CHECK(r.get("store_min_lease_ms", s.StoreMinLeaseMs, false));
+  BOOST_LEAF_CHECK(readAddress(r, "advice_address", false, s.Advice));
+  BOOST_LEAF_CHECK(r.get("heartbeat_ms", s.HeartbeatMs, false));
+  json bounds;
+  BOOST_LEAF_CHECK(r.get("bounds", bounds, false));
+  BOOST_LEAF_CHECK(r.noOthers());
+  BOOST_LEAF_AUTO(read, readBounds(bounds));
+  s.Bounds = read;
+  if (s.HeartbeatMs <= 0 || s.StoreMinLeaseMs <= 0)
+    return utils::fail(ErrorKind::BadSettings,
+                       "settings heartbeat_ms and store_min_lease_ms must be "
+                       "above zero",
+                       "give a positive number of milliseconds");
+  if (s.Bounds.HoldMaxMs <= 2 * s.HeartbeatMs)
+    return utils::fail(ErrorKind::BadSettings,
+                       "setting bounds.hold_max_ms must be above twice "
+                       "heartbeat_ms",
+                       "tasks must outlive a lost heartbeat; lower "
+                       "heartbeat_ms");
+  return s;
+}
+
+Timing deriveTiming(const NodeSettings &s) {
+  Timing t;
+  t.ReportEvery = absl::Milliseconds(s.HeartbeatMs) / ReportsPerHeartbeat;
+  t.SuspectAfter = ReportsPerHeartbeat * t.ReportEvery;
+  t.Grant = absl::Milliseconds(s.Bounds.HoldMaxMs) - t.ReportEvery;
+  t.GrantWithoutStore = 2 * absl::Milliseconds(s.Bounds.HoldMaxMs);
+  t.GrantOverAfter = t.Grant * WorkerClockSlack + CallOnItsWay;
+  t.LeaderLease = std::max(absl::Milliseconds(s.Bounds.LeaseMs) * 2 / 3,
+                           absl::Milliseconds(s.StoreMinLeaseMs));
+  t.ConfirmEvery = absl::Milliseconds(s.Bounds.ConfigApplyMs) * 3 / 10;
+  t.OldestConfig = absl::Milliseconds(s.Bounds.RevokeMs) / 2;
+  t.NotReadyAfter = absl::Milliseconds(s.Bounds.ConfigApplyMs);
+  t.LeaveBy = absl::Milliseconds(s.Bounds.TermGraceMs) - LeaveSlack;
+  return t;
+}
+
+} // namespace oriolebay::settings
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -1,67 +1,19 @@
 #include "settings.h"
 
-#include <nlohmann/json.hpp>
+#include "reader.h"
 
 #include <fstream>
-#include <set>
 #include <sstream>
 
 namespace oriolebay::settings {
 
+using Internal::parseObject;
+using Internal::Reader;
 using nlohmann::json;
 using utils::ErrorKind;
 
 namespace {
 
-// Reads one object's keys strictly: every key it holds must be asked for.
-class Reader {
-public:
-  Reader(const json &object, std::string where)
-      : Object(object), Where(std::move(where)) {}
-
-  template <class T>
-  utils::Result<void> get(const char *key, T &out, bool required) {
-    Seen.insert(key);
-    if (!Object.contains(key)) {
-      if (required)
-        return utils::fail(ErrorKind::BadSettings,
-                           "missing setting " + Where + key,
-                           "add \"" + std::string(key) + "\" to the file");
-      return {};
-    }
-    try {
-      Object.at(key).get_to(out);
-    } catch (const json::exception &) {
-      return utils::fail(ErrorKind::BadSettings,
-                         "setting " + Where + key + " has the wrong type",
-                         "see docs/OPERATIONS.md for its type");
-    }
-    return {};
-  }
-
-  utils::Result<void> noOthers() const {
-    for (const auto &[key, value] : Object.items())
-      if (Seen.count(key) == 0)
-        return utils::fail(ErrorKind::BadSettings,
-                           "unknown setting " + Where + key,
-                           "remove it or correct its spelling");
-    return {};
-  }
-
-private:
-  const json &Object;
-  const std::string Where;
-  std::set<std::string> Seen;
-};
-
-utils::Result<json> parseObject(const std::string &text) {
-  json j = json::parse(text, nullptr, false);
-  if (j.is_discarded() || !j.is_object())
-    return utils::fail(ErrorKind::BadSettings, "settings are not a JSON object",
-                       "write the settings as one JSON object");
-  return j;
-}
-
 utils::Result<void> requireAddress(const std::string &value, const char *key) {
   if (value.rfind("tcp://", 0) != 0 || value.find(':', 6) == std::string::npos)
     return utils::fail(ErrorKind::BadSettings,
