--- /dev/null
+++ b/src/libs/agent/workeragent.cpp
@@ -0,0 +1,579 @@
+#include "workeragent.h"
+
+#include "eventlog/eventlog.h"
+#include "utils/boottime.h"
+#include "utils/eventloop.h"
+
+#include <algorithm>
+
+namespace oriolebay::agent {
+
+using endpoints::CallOutcome;
+using endpoints::CallStatus;
+using endpoints::Heartbeat;
+using endpoints::HoldReply;
+using endpoints::Message;
+using endpoints::OrderOutcome;
+using endpoints::RefusalReason;
+using eventlog::Event;
+using eventlog::logEvent;
+using utils::bootNow;
+
+namespace {
+
+/// How long the worker may keep a look open without an end to tell.
+constexpr int64_t LookWaitMs = 1000;
+/// Pause before a worker that did not answer is looked at again.
+constexpr absl::Duration LookAgain = absl::Milliseconds(150);
+constexpr absl::Duration LookWithEnds = absl::Milliseconds(100);
+/// Looks that may fail in a row before the worker counts as not reachable.
+constexpr int MostFailures = 3;
+/// An order without an answer is given again after this long, on another
+/// connection: the worker beside answers in milliseconds when it answers.
+constexpr int StartTries = 4;
+constexpr int StopTries = 40;
+constexpr absl::Duration OrderAgain = absl::Milliseconds(60);
+constexpr int ReportTimeoutMs = 400;
+/// Results and ended lives remembered, so that late messages find them.
+constexpr size_t MostConcluded = 2048;
+/// Worker time that is left for a start to arrive.
+constexpr int64_t LeastHoldMs = 300;
+
+int64_t toMs(absl::Time t) {
+  return absl::ToInt64Milliseconds(t - absl::UnixEpoch());
+}
+
+} // namespace
+
+/// An order while it is carried out.
+struct WorkerAgent::Order {
+  endpoints::StartOrder Start;
+  endpoints::StopOrder Stop;
+  std::string Life;
+  int Tries = 0;
+  /// An earlier try had no answer: it may have been carried out, or may yet.
+  bool MayHaveArrived = false;
+};
+
+WorkerAgent::WorkerAgent(utils::EventLoop &loop, platform::Store store,
+                         endpoints::WorkerCalls worker,
+                         settings::NodeSettings settings,
+                         std::string entryPrefix)
+    : Loop(loop), Worker(std::move(worker)), Settings(std::move(settings)),
+      Time(settings::deriveTiming(Settings)),
+      Leader(loop, std::move(store), std::move(entryPrefix)) {
+  Peers = std::make_unique<endpoints::AsyncReplyServer>(
+      Loop, "tcp://" + Settings.Peers.text(),
+      [this](const Message &m, const endpoints::AsyncReplyServer::Respond &r) {
+        r(onMessage(m));
+      });
+}
+
+WorkerAgent::~WorkerAgent() { *Alive = false; }
+
+void WorkerAgent::start() { reportLater(); }
+
+// ---- The worker's life -----------------------------------------------------
+
+bool WorkerAgent::onHeartbeat(const Heartbeat &beat) {
+  const std::string &life = beat.Worker.Life;
+  if (EndedLives.count(life) != 0)
+    return true;
+  if (life != State.Life) {
+    tryLife(beat);
+    return true;
+  }
+  // A heartbeat that was held up on its way tells an older state.
+  if (beat.Sequence <= LastBeat)
+    return true;
+  LastBeat = beat.Sequence;
+  const bool draining = beat.Worker.Draining && !State.Draining;
+  State = beat.Worker;
+  if (draining) {
+    logEvent(Event::WorkerDraining,
+             {{"worker", life}, {"remaining_ms", beat.Worker.RemainingMs}});
+    reportSoon();
+  }
+  return true;
+}
+
+// A heartbeat that a cut delayed may come after its sender has crashed and a
+// new life has begun at the same address. Only the worker itself can tell
+// which of two lives is the present one.
+void WorkerAgent::tryLife(const Heartbeat &beat) {
+  if (TryingLife == beat.Worker.Life)
+    return;
+  TryingLife = beat.Worker.Life;
+  endpoints::HoldCall look;
+  look.Life = beat.Worker.Life;
+  look.Epoch = Epoch;
+  Worker.Hold(look, [this, alive = Alive, beat](const HoldReply &reply) {
+    if (!*alive || TryingLife != beat.Worker.Life)
+      return;
+    TryingLife.clear();
+    if (reply.Outcome.Status == CallStatus::OtherLife)
+      EndedLives.insert(beat.Worker.Life);
+    if (reply.Outcome.Status != CallStatus::Ok)
+      return;
+    adoptLife(beat);
+    noteClock(reply.Outcome.ClockMs);
+    hold(0);
+  });
+}
+
+void WorkerAgent::adoptLife(const Heartbeat &beat) {
+  if (!State.Life.empty())
+    endLife("a new life answers");
+  State = beat.Worker;
+  LastBeat = beat.Sequence;
+  logEvent(Event::WorkerLifeBegan,
+           {{"worker", State.Life},
+            {"rack", State.Rack},
+            {"cores_milli", State.Capacity.MilliCores},
+            {"accelerators", State.Capacity.Accelerators}});
+}
+
+void WorkerAgent::endLife(const std::string &why) {
+  logEvent(Event::WorkerLifeEnded, {{"worker", State.Life}, {"why", why}});
+  EndedLives.insert(State.Life);
+  State = {};
+  LastBeat = 0;
+  ClockOffset.reset();
+  SeenUpto = 0;
+  Running.clear();
+  Ended.clear();
+  ListedEpoch = 0;
+  HoldsTaken = HoldsSent;
+  HoldFailures = 0;
+  Reachable = false;
+  Listed = false;
+  Starting.clear();
+  StoppingRuns.clear();
+  Stopped.clear();
+  Concluded.clear();
+  ConcludedOrder.clear();
+  FirstResult += Results.size();
+  Results.clear();
+  reportSoon();
+}
+
+void WorkerAgent::onLeave(const std::string &life) {
+  if (life == State.Life)
+    endLife("it said so");
+  else
+    EndedLives.insert(life);
+}
+
+// ---- Keeping its tasks alive, and looking
+// ------------------------------------
+
+void WorkerAgent::noteClock(int64_t clockMs) {
+  // The answer may have been on its way for a while: the worker's clock is
+  // then further on than this says, and what is held ends the sooner.
+  if (clockMs > 0)
+    ClockOffset = clockMs - toMs(bootNow());
+}
+
+int64_t WorkerAgent::untilMs() const {
+  if (!ClockOffset || GrantEnd <= bootNow())
+    return 0;
+  const absl::Time latest =
+      bootNow() + absl::Milliseconds(Settings.Bounds.HoldMaxMs);
+  return toMs(std::min(GrantEnd, latest)) + *ClockOffset;
+}
+
+void WorkerAgent::hold(int64_t waitMs) {
+  if (State.Life.empty())
+    return;
+  endpoints::HoldCall call;
+  call.Life = State.Life;
+  call.UntilMs = untilMs();
+  call.Epoch = Epoch;
+  call.SeenUpto = SeenUpto;
+  call.WaitMs = waitMs;
+  const uint64_t number = ++HoldsSent;
+  ++HoldsOut;
+  Worker.Hold(call, [this, alive = Alive, number, life = State.Life,
+                     epoch = Epoch](const HoldReply &reply) {
+    if (!*alive)
+      return;
+    --HoldsOut;
+    if (life == State.Life)
+      onHeld(number, epoch, reply);
+  });
+}
+
+void WorkerAgent::holdLater(absl::Duration delay) {
+  if (HoldQueued)
+    return;
+  HoldQueued = true;
+  Loop.runAfter(delay, [this, alive = Alive] {
+    if (!*alive)
+      return;
+    HoldQueued = false;
+    if (HoldsOut == 0)
+      hold(Stopped.empty() ? LookWaitMs : 0);
+  });
+}
+
+void WorkerAgent::onHeld(uint64_t number, int64_t epoch,
+                         const HoldReply &reply) {
+  const CallOutcome &outcome = reply.Outcome;
+  if (outcome.Status == CallStatus::OtherLife) {
+    endLife("another life answered");
+    return;
+  }
+  if (outcome.Status != CallStatus::Ok) {
+    notReached(outcome.Detail);
+    holdLater(LookAgain);
+    return;
+  }
+  noteClock(outcome.ClockMs);
+  HoldFailures = 0;
+  bool news = !Reachable;
+  if (!Reachable)
+    logEvent(Event::WorkerReachable, {{"worker", State.Life}});
+  Reachable = true;
+  // Answers on different connections overtake each other.
+  if (number > HoldsTaken) {
+    HoldsTaken = number;
+    Listed = true;
+    news |= epoch > ListedEpoch || reply.Ended != Ended ||
+            reply.Running.size() != Running.size();
+    Running = reply.Running;
+    Ended = reply.Ended;
+    ListedEpoch = epoch;
+    settleStops(number);
+  }
+  if (news)
+    reportSoon();
+  // The worker answers at once while it has ends to tell that were not taken
+  // note of; the leader's answer starts the next look.
+  holdLater(Ended.empty() ? absl::ZeroDuration() : LookWithEnds);
+}
+
+void WorkerAgent::notReached(const std::string &why) {
+  if (++HoldFailures < MostFailures || !Reachable)
+    return;
+  Reachable = false;
+  logEvent(Event::WorkerUnreachable, {{"worker", State.Life}, {"why", why}});
+  reportSoon();
+}
+
+// ---- Orders
+// --------------------------------------------------------------------
+
+Message WorkerAgent::onMessage(const Message &message) {
+  if (const auto *orders = std::get_if<endpoints::WorkerOrders>(&message))
+    return onOrders(*orders);
+  return endpoints::Ack{false, "an agent does not take that message"};
+}
+
+endpoints::Ack WorkerAgent::onOrders(const endpoints::WorkerOrders &orders) {
+  // An entry that was paused may go on as leader after another took over.
+  if (orders.Epoch < Epoch)
+    return {false, "fenced: another entry leads", Epoch};
+  if (State.Life.empty())
+    return {false, "no worker has shown up yet", Epoch};
+  Epoch = orders.Epoch;
+  logEvent(Event::OrderReceived, {{"worker", orders.Life},
+                                  {"epoch", orders.Epoch},
+                                  {"starts", orders.Starts.size()},
+                                  {"stops", orders.Stops.size()}});
+  const bool otherLife = orders.Life != State.Life;
+  for (const endpoints::StopOrder &stop : orders.Stops) {
+    const RunKey key{stop.Task, stop.Run};
+    if (otherLife)
+      conclude(key, OrderOutcome::Gone, "that life of the worker has ended");
+    else if (StoppingRuns.count(key) == 0) {
+      auto order = std::make_shared<Order>();
+      order->Stop = stop;
+      order->Life = orders.Life;
+      StoppingRuns[key] = order;
+      stopTask(order);
+    }
+  }
+  for (const endpoints::StartOrder &start : orders.Starts) {
+    const RunKey key{start.Task, start.Run};
+    auto known = Concluded.find(key);
+    if (otherLife) {
+      conclude(key, OrderOutcome::Gone, "that life of the worker has ended");
+    } else if (known != Concluded.end()) {
+      Results.push_back(known->second);
+      reportSoon();
+    } else if (State.Draining) {
+      conclude(key, OrderOutcome::Refused, "the worker is draining");
+    } else if (Starting.count(key) == 0) {
+      auto order = std::make_shared<Order>();
+      order->Start = start;
+      order->Life = orders.Life;
+      Starting[key] = order;
+      startTask(order);
+    }
+  }
+  return {true, "", Epoch};
+}
+
+void WorkerAgent::conclude(const RunKey &run, OrderOutcome outcome,
+                           const std::string &detail) {
+  endpoints::OrderResult result{run.first, run.second, outcome, detail};
+  logEvent(Event::OrderCarriedOut,
+           {{"task", run.first},
+            {"run", run.second},
+            {"outcome", endpoints::orderOutcomeName(outcome)},
+            {"why", detail}});
+  if (Concluded.emplace(run, result).second)
+    ConcludedOrder.push_back(run);
+  else
+    Concluded[run] = result;
+  if (ConcludedOrder.size() > MostConcluded) {
+    Concluded.erase(ConcludedOrder.front());
+    ConcludedOrder.pop_front();
+  }
+  Results.push_back(std::move(result));
+  reportSoon();
+}
+
+void WorkerAgent::startTask(const OrderPtr &order) {
+  const RunKey key{order->Start.Task, order->Start.Run};
+  if (Starting[key] != order)
+    return;
+  // What is not granted any more must not begin: the leader may count this
+  // worker's tasks as ended.
+  const int64_t until = untilMs();
+  if (!ClockOffset || GrantEnd - bootNow() < absl::Milliseconds(LeastHoldMs)) {
+    Starting.erase(key);
+    conclude(key,
+             order->MayHaveArrived ? OrderOutcome::Unconfirmed
+                                   : OrderOutcome::Refused,
+             "no grant to keep it alive");
+    return;
+  }
+  endpoints::StartCall call;
+  call.Life = order->Life;
+  call.Order = order->Start;
+  call.UntilMs = until;
+  call.Epoch = Epoch;
+  call.FreshConnection = order->Tries > 0;
+  ++order->Tries;
+  Worker.Start(call, [this, alive = Alive, order](const CallOutcome &outcome) {
+    if (*alive && order->Life == State.Life)
+      onStarted(order, outcome);
+  });
+}
+
+void WorkerAgent::onStarted(const OrderPtr &order, const CallOutcome &outcome) {
+  const RunKey key{order->Start.Task, order->Start.Run};
+  noteClock(outcome.ClockMs);
+  auto end = [&](OrderOutcome result) {
+    Starting.erase(key);
+    // A try without an answer may still be carried out, so that another's
+    // refusal does not settle the run.
+    if (order->MayHaveArrived && result != OrderOutcome::Started &&
+        result != OrderOutcome::Gone)
+      result = OrderOutcome::Unconfirmed;
+    conclude(key, result, outcome.Detail);
+  };
+  switch (outcome.Status) {
+  case CallStatus::Ok:
+    return end(OrderOutcome::Started);
+  case CallStatus::OtherLife:
+    return end(OrderOutcome::Gone);
+  case CallStatus::Busy:
+    return end(OrderOutcome::Busy);
+  case CallStatus::Refused:
+    if (outcome.Reason == RefusalReason::NoRoom)
+      return end(OrderOutcome::NoRoom);
+    if (outcome.Reason == RefusalReason::Fenced)
+      return end(OrderOutcome::Fenced);
+    return end(OrderOutcome::Refused);
+  case CallStatus::NoAnswer:
+    order->MayHaveArrived = true;
+    break;
+  case CallStatus::NotSent:
+    break;
+  }
+  if (order->Tries >= StartTries)
+    return end(OrderOutcome::Refused);
+  Loop.runAfter(OrderAgain, [this, alive = Alive, order] {
+    if (*alive && order->Life == State.Life)
+      startTask(order);
+  });
+}
+
+void WorkerAgent::stopTask(const OrderPtr &order) {
+  endpoints::StopCall call;
+  call.Life = order->Life;
+  call.Order = order->Stop;
+  call.Epoch = Epoch;
+  call.FreshConnection = order->Tries > 0;
+  ++order->Tries;
+  Worker.Stop(call, [this, alive = Alive, order](const CallOutcome &outcome) {
+    if (*alive && order->Life == State.Life)
+      onStopped(order, outcome);
+  });
+}
+
+void WorkerAgent::onStopped(const OrderPtr &order, const CallOutcome &outcome) {
+  const RunKey key{order->Stop.Task, order->Stop.Run};
+  noteClock(outcome.ClockMs);
+  if (outcome.Status == CallStatus::Ok) {
+    // From now on the run is listed or can never begin; the next look tells.
+    StoppingRuns.erase(key);
+    Stopped[key] = HoldsSent + 1;
+    hold(0);
+    return;
+  }
+  if (outcome.Status == CallStatus::OtherLife ||
+      outcome.Status == CallStatus::Refused || order->Tries >= StopTries) {
+    StoppingRuns.erase(key);
+    if (outcome.Status == CallStatus::OtherLife)
+      conclude(key, OrderOutcome::Gone, outcome.Detail);
+    return;
+  }
+  Loop.runAfter(OrderAgain, [this, alive = Alive, order] {
+    if (*alive && order->Life == State.Life)
+      stopTask(order);
+  });
+}
+
+void WorkerAgent::settleStops(uint64_t holdNumber) {
+  std::set<RunKey> listed;
+  for (const endpoints::RunningTask &r : Running)
+    listed.insert({r.Task, r.Run});
+  std::set<RunKey> ended;
+  for (const endpoints::EndedTask &e : Ended)
+    ended.insert({e.Task, e.Run});
+  for (auto it = Stopped.begin(); it != Stopped.end();) {
+    const RunKey key = it->first;
+    if (holdNumber < it->second || listed.count(key) != 0) {
+      ++it;
+      continue;
+    }
+    it = Stopped.erase(it);
+    if (ended.count(key) == 0)
+      conclude(key, OrderOutcome::Absent, "the worker does not know it");
+  }
+}
+
+// ---- Reports
+// -------------------------------------------------------------------
+
+void WorkerAgent::reportLater() {
+  Loop.runAfter(Time.ReportEvery, [this, alive = Alive] {
+    if (!*alive)
+      return;
+    report();
+    reportLater();
+  });
+}
+
+void WorkerAgent::reportSoon() {
+  if (ReportQueued)
+    return;
+  ReportQueued = true;
+  Loop.post([this, alive = Alive] {
+    if (*alive)
+      report();
+  });
+}
+
+void WorkerAgent::report() {
+  ReportQueued = false;
+  // A life is reported once it has been looked at; before that its lists
+  // would seem empty.
+  if (!State.Life.empty() && !Listed)
+    return;
+  endpoints::AsyncChannel *channel = Leader.target([this] { reportSoon(); });
+  if (channel == nullptr)
+    return;
+  endpoints::WorkerReport message;
+  message.Agent = Settings.Name;
+  message.AgentAddress = Peers->address();
+  message.Worker = State;
+  message.Reachable = Reachable;
+  message.Epoch = ListedEpoch;
+  message.Running = Running;
+  message.Ended = Ended;
+  message.Results = Results;
+  const absl::Time sent = bootNow();
+  LastSequence = std::max(LastSequence + 1, toMs(sent));
+  message.Sequence = LastSequence;
+  const uint64_t results = FirstResult + Results.size();
+  const std::string life = State.Life;
+  channel->call(
+      message, ReportTimeoutMs,
+      [this, alive = Alive, sent, results, life,
+       address = channel->address()](const utils::Result<Message> &reply) {
+        if (!*alive)
+          return;
+        const auto *ack =
+            reply ? std::get_if<endpoints::ReportAck>(&*reply) : nullptr;
+        if (ack != nullptr && life == State.Life) {
+          onReportAnswer(*ack, sent, results);
+        } else if (ack == nullptr && address == Leader.address()) {
+          if (Leader.knowsLeader())
+            logEvent(Event::LeaderUnreachable, {{"leader", address}});
+          Leader.silent();
+          Loop.runAfter(absl::Milliseconds(50), [this, alive] {
+            if (*alive)
+              reportSoon();
+          });
+        }
+      });
+}
+
+void WorkerAgent::onReportAnswer(const endpoints::ReportAck &ack,
+                                 absl::Time sent, uint64_t results) {
+  // A leader that was replaced answers with a lower epoch: it grants nothing.
+  const bool leads = ack.Epoch > 0 && ack.Epoch >= Epoch;
+  const bool knew = Leader.knowsLeader();
+  Leader.answered(leads, ack.Leader, ack.Entries);
+  if (!leads) {
+    Loop.runAfter(absl::Milliseconds(knew ? 0 : 50), [this, alive = Alive] {
+      if (*alive)
+        reportSoon();
+    });
+    return;
+  }
+  if (!knew)
+    logEvent(Event::LeaderFollowed,
+             {{"leader", Leader.address()}, {"epoch", ack.Epoch}});
+  const bool newEpoch = ack.Epoch > Epoch;
+  Epoch = ack.Epoch;
+  if (ack.GrantMs > 0)
+    GrantEnd = std::max(GrantEnd, sent + absl::Milliseconds(ack.GrantMs));
+  const bool seenMore = ack.SeenUpto > SeenUpto;
+  SeenUpto = std::max(SeenUpto, ack.SeenUpto);
+  Ended.erase(std::remove_if(Ended.begin(), Ended.end(),
+                             [this](const endpoints::EndedTask &e) {
+                               return e.Number <= SeenUpto;
+                             }),
+              Ended.end());
+  // Answers overtake each other: only what this report carried is dropped.
+  for (; FirstResult < results && !Results.empty(); ++FirstResult)
+    Results.erase(Results.begin());
+  // The worker has to see the new fencing token before its lists say anything
+  // to the new leader.
+  if (newEpoch || (seenMore && HoldsOut == 0))
+    hold(0);
+}
+
+void WorkerAgent::stop(std::function<void()> done) {
+  if (StopAsked)
+    return;
+  StopAsked = true;
+  logEvent(Event::ProcessStopping, {{"worker", State.Life}});
+  if (State.Life.empty()) {
+    done();
+    return;
+  }
+  endpoints::HoldCall call;
+  call.Life = State.Life;
+  call.UntilMs = untilMs();
+  call.Epoch = Epoch;
+  call.SeenUpto = SeenUpto;
+  Worker.Hold(call, [done = std::move(done)](const HoldReply &) { done(); });
+}
+
+} // namespace oriolebay::agent
--- /dev/null
+++ b/src/libs/agent/workeragent.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "endpoints/asyncchannel.h"
+#include "endpoints/asyncreplyserver.h"
+#include "endpoints/workercalls.h"
+#include "leaderfinder.h"
+#include "platform/store.h"
+#include "settings/nodesettings.h"
+
+#include <absl/time/time.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oriolebay::utils {
+class EventLoop;
+}
+
+namespace oriolebay::agent {
+
+/// The process beside a worker. It takes the worker's heartbeats, keeps the
+/// worker's tasks alive for as long as the leader grants it, watches for ends,
+/// carries out the leader's orders and reports all of it to the leader. It
+/// keeps nothing: a new agent finds all with one look at its worker. Owned by
+/// one event loop.
+class WorkerAgent {
+public:
+  WorkerAgent(utils::EventLoop &loop, platform::Store store,
+              endpoints::WorkerCalls worker, settings::NodeSettings settings,
+              std::string entryPrefix);
+  ~WorkerAgent();
+  WorkerAgent(const WorkerAgent &) = delete;
+  WorkerAgent &operator=(const WorkerAgent &) = delete;
+
+  void start();
+  /// The worker announced itself. True: it may be told that it was heard.
+  bool onHeartbeat(const endpoints::Heartbeat &beat);
+  /// That life of the worker says that it has ended.
+  void onLeave(const std::string &life);
+  /// Planned stop: tasks are held as long as granted, so that they outlive the
+  /// change to the next process. Done is called when this one may end.
+  void stop(std::function<void()> done);
+
+  std::string peersAddress() const { return Peers->address(); }
+
+private:
+  struct Order;
+  using RunKey = std::pair<std::string, int64_t>;
+  using OrderPtr = std::shared_ptr<Order>;
+
+  endpoints::Message onMessage(const endpoints::Message &message);
+  endpoints::Ack onOrders(const endpoints::WorkerOrders &orders);
+
+  void tryLife(const endpoints::Heartbeat &beat);
+  void adoptLife(const endpoints::Heartbeat &beat);
+  void endLife(const std::string &why);
+
+  void hold(int64_t waitMs);
+  void holdLater(absl::Duration delay);
+  void onHeld(uint64_t number, int64_t epoch,
+              const endpoints::HoldReply &reply);
+  void notReached(const std::string &why);
+  void noteClock(int64_t clockMs);
+  int64_t untilMs() const;
+
+  void startTask(const OrderPtr &order);
+  void onStarted(const OrderPtr &order, const endpoints::CallOutcome &outcome);
+  void stopTask(const OrderPtr &order);
+  void onStopped(const OrderPtr &order, const endpoints::CallOutcome &outcome);
+  void settleStops(uint64_t holdNumber);
+  void conclude(const RunKey &run, endpoints::OrderOutcome outcome,
+                const std::string &detail);
+
+  void reportSoon();
+  void report();
+  void reportLater();
+  void onReportAnswer(const endpoints::ReportAck &ack, absl::Time sent,
+                      uint64_t results);
+
+  utils::EventLoop &Loop;
+  const endpoints::WorkerCalls Worker;
+  const settings::NodeSettings Settings;
+  const settings::Timing Time;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  std::unique_ptr<endpoints::AsyncReplyServer> Peers;
+  LeaderFinder Leader;
+
+  /// The worker's life that is served; an empty Life when none is known.
+  endpoints::WorkerState State;
+  int64_t LastBeat = 0;
+  std::set<std::string> EndedLives;
+  std::string TryingLife;
+  /// Worker clock less boot clock, in milliseconds, as of the last answer.
+  std::optional<int64_t> ClockOffset;
+
+  int64_t Epoch = 0;
+  absl::Time GrantEnd = absl::InfinitePast();
+  int64_t SeenUpto = 0;
+
+  // What the worker listed last.
+  std::vector<endpoints::RunningTask> Running;
+  std::vector<endpoints::EndedTask> Ended;
+  int64_t ListedEpoch = 0;
+  uint64_t HoldsSent = 0;
+  uint64_t HoldsTaken = 0;
+  int HoldsOut = 0;
+  int HoldFailures = 0;
+  bool HoldQueued = false;
+  bool Reachable = false;
+  /// This life has been looked at.
+  bool Listed = false;
+
+  /// Orders that are being carried out.
+  std::map<RunKey, OrderPtr> Starting;
+  std::map<RunKey, OrderPtr> StoppingRuns;
+  /// Runs stopped, by the number of the first hold that was sent after.
+  std::map<RunKey, uint64_t> Stopped;
+  /// What starts came to, for orders that are sent again.
+  std::map<RunKey, endpoints::OrderResult> Concluded;
+  std::deque<RunKey> ConcludedOrder;
+  /// Results that the leader has not confirmed, and the number of the first.
+  std::vector<endpoints::OrderResult> Results;
+  uint64_t FirstResult = 0;
+
+  int64_t LastSequence = 0;
+  bool ReportQueued = false;
+  bool StopAsked = false;
+};
+
+} // namespace oriolebay::agent
--- /dev/null
+++ b/src/libs/entry/jobentry.cpp
@@ -0,0 +1,292 @@
+#include "jobentry.h"
+
+#include "eventlog/eventlog.h"
+#include "utils/boottime.h"
+#include "utils/eventloop.h"
+
+#include <absl/time/clock.h>
+
+namespace oriolebay::entry {
+
+using endpoints::Message;
+using eventlog::Event;
+using eventlog::logEvent;
+using utils::bootNow;
+
+const char *const EntryPrefix = "oriolebay/entries/";
+const char *const JobLeaderKey = "oriolebay/leader";
+
+namespace {
+
+/// Calls to the store may fail for so long before callers are refused at once:
+/// one lost answer is no outage.
+constexpr absl::Duration StoreGrace = absl::Milliseconds(250);
+constexpr int PeerTimeoutMs = 400;
+
+Event eventOf(jobs::Decision::Kind kind) {
+  using Kind = jobs::Decision::Kind;
+  switch (kind) {
+  case Kind::Placed:
+    return Event::RunPlaced;
+  case Kind::Started:
+    return Event::RunStarted;
+  case Kind::StartRefused:
+    return Event::RunRefused;
+  case Kind::Stopping:
+    return Event::RunStopping;
+  case Kind::Ended:
+    return Event::RunEnded;
+  case Kind::Settled:
+    return Event::RunSettled;
+  case Kind::JobEnded:
+    return Event::LastingJobEnded;
+  case Kind::WorkerJoined:
+    return Event::WorkerJoined;
+  case Kind::WorkerLost:
+    return Event::WorkerLost;
+  case Kind::WorkerKeptOut:
+    return Event::WorkerKeptOut;
+  case Kind::Waiting:
+    return Event::StepWaiting;
+  }
+  return Event::RunPlaced;
+}
+
+void logDecision(const jobs::Decision &d) {
+  nlohmann::json fields = nlohmann::json::object();
+  if (!d.Job.empty())
+    fields["job"] = d.Job;
+  if (!d.Task.empty())
+    fields["task"] = d.Task;
+  if (d.Run > 0)
+    fields["run"] = d.Run;
+  if (!d.Worker.empty())
+    fields["worker"] = d.Worker;
+  if (!d.Why.empty())
+    fields["why"] = d.Why;
+  logEvent(eventOf(d.What), fields);
+}
+
+void logCall(const jobs::CallDecision &d) {
+  nlohmann::json fields = {{"call", d.Call},
+                           {"queue", d.Queue},
+                           {"organisation", d.Organisation},
+                           {"config_version", d.ConfigVersion},
+                           {"config_age_ms", d.ConfigAgeMs},
+                           {"result", jobs::callResultName(d.Answer.Result)},
+                           {"took_ms", d.TookMs}};
+  if (!d.Job.empty())
+    fields["job"] = d.Job;
+  if (!d.Answer.Detail.empty())
+    fields["why"] = d.Answer.Detail;
+  if (d.Call == "state" && d.Answer.Result == jobs::CallResult::Ok)
+    fields["state"] = jobs::jobStateName(d.Answer.State);
+  logEvent(Event::CallAnswered, fields);
+}
+
+} // namespace
+
+JobEntry::JobEntry(
+    utils::EventLoop &loop, platform::Store store,
+    settings::NodeSettings settings,
+    std::function<utils::Result<core::SiteConfig>(const std::string &)>
+        decodeConfig,
+    std::string configKey)
+    : Loop(loop), Settings(std::move(settings)),
+      Time(settings::deriveTiming(Settings)),
+      Health([](bool ok, const std::string &why) {
+        logEvent(ok ? Event::StoreRegained : Event::StoreLost, {{"why", why}});
+      }),
+      Calls(Health.watching(std::move(store))) {
+  Peers = std::make_unique<endpoints::AsyncReplyServer>(
+      Loop, "tcp://" + Settings.Peers.text(),
+      [this](const Message &m, const endpoints::AsyncReplyServer::Respond &r) {
+        r(onMessage(m));
+      });
+  platform::FollowTiming follow;
+  auto trouble = [this](const char *what) {
+    return [this, what](platform::StoreStatus status, const std::string &why) {
+      storeTrouble(what, status, why);
+    };
+  };
+  Config = std::make_unique<operators::ConfigFollower>(
+      Loop, Calls,
+      operators::ConfigSource{std::move(configKey), std::move(decodeConfig),
+                              Time.ConfirmEvery, follow},
+      [this](const std::shared_ptr<const core::SiteConfig> &c) { onConfig(c); },
+      [](const utils::Error &e) {
+        logEvent(Event::ConfigRefused, {{"error", e.text()}});
+      },
+      trouble("configuration"));
+  View = std::make_unique<jobs::JobView>(
+      Loop, Calls, follow,
+      [this](const jobs::StoredJob &job) {
+        if (Duty)
+          Duty->onRecord(job);
+      },
+      [this](const std::string &id) {
+        if (Duty)
+          Duty->onRemoved(id);
+      },
+      [this] { onViewComplete(); },
+      [](const std::string &key, const utils::Error &e) {
+        logEvent(Event::RecordRefused, {{"key", key}, {"error", e.text()}});
+      },
+      trouble("jobs"));
+  jobs::DeskPolicy desk;
+  desk.OldestConfig = Time.OldestConfig;
+  Desk = std::make_unique<jobs::JobDesk>(
+      Loop, Calls, *View, *Config, desk,
+      [this] { return Health.usable(bootNow(), StoreGrace); },
+      [this](const platform::KeyValue &item) { onWritten(item); }, logCall);
+  Entries = std::make_unique<platform::PrefixFollower>(
+      Loop, Calls, EntryPrefix, follow,
+      [this](const platform::StoreEvent &event) {
+        if (!event.Deleted)
+          EntryAddresses.insert(event.Item.Value);
+      },
+      [](int64_t) {}, trouble("entries"));
+  platform::ElectionOptions election;
+  election.LeaderKey = JobLeaderKey;
+  election.EntryPrefix = EntryPrefix;
+  election.Name = Settings.Name;
+  election.Address = Peers->address();
+  election.LeaseTtl = Time.LeaderLease;
+  election.Follow = follow;
+  Election = std::make_unique<platform::Election>(
+      Loop, Calls, election,
+      [this](const platform::Leadership &l) { onLeadership(l); },
+      trouble("election"));
+}
+
+JobEntry::~JobEntry() { *Alive = false; }
+
+void JobEntry::start() {
+  Config->start();
+  View->start();
+  Entries->start();
+  Election->start();
+}
+
+bool JobEntry::ready(std::string *why) const {
+  const char *reason = nullptr;
+  if (Stopping)
+    reason = "stopping";
+  else if (Config->current() == nullptr)
+    reason = "no configuration yet";
+  else if (Config->age(bootNow()) > Time.NotReadyAfter)
+    reason = "the configuration has not been confirmed for too long";
+  else if (!View->complete())
+    reason = "the jobs have not been read yet";
+  if (reason != nullptr && why != nullptr)
+    *why = reason;
+  return reason == nullptr;
+}
+
+void JobEntry::beginStop() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  logEvent(Event::ProcessStopping, {{"leads", Leader.Mine}});
+  Election->resign([] {});
+}
+
+void JobEntry::onConfig(const std::shared_ptr<const core::SiteConfig> &config) {
+  logEvent(Event::ConfigAccepted,
+           {{"version", config->Version}, {"queues", config->Queues.size()}});
+  if (Duty)
+    Duty->onConfig(config);
+}
+
+void JobEntry::storeTrouble(const char *what, platform::StoreStatus status,
+                            const std::string &why) {
+  logEvent(Event::StoreCallFailed,
+           {{"what", what},
+            {"status", platform::storeStatusName(status)},
+            {"why", why}});
+}
+
+void JobEntry::onLeadership(const platform::Leadership &leadership) {
+  const bool led = Leader.Mine;
+  Leader = leadership;
+  ToLeader.reset();
+  if (led)
+    logEvent(Event::LeaderLost,
+             {{"epoch", Duty ? Duty->scheduler().epoch() : leadership.Epoch}});
+  Duty.reset();
+  if (!leadership.Mine) {
+    if (leadership.Epoch != 0) {
+      ToLeader =
+          std::make_unique<endpoints::AsyncChannel>(Loop, leadership.Address);
+      logEvent(Event::LeaderFollowed,
+               {{"epoch", leadership.Epoch}, {"leader", leadership.Address}});
+    }
+    return;
+  }
+  logEvent(Event::LeaderElected, {{"epoch", leadership.Epoch}});
+  DutyOptions options;
+  options.LeaderKey = JobLeaderKey;
+  options.Grant = Time.Grant;
+  options.GrantWithoutStore = Time.GrantWithoutStore;
+  options.Policy.Fleet.SuspectAfter = Time.SuspectAfter;
+  options.Policy.Fleet.LostAfter = Time.GrantOverAfter;
+  options.Policy.UnheardLostAfter =
+      Time.GrantWithoutStore + Time.GrantOverAfter;
+  options.Policy.RemoteFactor = Settings.Bounds.RemoteFactor;
+  options.Policy.CheckpointEvery = Settings.Bounds.CheckpointMs / 1000.0;
+  options.Policy.KeepFinished =
+      absl::Milliseconds(Settings.Bounds.KeepFinishedMs) * 5 / 4;
+  options.Policy.WallMs = [] { return absl::ToUnixMillis(absl::Now()); };
+  Duty = std::make_unique<LeaderDuty>(
+      Loop, Calls, *View, options, leadership.Epoch,
+      [this] { return Election->confirmed(); }, logDecision,
+      [this](platform::StoreStatus status, const std::string &why) {
+        storeTrouble("recorder", status, why);
+      },
+      [this] {
+        logEvent(Event::LeaderLost, {{"why", "another entry leads"}});
+        Loop.post([this, alive = Alive] {
+          if (*alive)
+            Duty.reset();
+        });
+      });
+  // Only what is read after the election is sure to be all that earlier
+  // leaders wrote.
+  View->readAgain();
+}
+
+void JobEntry::onViewComplete() {
+  if (Duty && !Duty->begun() && Config->current() != nullptr)
+    Duty->begin(Config->current());
+  else if (Duty && !Duty->begun())
+    Loop.runAfter(absl::Milliseconds(50), [this, alive = Alive] {
+      if (*alive)
+        onViewComplete();
+    });
+}
+
+void JobEntry::onWritten(const platform::KeyValue &item) {
+  if (ToLeader != nullptr)
+    ToLeader->call(
+        endpoints::JobWritten{item.Key, item.Value, item.ModRevision},
+        PeerTimeoutMs, [](const utils::Result<Message> &) {});
+}
+
+Message JobEntry::onMessage(const Message &message) {
+  if (const auto *report = std::get_if<endpoints::WorkerReport>(&message)) {
+    endpoints::ReportAck ack;
+    if (Duty)
+      ack = Duty->onReport(*report);
+    if (ack.Epoch == 0 && !Leader.Mine)
+      ack.Leader = Leader.Address;
+    ack.Entries.assign(EntryAddresses.begin(), EntryAddresses.end());
+    return ack;
+  }
+  if (const auto *written = std::get_if<endpoints::JobWritten>(&message)) {
+    View->learn({written->Key, written->Value, 0, written->Revision, 0});
+    return endpoints::Ack{};
+  }
+  return endpoints::Ack{false, "this entry does not take that message"};
+}
+
+} // namespace oriolebay::entry
--- /dev/null
+++ b/src/libs/entry/jobentry.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "endpoints/asyncchannel.h"
+#include "endpoints/asyncreplyserver.h"
+#include "jobs/jobdesk.h"
+#include "jobs/jobview.h"
+#include "leaderduty.h"
+#include "operators/configfollower.h"
+#include "platform/election.h"
+#include "platform/storehealth.h"
+#include "settings/nodesettings.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace oriolebay::entry {
+
+/// An entry that serves lasting jobs. It keeps a view of configuration and
+/// jobs, serves callers through its desk, takes part in the election, and
+/// does the leader's duty while it leads. Everything runs on one event loop.
+class JobEntry {
+public:
+  JobEntry(utils::EventLoop &loop, platform::Store store,
+           settings::NodeSettings settings,
+           std::function<utils::Result<core::SiteConfig>(const std::string &)>
+               decodeConfig,
+           std::string configKey);
+  ~JobEntry();
+  JobEntry(const JobEntry &) = delete;
+  JobEntry &operator=(const JobEntry &) = delete;
+
+  void start();
+  jobs::JobDesk &desk() { return *Desk; }
+  /// Whether this entry can serve callers now, with why not.
+  bool ready(std::string *why = nullptr) const;
+  /// Planned stop: not ready from now on, and another entry takes the lead.
+  /// Callers that are being served are still answered.
+  void beginStop();
+
+  std::string peersAddress() const { return Peers->address(); }
+  int64_t storeCalls() const { return Health.calls(); }
+
+private:
+  endpoints::Message onMessage(const endpoints::Message &message);
+  void onLeadership(const platform::Leadership &leadership);
+  void onViewComplete();
+  void onWritten(const platform::KeyValue &item);
+  void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
+  void storeTrouble(const char *what, platform::StoreStatus status,
+                    const std::string &why);
+  void refreshEntries();
+
+  utils::EventLoop &Loop;
+  const settings::NodeSettings Settings;
+  const settings::Timing Time;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  platform::StoreHealth Health;
+  const platform::Store Calls;
+  platform::Leadership Leader;
+  bool Stopping = false;
+  /// Addresses of the entries that registered, for agents.
+  std::set<std::string> EntryAddresses;
+  std::unique_ptr<endpoints::AsyncReplyServer> Peers;
+  std::unique_ptr<operators::ConfigFollower> Config;
+  std::unique_ptr<jobs::JobView> View;
+  std::unique_ptr<jobs::JobDesk> Desk;
+  std::unique_ptr<platform::PrefixFollower> Entries;
+  std::unique_ptr<platform::Election> Election;
+  std::unique_ptr<LeaderDuty> Duty;
+  std::unique_ptr<endpoints::AsyncChannel> ToLeader;
+};
+
+/// The store's keys of the entries.
+extern const char *const EntryPrefix;
+extern const char *const JobLeaderKey;
+
+} // namespace oriolebay::entry
--- /dev/null
+++ b/src/libs/entry/leaderduty.cpp
@@ -0,0 +1,254 @@
+#include "leaderduty.h"
+
+#include "utils/boottime.h"
+#include "utils/eventloop.h"
+
+#include <algorithm>
+
+namespace oriolebay::entry {
+
+using jobs::ProgressWrite;
+using platform::KeyValue;
+using platform::StoreReply;
+using platform::StoreStatus;
+using platform::StoreTxnReply;
+using utils::bootNow;
+
+namespace {
+
+/// A job's progress takes two conditions and one write; the leader's key is
+/// one condition more.
+constexpr size_t EntriesPerJob = 3;
+constexpr size_t JobsPerTxn = (platform::MaxTxnEntries - 1) / EntriesPerJob;
+
+const KeyValue *findItem(const std::vector<KeyValue> &items,
+                         const std::string &key) {
+  auto it = std::find_if(items.begin(), items.end(),
+                         [&](const KeyValue &i) { return i.Key == key; });
+  return it == items.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+LeaderDuty::LeaderDuty(utils::EventLoop &loop, const platform::Store &store,
+                       const jobs::JobView &view, DutyOptions options,
+                       int64_t epoch, Confirmed confirmed,
+                       OnDecision onDecision, OnTrouble onTrouble,
+                       OnDeposed onDeposed)
+    : Loop(loop), Calls(store), View(view), Options(std::move(options)),
+      Epoch(epoch), LastConfirmed(std::move(confirmed)),
+      Decided(std::move(onDecision)), Trouble(std::move(onTrouble)),
+      Deposed(std::move(onDeposed)),
+      Scheduler(Options.Policy, epoch, bootNow()) {}
+
+LeaderDuty::~LeaderDuty() { *Alive = false; }
+
+void LeaderDuty::begin(const std::shared_ptr<const core::SiteConfig> &config) {
+  Begun = true;
+  const absl::Time now = bootNow();
+  Scheduler.onConfig(config);
+  for (const auto &[id, job] : View.jobs()) {
+    if (job.RecordRevision == 0)
+      continue;
+    Scheduler.onRecord(job.Record, job.RecordRevision, now);
+    if (job.ProgressRevision > 0)
+      Scheduler.onProgress(id, job.Progress, job.ProgressRevision, now);
+  }
+  tickLater();
+  pumpSoon();
+}
+
+void LeaderDuty::onConfig(
+    const std::shared_ptr<const core::SiteConfig> &config) {
+  if (!Begun)
+    return;
+  Scheduler.onConfig(config);
+  pumpSoon();
+}
+
+void LeaderDuty::onRecord(const jobs::StoredJob &job) {
+  if (!Begun)
+    return;
+  Scheduler.onRecord(job.Record, job.RecordRevision, bootNow());
+  pumpSoon();
+}
+
+void LeaderDuty::onRemoved(const std::string &jobId) {
+  if (Begun)
+    Scheduler.onRecordRemoved(jobId);
+}
+
+endpoints::ReportAck
+LeaderDuty::onReport(const endpoints::WorkerReport &report) {
+  endpoints::ReportAck ack;
+  if (!Begun)
+    return ack;
+  const absl::Time now = bootNow();
+  ack.Epoch = Epoch;
+  ack.SeenUpto = Scheduler.onReport(report, now);
+  // Without the store this entry may have been replaced: it goes on for a
+  // bounded time, which a new leader waits for workers that it cannot reach.
+  if (report.Reachable && now - LastConfirmed() < Options.GrantWithoutStore)
+    ack.GrantMs = absl::ToInt64Milliseconds(Options.Grant);
+  pumpSoon();
+  return ack;
+}
+
+void LeaderDuty::tickLater() {
+  Loop.runAfter(Options.TickEvery, [this, alive = Alive] {
+    if (!*alive)
+      return;
+    Scheduler.tick(bootNow());
+    removeExpired();
+    pump();
+    tickLater();
+  });
+}
+
+// Facts that come together are decided on together.
+void LeaderDuty::pumpSoon() {
+  if (PumpQueued)
+    return;
+  PumpQueued = true;
+  Loop.post([this, alive = Alive] {
+    if (*alive)
+      pump();
+  });
+}
+
+void LeaderDuty::pump() {
+  PumpQueued = false;
+  Scheduler.decide(bootNow());
+  writeProgress();
+  sendOrders();
+  for (const jobs::Decision &decision : Scheduler.takeDecisions())
+    Decided(decision);
+}
+
+void LeaderDuty::sendOrders() {
+  for (auto &[address, orders] : Scheduler.takeOrders()) {
+    auto &channel = Agents[address];
+    if (channel == nullptr)
+      channel = std::make_unique<endpoints::AsyncChannel>(Loop, address);
+    // Orders without an answer are sent again by the scheduler's timers.
+    channel->call(orders, Options.AgentTimeoutMs,
+                  [](const utils::Result<endpoints::Message> &) {});
+  }
+}
+
+void LeaderDuty::writeProgress() {
+  if (bootNow() < WritesHeldUntil)
+    return;
+  std::vector<ProgressWrite> batch;
+  for (ProgressWrite &one : Scheduler.takeWrites()) {
+    batch.push_back(std::move(one));
+    if (batch.size() == JobsPerTxn)
+      write(std::exchange(batch, {}));
+  }
+  if (!batch.empty())
+    write(std::move(batch));
+}
+
+void LeaderDuty::write(std::vector<ProgressWrite> batch) {
+  platform::StoreTxn txn;
+  txn.Expected.push_back({Options.LeaderKey, Epoch});
+  for (const ProgressWrite &one : batch) {
+    txn.Expected.push_back({jobs::specKey(one.JobId), one.RecordRevision});
+    txn.Expected.push_back(
+        {jobs::progressKey(one.JobId), one.ProgressRevision});
+    txn.Puts.push_back({jobs::progressKey(one.JobId), one.Value, 0});
+  }
+  Calls.Transact(std::move(txn),
+                 [this, alive = Alive,
+                  batch = std::move(batch)](StoreReply<StoreTxnReply> reply) {
+                   if (!*alive)
+                     return;
+                   if (reply.ok()) {
+                     for (const ProgressWrite &one : batch)
+                       Scheduler.onWritten(one.JobId, one.Version,
+                                           reply.Value.Revision, bootNow());
+                   } else if (reply.Status == StoreStatus::Conflict) {
+                     onConflict(batch, reply.Value.Current);
+                   } else {
+                     Trouble(reply.Status, reply.Why);
+                     WritesHeldUntil = bootNow() + Options.WriteRetry;
+                     for (const ProgressWrite &one : batch)
+                       Scheduler.onNotWritten(one.JobId);
+                   }
+                   pumpSoon();
+                 });
+}
+
+void LeaderDuty::onConflict(const std::vector<ProgressWrite> &batch,
+                            const std::vector<KeyValue> &current) {
+  const KeyValue *leader = findItem(current, Options.LeaderKey);
+  if (leader == nullptr || leader->ModRevision != Epoch) {
+    Deposed();
+    return;
+  }
+  for (const ProgressWrite &one : batch)
+    settleConflict(one, current);
+}
+
+// One of the batch's jobs was cancelled, or its earlier write was made after
+// all although its answer was lost. The others are simply written again.
+void LeaderDuty::settleConflict(const ProgressWrite &one,
+                                const std::vector<KeyValue> &current) {
+  const KeyValue *spec = findItem(current, jobs::specKey(one.JobId));
+  const KeyValue *progress = findItem(current, jobs::progressKey(one.JobId));
+  if (spec == nullptr) {
+    Scheduler.onRecordRemoved(one.JobId);
+    return;
+  }
+  utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        if (progress != nullptr &&
+            progress->ModRevision != one.ProgressRevision) {
+          BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress->Value));
+          Scheduler.onWritten(one.JobId, read.Version, progress->ModRevision,
+                              bootNow());
+        }
+        Scheduler.onNotWritten(one.JobId);
+        if (spec->ModRevision != one.RecordRevision) {
+          BOOST_LEAF_AUTO(record, jobs::decodeRecord(spec->Value));
+          Scheduler.onRecord(record, spec->ModRevision, bootNow());
+        }
+        return true;
+      },
+      [&](const utils::Error &e) {
+        Trouble(StoreStatus::Conflict, e.text());
+        Scheduler.onNotWritten(one.JobId);
+        return false;
+      });
+}
+
+// Finished jobs leave the store once callers have had time to ask.
+void LeaderDuty::removeExpired() {
+  if (Removing)
+    return;
+  std::vector<std::string> expired = Scheduler.takeExpired(bootNow());
+  if (expired.empty())
+    return;
+  expired.resize(std::min(expired.size(), JobsPerTxn));
+  platform::StoreTxn txn;
+  txn.Expected.push_back({Options.LeaderKey, Epoch});
+  for (const std::string &id : expired) {
+    txn.Removes.push_back(jobs::specKey(id));
+    txn.Removes.push_back(jobs::progressKey(id));
+  }
+  Removing = true;
+  Calls.Transact(std::move(txn), [this, alive = Alive,
+                                  expired](StoreReply<StoreTxnReply> reply) {
+    if (!*alive)
+      return;
+    Removing = false;
+    if (!reply.ok()) {
+      Trouble(reply.Status, reply.Why);
+      return;
+    }
+    for (const std::string &id : expired)
+      Scheduler.onRecordRemoved(id);
+  });
+}
+
+} // namespace oriolebay::entry
--- /dev/null
+++ b/src/libs/entry/leaderduty.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "endpoints/asyncchannel.h"
+#include "jobs/jobscheduler.h"
+#include "jobs/jobview.h"
+#include "platform/store.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace oriolebay::utils {
+class EventLoop;
+}
+
+namespace oriolebay::entry {
+
+/// How the leading entry keeps time.
+struct DutyOptions {
+  std::string LeaderKey;
+  jobs::SchedulerPolicy Policy;
+  /// What a report's answer lets its agent keep tasks alive for.
+  absl::Duration Grant = absl::Milliseconds(5500);
+  /// For how long the leader goes on granting without the store.
+  absl::Duration GrantWithoutStore = absl::Seconds(12);
+  absl::Duration TickEvery = absl::Milliseconds(200);
+  absl::Duration WriteRetry = absl::Milliseconds(100);
+  int AgentTimeoutMs = 400;
+};
+
+/// What an entry does while it leads: it feeds the scheduler, records its
+/// progress and sends its orders. Lives from the election to the loss of the
+/// lead; nothing of it is kept.
+class LeaderDuty {
+public:
+  using OnDecision = std::function<void(const jobs::Decision &)>;
+  using OnTrouble =
+      std::function<void(platform::StoreStatus, const std::string &why)>;
+  /// The store refused a write because another entry leads.
+  using OnDeposed = std::function<void()>;
+  /// When the store last confirmed that this entry leads.
+  using Confirmed = std::function<absl::Time()>;
+
+  LeaderDuty(utils::EventLoop &loop, const platform::Store &store,
+             const jobs::JobView &view, DutyOptions options, int64_t epoch,
+             Confirmed confirmed, OnDecision onDecision, OnTrouble onTrouble,
+             OnDeposed onDeposed);
+  ~LeaderDuty();
+  LeaderDuty(const LeaderDuty &) = delete;
+  LeaderDuty &operator=(const LeaderDuty &) = delete;
+
+  /// The view has just been read whole: takes over all jobs and begins.
+  void begin(const std::shared_ptr<const core::SiteConfig> &config);
+  bool begun() const { return Begun; }
+
+  void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
+  void onRecord(const jobs::StoredJob &job);
+  void onRemoved(const std::string &jobId);
+  /// The answer for the agent.
+  endpoints::ReportAck onReport(const endpoints::WorkerReport &report);
+
+  const jobs::JobScheduler &scheduler() const { return Scheduler; }
+
+private:
+  void pumpSoon();
+  void pump();
+  void tickLater();
+  void sendOrders();
+  void writeProgress();
+  void write(std::vector<jobs::ProgressWrite> batch);
+  void onConflict(const std::vector<jobs::ProgressWrite> &batch,
+                  const std::vector<platform::KeyValue> &current);
+  void settleConflict(const jobs::ProgressWrite &write,
+                      const std::vector<platform::KeyValue> &current);
+  void removeExpired();
+
+  utils::EventLoop &Loop;
+  const platform::Store &Calls;
+  const jobs::JobView &View;
+  const DutyOptions Options;
+  const int64_t Epoch;
+  const Confirmed LastConfirmed;
+  const OnDecision Decided;
+  const OnTrouble Trouble;
+  const OnDeposed Deposed;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  jobs::JobScheduler Scheduler;
+  std::map<std::string, std::unique_ptr<endpoints::AsyncChannel>> Agents;
+  bool Begun = false;
+  bool PumpQueued = false;
+  bool Removing = false;
+  /// After a write that failed no other is tried until then.
+  absl::Time WritesHeldUntil = absl::InfinitePast();
+};
+
+} // namespace oriolebay::entry
--- /dev/null
+++ b/src/libs/jobs/fleet.cpp
@@ -0,0 +1,116 @@
+#include "fleet.h"
+
+#include <algorithm>
+
+namespace oriolebay::jobs {
+
+std::vector<std::string> Fleet::heard(const endpoints::WorkerReport &report,
+                                      absl::Time now) {
+  std::vector<std::string> ended;
+  for (const auto &[life, worker] : Workers)
+    if (worker.AgentAddress == report.AgentAddress &&
+        life != report.Worker.Life)
+      ended.push_back(life);
+  for (const std::string &life : ended)
+    Workers.erase(life);
+  if (report.Worker.Life.empty())
+    return ended;
+  WorkerView &worker = Workers[report.Worker.Life];
+  worker.State = report.Worker;
+  worker.AgentAddress = report.AgentAddress;
+  worker.LastHeard = now;
+  worker.Sequence = report.Sequence;
+  worker.Reachable = report.Reachable;
+  // Nobody is granted more time while the worker cannot be held.
+  if (report.Reachable || worker.LostAt == absl::Time())
+    worker.LostAt = now + Policy.LostAfter;
+  return ended;
+}
+
+std::vector<std::string> Fleet::takeLost(absl::Time now) {
+  std::vector<std::string> lost;
+  for (const auto &[life, worker] : Workers)
+    if (worker.LostAt <= now)
+      lost.push_back(life);
+  for (const std::string &life : lost)
+    Workers.erase(life);
+  return lost;
+}
+
+WorkerView *Fleet::find(const std::string &life) {
+  auto it = Workers.find(life);
+  return it == Workers.end() ? nullptr : &it->second;
+}
+
+const WorkerView *Fleet::find(const std::string &life) const {
+  auto it = Workers.find(life);
+  return it == Workers.end() ? nullptr : &it->second;
+}
+
+bool Fleet::usable(const WorkerView &worker, absl::Time now) const {
+  return !worker.State.Draining && worker.Reachable &&
+         now - worker.LastHeard < Policy.SuspectAfter &&
+         now >= worker.KeptOutUntil;
+}
+
+bool Fleet::recordEnd(const std::string &life, bool ok, absl::Time now) {
+  WorkerView *worker = find(life);
+  if (worker == nullptr)
+    return false;
+  if (ok) {
+    worker->FailedInARow = 0;
+    worker->KeepOut = absl::ZeroDuration();
+    ++worker->DoneHere;
+    return false;
+  }
+  if (++worker->FailedInARow < Policy.FailuresInARow)
+    return false;
+  worker->KeepOut = worker->KeepOut == absl::ZeroDuration()
+                        ? Policy.KeepOutFirst
+                        : std::min(worker->KeepOut * 2, Policy.KeepOutLongest);
+  worker->KeptOutUntil = now + worker->KeepOut;
+  return true;
+}
+
+void Fleet::occupy(const std::string &life, const RunId &run,
+                   const core::Resources &room) {
+  WorkerView *worker = find(life);
+  if (worker != nullptr && worker->Occupants.emplace(run, room).second)
+    worker->Used += room;
+}
+
+void Fleet::vacate(const std::string &life, const RunId &run) {
+  WorkerView *worker = find(life);
+  if (worker == nullptr)
+    return;
+  auto it = worker->Occupants.find(run);
+  if (it == worker->Occupants.end())
+    return;
+  worker->Used -= it->second;
+  worker->Occupants.erase(it);
+}
+
+bool Fleet::endListed(const std::string &life, int64_t number) {
+  WorkerView *worker = find(life);
+  if (worker == nullptr || number <= worker->SeenUpto)
+    return false;
+  return worker->Ends.emplace(number, false).second;
+}
+
+void Fleet::endRecorded(const std::string &life, int64_t number) {
+  WorkerView *worker = find(life);
+  if (worker == nullptr)
+    return;
+  auto it = worker->Ends.find(number);
+  if (it == worker->Ends.end())
+    return;
+  it->second = true;
+  // Ends are forgotten in order: one that is not recorded holds back those
+  // behind it.
+  while (!worker->Ends.empty() && worker->Ends.begin()->second) {
+    worker->SeenUpto = worker->Ends.begin()->first;
+    worker->Ends.erase(worker->Ends.begin());
+  }
+}
+
+} // namespace oriolebay::jobs
--- /dev/null
+++ b/src/libs/jobs/fleet.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "core/jobspec.h"
+#include "endpoints/messages.h"
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oriolebay::jobs {
+
+/// One run of a task: what orders, room and ends refer to.
+struct RunId {
+  std::string Task;
+  int64_t Run = 0;
+
+  auto operator<=>(const RunId &) const = default;
+};
+
+/// How workers are judged.
+struct FleetPolicy {
+  /// A worker that was silent for so long gets no new work.
+  absl::Duration SuspectAfter = absl::Milliseconds(1500);
+  /// After its last grant a worker's tasks have certainly ended.
+  absl::Duration LostAfter = absl::Milliseconds(6000);
+  /// Failed runs in a row, of different tasks, before a worker is kept out.
+  int FailuresInARow = 2;
+  /// For how long at first; doubles up to KeepOutLongest.
+  absl::Duration KeepOutFirst = absl::Seconds(4);
+  absl::Duration KeepOutLongest = absl::Seconds(60);
+};
+
+/// One life of a worker as the leader sees it.
+struct WorkerView {
+  endpoints::WorkerState State;
+  std::string AgentAddress;
+  absl::Time LastHeard;
+  int64_t Sequence = 0;
+  /// It has seen this leader's fencing token, and what earlier leaders ordered
+  /// has been settled.
+  bool Fenced = false;
+  /// Its agent reaches it.
+  bool Reachable = true;
+  /// When tasks here will have ended unless the worker is heard again.
+  absl::Time LostAt;
+  /// Runs that take room here, until their end is listed or ruled out.
+  std::map<RunId, core::Resources> Occupants;
+  core::Resources Used;
+  /// Ends by number, and whether each is recorded.
+  std::map<int64_t, bool> Ends;
+  int64_t SeenUpto = 0;
+  int FailedInARow = 0;
+  int DoneHere = 0;
+  absl::Duration KeepOut = absl::ZeroDuration();
+  absl::Time KeptOutUntil = absl::InfinitePast();
+
+  core::Resources room() const {
+    core::Resources r = State.Capacity;
+    r -= Used;
+    return r;
+  }
+};
+
+/// The workers that report to the leader: who they are, what room they have
+/// and whether they are fit for new work. No threads, clock or sockets.
+class Fleet {
+public:
+  explicit Fleet(FleetPolicy policy) : Policy(policy) {}
+
+  /// Takes a report's worker. Returns the lives that it ended: a new life of
+  /// the same agent's worker means that nothing of the old one runs.
+  std::vector<std::string> heard(const endpoints::WorkerReport &report,
+                                 absl::Time now);
+  /// Lives whose tasks have certainly ended because nobody kept them alive.
+  std::vector<std::string> takeLost(absl::Time now);
+
+  WorkerView *find(const std::string &life);
+  const WorkerView *find(const std::string &life) const;
+  const std::map<std::string, WorkerView> &workers() const { return Workers; }
+
+  /// Whether new work may go to the worker.
+  bool usable(const WorkerView &worker, absl::Time now) const;
+  /// Counts a run's end for keeping out workers that fail what they start.
+  /// True when the worker is kept out from now on.
+  bool recordEnd(const std::string &life, bool ok, absl::Time now);
+
+  void occupy(const std::string &life, const RunId &run,
+              const core::Resources &room);
+  void vacate(const std::string &life, const RunId &run);
+
+  /// An end was listed; false when it was listed before.
+  bool endListed(const std::string &life, int64_t number);
+  /// The end is recorded, or needs no record.
+  void endRecorded(const std::string &life, int64_t number);
+
+private:
+  const FleetPolicy Policy;
+  std::map<std::string, WorkerView> Workers;
+};
+
+} // namespace oriolebay::jobs
--- /dev/null
+++ b/src/libs/jobs/jobdesk.cpp
@@ -0,0 +1,414 @@
+#include "jobdesk.h"
+
+#include "utils/boottime.h"
+#include "utils/eventloop.h"
+
+#include <algorithm>
+
+namespace oriolebay::jobs {
+
+using platform::KeyValue;
+using platform::StoreReply;
+using platform::StoreStatus;
+using platform::StoreTxnReply;
+using utils::bootNow;
+
+namespace {
+
+const KeyValue *findItem(const std::vector<KeyValue> &items,
+                         const std::string &key) {
+  auto it = std::find_if(items.begin(), items.end(),
+                         [&](const KeyValue &i) { return i.Key == key; });
+  return it == items.end() ? nullptr : &*it;
+}
+
+std::optional<JobRecord> readRecord(const std::string &bytes) {
+  return utils::handle<std::optional<JobRecord>>(
+      [&]() -> utils::Result<std::optional<JobRecord>> {
+        BOOST_LEAF_AUTO(record, decodeRecord(bytes));
+        return std::optional<JobRecord>(std::move(record));
+      },
+      [](const utils::Error &) { return std::optional<JobRecord>(); });
+}
+
+} // namespace
+
+const char *callResultName(CallResult result) {
+  switch (result) {
+  case CallResult::Ok:
+    return "ok";
+  case CallResult::Invalid:
+    return "invalid";
+  case CallResult::UnknownQueue:
+    return "unknown_queue";
+  case CallResult::BadKey:
+    return "bad_key";
+  case CallResult::UnknownJob:
+    return "unknown_job";
+  case CallResult::IdTaken:
+    return "id_taken";
+  case CallResult::NotDone:
+    return "not_done";
+  case CallResult::Open:
+    return "open";
+  }
+  return "unknown";
+}
+
+/// One caller's call while it is served.
+struct JobDesk::Call {
+  std::string Name;
+  CallerAccess Access;
+  core::JobSpec Spec;
+  std::string JobId;
+  Done Answer;
+  absl::Time Began;
+  /// What the call was checked against last.
+  std::shared_ptr<const core::SiteConfig> Config;
+  core::QueueConfig Queue;
+  std::string Organisation;
+  /// A write was sent whose outcome is not known.
+  bool MayBeDone = false;
+  bool Finished = false;
+};
+
+JobDesk::JobDesk(utils::EventLoop &loop, const platform::Store &store,
+                 JobView &view, operators::ConfigFollower &config,
+                 DeskPolicy policy, StoreUsable storeUsable,
+                 OnWritten onWritten, OnDecision onDecision)
+    : Loop(loop), Calls(store), View(view), Config(config), Policy(policy),
+      Usable(std::move(storeUsable)), Written(std::move(onWritten)),
+      Decided(std::move(onDecision)) {}
+
+JobDesk::~JobDesk() { *Alive = false; }
+
+void JobDesk::finish(const CallPtr &call, CallResult result,
+                     std::string detail) {
+  if (call->Finished)
+    return;
+  call->Finished = true;
+  CallAnswer answer;
+  answer.Result = result;
+  answer.Detail = std::move(detail);
+  if (result == CallResult::NotDone || result == CallResult::Open)
+    answer.RetryAfterMs = Policy.RetryAfterMs;
+  if (result == CallResult::Ok && call->Name == "state") {
+    const StoredJob *job = View.find(call->JobId);
+    if (job != nullptr)
+      answer.State = job->shown();
+  }
+  if (result == CallResult::Ok && call->Name == "queue")
+    answer.Waiting = View.waiting(call->Queue.Name);
+  const absl::Time now = bootNow();
+  Decided({call->Name, call->JobId, call->Queue.Name, call->Organisation,
+           call->Config != nullptr ? call->Config->Version : 0,
+           absl::ToInt64Milliseconds(std::min(Config.age(now), absl::Hours(1))),
+           answer, absl::ToInt64Milliseconds(now - call->Began)});
+  call->Answer(std::move(answer));
+}
+
+bool JobDesk::outOfTime(const CallPtr &call) const {
+  return bootNow() + Policy.AnswerMargin >= call->Access.Deadline;
+}
+
+// Checks route and key, then goes on with step. A refusal is given only after
+// the store confirmed that the configuration is the newest: the key or route
+// may have been added a moment ago.
+void JobDesk::begin(const CallPtr &call, Step step) {
+  call->Began = bootNow();
+  authorise(call, false, step);
+}
+
+void JobDesk::authorise(const CallPtr &call, bool confirmed, const Step &step) {
+  call->Config = Config.current();
+  if (call->Config == nullptr || Config.age(bootNow()) > Policy.OldestConfig) {
+    finish(call, CallResult::NotDone,
+           "this entry has no fresh configuration; try another entry");
+    return;
+  }
+  const core::QueueConfig *queue =
+      call->Config->route(call->Access.Host, call->Access.Path);
+  const core::OrganisationConfig *owner = call->Config->owner(call->Access.Key);
+  if (queue != nullptr && (queue->Public || owner != nullptr)) {
+    call->Queue = *queue;
+    call->Organisation = owner != nullptr ? owner->Name : "";
+    step(call);
+    return;
+  }
+  if (!confirmed) {
+    Config.confirm([this, alive = Alive, call, step](bool ok) {
+      if (!*alive)
+        return;
+      if (ok)
+        authorise(call, true, step);
+      else
+        finish(call, CallResult::NotDone,
+               "the configuration could not be confirmed; try another entry");
+    });
+    return;
+  }
+  if (queue == nullptr)
+    finish(call, CallResult::UnknownQueue,
+           "no such queue; check host and path");
+  else
+    finish(call, CallResult::BadKey, "unknown key; check the key in use");
+}
+
+// A store call failed: it is made again while there is time, and the caller is
+// told what is certain when there is none.
+void JobDesk::again(const CallPtr &call, StoreStatus status, Step step) {
+  if (status == StoreStatus::Unknown)
+    call->MayBeDone = true;
+  const bool patient =
+      call->MayBeDone || bootNow() - call->Began < Policy.RefusedPatience;
+  if (outOfTime(call) || !patient) {
+    if (call->MayBeDone)
+      finish(call, CallResult::Open,
+             "the store did not confirm in time; ask again with the same id");
+    else
+      finish(call, CallResult::NotDone,
+             "the store is not available; nothing was done");
+    return;
+  }
+  Loop.runAfter(Policy.RetryPause, [alive = Alive, call, step] {
+    if (*alive)
+      step(call);
+  });
+}
+
+void JobDesk::submit(CallerAccess access, core::JobSpec spec, Done done) {
+  auto call = std::make_shared<Call>();
+  call->Name = "submit";
+  call->Access = std::move(access);
+  call->JobId = spec.Id;
+  call->Spec = std::move(spec);
+  call->Answer = std::move(done);
+  begin(call, [this](const CallPtr &c) {
+    const std::string problem = core::validate(c->Spec);
+    if (!problem.empty()) {
+      finish(c, CallResult::Invalid, problem);
+      return;
+    }
+    if (!Usable()) {
+      finish(c, CallResult::NotDone,
+             "the store is not available; nothing was done");
+      return;
+    }
+    accept(c);
+  });
+}
+
+// The job's key must not exist, and the configuration that the call was
+// checked against must still be the newest when the store takes the job.
+void JobDesk::accept(const CallPtr &call) {
+  if (call->Config != Config.current()) {
+    authorise(call, false, [this](const CallPtr &c) { accept(c); });
+    return;
+  }
+  JobRecord record;
+  record.Spec = call->Spec;
+  record.Spec.Organisation = call->Organisation;
+  record.Spec.Queue = call->Queue.Name;
+  record.Service = call->Queue.Service;
+  record.Priority = call->Queue.Priority;
+  record.Attempts = std::max(1, call->Queue.Attempts);
+  record.Stretch = call->Queue.Stretch;
+  record.TargetLatencyMs = call->Queue.TargetLatencyMs;
+  record.NeedsAdvice = call->Queue.NeedsAdvice;
+  std::string value = encode(record);
+  platform::StoreTxn txn;
+  txn.Expected.push_back({specKey(call->JobId), 0});
+  txn.Expected.push_back(Config.condition());
+  txn.Puts.push_back({specKey(call->JobId), value, 0});
+  const absl::Time sent = bootNow();
+  Calls.Transact(std::move(txn), [this, alive = Alive, call, sent,
+                                  value](StoreReply<StoreTxnReply> reply) {
+    if (*alive)
+      onAccepted(call, std::move(reply), sent, value);
+  });
+}
+
+void JobDesk::onAccepted(const CallPtr &call, StoreReply<StoreTxnReply> reply,
+                         absl::Time sent, const std::string &value) {
+  const std::string key = specKey(call->JobId);
+  if (reply.ok()) {
+    const KeyValue item{key, value, reply.Value.Revision, reply.Value.Revision,
+                        0};
+    View.learn(item);
+    Written(item);
+    finish(call, CallResult::Ok);
+    return;
+  }
+  if (reply.Status != StoreStatus::Conflict) {
+    again(call, reply.Status, [this](const CallPtr &c) { accept(c); });
+    return;
+  }
+  if (const KeyValue *existing = findItem(reply.Value.Current, key)) {
+    // Handed in before, by this call or an earlier one: the same job.
+    const std::optional<JobRecord> record = readRecord(existing->Value);
+    View.learn(*existing);
+    if (record && record->Spec.Organisation != call->Organisation) {
+      finish(call, CallResult::IdTaken, "another job has this id");
+      return;
+    }
+    Written(*existing);
+    finish(call, CallResult::Ok);
+    return;
+  }
+  if (const KeyValue *config =
+          findItem(reply.Value.Current, Config.condition().Key))
+    Config.learn(*config, sent);
+  if (outOfTime(call)) {
+    again(call, StoreStatus::Refused, {});
+    return;
+  }
+  authorise(call, true, [this](const CallPtr &c) { accept(c); });
+}
+
+void JobDesk::state(CallerAccess access, std::string jobId, Done done) {
+  auto call = std::make_shared<Call>();
+  call->Name = "state";
+  call->Access = std::move(access);
+  call->JobId = std::move(jobId);
+  call->Answer = std::move(done);
+  begin(call, [this](const CallPtr &c) { show(c); });
+}
+
+bool JobDesk::mayTouch(const CallPtr &call, const JobRecord &record) const {
+  return record.Spec.Queue == call->Queue.Name &&
+         (call->Queue.Public || record.Spec.Organisation == call->Organisation);
+}
+
+void JobDesk::answerState(const CallPtr &call, const StoredJob &job) {
+  if (mayTouch(call, job.Record))
+    finish(call, CallResult::Ok);
+  else
+    finish(call, CallResult::UnknownJob, "no such job");
+}
+
+void JobDesk::show(const CallPtr &call) {
+  if (const StoredJob *job = View.find(call->JobId)) {
+    answerState(call, *job);
+    return;
+  }
+  // It may have been accepted at another entry a moment ago.
+  const std::string key = specKey(call->JobId);
+  Calls.Get(key, [this, alive = Alive, call](StoreReply<KeyValue> reply) {
+    if (!*alive)
+      return;
+    if (reply.Status == StoreStatus::NotFound) {
+      finish(call, CallResult::UnknownJob, "no such job");
+      return;
+    }
+    if (!reply.ok()) {
+      again(call, StoreStatus::Refused, [this](const CallPtr &c) { show(c); });
+      return;
+    }
+    View.learn(reply.Value);
+    readProgress(call);
+  });
+}
+
+void JobDesk::readProgress(const CallPtr &call) {
+  Calls.Get(progressKey(call->JobId),
+            [this, alive = Alive, call](StoreReply<KeyValue> reply) {
+              if (!*alive)
+                return;
+              if (reply.ok())
+                View.learn(reply.Value);
+              const StoredJob *job = View.find(call->JobId);
+              if (job == nullptr)
+                finish(call, CallResult::NotDone, "the record is unreadable");
+              else
+                answerState(call, *job);
+            });
+}
+
+void JobDesk::queueLength(CallerAccess access, Done done) {
+  auto call = std::make_shared<Call>();
+  call->Name = "queue";
+  call->Access = std::move(access);
+  call->Answer = std::move(done);
+  begin(call, [this](const CallPtr &c) {
+    if (View.complete())
+      finish(c, CallResult::Ok);
+    else
+      finish(c, CallResult::NotDone, "this entry has not read the jobs yet");
+  });
+}
+
+void JobDesk::cancel(CallerAccess access, std::string jobId, Done done) {
+  auto call = std::make_shared<Call>();
+  call->Name = "cancel";
+  call->Access = std::move(access);
+  call->JobId = std::move(jobId);
+  call->Answer = std::move(done);
+  begin(call, [this](const CallPtr &c) { findForCancel(c); });
+}
+
+void JobDesk::findForCancel(const CallPtr &call) {
+  if (const StoredJob *job = View.find(call->JobId)) {
+    if (!mayTouch(call, job->Record))
+      finish(call, CallResult::UnknownJob, "no such job");
+    else if (isFinal(job->shown()))
+      finish(call, CallResult::Ok);
+    else
+      writeCancel(call, job->Record, job->RecordRevision);
+    return;
+  }
+  Calls.Get(specKey(call->JobId),
+            [this, alive = Alive, call](StoreReply<KeyValue> reply) {
+              if (!*alive)
+                return;
+              if (reply.Status == StoreStatus::NotFound) {
+                finish(call, CallResult::UnknownJob, "no such job");
+                return;
+              }
+              if (!reply.ok()) {
+                again(call, StoreStatus::Refused,
+                      [this](const CallPtr &c) { findForCancel(c); });
+                return;
+              }
+              View.learn(reply.Value);
+              if (View.find(call->JobId) != nullptr)
+                findForCancel(call);
+              else
+                finish(call, CallResult::NotDone, "the record is unreadable");
+            });
+}
+
+void JobDesk::writeCancel(const CallPtr &call, JobRecord record,
+                          int64_t revision) {
+  record.Cancelled = true;
+  const std::string key = specKey(call->JobId);
+  const std::string value = encode(record);
+  platform::StoreTxn txn;
+  txn.Expected.push_back({key, revision});
+  txn.Puts.push_back({key, value, 0});
+  Calls.Transact(std::move(txn), [this, alive = Alive, call, key,
+                                  value](StoreReply<StoreTxnReply> reply) {
+    if (!*alive)
+      return;
+    if (reply.ok()) {
+      const KeyValue item{key, value, 0, reply.Value.Revision, 0};
+      View.learn(item);
+      Written(item);
+      finish(call, CallResult::Ok);
+      return;
+    }
+    if (reply.Status != StoreStatus::Conflict) {
+      again(call, reply.Status, [this](const CallPtr &c) { findForCancel(c); });
+      return;
+    }
+    // Cancelled by another call, or by this one with its answer lost.
+    if (const KeyValue *now = findItem(reply.Value.Current, key)) {
+      View.learn(*now);
+      Written(*now);
+      findForCancel(call);
+      return;
+    }
+    finish(call, CallResult::UnknownJob, "no such job");
+  });
+}
+
+} // namespace oriolebay::jobs
--- /dev/null
+++ b/src/libs/jobs/jobdesk.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "jobview.h"
+#include "operators/configfollower.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace oriolebay::utils {
+class EventLoop;
+}
+
+namespace oriolebay::jobs {
+
+/// How a caller's call ended.
+enum class CallResult {
+  Ok,
+  /// The request cannot be understood or is out of bounds.
+  Invalid,
+  /// No such queue.
+  UnknownQueue,
+  /// The call carries no key that is known.
+  BadKey,
+  /// No such job.
+  UnknownJob,
+  /// Another job has this id.
+  IdTaken,
+  /// Not done, and it never will be on account of this call: come back later.
+  NotDone,
+  /// It may have been done: ask again with the same id.
+  Open,
+};
+
+/// The stable name of result, for logs.
+const char *callResultName(CallResult result);
+
+/// Where a call is addressed to, who makes it, and until when (on the boot
+/// clock) its caller waits.
+struct CallerAccess {
+  std::string Host;
+  std::string Path;
+  std::string Key;
+  absl::Time Deadline;
+};
+
+struct CallAnswer {
+  CallResult Result = CallResult::NotDone;
+  std::string Detail;
+  /// When to come back, with NotDone and Open.
+  int64_t RetryAfterMs = 0;
+  JobState State = JobState::Queued;
+  int Waiting = 0;
+};
+
+struct DeskPolicy {
+  /// A configuration view older than this serves no calls: a key may have been
+  /// taken away since.
+  absl::Duration OldestConfig = absl::Milliseconds(2500);
+  /// The time that is left for the answer's way to the caller.
+  absl::Duration AnswerMargin = absl::Milliseconds(150);
+  /// Pause before a store call is made again.
+  absl::Duration RetryPause = absl::Milliseconds(60);
+  /// How long the store may refuse before the caller is told to come back.
+  absl::Duration RefusedPatience = absl::Milliseconds(400);
+  int64_t RetryAfterMs = 1000;
+};
+
+/// For the log: what a call asked for, what decided it, and the answer.
+struct CallDecision {
+  std::string Call;
+  std::string Job;
+  std::string Queue;
+  std::string Organisation;
+  int64_t ConfigVersion = 0;
+  int64_t ConfigAgeMs = 0;
+  CallAnswer Answer;
+  int64_t TookMs = 0;
+};
+
+/// Serves callers at one entry: accepts jobs into the store, cancels them, and
+/// tells their state. Whatever it confirms is in the store. Owned by one event
+/// loop.
+class JobDesk {
+public:
+  using Done = std::function<void(CallAnswer)>;
+  /// Tells the leader of a job's key that was written.
+  using OnWritten = std::function<void(const platform::KeyValue &)>;
+  using OnDecision = std::function<void(const CallDecision &)>;
+  /// False: the store has not answered for a while, so that trying would only
+  /// keep the caller waiting.
+  using StoreUsable = std::function<bool()>;
+
+  JobDesk(utils::EventLoop &loop, const platform::Store &store, JobView &view,
+          operators::ConfigFollower &config, DeskPolicy policy,
+          StoreUsable storeUsable, OnWritten onWritten, OnDecision onDecision);
+  ~JobDesk();
+  JobDesk(const JobDesk &) = delete;
+  JobDesk &operator=(const JobDesk &) = delete;
+
+  /// Accepts spec under its id; organisation and queue are set from access.
+  void submit(CallerAccess access, core::JobSpec spec, Done done);
+  void state(CallerAccess access, std::string jobId, Done done);
+  void cancel(CallerAccess access, std::string jobId, Done done);
+  /// How many of the queue's jobs have not begun.
+  void queueLength(CallerAccess access, Done done);
+
+private:
+  struct Call;
+  using CallPtr = std::shared_ptr<Call>;
+  using Step = std::function<void(const CallPtr &)>;
+
+  void begin(const CallPtr &call, Step step);
+  void authorise(const CallPtr &call, bool confirmed, const Step &step);
+  void finish(const CallPtr &call, CallResult result, std::string detail = "");
+  bool outOfTime(const CallPtr &call) const;
+  void again(const CallPtr &call, platform::StoreStatus status, Step step);
+  void accept(const CallPtr &call);
+  void onAccepted(const CallPtr &call,
+                  platform::StoreReply<platform::StoreTxnReply> reply,
+                  absl::Time sent, const std::string &value);
+  void show(const CallPtr &call);
+  void readProgress(const CallPtr &call);
+  void findForCancel(const CallPtr &call);
+  void writeCancel(const CallPtr &call, JobRecord record, int64_t revision);
+  bool mayTouch(const CallPtr &call, const JobRecord &record) const;
+  void answerState(const CallPtr &call, const StoredJob &job);
+
+  utils::EventLoop &Loop;
+  const platform::Store &Calls;
+  JobView &View;
+  operators::ConfigFollower &Config;
+  const DeskPolicy Policy;
+  const StoreUsable Usable;
+  const OnWritten Written;
+  const OnDecision Decided;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace oriolebay::jobs
--- /dev/null
+++ b/src/libs/jobs/jobscheduler.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include "core/siteconfig.h"
+#include "fleet.h"
+#include "jobrecord.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oriolebay::jobs {
+
+/// Bounds and weights of the scheduler.
+struct SchedulerPolicy {
+  FleetPolicy Fleet;
+  /// An order that was not answered is sent again after this long.
+  absl::Duration ResendAfter = absl::Milliseconds(400);
+  /// After the election, workers that earlier leaders may have kept alive and
+  /// that never reported have certainly ended their tasks after this long.
+  absl::Duration UnheardLostAfter = absl::Seconds(18);
+  /// A gang that is spread over racks runs so many times as long, and so does
+  /// a task away from its data.
+  double RemoteFactor = 3.0;
+  /// Finished jobs stay readable for this long.
+  absl::Duration KeepFinished = absl::Seconds(150);
+  /// Work that may be thrown away for one job of priority 0 that is beyond its
+  /// organisation's guarantee, in core-seconds (an accelerator counts as eight
+  /// cores): about what a late answer to such a job costs its caller.
+  double MostWasteCoreSeconds = 300;
+  /// Tasks that checkpoint do so after each of so many seconds of work.
+  double CheckpointEvery = 1.0;
+  /// The time of day in milliseconds since 1970, for jobs due at a time.
+  std::function<int64_t()> WallMs = [] { return int64_t{0}; };
+};
+
+/// A job's progress to be written, under the condition that neither its record
+/// nor its progress changed since.
+struct ProgressWrite {
+  std::string JobId;
+  int64_t RecordRevision = 0;
+  int64_t ProgressRevision = 0;
+  int64_t Version = 0;
+  std::string Value;
+};
+
+/// For the log: a decision and what decided it.
+struct Decision {
+  enum class Kind {
+    Placed,
+    Started,
+    StartRefused,
+    Stopping,
+    Ended,
+    Settled,
+    JobEnded,
+    WorkerJoined,
+    WorkerLost,
+    WorkerKeptOut,
+    Waiting,
+  };
+  Kind What = Kind::Placed;
+  std::string Job;
+  std::string Task;
+  int64_t Run = 0;
+  std::string Worker;
+  std::string Why;
+};
+
+/// Decides which task runs where, on facts from the store and the workers. It
+/// has no threads, clock or sockets: each call takes the time (the boot clock),
+/// takeWrites() says what to record and takeOrders() what to tell the agents.
+/// Nothing is ordered before the store has it, and no end is acknowledged
+/// before the store has it.
+class JobScheduler {
+public:
+  JobScheduler(SchedulerPolicy policy, int64_t epoch, absl::Time electedAt);
+  ~JobScheduler();
+  JobScheduler(const JobScheduler &) = delete;
+  JobScheduler &operator=(const JobScheduler &) = delete;
+
+  // Facts from the store.
+  void onConfig(std::shared_ptr<const core::SiteConfig> config);
+  /// A job's record, new or changed; older revisions are ignored.
+  void onRecord(const JobRecord &record, int64_t revision, absl::Time now);
+  /// A job's progress as an earlier leader left it. Before anything else of
+  /// the job happens.
+  void onProgress(const std::string &jobId, const JobProgress &progress,
+                  int64_t revision, absl::Time now);
+  void onRecordRemoved(const std::string &jobId);
+
+  // Facts from the workers.
+  /// Returns the end number up to which all ends of this life are recorded.
+  int64_t onReport(const endpoints::WorkerReport &report, absl::Time now);
+
+  // The recorder.
+  /// Jobs whose progress changed and that are not being written.
+  std::vector<ProgressWrite> takeWrites();
+  /// The write was made, or found to have been made, at revision.
+  void onWritten(const std::string &jobId, int64_t version, int64_t revision,
+                 absl::Time now);
+  /// The write was not made, or may not have been; it is due again.
+  void onNotWritten(const std::string &jobId);
+
+  /// Timers: resends, lost workers, due times. Call a few times a second.
+  void tick(absl::Time now);
+  /// Decides what to start and stop after all facts so far.
+  void decide(absl::Time now);
+
+  /// Orders by agent address.
+  std::map<std::string, endpoints::WorkerOrders> takeOrders();
+  std::vector<Decision> takeDecisions();
+  /// Jobs that ended long enough ago to be removed from the store.
+  std::vector<std::string> takeExpired(absl::Time now);
+
+  size_t activeJobs() const;
+  int64_t epoch() const { return Epoch; }
+  const Fleet &fleet() const { return Workers; }
+  /// The progress as it stands, for tests.
+  std::optional<JobProgress> progress(const std::string &jobId) const;
+
+private:
+  friend class Planner;
+  /// What the leader knows of a task's latest run beyond its record.
+  enum class Phase {
+    Idle,
+    /// The start is being recorded; nothing was ordered.
+    Recording,
+    Ordered,
+    /// Recorded by an earlier leader; whether it was ordered is not known.
+    Adopted,
+    Running
+  };
+  struct Task {
+    TaskProgress Progress;
+    Phase What = Phase::Idle;
+    bool StopAsked = false;
+    /// Version of the write that records the start.
+    int64_t StartVersion = 0;
+    absl::Time Began = absl::InfinitePast();
+    absl::Time LastOrder = absl::InfinitePast();
+    int Percent = 0;
+    std::set<std::string> FailedOn;
+
+    bool mayRun() const { return !Progress.Worker.empty(); }
+  };
+  using Step = std::vector<Task>;
+  struct Job {
+    JobRecord Record;
+    int64_t RecordRevision = 0;
+    int64_t ProgressRevision = 0;
+    int64_t Version = 0;
+    int64_t WrittenVersion = 0;
+    JobState State = JobState::Queued;
+    /// Value that State had in the last write that was made.
+    JobState WrittenState = JobState::Queued;
+    std::map<int, std::vector<Step>> Occurrences;
+    absl::Time Arrived;
+    absl::Time FinishedAt = absl::InfiniteFuture();
+    bool Dirty = false;
+    bool Writing = false;
+    /// Ends to acknowledge once a write of this version was made.
+    struct EndAck {
+      int64_t Version = 0;
+      std::string Life;
+      int64_t Number = 0;
+    };
+    std::vector<EndAck> EndAcks;
+    /// Racks or workers kept free for a step that waits for room.
+    std::map<std::pair<int, int>, std::set<std::string>> Targets;
+    bool WaitLogged = false;
+
+    bool over() const { return isFinal(State); }
+  };
+
+  Task *findTask(const core::TaskId &id);
+  std::vector<Step> &occurrence(Job &job, int number);
+  int dueOccurrences(const Job &job) const;
+  static bool stepDone(const Step &step);
+  static bool stepReady(const Job &job, const std::vector<Step> &steps,
+                        size_t step);
+  template <class F> void forEachTask(Job &job, F f);
+
+  void takeLife(const std::string &life);
+  void loseLife(const std::string &life, const std::string &why,
+                absl::Time now);
+  void takeRunning(const endpoints::WorkerReport &report, absl::Time now);
+  void settleUnlisted(const endpoints::WorkerReport &report, absl::Time now);
+  void takeEnd(const std::string &life, const endpoints::EndedTask &end,
+               absl::Time now);
+  void takeResult(const std::string &life, const endpoints::OrderResult &result,
+                  absl::Time now);
+  void runEnded(Job &job, const core::TaskId &id, Task &task,
+                endpoints::RunEnd how, const std::string &saved,
+                const std::string &life, absl::Time now);
+  static void leaveWorker(Job &job, Task &task);
+  void runAbsent(Job &job, const core::TaskId &id, Task &task,
+                 const std::string &why, absl::Time now);
+  void gangEnded(Job &job, const core::TaskId &id, endpoints::RunEnd how);
+  void requestStop(const core::TaskId &id, Task &task, const std::string &why);
+  void stopStep(Job &job, int occurrence, int step, const std::string &why);
+  void judgeJob(Job &job, absl::Time now);
+  void endJob(Job &job, JobState state, absl::Time now);
+  void order(Job &job, const core::TaskId &id, Task &task, absl::Time now);
+  void orderStop(const core::TaskId &id, Task &task, absl::Time now);
+  void start(Job &job, const core::TaskId &id, const std::string &life,
+             const std::string &saved, int64_t run);
+  void note(Decision::Kind kind, const std::string &job,
+            const std::string &task = "", int64_t run = 0,
+            const std::string &worker = "", const std::string &why = "");
+
+  const SchedulerPolicy Policy;
+  const int64_t Epoch;
+  const absl::Time ElectedAt;
+  Fleet Workers;
+  std::shared_ptr<const core::SiteConfig> Config;
+  std::map<std::string, Job> Jobs;
+  /// Lives that records name and that have not reported to this leader.
+  std::set<std::string> Unheard;
+  /// Set by facts that may let something start, and by the planner while
+  /// something waits for time to pass.
+  bool Changed = false;
+  std::map<std::string, endpoints::WorkerOrders> Orders;
+  std::vector<Decision> Decisions;
+};
+
+} // namespace oriolebay::jobs
--- /dev/null
+++ b/src/libs/jobs/jobview.cpp
@@ -0,0 +1,70 @@
+#include "jobview.h"
+
+#include <algorithm>
+
+namespace oriolebay::jobs {
+
+JobView::JobView(utils::EventLoop &loop, const platform::Store &store,
+                 platform::FollowTiming timing, OnRecord onRecord,
+                 OnRemoved onRemoved, OnComplete onComplete,
+                 OnRefused onRefused, OnTrouble onTrouble)
+    : RecordChanged(std::move(onRecord)), Removed(std::move(onRemoved)),
+      Refused(std::move(onRefused)),
+      Follower(
+          loop, store, JobPrefix, timing,
+          [this](const platform::StoreEvent &event) { onChange(event); },
+          [this, done = std::move(onComplete)](int64_t) {
+            Complete = true;
+            done();
+          },
+          std::move(onTrouble)) {}
+
+const StoredJob *JobView::find(const std::string &jobId) const {
+  auto it = Jobs.find(jobId);
+  // Progress can be read before its record; then the job is not known yet.
+  return it == Jobs.end() || it->second.RecordRevision == 0 ? nullptr
+                                                            : &it->second;
+}
+
+int JobView::waiting(const std::string &queue) const {
+  return static_cast<int>(
+      std::count_if(Jobs.begin(), Jobs.end(), [&](const auto &entry) {
+        const StoredJob &job = entry.second;
+        return job.RecordRevision > 0 && job.Record.Spec.Queue == queue &&
+               job.Record.Spec.Repeats == 0 && job.shown() == JobState::Queued;
+      }));
+}
+
+void JobView::onChange(const platform::StoreEvent &event) {
+  std::string id;
+  bool progress = false;
+  if (!parseJobKey(event.Item.Key, id, progress))
+    return;
+  if (event.Deleted) {
+    if (!progress && Jobs.erase(id) > 0)
+      Removed(id);
+    return;
+  }
+  utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        if (progress) {
+          BOOST_LEAF_AUTO(read, decodeProgress(event.Item.Value));
+          StoredJob &job = Jobs[id];
+          job.Progress = std::move(read);
+          job.ProgressRevision = event.Item.ModRevision;
+          return true;
+        }
+        BOOST_LEAF_AUTO(read, decodeRecord(event.Item.Value));
+        StoredJob &job = Jobs[id];
+        job.Record = std::move(read);
+        job.RecordRevision = event.Item.ModRevision;
+        RecordChanged(job);
+        return true;
+      },
+      [&](const utils::Error &e) {
+        Refused(event.Item.Key, e);
+        return false;
+      });
+}
+
+} // namespace oriolebay::jobs
