--- /dev/null
+++ b/src/app/agent/jobscommand.cpp
@@ -0,0 +1,86 @@
+#include "jobscommand.h"
+
+#include "agent/workeragent.h"
+#include "common/signalthread.h"
+#include "eventlog/eventlog.h"
+#include "http/asyncclient.h"
+#include "settings/nodesettings.h"
+#include "settings/settings.h"
+#include "storeform.h"
+#include "utils/eventloop.h"
+#include "workerform.h"
+
+#include <iostream>
+#include <stdexcept>
+
+namespace oriolebay::agent {
+
+using eventlog::Event;
+using eventlog::logEvent;
+
+namespace {
+
+/// Tasks that other threads may queue: heartbeats and orders.
+constexpr size_t LoopCapacity = 4096;
+/// Where entries register in the store.
+constexpr const char *EntryPrefix = "oriolebay/entries/";
+
+/// One agent process from start to stop.
+class Process {
+public:
+  Process(const settings::NodeSettings &settings)
+      : Settings(settings), Loop(LoopCapacity),
+        Agent(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
+              adapter::makeWorkerCalls(Loop, Client, Settings.Worker.text()),
+              Settings, EntryPrefix),
+        Heartbeats(
+            Loop, Settings.Control.Host, Settings.Control.Port,
+            [this](const endpoints::Heartbeat &b) {
+              return Agent.onHeartbeat(b);
+            },
+            [this](const std::string &life) { Agent.onLeave(life); }) {}
+
+  void run() {
+    Loop.post([this] { Agent.start(); });
+    app::SignalThread signals(
+        [this] { Loop.post([this] { Agent.stop([this] { Loop.stop(); }); }); },
+        [] {
+          logEvent(Event::SettingsReloaded, {{"changed", false}});
+        });
+    Loop.run();
+    logEvent(Event::ProcessStopped);
+  }
+
+private:
+  const settings::NodeSettings Settings;
+  utils::EventLoop Loop;
+  http::AsyncClient Client;
+  WorkerAgent Agent;
+  adapter::HeartbeatFront Heartbeats;
+};
+
+} // namespace
+
+int serveJobs(const std::string &path) {
+  return utils::handle<int>(
+      [&]() -> utils::Result<int> {
+        BOOST_LEAF_AUTO(text, settings::readFile(path));
+        BOOST_LEAF_AUTO(s, settings::parseNodeSettings(text));
+        eventlog::initEventLog(s.Name, "");
+        logEvent(Event::ProcessStarted,
+                 {{"role", "agent"}, {"settings", path}});
+        try {
+          Process(s).run();
+        } catch (const std::runtime_error &e) {
+          return utils::fail(utils::ErrorKind::BadSettings, e.what(),
+                             "free the address or change it");
+        }
+        return 0;
+      },
+      [](const utils::Error &e) {
+        std::cerr << "oriolebay-agent: " << e.text() << '\n';
+        return 2;
+      });
+}
+
+} // namespace oriolebay::agent
--- a/src/app/agent/main.cpp
+++ b/src/app/agent/main.cpp
@@ -1,6 +1,7 @@
 #include "agent/agentservice.h"
 #include "common/processrunner.h"
 #include "eventlog/eventlog.h"
+#include "jobscommand.h"
 #include "settings/settings.h"
 
 #include <absl/time/clock.h>
@@ -13,17 +14,20 @@
 
 int main(int argc, char **argv) {
   app::blockStopSignals();
-  po::options_description opts("oriolebay-agent serve --settings FILE");
+  po::options_description opts("oriolebay-agent jobs|serve --settings FILE");
   opts.add_options()("help", "this text")("settings", po::value<std::string>(),
                                           "agent settings (JSON)")(
       "drain-ms", po::value<int>()->default_value(30000),
       "how long a graceful stop waits for running tasks")(
-      "command", po::value<std::string>(), "serve");
+      "command", po::value<std::string>(), "jobs or serve");
   po::positional_options_description pos;
   pos.add("command", 1);
   po::variables_map vm;
   if (!app::parseCommandLine(argc, argv, "oriolebay-agent", opts, pos, vm))
     return 2;
+  if (vm.count("command") && vm.count("settings") &&
+      vm["command"].as<std::string>() == "jobs")
+    return agent::serveJobs(vm["settings"].as<std::string>());
   if (vm.count("help") || !vm.count("command") ||
       vm["command"].as<std::string>() != "serve" || !vm.count("settings")) {
     std::cout << opts << '\n';
--- a/src/app/common/processrunner.cpp
+++ b/src/app/common/processrunner.cpp
@@ -44,6 +44,10 @@
 
 void blockStopSignals() {
   sigset_t set = stopSignals();
+  sigaddset(&set, SIGHUP);
+  sigaddset(&set, SIGUSR1);
+  // A peer that closed its connection shows as an error of the write.
+  std::signal(SIGPIPE, SIG_IGN);
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
--- a/src/app/common/processrunner.h
+++ b/src/app/common/processrunner.h
@@ -16,8 +16,9 @@
     const boost::program_options::positional_options_description &pos,
     boost::program_options::variables_map &vm);
 
-/// Blocks SIGTERM and SIGINT in every thread started after this call, so that
-/// only waitForStop() sees them. Call first in main().
+/// Blocks SIGTERM, SIGINT and SIGHUP in every thread started after this call,
+/// so that only waitForStop() or a SignalThread sees them, and ignores SIGPIPE.
+/// Call first in main().
 void blockStopSignals();
 
 /// Waits for SIGTERM or SIGINT. Once a second it calls sample() and exports
--- /dev/null
+++ b/src/app/entry/jobscommand.cpp
@@ -0,0 +1,109 @@
+#include "jobscommand.h"
+
+#include "callerform.h"
+#include "common/signalthread.h"
+#include "configform.h"
+#include "entry/jobentry.h"
+#include "eventlog/eventlog.h"
+#include "http/asyncclient.h"
+#include "settings/nodesettings.h"
+#include "settings/settings.h"
+#include "storeform.h"
+#include "utils/boottime.h"
+#include "utils/eventloop.h"
+
+#include <iostream>
+#include <stdexcept>
+
+namespace oriolebay::entry {
+
+using eventlog::Event;
+using eventlog::logEvent;
+
+namespace {
+
+/// Tasks that other threads may queue: a few for each connection.
+constexpr size_t LoopCapacity = 8192;
+/// After SIGTERM the balancer asks twice, a second apart, before it sends no
+/// new connection here; callers on open ones go on until then.
+constexpr absl::Duration BalancerNotices = absl::Milliseconds(2400);
+constexpr absl::Duration LookAgain = absl::Milliseconds(100);
+
+/// One entry process from start to stop.
+class Process {
+public:
+  Process(const settings::NodeSettings &settings)
+      : Settings(settings), Loop(LoopCapacity),
+        Entry(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
+              Settings, adapter::readConfig, adapter::ConfigKey),
+        Callers(Loop, Entry.desk(), Settings.Callers.Host,
+                Settings.Callers.Port),
+        Ready(
+            Loop, [this](std::string *why) { return Entry.ready(why); },
+            Settings.Ready.Host, Settings.Ready.Port) {}
+
+  void run() {
+    Loop.post([this] { Entry.start(); });
+    app::SignalThread signals(
+        [this] { Loop.post([this] { stop(); }); },
+        [] {
+          logEvent(Event::SettingsReloaded, {{"changed", false}});
+        });
+    Loop.run();
+  }
+
+private:
+  void stop() {
+    if (StopBegan != absl::InfinitePast())
+      return;
+    StopBegan = utils::bootNow();
+    Entry.beginStop();
+    Callers.closeAfterAnswers();
+    leaveWhenIdle();
+  }
+
+  void leaveWhenIdle() {
+    const absl::Duration since = utils::bootNow() - StopBegan;
+    const bool idle = since >= BalancerNotices && Callers.unanswered() == 0;
+    if (idle || since >= settings::deriveTiming(Settings).LeaveBy) {
+      logEvent(Event::ProcessStopped, {{"unanswered", Callers.unanswered()}});
+      Loop.stop();
+      return;
+    }
+    Loop.runAfter(LookAgain, [this] { leaveWhenIdle(); });
+  }
+
+  const settings::NodeSettings Settings;
+  utils::EventLoop Loop;
+  http::AsyncClient Client;
+  JobEntry Entry;
+  adapter::CallerFront Callers;
+  adapter::ReadyFront Ready;
+  absl::Time StopBegan = absl::InfinitePast();
+};
+
+} // namespace
+
+int serveJobs(const std::string &path) {
+  return utils::handle<int>(
+      [&]() -> utils::Result<int> {
+        BOOST_LEAF_AUTO(text, settings::readFile(path));
+        BOOST_LEAF_AUTO(s, settings::parseNodeSettings(text));
+        eventlog::initEventLog(s.Name, "");
+        logEvent(Event::ProcessStarted,
+                 {{"role", "entry"}, {"settings", path}});
+        try {
+          Process(s).run();
+        } catch (const std::runtime_error &e) {
+          return utils::fail(utils::ErrorKind::BadSettings, e.what(),
+                             "free the address or change it");
+        }
+        return 0;
+      },
+      [](const utils::Error &e) {
+        std::cerr << "oriolebay-entry: " << e.text() << '\n';
+        return 2;
+      });
+}
+
+} // namespace oriolebay::entry
--- /dev/null
+++ b/src/app/entry/jobscommand.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace oriolebay::entry {
+
+/// Serves lasting jobs with the settings at path until SIGTERM or SIGINT;
+/// returns the process's exit status (2: the settings cannot be used).
+int serveJobs(const std::string &path);
+
+} // namespace oriolebay::entry
--- a/src/app/entry/main.cpp
+++ b/src/app/entry/main.cpp
@@ -3,6 +3,7 @@
 #include "entry/entryservice.h"
 #include "eventlog/eventlog.h"
 #include "eventlog/timeline.h"
+#include "jobscommand.h"
 #include "operators/profilestore.h"
 #include "placement/placer.h"
 #include "platform/kvclient.h"
@@ -97,9 +98,11 @@
 int main(int argc, char **argv) {
   app::blockStopSignals();
   po::options_description opts("oriolebay-entry COMMAND [options]\n"
-                               "commands: serve, profile get|put, timeline");
-  opts.add_options()("help", "this text")("settings", po::value<std::string>(),
-                                          "entry settings (JSON), for serve")(
+                               "commands: jobs, serve, profile get|put, "
+                               "timeline");
+  opts.add_options()("help",
+                     "this text")("settings", po::value<std::string>(),
+                                  "settings (JSON), for jobs and serve")(
       "store", po::value<std::string>()->default_value("http://127.0.0.1:2379"),
       "the platform store's URL, for profile")(
       "file", po::value<std::string>(), "profile file (JSON), for profile put")(
@@ -120,6 +123,8 @@
   }
   if (args[0] == "serve" && vm.count("settings"))
     return serve(vm["settings"].as<std::string>());
+  if (args[0] == "jobs" && vm.count("settings"))
+    return entry::serveJobs(vm["settings"].as<std::string>());
   if (args[0] == "profile")
     return profileCommand(args, vm);
   if (args[0] == "timeline") {
