Ends are acknowledged only once recorded; an ended life is known at its agent

All machines lost power in that moment and the gang ran again. Cause 2: a new leader knows old lives only from the records and waited 18 s for a worker whose machine had long come back with another one. Change: an end is acknowledged with the first write that holds all that follows from it; records name the agent beside the life, and a new life there ends the old one. Ended lives are now named. Tests (each failed before its change): NoEndIsAcknowledgedBeforeItIsRecorded, NewLifeAtTheSameAgentEndsTheRecordedOne, AgentThatKnowsNoWorkerYetEndsNothing.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -36,6 +36,7 @@
 constexpr int ReportTimeoutMs = 400;
 /// Results and ended lives remembered, so that late messages find them.
 constexpr size_t MostConcluded = 2048;
+constexpr size_t MostEndedLives = 8;
 /// Worker time that is left for a start to arrive.
 constexpr int64_t LeastHoldMs = 300;
 
@@ -77,7 +78,7 @@
 
 bool WorkerAgent::onHeartbeat(const Heartbeat &beat) {
   const std::string &life = beat.Worker.Life;
-  if (EndedLives.count(life) != 0)
+  if (hasEnded(life))
     return true;
   if (life != State.Life) {
     tryLife(beat);
@@ -112,7 +113,7 @@
       return;
     TryingLife.clear();
     if (reply.Outcome.Status == CallStatus::OtherLife)
-      EndedLives.insert(beat.Worker.Life);
+      noteEnded(beat.Worker.Life);
     if (reply.Outcome.Status != CallStatus::Ok)
       return;
     adoptLife(beat);
@@ -135,7 +136,7 @@
 
 void WorkerAgent::endLife(const std::string &why) {
   logEvent(Event::WorkerLifeEnded, {{"worker", State.Life}, {"why", why}});
-  EndedLives.insert(State.Life);
+  noteEnded(State.Life);
   State = {};
   LastBeat = 0;
   ClockOffset.reset();
@@ -157,11 +158,22 @@
   reportSoon();
 }
 
+void WorkerAgent::noteEnded(const std::string &life) {
+  EndedLives.push_back(life);
+  if (EndedLives.size() > MostEndedLives)
+    EndedLives.erase(EndedLives.begin());
+}
+
+bool WorkerAgent::hasEnded(const std::string &life) const {
+  return std::find(EndedLives.begin(), EndedLives.end(), life) !=
+         EndedLives.end();
+}
+
 void WorkerAgent::onLeave(const std::string &life) {
   if (life == State.Life)
     endLife("it said so");
   else
-    EndedLives.insert(life);
+    noteEnded(life);
 }
 
 // ---- Keeping its tasks alive, and looking
@@ -491,6 +503,7 @@
   message.Agent = Settings.Name;
   message.AgentAddress = Peers->address();
   message.Worker = State;
+  message.EndedLives = EndedLives;
   message.Reachable = Reachable;
   message.Epoch = ListedEpoch;
   message.Running = Running;
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -60,6 +60,8 @@
   void tryLife(const endpoints::Heartbeat &beat);
   void adoptLife(const endpoints::Heartbeat &beat);
   void endLife(const std::string &why);
+  void noteEnded(const std::string &life);
+  bool hasEnded(const std::string &life) const;
 
   void hold(int64_t waitMs);
   void holdLater(absl::Duration delay);
@@ -94,7 +96,8 @@
   /// The worker's life that is served; an empty Life when none is known.
   endpoints::WorkerState State;
   int64_t LastBeat = 0;
-  std::set<std::string> EndedLives;
+  /// The latest lives that are over, the newest last.
+  std::vector<std::string> EndedLives;
   std::string TryingLife;
   /// Worker clock less boot clock, in milliseconds, as of the last answer.
   std::optional<int64_t> ClockOffset;
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -50,8 +50,8 @@
                                    Rack, Labels, Capacity, Draining,
                                    RemainingMs, ColdMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerReport, Agent, AgentAddress, Worker,
-                                   Sequence, Reachable, Epoch, Running, Ended,
-                                   Results)
+                                   EndedLives, Sequence, Reachable, Epoch,
+                                   Running, Ended, Results)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportAck, Epoch, Leader, Entries, GrantMs,
                                    SeenUpto)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -209,11 +209,13 @@
 
 /// Agent to the leading entry, periodically and at once on news: the worker
 /// and all that it runs or that ended and is not acknowledged. An empty Life:
-/// no worker has shown up.
+/// this agent has not heard of its worker yet, which says nothing about what
+/// runs there. EndedLives: lives that the worker itself said are over.
 struct WorkerReport {
   std::string Agent;
   std::string AgentAddress;
   WorkerState Worker;
+  std::vector<std::string> EndedLives;
   /// Grows with each report of this life, also when the agent restarts.
   int64_t Sequence = 0;
   /// The worker answers its agent. While it does not, nothing is granted.
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -4,12 +4,20 @@
 
 namespace oriolebay::jobs {
 
+// An agent that has just started has not heard of its worker yet: that says
+// nothing about a life that was known before.
+bool saysEnded(const endpoints::WorkerReport &report, const std::string &life) {
+  const auto &ended = report.EndedLives;
+  if (std::find(ended.begin(), ended.end(), life) != ended.end())
+    return true;
+  return !report.Worker.Life.empty() && report.Worker.Life != life;
+}
+
 std::vector<std::string> Fleet::heard(const endpoints::WorkerReport &report,
                                       absl::Time now) {
   std::vector<std::string> ended;
   for (const auto &[life, worker] : Workers)
-    if (worker.AgentAddress == report.AgentAddress &&
-        life != report.Worker.Life)
+    if (worker.Agent == report.Agent && saysEnded(report, life))
       ended.push_back(life);
   for (const std::string &life : ended)
     Workers.erase(life);
@@ -17,6 +25,7 @@
     return ended;
   WorkerView &worker = Workers[report.Worker.Life];
   worker.State = report.Worker;
+  worker.Agent = report.Agent;
   worker.AgentAddress = report.AgentAddress;
   worker.LastHeard = now;
   worker.Sequence = report.Sequence;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -36,6 +36,7 @@
 /// One life of a worker as the leader sees it.
 struct WorkerView {
   endpoints::WorkerState State;
+  std::string Agent;
   std::string AgentAddress;
   absl::Time LastHeard;
   int64_t Sequence = 0;
@@ -64,6 +65,10 @@
   }
 };
 
+/// Whether report, which comes from the agent beside it, tells that this life
+/// of a worker is over.
+bool saysEnded(const endpoints::WorkerReport &report, const std::string &life);
+
 /// The workers that report to the leader: who they are, what room they have
 /// and whether they are fit for new work. No threads, clock or sockets.
 class Fleet {
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -78,18 +78,53 @@
   return {bytes.begin(), bytes.end()};
 }
 
+/// The workers that a record names, each once: a gang's tasks share a few.
+class Places {
+public:
+  explicit Places(json list = json::array()) : List(std::move(list)) {}
+
+  int indexOf(const TaskProgress &t) {
+    if (t.Worker.empty())
+      return -1;
+    const json place = {t.Worker, t.Agent};
+    for (size_t i = 0; i < List.size(); ++i)
+      if (List[i] == place)
+        return static_cast<int>(i);
+    List.push_back(place);
+    return static_cast<int>(List.size()) - 1;
+  }
+
+  void put(int index, TaskProgress &t) const {
+    if (index < 0)
+      return;
+    t.Worker = List.at(static_cast<size_t>(index)).at(0).get<std::string>();
+    t.Agent = List.at(static_cast<size_t>(index)).at(1).get<std::string>();
+  }
+
+  const json &list() const { return List; }
+
+private:
+  json List;
+};
+
 // A task that never started is written as zero.
-json taskToJson(const TaskProgress &t) {
+json taskToJson(const TaskProgress &t, Places &places) {
   if (t == TaskProgress{})
     return 0;
-  return json::array({t.Run, t.Failed, t.Done ? 1 : 0, t.Worker, t.Saved});
+  return json::array(
+      {t.Run, t.Failed, t.Done ? 1 : 0, places.indexOf(t), t.Saved});
 }
 
-TaskProgress taskFromJson(const json &j) {
+TaskProgress taskFromJson(const json &j, const Places &places) {
+  TaskProgress t;
   if (!j.is_array())
-    return {};
-  return {j.at(0).get<int64_t>(), j.at(1).get<int>(), j.at(2).get<int>() != 0,
-          j.at(3).get<std::string>(), j.at(4).get<std::string>()};
+    return t;
+  j.at(0).get_to(t.Run);
+  j.at(1).get_to(t.Failed);
+  t.Done = j.at(2).get<int>() != 0;
+  places.put(j.at(3).get<int>(), t);
+  j.at(4).get_to(t.Saved);
+  return t;
 }
 
 template <class T, class Read>
@@ -166,18 +201,20 @@
 
 std::string encode(const JobProgress &p) {
   json occurrences = json::array();
+  Places places;
   for (const auto &[occurrence, steps] : p.Tasks) {
     json list = json::array();
     for (const auto &tasks : steps) {
       json step = json::array();
       for (const TaskProgress &t : tasks)
-        step.push_back(taskToJson(t));
+        step.push_back(taskToJson(t, places));
       list.push_back(std::move(step));
     }
     occurrences.push_back(json::array({occurrence, std::move(list)}));
   }
   return toCbor({{"v", p.Version},
                  {"state", static_cast<int>(p.State)},
+                 {"places", places.list()},
                  {"tasks", std::move(occurrences)}});
 }
 
@@ -210,12 +247,13 @@
     JobProgress p;
     j.at("v").get_to(p.Version);
     p.State = static_cast<JobState>(j.at("state").get<int>());
+    const Places places(j.at("places"));
     for (const json &entry : j.at("tasks")) {
       auto &steps = p.Tasks[entry.at(0).get<int>()];
       for (const json &list : entry.at(1)) {
         auto &tasks = steps.emplace_back();
         for (const json &t : list)
-          tasks.push_back(taskFromJson(t));
+          tasks.push_back(taskFromJson(t, places));
       }
     }
     return p;
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -36,13 +36,15 @@
 };
 
 /// What is known of one task. Run is the number of its latest run, zero before
-/// the first. Worker is the life of the worker that may be running it; empty
-/// when it certainly runs nowhere.
+/// the first. Worker is the life of the worker that may be running it, and
+/// Agent the agent beside it; both empty when it certainly runs nowhere. The
+/// agent outlives the life: a new life there tells that the old one ended.
 struct TaskProgress {
   int64_t Run = 0;
   int Failed = 0;
   bool Done = false;
   std::string Worker;
+  std::string Agent;
   std::string Saved;
 
   auto operator<=>(const TaskProgress &) const = default;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -126,7 +126,7 @@
         // tells.
         if (mine[s][i].mayRun()) {
           mine[s][i].What = Phase::Adopted;
-          Unheard.insert(steps[s][i].Worker);
+          Unheard[steps[s][i].Worker] = steps[s][i].Agent;
         }
       }
   }
@@ -149,6 +149,7 @@
     return before->SeenUpto;
   for (const std::string &ended : Workers.heard(report, now))
     loseLife(ended, "its worker has ended", now);
+  endUnheard(report, now);
   if (life.empty())
     return 0;
   if (before == nullptr)
@@ -167,6 +168,20 @@
   return worker->SeenUpto;
 }
 
+// A life that an earlier leader recorded at this agent is over when another
+// one stands there.
+void JobScheduler::endUnheard(const endpoints::WorkerReport &report,
+                              absl::Time now) {
+  std::vector<std::string> ended;
+  for (const auto &[life, agent] : Unheard)
+    if (agent == report.Agent && saysEnded(report, life))
+      ended.push_back(life);
+  for (const std::string &life : ended) {
+    Unheard.erase(life);
+    loseLife(life, "a new life of its worker reports", now);
+  }
+}
+
 // Runs that records name here take room from the first report on.
 void JobScheduler::takeLife(const std::string &life) {
   Unheard.erase(life);
@@ -255,10 +270,14 @@
   if (task == nullptr || task->Progress.Done || end.Run > task->Progress.Run ||
       ((task->Progress.Worker != life || task->Progress.Run != end.Run) &&
        end.How != RunEnd::Done)) {
-    Workers.endRecorded(life, end.Number);
-    if (task != nullptr && task->Progress.Worker == life &&
-        task->Progress.Run == end.Run)
-      leaveWorker(Jobs.at(id.Job), *task);
+    if (task == nullptr) {
+      Workers.endRecorded(life, end.Number);
+      return;
+    }
+    Job &job = Jobs.at(id.Job);
+    if (task->Progress.Worker == life && task->Progress.Run == end.Run)
+      leaveWorker(job, *task);
+    acknowledge(job, life, end.Number);
     return;
   }
   Job &job = Jobs.at(id.Job);
@@ -267,12 +286,25 @@
   runEnded(job, id, *task, end.How, end.Saved, life, now);
   judgeJob(job, now);
   job.Dirty = true;
-  job.EndAcks.push_back({job.Version + 1, life, end.Number});
+  acknowledge(job, life, end.Number);
+}
+
+// The worker forgets an end that was acknowledged, so all that followed from
+// it has to be in the store first. That a task is done counts too when it is
+// not this end that made it so: the other one may not be recorded yet.
+void JobScheduler::acknowledge(Job &job, const std::string &life,
+                               int64_t number) {
+  const int64_t version = job.Dirty ? job.Version + 1 : job.Version;
+  if (version <= job.WrittenVersion)
+    Workers.endRecorded(life, number);
+  else
+    job.EndAcks.push_back({version, life, number});
 }
 
 // The end of a member whose gang was done already: only its room is news.
 void JobScheduler::leaveWorker(Job &job, Task &task) {
   task.Progress.Worker.clear();
+  task.Progress.Agent.clear();
   task.What = Phase::Idle;
   task.StopAsked = false;
   job.Dirty = true;
@@ -333,6 +365,7 @@
        task.Progress.Worker, why);
   Workers.vacate(task.Progress.Worker, {core::taskName(id), task.Progress.Run});
   task.Progress.Worker.clear();
+  task.Progress.Agent.clear();
   task.What = Phase::Idle;
   task.StopAsked = false;
   job.Dirty = true;
@@ -528,6 +561,7 @@
   Task &task = *findTask(id);
   task.Progress.Run = run;
   task.Progress.Worker = life;
+  task.Progress.Agent = Workers.find(life)->Agent;
   task.Progress.Saved = saved;
   task.What = Phase::Recording;
   task.StartVersion = job.Version + 1;
@@ -545,9 +579,8 @@
   for (const std::string &life : Workers.takeLost(now))
     loseLife(life, "silent until its tasks had certainly ended", now);
   if (!Unheard.empty() && now - ElectedAt >= Policy.UnheardLostAfter) {
-    const std::set<std::string> lives = std::move(Unheard);
-    Unheard.clear();
-    for (const std::string &life : lives)
+    const auto lives = std::exchange(Unheard, {});
+    for (const auto &[life, agent] : lives)
       loseLife(life, "never reported to this leader", now);
   }
   for (auto &[id, job] : Jobs) {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -188,6 +188,7 @@
   template <class F> void forEachTask(Job &job, F f);
 
   void takeLife(const std::string &life);
+  void endUnheard(const endpoints::WorkerReport &report, absl::Time now);
   void loseLife(const std::string &life, const std::string &why,
                 absl::Time now);
   void takeRunning(const endpoints::WorkerReport &report, absl::Time now);
@@ -196,6 +197,7 @@
                absl::Time now);
   void takeResult(const std::string &life, const endpoints::OrderResult &result,
                   absl::Time now);
+  void acknowledge(Job &job, const std::string &life, int64_t number);
   void runEnded(Job &job, const core::TaskId &id, Task &task,
                 endpoints::RunEnd how, const std::string &saved,
                 const std::string &life, absl::Time now);
@@ -221,8 +223,9 @@
   Fleet Workers;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
-  /// Lives that records name and that have not reported to this leader.
-  std::set<std::string> Unheard;
+  /// Lives that records name and that have not reported to this leader, with
+  /// the agents beside them.
+  std::map<std::string, std::string> Unheard;
   /// Set by facts that may let something start, and by the planner while
   /// something waits for time to pass.
   bool Changed = false;
--- /dev/null
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -0,0 +1,98 @@
+#include "simsite.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolebay::jobs {
+namespace {
+
+core::StepSpec step(int count, core::Resources each, int64_t estimateMs,
+                    bool gang = false, bool sameRack = false) {
+  core::StepSpec s;
+  s.Count = count;
+  s.PerTask = each;
+  s.EstimateMs = estimateMs;
+  s.Gang = gang;
+  s.SameRack = sameRack;
+  return s;
+}
+
+/// A site of racks with three workers each, all reported.
+void addRacks(SimSite &site, int racks) {
+  for (int r = 0; r < racks; ++r)
+    for (int w = 0; w < 3; ++w)
+      site.addWorker("w" + std::to_string(r) + std::to_string(w),
+                     "r" + std::to_string(r));
+  site.runFor(absl::Milliseconds(600));
+}
+
+TEST(JobScheduler, RunsAJobOfStepsInOrder) {
+  SimSite site;
+  addRacks(site, 1);
+  core::JobSpec job = jobOf("j", step(4, {500, 256, 0}, 900));
+  core::StepSpec second = step(20, {2000, 1024, 0}, 2000);
+  second.After = {0};
+  job.Steps.push_back(second);
+  site.submit(job);
+  EXPECT_EQ(site.placesOf("j").size(), 4u);
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(10)));
+  EXPECT_EQ(site.state("j"), JobState::Completed);
+  EXPECT_GE(*site.took("j"), absl::Milliseconds(2900));
+  EXPECT_LE(*site.took("j"), absl::Milliseconds(3100));
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
+// All machines lose power right after a gang's first end came in, while the
+// store is down. Users saw the gang run twice: the other members' ends were
+// acknowledged at once, because the first one had made them done in memory,
+// and the workers forgot ends that no record held.
+TEST(JobScheduler, NoEndIsAcknowledgedBeforeItIsRecorded) {
+  SimSite site;
+  addRacks(site, 1);
+  site.submit(jobOf("g", step(6, {1000, 100, 4}, 1000, true)));
+  site.runFor(absl::Milliseconds(900));
+  site.StoreDown = true;
+  site.runFor(absl::Milliseconds(600));
+  for (const char *life : {"w00", "w01", "w02"})
+    EXPECT_EQ(site.worker(life).SeenUpto, 0) << life;
+  site.changeLeader();
+  site.StoreDown = false;
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(10)));
+  EXPECT_EQ(site.state("g"), JobState::Completed);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
+// Machine and leader die together; the machine comes back with a new worker.
+// Users waited 18 s for a gang that ran there: the new leader knew the old
+// life from the records only and could not tell that it had ended.
+TEST(JobScheduler, NewLifeAtTheSameAgentEndsTheRecordedOne) {
+  SimSite site;
+  addRacks(site, 1);
+  site.submit(jobOf("g", step(3, {1000, 100, 8}, 3000, true)));
+  site.runFor(absl::Seconds(1));
+  site.crash("w01", "w01b");
+  site.changeLeader();
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(6)));
+  EXPECT_EQ(site.state("g"), JobState::Completed);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
+// All processes are killed at once, the workers run on. Users saw tasks run
+// twice: an agent that had just started knew no worker yet, and the new leader
+// took its empty report to mean that the worker it had before was gone.
+TEST(JobScheduler, AgentThatKnowsNoWorkerYetEndsNothing) {
+  SimSite site;
+  addRacks(site, 1);
+  site.submit(jobOf("g", step(3, {1000, 100, 8}, 3000, true)));
+  site.runFor(absl::Seconds(1));
+  site.changeLeader();
+  endpoints::WorkerReport empty;
+  empty.Agent = site.worker("w01").Agent;
+  empty.AgentAddress = empty.Agent;
+  site.scheduler().onReport(empty, site.now());
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(6)));
+  EXPECT_EQ(site.starts(), 3);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
+} // namespace
+} // namespace oriolebay::jobs
