Room that is being made for an urgent gang is kept for it

The room of the first stop went back to the stopped tasks before the last stop had come, dozens of times (114 stops in 1.5 s), and the gang waited past its organisation's guarantee. Ruled out: keeping whole workers (the rest of them would idle); a wish list over passes (state that can be derived). Change: a plan (places, releases, what they free) is made for the gang, and what it needs beyond the releases is kept out of the others' room; the same plan serves gangs that wait for room by themselves. Test, failed before: RoomThatIsBeingMadeIsKept.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// Gangs that workers are kept free for at the same time. One would let the
-/// next large gang starve; many would leave the site idle.
-constexpr int MostHolds = 2;
+/// Gangs that room is kept for at the same time while they wait. One would let
+/// the next large gang starve; many would leave the site idle.
+constexpr int MostKept = 2;
 /// An accelerator weighs as much as so many cores when work is thrown away.
 constexpr double CoresPerAccelerator = 8;
 /// A task is assumed to need at least so long still, however far it is.
@@ -28,7 +28,7 @@
     : S(scheduler), Now(now) {
   for (const auto &[life, view] : S.Workers.workers())
     if (S.Workers.usable(view, now))
-      Places.push_back({life, &view, view.room()});
+      Places.push_back({life, &view, view.room(), view.room()});
 }
 
 void Planner::run() {
@@ -125,9 +125,11 @@
                                     label) != worker.Labels.end();
 }
 
-bool Planner::mayUse(const Place &place, const Unit &unit) const {
-  return !place.Held ||
-         absl::Milliseconds(unit.spec().EstimateMs) < place.HeldFor;
+const core::Resources &Planner::room(const Place &place,
+                                     const Unit &unit) const {
+  const bool endsBefore =
+      absl::Milliseconds(unit.spec().EstimateMs) < place.KeptFor;
+  return endsBefore ? place.Free : place.Spare;
 }
 
 int Planner::onWorker(const Unit &unit, const std::string &life) const {
@@ -146,7 +148,7 @@
   if (spec.MaxPerWorker > 0)
     most =
         std::min<int64_t>(most, spec.MaxPerWorker - onWorker(unit, place.Life));
-  return spec.room().countIn(place.Free, std::max<int64_t>(most, 0));
+  return spec.room().countIn(room(place, unit), std::max<int64_t>(most, 0));
 }
 
 // The sets of places that a gang may stand in: each rack, or the whole site.
@@ -170,7 +172,7 @@
   std::map<std::string, int64_t> racks;
   const core::StepSpec &spec = unit.spec();
   for (const auto &[life, view] : S.Workers.workers()) {
-    const Place whole{life, &view, view.State.Capacity};
+    const Place whole{life, &view, view.State.Capacity, view.State.Capacity};
     if (view.State.Draining || !eligible(whole, unit))
       continue;
     int64_t most = spec.Count;
@@ -188,7 +190,7 @@
 Planner::layout(const Unit &unit, const std::vector<size_t> &group) const {
   std::vector<std::pair<int64_t, size_t>> order;
   for (size_t p : group)
-    if (mayUse(Places[p], unit) && fits(Places[p], unit, 1) > 0)
+    if (fits(Places[p], unit, 1) > 0)
       order.emplace_back(Places[p].Free.Accelerators, p);
   std::sort(order.begin(), order.end());
   Layout places;
@@ -241,6 +243,7 @@
     Place &place = Places[places[n]];
     S.start(*unit.Owner, unit.task(unit.Tasks[n]), place.Life, saved, run + 1);
     place.Free -= unit.spec().room();
+    place.Spare -= unit.spec().room();
   }
 }
 
@@ -249,6 +252,7 @@
   S.start(*unit.Owner, unit.task(index), Places[p].Life, task.Progress.Saved,
           task.Progress.Run + 1);
   Places[p].Free -= unit.spec().room();
+  Places[p].Spare -= unit.spec().room();
 }
 
 void Planner::placeTasks(Unit &unit) {
@@ -260,7 +264,7 @@
     std::optional<std::pair<Score, size_t>> best;
     for (size_t p = 0; p < Places.size(); ++p) {
       const Place &place = Places[p];
-      if (!mayUse(place, unit) || fits(place, unit, 1) == 0)
+      if (fits(place, unit, 1) == 0)
         continue;
       const bool away =
           !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
@@ -284,207 +288,205 @@
   }
   if (unit.Rank <= 1 && preempt(unit))
     return;
-  if (Holds < MostHolds)
-    hold(unit);
+  if (Kept < MostKept)
+    waitForRoom(unit);
 }
 
-absl::Duration Planner::remaining(const Job &job, int occurrence,
-                                  int step) const {
+absl::Duration Planner::remaining(const core::StepSpec &spec,
+                                  const Task &task) const {
+  const absl::Duration left =
+      absl::Milliseconds(spec.EstimateMs) * (100 - task.Percent) / 100;
+  return std::max(left, LeastRemaining);
+}
+
+// What a stop throws away: all since the last checkpoint, in core-seconds.
+double Planner::wasteOf(const core::StepSpec &spec, const Task &task) const {
+  if (task.StopAsked || task.Progress.Done ||
+      task.Began == absl::InfinitePast())
+    return 0;
+  double lost = absl::ToDoubleSeconds(Now - task.Began);
+  if (spec.Checkpoints)
+    lost = std::min(lost, S.Policy.CheckpointEvery);
+  return lost * weight(spec.PerTask);
+}
+
+void Planner::addReleases(std::vector<Release> &out, Job &job, int occurrence,
+                          int step, bool stoppingOnly) const {
   const core::StepSpec &spec = job.Record.Spec.Steps[static_cast<size_t>(step)];
   const JobScheduler::Step &tasks =
       job.Occurrences.at(occurrence)[static_cast<size_t>(step)];
-  int percent = 100;
-  for (const Task &t : tasks)
-    if (t.mayRun())
-      percent = std::min(percent, t.Percent);
-  const absl::Duration left =
-      absl::Milliseconds(spec.EstimateMs) * (100 - percent) / 100;
-  return std::max(left, LeastRemaining);
+  Release gang{&job, occurrence, step, -1, rankOf(job)};
+  for (size_t i = 0; i < tasks.size(); ++i) {
+    const Task &t = tasks[i];
+    if (!t.mayRun() || (stoppingOnly && !t.StopAsked))
+      continue;
+    Release one = gang;
+    one.Index = static_cast<int>(i);
+    one.Frees.clear();
+    one.Waste = wasteOf(spec, t);
+    one.Left = remaining(spec, t);
+    gang.Waste += one.Waste;
+    gang.Left = std::max(gang.Left, one.Left);
+    for (size_t p = 0; p < Places.size(); ++p)
+      if (Places[p].Life == t.Progress.Worker) {
+        one.Frees[p] = spec.room();
+        gang.Frees[p] += spec.room();
+      }
+    if (!spec.Gang && !one.Frees.empty())
+      out.push_back(std::move(one));
+  }
+  if (spec.Gang && !gang.Frees.empty())
+    out.push_back(std::move(gang));
 }
 
-// What could be stopped for unit: work that comes after it, with what a stop
-// throws away (all since the last checkpoint).
-std::vector<Planner::Victim> Planner::victims(const Unit &unit) const {
-  std::map<std::string, size_t> placeOf;
-  for (size_t p = 0; p < Places.size(); ++p)
-    placeOf[Places[p].Life] = p;
-  std::vector<Victim> out;
+// By stop: work that comes after unit and could be stopped for it, what is
+// being stopped anyway first, then the least urgent, then the cheapest.
+// Otherwise: all that runs, in the order in which it is expected to end.
+std::vector<Planner::Release> Planner::releases(const Unit &unit,
+                                                bool byStop) const {
+  std::vector<Release> out;
   for (auto &[id, job] : S.Jobs) {
     const int rank = rankOf(job);
-    if (rank <= unit.Rank || (unit.Rank == 1 && rank < 2))
-      continue;
+    const bool stoppingOnly = byStop && rank <= unit.Rank;
     for (auto &[number, steps] : job.Occurrences)
-      for (size_t s = 0; s < steps.size(); ++s) {
-        const core::StepSpec &spec = job.Record.Spec.Steps[s];
-        Victim gang{&job, number, static_cast<int>(s), -1, rank, 0, {}};
-        for (size_t i = 0; i < steps[s].size(); ++i) {
-          const Task &t = steps[s][i];
-          auto place = placeOf.find(t.Progress.Worker);
-          if (!t.mayRun() || t.Progress.Done)
-            continue;
-          const absl::Duration ran = t.Began == absl::InfinitePast()
-                                         ? absl::ZeroDuration()
-                                         : Now - t.Began;
-          double lost = absl::ToDoubleSeconds(ran);
-          if (spec.Checkpoints)
-            lost = std::min(lost, S.Policy.CheckpointEvery);
-          if (t.StopAsked)
-            lost = 0;
-          Victim one = gang;
-          one.Index = static_cast<int>(i);
-          one.Waste = lost * weight(spec.PerTask);
-          gang.Waste += one.Waste;
-          if (place == placeOf.end())
-            continue;
-          one.Frees[place->second] = spec.room();
-          gang.Frees[place->second] += spec.room();
-          if (!spec.Gang)
-            out.push_back(std::move(one));
-        }
-        if (spec.Gang && !gang.Frees.empty())
-          out.push_back(std::move(gang));
-      }
+      for (size_t s = 0; s < steps.size(); ++s)
+        addReleases(out, job, number, static_cast<int>(s), stoppingOnly);
   }
-  std::sort(out.begin(), out.end(), [](const Victim &a, const Victim &b) {
-    return std::make_tuple(a.Waste > 0, -a.Rank, a.Waste) <
-           std::make_tuple(b.Waste > 0, -b.Rank, b.Waste);
-  });
+  std::stable_sort(out.begin(), out.end(),
+                   [byStop](const Release &a, const Release &b) {
+                     if (!byStop)
+                       return a.Left < b.Left;
+                     return std::make_tuple(a.Waste > 0, -a.Rank, a.Waste) <
+                            std::make_tuple(b.Waste > 0, -b.Rank, b.Waste);
+                   });
   return out;
 }
 
-// Finds the cheapest set of work to stop so that the gang fits, asks for the
-// stops and keeps the workers free for it. False when there is none.
-bool Planner::preempt(Unit &unit) {
-  const std::vector<Victim> all = victims(unit);
-  std::optional<std::vector<const Victim *>> best;
-  std::vector<size_t> bestGroup;
-  double bestWaste = std::numeric_limits<double>::max();
-  std::vector<Place> before = Places;
-  for (const auto &group : groups(unit)) {
-    Places = before;
-    std::vector<const Victim *> chosen;
-    double waste = 0;
-    auto roomFor = [&] {
-      int64_t n = 0;
-      for (size_t p : group)
-        if (!Places[p].Held)
-          n += fits(Places[p], unit, static_cast<int64_t>(unit.Tasks.size()));
-      return n;
-    };
-    auto useful = [&](const Victim &v) {
-      return std::any_of(v.Frees.begin(), v.Frees.end(), [&](const auto &f) {
-        return std::find(group.begin(), group.end(), f.first) != group.end() &&
-               !Places[f.first].Held && eligible(Places[f.first], unit);
-      });
-    };
-    const auto need = static_cast<int64_t>(unit.Tasks.size());
-    int64_t have = roomFor();
-    // First those that are being stopped anyway, then the cheapest first.
-    for (const Victim &v : all) {
-      if (have >= need)
-        break;
-      if (!useful(v))
-        continue;
-      for (const auto &[p, r] : v.Frees)
-        Places[p].Free += r;
-      chosen.push_back(&v);
-      waste += v.Waste;
-      have = roomFor();
+// Takes releases in their order until unit fits into group.
+std::optional<Planner::Plan>
+Planner::planWith(const Unit &unit, const std::vector<size_t> &group,
+                  const std::vector<Release> &all) {
+  const std::vector<Place> before = Places;
+  const std::set<size_t> members(group.begin(), group.end());
+  Plan plan;
+  std::optional<Layout> places = layout(unit, group);
+  for (const Release &r : all) {
+    if (places)
+      break;
+    const bool useful =
+        std::any_of(r.Frees.begin(), r.Frees.end(), [&](const auto &f) {
+          return members.count(f.first) != 0 && eligible(Places[f.first], unit);
+        });
+    if (!useful)
+      continue;
+    for (const auto &[p, freed] : r.Frees) {
+      Places[p].Spare += freed;
+      Places[p].Free += freed;
+      plan.Freed[p] += freed;
     }
-    if (have < need)
+    plan.Releases.push_back(&r);
+    plan.Waste += r.Waste;
+    plan.Wait = std::max(plan.Wait, r.Left);
+    places = layout(unit, group);
+  }
+  if (places) {
+    plan.Places = *places;
+    prune(unit, group, plan);
+  }
+  Places = before;
+  if (!places)
+    return std::nullopt;
+  return plan;
+}
+
+// Drops releases that turned out not to be needed, the dearest first.
+void Planner::prune(const Unit &unit, const std::vector<size_t> &group,
+                    Plan &plan) {
+  for (size_t i = plan.Releases.size(); i-- > 0;) {
+    const Release &r = *plan.Releases[i];
+    for (const auto &[p, freed] : r.Frees) {
+      Places[p].Spare -= freed;
+      Places[p].Free -= freed;
+    }
+    if (const std::optional<Layout> places = layout(unit, group)) {
+      plan.Places = *places;
+      plan.Waste -= r.Waste;
+      for (const auto &[p, freed] : r.Frees)
+        plan.Freed[p] -= freed;
+      plan.Releases.erase(plan.Releases.begin() +
+                          static_cast<std::ptrdiff_t>(i));
       continue;
-    // Drop those that turned out not to be needed, the dearest first.
-    for (size_t i = chosen.size(); i-- > 0;) {
-      for (const auto &[p, r] : chosen[i]->Frees)
-        Places[p].Free -= r;
-      if (roomFor() >= need) {
-        waste -= chosen[i]->Waste;
-        chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
-        continue;
-      }
-      for (const auto &[p, r] : chosen[i]->Frees)
-        Places[p].Free += r;
     }
-    if (waste < bestWaste) {
-      bestWaste = waste;
-      best = chosen;
-      bestGroup = group;
+    for (const auto &[p, freed] : r.Frees) {
+      Places[p].Spare += freed;
+      Places[p].Free += freed;
     }
   }
-  Places = std::move(before);
-  if (!best || (unit.Rank == 1 && bestWaste > S.Policy.MostWasteCoreSeconds))
+}
+
+// Keeps for unit what it needs at its places, beyond what the releases will
+// bring. Without this the room of the first release goes to the next in line
+// before the last has come, and the unit never fits: tasks that were stopped
+// for it started again at once, dozens of times.
+void Planner::keep(const Unit &unit, const Plan &plan) {
+  RoomByPlace needs;
+  for (size_t p : plan.Places)
+    needs[p] += unit.spec().room();
+  for (auto &[p, need] : needs) {
+    Place &place = Places[p];
+    core::Resources left = place.Spare;
+    auto freed = plan.Freed.find(p);
+    if (freed != plan.Freed.end())
+      left += freed->second;
+    left -= need;
+    place.Spare = {std::min(place.Spare.MilliCores, left.MilliCores),
+                   std::min(place.Spare.MemoryMb, left.MemoryMb),
+                   std::min(place.Spare.Accelerators, left.Accelerators)};
+    place.KeptFor = std::min(place.KeptFor, plan.Wait);
+  }
+}
+
+// Finds the cheapest set of work to stop so that the gang fits, asks for the
+// stops and keeps the room for it. False when there is none.
+bool Planner::preempt(Unit &unit) {
+  const std::vector<Release> all = releases(unit, true);
+  std::optional<Plan> best;
+  for (const auto &group : groups(unit)) {
+    std::optional<Plan> plan = planWith(unit, group, all);
+    if (plan && (!best || plan->Waste < best->Waste))
+      best = std::move(plan);
+  }
+  if (!best || (unit.Rank == 1 && best->Waste > S.Policy.MostWasteCoreSeconds))
     return false;
-  for (const Victim *v : *best) {
-    const std::string why = "makes room for job " + unit.Owner->Record.Spec.Id;
-    if (v->Index < 0)
-      S.stopStep(*v->Owner, v->Occurrence, v->Step, why);
-    else
-      S.requestStop(
-          {v->Owner->Record.Spec.Id, v->Occurrence, v->Step, v->Index},
-          *S.findTask(
-              {v->Owner->Record.Spec.Id, v->Occurrence, v->Step, v->Index}),
-          why);
+  const std::string why = "makes room for job " + unit.Owner->Record.Spec.Id;
+  for (const Release *r : best->Releases) {
+    const std::string &id = r->Owner->Record.Spec.Id;
+    if (r->Index < 0) {
+      S.stopStep(*r->Owner, r->Occurrence, r->Step, why);
+      continue;
+    }
+    const core::TaskId task{id, r->Occurrence, r->Step, r->Index};
+    S.requestStop(task, *S.findTask(task), why);
   }
-  for (size_t p : bestGroup)
-    if (std::any_of(best->begin(), best->end(),
-                    [p](const Victim *v) { return v->Frees.count(p) != 0; }))
-      Places[p].Held = true;
+  best->Wait = absl::ZeroDuration();
+  keep(unit, *best);
   return true;
 }
 
-// Keeps the workers free that will first have room for the gang, going by the
-// estimates of what runs there. Work that should end before may still use
-// them.
-void Planner::hold(Unit &unit) {
-  ++Holds;
-  std::vector<size_t> bestGroup;
-  absl::Duration bestWait = absl::InfiniteDuration();
-  const auto need = static_cast<int64_t>(unit.Tasks.size());
+// Keeps the room that will be there first, going by the estimates of what
+// runs, so that smaller work does not take it for ever.
+void Planner::waitForRoom(Unit &unit) {
+  const std::vector<Release> all = releases(unit, false);
+  std::optional<Plan> best;
   for (const auto &group : groups(unit)) {
-    std::vector<std::pair<absl::Duration, Victim>> ends;
-    for (auto &[id, job] : S.Jobs)
-      for (auto &[number, steps] : job.Occurrences)
-        for (size_t s = 0; s < steps.size(); ++s) {
-          Victim v{&job, number, static_cast<int>(s), -1, 0, 0, {}};
-          for (const Task &t : steps[s])
-            for (size_t p : group)
-              if (t.mayRun() && t.Progress.Worker == Places[p].Life)
-                v.Frees[p] += job.Record.Spec.Steps[s].room();
-          if (!v.Frees.empty())
-            ends.emplace_back(remaining(job, number, static_cast<int>(s)),
-                              std::move(v));
-        }
-    std::sort(ends.begin(), ends.end(),
-              [](const auto &a, const auto &b) { return a.first < b.first; });
-    const std::vector<Place> before = Places;
-    absl::Duration wait = absl::ZeroDuration();
-    auto roomFor = [&] {
-      int64_t n = 0;
-      for (size_t p : group)
-        if (!Places[p].Held)
-          n += fits(Places[p], unit, need);
-      return n;
-    };
-    bool enough = roomFor() >= need;
-    for (const auto &[end, v] : ends) {
-      if (enough)
-        break;
-      for (const auto &[p, r] : v.Frees)
-        Places[p].Free += r;
-      wait = end;
-      enough = roomFor() >= need;
-    }
-    Places = before;
-    if (enough && wait < bestWait) {
-      bestWait = wait;
-      bestGroup = group;
-    }
+    std::optional<Plan> plan = planWith(unit, group, all);
+    if (plan && (!best || plan->Wait < best->Wait))
+      best = std::move(plan);
   }
-  for (size_t p : bestGroup)
-    if (eligible(Places[p], unit)) {
-      Places[p].Held = true;
-      Places[p].HeldFor = bestWait;
-    }
+  if (!best)
+    return;
+  ++Kept;
+  keep(unit, *best);
 }
 
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -28,15 +28,15 @@
   using Job = JobScheduler::Job;
   using Task = JobScheduler::Task;
 
-  /// A worker with what is free on it in this pass.
+  /// A worker with what is free on it in this pass. Spare is what of it is not
+  /// kept for a unit that comes first. Others may still use the rest if they
+  /// are expected to end within KeptFor.
   struct Place {
     std::string Life;
     const WorkerView *View = nullptr;
     core::Resources Free;
-    /// Kept free for a unit that comes first; others may use it only if they
-    /// are expected to end before then.
-    bool Held = false;
-    absl::Duration HeldFor = absl::ZeroDuration();
+    core::Resources Spare;
+    absl::Duration KeptFor = absl::InfiniteDuration();
   };
   /// What is placed as one: a gang, or the ready tasks of a step one by one.
   struct Unit {
@@ -54,10 +54,12 @@
       return {Owner->Record.Spec.Id, Occurrence, Step, index};
     }
   };
-  /// How many of a gang's tasks go where; the index of the place.
+  /// The place of each of a gang's tasks.
   using Layout = std::vector<size_t>;
-  /// A running step that could be stopped, and what that would throw away.
-  struct Victim {
+  using RoomByPlace = std::map<size_t, core::Resources>;
+  /// Running work whose end would give room: what it frees, and what its end
+  /// costs (work thrown away by a stop) or how long it takes by itself.
+  struct Release {
     Job *Owner = nullptr;
     int Occurrence = 0;
     int Step = 0;
@@ -65,7 +67,16 @@
     int Index = -1;
     int Rank = 0;
     double Waste = 0;
-    std::map<size_t, core::Resources> Frees;
+    absl::Duration Left = absl::ZeroDuration();
+    RoomByPlace Frees = {};
+  };
+  /// Where a gang will stand once the releases have come.
+  struct Plan {
+    Layout Places;
+    RoomByPlace Freed;
+    std::vector<const Release *> Releases;
+    double Waste = 0;
+    absl::Duration Wait = absl::ZeroDuration();
   };
 
   void collectUnits();
@@ -77,7 +88,7 @@
   void blocked(Unit &unit);
 
   bool eligible(const Place &place, const Unit &unit) const;
-  bool mayUse(const Place &place, const Unit &unit) const;
+  const core::Resources &room(const Place &place, const Unit &unit) const;
   int64_t fits(const Place &place, const Unit &unit, int64_t most) const;
   int onWorker(const Unit &unit, const std::string &life) const;
   std::vector<std::vector<size_t>> groups(const Unit &unit) const;
@@ -87,17 +98,25 @@
   void startGang(Unit &unit, const Layout &places);
   void startTask(Unit &unit, int index, size_t place);
 
-  std::vector<Victim> victims(const Unit &unit) const;
+  std::vector<Release> releases(const Unit &unit, bool byStop) const;
+  void addReleases(std::vector<Release> &out, Job &job, int occurrence,
+                   int step, bool stoppingOnly) const;
+  std::optional<Plan> planWith(const Unit &unit,
+                               const std::vector<size_t> &group,
+                               const std::vector<Release> &releases);
+  void prune(const Unit &unit, const std::vector<size_t> &group, Plan &plan);
   bool preempt(Unit &unit);
-  void hold(Unit &unit);
-  absl::Duration remaining(const Job &job, int occurrence, int step) const;
+  void waitForRoom(Unit &unit);
+  void keep(const Unit &unit, const Plan &plan);
+  absl::Duration remaining(const core::StepSpec &spec, const Task &task) const;
+  double wasteOf(const core::StepSpec &spec, const Task &task) const;
 
   JobScheduler &S;
   const absl::Time Now;
   std::vector<Place> Places;
   std::vector<Unit> Units;
   std::map<std::string, int> Ranks;
-  int Holds = 0;
+  int Kept = 0;
 };
 
 } // namespace oriolebay::jobs
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -94,5 +94,35 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+core::SiteConfig guaranteeing(int64_t accelerators) {
+  core::SiteConfig config;
+  config.Version = 1;
+  core::QueueConfig queue;
+  queue.Name = "q";
+  queue.Service = "service";
+  config.Queues.push_back(queue);
+  config.Organisations.push_back({"org-a", {}, accelerators});
+  return config;
+}
+
+// A site full of small batch tasks, and an urgent gang that needs two whole
+// workers. Users saw it wait for seconds while the tasks that were stopped for
+// it started again at once, dozens of times: the room of the first stop was
+// given away before the last one had come.
+TEST(JobScheduler, RoomThatIsBeingMadeIsKept) {
+  SimSite site;
+  site.configure(guaranteeing(16));
+  addRacks(site, 2);
+  site.submit(jobOf("batch", step(60, {3000, 1000, 1}, 8000)), 2);
+  site.runFor(absl::Seconds(3));
+  ASSERT_EQ(site.placesOf("batch").size(), 48u);
+  site.submit(jobOf("urgent", step(2, {4000, 8000, 8}, 2500, true, true)), 0);
+  site.runFor(absl::Seconds(2));
+  ASSERT_TRUE(site.waited("urgent").has_value());
+  EXPECT_LE(*site.waited("urgent"), absl::Seconds(1));
+  EXPECT_LE(site.starts(), 60 + 2 + 16);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
 } // namespace
 } // namespace oriolebay::jobs
