Urgent tasks that are no gang have room made for them; wide ones have it kept

Single urgent tasks took what became free, also what had been made for a gang behind them, whose plan then changed from rack to rack for 3.6 s. Ruled out: making plans stick (they changed because their room was taken). Change: an urgent unit of single tasks makes room for as many tasks as it can; room is kept while waiting only for what is wider than half a worker. Test, failed before: UrgentTasksThatAreNoGangReclaimRoomToo.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -462,7 +462,6 @@
   job.State = state;
   job.FinishedAt = now;
   job.Dirty = true;
-  job.Targets.clear();
   note(Decision::Kind::JobEnded, job.Record.Spec.Id, "", 0, "",
        jobStateName(state));
   forEachTask(job, [&](const TaskId &id, Task &task) {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -172,8 +172,6 @@
       int64_t Number = 0;
     };
     std::vector<EndAck> EndAcks;
-    /// Racks or workers kept free for a step that waits for room.
-    std::map<std::pair<int, int>, std::set<std::string>> Targets;
     bool WaitLogged = false;
 
     bool over() const { return isFinal(State); }
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -102,13 +102,13 @@
 }
 
 void Planner::placeUnit(Unit &unit) {
-  if (!unit.spec().Gang) {
-    placeTasks(unit);
+  if (unit.spec().Gang) {
+    if (!placeGang(unit))
+      blocked(unit);
     return;
   }
-  if (placeGang(unit))
-    unit.Owner->Targets.erase({unit.Occurrence, unit.Step});
-  else
+  placeTasks(unit);
+  if (!unit.Tasks.empty())
     blocked(unit);
 }
 
@@ -255,8 +255,10 @@
   Places[p].Spare -= unit.spec().room();
 }
 
+// Starts what fits; the tasks that do not are left in the unit.
 void Planner::placeTasks(Unit &unit) {
   const core::StepSpec &spec = unit.spec();
+  std::vector<int> left;
   for (int index : unit.Tasks) {
     const Task &task = *S.findTask(unit.task(index));
     // Smaller is better: not where it failed before, near the data, tight.
@@ -276,20 +278,45 @@
     if (best)
       startTask(unit, index, best->second);
     else
-      S.Changed = true;
+      left.push_back(index);
   }
+  unit.Tasks = std::move(left);
 }
 
 void Planner::blocked(Unit &unit) {
+  // Time alone may let it start: a worker that is kept out comes back.
+  S.Changed = true;
   if (!unit.Owner->WaitLogged) {
     unit.Owner->WaitLogged = true;
     S.note(Decision::Kind::Waiting, unit.Owner->Record.Spec.Id,
-           core::taskName(unit.task(0)), 0, "", "no room for the whole gang");
+           core::taskName(unit.task(unit.Tasks.front())), 0, "",
+           unit.spec().Gang ? "no room for the whole gang" : "no room");
   }
-  if (unit.Rank <= 1 && preempt(unit))
+  const bool urgent = unit.Rank <= 1;
+  if (unit.spec().Gang) {
+    if (!urgent || !preempt(unit))
+      waitForRoom(unit);
     return;
-  if (Kept < MostKept)
-    waitForRoom(unit);
+  }
+  // Its tasks start one by one: room is made, or kept, for as many as it can
+  // be made for.
+  const std::vector<int> tasks = unit.Tasks;
+  for (size_t n = urgent ? tasks.size() : 1; n > 0; n /= 2) {
+    unit.Tasks.assign(tasks.begin(),
+                      tasks.begin() + static_cast<std::ptrdiff_t>(n));
+    if (urgent && preempt(unit))
+      return;
+  }
+  waitForRoom(unit);
+}
+
+// Small tasks find room as others end; keeping it would only hold others up.
+bool Planner::isLarge(const Unit &unit) const {
+  int64_t widest = 0;
+  for (const auto &[life, view] : S.Workers.workers())
+    widest = std::max(widest, view.State.Capacity.Accelerators);
+  const auto n = static_cast<int64_t>(unit.Tasks.size());
+  return n * unit.spec().PerTask.Accelerators * 2 > widest;
 }
 
 absl::Duration Planner::remaining(const core::StepSpec &spec,
@@ -476,6 +503,8 @@
 // Keeps the room that will be there first, going by the estimates of what
 // runs, so that smaller work does not take it for ever.
 void Planner::waitForRoom(Unit &unit) {
+  if (Kept >= MostKept || !isLarge(unit))
+    return;
   const std::vector<Release> all = releases(unit, false);
   std::optional<Plan> best;
   for (const auto &group : groups(unit)) {
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -86,6 +86,7 @@
   bool placeGang(Unit &unit);
   void placeTasks(Unit &unit);
   void blocked(Unit &unit);
+  bool isLarge(const Unit &unit) const;
 
   bool eligible(const Place &place, const Unit &unit) const;
   const core::Resources &room(const Place &place, const Unit &unit) const;
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -124,5 +124,20 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// Urgent tasks that are no gang, each as wide as a worker, come to a site full
+// of batch work. Users saw them wait until batch tasks ended by themselves:
+// room was made for gangs only.
+TEST(JobScheduler, UrgentTasksThatAreNoGangReclaimRoomToo) {
+  SimSite site;
+  site.configure(guaranteeing(24));
+  addRacks(site, 2);
+  site.submit(jobOf("batch", step(60, {3000, 1000, 1}, 8000)), 2);
+  site.runFor(absl::Seconds(3));
+  site.submit(jobOf("urgent", step(3, {4000, 8000, 8}, 2500)), 0);
+  site.runFor(absl::Seconds(1));
+  EXPECT_EQ(site.placesOf("urgent").size(), 3u);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
 } // namespace
 } // namespace oriolebay::jobs
