--- a/src/libs/agent/leaderfinder.cpp
+++ b/src/libs/agent/leaderfinder.cpp
@@ -72,7 +72,7 @@
   // that do know the others.
   Calls.Range(EntryPrefix, "", platform::ReadMode::MaybeStale,
               [this, alive = Alive,
-               found](platform::StoreReply<platform::StorePage> reply) {
+               found](const platform::StoreReply<platform::StorePage> &reply) {
                 if (!*alive)
                   return;
                 Misses = 0;
--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -53,8 +53,7 @@
     return "the interval cannot be negative";
   int tasks = 0;
   for (size_t i = 0; i < spec.Steps.size(); ++i) {
-    const std::string problem =
-        validateStep(spec.Steps[i], static_cast<int>(i));
+    std::string problem = validateStep(spec.Steps[i], static_cast<int>(i));
     if (!problem.empty())
       return problem;
     tasks += spec.Steps[i].Count;
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -87,7 +87,7 @@
 } // namespace
 
 JobEntry::JobEntry(
-    utils::EventLoop &loop, platform::Store store,
+    utils::EventLoop &loop, const platform::Store &store,
     settings::NodeSettings settings,
     std::function<utils::Result<core::SiteConfig>(const std::string &)>
         decodeConfig,
@@ -97,7 +97,7 @@
       Health([](bool ok, const std::string &why) {
         logEvent(ok ? Event::StoreRegained : Event::StoreLost, {{"why", why}});
       }),
-      Calls(Health.watching(std::move(store))) {
+      Calls(Health.watching(store)) {
   Peers = std::make_unique<endpoints::AsyncReplyServer>(
       Loop, "tcp://" + Settings.Peers.text(),
       [this](const Message &m, const endpoints::AsyncReplyServer::Respond &r) {
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -24,7 +24,7 @@
 /// does the leader's duty while it leads. Everything runs on one event loop.
 class JobEntry {
 public:
-  JobEntry(utils::EventLoop &loop, platform::Store store,
+  JobEntry(utils::EventLoop &loop, const platform::Store &store,
            settings::NodeSettings settings,
            std::function<utils::Result<core::SiteConfig>(const std::string &)>
                decodeConfig,
--- a/src/libs/entry/leaderduty.cpp
+++ b/src/libs/entry/leaderduty.cpp
@@ -159,8 +159,8 @@
     txn.Puts.push_back({jobs::progressKey(one.JobId), one.Value, 0});
   }
   Calls.Transact(std::move(txn),
-                 [this, alive = Alive,
-                  batch = std::move(batch)](StoreReply<StoreTxnReply> reply) {
+                 [this, alive = Alive, batch = std::move(batch)](
+                     const StoreReply<StoreTxnReply> &reply) {
                    if (!*alive)
                      return;
                    if (reply.ok()) {
@@ -237,8 +237,8 @@
     txn.Removes.push_back(jobs::progressKey(id));
   }
   Removing = true;
-  Calls.Transact(std::move(txn), [this, alive = Alive,
-                                  expired](StoreReply<StoreTxnReply> reply) {
+  Calls.Transact(std::move(txn), [this, alive = Alive, expired](
+                                     const StoreReply<StoreTxnReply> &reply) {
     if (!*alive)
       return;
     Removing = false;
--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -52,9 +52,12 @@
 using State = std::shared_ptr<Exchange>;
 
 // The request's Respond dropped without an answer still ends it.
-struct Responder {
-  std::weak_ptr<AsyncServer::Impl> Server;
-  State Request;
+class Responder {
+public:
+  Responder(std::weak_ptr<AsyncServer::Impl> server, State request)
+      : Server(std::move(server)), Request(std::move(request)) {}
+  Responder(const Responder &) = delete;
+  Responder &operator=(const Responder &) = delete;
 
   void give(HttpResponse response) {
     if (auto server = Server.lock())
@@ -63,6 +66,10 @@
   ~Responder() {
     give({500, R"({"error":"the request was dropped; try again"})"});
   }
+
+private:
+  const std::weak_ptr<AsyncServer::Impl> Server;
+  const State Request;
 };
 
 struct ServerRef {
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -114,7 +114,7 @@
 // Checks route and key, then goes on with step. A refusal is given only after
 // the store confirmed that the configuration is the newest: the key or route
 // may have been added a moment ago.
-void JobDesk::begin(const CallPtr &call, Step step) {
+void JobDesk::begin(const CallPtr &call, const Step &step) {
   call->Began = bootNow();
   authorise(call, false, step);
 }
@@ -156,7 +156,7 @@
 
 // A store call failed: it is made again while there is time, and the caller is
 // told what is certain when there is none.
-void JobDesk::again(const CallPtr &call, StoreStatus status, Step step) {
+void JobDesk::again(const CallPtr &call, StoreStatus status, const Step &step) {
   if (status == StoreStatus::Unknown)
     call->MayBeDone = true;
   const bool patient =
@@ -221,14 +221,15 @@
   txn.Expected.push_back(Config.condition());
   txn.Puts.push_back({specKey(call->JobId), value, 0});
   const absl::Time sent = bootNow();
-  Calls.Transact(std::move(txn), [this, alive = Alive, call, sent,
-                                  value](StoreReply<StoreTxnReply> reply) {
+  Calls.Transact(std::move(txn), [this, alive = Alive, call, sent, value](
+                                     const StoreReply<StoreTxnReply> &reply) {
     if (*alive)
-      onAccepted(call, std::move(reply), sent, value);
+      onAccepted(call, reply, sent, value);
   });
 }
 
-void JobDesk::onAccepted(const CallPtr &call, StoreReply<StoreTxnReply> reply,
+void JobDesk::onAccepted(const CallPtr &call,
+                         const StoreReply<StoreTxnReply> &reply,
                          absl::Time sent, const std::string &value) {
   const std::string key = specKey(call->JobId);
   if (reply.ok()) {
@@ -293,7 +294,8 @@
   }
   // It may have been accepted at another entry a moment ago.
   const std::string key = specKey(call->JobId);
-  Calls.Get(key, [this, alive = Alive, call](StoreReply<KeyValue> reply) {
+  Calls.Get(key, [this, alive = Alive,
+                  call](const StoreReply<KeyValue> &reply) {
     if (!*alive)
       return;
     if (reply.Status == StoreStatus::NotFound) {
@@ -311,7 +313,7 @@
 
 void JobDesk::readProgress(const CallPtr &call) {
   Calls.Get(progressKey(call->JobId),
-            [this, alive = Alive, call](StoreReply<KeyValue> reply) {
+            [this, alive = Alive, call](const StoreReply<KeyValue> &reply) {
               if (!*alive)
                 return;
               if (reply.ok())
@@ -357,7 +359,7 @@
     return;
   }
   Calls.Get(specKey(call->JobId),
-            [this, alive = Alive, call](StoreReply<KeyValue> reply) {
+            [this, alive = Alive, call](const StoreReply<KeyValue> &reply) {
               if (!*alive)
                 return;
               if (reply.Status == StoreStatus::NotFound) {
@@ -385,8 +387,8 @@
   platform::StoreTxn txn;
   txn.Expected.push_back({key, revision});
   txn.Puts.push_back({key, value, 0});
-  Calls.Transact(std::move(txn), [this, alive = Alive, call, key,
-                                  value](StoreReply<StoreTxnReply> reply) {
+  Calls.Transact(std::move(txn), [this, alive = Alive, call, key, value](
+                                     const StoreReply<StoreTxnReply> &reply) {
     if (!*alive)
       return;
     if (reply.ok()) {
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -113,14 +113,15 @@
   using CallPtr = std::shared_ptr<Call>;
   using Step = std::function<void(const CallPtr &)>;
 
-  void begin(const CallPtr &call, Step step);
+  void begin(const CallPtr &call, const Step &step);
   void authorise(const CallPtr &call, bool confirmed, const Step &step);
   void finish(const CallPtr &call, CallResult result, std::string detail = "");
   bool outOfTime(const CallPtr &call) const;
-  void again(const CallPtr &call, platform::StoreStatus status, Step step);
+  void again(const CallPtr &call, platform::StoreStatus status,
+             const Step &step);
   void accept(const CallPtr &call);
   void onAccepted(const CallPtr &call,
-                  platform::StoreReply<platform::StoreTxnReply> reply,
+                  const platform::StoreReply<platform::StoreTxnReply> &reply,
                   absl::Time sent, const std::string &value);
   void show(const CallPtr &call);
   void readProgress(const CallPtr &call);
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -185,20 +185,23 @@
 // Runs that records name here take room from the first report on.
 void JobScheduler::takeLife(const std::string &life) {
   Unheard.erase(life);
-  for (auto &[id, job] : Jobs)
+  for (auto &entry : Jobs) {
+    Job &job = entry.second;
     forEachTask(job, [&](const TaskId &task, Task &state) {
       if (state.Progress.Worker == life)
         Workers.occupy(
             life, {core::taskName(task), state.Progress.Run},
             job.Record.Spec.Steps[static_cast<size_t>(task.Step)].room());
     });
+  }
   note(Decision::Kind::WorkerJoined, "", "", 0, life);
 }
 
 void JobScheduler::loseLife(const std::string &life, const std::string &why,
                             absl::Time now) {
   note(Decision::Kind::WorkerLost, "", "", 0, life, why);
-  for (auto &[id, job] : Jobs) {
+  for (auto &entry : Jobs) {
+    Job &job = entry.second;
     bool any = false;
     forEachTask(job, [&](const TaskId &task, Task &state) {
       if (state.Progress.Worker != life)
@@ -245,7 +248,8 @@
   std::set<RunId> listed;
   for (const endpoints::RunningTask &r : report.Running)
     listed.insert({r.Task, r.Run});
-  for (auto &[id, job] : Jobs) {
+  for (auto &entry : Jobs) {
+    Job &job = entry.second;
     bool any = false;
     forEachTask(job, [&](const TaskId &task, Task &state) {
       const RunId run{core::taskName(task), state.Progress.Run};
@@ -582,7 +586,8 @@
     for (const auto &[life, agent] : lives)
       loseLife(life, "never reported to this leader", now);
   }
-  for (auto &[id, job] : Jobs) {
+  for (auto &entry : Jobs) {
+    Job &job = entry.second;
     if (!job.over() &&
         dueOccurrences(job) > static_cast<int>(job.Occurrences.size()))
       Changed = true;
--- a/src/libs/operators/configfollower.cpp
+++ b/src/libs/operators/configfollower.cpp
@@ -92,7 +92,7 @@
   const int64_t asked = Revision;
   Calls.Transact(std::move(txn),
                  [this, alive = Alive, sent, asked,
-                  done = std::move(done)](StoreReply<StoreTxnReply> r) {
+                  done = std::move(done)](const StoreReply<StoreTxnReply> &r) {
                    if (!*alive)
                      return;
                    if (r.ok()) {
--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -25,9 +25,10 @@
 Election::~Election() { *Alive = false; }
 
 template <class T> OnStoreReply<T> Election::guarded(OnStoreReply<T> handler) {
-  return [alive = Alive, handler = std::move(handler)](StoreReply<T> reply) {
+  return [alive = Alive,
+          handler = std::move(handler)](const StoreReply<T> &reply) {
     if (*alive)
-      handler(std::move(reply));
+      handler(reply);
   };
 }
 
@@ -44,10 +45,11 @@
   if (Resigned)
     return;
   const absl::Time sent = bootNow();
-  Calls.GrantLease(absl::ToInt64Milliseconds(Options.LeaseTtl),
-                   guarded<StoreLease>([this, sent](StoreReply<StoreLease> r) {
-                     onGranted(r, sent);
-                   }));
+  Calls.GrantLease(
+      absl::ToInt64Milliseconds(Options.LeaseTtl),
+      guarded<StoreLease>([this, sent](const StoreReply<StoreLease> &r) {
+        onGranted(r, sent);
+      }));
 }
 
 void Election::onGranted(const StoreReply<StoreLease> &reply, absl::Time sent) {
@@ -72,13 +74,14 @@
   StoreTxn txn;
   txn.Puts.push_back(
       {Options.EntryPrefix + Options.Name, Options.Address, Lease});
-  Calls.Transact(std::move(txn),
-                 guarded<StoreTxnReply>([this](StoreReply<StoreTxnReply> r) {
-                   // Agents that know no leader look here; the next lease, or
-                   // the leader's key, leads them as well.
-                   if (!r.ok())
-                     Trouble(r.Status, r.Why);
-                 }));
+  Calls.Transact(
+      std::move(txn),
+      guarded<StoreTxnReply>([this](const StoreReply<StoreTxnReply> &r) {
+        // Agents that know no leader look here; the next lease, or
+        // the leader's key, leads them as well.
+        if (!r.ok())
+          Trouble(r.Status, r.Why);
+      }));
 }
 
 void Election::keepLater() {
@@ -90,10 +93,10 @@
 
 void Election::keep() {
   const absl::Time sent = bootNow();
-  Calls.KeepLease(Lease,
-                  guarded<StoreLease>([this, sent](StoreReply<StoreLease> r) {
-                    onKept(r, sent);
-                  }));
+  Calls.KeepLease(
+      Lease, guarded<StoreLease>([this, sent](const StoreReply<StoreLease> &r) {
+        onKept(r, sent);
+      }));
 }
 
 void Election::onKept(const StoreReply<StoreLease> &reply, absl::Time sent) {
@@ -158,7 +161,7 @@
   const int64_t lease = Lease;
   Calls.Transact(
       std::move(txn),
-      guarded<StoreTxnReply>([this, lease](StoreReply<StoreTxnReply> r) {
+      guarded<StoreTxnReply>([this, lease](const StoreReply<StoreTxnReply> &r) {
         Contending = false;
         // Any other outcome, a lost answer too, is settled by the watch.
         if (r.ok() && lease == Lease) {
@@ -192,8 +195,8 @@
     done();
     return;
   }
-  Calls.EndLease(lease,
-                 [done = std::move(done)](StoreReply<StoreLease>) { done(); });
+  Calls.EndLease(lease, [done = std::move(done)](
+                            const StoreReply<StoreLease> &) { done(); });
 }
 
 } // namespace oriolebay::platform
--- a/src/libs/platform/prefixfollower.cpp
+++ b/src/libs/platform/prefixfollower.cpp
@@ -26,15 +26,16 @@
   readPage(round, "");
 }
 
-void PrefixFollower::readPage(uint64_t round, std::string after) {
+void PrefixFollower::readPage(uint64_t round, const std::string &after) {
   Calls.Range(Prefix, after, ReadMode::Linearizable,
-              [this, alive = Round, round](StoreReply<StorePage> reply) {
+              [this, alive = Round, round](const StoreReply<StorePage> &reply) {
                 if (*alive == round)
-                  onPage(round, std::move(reply));
+                  onPage(round, reply);
               });
 }
 
-void PrefixFollower::onPage(uint64_t round, StoreReply<StorePage> reply) {
+void PrefixFollower::onPage(uint64_t round,
+                            const StoreReply<StorePage> &reply) {
   if (!reply.ok()) {
     Trouble(reply.Status, reply.Why);
     retry(round, [this] { readAgain(); });
@@ -46,9 +47,9 @@
   if (ReadingFrom == 0)
     ReadingFrom = reply.Value.Revision;
   std::string last;
-  for (KeyValue &item : reply.Value.Items) {
+  for (const KeyValue &item : reply.Value.Items) {
     last = item.Key;
-    Reading[last] = std::move(item);
+    Reading[last] = item;
   }
   if (reply.Value.More && !last.empty())
     readPage(round, last);
@@ -92,14 +93,16 @@
 void PrefixFollower::learn(KeyValue item) { apply({std::move(item), false}); }
 
 void PrefixFollower::watch(uint64_t round) {
-  Calls.Watch(Prefix, Seen, absl::ToInt64Milliseconds(Timing.WatchWait),
-              [this, alive = Round, round](StoreReply<StoreEvents> reply) {
-                if (*alive == round)
-                  onEvents(round, std::move(reply));
-              });
+  Calls.Watch(
+      Prefix, Seen, absl::ToInt64Milliseconds(Timing.WatchWait),
+      [this, alive = Round, round](const StoreReply<StoreEvents> &reply) {
+        if (*alive == round)
+          onEvents(round, reply);
+      });
 }
 
-void PrefixFollower::onEvents(uint64_t round, StoreReply<StoreEvents> reply) {
+void PrefixFollower::onEvents(uint64_t round,
+                              const StoreReply<StoreEvents> &reply) {
   if (!reply.ok()) {
     Trouble(reply.Status, reply.Why);
     // A watch that was cut may have been silent for a while before: the
--- a/src/libs/platform/prefixfollower.h
+++ b/src/libs/platform/prefixfollower.h
@@ -55,11 +55,11 @@
   int64_t revision() const { return Seen; }
 
 private:
-  void readPage(uint64_t round, std::string after);
-  void onPage(uint64_t round, StoreReply<StorePage> reply);
+  void readPage(uint64_t round, const std::string &after);
+  void onPage(uint64_t round, const StoreReply<StorePage> &reply);
   void finishReading(uint64_t round);
   void watch(uint64_t round);
-  void onEvents(uint64_t round, StoreReply<StoreEvents> reply);
+  void onEvents(uint64_t round, const StoreReply<StoreEvents> &reply);
   void retry(uint64_t round, std::function<void()> step);
   void apply(const StoreEvent &event);
 
--- a/src/libs/platform/store.h
+++ b/src/libs/platform/store.h
@@ -40,7 +40,8 @@
 };
 
 /// Gets the outcome of a call on the thread that owns the store hooks.
-template <class T> using OnStoreReply = std::function<void(StoreReply<T>)>;
+template <class T>
+using OnStoreReply = std::function<void(const StoreReply<T> &)>;
 
 /// One page of the keys under a prefix. Revision is the store's when it
 /// answered; pages are not a snapshot.
--- a/src/libs/platform/storehealth.cpp
+++ b/src/libs/platform/storehealth.cpp
@@ -18,13 +18,13 @@
 }
 
 template <class T> OnStoreReply<T> StoreHealth::noting(OnStoreReply<T> done) {
-  return [this, done = std::move(done)](StoreReply<T> reply) {
+  return [this, done = std::move(done)](const StoreReply<T> &reply) {
     note(reply.Status, reply.Why);
-    done(std::move(reply));
+    done(reply);
   };
 }
 
-Store StoreHealth::watching(Store inner) {
+Store StoreHealth::watching(const Store &inner) {
   Store store;
   store.Get = [this, call = inner.Get](const std::string &key,
                                        OnStoreReply<KeyValue> done) {
--- a/src/libs/platform/storehealth.h
+++ b/src/libs/platform/storehealth.h
@@ -21,7 +21,7 @@
 
   /// The same store with every outcome noted here. The result must not outlive
   /// this object.
-  Store watching(Store inner);
+  Store watching(const Store &inner);
 
   /// False once calls have failed for grace and none succeeded since.
   bool usable(absl::Time now, absl::Duration grace) const {
