Agents look for another leader while theirs is in doubt

Another entry led after 2 s, but the agents went on reporting to the old one, which still answered; nothing started and no end was recorded for 5 s. Ruled out: stepping down at the lease's end (an outage for all would then end all work); every agent asking all entries always (three times the reports). Change: the leader says in its answers that the store has not confirmed it for a lease's time; agents then report to one other entry as well, and follow the higher epoch. LeaderFinder decides without network.

--- a/src/libs/agent/leaderfinder.cpp
+++ b/src/libs/agent/leaderfinder.cpp
@@ -1,97 +1,72 @@
 #include "leaderfinder.h"
 
-#include "utils/eventloop.h"
-
-#include <algorithm>
-
 namespace oriolebay::agent {
 
-namespace {
-/// After so many answers in a row that do not lead further, the entries known
-/// may all be gone: the store is asked.
-constexpr int MissesBeforeStore = 3;
-constexpr absl::Duration AskAgain = absl::Milliseconds(300);
-} // namespace
-
-LeaderFinder::LeaderFinder(utils::EventLoop &loop, platform::Store store,
-                           std::string entryPrefix)
-    : Loop(loop), Calls(std::move(store)), EntryPrefix(std::move(entryPrefix)) {
-}
-
-LeaderFinder::~LeaderFinder() { *Alive = false; }
-
-const std::string &LeaderFinder::address() const {
-  static const std::string none;
-  return Channel != nullptr ? Channel->address() : none;
+std::string LeaderFinder::other() {
+  for (size_t i = 0; i < Entries.size(); ++i) {
+    const std::string &entry = Entries[Next++ % Entries.size()];
+    if (entry != Target)
+      return entry;
+  }
+  return "";
 }
 
-endpoints::AsyncChannel *
-LeaderFinder::target(const std::function<void()> &found) {
-  if (Channel == nullptr || Misses >= MissesBeforeStore)
-    askStore(found);
-  return Channel.get();
+std::optional<std::string> LeaderFinder::secondTarget() {
+  if (!Leads || !Doubtful)
+    return std::nullopt;
+  std::string entry = other();
+  if (entry.empty())
+    return std::nullopt;
+  return entry;
 }
 
-void LeaderFinder::use(const std::string &address) {
-  if (Channel == nullptr || Channel->address() != address)
-    Channel = std::make_unique<endpoints::AsyncChannel>(Loop, address);
+void LeaderFinder::learnEntries(std::vector<std::string> entries) {
+  Misses = 0;
+  if (entries.empty())
+    return;
+  Entries = std::move(entries);
+  if (!Leads)
+    Target = Entries[Next++ % Entries.size()];
 }
 
 void LeaderFinder::next() {
   Leads = false;
   ++Misses;
-  if (!Entries.empty())
-    use(Entries[Next++ % Entries.size()]);
+  const std::string entry = other();
+  if (!entry.empty())
+    Target = entry;
 }
 
-void LeaderFinder::answered(bool leads, const std::string &hint,
-                            const std::vector<std::string> &entries) {
-  if (!entries.empty())
-    Entries = entries;
-  if (leads) {
+bool LeaderFinder::onAnswer(const std::string &address,
+                            const endpoints::ReportAck &ack) {
+  if (!ack.Entries.empty())
+    Entries = ack.Entries;
+  // An entry that lost its lease while it was paused, or cut off from the
+  // store, goes on as leader; the higher epoch wins.
+  if (ack.Epoch > 0 && ack.Epoch >= Epoch) {
+    Epoch = ack.Epoch;
+    Target = address;
     Leads = true;
+    Doubtful = ack.Doubtful;
     Misses = 0;
-    return;
+    return true;
   }
-  if (!hint.empty() && hint != address()) {
+  if (ack.LeaderEpoch > Epoch ||
+      (ack.LeaderEpoch == Epoch && !Leads && !ack.Leader.empty() &&
+       ack.Leader != Target)) {
     Leads = false;
     ++Misses;
-    use(hint);
-    return;
+    Target = ack.Leader;
+    return false;
   }
-  next();
+  if (address == Target)
+    next();
+  return false;
 }
 
-void LeaderFinder::silent() { next(); }
-
-void LeaderFinder::askStore(const std::function<void()> &found) {
-  if (Asking)
-    return;
-  Asking = true;
-  // A stale answer will do: an entry that has gone does not answer, and those
-  // that do know the others.
-  Calls.Range(EntryPrefix, "", platform::ReadMode::MaybeStale,
-              [this, alive = Alive,
-               found](const platform::StoreReply<platform::StorePage> &reply) {
-                if (!*alive)
-                  return;
-                Misses = 0;
-                if (reply.ok() && !reply.Value.Items.empty()) {
-                  Entries.clear();
-                  for (const platform::KeyValue &item : reply.Value.Items)
-                    Entries.push_back(item.Value);
-                  if (!Leads)
-                    use(Entries[Next++ % Entries.size()]);
-                }
-                Loop.runAfter(Channel == nullptr ? AskAgain
-                                                 : absl::ZeroDuration(),
-                              [this, alive, found] {
-                                if (!*alive)
-                                  return;
-                                Asking = false;
-                                found();
-                              });
-              });
+void LeaderFinder::onSilence(const std::string &address) {
+  if (address == Target)
+    next();
 }
 
 } // namespace oriolebay::agent
--- a/src/libs/agent/leaderfinder.h
+++ b/src/libs/agent/leaderfinder.h
@@ -1,59 +1,52 @@
 #pragma once
 
-#include "endpoints/asyncchannel.h"
-#include "platform/store.h"
+#include "endpoints/messages.h"
 
-#include <absl/time/time.h>
-
-#include <functional>
-#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
-namespace oriolebay::utils {
-class EventLoop;
-}
-
 namespace oriolebay::agent {
 
-/// Finds the entry that leads: from the answers of entries, which know, and
-/// from the store when no entry answers. Nothing is kept over a restart, and
-/// all addresses may change. Owned by one event loop.
+/// Finds the entry that leads from what entries answer: each knows the leader
+/// that the store names. Decides only; its owner sends the reports and reads
+/// the store. Nothing is kept over a restart, and all addresses may change.
 class LeaderFinder {
 public:
-  /// EntryPrefix: where entries register in the store.
-  LeaderFinder(utils::EventLoop &loop, platform::Store store,
-               std::string entryPrefix);
-  ~LeaderFinder();
-  LeaderFinder(const LeaderFinder &) = delete;
-  LeaderFinder &operator=(const LeaderFinder &) = delete;
-
-  /// Where to send the next report; null while no entry is known. Then the
-  /// store is asked, and found is called once an entry is.
-  endpoints::AsyncChannel *target(const std::function<void()> &found);
-  /// The answer of target(): it leads, or says where the leader is (empty: it
-  /// does not know), and which entries there are.
-  void answered(bool leads, const std::string &hint,
-                const std::vector<std::string> &entries);
-  /// target() did not answer.
-  void silent();
+  /// Where the next report goes; empty while no entry is known.
+  std::string target() const { return Target; }
+  /// Another entry to report to as well: the one that leads could not confirm
+  /// its lease, so another may lead by now.
+  std::optional<std::string> secondTarget();
+  /// The entries known may all be gone: they should be read from the store.
+  bool wantsEntries() const {
+    return Target.empty() || Misses >= MissesBeforeStore;
+  }
+  void learnEntries(std::vector<std::string> entries);
+
+  /// The answer of the entry at address. True: it leads, with the highest
+  /// epoch known so far.
+  bool onAnswer(const std::string &address, const endpoints::ReportAck &ack);
+  /// The entry at address did not answer.
+  void onSilence(const std::string &address);
+
   bool knowsLeader() const { return Leads; }
-  const std::string &address() const;
+  int64_t epoch() const { return Epoch; }
 
 private:
-  void use(const std::string &address);
+  /// After so many answers in a row that do not lead further the store is
+  /// asked.
+  static constexpr int MissesBeforeStore = 3;
+
   void next();
-  void askStore(const std::function<void()> &found);
+  std::string other();
 
-  utils::EventLoop &Loop;
-  const platform::Store Calls;
-  const std::string EntryPrefix;
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   std::vector<std::string> Entries;
   size_t Next = 0;
-  std::unique_ptr<endpoints::AsyncChannel> Channel;
+  std::string Target;
+  int64_t Epoch = 0;
   bool Leads = false;
-  bool Asking = false;
+  bool Doubtful = false;
   int Misses = 0;
 };
 
--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -34,6 +34,9 @@
 constexpr int StopTries = 40;
 constexpr absl::Duration OrderAgain = absl::Milliseconds(60);
 constexpr int ReportTimeoutMs = 400;
+/// Pause before another entry is tried, and before the store is read again.
+constexpr absl::Duration ReportAgain = absl::Milliseconds(50);
+constexpr absl::Duration AskStoreAgain = absl::Milliseconds(300);
 /// Results and ended lives remembered, so that late messages find them.
 constexpr size_t MostConcluded = 2048;
 constexpr size_t MostEndedLives = 8;
@@ -61,8 +64,8 @@
                          settings::NodeSettings settings,
                          std::string entryPrefix)
     : Loop(loop), Worker(std::move(worker)), Settings(std::move(settings)),
-      Time(settings::deriveTiming(Settings)),
-      Leader(loop, std::move(store), std::move(entryPrefix)) {
+      Time(settings::deriveTiming(Settings)), Calls(std::move(store)),
+      EntryPrefix(std::move(entryPrefix)) {
   Peers = std::make_unique<endpoints::AsyncReplyServer>(
       Loop, "tcp://" + Settings.Peers.text(),
       [this](const Message &m, const endpoints::AsyncReplyServer::Respond &r) {
@@ -496,8 +499,9 @@
   // would seem empty.
   if (!State.Life.empty() && !Listed)
     return;
-  endpoints::AsyncChannel *channel = Leader.target([this] { reportSoon(); });
-  if (channel == nullptr)
+  if (Leader.wantsEntries())
+    askStore();
+  if (Leader.target().empty())
     return;
   endpoints::WorkerReport message;
   message.Agent = Settings.Name;
@@ -509,49 +513,89 @@
   message.Running = Running;
   message.Ended = Ended;
   message.Results = Results;
-  const absl::Time sent = bootNow();
-  LastSequence = std::max(LastSequence + 1, toMs(sent));
+  LastSequence = std::max(LastSequence + 1, toMs(bootNow()));
   message.Sequence = LastSequence;
-  const uint64_t results = FirstResult + Results.size();
-  const std::string life = State.Life;
-  channel->call(
-      message, ReportTimeoutMs,
-      [this, alive = Alive, sent, results, life,
-       address = channel->address()](const utils::Result<Message> &reply) {
-        if (!*alive)
-          return;
-        const auto *ack =
-            reply ? std::get_if<endpoints::ReportAck>(&*reply) : nullptr;
-        if (ack != nullptr && life == State.Life) {
-          onReportAnswer(*ack, sent, results);
-        } else if (ack == nullptr && address == Leader.address()) {
-          if (Leader.knowsLeader())
-            logEvent(Event::LeaderUnreachable, {{"leader", address}});
-          Leader.silent();
-          Loop.runAfter(absl::Milliseconds(50), [this, alive] {
-            if (*alive)
-              reportSoon();
-          });
-        }
-      });
+  sendReport(Leader.target(), message);
+  if (const std::optional<std::string> second = Leader.secondTarget())
+    sendReport(*second, message);
+}
+
+void WorkerAgent::sendReport(const std::string &address,
+                             const endpoints::WorkerReport &message) {
+  auto &channel = Entries[address];
+  if (channel == nullptr)
+    channel = std::make_unique<endpoints::AsyncChannel>(Loop, address);
+  channel->call(message, ReportTimeoutMs,
+                [this, alive = Alive, address, sent = bootNow(),
+                 life = State.Life, results = FirstResult + Results.size()](
+                    const utils::Result<Message> &reply) {
+                  if (!*alive)
+                    return;
+                  const auto *ack =
+                      reply ? std::get_if<endpoints::ReportAck>(&*reply)
+                            : nullptr;
+                  if (ack == nullptr)
+                    onReportSilence(address);
+                  else if (life == State.Life)
+                    onReportAnswer(address, *ack, sent, results);
+                });
+}
+
+void WorkerAgent::onReportSilence(const std::string &address) {
+  if (Leader.knowsLeader() && address == Leader.target())
+    logEvent(Event::LeaderUnreachable, {{"leader", address}});
+  Leader.onSilence(address);
+  reportAgain(ReportAgain);
+}
+
+void WorkerAgent::reportAgain(absl::Duration delay) {
+  Loop.runAfter(delay, [this, alive = Alive] {
+    if (*alive)
+      reportSoon();
+  });
+}
+
+// A stale answer will do: an entry that has gone does not answer, and those
+// that do know the others.
+void WorkerAgent::askStore() {
+  if (AskingStore)
+    return;
+  AskingStore = true;
+  Calls.Range(EntryPrefix, "", platform::ReadMode::MaybeStale,
+              [this, alive = Alive](
+                  const platform::StoreReply<platform::StorePage> &reply) {
+                if (!*alive)
+                  return;
+                std::vector<std::string> entries;
+                if (reply.ok())
+                  for (const platform::KeyValue &item : reply.Value.Items)
+                    entries.push_back(item.Value);
+                const bool found = !entries.empty();
+                Leader.learnEntries(std::move(entries));
+                Loop.runAfter(found ? absl::ZeroDuration() : AskStoreAgain,
+                              [this, alive] {
+                                if (!*alive)
+                                  return;
+                                AskingStore = false;
+                                reportSoon();
+                              });
+              });
 }
 
-void WorkerAgent::onReportAnswer(const endpoints::ReportAck &ack,
+void WorkerAgent::onReportAnswer(const std::string &address,
+                                 const endpoints::ReportAck &ack,
                                  absl::Time sent, uint64_t results) {
-  // A leader that was replaced answers with a lower epoch: it grants nothing.
-  const bool leads = ack.Epoch > 0 && ack.Epoch >= Epoch;
   const bool knew = Leader.knowsLeader();
-  Leader.answered(leads, ack.Leader, ack.Entries);
+  const std::string before = Leader.target();
+  const bool leads = Leader.onAnswer(address, ack);
   if (!leads) {
-    Loop.runAfter(absl::Milliseconds(knew ? 0 : 50), [this, alive = Alive] {
-      if (*alive)
-        reportSoon();
-    });
+    if (Leader.target() != before || !Leader.knowsLeader())
+      reportAgain(knew ? absl::ZeroDuration() : ReportAgain);
     return;
   }
-  if (!knew)
+  if (!knew || before != address)
     logEvent(Event::LeaderFollowed,
-             {{"leader", Leader.address()}, {"epoch", ack.Epoch}});
+             {{"leader", address}, {"epoch", ack.Epoch}});
   const bool newEpoch = ack.Epoch > Epoch;
   Epoch = ack.Epoch;
   if (ack.GrantMs > 0)
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -82,8 +82,14 @@
   void reportSoon();
   void report();
   void reportLater();
-  void onReportAnswer(const endpoints::ReportAck &ack, absl::Time sent,
+  void sendReport(const std::string &address,
+                  const endpoints::WorkerReport &message);
+  void onReportAnswer(const std::string &address,
+                      const endpoints::ReportAck &ack, absl::Time sent,
                       uint64_t results);
+  void onReportSilence(const std::string &address);
+  void reportAgain(absl::Duration delay);
+  void askStore();
 
   utils::EventLoop &Loop;
   const endpoints::WorkerCalls Worker;
@@ -91,7 +97,11 @@
   const settings::Timing Time;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   std::unique_ptr<endpoints::AsyncReplyServer> Peers;
+  const platform::Store Calls;
+  const std::string EntryPrefix;
   LeaderFinder Leader;
+  bool AskingStore = false;
+  std::map<std::string, std::unique_ptr<endpoints::AsyncChannel>> Entries;
 
   /// The worker's life that is served; an empty Life when none is known.
   endpoints::WorkerState State;
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -52,8 +52,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerReport, Agent, AgentAddress, Worker,
                                    EndedLives, Sequence, Reachable, Epoch,
                                    Running, Ended, Results)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportAck, Epoch, Leader, Entries, GrantMs,
-                                   SeenUpto)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportAck, Epoch, Doubtful, Leader,
+                                   LeaderEpoch, Entries, GrantMs, SeenUpto)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
                                    Ticket)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopOrder, Task, Run)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -229,13 +229,16 @@
   auto operator<=>(const WorkerReport &) const = default;
 };
 
-/// The answer to a WorkerReport. Epoch is zero when the entry does not lead;
-/// Leader is then where the leader is, if known. GrantMs: the agent may keep
-/// the worker's tasks alive for so long from the moment it sent the report.
-/// SeenUpto: ends up to this number of this life are recorded.
+/// The answer to a WorkerReport. Epoch is zero when the entry does not lead.
+/// Leader and LeaderEpoch say who does, as far as it knows. Doubtful: it leads,
+/// but the store has not confirmed that for longer than its lease. GrantMs: the
+/// agent may keep the worker's tasks alive for so long from the moment it sent
+/// the report. SeenUpto: ends up to this number of this life are recorded.
 struct ReportAck {
   int64_t Epoch = 0;
+  bool Doubtful = false;
   std::string Leader;
+  int64_t LeaderEpoch = 0;
   std::vector<std::string> Entries;
   int64_t GrantMs = 0;
   int64_t SeenUpto = 0;
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -228,6 +228,7 @@
   options.LeaderKey = JobLeaderKey;
   options.Grant = Time.Grant;
   options.GrantWithoutStore = Time.GrantWithoutStore;
+  options.DoubtfulAfter = Time.LeaderLease;
   options.Policy.Fleet.SuspectAfter = Time.SuspectAfter;
   options.Policy.Fleet.LostAfter = Time.GrantOverAfter;
   options.Policy.UnheardLostAfter =
@@ -277,8 +278,10 @@
     endpoints::ReportAck ack;
     if (Duty)
       ack = Duty->onReport(*report);
-    if (ack.Epoch == 0 && !Leader.Mine)
+    if (!Leader.Mine) {
       ack.Leader = Leader.Address;
+      ack.LeaderEpoch = Leader.Epoch;
+    }
     ack.Entries.assign(EntryAddresses.begin(), EntryAddresses.end());
     return ack;
   }
--- a/src/libs/entry/leaderduty.cpp
+++ b/src/libs/entry/leaderduty.cpp
@@ -88,7 +88,9 @@
   ack.SeenUpto = Scheduler.onReport(report, now);
   // Without the store this entry may have been replaced: it goes on for a
   // bounded time, which a new leader waits for workers that it cannot reach.
-  if (report.Reachable && now - LastConfirmed() < Options.GrantWithoutStore)
+  const absl::Duration unconfirmed = now - LastConfirmed();
+  ack.Doubtful = unconfirmed > Options.DoubtfulAfter;
+  if (report.Reachable && unconfirmed < Options.GrantWithoutStore)
     ack.GrantMs = absl::ToInt64Milliseconds(Options.Grant);
   pumpSoon();
   return ack;
--- a/src/libs/entry/leaderduty.h
+++ b/src/libs/entry/leaderduty.h
@@ -27,6 +27,8 @@
   absl::Duration Grant = absl::Milliseconds(5500);
   /// For how long the leader goes on granting without the store.
   absl::Duration GrantWithoutStore = absl::Seconds(12);
+  /// Unconfirmed for so long, another entry may have taken the lead.
+  absl::Duration DoubtfulAfter = absl::Seconds(2);
   absl::Duration TickEvery = absl::Milliseconds(200);
   absl::Duration WriteRetry = absl::Milliseconds(100);
   int AgentTimeoutMs = 400;
