Other processes and time come in through hooks

Cause: tests of a whole entry or agent needed sockets and real time, so that their failures could not be played step by step. Change: endpoints::Peers (calls between processes, over nng in the programs); EventLoop::now() and a loop with manual time; entry and agent take both. Ruled out: abstract classes (the house style asks for hooks).

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -31,6 +31,7 @@
   Process(const settings::NodeSettings &settings)
       : Settings(settings), Loop(LoopCapacity),
         Agent(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
+              endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text()),
               adapter::makeWorkerCalls(Loop, Client, Settings.Worker.text()),
               Settings, EntryPrefix),
         Heartbeats(
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -35,6 +35,7 @@
   Process(const settings::NodeSettings &settings)
       : Settings(settings), Loop(LoopCapacity),
         Entry(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
+              endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text()),
               Settings, adapter::readConfig, adapter::ConfigKey),
         Callers(Loop, Entry.desk(), Settings.Callers.Host,
                 Settings.Callers.Port),
--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -1,7 +1,6 @@
 #include "workeragent.h"
 
 #include "eventlog/eventlog.h"
-#include "utils/boottime.h"
 #include "utils/eventloop.h"
 
 #include <algorithm>
@@ -17,7 +16,6 @@
 using endpoints::RefusalReason;
 using eventlog::Event;
 using eventlog::logEvent;
-using utils::bootNow;
 
 namespace {
 
@@ -60,17 +58,17 @@
 };
 
 WorkerAgent::WorkerAgent(utils::EventLoop &loop, platform::Store store,
-                         endpoints::WorkerCalls worker,
+                         endpoints::Peers peers, endpoints::WorkerCalls worker,
                          settings::NodeSettings settings,
                          std::string entryPrefix)
-    : Loop(loop), Worker(std::move(worker)), Settings(std::move(settings)),
-      Time(settings::deriveTiming(Settings)), Calls(std::move(store)),
-      EntryPrefix(std::move(entryPrefix)) {
-  Peers = std::make_unique<endpoints::AsyncReplyServer>(
-      Loop, "tcp://" + Settings.Peers.text(),
-      [this](const Message &m, const endpoints::AsyncReplyServer::Respond &r) {
-        r(onMessage(m));
-      });
+    : Loop(loop), Peers(std::move(peers)), Worker(std::move(worker)),
+      Settings(std::move(settings)), Time(settings::deriveTiming(Settings)),
+      Calls(std::move(store)), EntryPrefix(std::move(entryPrefix)) {
+  Peers.Serve([this, alive = Alive](const Message &m) -> Message {
+    if (*alive)
+      return onMessage(m);
+    return endpoints::Ack{false, "this agent has stopped"};
+  });
 }
 
 WorkerAgent::~WorkerAgent() { *Alive = false; }
@@ -186,14 +184,14 @@
   // The answer may have been on its way for a while: the worker's clock is
   // then further on than this says, and what is held ends the sooner.
   if (clockMs > 0)
-    ClockOffset = clockMs - toMs(bootNow());
+    ClockOffset = clockMs - toMs(Loop.now());
 }
 
 int64_t WorkerAgent::untilMs() const {
-  if (!ClockOffset || GrantEnd <= bootNow())
+  if (!ClockOffset || GrantEnd <= Loop.now())
     return 0;
   const absl::Time latest =
-      bootNow() + absl::Milliseconds(Settings.Bounds.HoldMaxMs);
+      Loop.now() + absl::Milliseconds(Settings.Bounds.HoldMaxMs);
   return toMs(std::min(GrantEnd, latest)) + *ClockOffset;
 }
 
@@ -356,7 +354,7 @@
   // What is not granted any more must not begin: the leader may count this
   // worker's tasks as ended.
   const int64_t until = untilMs();
-  if (!ClockOffset || GrantEnd - bootNow() < absl::Milliseconds(LeastHoldMs)) {
+  if (!ClockOffset || GrantEnd - Loop.now() < absl::Milliseconds(LeastHoldMs)) {
     Starting.erase(key);
     conclude(key,
              order->MayHaveArrived ? OrderOutcome::Unconfirmed
@@ -505,7 +503,7 @@
     return;
   endpoints::WorkerReport message;
   message.Agent = Settings.Name;
-  message.AgentAddress = Peers->address();
+  message.AgentAddress = Peers.Address;
   message.Worker = State;
   message.EndedLives = EndedLives;
   message.Reachable = Reachable;
@@ -513,7 +511,7 @@
   message.Running = Running;
   message.Ended = Ended;
   message.Results = Results;
-  LastSequence = std::max(LastSequence + 1, toMs(bootNow()));
+  LastSequence = std::max(LastSequence + 1, toMs(Loop.now()));
   message.Sequence = LastSequence;
   sendReport(Leader.target(), message);
   if (const std::optional<std::string> second = Leader.secondTarget())
@@ -522,23 +520,19 @@
 
 void WorkerAgent::sendReport(const std::string &address,
                              const endpoints::WorkerReport &message) {
-  auto &channel = Entries[address];
-  if (channel == nullptr)
-    channel = std::make_unique<endpoints::AsyncChannel>(Loop, address);
-  channel->call(message, ReportTimeoutMs,
-                [this, alive = Alive, address, sent = bootNow(),
-                 life = State.Life, results = FirstResult + Results.size()](
-                    const utils::Result<Message> &reply) {
-                  if (!*alive)
-                    return;
-                  const auto *ack =
-                      reply ? std::get_if<endpoints::ReportAck>(&*reply)
-                            : nullptr;
-                  if (ack == nullptr)
-                    onReportSilence(address);
-                  else if (life == State.Life)
-                    onReportAnswer(address, *ack, sent, results);
-                });
+  Peers.Call(address, message, ReportTimeoutMs,
+             [this, alive = Alive, address, sent = Loop.now(),
+              life = State.Life, results = FirstResult + Results.size()](
+                 const std::optional<Message> &reply) {
+               if (!*alive)
+                 return;
+               const auto *ack =
+                   reply ? std::get_if<endpoints::ReportAck>(&*reply) : nullptr;
+               if (ack == nullptr)
+                 onReportSilence(address);
+               else if (life == State.Life)
+                 onReportAnswer(address, *ack, sent, results);
+             });
 }
 
 void WorkerAgent::onReportSilence(const std::string &address) {
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "endpoints/asyncchannel.h"
-#include "endpoints/asyncreplyserver.h"
+#include "endpoints/peers.h"
 #include "endpoints/workercalls.h"
 #include "leaderfinder.h"
 #include "platform/store.h"
@@ -32,8 +31,8 @@
 class WorkerAgent {
 public:
   WorkerAgent(utils::EventLoop &loop, platform::Store store,
-              endpoints::WorkerCalls worker, settings::NodeSettings settings,
-              std::string entryPrefix);
+              endpoints::Peers peers, endpoints::WorkerCalls worker,
+              settings::NodeSettings settings, std::string entryPrefix);
   ~WorkerAgent();
   WorkerAgent(const WorkerAgent &) = delete;
   WorkerAgent &operator=(const WorkerAgent &) = delete;
@@ -47,8 +46,6 @@
   /// change to the next process. Done is called when this one may end.
   void stop(std::function<void()> done);
 
-  std::string peersAddress() const { return Peers->address(); }
-
 private:
   struct Order;
   using RunKey = std::pair<std::string, int64_t>;
@@ -92,16 +89,15 @@
   void askStore();
 
   utils::EventLoop &Loop;
+  const endpoints::Peers Peers;
   const endpoints::WorkerCalls Worker;
   const settings::NodeSettings Settings;
   const settings::Timing Time;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-  std::unique_ptr<endpoints::AsyncReplyServer> Peers;
   const platform::Store Calls;
   const std::string EntryPrefix;
   LeaderFinder Leader;
   bool AskingStore = false;
-  std::map<std::string, std::unique_ptr<endpoints::AsyncChannel>> Entries;
 
   /// The worker's life that is served; an empty Life when none is known.
   endpoints::WorkerState State;
--- /dev/null
+++ b/src/libs/endpoints/peers.cpp
@@ -0,0 +1,57 @@
+#include "peers.h"
+
+#include "asyncchannel.h"
+#include "asyncreplyserver.h"
+
+namespace oriolebay::endpoints {
+
+namespace {
+
+class NngPeers {
+public:
+  NngPeers(utils::EventLoop &loop, const std::string &address)
+      : Loop(loop),
+        Server(loop, address, [this](const Message &m, const auto &respond) {
+          respond(Serve ? Serve(m) : Message(Ack{false, "not ready yet"}));
+        }) {}
+
+  void call(const std::string &address, const Message &message, int timeoutMs,
+            const Peers::Done &done) {
+    auto &channel = Channels[address];
+    if (channel == nullptr)
+      channel = std::make_unique<AsyncChannel>(Loop, address);
+    channel->call(message, timeoutMs,
+                  [done](const utils::Result<Message> &reply) {
+                    if (reply)
+                      done(*reply);
+                    else
+                      done(std::nullopt);
+                  });
+  }
+
+  std::string address() const { return Server.address(); }
+  Peers::Handler Serve;
+
+private:
+  utils::EventLoop &Loop;
+  AsyncReplyServer Server;
+  std::map<std::string, std::unique_ptr<AsyncChannel>> Channels;
+};
+
+} // namespace
+
+Peers makeNngPeers(utils::EventLoop &loop, const std::string &address) {
+  auto impl = std::make_shared<NngPeers>(loop, address);
+  Peers peers;
+  peers.Address = impl->address();
+  peers.Call = [impl](const std::string &to, const Message &message,
+                      int timeoutMs, const Peers::Done &done) {
+    impl->call(to, message, timeoutMs, done);
+  };
+  peers.Serve = [impl](Peers::Handler handler) {
+    impl->Serve = std::move(handler);
+  };
+  return peers;
+}
+
+} // namespace oriolebay::endpoints
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -1,7 +1,6 @@
 #include "jobentry.h"
 
 #include "eventlog/eventlog.h"
-#include "utils/boottime.h"
 #include "utils/eventloop.h"
 
 #include <absl/time/clock.h>
@@ -11,7 +10,6 @@
 using endpoints::Message;
 using eventlog::Event;
 using eventlog::logEvent;
-using utils::bootNow;
 
 const char *const EntryPrefix = "oriolebay/entries/";
 const char *const JobLeaderKey = "oriolebay/leader";
@@ -88,21 +86,23 @@
 
 JobEntry::JobEntry(
     utils::EventLoop &loop, const platform::Store &store,
-    settings::NodeSettings settings,
+    endpoints::Peers peers, settings::NodeSettings settings,
     std::function<utils::Result<core::SiteConfig>(const std::string &)>
         decodeConfig,
     std::string configKey)
-    : Loop(loop), Settings(std::move(settings)),
+    : Loop(loop), Peers(std::move(peers)), Settings(std::move(settings)),
       Time(settings::deriveTiming(Settings)),
-      Health([](bool ok, const std::string &why) {
-        logEvent(ok ? Event::StoreRegained : Event::StoreLost, {{"why", why}});
-      }),
+      Health(loop,
+             [](bool ok, const std::string &why) {
+               logEvent(ok ? Event::StoreRegained : Event::StoreLost,
+                        {{"why", why}});
+             }),
       Calls(Health.watching(store)) {
-  Peers = std::make_unique<endpoints::AsyncReplyServer>(
-      Loop, "tcp://" + Settings.Peers.text(),
-      [this](const Message &m, const endpoints::AsyncReplyServer::Respond &r) {
-        r(onMessage(m));
-      });
+  Peers.Serve([this, alive = Alive](const Message &m) -> Message {
+    if (*alive)
+      return onMessage(m);
+    return endpoints::Ack{false, "this entry has stopped"};
+  });
   platform::FollowTiming follow;
   auto trouble = [this](const char *what) {
     return [this, what](platform::StoreStatus status, const std::string &why) {
@@ -137,7 +137,7 @@
   desk.OldestConfig = Time.OldestConfig;
   Desk = std::make_unique<jobs::JobDesk>(
       Loop, Calls, *View, *Config, desk,
-      [this] { return Health.usable(bootNow(), StoreGrace); },
+      [this] { return Health.usable(Loop.now(), StoreGrace); },
       [this](const platform::KeyValue &item) { onWritten(item); }, logCall);
   Entries = std::make_unique<platform::PrefixFollower>(
       Loop, Calls, EntryPrefix, follow,
@@ -150,7 +150,7 @@
   election.LeaderKey = JobLeaderKey;
   election.EntryPrefix = EntryPrefix;
   election.Name = Settings.Name;
-  election.Address = Peers->address();
+  election.Address = Peers.Address;
   election.LeaseTtl = Time.LeaderLease;
   election.Follow = follow;
   Election = std::make_unique<platform::Election>(
@@ -174,7 +174,7 @@
     reason = "stopping";
   else if (Config->current() == nullptr)
     reason = "no configuration yet";
-  else if (Config->age(bootNow()) > Time.NotReadyAfter)
+  else if (Config->age(Loop.now()) > Time.NotReadyAfter)
     reason = "the configuration has not been confirmed for too long";
   else if (!View->complete())
     reason = "the jobs have not been read yet";
@@ -209,18 +209,14 @@
 void JobEntry::onLeadership(const platform::Leadership &leadership) {
   const bool led = Leader.Mine;
   Leader = leadership;
-  ToLeader.reset();
   if (led)
     logEvent(Event::LeaderLost,
              {{"epoch", Duty ? Duty->scheduler().epoch() : leadership.Epoch}});
   Duty.reset();
   if (!leadership.Mine) {
-    if (leadership.Epoch != 0) {
-      ToLeader =
-          std::make_unique<endpoints::AsyncChannel>(Loop, leadership.Address);
+    if (leadership.Epoch != 0)
       logEvent(Event::LeaderFollowed,
                {{"epoch", leadership.Epoch}, {"leader", leadership.Address}});
-    }
     return;
   }
   logEvent(Event::LeaderElected, {{"epoch", leadership.Epoch}});
@@ -239,7 +235,7 @@
       absl::Milliseconds(Settings.Bounds.KeepFinishedMs) * 5 / 4;
   options.Policy.WallMs = [] { return absl::ToUnixMillis(absl::Now()); };
   Duty = std::make_unique<LeaderDuty>(
-      Loop, Calls, *View, options, leadership.Epoch,
+      Loop, Calls, Peers, *View, options, leadership.Epoch,
       [this] { return Election->confirmed(); }, logDecision,
       [this](platform::StoreStatus status, const std::string &why) {
         storeTrouble("recorder", status, why);
@@ -267,10 +263,12 @@
 }
 
 void JobEntry::onWritten(const platform::KeyValue &item) {
-  if (ToLeader != nullptr)
-    ToLeader->call(
-        endpoints::JobWritten{item.Key, item.Value, item.ModRevision},
-        PeerTimeoutMs, [](const utils::Result<Message> &) {});
+  if (Leader.Epoch == 0 || Leader.Mine)
+    return;
+  // Without an answer the leader's watch tells it all the same.
+  Peers.Call(Leader.Address,
+             endpoints::JobWritten{item.Key, item.Value, item.ModRevision},
+             PeerTimeoutMs, [](const std::optional<Message> &) {});
 }
 
 Message JobEntry::onMessage(const Message &message) {
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "endpoints/asyncchannel.h"
-#include "endpoints/asyncreplyserver.h"
+#include "endpoints/peers.h"
 #include "jobs/jobdesk.h"
 #include "jobs/jobview.h"
 #include "leaderduty.h"
@@ -25,7 +24,7 @@
 class JobEntry {
 public:
   JobEntry(utils::EventLoop &loop, const platform::Store &store,
-           settings::NodeSettings settings,
+           endpoints::Peers peers, settings::NodeSettings settings,
            std::function<utils::Result<core::SiteConfig>(const std::string &)>
                decodeConfig,
            std::string configKey);
@@ -41,7 +40,6 @@
   /// Callers that are being served are still answered.
   void beginStop();
 
-  std::string peersAddress() const { return Peers->address(); }
   int64_t storeCalls() const { return Health.calls(); }
 
 private:
@@ -55,6 +53,7 @@
   void refreshEntries();
 
   utils::EventLoop &Loop;
+  const endpoints::Peers Peers;
   const settings::NodeSettings Settings;
   const settings::Timing Time;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
@@ -64,14 +63,12 @@
   bool Stopping = false;
   /// Addresses of the entries that registered, for agents.
   std::set<std::string> EntryAddresses;
-  std::unique_ptr<endpoints::AsyncReplyServer> Peers;
   std::unique_ptr<operators::ConfigFollower> Config;
   std::unique_ptr<jobs::JobView> View;
   std::unique_ptr<jobs::JobDesk> Desk;
   std::unique_ptr<platform::PrefixFollower> Entries;
   std::unique_ptr<platform::Election> Election;
   std::unique_ptr<LeaderDuty> Duty;
-  std::unique_ptr<endpoints::AsyncChannel> ToLeader;
 };
 
 /// The store's keys of the entries.
--- a/src/libs/entry/leaderduty.cpp
+++ b/src/libs/entry/leaderduty.cpp
@@ -1,6 +1,5 @@
 #include "leaderduty.h"
 
-#include "utils/boottime.h"
 #include "utils/eventloop.h"
 
 #include <algorithm>
@@ -12,7 +11,6 @@
 using platform::StoreReply;
 using platform::StoreStatus;
 using platform::StoreTxnReply;
-using utils::bootNow;
 
 namespace {
 
@@ -31,21 +29,21 @@
 } // namespace
 
 LeaderDuty::LeaderDuty(utils::EventLoop &loop, const platform::Store &store,
-                       const jobs::JobView &view, DutyOptions options,
-                       int64_t epoch, Confirmed confirmed,
+                       const endpoints::Peers &peers, const jobs::JobView &view,
+                       DutyOptions options, int64_t epoch, Confirmed confirmed,
                        OnDecision onDecision, OnTrouble onTrouble,
                        OnDeposed onDeposed)
-    : Loop(loop), Calls(store), View(view), Options(std::move(options)),
-      Epoch(epoch), LastConfirmed(std::move(confirmed)),
-      Decided(std::move(onDecision)), Trouble(std::move(onTrouble)),
-      Deposed(std::move(onDeposed)),
-      Scheduler(Options.Policy, epoch, bootNow()) {}
+    : Loop(loop), Calls(store), Peers(peers), View(view),
+      Options(std::move(options)), Epoch(epoch),
+      LastConfirmed(std::move(confirmed)), Decided(std::move(onDecision)),
+      Trouble(std::move(onTrouble)), Deposed(std::move(onDeposed)),
+      Scheduler(Options.Policy, epoch, loop.now()) {}
 
 LeaderDuty::~LeaderDuty() { *Alive = false; }
 
 void LeaderDuty::begin(const std::shared_ptr<const core::SiteConfig> &config) {
   Begun = true;
-  const absl::Time now = bootNow();
+  const absl::Time now = Loop.now();
   Scheduler.onConfig(config);
   for (const auto &[id, job] : View.jobs()) {
     if (job.RecordRevision == 0)
@@ -69,7 +67,7 @@
 void LeaderDuty::onRecord(const jobs::StoredJob &job) {
   if (!Begun)
     return;
-  Scheduler.onRecord(job.Record, job.RecordRevision, bootNow());
+  Scheduler.onRecord(job.Record, job.RecordRevision, Loop.now());
   pumpSoon();
 }
 
@@ -83,7 +81,7 @@
   endpoints::ReportAck ack;
   if (!Begun)
     return ack;
-  const absl::Time now = bootNow();
+  const absl::Time now = Loop.now();
   ack.Epoch = Epoch;
   ack.SeenUpto = Scheduler.onReport(report, now);
   // Without the store this entry may have been replaced: it goes on for a
@@ -100,7 +98,7 @@
   Loop.runAfter(Options.TickEvery, [this, alive = Alive] {
     if (!*alive)
       return;
-    Scheduler.tick(bootNow());
+    Scheduler.tick(Loop.now());
     removeExpired();
     pump();
     tickLater();
@@ -120,7 +118,7 @@
 
 void LeaderDuty::pump() {
   PumpQueued = false;
-  Scheduler.decide(bootNow());
+  Scheduler.decide(Loop.now());
   writeProgress();
   sendOrders();
   for (const jobs::Decision &decision : Scheduler.takeDecisions())
@@ -128,18 +126,14 @@
 }
 
 void LeaderDuty::sendOrders() {
-  for (auto &[address, orders] : Scheduler.takeOrders()) {
-    auto &channel = Agents[address];
-    if (channel == nullptr)
-      channel = std::make_unique<endpoints::AsyncChannel>(Loop, address);
-    // Orders without an answer are sent again by the scheduler's timers.
-    channel->call(orders, Options.AgentTimeoutMs,
-                  [](const utils::Result<endpoints::Message> &) {});
-  }
+  // Orders without an answer are sent again by the scheduler's timers.
+  for (const auto &[address, orders] : Scheduler.takeOrders())
+    Peers.Call(address, orders, Options.AgentTimeoutMs,
+               [](const std::optional<endpoints::Message> &) {});
 }
 
 void LeaderDuty::writeProgress() {
-  if (bootNow() < WritesHeldUntil)
+  if (Loop.now() < WritesHeldUntil)
     return;
   std::vector<ProgressWrite> batch;
   for (ProgressWrite &one : Scheduler.takeWrites()) {
@@ -168,12 +162,12 @@
                    if (reply.ok()) {
                      for (const ProgressWrite &one : batch)
                        Scheduler.onWritten(one.JobId, one.Version,
-                                           reply.Value.Revision, bootNow());
+                                           reply.Value.Revision, Loop.now());
                    } else if (reply.Status == StoreStatus::Conflict) {
                      onConflict(batch, reply.Value.Current);
                    } else {
                      Trouble(reply.Status, reply.Why);
-                     WritesHeldUntil = bootNow() + Options.WriteRetry;
+                     WritesHeldUntil = Loop.now() + Options.WriteRetry;
                      for (const ProgressWrite &one : batch)
                        Scheduler.onNotWritten(one.JobId);
                    }
@@ -208,12 +202,12 @@
             progress->ModRevision != one.ProgressRevision) {
           BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress->Value));
           Scheduler.onWritten(one.JobId, read.Version, progress->ModRevision,
-                              bootNow());
+                              Loop.now());
         }
         Scheduler.onNotWritten(one.JobId);
         if (spec->ModRevision != one.RecordRevision) {
           BOOST_LEAF_AUTO(record, jobs::decodeRecord(spec->Value));
-          Scheduler.onRecord(record, spec->ModRevision, bootNow());
+          Scheduler.onRecord(record, spec->ModRevision, Loop.now());
         }
         return true;
       },
@@ -228,7 +222,7 @@
 void LeaderDuty::removeExpired() {
   if (Removing)
     return;
-  std::vector<std::string> expired = Scheduler.takeExpired(bootNow());
+  std::vector<std::string> expired = Scheduler.takeExpired(Loop.now());
   if (expired.empty())
     return;
   expired.resize(std::min(expired.size(), JobsPerTxn));
--- a/src/libs/entry/leaderduty.h
+++ b/src/libs/entry/leaderduty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "endpoints/asyncchannel.h"
+#include "endpoints/peers.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobview.h"
 #include "platform/store.h"
@@ -48,9 +48,9 @@
   using Confirmed = std::function<absl::Time()>;
 
   LeaderDuty(utils::EventLoop &loop, const platform::Store &store,
-             const jobs::JobView &view, DutyOptions options, int64_t epoch,
-             Confirmed confirmed, OnDecision onDecision, OnTrouble onTrouble,
-             OnDeposed onDeposed);
+             const endpoints::Peers &peers, const jobs::JobView &view,
+             DutyOptions options, int64_t epoch, Confirmed confirmed,
+             OnDecision onDecision, OnTrouble onTrouble, OnDeposed onDeposed);
   ~LeaderDuty();
   LeaderDuty(const LeaderDuty &) = delete;
   LeaderDuty &operator=(const LeaderDuty &) = delete;
@@ -82,6 +82,7 @@
 
   utils::EventLoop &Loop;
   const platform::Store &Calls;
+  const endpoints::Peers &Peers;
   const jobs::JobView &View;
   const DutyOptions Options;
   const int64_t Epoch;
@@ -91,7 +92,6 @@
   const OnDeposed Deposed;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   jobs::JobScheduler Scheduler;
-  std::map<std::string, std::unique_ptr<endpoints::AsyncChannel>> Agents;
   bool Begun = false;
   bool PumpQueued = false;
   bool Removing = false;
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -1,6 +1,5 @@
 #include "jobdesk.h"
 
-#include "utils/boottime.h"
 #include "utils/eventloop.h"
 
 #include <algorithm>
@@ -11,7 +10,6 @@
 using platform::StoreReply;
 using platform::StoreStatus;
 using platform::StoreTxnReply;
-using utils::bootNow;
 
 namespace {
 
@@ -99,7 +97,7 @@
   }
   if (result == CallResult::Ok && call->Name == "queue")
     answer.Waiting = View.waiting(call->Queue.Name);
-  const absl::Time now = bootNow();
+  const absl::Time now = Loop.now();
   Decided({call->Name, call->JobId, call->Queue.Name, call->Organisation,
            call->Config != nullptr ? call->Config->Version : 0,
            absl::ToInt64Milliseconds(std::min(Config.age(now), absl::Hours(1))),
@@ -108,20 +106,20 @@
 }
 
 bool JobDesk::outOfTime(const CallPtr &call) const {
-  return bootNow() + Policy.AnswerMargin >= call->Access.Deadline;
+  return Loop.now() + Policy.AnswerMargin >= call->Access.Deadline;
 }
 
 // Checks route and key, then goes on with step. A refusal is given only after
 // the store confirmed that the configuration is the newest: the key or route
 // may have been added a moment ago.
 void JobDesk::begin(const CallPtr &call, const Step &step) {
-  call->Began = bootNow();
+  call->Began = Loop.now();
   authorise(call, false, step);
 }
 
 void JobDesk::authorise(const CallPtr &call, bool confirmed, const Step &step) {
   call->Config = Config.current();
-  if (call->Config == nullptr || Config.age(bootNow()) > Policy.OldestConfig) {
+  if (call->Config == nullptr || Config.age(Loop.now()) > Policy.OldestConfig) {
     finish(call, CallResult::NotDone,
            "this entry has no fresh configuration; try another entry");
     return;
@@ -160,7 +158,7 @@
   if (status == StoreStatus::Unknown)
     call->MayBeDone = true;
   const bool patient =
-      call->MayBeDone || bootNow() - call->Began < Policy.RefusedPatience;
+      call->MayBeDone || Loop.now() - call->Began < Policy.RefusedPatience;
   if (outOfTime(call) || !patient) {
     if (call->MayBeDone)
       finish(call, CallResult::Open,
@@ -220,7 +218,7 @@
   txn.Expected.push_back({specKey(call->JobId), 0});
   txn.Expected.push_back(Config.condition());
   txn.Puts.push_back({specKey(call->JobId), value, 0});
-  const absl::Time sent = bootNow();
+  const absl::Time sent = Loop.now();
   Calls.Transact(std::move(txn), [this, alive = Alive, call, sent, value](
                                      const StoreReply<StoreTxnReply> &reply) {
     if (*alive)
--- a/src/libs/operators/configfollower.cpp
+++ b/src/libs/operators/configfollower.cpp
@@ -1,6 +1,5 @@
 #include "configfollower.h"
 
-#include "utils/boottime.h"
 #include "utils/eventloop.h"
 
 #include <algorithm>
@@ -10,7 +9,6 @@
 using platform::StoreReply;
 using platform::StoreStatus;
 using platform::StoreTxnReply;
-using utils::bootNow;
 
 ConfigFollower::ConfigFollower(utils::EventLoop &loop,
                                const platform::Store &store,
@@ -88,7 +86,7 @@
   }
   platform::StoreTxn txn;
   txn.Expected.push_back(condition());
-  const absl::Time sent = bootNow();
+  const absl::Time sent = Loop.now();
   const int64_t asked = Revision;
   Calls.Transact(std::move(txn),
                  [this, alive = Alive, sent, asked,
--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -1,14 +1,11 @@
 #include "election.h"
 
-#include "utils/boottime.h"
 #include "utils/eventloop.h"
 
 #include <algorithm>
 
 namespace oriolebay::platform {
 
-using utils::bootNow;
-
 Election::Election(utils::EventLoop &loop, const Store &store,
                    ElectionOptions options, OnChange onChange,
                    OnTrouble onTrouble)
@@ -44,7 +41,7 @@
 void Election::grant() {
   if (Resigned)
     return;
-  const absl::Time sent = bootNow();
+  const absl::Time sent = Loop.now();
   Calls.GrantLease(
       absl::ToInt64Milliseconds(Options.LeaseTtl),
       guarded<StoreLease>([this, sent](const StoreReply<StoreLease> &r) {
@@ -92,7 +89,7 @@
 }
 
 void Election::keep() {
-  const absl::Time sent = bootNow();
+  const absl::Time sent = Loop.now();
   Calls.KeepLease(
       Lease, guarded<StoreLease>([this, sent](const StoreReply<StoreLease> &r) {
         onKept(r, sent);
--- a/src/libs/platform/storehealth.cpp
+++ b/src/libs/platform/storehealth.cpp
@@ -1,6 +1,6 @@
 #include "storehealth.h"
 
-#include "utils/boottime.h"
+#include "utils/eventloop.h"
 
 namespace oriolebay::platform {
 
@@ -13,7 +13,7 @@
   const bool wasFailing = FailingSince != absl::InfiniteFuture();
   if (failed == wasFailing)
     return;
-  FailingSince = failed ? utils::bootNow() : absl::InfiniteFuture();
+  FailingSince = failed ? Loop.now() : absl::InfiniteFuture();
   Changed(!failed, why);
 }
 
--- a/src/libs/platform/storehealth.h
+++ b/src/libs/platform/storehealth.h
@@ -8,6 +8,10 @@
 #include <memory>
 #include <string>
 
+namespace oriolebay::utils {
+class EventLoop;
+}
+
 namespace oriolebay::platform {
 
 /// Whether the store answers this process, going by all of its calls. Owned by
@@ -17,7 +21,8 @@
   /// The store was lost (Ok false, with why) or answers again.
   using OnChange = std::function<void(bool ok, const std::string &why)>;
 
-  explicit StoreHealth(OnChange onChange) : Changed(std::move(onChange)) {}
+  StoreHealth(const utils::EventLoop &loop, OnChange onChange)
+      : Loop(loop), Changed(std::move(onChange)) {}
 
   /// The same store with every outcome noted here. The result must not outlive
   /// this object.
@@ -34,6 +39,7 @@
   template <class T> OnStoreReply<T> noting(OnStoreReply<T> done);
   void note(StoreStatus status, const std::string &why);
 
+  const utils::EventLoop &Loop;
   const OnChange Changed;
   absl::Time FailingSince = absl::InfiniteFuture();
   int64_t Calls = 0;
--- a/src/libs/utils/eventloop.cpp
+++ b/src/libs/utils/eventloop.cpp
@@ -1,5 +1,7 @@
 #include "eventloop.h"
 
+#include "boottime.h"
+
 namespace oriolebay::utils {
 
 bool EventLoop::tryPost(Task task) {
@@ -19,9 +21,20 @@
   Wake.notify_one();
 }
 
+EventLoop::Clock::time_point EventLoop::timerNow() const {
+  return Kind == Time::Real ? Clock::now() : Clock::time_point(Advanced);
+}
+
+absl::Time EventLoop::now() const {
+  if (Kind == Time::Real)
+    return bootNow();
+  // Some way from zero, so that nothing seems to have happened at the start.
+  return absl::UnixEpoch() + absl::Hours(1) + absl::FromChrono(Advanced);
+}
+
 EventLoop::TimerId EventLoop::runAfter(absl::Duration delay, Task task) {
   const TimerId id = NextTimer++;
-  const Clock::time_point due = Clock::now() + absl::ToChronoNanoseconds(delay);
+  const Clock::time_point due = timerNow() + absl::ToChronoNanoseconds(delay);
   Timers.emplace(std::make_pair(due, id), std::move(task));
   DueTimes.emplace(id, due);
   return id;
@@ -36,7 +49,7 @@
 }
 
 void EventLoop::runDueTimers() {
-  const Clock::time_point now = Clock::now();
+  const Clock::time_point now = timerNow();
   while (!Timers.empty() && Timers.begin()->first.first <= now) {
     auto it = Timers.begin();
     Task task = std::move(it->second);
@@ -69,6 +82,32 @@
   }
 }
 
+void EventLoop::runTasks() {
+  for (bool more = true; more;) {
+    std::deque<Task> batch;
+    {
+      std::lock_guard<std::mutex> lock(Mu);
+      batch.swap(Tasks);
+    }
+    more = !batch.empty();
+    for (Task &task : batch)
+      task();
+  }
+}
+
+void EventLoop::advance(absl::Duration duration) {
+  const Clock::time_point end =
+      timerNow() + absl::ToChronoNanoseconds(duration);
+  runTasks();
+  while (!Timers.empty() && Timers.begin()->first.first <= end) {
+    Advanced =
+        std::max(Advanced, Timers.begin()->first.first.time_since_epoch());
+    runDueTimers();
+    runTasks();
+  }
+  Advanced = end.time_since_epoch();
+}
+
 void EventLoop::stop() {
   std::lock_guard<std::mutex> lock(Mu);
   Stopped = true;
--- a/src/libs/utils/eventloop.h
+++ b/src/libs/utils/eventloop.h
@@ -14,14 +14,21 @@
 
 /// One thread that owns a process's state. Other threads hand it tasks through
 /// a bounded queue; timers run on it as well. The thread that calls run() is
-/// the owner.
+/// the owner. A loop with manual time has no thread: its tasks and timers run
+/// in advance(), as if the time had passed.
 class EventLoop {
 public:
   using Task = std::function<void()>;
   using TimerId = uint64_t;
 
+  enum class Time { Real, Manual };
+
   /// Capacity bounds the tasks that tryPost() queues.
-  explicit EventLoop(size_t capacity) : Capacity(capacity) {}
+  explicit EventLoop(size_t capacity, Time time = Time::Real)
+      : Capacity(capacity), Kind(time) {}
+
+  /// The boot clock, or the manual time: see bootNow().
+  absl::Time now() const;
 
   /// Queues task unless the queue is full or the loop has stopped. For work
   /// that its sender can refuse.
@@ -39,11 +46,17 @@
   void run();
   void stop();
 
+  /// Manual time only: runs all that is due within the next duration.
+  void advance(absl::Duration duration);
+
 private:
   using Clock = std::chrono::steady_clock;
+  Clock::time_point timerNow() const;
+  void runTasks();
   void runDueTimers();
 
   const size_t Capacity;
+  const Time Kind;
   std::mutex Mu;
   std::condition_variable Wake;
   std::deque<Task> Tasks;
@@ -53,6 +66,7 @@
   std::map<std::pair<Clock::time_point, TimerId>, Task> Timers;
   std::map<TimerId, Clock::time_point> DueTimes;
   TimerId NextTimer = 1;
+  Clock::duration Advanced = Clock::duration::zero();
 };
 
 } // namespace oriolebay::utils
