A whole cluster on manual time; a worker that crashed is looked at again

Cause, found by the new tests: the agent counted an open look at a life that had ended, and did not look at the new one again; a task there never ended. Test, failed before: WorkerThatCrashesAtAnyMomentIsLookedAtAgain.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -146,6 +146,9 @@
   Ended.clear();
   ListedEpoch = 0;
   HoldsTaken = HoldsSent;
+  // A look at the old life may stay open for a while yet; it must not keep the
+  // new life from being looked at.
+  HoldsOut = 0;
   HoldFailures = 0;
   Reachable = false;
   Listed = false;
@@ -208,11 +211,10 @@
   ++HoldsOut;
   Worker.Hold(call, [this, alive = Alive, number, life = State.Life,
                      epoch = Epoch](const HoldReply &reply) {
-    if (!*alive)
+    if (!*alive || life != State.Life)
       return;
     --HoldsOut;
-    if (life == State.Life)
-      onHeld(number, epoch, reply);
+    onHeld(number, epoch, reply);
   });
 }
 
--- /dev/null
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -0,0 +1,286 @@
+#include "memorycluster.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace oriolebay::cluster {
+
+using nlohmann::json;
+
+namespace {
+constexpr const char *ConfigKey = "test/config";
+constexpr absl::Duration HopDelay = absl::Milliseconds(1);
+constexpr absl::Duration BeatEvery = absl::Milliseconds(1500);
+} // namespace
+
+std::string encodeConfig(const core::SiteConfig &config) {
+  json organisations = json::array();
+  for (const auto &o : config.Organisations)
+    organisations.push_back({o.Name, o.Keys, o.GuaranteedAccelerators});
+  json queues = json::array();
+  for (const auto &q : config.Queues)
+    queues.push_back({q.Name, q.Prefix, q.Priority});
+  return json{{"version", config.Version},
+              {"organisations", organisations},
+              {"queues", queues}}
+      .dump();
+}
+
+utils::Result<core::SiteConfig> decodeConfig(const std::string &value) {
+  const json j = json::parse(value, nullptr, false);
+  if (!j.is_object())
+    return utils::fail(utils::ErrorKind::BadMessage, "no configuration",
+                       "write one");
+  core::SiteConfig config;
+  config.Version = j["version"];
+  for (const json &o : j["organisations"])
+    config.Organisations.push_back({o[0], o[1], o[2]});
+  for (const json &q : j["queues"]) {
+    core::QueueConfig queue;
+    queue.Name = q[0];
+    queue.Host = "host";
+    queue.Prefix = q[1];
+    queue.Priority = q[2];
+    queue.Service = "service";
+    queue.Attempts = 4;
+    config.Queues.push_back(queue);
+  }
+  return config;
+}
+
+MemoryCluster::MemoryCluster(Options options)
+    : Loop(1 << 20, utils::EventLoop::Time::Manual), Store(Loop, options.Seed),
+      Setup(options) {
+  All.StepOf = [this](const std::string &task) { return stepOf(task); };
+  All.WorkOf = [this](const std::string &task) {
+    return absl::Milliseconds(stepOf(task).EstimateMs);
+  };
+  for (int n = 0; n < Setup.Workers; ++n) {
+    Workers[n].Machine = std::make_unique<MemoryWorker>(
+        Loop, All, "w" + std::to_string(n),
+        "r" + std::to_string(n / Setup.WorkersPerRack),
+        core::Resources{32000, 65536, 8},
+        Setup.Seed * 100 + static_cast<uint64_t>(n));
+    startAgent(n);
+    Loop.runAfter(absl::Milliseconds(10 * n), [this, n] { beat(n); });
+  }
+  for (int n = 0; n < Setup.Entries; ++n)
+    startEntry(n);
+}
+
+MemoryCluster::~MemoryCluster() = default;
+
+void MemoryCluster::configure(const std::vector<std::string> &keys,
+                              int64_t guaranteed) {
+  core::SiteConfig config;
+  config.Version = ++Version;
+  for (int priority = 0; priority < 3; ++priority) {
+    core::QueueConfig q;
+    q.Name = "q" + std::to_string(priority);
+    q.Prefix = "/q" + std::to_string(priority) + "/";
+    q.Priority = priority;
+    config.Queues.push_back(q);
+  }
+  for (const std::string &key : keys)
+    config.Organisations.push_back({"org-of-" + key, {key}, guaranteed});
+  Store.put(ConfigKey, encodeConfig(config));
+}
+
+settings::NodeSettings
+MemoryCluster::settingsOf(const std::string &name) const {
+  settings::NodeSettings s;
+  s.Name = name;
+  s.FailureDomain = "zone";
+  return s;
+}
+
+endpoints::Peers MemoryCluster::peersOf(const std::string &process) {
+  const int generation = ++Generation[process];
+  endpoints::Peers peers;
+  peers.Address = process;
+  peers.Serve = [this, process](endpoints::Peers::Handler handler) {
+    Handlers[process] = std::move(handler);
+  };
+  peers.Call = [this, process, generation](
+                   const std::string &to, const endpoints::Message &message,
+                   int timeoutMs, const endpoints::Peers::Done &done) {
+    auto over = std::make_shared<bool>(false);
+    auto finish = [this, over, process, generation,
+                   done](const std::optional<endpoints::Message> &reply) {
+      if (!std::exchange(*over, true) && Generation[process] == generation)
+        done(reply);
+    };
+    Loop.runAfter(absl::Milliseconds(timeoutMs),
+                  [finish] { finish(std::nullopt); });
+    if (Cut.count(process) != 0 || Cut.count(to) != 0)
+      return;
+    Loop.runAfter(HopDelay, [this, to, message, process, finish] {
+      auto handler = Handlers.find(to);
+      if (handler == Handlers.end() || Cut.count(to) != 0)
+        return;
+      const endpoints::Message reply = handler->second(message);
+      if (Cut.count(process) != 0 || Cut.count(to) != 0)
+        return;
+      Loop.runAfter(HopDelay, [finish, reply] { finish(reply); });
+    });
+  };
+  return peers;
+}
+
+void MemoryCluster::startEntry(int n) {
+  const std::string name = entryName(n);
+  Entries[n].Process = std::make_unique<entry::JobEntry>(
+      Loop, Store.clientOf(name), peersOf(name), settingsOf(name), decodeConfig,
+      ConfigKey);
+  Entries[n].Process->start();
+}
+
+void MemoryCluster::killEntry(int n) {
+  Handlers.erase(entryName(n));
+  ++Generation[entryName(n)];
+  Entries[n].Process.reset();
+}
+
+void MemoryCluster::startAgent(int n) {
+  const std::string name = agentName(n);
+  Workers[n].Agent = std::make_unique<agent::WorkerAgent>(
+      Loop, Store.clientOf(name), peersOf(name), Workers[n].Machine->calls(),
+      settingsOf(name), entry::EntryPrefix);
+  Workers[n].Agent->start();
+}
+
+void MemoryCluster::killAgent(int n) {
+  Handlers.erase(agentName(n));
+  ++Generation[agentName(n)];
+  Workers[n].Agent.reset();
+}
+
+void MemoryCluster::cut(const std::string &process, bool isCut) {
+  if (isCut)
+    Cut.insert(process);
+  else
+    Cut.erase(process);
+}
+
+void MemoryCluster::beat(int n) {
+  Side &side = Workers[n];
+  if (side.Agent != nullptr && !side.Machine->Down)
+    side.Agent->onHeartbeat(side.Machine->heartbeat());
+  Loop.runAfter(BeatEvery, [this, n] { beat(n); });
+}
+
+int MemoryCluster::leader() const {
+  auto it = Store.items().find(entry::JobLeaderKey);
+  if (it == Store.items().end())
+    return -1;
+  for (int n = 0; n < Setup.Entries; ++n)
+    if (it->second.Value == entryName(n))
+      return n;
+  return -1;
+}
+
+void MemoryCluster::runFor(absl::Duration time) { Loop.advance(time); }
+
+std::optional<jobs::JobState>
+MemoryCluster::stored(const std::string &job) const {
+  auto spec = Store.items().find(jobs::specKey(job));
+  if (spec == Store.items().end())
+    return std::nullopt;
+  auto progress = Store.items().find(jobs::progressKey(job));
+  return utils::handle<std::optional<jobs::JobState>>(
+      [&]() -> utils::Result<std::optional<jobs::JobState>> {
+        BOOST_LEAF_AUTO(record, jobs::decodeRecord(spec->second.Value));
+        if (progress == Store.items().end())
+          return std::make_optional(jobs::shownState(record, nullptr));
+        BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress->second.Value));
+        return std::make_optional(jobs::shownState(record, &read));
+      },
+      [](const utils::Error &) { return std::optional<jobs::JobState>(); });
+}
+
+bool MemoryCluster::runUntilOver(absl::Duration limit) {
+  const absl::Time end = Loop.now() + limit;
+  auto over = [this] {
+    return std::all_of(Accepted.begin(), Accepted.end(),
+                       [this](const std::string &job) {
+                         const auto state = stored(job);
+                         return state && jobs::isFinal(*state);
+                       });
+  };
+  while (!over() && Loop.now() < end)
+    Loop.advance(absl::Milliseconds(50));
+  return over();
+}
+
+core::StepSpec MemoryCluster::stepOf(const std::string &task) const {
+  core::TaskId id;
+  core::parseTaskName(task, id);
+  return Specs.at(id.Job).Steps.at(static_cast<size_t>(id.Step));
+}
+
+jobs::CallerAccess MemoryCluster::access(const std::string &key) const {
+  return {"host", "", key, Loop.now() + absl::Seconds(3)};
+}
+
+std::shared_ptr<MemoryCluster::Called>
+MemoryCluster::call(const std::string &job, const std::string &key) {
+  auto called = std::make_shared<Called>();
+  called->Job = job;
+  called->Key = key;
+  called->Sent = Loop.now();
+  return called;
+}
+
+std::shared_ptr<MemoryCluster::Called>
+MemoryCluster::submit(int n, const std::string &key, core::JobSpec spec) {
+  auto called = call(spec.Id, key);
+  Specs[spec.Id] = spec;
+  if (!entryUp(n))
+    return called;
+  jobs::CallerAccess a = access(key);
+  a.Path = "/" + spec.Queue + "/" + spec.Id;
+  Entries[n].Process->desk().submit(
+      a, std::move(spec), [this, called](const jobs::CallAnswer &answer) {
+        called->Answer = answer;
+        if (answer.Result == jobs::CallResult::Ok)
+          Accepted.insert(called->Job);
+      });
+  return called;
+}
+
+std::shared_ptr<MemoryCluster::Called>
+MemoryCluster::cancel(int n, const std::string &key, const std::string &job) {
+  auto called = call(job, key);
+  if (!entryUp(n))
+    return called;
+  jobs::CallerAccess a = access(key);
+  a.Path = "/" + Specs.at(job).Queue + "/" + job;
+  Entries[n].Process->desk().cancel(
+      a, job,
+      [called](const jobs::CallAnswer &answer) { called->Answer = answer; });
+  return called;
+}
+
+std::shared_ptr<MemoryCluster::Called>
+MemoryCluster::state(int n, const std::string &key, const std::string &job) {
+  auto called = call(job, key);
+  if (!entryUp(n))
+    return called;
+  jobs::CallerAccess a = access(key);
+  a.Path = "/" + Specs.at(job).Queue + "/" + job;
+  Entries[n].Process->desk().state(
+      a, job,
+      [called](const jobs::CallAnswer &answer) { called->Answer = answer; });
+  return called;
+}
+
+std::vector<std::string> MemoryCluster::violations() {
+  std::vector<std::string> out = All.Violations;
+  for (const std::string &job : Accepted)
+    if (!stored(job))
+      out.push_back("accepted job " + job + " is not in the store");
+  return out;
+}
+
+} // namespace oriolebay::cluster
--- /dev/null
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -0,0 +1,302 @@
+#include "memorycluster.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolebay::cluster {
+namespace {
+
+core::JobSpec job(const std::string &id, int count, int64_t accelerators,
+                  int64_t ms, const std::string &queue = "q1") {
+  core::JobSpec spec;
+  spec.Id = id;
+  spec.Queue = queue;
+  spec.Payload = "text";
+  core::StepSpec step;
+  step.Count = count;
+  step.PerTask = {1000, 1000, accelerators};
+  step.EstimateMs = ms;
+  spec.Steps.push_back(step);
+  return spec;
+}
+
+/// A cluster that serves: configured, a leader elected, all workers known.
+std::unique_ptr<MemoryCluster> serving(MemoryCluster::Options options = {}) {
+  auto cluster = std::make_unique<MemoryCluster>(options);
+  cluster->configure({"k1", "k2"});
+  cluster->runFor(absl::Seconds(4));
+  return cluster;
+}
+
+::testing::AssertionResult keptAllRules(MemoryCluster &cluster) {
+  const std::vector<std::string> broken = cluster.violations();
+  if (broken.empty())
+    return ::testing::AssertionSuccess();
+  return ::testing::AssertionFailure()
+         << broken.size() << " broken, first: " << broken.front();
+}
+
+TEST(Cluster, ServesAJobFromEndToEnd) {
+  auto cluster = serving();
+  auto call = cluster->submit(1, "k1", job("j1", 4, 2, 1000));
+  cluster->runFor(absl::Milliseconds(100));
+  ASSERT_TRUE(call->Answer.has_value());
+  EXPECT_EQ(call->Answer->Result, jobs::CallResult::Ok);
+  ASSERT_TRUE(cluster->runUntilOver(absl::Seconds(5)));
+  auto shown = cluster->state(2, "k1", "j1");
+  cluster->runFor(absl::Milliseconds(100));
+  EXPECT_EQ(shown->Answer->State, jobs::JobState::Completed);
+  EXPECT_TRUE(keptAllRules(*cluster));
+}
+
+// A fault that strikes while a long job runs and another one comes.
+struct FaultCase {
+  const char *Name;
+  std::function<void(MemoryCluster &)> Strike;
+  std::function<void(MemoryCluster &)> Heal;
+  absl::Duration Lasts;
+  /// Starts beyond the tasks' number that the fault may cost.
+  int MoreStarts;
+};
+
+std::ostream &operator<<(std::ostream &out, const FaultCase &c) {
+  return out << c.Name;
+}
+
+class Faults : public ::testing::TestWithParam<FaultCase> {};
+
+// Work is running and more comes in when something breaks. Callers must find
+// every accepted job completed in the end, no task may run twice, and what ran
+// soundly must not be started again.
+TEST_P(Faults, AcceptedWorkEndsOnceAndWhole) {
+  auto cluster = serving();
+  cluster->submit(0, "k1", job("long", 6, 4, 6000));
+  cluster->runFor(absl::Seconds(2));
+  ASSERT_EQ(cluster->accepted().size(), 1u);
+  GetParam().Strike(*cluster);
+  cluster->runFor(absl::Milliseconds(200));
+  std::vector<std::shared_ptr<MemoryCluster::Called>> calls;
+  for (int n = 0; n < 3; ++n)
+    calls.push_back(
+        cluster->submit(n, "k2", job("more" + std::to_string(n), 2, 1, 1500)));
+  cluster->runFor(GetParam().Lasts);
+  GetParam().Heal(*cluster);
+  ASSERT_TRUE(cluster->runUntilOver(absl::Seconds(40)));
+  EXPECT_EQ(cluster->stored("long"), jobs::JobState::Completed);
+  EXPECT_TRUE(keptAllRules(*cluster));
+  EXPECT_LE(cluster->starts(), 6 + 3 * 2 + GetParam().MoreStarts);
+  for (const auto &call : calls)
+    if (call->Answer && call->Answer->Result == jobs::CallResult::NotDone) {
+      EXPECT_FALSE(cluster->stored(call->Job).has_value())
+          << call->Job << " was refused and stored";
+      EXPECT_GT(call->Answer->RetryAfterMs, 0);
+    }
+}
+
+void forAllClients(MemoryCluster &cluster,
+                   const std::function<void(MemoryStore::Faults &)> &change) {
+  for (int n = 0; n < 3; ++n)
+    change(cluster.store().faults(MemoryCluster::entryName(n)));
+  for (int n = 0; n < 6; ++n)
+    change(cluster.store().faults(MemoryCluster::agentName(n)));
+}
+
+const std::vector<FaultCase> FaultCases = {
+    {"leader_killed", [](MemoryCluster &c) { c.killEntry(c.leader()); },
+     [](MemoryCluster &c) {
+       for (int n = 0; n < 3; ++n)
+         if (!c.entryUp(n))
+           c.startEntry(n);
+     },
+     absl::Seconds(3), 0},
+    {"every_process_killed",
+     [](MemoryCluster &c) {
+       for (int n = 0; n < 3; ++n)
+         c.killEntry(n);
+       for (int n = 0; n < 6; ++n)
+         c.killAgent(n);
+     },
+     [](MemoryCluster &c) {
+       for (int n = 0; n < 3; ++n)
+         c.startEntry(n);
+       for (int n = 0; n < 6; ++n)
+         c.startAgent(n);
+     },
+     absl::Seconds(1), 0},
+    {"store_silent_for_all",
+     [](MemoryCluster &c) {
+       forAllClients(c, [](MemoryStore::Faults &f) { f.Silent = true; });
+     },
+     [](MemoryCluster &c) {
+       forAllClients(c, [](MemoryStore::Faults &f) { f.Silent = false; });
+     },
+     absl::Seconds(8), 0},
+    {"store_refuses_the_leader",
+     [](MemoryCluster &c) {
+       c.store().faults(MemoryCluster::entryName(c.leader())).Refuses = true;
+     },
+     [](MemoryCluster &c) {
+       forAllClients(c, [](MemoryStore::Faults &f) { f.Refuses = false; });
+     },
+     absl::Seconds(8), 0},
+    {"store_loses_answers",
+     [](MemoryCluster &c) {
+       forAllClients(c, [](MemoryStore::Faults &f) { f.LosesAnswers = 0.5; });
+     },
+     [](MemoryCluster &c) {
+       forAllClients(c, [](MemoryStore::Faults &f) { f.LosesAnswers = 0; });
+     },
+     absl::Seconds(5), 0},
+    {"store_writes_late",
+     [](MemoryCluster &c) {
+       forAllClients(c, [](MemoryStore::Faults &f) { f.Late = 0.5; });
+     },
+     [](MemoryCluster &c) {
+       forAllClients(c, [](MemoryStore::Faults &f) { f.Late = 0; });
+     },
+     absl::Seconds(5), 0},
+    {"watches_silent_then_history_gone",
+     [](MemoryCluster &c) {
+       forAllClients(c, [](MemoryStore::Faults &f) { f.WatchesSilent = true; });
+     },
+     [](MemoryCluster &c) {
+       forAllClients(c,
+                     [](MemoryStore::Faults &f) { f.WatchesSilent = false; });
+       c.store().compact();
+     },
+     absl::Seconds(2), 0},
+    {"leader_cut_off",
+     [](MemoryCluster &c) {
+       const std::string name = MemoryCluster::entryName(c.leader());
+       c.cut(name, true);
+       c.store().faults(name).Silent = true;
+     },
+     [](MemoryCluster &c) {
+       for (int n = 0; n < 3; ++n) {
+         c.cut(MemoryCluster::entryName(n), false);
+         c.store().faults(MemoryCluster::entryName(n)).Silent = false;
+       }
+     },
+     absl::Seconds(8), 0},
+    {"agent_killed", [](MemoryCluster &c) { c.killAgent(0); },
+     [](MemoryCluster &c) { c.startAgent(0); }, absl::Seconds(2), 0},
+    {"agent_cut_off_shortly",
+     [](MemoryCluster &c) { c.cut(MemoryCluster::agentName(0), true); },
+     [](MemoryCluster &c) { c.cut(MemoryCluster::agentName(0), false); },
+     absl::Seconds(3), 0},
+    {"agent_cut_off_for_long",
+     [](MemoryCluster &c) { c.cut(MemoryCluster::agentName(0), true); },
+     [](MemoryCluster &c) { c.cut(MemoryCluster::agentName(0), false); },
+     absl::Seconds(12), 2},
+    {"worker_crashes", [](MemoryCluster &c) { c.worker(0).crash(); },
+     [](MemoryCluster &) {}, absl::Seconds(1), 2},
+    {"orders_late_on_all_workers",
+     [](MemoryCluster &c) {
+       for (int n = 0; n < 6; ++n)
+         c.worker(n).LateOrders = 0.3;
+     },
+     [](MemoryCluster &c) {
+       for (int n = 0; n < 6; ++n)
+         c.worker(n).LateOrders = 0;
+     },
+     absl::Seconds(4), 4},
+    {"answers_of_workers_lost",
+     [](MemoryCluster &c) {
+       for (int n = 0; n < 6; ++n)
+         c.worker(n).LostAnswers = 0.5;
+     },
+     [](MemoryCluster &c) {
+       for (int n = 0; n < 6; ++n)
+         c.worker(n).LostAnswers = 0;
+     },
+     absl::Seconds(4), 0},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, Faults, ::testing::ValuesIn(FaultCases),
+                         [](const auto &info) { return info.param.Name; });
+
+// A worker dies without a word and stands up again at once. Users saw a task
+// there never end: the agent still had a look at the old life open, and did not
+// look at the new one again. It takes a heartbeat within the look's time, so
+// the crash is played at every tenth of a second of a heartbeat period.
+TEST(Cluster, WorkerThatCrashesAtAnyMomentIsLookedAtAgain) {
+  for (int tenth = 0; tenth < 15; ++tenth) {
+    auto cluster = serving();
+    cluster->runFor(absl::Milliseconds(100 * tenth));
+    cluster->submit(0, "k1", job("j", 48, 1, 1000));
+    cluster->runFor(absl::Milliseconds(500));
+    cluster->worker(0).crash();
+    EXPECT_TRUE(cluster->runUntilOver(absl::Seconds(8))) << tenth;
+    EXPECT_TRUE(keptAllRules(*cluster));
+  }
+}
+
+// An entry is cut off from the store while a key is taken away. A caller with
+// that key could still hand in jobs there, long after every other entry
+// refused it: the entry went on with the configuration it had.
+TEST(Cluster, KeyTakenAwayIsRefusedAtAnEntryThatIsCutOff) {
+  auto cluster = serving();
+  cluster->submit(0, "k2", job("before", 1, 1, 500));
+  cluster->runFor(absl::Seconds(1));
+  cluster->store().faults(MemoryCluster::entryName(0)).Silent = true;
+  cluster->configure({"k1"});
+  const absl::Time taken = cluster->loop().now();
+  while (cluster->loop().now() - taken < absl::Seconds(9)) {
+    auto submitted = cluster->submit(0, "k2", job("late", 1, 1, 500));
+    auto shown = cluster->state(0, "k2", "before");
+    cluster->runFor(absl::Milliseconds(250));
+    if (shown->Sent - taken > absl::Seconds(5)) {
+      ASSERT_TRUE(shown->Answer.has_value());
+      EXPECT_NE(shown->Answer->Result, jobs::CallResult::Ok);
+    }
+    if (submitted->Answer) {
+      EXPECT_NE(submitted->Answer->Result, jobs::CallResult::Ok);
+    }
+  }
+  cluster->store().faults(MemoryCluster::entryName(0)).Silent = false;
+  cluster->runFor(absl::Seconds(8));
+  EXPECT_FALSE(cluster->stored("late").has_value());
+}
+
+// A cancel is confirmed at one entry while the leader's watch is silent. Users
+// saw tasks of the job start seconds later.
+TEST(Cluster, NothingStartsAfterACancelWasConfirmed) {
+  auto cluster = serving();
+  cluster->submit(0, "k1", job("fills", 48, 1, 3000));
+  cluster->runFor(absl::Milliseconds(300));
+  cluster->submit(1, "k1", job("waits", 8, 8, 1000));
+  cluster->runFor(absl::Milliseconds(300));
+  cluster->store()
+      .faults(MemoryCluster::entryName(cluster->leader()))
+      .WatchesSilent = true;
+  const int other = (cluster->leader() + 1) % 3;
+  auto cancelled = cluster->cancel(other, "k1", "waits");
+  cluster->runFor(absl::Milliseconds(100));
+  ASSERT_TRUE(cancelled->Answer.has_value());
+  EXPECT_EQ(cancelled->Answer->Result, jobs::CallResult::Ok);
+  const int starts = cluster->starts();
+  cluster->runFor(absl::Seconds(6));
+  EXPECT_EQ(cluster->starts(), starts);
+  EXPECT_EQ(cluster->stored("waits"), jobs::JobState::Cancelled);
+}
+
+// The same id is handed in at two entries at once, and again later: callers
+// ask again when an answer is lost. It is one job.
+TEST(Cluster, SameIdIsOneJobWhereverItIsHandedIn) {
+  auto cluster = serving();
+  auto first = cluster->submit(0, "k1", job("same", 2, 1, 1000));
+  auto second = cluster->submit(1, "k1", job("same", 2, 1, 1000));
+  auto stranger = cluster->submit(2, "k2", job("same", 2, 1, 1000));
+  cluster->runFor(absl::Milliseconds(100));
+  EXPECT_EQ(first->Answer->Result, jobs::CallResult::Ok);
+  EXPECT_EQ(second->Answer->Result, jobs::CallResult::Ok);
+  EXPECT_EQ(stranger->Answer->Result, jobs::CallResult::IdTaken);
+  ASSERT_TRUE(cluster->runUntilOver(absl::Seconds(5)));
+  auto late = cluster->submit(2, "k1", job("same", 2, 1, 1000));
+  cluster->runFor(absl::Seconds(2));
+  EXPECT_EQ(late->Answer->Result, jobs::CallResult::Ok);
+  EXPECT_EQ(cluster->starts(), 2);
+  EXPECT_TRUE(keptAllRules(*cluster));
+}
+
+} // namespace
+} // namespace oriolebay::cluster
