An order is tried again only under the leader that gave it

When another leader had taken over in between, had the worker's list and had settled the run as not there, the worker took the late try and the task ran twice. Ruled out: a stale list (the trace shows it taken after the token was raised). Change: each try carries the token of the leader that gave the order, and an order of a replaced leader is dropped; the new leader settles it.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -52,6 +52,8 @@
   endpoints::StartOrder Start;
   endpoints::StopOrder Stop;
   std::string Life;
+  /// Of the leader that gave it: every try carries this one, never a newer.
+  int64_t Epoch = 0;
   int Tries = 0;
   /// An earlier try had no answer: it may have been carried out, or may yet.
   bool MayHaveArrived = false;
@@ -304,6 +306,7 @@
       auto order = std::make_shared<Order>();
       order->Stop = stop;
       order->Life = orders.Life;
+      order->Epoch = orders.Epoch;
       StoppingRuns[key] = order;
       stopTask(order);
     }
@@ -322,6 +325,7 @@
       auto order = std::make_shared<Order>();
       order->Start = start;
       order->Life = orders.Life;
+      order->Epoch = orders.Epoch;
       Starting[key] = order;
       startTask(order);
     }
@@ -351,8 +355,15 @@
 
 void WorkerAgent::startTask(const OrderPtr &order) {
   const RunKey key{order->Start.Task, order->Start.Run};
-  if (Starting[key] != order)
+  auto known = Starting.find(key);
+  if (known == Starting.end() || known->second != order)
     return;
+  // Another leader leads by now. It settles this run from the worker's list,
+  // after which a further try would start it behind its back.
+  if (order->Epoch < Epoch) {
+    Starting.erase(known);
+    return;
+  }
   // What is not granted any more must not begin: the leader may count this
   // worker's tasks as ended.
   const int64_t until = untilMs();
@@ -368,7 +379,7 @@
   call.Life = order->Life;
   call.Order = order->Start;
   call.UntilMs = until;
-  call.Epoch = Epoch;
+  call.Epoch = order->Epoch;
   call.FreshConnection = order->Tries > 0;
   ++order->Tries;
   Worker.Start(call, [this, alive = Alive, order](const CallOutcome &outcome) {
@@ -417,10 +428,14 @@
 }
 
 void WorkerAgent::stopTask(const OrderPtr &order) {
+  if (order->Epoch < Epoch) {
+    StoppingRuns.erase({order->Stop.Task, order->Stop.Run});
+    return;
+  }
   endpoints::StopCall call;
   call.Life = order->Life;
   call.Order = order->Stop;
-  call.Epoch = Epoch;
+  call.Epoch = order->Epoch;
   call.FreshConnection = order->Tries > 0;
   ++order->Tries;
   Worker.Stop(call, [this, alive = Alive, order](const CallOutcome &outcome) {
--- a/src/libs/platform/storehealth.cpp
+++ b/src/libs/platform/storehealth.cpp
@@ -18,7 +18,10 @@
 }
 
 template <class T> OnStoreReply<T> StoreHealth::noting(OnStoreReply<T> done) {
-  return [this, done = std::move(done)](const StoreReply<T> &reply) {
+  return [this, alive = Alive,
+          done = std::move(done)](const StoreReply<T> &reply) {
+    if (!*alive)
+      return;
     note(reply.Status, reply.Why);
     done(reply);
   };
--- a/src/libs/platform/storehealth.h
+++ b/src/libs/platform/storehealth.h
@@ -24,8 +24,12 @@
   StoreHealth(const utils::EventLoop &loop, OnChange onChange)
       : Loop(loop), Changed(std::move(onChange)) {}
 
-  /// The same store with every outcome noted here. The result must not outlive
-  /// this object.
+  ~StoreHealth() { *Alive = false; }
+  StoreHealth(const StoreHealth &) = delete;
+  StoreHealth &operator=(const StoreHealth &) = delete;
+
+  /// The same store with every outcome noted here. Answers that come after
+  /// this object are dropped.
   Store watching(const Store &inner);
 
   /// False once calls have failed for grace and none succeeded since.
@@ -41,6 +45,7 @@
 
   const utils::EventLoop &Loop;
   const OnChange Changed;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   absl::Time FailingSince = absl::InfiniteFuture();
   int64_t Calls = 0;
   int64_t Failures = 0;
--- /dev/null
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -0,0 +1,170 @@
+#include "agent/workeragent.h"
+#include "utils/eventloop.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolebay::agent {
+namespace {
+
+using endpoints::CallOutcome;
+using endpoints::CallStatus;
+
+/// An agent between a leader and a worker that the test plays.
+class AgentBench {
+public:
+  AgentBench() : Loop(1000, utils::EventLoop::Time::Manual) {
+    settings::NodeSettings settings;
+    settings.Name = "agent";
+    endpoints::Peers peers;
+    peers.Address = "agent";
+    peers.Serve = [this](endpoints::Peers::Handler h) { Handler = h; };
+    peers.Call = [this](const std::string &, const endpoints::Message &m, int,
+                        const endpoints::Peers::Done &done) {
+      Reports.push_back(std::get<endpoints::WorkerReport>(m));
+      Loop.runAfter(absl::Milliseconds(1),
+                    [this, done] { done(endpoints::Message(Ack)); });
+    };
+    endpoints::WorkerCalls worker;
+    worker.Start = [this](const endpoints::StartCall &c, const auto &done) {
+      Starts.push_back(c);
+      Loop.runAfter(absl::Milliseconds(StartTakesMs),
+                    [this, done] { done(StartAnswer); });
+    };
+    worker.Stop = [this](const endpoints::StopCall &c, const auto &done) {
+      Stops.push_back(c);
+      Loop.runAfter(absl::Milliseconds(1), [this, done] { done(answer()); });
+    };
+    worker.Hold = [this](const endpoints::HoldCall &c, const auto &done) {
+      Holds.push_back(c);
+      endpoints::HoldReply reply;
+      reply.Outcome = answer();
+      reply.Running = Running;
+      Loop.runAfter(absl::Milliseconds(c.WaitMs > 0 ? c.WaitMs : 1),
+                    [done, reply] { done(reply); });
+    };
+    platform::Store store;
+    store.Range = [](const std::string &, const std::string &,
+                     platform::ReadMode, const auto &done) {
+      platform::StorePage page;
+      page.Items.push_back({"entries/e", "entry", 1, 1, 1});
+      done({platform::StoreStatus::Ok, page, ""});
+    };
+    Ack.Epoch = 5;
+    Ack.GrantMs = 5500;
+    Agent = std::make_unique<WorkerAgent>(Loop, store, peers, worker, settings,
+                                          "entries/");
+    Agent->start();
+    Beat.Worker.Life = "life";
+    Beat.Worker.Capacity = {32000, 65536, 8};
+    beat();
+    Loop.advance(absl::Seconds(1));
+  }
+
+  void beat() {
+    ++Beat.Sequence;
+    Agent->onHeartbeat(Beat);
+  }
+  endpoints::Ack order(const endpoints::WorkerOrders &orders) {
+    return std::get<endpoints::Ack>(Handler(endpoints::Message(orders)));
+  }
+  static endpoints::WorkerOrders start(int64_t epoch, int64_t run) {
+    endpoints::WorkerOrders o{epoch, "life", {}, {}};
+    o.Starts.push_back({"j.0.0.0", run, "text", "", ""});
+    return o;
+  }
+  std::vector<endpoints::OrderResult> results() const {
+    return Reports.empty() ? std::vector<endpoints::OrderResult>()
+                           : Reports.back().Results;
+  }
+
+  utils::EventLoop Loop;
+  endpoints::Peers::Handler Handler;
+  endpoints::ReportAck Ack;
+  endpoints::Heartbeat Beat;
+  CallOutcome StartAnswer = answer();
+  int StartTakesMs = 1;
+  std::vector<endpoints::RunningTask> Running;
+  std::vector<endpoints::StartCall> Starts;
+  std::vector<endpoints::StopCall> Stops;
+  std::vector<endpoints::HoldCall> Holds;
+  std::vector<endpoints::WorkerReport> Reports;
+  std::unique_ptr<WorkerAgent> Agent;
+
+private:
+  static CallOutcome answer() {
+    return {CallStatus::Ok, endpoints::RefusalReason::None, 7000, ""};
+  }
+};
+
+TEST(WorkerAgent, CarriesOutAStartOnceHoweverOftenItIsOrdered) {
+  AgentBench bench;
+  EXPECT_TRUE(bench.order(AgentBench::start(5, 1)).Ok);
+  EXPECT_TRUE(bench.order(AgentBench::start(5, 1)).Ok);
+  bench.Loop.advance(absl::Milliseconds(20));
+  EXPECT_TRUE(bench.order(AgentBench::start(5, 1)).Ok);
+  bench.Loop.advance(absl::Milliseconds(20));
+  EXPECT_EQ(bench.Starts.size(), 1u);
+  EXPECT_GT(bench.Starts[0].UntilMs, 7000);
+}
+
+// A leader's order gets no answer from the worker, and the agent tries again;
+// meanwhile another leader takes over, has the worker's list and starts the
+// task elsewhere. Users saw it run twice: the next try went out under the new
+// leader's fencing token, which the worker accepted.
+TEST(WorkerAgent, OrderOfAReplacedLeaderIsNotTriedAgain) {
+  AgentBench bench;
+  bench.StartAnswer = {};
+  bench.StartTakesMs = 250;
+  bench.order(AgentBench::start(5, 1));
+  bench.Loop.advance(absl::Milliseconds(100));
+  ASSERT_EQ(bench.Starts.size(), 1u);
+  bench.Ack.Epoch = 6;
+  bench.order({6, "life", {}, {}});
+  bench.Loop.advance(absl::Seconds(3));
+  EXPECT_EQ(bench.Starts.size(), 1u);
+  for (const endpoints::StartCall &call : bench.Starts)
+    EXPECT_EQ(call.Epoch, 5);
+  // What the replaced leader still sends is refused.
+  EXPECT_FALSE(bench.order(AgentBench::start(5, 2)).Ok);
+}
+
+TEST(WorkerAgent, StartWithoutAnswerIsUnconfirmedAndNeverRefused) {
+  AgentBench bench;
+  bench.StartAnswer = {};
+  bench.StartTakesMs = 250;
+  bench.order(AgentBench::start(5, 1));
+  bench.Ack = {};
+  bench.Loop.advance(absl::Seconds(2));
+  ASSERT_FALSE(bench.results().empty());
+  EXPECT_EQ(bench.results().back().Outcome,
+            endpoints::OrderOutcome::Unconfirmed);
+}
+
+TEST(WorkerAgent, DrainingWorkerTakesNoStart) {
+  AgentBench bench;
+  bench.Beat.Worker.Draining = true;
+  bench.beat();
+  bench.order(AgentBench::start(5, 1));
+  bench.Loop.advance(absl::Milliseconds(20));
+  EXPECT_TRUE(bench.Starts.empty());
+}
+
+// The leader cannot be reached any more. What the worker runs must end when
+// the grant does, because it may start elsewhere from then on.
+TEST(WorkerAgent, HoldsNothingBeyondTheGrant) {
+  AgentBench bench;
+  bench.Ack = {};
+  const absl::Time silent = bench.Loop.now();
+  bench.Loop.advance(absl::Seconds(12));
+  // The worker's clock stands at 7000 in this test whenever it is asked.
+  for (const endpoints::HoldCall &call : bench.Holds)
+    EXPECT_LE(call.UntilMs, 7000 + 5500);
+  EXPECT_EQ(bench.Holds.back().UntilMs, 0);
+  bench.order(AgentBench::start(5, 1));
+  bench.Loop.advance(absl::Milliseconds(20));
+  EXPECT_TRUE(bench.Starts.empty());
+  EXPECT_GT(bench.Loop.now(), silent);
+}
+
+} // namespace
+} // namespace oriolebay::agent
--- a/tests/auto/cluster/tst_randomdays.cpp
+++ b/tests/auto/cluster/tst_randomdays.cpp
@@ -165,12 +165,23 @@
   std::vector<std::shared_ptr<MemoryCluster::Called>> Calls;
 };
 
+/// Seeds that once showed a fault, with its cause.
+constexpr int RegressionSeeds[] = {
+    336,  // an agent tried a replaced leader's start again under the new token
+    449,  // the same, with the next run of the task on the same worker
+    1639, // a lapsed lease between a task's end and its being noted (allowed)
+};
+
 // Whatever strikes, in whatever order: an accepted job ends, no task runs
 // twice or after its end was noted, no worker holds more than it has, and a
 // job that was refused everywhere is not in the store.
 TEST(RandomDays, PromisesHold) {
   const auto [first, last] = seedsToPlay();
-  for (int seed = first; seed <= last; ++seed) {
+  std::vector<int> seeds(std::begin(RegressionSeeds),
+                         std::end(RegressionSeeds));
+  for (int seed = first; seed <= last; ++seed)
+    seeds.push_back(seed);
+  for (int seed : seeds) {
     RandomDay day(static_cast<uint64_t>(seed));
     day.play();
     MemoryCluster &cluster = day.cluster();
