--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -69,7 +69,8 @@
   Worker old = std::move(Workers.at(life));
   Workers.erase(life);
   for (const auto &[run, state] : old.Runs)
-    Wasted += absl::ToDoubleSeconds(state.Worked) *
+    Wasted += absl::ToDoubleSeconds(state.Worked -
+                                    saved(state, idOf(run.Task), false)) *
               weightOf(specOf(idOf(run.Task)).PerTask);
   if (newLife.empty())
     return;
@@ -146,18 +147,34 @@
   return racks.size() > 1;
 }
 
+// A stop saves all; otherwise what the last checkpoint holds.
+absl::Duration SimSite::saved(const Run &run, const TaskId &id,
+                              bool byStop) const {
+  if (!specOf(id).Checkpoints)
+    return absl::ZeroDuration();
+  if (byStop)
+    return run.Worked;
+  return absl::Floor(run.Worked, absl::Seconds(Policy.CheckpointEvery));
+}
+
 void SimSite::end(Worker &worker, const RunId &run, RunEnd how) {
   auto it = worker.Runs.find(run);
   if (it == worker.Runs.end())
     return;
   const TaskId id = idOf(run.Task);
+  absl::Duration kept = absl::ZeroDuration();
   if (how == RunEnd::Done)
     DoneTasks.insert(run.Task);
   else
-    Wasted +=
-        absl::ToDoubleSeconds(it->second.Worked) * weightOf(specOf(id).PerTask);
+    kept = saved(it->second, id, how == RunEnd::Stopped);
+  if (how != RunEnd::Done)
+    Wasted += absl::ToDoubleSeconds(it->second.Worked - kept) *
+              weightOf(specOf(id).PerTask);
   worker.Runs.erase(it);
-  worker.Ended.push_back({worker.NextEnd++, run.Task, run.Run, how, ""});
+  worker.Ended.push_back({worker.NextEnd++, run.Task, run.Run, how,
+                          kept > absl::ZeroDuration()
+                              ? std::to_string(absl::ToInt64Milliseconds(kept))
+                              : ""});
   if (!specOf(id).Gang)
     return;
   const RunEnd others = how == RunEnd::Done ? RunEnd::Done : RunEnd::Broken;
@@ -204,6 +221,13 @@
     end(worker, key, how);
 }
 
+std::string SimSite::runningSaved(const Run &run, const TaskId &id) const {
+  const absl::Duration kept = saved(run, id, false);
+  return kept > absl::ZeroDuration()
+             ? std::to_string(absl::ToInt64Milliseconds(kept))
+             : "";
+}
+
 void SimSite::report(Worker &worker) {
   if (worker.CutOff)
     return;
@@ -215,7 +239,7 @@
   r.Epoch = worker.FenceSeen;
   for (const auto &[key, run] : worker.Runs)
     r.Running.push_back(
-        {key.Task, key.Run, "",
+        {key.Task, key.Run, runningSaved(run, idOf(key.Task)),
          static_cast<int>(100 * absl::FDivDuration(run.Worked, run.Needs))});
   r.Ended = worker.Ended;
   r.Results = std::exchange(worker.Results, {});
@@ -270,6 +294,10 @@
     run.Order = start;
     run.Began = Now;
     run.Needs = Work ? Work(id, spec) : absl::Milliseconds(spec.EstimateMs);
+    if (!start.Saved.empty()) {
+      run.Worked = absl::Milliseconds(std::stoll(start.Saved));
+      run.Needs += absl::Milliseconds(RestoreMs);
+    }
     worker.Runs[key] = run;
     ++Starts;
     checkRoom(worker);
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -98,6 +98,7 @@
   static constexpr int StepMs = 10;
   static constexpr int ReportEveryMs = 500;
   static constexpr int StopTakesMs = 200;
+  static constexpr int RestoreMs = 600;
 
 private:
   struct Stored {
@@ -113,6 +114,9 @@
   void step();
   void pump();
   void work(Worker &worker);
+  absl::Duration saved(const Run &run, const core::TaskId &id,
+                       bool byStop) const;
+  std::string runningSaved(const Run &run, const core::TaskId &id) const;
   void end(Worker &worker, const RunId &run, endpoints::RunEnd how);
   void report(Worker &worker);
   void obey(Worker &worker, const endpoints::WorkerOrders &orders);
