Runs that stand still are started elsewhere

Change: the leader watches percent. A run that was not seen to get on for 1.3 s (5% of its estimate if longer), at a worker where nothing else does, is stopped and started elsewhere; in a gang only a member that is behind another is to blame. The worker is kept out for a while. Agents look twice a second. Tried and dropped, first: judging pace by estimates as well. Its test stays (SoundRunsAreLeftAlone). Tried and mended: counting time without reports as standing still; two fault tests of a killed agent failed by extra starts. Tests, failed before: RunsThatStandStillAreStartedElsewhere.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -19,8 +19,9 @@
 
 namespace {
 
-/// How long the worker may keep a look open without an end to tell.
-constexpr int64_t LookWaitMs = 1000;
+/// How long the worker may keep a look open without an end to tell: the leader
+/// judges by the progress that looks show whether a run stands still.
+constexpr int64_t LookWaitMs = 500;
 /// Pause before a worker that did not answer is looked at again.
 constexpr absl::Duration LookAgain = absl::Milliseconds(150);
 constexpr absl::Duration LookWithEnds = absl::Milliseconds(100);
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -41,6 +41,8 @@
     return Event::WorkerLost;
   case Kind::WorkerKeptOut:
     return Event::WorkerKeptOut;
+  case Kind::RunStandsStill:
+    return Event::RunStandsStill;
   case Kind::Waiting:
     return Event::StepWaiting;
   }
@@ -227,6 +229,9 @@
   options.Policy.UnheardLostAfter =
       Time.GrantWithoutStore + Time.GrantOverAfter;
   options.Policy.RemoteFactor = Settings.Bounds.RemoteFactor;
+  options.Policy.GangWait = absl::Milliseconds(Settings.Bounds.GangWaitMs);
+  options.Policy.Progress.Restore =
+      absl::Milliseconds(Settings.Bounds.RestoreMs);
   options.Policy.CheckpointEvery = Settings.Bounds.CheckpointMs / 1000.0;
   options.Policy.KeepFinished =
       absl::Milliseconds(Settings.Bounds.KeepFinishedMs) * 5 / 4;
--- a/src/libs/eventlog/eventlog.cpp
+++ b/src/libs/eventlog/eventlog.cpp
@@ -101,6 +101,8 @@
     return "run.stopping";
   case Event::RunEnded:
     return "run.ended";
+  case Event::RunStandsStill:
+    return "run.stands_still";
   case Event::RunSettled:
     return "run.settled";
   case Event::OrderReceived:
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -48,6 +48,7 @@
   RunStopping = 413,
   RunEnded = 414,
   RunSettled = 415,
+  RunStandsStill = 416,
   OrderReceived = 420,
   OrderCarriedOut = 421,
   GrantEnded = 422,
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -74,6 +74,13 @@
   }
   if (++worker->FailedInARow < Policy.FailuresInARow)
     return false;
+  return keepOut(life, now);
+}
+
+bool Fleet::keepOut(const std::string &life, absl::Time now) {
+  WorkerView *worker = find(life);
+  if (worker == nullptr || now < worker->KeptOutUntil)
+    return false;
   worker->KeepOut = worker->KeepOut == absl::ZeroDuration()
                         ? Policy.KeepOutFirst
                         : std::min(worker->KeepOut * 2, Policy.KeepOutLongest);
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -88,6 +88,9 @@
 
   /// Whether new work may go to the worker.
   bool usable(const WorkerView &worker, absl::Time now) const;
+  /// Keeps the worker out for a while, longer each time. False when it is kept
+  /// out already.
+  bool keepOut(const std::string &life, absl::Time now);
   /// Counts a run's end for keeping out workers that fail what they start.
   /// True when the worker is kept out from now on.
   bool recordEnd(const std::string &life, bool ok, absl::Time now);
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -15,7 +15,7 @@
 JobScheduler::JobScheduler(SchedulerPolicy policy, int64_t epoch,
                            absl::Time electedAt)
     : Policy(std::move(policy)), Epoch(epoch), ElectedAt(electedAt),
-      Workers(Policy.Fleet) {}
+      Workers(Policy.Fleet), Progress(Policy.Progress) {}
 
 JobScheduler::~JobScheduler() = default;
 
@@ -233,6 +233,8 @@
     if (!running.Saved.empty())
       task->Progress.Saved = running.Saved;
     task->Percent = running.Percent;
+    if (report.Reachable)
+      watch(id, *task, now);
     if (task->What != Phase::Running) {
       task->What = Phase::Running;
       if (task->Began == absl::InfinitePast())
@@ -280,7 +282,7 @@
     }
     Job &job = Jobs.at(id.Job);
     if (task->Progress.Worker == life && task->Progress.Run == end.Run)
-      leaveWorker(job, *task);
+      leaveWorker(job, id, *task);
     acknowledge(job, life, end.Number);
     return;
   }
@@ -306,7 +308,8 @@
 }
 
 // The end of a member whose gang was done already: only its room is news.
-void JobScheduler::leaveWorker(Job &job, Task &task) {
+void JobScheduler::leaveWorker(Job &job, const TaskId &id, Task &task) {
+  Progress.forget({core::taskName(id), task.Progress.Run});
   task.Progress.Worker.clear();
   task.Progress.Agent.clear();
   task.What = Phase::Idle;
@@ -322,7 +325,7 @@
   // An earlier run that was thought not to exist may still turn out to have
   // done the work. Then the run of now is stopped.
   if (task.Progress.Worker == life)
-    leaveWorker(job, task);
+    leaveWorker(job, id, task);
   else
     requestStop(id, task, "an earlier run has done the work");
   if (!saved.empty())
@@ -367,7 +370,9 @@
                              const std::string &why, absl::Time /*now*/) {
   note(Decision::Kind::Settled, id.Job, core::taskName(id), task.Progress.Run,
        task.Progress.Worker, why);
-  Workers.vacate(task.Progress.Worker, {core::taskName(id), task.Progress.Run});
+  const RunId run{core::taskName(id), task.Progress.Run};
+  Progress.forget(run);
+  Workers.vacate(task.Progress.Worker, run);
   task.Progress.Worker.clear();
   task.Progress.Agent.clear();
   task.What = Phase::Idle;
@@ -578,7 +583,64 @@
   note(Decision::Kind::Placed, id.Job, core::taskName(id), run, life);
 }
 
+void JobScheduler::watch(const TaskId &id, const Task &task, absl::Time now) {
+  const core::StepSpec &spec =
+      Jobs.at(id.Job).Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  if (!spec.LongRunning)
+    Progress.seen({core::taskName(id), task.Progress.Run}, task.Progress.Worker,
+                  task.Percent, absl::Milliseconds(spec.EstimateMs),
+                  !task.Progress.Saved.empty(), now);
+}
+
+// A gang's members wait for each other, so that one that stands still holds up
+// all, and all stand still until every member is there. Only a member that is
+// behind another one is to blame.
+bool JobScheduler::behindItsGang(const Step &step, const Task &task) {
+  return std::any_of(step.begin(), step.end(), [&](const Task &other) {
+    return other.mayRun() && other.Percent > task.Percent + 1;
+  });
+}
+
+// Whether a run is better started anew elsewhere: it stands still, and so does
+// all else at its worker.
+bool JobScheduler::standsStill(const Job &job, const TaskId &id,
+                               const Task &task, absl::Time now) const {
+  if (task.What != Phase::Running || task.StopAsked || task.Progress.Done ||
+      !Progress.stalled({core::taskName(id), task.Progress.Run}) ||
+      Progress.workerMoves(task.Progress.Worker, now))
+    return false;
+  const Step &step =
+      job.Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
+  const bool gang = job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang &&
+                    step.size() > 1;
+  return !gang || behindItsGang(step, task) ||
+         now - task.Began > Policy.GangWait + Policy.Progress.StalledAfter;
+}
+
+void JobScheduler::judgeProgress(absl::Time now) {
+  for (auto &entry : Jobs) {
+    Job &job = entry.second;
+    if (job.over())
+      continue;
+    forEachTask(job, [&](const TaskId &id, Task &task) {
+      if (!standsStill(job, id, task, now))
+        return;
+      const std::string name = core::taskName(id);
+      note(Decision::Kind::RunStandsStill, id.Job, name, task.Progress.Run,
+           task.Progress.Worker, absl::StrCat("at ", task.Percent, "%"));
+      if (Workers.keepOut(task.Progress.Worker, now))
+        note(Decision::Kind::WorkerKeptOut, id.Job, name, task.Progress.Run,
+             task.Progress.Worker, "runs stand still there");
+      if (job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang)
+        stopStep(job, id.Occurrence, id.Step, "a member stands still");
+      else
+        requestStop(id, task, "it stands still");
+    });
+  }
+}
+
 void JobScheduler::tick(absl::Time now) {
+  judgeProgress(now);
   for (const std::string &life : Workers.takeLost(now))
     loseLife(life, "silent until its tasks had certainly ended", now);
   if (!Unheard.empty() && now - ElectedAt >= Policy.UnheardLostAfter) {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -3,6 +3,7 @@
 #include "core/siteconfig.h"
 #include "fleet.h"
 #include "jobrecord.h"
+#include "progress.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -20,6 +21,7 @@
 /// Bounds and weights of the scheduler.
 struct SchedulerPolicy {
   FleetPolicy Fleet;
+  ProgressPolicy Progress;
   /// An order that was not answered is sent again after this long.
   absl::Duration ResendAfter = absl::Milliseconds(400);
   /// After the election, workers that earlier leaders may have kept alive and
@@ -34,6 +36,8 @@
   /// organisation's guarantee, in core-seconds (an accelerator counts as eight
   /// cores): about what a late answer to such a job costs its caller.
   double MostWasteCoreSeconds = 300;
+  /// How long a gang's members wait for each other.
+  absl::Duration GangWait = absl::Milliseconds(3000);
   /// Tasks that checkpoint do so after each of so many seconds of work.
   double CheckpointEvery = 1.0;
   /// The time of day in milliseconds since 1970, for jobs due at a time.
@@ -63,6 +67,7 @@
     WorkerJoined,
     WorkerLost,
     WorkerKeptOut,
+    RunStandsStill,
     Waiting,
   };
   Kind What = Kind::Placed;
@@ -199,13 +204,18 @@
   void runEnded(Job &job, const core::TaskId &id, Task &task,
                 endpoints::RunEnd how, const std::string &saved,
                 const std::string &life, absl::Time now);
-  static void leaveWorker(Job &job, Task &task);
+  void leaveWorker(Job &job, const core::TaskId &id, Task &task);
+  void watch(const core::TaskId &id, const Task &task, absl::Time now);
   void runAbsent(Job &job, const core::TaskId &id, Task &task,
                  const std::string &why, absl::Time now);
   void gangEnded(Job &job, const core::TaskId &id, endpoints::RunEnd how);
   void requestStop(const core::TaskId &id, Task &task, const std::string &why);
   void stopStep(Job &job, int occurrence, int step, const std::string &why);
   void judgeJob(Job &job, absl::Time now);
+  void judgeProgress(absl::Time now);
+  bool standsStill(const Job &job, const core::TaskId &id, const Task &task,
+                   absl::Time now) const;
+  static bool behindItsGang(const Step &step, const Task &task);
   void endJob(Job &job, JobState state, absl::Time now);
   void order(Job &job, const core::TaskId &id, Task &task, absl::Time now);
   void orderStop(const core::TaskId &id, Task &task, absl::Time now);
@@ -219,6 +229,7 @@
   const int64_t Epoch;
   const absl::Time ElectedAt;
   Fleet Workers;
+  ProgressWatch Progress;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
   /// Lives that records name and that have not reported to this leader, with
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -139,5 +139,40 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// A worker takes all it is told and answers in time, but its tasks do not get
+// on. Users waited for it until it came to itself: for an urgent job of two
+// seconds, six.
+TEST(JobScheduler, RunsThatStandStillAreStartedElsewhere) {
+  for (bool gang : {false, true}) {
+    SimSite site;
+    addRacks(site, 2);
+    site.worker("w00").Hangs = true;
+    site.submit(jobOf("j", step(5, {1000, 1000, 8}, 2000, gang)), 0);
+    ASSERT_TRUE(site.runUntilOver(absl::Seconds(8))) << gang;
+    EXPECT_EQ(site.state("j"), JobState::Completed);
+    EXPECT_LE(*site.took("j"), absl::Seconds(6)) << gang;
+    EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+  }
+}
+
+// A long gang on many workers starts a little apart, and estimates are off by
+// up to ten times. Users saw most of their work started over and over, and
+// sound workers kept out, when its pace was judged by the estimate: nothing may
+// be taken for standing still.
+TEST(JobScheduler, SoundRunsAreLeftAlone) {
+  for (double off : {0.5, 1.0, 2.0, 10.0}) {
+    SimSite site;
+    addRacks(site, 3);
+    site.worker("w01").Slowness = 1.3;
+    site.Work = [off](const core::TaskId &, const core::StepSpec &spec) {
+      return absl::Milliseconds(spec.EstimateMs) * off;
+    };
+    site.submit(jobOf("gang", step(6, {1000, 1000, 8}, 4000, true)));
+    site.submit(jobOf("tasks", step(20, {1000, 1000, 1}, 2000)));
+    ASSERT_TRUE(site.runUntilOver(absl::Seconds(90)));
+    EXPECT_EQ(site.starts(), 26);
+  }
+}
+
 } // namespace
 } // namespace oriolebay::jobs
