Logs that never hold anybody up, with what decided each decision

Cause: events went to standard error, synchronously; a reader that stops reading stopped the process, and a log path in a missing folder ended it with exit 134. Change: JSON lines on standard output through a bounded asynchronous sink that leaves lines out and counts them, a rate limit a kind, the boot clock beside the wall clock; decisions carry the figures they went by and the version or age of these; a log path that cannot be written is a settings error. Tests: the catalogue and the code agree; the bad path; a reader that does not read. Ruled out: Boost.Log's own drop strategy (it does not count).

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -67,7 +67,7 @@
       [&]() -> utils::Result<int> {
         BOOST_LEAF_AUTO(text, settings::readFile(path));
         BOOST_LEAF_AUTO(s, settings::parseNodeSettings(text));
-        eventlog::initEventLog(s.Name, "");
+        BOOST_LEAF_CHECK(eventlog::initEventLog(s.Name, ""));
         logEvent(Event::ProcessStarted,
                  {{"role", "agent"}, {"settings", path}});
         try {
@@ -76,6 +76,7 @@
           return utils::fail(utils::ErrorKind::BadSettings, e.what(),
                              "free the address or change it");
         }
+        eventlog::closeEventLog();
         return 0;
       },
       [](const utils::Error &e) {
--- a/src/app/agent/main.cpp
+++ b/src/app/agent/main.cpp
@@ -38,7 +38,7 @@
       [&]() -> utils::Result<int> {
         BOOST_LEAF_AUTO(text, settings::readFile(path));
         BOOST_LEAF_AUTO(s, settings::parseAgentSettings(text));
-        eventlog::initEventLog(s.Worker.Id, s.LogPath);
+        BOOST_LEAF_CHECK(eventlog::initEventLog(s.Worker.Id, s.LogPath));
         eventlog::logEvent(eventlog::Event::ProcessStarted,
                            {{"role", "agent"}, {"settings", path}});
         agent::AgentService service(s, absl::ToUnixNanos(absl::Now()));
@@ -46,6 +46,7 @@
         app::waitForStop(s.MetricsPort, "oriolebay_agent",
                          [&] { return service.stats(); });
         service.stop(absl::Milliseconds(vm["drain-ms"].as<int>()));
+        eventlog::closeEventLog();
         return 0;
       },
       [](const utils::Error &e) {
--- a/src/app/entry/main.cpp
+++ b/src/app/entry/main.cpp
@@ -30,7 +30,7 @@
       [&]() -> utils::Result<int> {
         BOOST_LEAF_AUTO(text, settings::readFile(settingsPath));
         BOOST_LEAF_AUTO(s, settings::parseEntrySettings(text));
-        eventlog::initEventLog(s.Name, s.LogPath);
+        BOOST_LEAF_CHECK(eventlog::initEventLog(s.Name, s.LogPath));
         eventlog::logEvent(eventlog::Event::ProcessStarted,
                            {{"role", "entry"}, {"settings", settingsPath}});
         platform::KvClient kv(s.StoreUrl, StoreTimeoutMs);
@@ -45,6 +45,7 @@
         app::waitForStop(s.MetricsPort, "oriolebay_entry",
                          [&] { return service.stats(); });
         service.stop();
+        eventlog::closeEventLog();
         return 0;
       },
       [](const utils::Error &e) {
--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -494,11 +494,20 @@
   Loop.runAfter(Time.ReportEvery, [this, alive = Alive] {
     if (!*alive)
       return;
+    noteGrantEnd();
     report();
     reportLater();
   });
 }
 
+void WorkerAgent::noteGrantEnd() {
+  const bool ended = GrantEnd <= Loop.now();
+  if (ended && !GrantEndTold && GrantEnd != absl::InfinitePast())
+    logEvent(Event::GrantEnded,
+             {{"worker", State.Life}, {"running", Running.size()}});
+  GrantEndTold = ended;
+}
+
 void WorkerAgent::reportSoon() {
   if (ReportQueued)
     return;
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -86,6 +86,7 @@
                       uint64_t results);
   void onReportSilence(const std::string &address);
   void reportAgain(absl::Duration delay);
+  void noteGrantEnd();
   void askStore();
 
   utils::EventLoop &Loop;
@@ -110,6 +111,7 @@
 
   int64_t Epoch = 0;
   absl::Time GrantEnd = absl::InfinitePast();
+  bool GrantEndTold = false;
   int64_t SeenUpto = 0;
 
   // What the worker listed last.
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -61,6 +61,8 @@
     fields["worker"] = d.Worker;
   if (!d.Why.empty())
     fields["why"] = d.Why;
+  for (const jobs::Input &input : d.Inputs)
+    fields[input.Name] = input.Value;
   logEvent(eventOf(d.What), fields);
 }
 
--- a/src/libs/eventlog/eventlog.cpp
+++ b/src/libs/eventlog/eventlog.cpp
@@ -1,168 +1,169 @@
 #include "eventlog.h"
 
+#include "utils/boottime.h"
+
 #include <absl/time/clock.h>
 #include <boost/log/core.hpp>
-#include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <boost/log/utility/setup/file.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
 
 namespace oriolebay::eventlog {
 
 namespace {
-std::string &processName() {
-  static std::string name = "unnamed";
-  return name;
-}
-} // namespace
 
-const char *eventName(Event event) {
-  switch (event) {
-  case Event::ProcessStarted:
-    return "process.started";
-  case Event::ProcessStopping:
-    return "process.stopping";
-  case Event::ProcessStopped:
-    return "process.stopped";
-  case Event::SettingsRejected:
-    return "settings.rejected";
-  case Event::ListenerBound:
-    return "listener.bound";
-  case Event::JobReceived:
-    return "job.received";
-  case Event::JobPlaced:
-    return "job.placed";
-  case Event::JobRefused:
-    return "job.refused";
-  case Event::JobFinished:
-    return "job.finished";
-  case Event::JobDuplicate:
-    return "job.duplicate";
-  case Event::GangAborted:
-    return "gang.aborted";
-  case Event::GangStopping:
-    return "gang.stopping";
-  case Event::GangRequeued:
-    return "gang.requeued";
-  case Event::GangAdopted:
-    return "gang.adopted";
-  case Event::WorkerJoined:
-    return "worker.joined";
-  case Event::WorkerLeaving:
-    return "worker.leaving";
-  case Event::WorkerLost:
-    return "worker.lost";
-  case Event::WorkerHeartbeatFailed:
-    return "worker.heartbeat_failed";
-  case Event::WorkerKeptOut:
-    return "worker.kept_out";
-  case Event::TaskReserved:
-    return "task.reserved";
-  case Event::TaskStarted:
-    return "task.started";
-  case Event::TaskFinished:
-    return "task.finished";
-  case Event::TaskReleased:
-    return "task.released";
-  case Event::TaskDuplicateRefused:
-    return "task.duplicate_refused";
-  case Event::TaskStopAsked:
-    return "task.stop_asked";
-  case Event::ProfileAccepted:
-    return "profile.accepted";
-  case Event::ProfileRefusedStale:
-    return "profile.refused_stale";
-  case Event::ProfileWritten:
-    return "profile.written";
-  case Event::ProfileConflict:
-    return "profile.conflict";
-  case Event::StoreCallFailed:
-    return "store.call_failed";
-  case Event::ProfileInForce:
-    return "profile.in_force";
-  case Event::LeaderElected:
-    return "leader.elected";
-  case Event::LeaderLost:
-    return "leader.lost";
-  case Event::LeaderFollowed:
-    return "leader.followed";
-  case Event::CallAnswered:
-    return "call.answered";
-  case Event::LastingJobEnded:
-    return "job.ended";
-  case Event::StepWaiting:
-    return "step.waiting";
-  case Event::RunPlaced:
-    return "run.placed";
-  case Event::RunStarted:
-    return "run.started";
-  case Event::RunRefused:
-    return "run.refused";
-  case Event::RunStopping:
-    return "run.stopping";
-  case Event::RunEnded:
-    return "run.ended";
-  case Event::RunStandsStill:
-    return "run.stands_still";
-  case Event::RunSettled:
-    return "run.settled";
-  case Event::OrderReceived:
-    return "order.received";
-  case Event::OrderCarriedOut:
-    return "order.carried_out";
-  case Event::GrantEnded:
-    return "grant.ended";
-  case Event::StoreLost:
-    return "store.lost";
-  case Event::StoreRegained:
-    return "store.regained";
-  case Event::ConfigAccepted:
-    return "config.accepted";
-  case Event::ConfigRefused:
-    return "config.refused";
-  case Event::RecordRefused:
-    return "record.refused";
-  case Event::WorkerLifeBegan:
-    return "worker.life_began";
-  case Event::WorkerLifeEnded:
-    return "worker.life_ended";
-  case Event::WorkerDraining:
-    return "worker.draining";
-  case Event::WorkerUnreachable:
-    return "worker.unreachable";
-  case Event::WorkerReachable:
-    return "worker.reachable";
-  case Event::SettingsReloaded:
-    return "settings.reloaded";
-  case Event::LeaderUnreachable:
-    return "leader.unreachable";
+namespace sinks = boost::log::sinks;
+
+/// Lines that may wait for their writer: some seconds of a busy process, about
+/// half a megabyte.
+constexpr size_t MostQueued = 2000;
+
+/// How long the end of a process may wait for its last lines.
+constexpr std::chrono::milliseconds FlushPatience{300};
+
+std::atomic<int64_t> LeftOut{0};
+
+/// Leaves a line out when the queue is full, and counts it.
+struct DropAndCount {
+  template <class Record, class Lock>
+  bool on_overflow(const Record & /*record*/, Lock & /*lock*/) {
+    ++LeftOut;
+    return false;
   }
-  return "unknown";
-}
+  void on_queue_space_available() {}
+  void interrupt() {}
+};
+
+using Backend = sinks::text_ostream_backend;
+using Sink = sinks::asynchronous_sink<
+    Backend, sinks::bounded_fifo_queue<MostQueued, DropAndCount>>;
+
+/// Bounds how many lines of a kind are written in a second, and tells when
+/// some were left out.
+class RateLimit {
+public:
+  /// Whether a line of event may be written now; told is how many lines were
+  /// left out since that was last said, when it is time to say it again.
+  bool admit(Event event, absl::Time now, int64_t &told) {
+    std::lock_guard<std::mutex> lock(Mu);
+    const int64_t second = absl::ToUnixSeconds(now);
+    if (second != Second) {
+      Second = second;
+      Written.clear();
+      told = LeftOut - Told;
+      Told = LeftOut;
+    }
+    if (++Written[event] <= MostLinesPerSecond)
+      return true;
+    ++LeftOut;
+    return false;
+  }
+
+private:
+  std::mutex Mu;
+  int64_t Second = 0;
+  int64_t Told = 0;
+  std::map<Event, int> Written;
+};
 
-void initEventLog(const std::string &process, const std::string &path) {
-  namespace logging = boost::log;
-  namespace keywords = boost::log::keywords;
-  processName() = process;
-  if (path.empty())
-    logging::add_console_log(std::clog, keywords::format = "%Message%",
-                             keywords::auto_flush = true);
-  else
-    logging::add_file_log(
-        keywords::file_name = path, keywords::format = "%Message%",
-        keywords::auto_flush = true, keywords::open_mode = std::ios_base::app);
+struct Log {
+  std::string Process;
+  boost::shared_ptr<Sink> Out;
+  boost::log::sources::logger_mt Source;
+  RateLimit Limit;
+};
+
+// Never destroyed: threads may log until the process is gone.
+Log *&instance() {
+  static Log *log = nullptr;
+  return log;
 }
 
-void logEvent(Event event, const nlohmann::json &fields) {
+void write(Log &log, Event event, const nlohmann::json &fields) {
   nlohmann::json line = {
       {"ts_us", absl::ToUnixMicros(absl::Now())},
-      {"proc", processName()},
+      {"up_ms", absl::ToUnixMillis(utils::bootNow())},
+      {"proc", log.Process},
       {"event", static_cast<int>(event)},
       {"name", eventName(event)},
   };
   if (fields.is_object())
     for (const auto &[key, value] : fields.items())
       line[key] = value;
-  BOOST_LOG_TRIVIAL(info) << line.dump();
+  // What a caller sent may hold bytes that are no text.
+  BOOST_LOG(log.Source) << line.dump(-1, ' ', false,
+                                     nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+utils::Result<void> initEventLog(const std::string &process,
+                                 const std::string &path) {
+  auto backend = boost::make_shared<Backend>();
+  if (path.empty()) {
+    backend->add_stream(
+        boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
+  } else {
+    auto file = boost::make_shared<std::ofstream>(path, std::ios_base::app);
+    if (!file->is_open())
+      return utils::fail(utils::ErrorKind::BadSettings,
+                         "setting log_path: cannot write " + path,
+                         "create its folder, or give a path that this process "
+                         "may write");
+    backend->add_stream(file);
+  }
+  backend->auto_flush(true);
+  auto *log = new Log();
+  log->Process = process;
+  log->Out = boost::make_shared<Sink>(backend);
+  log->Out->set_formatter(boost::log::expressions::stream
+                          << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(log->Out);
+  instance() = log;
+  return {};
 }
 
+// Standard output may have a reader that does not read: the process ends all
+// the same.
+void closeEventLog() {
+  Log *log = instance();
+  if (log == nullptr)
+    return;
+  boost::log::core::get()->remove_sink(log->Out);
+  auto flushed = std::make_shared<std::promise<void>>();
+  std::thread([log, flushed] {
+    log->Out->flush();
+    flushed->set_value();
+  }).detach();
+  flushed->get_future().wait_for(FlushPatience);
+}
+
+void logEvent(Event event, const nlohmann::json &fields) {
+  Log *log = instance();
+  if (log == nullptr)
+    return;
+  int64_t told = 0;
+  const bool admitted = log->Limit.admit(event, utils::bootNow(), told);
+  if (told > 0)
+    write(*log, Event::LogLinesLeftOut, {{"lines", told}});
+  if (admitted)
+    write(*log, event, fields);
+}
+
+int64_t linesLeftOut() { return LeftOut; }
+
 } // namespace oriolebay::eventlog
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 namespace oriolebay::eventlog {
 
 /// The catalogue of numbered events. docs/EVENTS.md describes each one; a
@@ -11,6 +13,7 @@
   SettingsRejected = 103,
   ListenerBound = 104,
   SettingsReloaded = 105,
+  LogLinesLeftOut = 106,
 
   JobReceived = 200,
   JobPlaced = 201,
@@ -71,6 +74,15 @@
   LeaderUnreachable = 603,
 };
 
+struct EventInfo {
+  Event Number;
+  /// Stable, dotted; printed beside the number.
+  const char *Name;
+};
+
+/// Every event there is.
+const std::vector<EventInfo> &allEvents();
+
 /// The stable dotted name of event, printed beside its number.
 const char *eventName(Event event);
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -21,8 +21,16 @@
 
 void JobScheduler::note(Decision::Kind kind, const std::string &job,
                         const std::string &task, int64_t run,
-                        const std::string &worker, const std::string &why) {
-  Decisions.push_back({kind, job, task, run, worker, why});
+                        const std::string &worker, const std::string &why,
+                        std::vector<Input> inputs) {
+  Decisions.push_back({kind, job, task, run, worker, why, std::move(inputs)});
+}
+
+int64_t JobScheduler::heardMsAgo(const std::string &life,
+                                 absl::Time now) const {
+  const WorkerView *worker = Workers.find(life);
+  return worker == nullptr ? -1
+                           : absl::ToInt64Milliseconds(now - worker->LastHeard);
 }
 
 JobScheduler::Task *JobScheduler::findTask(const TaskId &id) {
@@ -199,7 +207,8 @@
 
 void JobScheduler::loseLife(const std::string &life, const std::string &why,
                             absl::Time now) {
-  note(Decision::Kind::WorkerLost, "", "", 0, life, why);
+  note(Decision::Kind::WorkerLost, "", "", 0, life, why,
+       {{"elected_ms_ago", absl::ToInt64Milliseconds(now - ElectedAt)}});
   for (auto &entry : Jobs) {
     Job &job = entry.second;
     bool any = false;
@@ -288,7 +297,10 @@
   }
   Job &job = Jobs.at(id.Job);
   note(Decision::Kind::Ended, id.Job, end.Task, end.Run, life,
-       endpoints::runEndName(end.How));
+       endpoints::runEndName(end.How),
+       {{"number", end.Number},
+        {"failed_before", task->Progress.Failed},
+        {"attempts", job.Record.Attempts}});
   runEnded(job, id, *task, end.How, end.Saved, life, now);
   judgeJob(job, now);
   job.Dirty = true;
@@ -565,7 +577,8 @@
 }
 
 void JobScheduler::start(Job &job, const TaskId &id, const std::string &life,
-                         const std::string &saved, int64_t run) {
+                         const std::string &saved, int64_t run, int rank,
+                         absl::Time now) {
   Task &task = *findTask(id);
   task.Progress.Run = run;
   task.Progress.Worker = life;
@@ -580,7 +593,12 @@
   job.Dirty = true;
   Workers.occupy(life, {core::taskName(id), run},
                  job.Record.Spec.Steps[static_cast<size_t>(id.Step)].room());
-  note(Decision::Kind::Placed, id.Job, core::taskName(id), run, life);
+  note(Decision::Kind::Placed, id.Job, core::taskName(id), run, life, "",
+       {{"rank", rank},
+        {"waited_ms", absl::ToInt64Milliseconds(now - job.Arrived)},
+        {"worker_heard_ms_ago", heardMsAgo(life, now)},
+        {"accelerators_left", Workers.find(life)->room().Accelerators},
+        {"config_version", Config->Version}});
 }
 
 void JobScheduler::watch(const TaskId &id, const Task &task, absl::Time now) {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -54,6 +54,12 @@
   std::string Value;
 };
 
+/// A figure that a decision went by, for the log.
+struct Input {
+  const char *Name;
+  int64_t Value = 0;
+};
+
 /// For the log: a decision and what decided it.
 struct Decision {
   enum class Kind {
@@ -76,6 +82,7 @@
   int64_t Run = 0;
   std::string Worker;
   std::string Why;
+  std::vector<Input> Inputs;
 };
 
 /// Decides which task runs where, on facts from the store and the workers. It
@@ -220,10 +227,12 @@
   void order(Job &job, const core::TaskId &id, Task &task, absl::Time now);
   void orderStop(const core::TaskId &id, Task &task, absl::Time now);
   void start(Job &job, const core::TaskId &id, const std::string &life,
-             const std::string &saved, int64_t run);
+             const std::string &saved, int64_t run, int rank, absl::Time now);
   void note(Decision::Kind kind, const std::string &job,
             const std::string &task = "", int64_t run = 0,
-            const std::string &worker = "", const std::string &why = "");
+            const std::string &worker = "", const std::string &why = "",
+            std::vector<Input> inputs = {});
+  int64_t heardMsAgo(const std::string &life, absl::Time now) const;
 
   const SchedulerPolicy Policy;
   const int64_t Epoch;
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -241,7 +241,8 @@
   const std::string saved = furthest->Progress.Saved;
   for (size_t n = 0; n < places.size(); ++n) {
     Place &place = Places[places[n]];
-    S.start(*unit.Owner, unit.task(unit.Tasks[n]), place.Life, saved, run + 1);
+    S.start(*unit.Owner, unit.task(unit.Tasks[n]), place.Life, saved, run + 1,
+            unit.Rank, Now);
     place.Free -= unit.spec().room();
     place.Spare -= unit.spec().room();
   }
@@ -250,7 +251,7 @@
 void Planner::startTask(Unit &unit, int index, size_t p) {
   const Task &task = *S.findTask(unit.task(index));
   S.start(*unit.Owner, unit.task(index), Places[p].Life, task.Progress.Saved,
-          task.Progress.Run + 1);
+          task.Progress.Run + 1, unit.Rank, Now);
   Places[p].Free -= unit.spec().room();
   Places[p].Spare -= unit.spec().room();
 }
@@ -290,7 +291,11 @@
     unit.Owner->WaitLogged = true;
     S.note(Decision::Kind::Waiting, unit.Owner->Record.Spec.Id,
            core::taskName(unit.task(unit.Tasks.front())), 0, "",
-           unit.spec().Gang ? "no room for the whole gang" : "no room");
+           unit.spec().Gang ? "no room for the whole gang" : "no room",
+           {{"rank", unit.Rank},
+            {"tasks", static_cast<int64_t>(unit.Tasks.size())},
+            {"accelerators_each", unit.spec().PerTask.Accelerators},
+            {"usable_workers", static_cast<int64_t>(Places.size())}});
   }
   const bool urgent = unit.Rank <= 1;
   if (unit.spec().Gang) {
--- /dev/null
+++ b/tests/auto/eventlog/tst_eventlog.cpp
@@ -0,0 +1,80 @@
+#include "eventlog/eventlog.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include <fcntl.h>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace oriolebay::eventlog {
+namespace {
+
+// The catalogue is what on-call engineers have: an event that it lacks, or
+// names otherwise, cannot be looked up.
+TEST(EventLog, CatalogueAndCodeAgree) {
+  std::ifstream in(ORIOLEBAY_SOURCE_DIR "/docs/EVENTS.md");
+  ASSERT_TRUE(in.is_open());
+  std::set<std::pair<int, std::string>> documented;
+  const std::regex row(R"(^\| (\d+) \| `?([a-z_.]+)`? \|.*)");
+  for (std::string line; std::getline(in, line);) {
+    std::smatch m;
+    if (std::regex_match(line, m, row))
+      documented.insert({std::stoi(m[1]), m[2]});
+  }
+  std::set<std::pair<int, std::string>> coded;
+  for (const EventInfo &info : allEvents())
+    coded.insert({static_cast<int>(info.Number), info.Name});
+  for (const auto &[number, name] : coded)
+    EXPECT_EQ(documented.count({number, name}), 1u)
+        << number << " " << name << " is not in docs/EVENTS.md";
+  for (const auto &[number, name] : documented)
+    EXPECT_EQ(coded.count({number, name}), 1u)
+        << number << " " << name << " is only in docs/EVENTS.md";
+}
+
+// A log path in a folder that does not exist ended the process with an
+// uncaught exception and exit status 134, at its first event.
+TEST(EventLog, PathThatCannotBeWrittenIsASettingsError) {
+  const auto kind = utils::handle<std::optional<utils::ErrorKind>>(
+      []() -> utils::Result<std::optional<utils::ErrorKind>> {
+        BOOST_LEAF_CHECK(initEventLog("p", "/no/such/folder/log.jsonl"));
+        return std::optional<utils::ErrorKind>();
+      },
+      [](const utils::Error &e) {
+        EXPECT_NE(e.text().find("log_path"), std::string::npos);
+        return std::optional<utils::ErrorKind>(e.Kind);
+      });
+  EXPECT_EQ(kind, utils::ErrorKind::BadSettings);
+}
+
+// Whoever reads the log stops reading. Requests must not wait for it: lines
+// are left out and counted instead.
+TEST(EventLog, ReaderThatDoesNotReadHoldsNobodyUp) {
+  const std::string path =
+      ::testing::TempDir() + "oriolebay-fifo-" + std::to_string(::getpid());
+  ASSERT_EQ(::mkfifo(path.c_str(), 0600), 0);
+  const int reader = ::open(path.c_str(), O_RDONLY | O_NONBLOCK);
+  ASSERT_GE(reader, 0);
+  const bool ready = utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_CHECK(initEventLog("p", path));
+        return true;
+      },
+      [](const utils::Error &) { return false; });
+  ASSERT_TRUE(ready);
+  // Of several kinds, so that no rate limit keeps the queue from filling.
+  for (int round = 0; round < 100; ++round)
+    for (const EventInfo &info : allEvents())
+      logEvent(info.Number, {{"text", std::string(200, 'x')}});
+  EXPECT_GT(linesLeftOut(), 0);
+  closeEventLog();
+  ::unlink(path.c_str());
+}
+
+} // namespace
+} // namespace oriolebay::eventlog
