Runs that crawl are started elsewhere, judged against their like

Change: the time a run takes at its present rate is compared with the middle one of its like in the step (four times as long is slow) or, without like, with what its queue's estimates have been worth (ten ends, three deviations, and not at all where they scatter). A run is moved if that saves time, twice at most, and its worker kept out for a while.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -16,7 +16,7 @@
                            absl::Time electedAt)
     : Policy(std::move(policy)), Epoch(epoch), ElectedAt(electedAt),
       UnheardLostAt(electedAt + Policy.UnheardLostAfter), Workers(Policy.Fleet),
-      Progress(Policy.Progress) {}
+      Progress(Policy.Progress), Estimates(Policy.Progress) {}
 
 JobScheduler::~JobScheduler() = default;
 
@@ -246,9 +246,11 @@
     if (report.Reachable)
       watch(id, *task, now);
     if (task->What != Phase::Running) {
-      task->What = Phase::Running;
-      if (task->Began == absl::InfinitePast())
+      if (task->Began == absl::InfinitePast()) {
         task->Began = now;
+        task->SawBegin = task->What == Phase::Ordered;
+      }
+      task->What = Phase::Running;
     }
   }
 }
@@ -330,11 +332,28 @@
   job.Dirty = true;
 }
 
+// What a run took teaches how far estimates are off, unless it resumed or this
+// leader did not see it begin.
+void JobScheduler::learnTime(const Job &job, const TaskId &id, Task &task,
+                             absl::Time now) {
+  const core::StepSpec &spec =
+      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  if (task.Began == absl::InfinitePast() || !task.SawBegin ||
+      !task.Progress.Saved.empty() || spec.LongRunning)
+    return;
+  task.Took = now - task.Began;
+  if (!isAway(job, id, task))
+    Estimates.ended(job.Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs),
+                    task.Took);
+}
+
 void JobScheduler::runEnded(Job &job, const TaskId &id, Task &task, RunEnd how,
                             const std::string &saved, const std::string &life,
                             absl::Time now) {
   const core::StepSpec &spec =
       job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  if (how == RunEnd::Done && task.Progress.Worker == life)
+    learnTime(job, id, task, now);
   // An earlier run that was thought not to exist may still turn out to have
   // done the work. Then the run of now is stopped.
   if (task.Progress.Worker == life)
@@ -430,6 +449,7 @@
     if (task->What != Phase::Running) {
       task->What = Phase::Running;
       task->Began = now;
+      task->SawBegin = true;
       note(Decision::Kind::Started, id.Job, result.Task, result.Run, life);
     }
     return;
@@ -589,6 +609,7 @@
   task.StartVersion = job.Version + 1;
   task.StopAsked = false;
   task.Percent = 0;
+  task.SawBegin = false;
   if (job.State == JobState::Queued)
     job.State = JobState::Running;
   job.Dirty = true;
@@ -636,24 +657,111 @@
          now - task.Began > Policy.GangWait + Policy.Progress.StalledAfter;
 }
 
+// How long the task takes where all is well: as the middle one of its like in
+// the same step. Nothing when it has none that is far enough.
+std::optional<absl::Duration> JobScheduler::soundTime(const Job &job,
+                                                      const TaskId &id) const {
+  const Step &step =
+      job.Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
+  std::vector<absl::Duration> others;
+  for (size_t i = 0; i < step.size(); ++i) {
+    if (static_cast<int>(i) == id.Index)
+      continue;
+    const Task &other = step[i];
+    const TaskId otherId{id.Job, id.Occurrence, id.Step, static_cast<int>(i)};
+    absl::Duration takes = absl::InfiniteDuration();
+    if (other.Took > absl::ZeroDuration())
+      takes = other.Took;
+    else if (other.What == Phase::Running)
+      if (const auto whole =
+              Progress.whole({core::taskName(otherId), other.Progress.Run}))
+        takes = whole->AtMost;
+    if (takes != absl::InfiniteDuration())
+      others.push_back(takes);
+  }
+  if (others.empty())
+    return std::nullopt;
+  const auto middle =
+      others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
+  std::nth_element(others.begin(), middle, others.end());
+  return *middle;
+}
+
+// A run away from its data, or a gang over several racks, is slow by nature.
+bool JobScheduler::isAway(const Job &job, const TaskId &id,
+                          const Task &task) const {
+  const core::StepSpec &spec =
+      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const WorkerView *worker = Workers.find(task.Progress.Worker);
+  if (worker == nullptr)
+    return true;
+  if (!spec.DataRack.empty() && worker->State.Rack != spec.DataRack)
+    return true;
+  if (!spec.SameRack)
+    return false;
+  const Step &step =
+      job.Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
+  return std::any_of(step.begin(), step.end(), [&](const Task &t) {
+    const WorkerView *other = Workers.find(t.Progress.Worker);
+    return other != nullptr && other->State.Rack != worker->State.Rack;
+  });
+}
+
+// Whether a run gets on so slowly that all of it would be done sooner anew at
+// a sound worker.
+bool JobScheduler::crawls(const Job &job, const TaskId &id,
+                          const Task &task) const {
+  if (task.What != Phase::Running || task.StopAsked || task.Progress.Done ||
+      task.Moves >= Policy.MostMoves)
+    return false;
+  const auto whole = Progress.whole({core::taskName(id), task.Progress.Run});
+  if (!whole || isAway(job, id, task))
+    return false;
+  const absl::Duration takes = whole->AtLeast;
+  const core::StepSpec &spec =
+      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const absl::Duration estimate = absl::Milliseconds(spec.EstimateMs);
+  const std::string &queue = job.Record.Spec.Queue;
+  absl::Duration sound = Estimates.expected(queue, estimate);
+  bool slow = false;
+  if (const auto like = soundTime(job, id)) {
+    slow = takes > *like * Policy.Progress.SlowFactor;
+    sound = *like;
+  } else if (const auto most = Estimates.slowBeyond(queue, estimate)) {
+    slow = takes > *most;
+  }
+  const double left = (100 - task.Percent) / 100.0;
+  const absl::Duration anew =
+      spec.Checkpoints ? sound * left + Policy.Progress.Restore : sound;
+  return slow && takes * left > anew + Policy.MoveCost;
+}
+
+void JobScheduler::moveRun(Job &job, const TaskId &id, Task &task,
+                           const std::string &why, absl::Time now) {
+  const std::string name = core::taskName(id);
+  note(Decision::Kind::RunStandsStill, id.Job, name, task.Progress.Run,
+       task.Progress.Worker, absl::StrCat(why, " at ", task.Percent, "%"));
+  if (Workers.keepOut(task.Progress.Worker, now))
+    note(Decision::Kind::WorkerKeptOut, id.Job, name, task.Progress.Run,
+         task.Progress.Worker, why);
+  if (job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang)
+    stopStep(job, id.Occurrence, id.Step, "a member " + why);
+  else
+    requestStop(id, task, "it " + why);
+}
+
 void JobScheduler::judgeProgress(absl::Time now) {
   for (auto &entry : Jobs) {
     Job &job = entry.second;
     if (job.over())
       continue;
     forEachTask(job, [&](const TaskId &id, Task &task) {
-      if (!standsStill(job, id, task, now))
-        return;
-      const std::string name = core::taskName(id);
-      note(Decision::Kind::RunStandsStill, id.Job, name, task.Progress.Run,
-           task.Progress.Worker, absl::StrCat("at ", task.Percent, "%"));
-      if (Workers.keepOut(task.Progress.Worker, now))
-        note(Decision::Kind::WorkerKeptOut, id.Job, name, task.Progress.Run,
-             task.Progress.Worker, "runs stand still there");
-      if (job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang)
-        stopStep(job, id.Occurrence, id.Step, "a member stands still");
-      else
-        requestStop(id, task, "it stands still");
+      if (standsStill(job, id, task, now)) {
+        moveRun(job, id, task, "stands still", now);
+      } else if (crawls(job, id, task)) {
+        ++task.Moves;
+        moveRun(job, id, task, "crawls", now);
+      }
     });
   }
 }
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -36,6 +36,10 @@
   /// organisation's guarantee, in core-seconds (an accelerator counts as eight
   /// cores): about what a late answer to such a job costs its caller.
   double MostWasteCoreSeconds = 300;
+  /// What stopping a run and starting it elsewhere takes, and how often that
+  /// may be done to a task for its slowness.
+  absl::Duration MoveCost = absl::Milliseconds(800);
+  int MostMoves = 2;
   /// How long a gang's members wait for each other.
   absl::Duration GangWait = absl::Milliseconds(3000);
   /// Tasks that checkpoint do so after each of so many seconds of work.
@@ -159,8 +163,14 @@
     /// Version of the write that records the start.
     int64_t StartVersion = 0;
     absl::Time Began = absl::InfinitePast();
+    /// This leader saw it begin.
+    bool SawBegin = false;
     absl::Time LastOrder = absl::InfinitePast();
     int Percent = 0;
+    /// How long the run took that has done the work.
+    absl::Duration Took = absl::ZeroDuration();
+    /// How often it was moved because it crawled.
+    int Moves = 0;
     std::set<std::string> FailedOn;
 
     bool mayRun() const { return !Progress.Worker.empty(); }
@@ -210,6 +220,8 @@
                absl::Time now);
   void takeResult(const std::string &life, const endpoints::OrderResult &result,
                   absl::Time now);
+  void learnTime(const Job &job, const core::TaskId &id, Task &task,
+                 absl::Time now);
   void acknowledge(Job &job, const std::string &life, int64_t number);
   void runEnded(Job &job, const core::TaskId &id, Task &task,
                 endpoints::RunEnd how, const std::string &saved,
@@ -226,6 +238,12 @@
   bool standsStill(const Job &job, const core::TaskId &id, const Task &task,
                    absl::Time now) const;
   static bool behindItsGang(const Step &step, const Task &task);
+  bool crawls(const Job &job, const core::TaskId &id, const Task &task) const;
+  std::optional<absl::Duration> soundTime(const Job &job,
+                                          const core::TaskId &id) const;
+  bool isAway(const Job &job, const core::TaskId &id, const Task &task) const;
+  void moveRun(Job &job, const core::TaskId &id, Task &task,
+               const std::string &why, absl::Time now);
   void endJob(Job &job, JobState state, absl::Time now);
   void order(Job &job, const core::TaskId &id, Task &task, absl::Time now);
   void orderStop(const core::TaskId &id, Task &task, absl::Time now);
@@ -244,6 +262,7 @@
   absl::Time UnheardLostAt;
   Fleet Workers;
   ProgressWatch Progress;
+  EstimateBook Estimates;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
   /// Lives that records name and that have not reported to this leader, with
--- a/src/libs/jobs/progress.h
+++ b/src/libs/jobs/progress.h
@@ -4,7 +4,9 @@
 
 #include <absl/time/time.h>
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace oriolebay::jobs {
@@ -19,11 +21,26 @@
   double StalledShare = 0.05;
   /// A run that resumes from a checkpoint begins so much later.
   absl::Duration Restore = absl::Milliseconds(600);
+  /// Rates are taken over at least so long: two looks.
+  absl::Duration RateOver = absl::Milliseconds(900);
+  /// A run is slow if it takes so many times as long as its like. The tasks of
+  /// one step were seen to take from 7 to 16.5 s on sound workers (they are
+  /// uneven by a third, and workers differ by 1.3 times); slow workers take six
+  /// times as long or more.
+  double SlowFactor = 4;
+  /// Estimates of a queue's tasks are believed after so many ends, and within
+  /// so many standard deviations of how far they were off. With six ends and
+  /// 2.5 deviations sound tasks of a queue whose estimates are off by up to ten
+  /// times were taken for slow.
+  int EndsToBelieve = 10;
+  double Deviations = 3;
+  /// Estimates that scatter more than this (in the logarithm) tell nothing.
+  double MostScatter = 0.4;
 };
 
 /// Watches how far runs are and tells those that stand still, at workers that
-/// answer all else in time. Whether a run is slow cannot be told this way:
-/// estimates are off by up to ten times. No threads, clock or sockets.
+/// answer all else in time, and at what rate the others get on. No threads,
+/// clock or sockets.
 class ProgressWatch {
 public:
   explicit ProgressWatch(ProgressPolicy policy) : Policy(policy) {}
@@ -40,8 +57,20 @@
   bool stalled(const RunId &run) const;
   /// Some run has got on at the worker within the same time.
   bool workerMoves(const std::string &worker, absl::Time now) const;
+  /// How long all of the run takes at its present rate, between bounds:
+  /// percent comes in whole numbers, which early on leaves much open. Nothing
+  /// until it has been seen to get on for long enough, or at its end.
+  struct Whole {
+    absl::Duration AtLeast;
+    absl::Duration AtMost;
+  };
+  std::optional<Whole> whole(const RunId &run) const;
 
 private:
+  struct Sample {
+    absl::Time At;
+    int Percent = 0;
+  };
   struct Watched {
     std::string Worker;
     absl::Duration Estimate;
@@ -50,10 +79,41 @@
     int Percent = 0;
     absl::Time LastGain;
     absl::Time LastSeen;
+    /// Where percent grew, from the last that is RateOver old on.
+    std::deque<Sample> Gains;
   };
 
   const ProgressPolicy Policy;
   std::map<RunId, Watched> Runs;
 };
 
+/// Learns by how much the estimates of a queue's callers are off, which
+/// differs from queue to queue by ten times.
+class EstimateBook {
+public:
+  explicit EstimateBook(ProgressPolicy policy) : Policy(policy) {}
+
+  /// A task that was estimated so has taken so long.
+  void ended(const std::string &queue, absl::Duration estimate,
+             absl::Duration took);
+  /// How long a task may take before it is slow beyond what its estimate's
+  /// error explains; nothing while too little is known.
+  std::optional<absl::Duration> slowBeyond(const std::string &queue,
+                                           absl::Duration estimate) const;
+  /// How long it is expected to take.
+  absl::Duration expected(const std::string &queue,
+                          absl::Duration estimate) const;
+
+private:
+  /// Of the logarithm of the time taken over the estimate.
+  struct Errors {
+    int Count = 0;
+    double Mean = 0;
+    double SquaresSum = 0;
+  };
+
+  const ProgressPolicy Policy;
+  std::map<std::string, Errors> Queues;
+};
+
 } // namespace oriolebay::jobs
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -155,6 +155,37 @@
   }
 }
 
+// A worker takes six times as long for a while. Users waited 15 s for urgent
+// tasks of five: whatever it had been given it kept.
+TEST(JobScheduler, RunsThatCrawlAreStartedElsewhere) {
+  for (bool gang : {false, true}) {
+    SimSite site;
+    addRacks(site, 2);
+    site.worker("w00").Slowness = 6;
+    site.submit(jobOf("j", step(5, {1000, 1000, 8}, 4000, gang)), 0);
+    ASSERT_TRUE(site.runUntilOver(absl::Seconds(30)));
+    EXPECT_LE(*site.took("j"), absl::Seconds(10)) << gang;
+    EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+  }
+}
+
+// The same for a task without its like beside it: what its queue's tasks took
+// before tells that it is slow.
+TEST(JobScheduler, SingleRunThatCrawlsIsStartedElsewhere) {
+  SimSite site;
+  addRacks(site, 2);
+  for (int n = 0; n < 12; ++n) {
+    site.submit(
+        jobOf("before" + std::to_string(n), step(1, {1000, 1000, 8}, 3000)));
+    ASSERT_TRUE(site.runUntilOver(absl::Seconds(5)));
+  }
+  for (const char *life : {"w00", "w01"})
+    site.worker(life).Slowness = 6;
+  site.submit(jobOf("slow", step(1, {1000, 1000, 8}, 3000)), 0);
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(30)));
+  EXPECT_LE(*site.took("slow"), absl::Seconds(12));
+}
+
 // A long gang on many workers starts a little apart, and estimates are off by
 // up to ten times. Users saw most of their work started over and over, and
 // sound workers kept out, when its pace was judged by the estimate: nothing may
