Test of what a job costs the store

Cause: docs/CAPACITY.md rests on three writes a job and none when idle; no test said so. The in-memory store now counts transactions that write.

--- a/tests/auto/cluster/memorystore.cpp
+++ b/tests/auto/cluster/memorystore.cpp
@@ -162,8 +162,10 @@
         reply.Value.Current.push_back(it->second);
     return reply;
   }
-  if (!txn.Puts.empty() || !txn.Removes.empty())
+  if (!txn.Puts.empty() || !txn.Removes.empty()) {
     ++Revision;
+    ++Writes;
+  }
   for (const platform::StorePut &p : txn.Puts)
     write(p.Key, p.Value, p.Lease);
   for (const std::string &key : txn.Removes)
--- a/tests/auto/cluster/memorystore.h
+++ b/tests/auto/cluster/memorystore.h
@@ -47,6 +47,8 @@
   /// Forgets all history: watches from earlier revisions get Compacted.
   void compact();
   int calls() const { return Calls; }
+  /// Transactions that wrote something.
+  int writes() const { return Writes; }
 
 private:
   struct Lease {
@@ -94,6 +96,7 @@
   int64_t Oldest = 10;
   int64_t NextLease = 1000;
   int Calls = 0;
+  int Writes = 0;
   std::map<std::string, platform::KeyValue> Items;
   std::map<int64_t, Lease> Leases;
   std::vector<Change> History;
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -48,6 +48,32 @@
   EXPECT_TRUE(keptAllRules(*cluster));
 }
 
+// The store is the scarcest thing on a site: a few hundred writes a second for
+// all. docs/CAPACITY.md rests on these figures.
+TEST(Cluster, JobCostsThreeWritesAndIdlingNone) {
+  auto cluster = serving();
+  const int idleWrites = cluster->store().writes();
+  const int idleCalls = cluster->store().calls();
+  cluster->runFor(absl::Seconds(30));
+  EXPECT_EQ(cluster->store().writes(), idleWrites);
+  // Three entries: a lease renewed twice a second, a configuration confirmed
+  // every 0.6 s, four watches every 5 s. Agents make none.
+  EXPECT_LE(cluster->store().calls() - idleCalls, 30 * 15);
+  const int writes = cluster->store().writes();
+  constexpr int Jobs = 10;
+  for (int n = 0; n < Jobs; ++n) {
+    core::JobSpec gang = job("g" + std::to_string(n), 6, 4, 1000);
+    gang.Steps[0].Gang = true;
+    cluster->submit(n % 3, "k1", gang);
+    ASSERT_TRUE(cluster->runUntilOver(absl::Seconds(10)));
+    // Ends of the other members come with or after the first.
+    cluster->runFor(absl::Seconds(1));
+  }
+  // Accepted; started; ended, for which the members' reports may need one more.
+  EXPECT_LE(cluster->store().writes() - writes, Jobs * 4);
+  EXPECT_GE(cluster->store().writes() - writes, Jobs * 3);
+}
+
 // A fault that strikes while a long job runs and another one comes.
 struct FaultCase {
   const char *Name;
