A leader that finds itself replaced keeps its callers for the new one

Cause: GangIsAdoptedAndRunsOnce/frozen_past_its_lease failed once: an entry that woke from a freeze past its lease took a job, the store refused to record its start, and the caller was told "not run" although another entry leads and would have served it. The test usually passes because the election's watch is quicker. Ruled out: load alone (the same answer comes whenever the watch is the slower). Change: the recorder tells a replaced leader apart from a refusal; the gang is neither started nor answered, and its entry hands it to the new leader.

--- a/src/libs/entry/entryservice.cpp
+++ b/src/libs/entry/entryservice.cpp
@@ -405,6 +405,12 @@
     recordStart(again);
     return;
   }
+  case RecordOutcome::Kind::Deposed:
+    // Its lease lapsed while it was paused and it has not heard so yet. The
+    // gang did not start; its caller waits on, and the entry that holds it
+    // hands the gang to the new leader as soon as the election tells.
+    Recording.erase(start.Run);
+    return;
   case RecordOutcome::Kind::Recorded:
     break;
   }
--- a/src/libs/entry/recorder.cpp
+++ b/src/libs/entry/recorder.cpp
@@ -121,8 +121,7 @@
 RecordOutcome Recorder::judge(const RecordStart &request,
                               const std::vector<KeyValue> &current,
                               bool &tryAgain, int64_t &revision) {
-  RecordOutcome out{RecordOutcome::Kind::Refused, request,
-                    refusal(request, "another entry leads now"), "", 0};
+  RecordOutcome out{RecordOutcome::Kind::Deposed, request, {}, "", 0};
   const core::JobRequest &job = request.Start.Request.Job;
   bool leading = false;
   const KeyValue *prior = nullptr;
@@ -134,6 +133,7 @@
   }
   if (!leading)
     return out;
+  out.What = RecordOutcome::Kind::Refused;
   tryAgain = prior == nullptr;
   if (prior == nullptr) {
     revision = 0;
