Log what an accepted job asks for

Cause: the log of an accepted job told neither its size nor its priority, so that a late one could not be explained from the logs. Change: call.answered carries, with a submit, the steps as they were asked for and the queue's priority.

--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -1,5 +1,8 @@
 #include "jobspec.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include <cstdio>
 
 namespace oriolebay::core {
@@ -26,8 +29,49 @@
   return "";
 }
 
+std::string summaryOf(const StepSpec &step) {
+  const Resources &r = step.PerTask;
+  std::string out =
+      absl::StrCat(step.Count, "x", r.MilliCores, "m/", r.MemoryMb, "MB/",
+                   r.Accelerators, "acc est=", step.EstimateMs, "ms");
+  auto flag = [&out](bool set, const char *name) {
+    if (set)
+      absl::StrAppend(&out, " ", name);
+  };
+  flag(step.Gang, "gang");
+  flag(step.SameRack, "same_rack");
+  flag(step.Checkpoints, "checkpoints");
+  flag(step.Copies, "copies");
+  flag(step.LongRunning, "long_running");
+  flag(step.FillsIdle, "fills_idle");
+  if (!step.After.empty())
+    absl::StrAppend(&out, " after=", absl::StrJoin(step.After, ","));
+  if (!step.NeedsLabel.empty())
+    absl::StrAppend(&out, " label=", step.NeedsLabel);
+  if (!step.DataRack.empty())
+    absl::StrAppend(&out, " data=", step.DataRack);
+  if (step.MaxPerWorker > 0)
+    absl::StrAppend(&out, " per_worker=", step.MaxPerWorker);
+  if (step.TargetMs > 0)
+    absl::StrAppend(&out, " target=", step.TargetMs, "ms");
+  if (step.MayMiss > 0)
+    absl::StrAppend(&out, " may_miss=", step.MayMiss);
+  return out;
+}
+
 } // namespace
 
+std::string summary(const JobSpec &spec) {
+  std::vector<std::string> steps;
+  for (const StepSpec &step : spec.Steps)
+    steps.push_back(summaryOf(step));
+  std::string out = absl::StrJoin(steps, "; ");
+  if (spec.Repeats > 0)
+    absl::StrAppend(&out, "; ", spec.Repeats, " times each ", spec.IntervalMs,
+                    "ms from ", spec.FirstDueMs);
+  return out;
+}
+
 int64_t Resources::countIn(const Resources &room, int64_t most) const {
   int64_t n = countOf(MilliCores, room.MilliCores, most);
   n = countOf(MemoryMb, room.MemoryMb, n);
--- a/src/libs/core/jobspec.h
+++ b/src/libs/core/jobspec.h
@@ -110,6 +110,11 @@
 /// Why spec cannot be accepted, naming what to change; empty when it can.
 std::string validate(const JobSpec &spec);
 
+/// What spec asks for, short enough for one log line: for each step the tasks,
+/// what each takes (thousandths of a core, MB, accelerators), the estimate, and
+/// what binds them.
+std::string summary(const JobSpec &spec);
+
 /// Names one task of a job.
 struct TaskId {
   std::string Job;
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -76,6 +76,10 @@
                            {"took_ms", d.TookMs}};
   if (!d.Job.empty())
     fields["job"] = d.Job;
+  if (!d.Asked.empty()) {
+    fields["asked"] = d.Asked;
+    fields["priority"] = d.Priority;
+  }
   if (!d.Answer.Detail.empty())
     fields["why"] = d.Answer.Detail;
   if (d.Call == "state" && d.Answer.Result == jobs::CallResult::Ok)
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -103,7 +103,9 @@
   if (result == CallResult::Ok && call->Name == "queue")
     answer.Waiting = View.waiting(call->Queue.Name);
   const absl::Time now = Loop.now();
-  Decided({call->Name, call->JobId, call->Queue.Name, call->Organisation,
+  Decided({call->Name, call->JobId, call->Queue.Name, call->Queue.Priority,
+           call->Organisation,
+           call->Name == "submit" ? core::summary(call->Spec) : "",
            call->Config != nullptr ? call->Config->Version : 0,
            absl::ToInt64Milliseconds(std::min(Config.age(now), absl::Hours(1))),
            answer, absl::ToInt64Milliseconds(now - call->Began)});
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -85,7 +85,10 @@
   std::string Call;
   std::string Job;
   std::string Queue;
+  int Priority = 0;
   std::string Organisation;
+  /// What the job asks for, with a submit; see core::summary().
+  std::string Asked;
   int64_t ConfigVersion = 0;
   int64_t ConfigAgeMs = 0;
   CallAnswer Answer;
