--- a/src/libs/entry/recorder.h
+++ b/src/libs/entry/recorder.h
@@ -35,8 +35,8 @@
 
 /// What became of a RecordStart. Recorded: the store has the run under this
 /// leader's epoch and it may start. Refused: it must not start, and Answer is
-/// the caller's. Taken: another gang holds the idempotency key. Deposed: another
-/// entry leads, which is to be asked instead.
+/// the caller's. Taken: another gang holds the idempotency key. Deposed:
+/// another entry leads, which is to be asked instead.
 struct RecordOutcome {
   enum class Kind { Recorded, Refused, Taken, Deposed };
   Kind What = Kind::Refused;
