A leader that was removed for good is waited for once, not by every later one

Cause: a machine that led and never comes back cannot answer that it stood down, so its entry stayed in the list of leaders for ever, and each new leader allowed 18 s for it before it gave up a lost machine's tasks. Ruled out: waiting for the lease alone (the old leader goes on granting for 12 s without the store).

Change: after the time in which every earlier leader has certainly stopped granting and what it granted has run out, the new leader strikes the others from the list unasked; a failed strike is tried again.

--- a/src/libs/entry/leaderduty.cpp
+++ b/src/libs/entry/leaderduty.cpp
@@ -45,6 +45,7 @@
   Predecessors::Options options;
   options.LeaderKey = Options.LeaderKey;
   options.Mine = {Epoch, Options.Address};
+  options.AllOverAfter = Options.Policy.UnheardLostAfter;
   Earlier = std::make_unique<Predecessors>(
       Loop, Calls, Peers, options,
       [this, entered = std::move(entered)] {
--- a/src/libs/entry/predecessors.cpp
+++ b/src/libs/entry/predecessors.cpp
@@ -83,11 +83,7 @@
   // The answer to this entry's own write had been lost.
   Earlier = std::move(earlier);
   Revision = reply.Value.ModRevision;
-  Entered();
-  for (const Reign &reign : std::vector<Reign>(Earlier))
-    ask(reign);
-  if (Earlier.empty())
-    Gone(Loop.now());
+  askAll();
 }
 
 void Predecessors::enter(std::vector<Reign> earlier, int64_t revision) {
@@ -109,14 +105,24 @@
         }
         Earlier = earlier;
         Revision = reply.Value.Revision;
-        Entered();
-        for (const Reign &reign : std::vector<Reign>(Earlier))
-          ask(reign);
-        if (Earlier.empty())
-          Gone(Loop.now());
+        askAll();
       });
 }
 
+void Predecessors::askAll() {
+  Entered();
+  if (Earlier.empty()) {
+    Gone(Loop.now());
+    return;
+  }
+  Loop.runAfter(Setup.AllOverAfter, [this, alive = Alive] {
+    if (*alive)
+      allOver();
+  });
+  for (const Reign &reign : std::vector<Reign>(Earlier))
+    ask(reign);
+}
+
 void Predecessors::ask(const Reign &reign) {
   // This process has given up its earlier reigns by itself.
   if (reign.Address == Setup.Mine.Address) {
@@ -136,13 +142,15 @@
                  return;
                }
                Loop.runAfter(Setup.AskAgain, [this, alive, reign] {
-                 if (*alive)
+                 if (*alive && !Earlier.empty())
                    ask(reign);
                });
              });
 }
 
 void Predecessors::stoodDown(const Reign &reign) {
+  if (Earlier.empty())
+    return;
   Earlier.erase(std::remove(Earlier.begin(), Earlier.end(), reign),
                 Earlier.end());
   if (!Earlier.empty())
@@ -151,14 +159,32 @@
   forgetAll();
 }
 
+// Counted from when this leader entered itself, which is after its election.
+void Predecessors::allOver() {
+  if (Earlier.empty())
+    return;
+  Earlier.clear();
+  Gone(Loop.now());
+  forgetAll();
+}
+
 void Predecessors::forgetAll() {
   platform::StoreTxn txn;
   txn.Expected.push_back({Setup.LeaderKey, Setup.Mine.Epoch});
   txn.Expected.push_back({Setup.Key, Revision});
   txn.Puts.push_back({Setup.Key, encode({Setup.Mine}), 0});
-  // If this fails the next leader asks those that stood down once more.
+  // A conflict means that another has written the list since, or that this very
+  // write was made and its answer lost.
   Calls.Transact(std::move(txn),
-                 [](const platform::StoreReply<platform::StoreTxnReply> &) {});
+                 [this, alive = Alive](
+                     const platform::StoreReply<platform::StoreTxnReply> &r) {
+                   if (!*alive || r.ok() || r.Status == StoreStatus::Conflict)
+                     return;
+                   Loop.runAfter(Setup.AskAgain, [this, alive] {
+                     if (*alive)
+                       forgetAll();
+                   });
+                 });
 }
 
 } // namespace oriolebay::entry
--- a/src/libs/entry/predecessors.h
+++ b/src/libs/entry/predecessors.h
@@ -30,13 +30,19 @@
 /// of them may go on without the store; but one that answers that it has stood
 /// down, or whose process has been started anew, has stopped already. The list
 /// lies in the store and each leader enters itself before it does anything, so
-/// that none is forgotten. Owned by one event loop.
+/// that none is forgotten. One whose time is over leaves the list unasked: its
+/// machine may never answer again, and every later leader would wait for it
+/// anew (18 s each, for a task on a machine that is gone as well). Owned by one
+/// event loop.
 class Predecessors {
 public:
   struct Options {
     std::string Key = "oriolebay/leaders";
     std::string LeaderKey;
     Reign Mine;
+    /// By then after this leader's election no earlier one keeps any task
+    /// alive, whether it answers or not.
+    absl::Duration AllOverAfter = absl::Seconds(18);
     absl::Duration AskAgain = absl::Milliseconds(300);
     int PeerTimeoutMs = 400;
   };
@@ -60,7 +66,9 @@
   void enter(std::vector<Reign> earlier, int64_t revision);
   void readLater();
   void ask(const Reign &reign);
+  void askAll();
   void stoodDown(const Reign &reign);
+  void allOver();
   void forgetAll();
 
   utils::EventLoop &Loop;
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -277,6 +277,28 @@
   EXPECT_TRUE(keptAllRules(*cluster));
 }
 
+// The leader's machine is taken away for good, and half a minute later the next
+// leader goes as well, together with a worker. Users waited 18 s for the task
+// that ran there: the third leader still allowed for the first one, which could
+// not say that it was gone, although its time had long been over.
+TEST(Cluster, LeaderThatWasRemovedIsWaitedForOnce) {
+  auto cluster = serving();
+  const int first = cluster->leader();
+  ASSERT_GE(first, 0);
+  cluster->killEntry(first);
+  cluster->runFor(absl::Seconds(30));
+  cluster->submit((first + 1) % 3, "k1", job("j", 12, 4, 3000));
+  cluster->runFor(absl::Milliseconds(500));
+  cluster->removeMachine(0);
+  const int second = cluster->leader();
+  ASSERT_GE(second, 0);
+  cluster->killEntry(second);
+  cluster->runFor(absl::Seconds(1));
+  cluster->startEntry(second);
+  EXPECT_TRUE(cluster->runUntilOver(absl::Seconds(14)));
+  EXPECT_TRUE(keptAllRules(*cluster));
+}
+
 // The old leader is cut off from store and new leader, but still reaches one
 // agent, which the new leader does not. The task there may run on for as long
 // as the old leader grants: it must not start elsewhere before that.
