Runs that would not be done before their worker leaves are stopped and moved

Cause: a worker that drains tells how long it stays, and nobody used it. Ruled out: stopping all at once (throws away what would have ended in time).

Change: a run that is expected to need longer than its worker stays is stopped, one that saves its work as late as a stop allows, any other at once; a gang whole. The agent counts the time left down from the heartbeat that told it.

Before: three of the four cases of WorkerLeaves failed; after: all pass.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -93,6 +93,7 @@
   if (beat.Sequence <= LastBeat)
     return true;
   LastBeat = beat.Sequence;
+  BeatAt = Loop.now();
   const bool draining = beat.Worker.Draining && !State.Draining;
   State = beat.Worker;
   if (draining) {
@@ -132,6 +133,7 @@
     endLife("a new life answers");
   State = beat.Worker;
   LastBeat = beat.Sequence;
+  BeatAt = Loop.now();
   logEvent(Event::WorkerLifeBegan,
            {{"worker", State.Life},
             {"rack", State.Rack},
@@ -542,6 +544,8 @@
   message.Agent = Settings.Name;
   message.AgentAddress = Peers.Address;
   message.Worker = State;
+  const int64_t age = absl::ToInt64Milliseconds(Loop.now() - BeatAt);
+  message.Worker.RemainingMs = std::max(int64_t{0}, State.RemainingMs - age);
   message.EndedLives = EndedLives;
   message.Reachable = Reachable;
   message.Epoch = ListedEpoch;
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -103,6 +103,7 @@
   /// The worker's life that is served; an empty Life when none is known.
   endpoints::WorkerState State;
   int64_t LastBeat = 0;
+  absl::Time BeatAt;
   /// The latest lives that are over, the newest last.
   std::vector<std::string> EndedLives;
   std::string TryingLife;
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -43,6 +43,8 @@
     return Event::WorkerKeptOut;
   case Kind::RunStandsStill:
     return Event::RunStandsStill;
+  case Kind::RunEvacuated:
+    return Event::RunEvacuated;
   case Kind::Waiting:
     return Event::StepWaiting;
   }
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -49,6 +49,7 @@
       {Event::RunStopping, "run.stopping"},
       {Event::RunEnded, "run.ended"},
       {Event::RunStandsStill, "run.stands_still"},
+      {Event::RunEvacuated, "run.evacuated"},
       {Event::RunSettled, "run.settled"},
       {Event::OrderReceived, "order.received"},
       {Event::OrderCarriedOut, "order.carried_out"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -52,6 +52,7 @@
   RunEnded = 414,
   RunSettled = 415,
   RunStandsStill = 416,
+  RunEvacuated = 417,
   OrderReceived = 420,
   OrderCarriedOut = 421,
   GrantEnded = 422,
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -30,6 +30,9 @@
   worker.LastHeard = now;
   worker.Sequence = report.Sequence;
   worker.Reachable = report.Reachable;
+  worker.LeavesAt = report.Worker.Draining
+                        ? now + absl::Milliseconds(report.Worker.RemainingMs)
+                        : absl::InfiniteFuture();
   // Nobody is granted more time while the worker cannot be held.
   if (report.Reachable || worker.LostAt == absl::Time())
     worker.LostAt = now + Policy.LostAfter;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -50,6 +50,8 @@
   /// Runs that take room here, until their end is listed or ruled out.
   std::map<RunId, core::Resources> Occupants;
   core::Resources Used;
+  /// While it drains: how long it stays at least.
+  absl::Time LeavesAt = absl::InfiniteFuture();
   /// Ends by number, and whether each is recorded.
   std::map<int64_t, bool> Ends;
   int64_t SeenUpto = 0;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -1,6 +1,7 @@
 #include "jobscheduler.h"
 
 #include "planner.h"
+#include "runjudge.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -59,15 +60,6 @@
   return steps;
 }
 
-template <class F> void JobScheduler::forEachTask(Job &job, F f) {
-  for (auto &[number, steps] : job.Occurrences)
-    for (size_t s = 0; s < steps.size(); ++s)
-      for (size_t i = 0; i < steps[s].size(); ++i)
-        f(TaskId{job.Record.Spec.Id, number, static_cast<int>(s),
-                 static_cast<int>(i)},
-          steps[s][i]);
-}
-
 int JobScheduler::dueOccurrences(const Job &job) const {
   const core::JobSpec &spec = job.Record.Spec;
   if (spec.Repeats == 0)
@@ -507,7 +499,9 @@
   job.FinishedAt = now;
   job.Dirty = true;
   note(Decision::Kind::JobEnded, job.Record.Spec.Id, "", 0, "",
-       jobStateName(state));
+       jobStateName(state),
+       {{"priority", job.Record.Priority},
+        {"took_ms", absl::ToInt64Milliseconds(now - job.Arrived)}});
   forEachTask(job, [&](const TaskId &id, Task &task) {
     if (!task.Progress.Done)
       requestStop(id, task, absl::StrCat("job ", jobStateName(state)));
@@ -634,61 +628,6 @@
                   !task.Progress.Saved.empty(), now);
 }
 
-// A gang's members wait for each other, so that one that stands still holds up
-// all, and all stand still until every member is there. Only a member that is
-// behind another one is to blame.
-bool JobScheduler::behindItsGang(const Step &step, const Task &task) {
-  return std::any_of(step.begin(), step.end(), [&](const Task &other) {
-    return other.mayRun() && other.Percent > task.Percent + 1;
-  });
-}
-
-// Whether a run is better started anew elsewhere: it stands still, and so does
-// all else at its worker.
-bool JobScheduler::standsStill(const Job &job, const TaskId &id,
-                               const Task &task, absl::Time now) const {
-  if (task.What != Phase::Running || task.StopAsked || task.Progress.Done ||
-      !Progress.stalled({core::taskName(id), task.Progress.Run}) ||
-      Progress.workerMoves(task.Progress.Worker, now))
-    return false;
-  const Step &step =
-      job.Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
-  const bool gang = job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang &&
-                    step.size() > 1;
-  return !gang || behindItsGang(step, task) ||
-         now - task.Began > Policy.GangWait + Policy.Progress.StalledAfter;
-}
-
-// How long the task takes where all is well: as the middle one of its like in
-// the same step. Nothing when it has none that is far enough.
-std::optional<absl::Duration> JobScheduler::soundTime(const Job &job,
-                                                      const TaskId &id) const {
-  const Step &step =
-      job.Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
-  std::vector<absl::Duration> others;
-  for (size_t i = 0; i < step.size(); ++i) {
-    if (static_cast<int>(i) == id.Index)
-      continue;
-    const Task &other = step[i];
-    const TaskId otherId{id.Job, id.Occurrence, id.Step, static_cast<int>(i)};
-    absl::Duration takes = absl::InfiniteDuration();
-    if (other.Took > absl::ZeroDuration())
-      takes = other.Took;
-    else if (other.What == Phase::Running)
-      if (const auto whole =
-              Progress.whole({core::taskName(otherId), other.Progress.Run}))
-        takes = whole->AtMost;
-    if (takes != absl::InfiniteDuration())
-      others.push_back(takes);
-  }
-  if (others.empty())
-    return std::nullopt;
-  const auto middle =
-      others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
-  std::nth_element(others.begin(), middle, others.end());
-  return *middle;
-}
-
 // A run away from its data, or a gang over several racks, is slow by nature.
 bool JobScheduler::isAway(const Job &job, const TaskId &id,
                           const Task &task) const {
@@ -709,71 +648,12 @@
   });
 }
 
-// Whether a run gets on so slowly that all of it would be done sooner anew at
-// a sound worker.
-bool JobScheduler::crawls(const Job &job, const TaskId &id,
-                          const Task &task) const {
-  if (task.What != Phase::Running || task.StopAsked || task.Progress.Done ||
-      task.Moves >= Policy.MostMoves)
-    return false;
-  const auto whole = Progress.whole({core::taskName(id), task.Progress.Run});
-  if (!whole || isAway(job, id, task))
-    return false;
-  const absl::Duration takes = whole->AtLeast;
-  const core::StepSpec &spec =
-      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
-  const absl::Duration estimate = absl::Milliseconds(spec.EstimateMs);
-  const std::string &queue = job.Record.Spec.Queue;
-  absl::Duration sound = Estimates.expected(queue, estimate);
-  bool slow = false;
-  if (const auto like = soundTime(job, id)) {
-    slow = takes > *like * Policy.Progress.SlowFactor;
-    sound = *like;
-  } else if (const auto most = Estimates.slowBeyond(queue, estimate)) {
-    slow = takes > *most;
-  }
-  const double left = (100 - task.Percent) / 100.0;
-  const absl::Duration anew =
-      spec.Checkpoints ? sound * left + Policy.Progress.Restore : sound;
-  return slow && takes * left > anew + Policy.MoveCost;
-}
-
-void JobScheduler::moveRun(Job &job, const TaskId &id, Task &task,
-                           const std::string &why, absl::Time now) {
-  const std::string name = core::taskName(id);
-  note(Decision::Kind::RunStandsStill, id.Job, name, task.Progress.Run,
-       task.Progress.Worker, absl::StrCat(why, " at ", task.Percent, "%"));
-  if (Workers.keepOut(task.Progress.Worker, now))
-    note(Decision::Kind::WorkerKeptOut, id.Job, name, task.Progress.Run,
-         task.Progress.Worker, why);
-  if (job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang)
-    stopStep(job, id.Occurrence, id.Step, "a member " + why);
-  else
-    requestStop(id, task, "it " + why);
-}
-
-void JobScheduler::judgeProgress(absl::Time now) {
-  for (auto &entry : Jobs) {
-    Job &job = entry.second;
-    if (job.over())
-      continue;
-    forEachTask(job, [&](const TaskId &id, Task &task) {
-      if (standsStill(job, id, task, now)) {
-        moveRun(job, id, task, "stands still", now);
-      } else if (crawls(job, id, task)) {
-        ++task.Moves;
-        moveRun(job, id, task, "crawls", now);
-      }
-    });
-  }
-}
-
 void JobScheduler::onPredecessorsGone(absl::Time gone) {
   UnheardLostAt = std::min(UnheardLostAt, gone + Policy.Fleet.LostAfter);
 }
 
 void JobScheduler::tick(absl::Time now) {
-  judgeProgress(now);
+  RunJudge(*this, now).judge();
   for (const std::string &life : Workers.takeLost(now))
     loseLife(life, "silent until its tasks had certainly ended", now);
   if (!Unheard.empty() && now >= UnheardLostAt) {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oriolebay::jobs {
@@ -86,6 +87,7 @@
     WorkerLost,
     WorkerKeptOut,
     RunStandsStill,
+    RunEvacuated,
     Waiting,
   };
   Kind What = Kind::Placed;
@@ -95,6 +97,14 @@
   std::string Worker;
   std::string Why;
   std::vector<Input> Inputs;
+
+  /// The input of that name; zero without one.
+  int64_t input(std::string_view name) const {
+    for (const Input &i : Inputs)
+      if (i.Name == name)
+        return i.Value;
+    return 0;
+  }
 };
 
 /// Decides which task runs where, on facts from the store and the workers. It
@@ -154,6 +164,7 @@
 
 private:
   friend class Planner;
+  friend class RunJudge;
   /// What the leader knows of a task's latest run beyond its record.
   enum class Phase {
     Idle,
@@ -217,7 +228,14 @@
   static bool stepDone(const Step &step);
   static bool stepReady(const Job &job, const std::vector<Step> &steps,
                         size_t step);
-  template <class F> void forEachTask(Job &job, F f);
+  template <class F> void forEachTask(Job &job, F f) {
+    for (auto &[number, steps] : job.Occurrences)
+      for (size_t s = 0; s < steps.size(); ++s)
+        for (size_t i = 0; i < steps[s].size(); ++i)
+          f(core::TaskId{job.Record.Spec.Id, number, static_cast<int>(s),
+                         static_cast<int>(i)},
+            steps[s][i]);
+  }
 
   void takeLife(const std::string &life);
   void endUnheard(const endpoints::WorkerReport &report, absl::Time now);
@@ -243,16 +261,7 @@
   void requestStop(const core::TaskId &id, Task &task, const std::string &why);
   void stopStep(Job &job, int occurrence, int step, const std::string &why);
   void judgeJob(Job &job, absl::Time now);
-  void judgeProgress(absl::Time now);
-  bool standsStill(const Job &job, const core::TaskId &id, const Task &task,
-                   absl::Time now) const;
-  static bool behindItsGang(const Step &step, const Task &task);
-  bool crawls(const Job &job, const core::TaskId &id, const Task &task) const;
-  std::optional<absl::Duration> soundTime(const Job &job,
-                                          const core::TaskId &id) const;
   bool isAway(const Job &job, const core::TaskId &id, const Task &task) const;
-  void moveRun(Job &job, const core::TaskId &id, Task &task,
-               const std::string &why, absl::Time now);
   void endJob(Job &job, JobState state, absl::Time now);
   void order(Job &job, const core::TaskId &id, Task &task, absl::Time now);
   void orderStop(const core::TaskId &id, Task &task, absl::Time now);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -1,5 +1,7 @@
 #include "planner.h"
 
+#include "runjudge.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -15,12 +17,6 @@
 /// An accelerator weighs as much as so many cores when work is thrown away.
 constexpr double CoresPerAccelerator = 8;
 
-/// A task is assumed to need at least so long still, however far it is.
-constexpr absl::Duration LeastRemaining = absl::Milliseconds(200);
-/// A run is assumed to have got on for so long since its last percent: two
-/// reports of a worker. Beyond that nobody knows.
-constexpr absl::Duration MostSincePercent = absl::Seconds(1);
-
 double weight(const core::Resources &r) {
   return static_cast<double>(r.MilliCores) / 1000 +
          CoresPerAccelerator * static_cast<double>(r.Accelerators);
@@ -328,23 +324,6 @@
   return n * unit.spec().PerTask.Accelerators * 2 > widest;
 }
 
-// How long a run still takes: by its rate once that shows, else by what its
-// queue's estimates have been worth.
-absl::Duration Planner::remaining(const Job &job, const core::TaskId &id,
-                                  const Task &task) const {
-  const core::StepSpec &spec =
-      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
-  absl::Duration whole = S.Estimates.expected(
-      job.Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs));
-  if (const auto seen =
-          S.Progress.whole({core::taskName(id), task.Progress.Run}))
-    whole = seen->AtLeast;
-  // Percent is as old as the last report: an urgent job once had a run stopped
-  // that was about to end, because its rest stood still between two reports.
-  const absl::Duration since = std::min(Now - task.PercentAt, MostSincePercent);
-  return std::max(whole * (100 - task.Percent) / 100 - since, LeastRemaining);
-}
-
 // What a stop throws away, in core-seconds: all work, or, as a stop makes a
 // checkpoint, the time to go on from it.
 double Planner::wasteOf(const core::StepSpec &spec, const Task &task) const {
@@ -371,11 +350,12 @@
     one.Index = static_cast<int>(i);
     one.Frees.clear();
     one.Waste = wasteOf(spec, t);
-    one.Left = t.StopAsked ? S.Policy.StopTakes
-                           : remaining(job,
-                                       {job.Record.Spec.Id, occurrence, step,
-                                        static_cast<int>(i)},
-                                       t);
+    one.Left = t.StopAsked
+                   ? S.Policy.StopTakes
+                   : RunJudge(S, Now).remaining(job,
+                                                {job.Record.Spec.Id, occurrence,
+                                                 step, static_cast<int>(i)},
+                                                t);
     gang.Waste += one.Waste;
     gang.Left = std::max(gang.Left, one.Left);
     for (size_t p = 0; p < Places.size(); ++p)
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -118,8 +118,6 @@
   bool preempt(Unit &unit);
   void waitForRoom(Unit &unit);
   void keep(const Unit &unit, const Plan &plan);
-  absl::Duration remaining(const Job &job, const core::TaskId &id,
-                           const Task &task) const;
   double wasteOf(const core::StepSpec &spec, const Task &task) const;
 
   JobScheduler &S;
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -230,6 +230,64 @@
                          ::testing::ValuesIn(StopCases),
                          [](const auto &info) { return info.param.Name; });
 
+struct LeavingCase {
+  const char *Name;
+  core::StepSpec Step;
+  /// How long the tasks have run when their worker says that it leaves.
+  absl::Duration Age;
+  int Stops;
+  /// Most work thrown away, in seconds of one task.
+  double MostLost;
+};
+
+void PrintTo(const LeavingCase &c, std::ostream *out) { *out << c.Name; }
+
+class WorkerLeaves : public ::testing::TestWithParam<LeavingCase> {};
+
+// A worker says that it leaves in 4.5 s and takes its agent along. Users
+// saw what ran there start anew some 6 s after it had gone, when a silent
+// worker's tasks have certainly ended, 22 to 26 times a day: nobody had
+// stopped it.
+TEST_P(WorkerLeaves, NothingIsLeftOnIt) {
+  const LeavingCase &c = GetParam();
+  SimSite site;
+  addRacks(site, 1);
+  site.submit(jobOf("j", c.Step));
+  site.runFor(c.Age);
+  ASSERT_EQ(site.starts(), c.Step.Count);
+  site.leave(*site.placesOf("j").begin(), absl::Milliseconds(4500));
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(40)));
+  int stops = 0;
+  int lost = 0;
+  for (const Decision &d : site.Log) {
+    stops += d.What == Decision::Kind::Stopping ? 1 : 0;
+    lost += d.What == Decision::Kind::Settled ? 1 : 0;
+  }
+  EXPECT_EQ(stops, c.Stops);
+  EXPECT_EQ(lost, 0);
+  EXPECT_LE(site.wasted(), c.MostLost * 68);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
+core::StepSpec gangOf(core::StepSpec step) {
+  step.Gang = true;
+  return step;
+}
+
+const LeavingCase LeavingCases[] = {
+    {"lets_end_what_can", step(1, WholeWorker, 4000), absl::Seconds(1), 0, 0},
+    {"stops_at_once_what_cannot", step(1, WholeWorker, 12000), absl::Seconds(2),
+     1, 3.5},
+    {"keeps_the_work_that_is_saved", saving(step(1, WholeWorker, 12000)),
+     absl::Seconds(2), 1, 0.1},
+    // The other member's end breaks it off at its last checkpoint.
+    {"moves_a_gang_whole", gangOf(saving(step(2, WholeWorker, 12000))),
+     absl::Seconds(2), 2, 1.0},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, WorkerLeaves, ::testing::ValuesIn(LeavingCases),
+                         [](const auto &info) { return info.param.Name; });
+
 // A worker takes all it is told and answers in time, but its tasks do not get
 // on. Users waited for it until it came to itself: for an urgent job of two
 // seconds, six.
