Two processes cannot listen on one address

Cause: the HTTP server set the library's address reuse option, which on Linux lets several processes bind the same address and port. A second entry with a copied settings file would have started without an error and taken half of the connections.

--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -189,6 +189,8 @@
     throw std::runtime_error("not an IPv4 address: " + D->Options.Host);
   // Lives as long as the daemon, which ends with the process or in stop().
   auto *ref = new ServerRef{D};
+  // Without the library's address reuse option, which would let a second
+  // process listen on the same address and take half of the connections.
   D->Daemon = MHD_start_daemon(
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
           MHD_USE_ERROR_LOG,
@@ -196,8 +198,7 @@
       MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&addr),
       MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned>(D->Options.MaxConnections),
-      MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
+      MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS, MHD_OPTION_NOTIFY_COMPLETED,
       &onCompleted, ref, MHD_OPTION_END);
   if (D->Daemon == nullptr) {
     delete ref;
