Metrics of entries and agents on the address of their settings

Cause: metrics_listen was read and nothing served there; on the users' machines there were logs only.

Change: counters and latency histograms (calls, store calls, placements, jobs, orders, events, log lines left out) by prometheus-cpp, gauges read on the process's own loop when somebody asks, served by the HTTP server that is there already, whose thread sleeps until then. An address that is taken is logged and stops nothing. Counted through hooks of the constructors; the event log counts every event, also those whose lines are left out. Ruled out: the library's own exposer, which keeps several threads.

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -4,6 +4,7 @@
 #include "common/signalthread.h"
 #include "eventlog/eventlog.h"
 #include "http/asyncclient.h"
+#include "metrics/metricsserver.h"
 #include "settings/nodesettings.h"
 #include "settings/settings.h"
 #include "storeform.h"
@@ -33,13 +34,21 @@
         Agent(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
               endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text()),
               adapter::makeWorkerCalls(Loop, Client, Settings.Worker.text()),
-              Settings, EntryPrefix),
+              Settings, EntryPrefix,
+              [this](const endpoints::OrderResult &r) {
+                Metrics.orderConcluded(endpoints::orderOutcomeName(r.Outcome));
+              }),
         Heartbeats(
             Loop, Settings.Control.Host, Settings.Control.Port,
             [this](const endpoints::Heartbeat &b) {
               return Agent.onHeartbeat(b);
             },
-            [this](const std::string &life) { Agent.onLeave(life); }) {}
+            [this](const std::string &life) { Agent.onLeave(life); }) {
+    if (Settings.Metrics.Port > 0)
+      MetricsFront = std::make_unique<metrics::MetricsServer>(
+          Loop, Metrics, [this](metrics::ProcessMetrics &m) { refresh(m); },
+          Settings.Metrics.Host, Settings.Metrics.Port);
+  }
 
   void run() {
     Loop.post([this] { Agent.start(); });
@@ -53,11 +62,29 @@
   }
 
 private:
+  void refresh(metrics::ProcessMetrics &m) const {
+    const AgentStatus s = Agent.status();
+    m.set("worker_reachable", "1 while the worker beside it answers.",
+          s.Reachable ? 1 : 0);
+    m.set("worker_draining", "1 while the worker drains.", s.Draining ? 1 : 0);
+    m.set("leader_known", "1 while a leader answers.", s.KnowsLeader ? 1 : 0);
+    m.set("leader_epoch", "Epoch of the leader that this process follows.",
+          static_cast<double>(s.LeaderEpoch));
+    m.set("tasks_running", "Tasks that the worker was last seen to run.",
+          static_cast<double>(s.Running));
+    m.set("ends_open", "Ends of tasks that are not recorded yet.",
+          static_cast<double>(s.EndsOpen));
+    m.set("grant_left_seconds", "For how long tasks may be kept alive.",
+          s.GrantLeftSeconds);
+  }
+
   const settings::NodeSettings Settings;
   utils::EventLoop Loop;
   http::AsyncClient Client;
+  metrics::ProcessMetrics Metrics;
   WorkerAgent Agent;
   adapter::HeartbeatFront Heartbeats;
+  std::unique_ptr<metrics::MetricsServer> MetricsFront;
 };
 
 } // namespace
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -6,6 +6,7 @@
 #include "entry/jobentry.h"
 #include "eventlog/eventlog.h"
 #include "http/asyncclient.h"
+#include "metrics/metricsserver.h"
 #include "settings/nodesettings.h"
 #include "settings/settings.h"
 #include "storeform.h"
@@ -36,12 +37,17 @@
       : Settings(settings), Loop(LoopCapacity),
         Entry(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
               endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text()),
-              Settings, adapter::readConfig, adapter::ConfigKey),
+              Settings, adapter::readConfig, adapter::ConfigKey, counting()),
         Callers(Loop, Entry.desk(), Settings.Callers.Host,
                 Settings.Callers.Port),
         Ready(
             Loop, [this](std::string *why) { return Entry.ready(why); },
-            Settings.Ready.Host, Settings.Ready.Port) {}
+            Settings.Ready.Host, Settings.Ready.Port) {
+    if (Settings.Metrics.Port > 0)
+      MetricsFront = std::make_unique<metrics::MetricsServer>(
+          Loop, Metrics, [this](metrics::ProcessMetrics &m) { refresh(m); },
+          Settings.Metrics.Host, Settings.Metrics.Port);
+  }
 
   void run() {
     Loop.post([this] { Entry.start(); });
@@ -54,6 +60,49 @@
   }
 
 private:
+  EntryObservers counting() {
+    EntryObservers o;
+    o.Called = [this](const jobs::CallDecision &d) {
+      Metrics.callAnswered(d.Call, jobs::callResultName(d.Answer.Result),
+                           absl::Milliseconds(d.TookMs));
+    };
+    o.Decided = [this](const jobs::Decision &d) { countDecision(d); };
+    o.StoreCalled = [this](const char *call, platform::StoreStatus status,
+                           absl::Duration took) {
+      Metrics.storeCalled(call, platform::storeStatusName(status), took);
+    };
+    return o;
+  }
+
+  void countDecision(const jobs::Decision &d) {
+    if (d.What == jobs::Decision::Kind::Placed)
+      Metrics.runPlaced(static_cast<int>(d.input("rank")),
+                        absl::Milliseconds(d.input("waited_ms")));
+    else if (d.What == jobs::Decision::Kind::JobEnded)
+      Metrics.jobEnded(d.Why, static_cast<int>(d.input("priority")),
+                       absl::Milliseconds(d.input("took_ms")));
+  }
+
+  void refresh(metrics::ProcessMetrics &m) const {
+    const EntryStatus s = Entry.status();
+    m.set("config_version", "Version of the configuration in force here.",
+          static_cast<double>(s.ConfigVersion));
+    m.set("config_age_seconds",
+          "Since the store last confirmed the configuration here.",
+          s.ConfigAgeSeconds);
+    m.set("leader", "1 while this entry leads.", s.Leads ? 1 : 0);
+    m.set("leader_epoch", "Epoch of the leader that this process follows.",
+          static_cast<double>(s.LeaderEpoch));
+    m.set("jobs_known", "Jobs in this entry's view of the store.",
+          static_cast<double>(s.JobsKnown));
+    m.set("jobs_active", "Jobs that are not over; only at the leader.",
+          static_cast<double>(s.ActiveJobs));
+    m.set("workers", "Workers that report; only at the leader.",
+          static_cast<double>(s.Workers));
+    m.set("calls_open", "Calls that wait for their answer.",
+          Callers.unanswered());
+  }
+
   void stop() {
     if (StopBegan != absl::InfinitePast())
       return;
@@ -77,9 +126,11 @@
   const settings::NodeSettings Settings;
   utils::EventLoop Loop;
   http::AsyncClient Client;
+  metrics::ProcessMetrics Metrics;
   JobEntry Entry;
   adapter::CallerFront Callers;
   adapter::ReadyFront Ready;
+  std::unique_ptr<metrics::MetricsServer> MetricsFront;
   absl::Time StopBegan = absl::InfinitePast();
 };
 
--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -64,10 +64,11 @@
 WorkerAgent::WorkerAgent(utils::EventLoop &loop, platform::Store store,
                          endpoints::Peers peers, endpoints::WorkerCalls worker,
                          settings::NodeSettings settings,
-                         std::string entryPrefix)
+                         std::string entryPrefix, OnConcluded concluded)
     : Loop(loop), Peers(std::move(peers)), Worker(std::move(worker)),
       Settings(std::move(settings)), Time(settings::deriveTiming(Settings)),
-      Calls(std::move(store)), EntryPrefix(std::move(entryPrefix)) {
+      Calls(std::move(store)), EntryPrefix(std::move(entryPrefix)),
+      Concludes(std::move(concluded)) {
   Peers.Serve([this, alive = Alive](const Message &m) -> Message {
     if (*alive)
       return onMessage(m);
@@ -79,6 +80,19 @@
 
 void WorkerAgent::start() { reportLater(); }
 
+AgentStatus WorkerAgent::status() const {
+  AgentStatus s;
+  s.Reachable = Reachable && !State.Life.empty();
+  s.Draining = State.Draining;
+  s.KnowsLeader = Leader.knowsLeader();
+  s.LeaderEpoch = Epoch;
+  s.Running = Running.size();
+  s.EndsOpen = Ended.size();
+  if (GrantEnd > Loop.now())
+    s.GrantLeftSeconds = absl::ToDoubleSeconds(GrantEnd - Loop.now());
+  return s;
+}
+
 // ---- The worker's life -----------------------------------------------------
 
 bool WorkerAgent::onHeartbeat(const Heartbeat &beat) {
@@ -353,6 +367,8 @@
             {"run", run.second},
             {"outcome", endpoints::orderOutcomeName(outcome)},
             {"why", detail}});
+  if (Concludes)
+    Concludes(result);
   if (Concluded.emplace(run, result).second)
     ConcludedOrder.push_back(run);
   else
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -23,6 +23,19 @@
 
 namespace oriolebay::agent {
 
+/// What an agent knows at this moment, for metrics and operators.
+struct AgentStatus {
+  bool Reachable = false;
+  bool Draining = false;
+  bool KnowsLeader = false;
+  int64_t LeaderEpoch = 0;
+  size_t Running = 0;
+  /// Ends that the leader has not taken note of.
+  size_t EndsOpen = 0;
+  /// For how long it may keep its tasks alive; zero when no longer.
+  double GrantLeftSeconds = 0;
+};
+
 /// The process beside a worker. It takes the worker's heartbeats, keeps the
 /// worker's tasks alive for as long as the leader grants it, watches for ends,
 /// carries out the leader's orders and reports all of it to the leader. It
@@ -30,9 +43,13 @@
 /// one event loop.
 class WorkerAgent {
 public:
+  /// An order has its outcome; for counting.
+  using OnConcluded = std::function<void(const endpoints::OrderResult &)>;
+
   WorkerAgent(utils::EventLoop &loop, platform::Store store,
               endpoints::Peers peers, endpoints::WorkerCalls worker,
-              settings::NodeSettings settings, std::string entryPrefix);
+              settings::NodeSettings settings, std::string entryPrefix,
+              OnConcluded concluded = {});
   ~WorkerAgent();
   WorkerAgent(const WorkerAgent &) = delete;
   WorkerAgent &operator=(const WorkerAgent &) = delete;
@@ -45,6 +62,7 @@
   /// Planned stop: tasks are held as long as granted, so that they outlive the
   /// change to the next process. Done is called when this one may end.
   void stop(std::function<void()> done);
+  AgentStatus status() const;
 
 private:
   struct Order;
@@ -97,6 +115,7 @@
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   const platform::Store Calls;
   const std::string EntryPrefix;
+  const OnConcluded Concludes;
   LeaderFinder Leader;
   bool AskingStore = false;
 
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -96,14 +96,16 @@
     endpoints::Peers peers, settings::NodeSettings settings,
     std::function<utils::Result<core::SiteConfig>(const std::string &)>
         decodeConfig,
-    std::string configKey)
+    std::string configKey, EntryObservers observers)
     : Loop(loop), Peers(std::move(peers)), Settings(std::move(settings)),
-      Time(settings::deriveTiming(Settings)),
-      Health(loop,
-             [](bool ok, const std::string &why) {
-               logEvent(ok ? Event::StoreRegained : Event::StoreLost,
-                        {{"why", why}});
-             }),
+      Time(settings::deriveTiming(Settings)), Observers(std::move(observers)),
+      Health(
+          loop,
+          [](bool ok, const std::string &why) {
+            logEvent(ok ? Event::StoreRegained : Event::StoreLost,
+                     {{"why", why}});
+          },
+          Observers.StoreCalled),
       Calls(Health.watching(store)) {
   Peers.Serve([this, alive = Alive](const Message &m) -> Message {
     if (*alive)
@@ -145,7 +147,12 @@
   Desk = std::make_unique<jobs::JobDesk>(
       Loop, Calls, *View, *Config, desk,
       [this] { return Health.failingSince(); },
-      [this](const platform::KeyValue &item) { onWritten(item); }, logCall);
+      [this](const platform::KeyValue &item) { onWritten(item); },
+      [this](const jobs::CallDecision &d) {
+        logCall(d);
+        if (Observers.Called)
+          Observers.Called(d);
+      });
   Entries = std::make_unique<platform::PrefixFollower>(
       Loop, Calls, EntryPrefix, follow,
       [this](const platform::StoreEvent &event) {
@@ -190,6 +197,22 @@
   return reason == nullptr;
 }
 
+EntryStatus JobEntry::status() const {
+  EntryStatus s;
+  if (Config->current() != nullptr) {
+    s.ConfigVersion = Config->current()->Version;
+    s.ConfigAgeSeconds = absl::ToDoubleSeconds(Config->age(Loop.now()));
+  }
+  s.Leads = Duty != nullptr && Duty->begun();
+  s.LeaderEpoch = Leader.Epoch;
+  s.JobsKnown = View->jobs().size();
+  if (s.Leads) {
+    s.ActiveJobs = Duty->scheduler().activeJobs();
+    s.Workers = Duty->scheduler().fleet().workers().size();
+  }
+  return s;
+}
+
 void JobEntry::beginStop() {
   if (Stopping)
     return;
@@ -249,7 +272,12 @@
   options.Policy.WallMs = [] { return absl::ToUnixMillis(absl::Now()); };
   Duty = std::make_unique<LeaderDuty>(
       Loop, Calls, Peers, *View, options, leadership.Epoch,
-      [this] { return Election->confirmed(); }, logDecision,
+      [this] { return Election->confirmed(); },
+      [this](const jobs::Decision &d) {
+        logDecision(d);
+        if (Observers.Decided)
+          Observers.Decided(d);
+      },
       [this](platform::StoreStatus status, const std::string &why) {
         storeTrouble("recorder", status, why);
       },
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -18,6 +18,25 @@
 
 namespace oriolebay::entry {
 
+/// Who counts what an entry does; each may be empty. They run on its loop.
+struct EntryObservers {
+  std::function<void(const jobs::CallDecision &)> Called;
+  std::function<void(const jobs::Decision &)> Decided;
+  platform::StoreHealth::OnCall StoreCalled;
+};
+
+/// What an entry knows at this moment, for metrics and operators.
+struct EntryStatus {
+  int64_t ConfigVersion = 0;
+  double ConfigAgeSeconds = 0;
+  bool Leads = false;
+  int64_t LeaderEpoch = 0;
+  size_t JobsKnown = 0;
+  /// As the leader has them; zero elsewhere.
+  size_t ActiveJobs = 0;
+  size_t Workers = 0;
+};
+
 /// An entry that serves lasting jobs. It keeps a view of configuration and
 /// jobs, serves callers through its desk, takes part in the election, and
 /// does the leader's duty while it leads. Everything runs on one event loop.
@@ -27,7 +46,7 @@
            endpoints::Peers peers, settings::NodeSettings settings,
            std::function<utils::Result<core::SiteConfig>(const std::string &)>
                decodeConfig,
-           std::string configKey);
+           std::string configKey, EntryObservers observers = {});
   ~JobEntry();
   JobEntry(const JobEntry &) = delete;
   JobEntry &operator=(const JobEntry &) = delete;
@@ -41,6 +60,7 @@
   void beginStop();
 
   int64_t storeCalls() const { return Health.calls(); }
+  EntryStatus status() const;
 
 private:
   endpoints::Message onMessage(const endpoints::Message &message);
@@ -58,6 +78,7 @@
   const endpoints::Peers Peers;
   const settings::NodeSettings Settings;
   const settings::Timing Time;
+  const EntryObservers Observers;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   platform::StoreHealth Health;
   const platform::Store Calls;
--- a/src/libs/eventlog/eventlog.cpp
+++ b/src/libs/eventlog/eventlog.cpp
@@ -63,6 +63,7 @@
   /// left out since that was last said, when it is time to say it again.
   bool admit(Event event, absl::Time now, int64_t &told) {
     std::lock_guard<std::mutex> lock(Mu);
+    ++Totals[event];
     const int64_t second = absl::ToUnixSeconds(now);
     if (second != Second) {
       Second = second;
@@ -76,11 +77,17 @@
     return false;
   }
 
+  std::map<Event, int64_t> totals() {
+    std::lock_guard<std::mutex> lock(Mu);
+    return Totals;
+  }
+
 private:
   std::mutex Mu;
   int64_t Second = 0;
   int64_t Told = 0;
   std::map<Event, int> Written;
+  std::map<Event, int64_t> Totals;
 };
 
 struct Log {
@@ -167,6 +174,11 @@
     write(*log, event, fields);
 }
 
+std::map<Event, int64_t> eventCounts() {
+  Log *log = instance();
+  return log == nullptr ? std::map<Event, int64_t>() : log->Limit.totals();
+}
+
 int64_t linesLeftOut() { return LeftOut; }
 
 } // namespace oriolebay::eventlog
--- a/src/libs/eventlog/eventlog.h
+++ b/src/libs/eventlog/eventlog.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace oriolebay::eventlog {
@@ -33,6 +34,10 @@
 /// its name, so that `timeline` can merge the logs of all processes.
 void logEvent(Event event, const nlohmann::json &fields = {});
 
+/// How many events of each kind there were since the start, whether their lines
+/// were written or left out.
+std::map<Event, int64_t> eventCounts();
+
 /// Lines left out since the start.
 int64_t linesLeftOut();
 
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -65,6 +65,7 @@
       {Event::WorkerUnreachable, "worker.unreachable"},
       {Event::WorkerReachable, "worker.reachable"},
       {Event::LogLinesLeftOut, "log.lines_left_out"},
+      {Event::MetricsUnavailable, "metrics.unavailable"},
       {Event::SettingsReloaded, "settings.reloaded"},
       {Event::LeaderUnreachable, "leader.unreachable"},
   };
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -14,6 +14,7 @@
   ListenerBound = 104,
   SettingsReloaded = 105,
   LogLinesLeftOut = 106,
+  MetricsUnavailable = 107,
 
   JobReceived = 200,
   JobPlaced = 201,
--- a/src/libs/platform/storehealth.h
+++ b/src/libs/platform/storehealth.h
@@ -21,8 +21,12 @@
   /// The store was lost (Ok false, with why) or answers again.
   using OnChange = std::function<void(bool ok, const std::string &why)>;
 
-  StoreHealth(const utils::EventLoop &loop, OnChange onChange)
-      : Loop(loop), Changed(std::move(onChange)) {}
+  /// A call was answered with status, or given up on, after took.
+  using OnCall = std::function<void(const char *call, StoreStatus status,
+                                    absl::Duration took)>;
+
+  StoreHealth(const utils::EventLoop &loop, OnChange onChange, OnCall onCall)
+      : Loop(loop), Changed(std::move(onChange)), Called(std::move(onCall)) {}
 
   ~StoreHealth() { *Alive = false; }
   StoreHealth(const StoreHealth &) = delete;
@@ -38,11 +42,13 @@
   int64_t failures() const { return Failures; }
 
 private:
-  template <class T> OnStoreReply<T> noting(OnStoreReply<T> done);
+  template <class T>
+  OnStoreReply<T> noting(const char *call, OnStoreReply<T> done);
   void note(StoreStatus status, const std::string &why);
 
   const utils::EventLoop &Loop;
   const OnChange Changed;
+  const OnCall Called;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   absl::Time FailingSince = absl::InfiniteFuture();
   int64_t Calls = 0;
--- /dev/null
+++ b/tests/auto/metrics/tst_metrics.cpp
@@ -0,0 +1,126 @@
+#include "eventlog/eventlog.h"
+#include "http/httpclient.h"
+#include "metrics/metricsserver.h"
+#include "utils/eventloop.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace oriolebay::metrics {
+namespace {
+
+struct TextCase {
+  const char *Name;
+  std::function<void(ProcessMetrics &)> Do;
+  std::vector<std::string> Lines;
+};
+
+void PrintTo(const TextCase &c, std::ostream *out) { *out << c.Name; }
+
+class MetricsText : public ::testing::TestWithParam<TextCase> {};
+
+TEST_P(MetricsText, HasTheLines) {
+  ProcessMetrics metrics;
+  GetParam().Do(metrics);
+  const std::string text = metrics.text();
+  for (const std::string &line : GetParam().Lines)
+    EXPECT_NE(text.find(line + "\n"), std::string::npos) << line << "\n"
+                                                         << text;
+}
+
+const TextCase TextCases[] = {
+    {"calls",
+     [](ProcessMetrics &m) {
+       m.callAnswered("submit", "ok", absl::Milliseconds(20));
+       m.callAnswered("submit", "ok", absl::Milliseconds(70));
+       m.callAnswered("submit", "not_done", absl::Seconds(2));
+     },
+     {R"(oriolebay_calls_total{call="submit",result="ok"} 2)",
+      R"(oriolebay_calls_total{call="submit",result="not_done"} 1)",
+      R"(oriolebay_call_duration_seconds_count{call="submit"} 3)",
+      R"(oriolebay_call_duration_seconds_bucket{call="submit",le="0.025"} 1)",
+      R"(oriolebay_call_duration_seconds_bucket{call="submit",le="1"} 2)"}},
+    {"store",
+     [](ProcessMetrics &m) {
+       m.storeCalled("get", "unknown", absl::Milliseconds(700));
+     },
+     {R"(oriolebay_store_calls_total{call="get",status="unknown"} 1)",
+      R"(oriolebay_store_call_duration_seconds_bucket{call="get",le="0.5"} 0)",
+      R"(oriolebay_store_call_duration_seconds_bucket{call="get",le="1"} 1)"}},
+    {"jobs",
+     [](ProcessMetrics &m) {
+       m.runPlaced(1, absl::Milliseconds(300));
+       m.jobEnded("completed", 0, absl::Seconds(3));
+     },
+     {R"(oriolebay_placement_wait_seconds_bucket{rank="1",le="0.25"} 0)",
+      R"(oriolebay_placement_wait_seconds_bucket{rank="1",le="0.5"} 1)",
+      R"(oriolebay_job_duration_seconds_count{priority="0",state="completed"} 1)"}},
+    {"orders",
+     [](ProcessMetrics &m) { m.orderConcluded("started"); },
+     {R"(oriolebay_orders_total{outcome="started"} 1)"}},
+    {"gauges_hold_the_last_value",
+     [](ProcessMetrics &m) {
+       m.set("leader", "1 while this entry leads.", 1);
+       m.set("leader", "1 while this entry leads.", 0);
+     },
+     {"# TYPE oriolebay_leader gauge", "oriolebay_leader 0"}},
+    {"lines_left_out",
+     [](ProcessMetrics &) {},
+     {"oriolebay_log_lines_left_out_total 0"}},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, MetricsText, ::testing::ValuesIn(TextCases),
+                         [](const auto &info) { return info.param.Name; });
+
+class MetricsServing : public ::testing::Test {
+protected:
+  void SetUp() override {
+    Runner = std::thread([this] { Loop.run(); });
+  }
+  void TearDown() override {
+    Loop.stop();
+    Runner.join();
+  }
+  static http::HttpResult get(int port, const std::string &path) {
+    const std::string url = "http://127.0.0.1:" + std::to_string(port) + path;
+    return http::HttpClient(2000).call("GET", url, "");
+  }
+
+  utils::EventLoop Loop{64};
+  ProcessMetrics Metrics;
+  std::thread Runner;
+};
+
+TEST_F(MetricsServing, AnswersWithFreshGauges) {
+  int asked = 0;
+  MetricsServer server(
+      Loop, Metrics,
+      [&asked](ProcessMetrics &m) {
+        m.set("asked", "Asked so often.", ++asked);
+      },
+      "127.0.0.1", 0);
+  ASSERT_GT(server.port(), 0);
+  EXPECT_NE(get(server.port(), "/metrics").Body.find("oriolebay_asked 1"),
+            std::string::npos);
+  EXPECT_NE(get(server.port(), "/metrics").Body.find("oriolebay_asked 2"),
+            std::string::npos);
+  EXPECT_EQ(get(server.port(), "/other").Status, 404);
+}
+
+// Another process holds the address of the metrics. The entry did not start at
+// all, and callers found one entry fewer, for want of figures that nobody had
+// asked for.
+TEST_F(MetricsServing, TakenAddressStopsNothing) {
+  auto none = [](ProcessMetrics &) {};
+  MetricsServer first(Loop, Metrics, none, "127.0.0.1", 0);
+  MetricsServer second(Loop, Metrics, none, "127.0.0.1", first.port());
+  EXPECT_EQ(second.port(), 0);
+  EXPECT_EQ(get(first.port(), "/metrics").Status, 200);
+}
+
+} // namespace
+} // namespace oriolebay::metrics
