explain JOB: what concerns one job, from the logs of all processes

Cause: timeline printed every line of every process by wall clock; on-call engineers had to find one job in it by hand, and a wall clock that jumps put a process's own lines out of order.

Change: oriolebay-entry explain JOB FILE... shows the job's events, those of the workers it was placed on, and what happened to leader and store in its time; timeline takes filters (process, worker, organisation, event, from, to). A process's lines are placed by its boot clock. Commands that read logs can be interrupted: stop signals are blocked only for the services.

--- /dev/null
+++ b/src/app/entry/logcommands.cpp
@@ -0,0 +1,106 @@
+#include "logcommands.h"
+
+#include "eventlog/timeline.h"
+
+#include <absl/time/time.h>
+
+#include <iostream>
+
+namespace po = boost::program_options;
+
+namespace oriolebay::entry {
+
+using eventlog::EventFilter;
+using eventlog::LoggedEvent;
+using eventlog::ReadEvents;
+
+namespace {
+
+constexpr int ExitFound = 0;
+constexpr int ExitNothingFound = 1;
+constexpr int ExitUsage = 2;
+
+int usage(const std::string &text) {
+  std::cerr << "usage: oriolebay-entry " << text << '\n';
+  return ExitUsage;
+}
+
+std::string valueOf(const po::variables_map &vm, const char *name) {
+  return vm.count(name) ? vm[name].as<std::string>() : "";
+}
+
+// Reads an option that holds a point of time. False when it is none.
+bool readTime(const po::variables_map &vm, const char *name,
+              std::optional<int64_t> &out) {
+  if (!vm.count(name))
+    return true;
+  absl::Time time;
+  std::string why;
+  if (!absl::ParseTime(absl::RFC3339_full, valueOf(vm, name), &time, &why)) {
+    std::cerr << "oriolebay-entry: --" << name << " is no time: " << why
+              << " (remedy: write it as 2026-01-31T23:59:59.5Z)\n";
+    return false;
+  }
+  out = absl::ToUnixMicros(time);
+  return true;
+}
+
+ReadEvents readAll(const std::vector<std::string> &files) {
+  ReadEvents read = eventlog::readEvents(files);
+  if (read.Skipped > 0)
+    std::cerr << read.Skipped << " lines were not events\n";
+  return read;
+}
+
+int show(const std::vector<LoggedEvent> &events, const po::variables_map &vm) {
+  if (events.empty()) {
+    std::cerr << "oriolebay-entry: no such event (remedy: give the logs of all "
+                 "processes and of the whole time)\n";
+    return ExitNothingFound;
+  }
+  if (vm.count("json"))
+    eventlog::printJson(events, std::cout);
+  else
+    eventlog::printText(events, std::cout);
+  return ExitFound;
+}
+
+} // namespace
+
+void addLogOptions(po::options_description &opts) {
+  opts.add_options()("json", "timeline, explain: print JSON lines")(
+      "process", po::value<std::string>(), "timeline: only this process")(
+      "worker", po::value<std::string>(),
+      "timeline: only this worker")("organisation", po::value<std::string>(),
+                                    "timeline: only this organisation")(
+      "event", po::value<std::string>(),
+      "timeline: only events whose names begin so, such as run.")(
+      "from", po::value<std::string>(),
+      "timeline: not before, as 2026-01-31T23:59:59Z")(
+      "to", po::value<std::string>(), "timeline: not after");
+}
+
+int showTimeline(const std::vector<std::string> &words,
+                 const po::variables_map &vm) {
+  if (words.size() < 2)
+    return usage("timeline FILE... [options]");
+  EventFilter filter;
+  filter.Process = valueOf(vm, "process");
+  filter.Worker = valueOf(vm, "worker");
+  filter.Organisation = valueOf(vm, "organisation");
+  filter.Name = valueOf(vm, "event");
+  if (!readTime(vm, "from", filter.FromUs) || !readTime(vm, "to", filter.ToUs))
+    return ExitUsage;
+  const ReadEvents read = readAll({words.begin() + 1, words.end()});
+  return show(eventlog::select(read.Events, filter), vm);
+}
+
+int explainJob(const std::vector<std::string> &words,
+               const po::variables_map &vm) {
+  if (words.size() < 3)
+    return usage("explain JOB FILE... [--json]");
+  const ReadEvents read = readAll({words.begin() + 2, words.end()});
+  return show(eventlog::storyOf(words[1], read.Events), vm);
+}
+
+} // namespace oriolebay::entry
--- a/src/app/entry/main.cpp
+++ b/src/app/entry/main.cpp
@@ -2,8 +2,8 @@
 #include "core/codec.h"
 #include "entry/entryservice.h"
 #include "eventlog/eventlog.h"
-#include "eventlog/timeline.h"
 #include "jobscommand.h"
+#include "logcommands.h"
 #include "operators/profilestore.h"
 #include "placement/placer.h"
 #include "platform/kvclient.h"
@@ -97,10 +97,10 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  app::blockStopSignals();
   po::options_description opts("oriolebay-entry COMMAND [options]\n"
                                "commands: jobs, serve, profile get|put, "
-                               "timeline");
+                               "timeline FILE..., explain JOB FILE... "
+                               "(FILE - is standard input)");
   opts.add_options()("help",
                      "this text")("settings", po::value<std::string>(),
                                   "settings (JSON), for jobs and serve")(
@@ -110,6 +110,7 @@
       "expect-version", po::value<int64_t>()->default_value(0),
       "the version the profile has now (0: a new profile)")(
       "args", po::value<std::vector<std::string>>(), "command and its words");
+  entry::addLogOptions(opts);
   po::positional_options_description pos;
   pos.add("args", -1);
   po::variables_map vm;
@@ -122,19 +123,18 @@
     std::cout << opts << '\n';
     return args.empty() && !vm.count("help") ? 2 : 0;
   }
+  if (args[0] == "timeline")
+    return entry::showTimeline(args, vm);
+  if (args[0] == "explain")
+    return entry::explainJob(args, vm);
+  // All that follows may start threads, which must not take the stop signals.
+  app::blockStopSignals();
   if (args[0] == "serve" && vm.count("settings"))
     return serve(vm["settings"].as<std::string>());
   if (args[0] == "jobs" && vm.count("settings"))
     return entry::serveJobs(vm["settings"].as<std::string>());
   if (args[0] == "profile")
     return profileCommand(args, vm);
-  if (args[0] == "timeline") {
-    std::vector<std::string> files(args.begin() + 1, args.end());
-    int skipped = eventlog::printTimeline(files, std::cout);
-    if (skipped > 0)
-      std::cerr << skipped << " lines were not events\n";
-    return 0;
-  }
   std::cerr << "oriolebay-entry: unknown command " << args[0]
             << " (remedy: see --help)\n";
   return 2;
--- a/src/libs/eventlog/timeline.cpp
+++ b/src/libs/eventlog/timeline.cpp
@@ -1,35 +1,188 @@
 #include "timeline.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <set>
 
 namespace oriolebay::eventlog {
 
-int printTimeline(const std::vector<std::string> &paths, std::ostream &out) {
-  std::vector<nlohmann::json> events;
-  int skipped = 0;
-  for (const std::string &path : paths) {
-    std::ifstream in(path);
+using nlohmann::json;
+
+namespace {
+
+/// Fields that every event has; text output gives them their own columns.
+const std::set<std::string> CommonFields = {"ts_us", "up_ms", "proc", "event",
+                                            "name"};
+constexpr const char *ProcessStartedName = "process.started";
+
+std::string textOf(const json &fields, const char *key) {
+  auto it = fields.find(key);
+  return it != fields.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+int64_t numberOf(const json &fields, const char *key) {
+  auto it = fields.find(key);
+  return it != fields.end() && it->is_number() ? it->get<int64_t>() : 0;
+}
+
+bool startsWith(const std::string &text, const std::string &start) {
+  return text.compare(0, start.size(), start) == 0;
+}
+
+// One life of a process: its boot clock runs evenly in it.
+using Life = std::vector<LoggedEvent>;
+
+void placeByBootClock(Life &life) {
+  std::vector<int64_t> offsets;
+  for (const LoggedEvent &e : life)
+    if (e.Fields.contains("up_ms"))
+      offsets.push_back(e.AtUs - numberOf(e.Fields, "up_ms") * 1000);
+  if (offsets.empty())
+    return;
+  const auto middle =
+      offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+  std::nth_element(offsets.begin(), middle, offsets.end());
+  for (LoggedEvent &e : life)
+    if (e.Fields.contains("up_ms"))
+      e.AtUs = numberOf(e.Fields, "up_ms") * 1000 + *middle;
+}
+
+class Reader {
+public:
+  void read(std::istream &in) {
     std::string line;
-    while (std::getline(in, line)) {
-      auto event = nlohmann::json::parse(line, nullptr, false);
-      if (event.is_discarded() || !event.contains("ts_us")) {
-        ++skipped;
-        continue;
-      }
-      events.push_back(std::move(event));
+    while (std::getline(in, line))
+      take(line);
+  }
+
+  ReadEvents finish() {
+    for (auto &[process, life] : Lives)
+      close(life);
+    std::stable_sort(Result.Events.begin(), Result.Events.end(),
+                     [](const LoggedEvent &a, const LoggedEvent &b) {
+                       return a.AtUs < b.AtUs;
+                     });
+    return std::move(Result);
+  }
+
+private:
+  void take(const std::string &line) {
+    const size_t start = line.find('{');
+    json fields = start == std::string::npos
+                      ? json()
+                      : json::parse(line.substr(start), nullptr, false);
+    if (!fields.is_object() || !fields.contains("ts_us")) {
+      ++Result.Skipped;
+      return;
     }
+    Life &life = Lives[textOf(fields, "proc")];
+    if (textOf(fields, "name") == ProcessStartedName)
+      close(life);
+    const int64_t at = numberOf(fields, "ts_us");
+    life.push_back({at, std::move(fields)});
+  }
+
+  void close(Life &life) {
+    placeByBootClock(life);
+    std::move(life.begin(), life.end(), std::back_inserter(Result.Events));
+    life.clear();
+  }
+
+  std::map<std::string, Life> Lives;
+  ReadEvents Result;
+};
+
+bool passes(const EventFilter &f, const LoggedEvent &e) {
+  return (f.Process.empty() || textOf(e.Fields, "proc") == f.Process) &&
+         (f.Worker.empty() || textOf(e.Fields, "worker") == f.Worker) &&
+         (f.Organisation.empty() ||
+          textOf(e.Fields, "organisation") == f.Organisation) &&
+         startsWith(textOf(e.Fields, "name"), f.Name) &&
+         (!f.FromUs || e.AtUs >= *f.FromUs) && (!f.ToUs || e.AtUs <= *f.ToUs);
+}
+
+// A task is named after its job, and a reason may name the job that work made
+// room for.
+bool isOf(const std::string &job, const LoggedEvent &e) {
+  return textOf(e.Fields, "job") == job ||
+         startsWith(textOf(e.Fields, "task"), job + ".") ||
+         textOf(e.Fields, "why").find(job) != std::string::npos;
+}
+
+bool touchesAll(const LoggedEvent &e) {
+  const std::string name = textOf(e.Fields, "name");
+  return startsWith(name, "leader.") || startsWith(name, "store.") ||
+         startsWith(name, "log.");
+}
+
+} // namespace
+
+ReadEvents readEvents(const std::vector<std::string> &paths) {
+  Reader reader;
+  for (const std::string &path : paths) {
+    if (path == "-") {
+      reader.read(std::cin);
+      continue;
+    }
+    std::ifstream in(path);
+    reader.read(in);
+  }
+  return reader.finish();
+}
+
+std::vector<LoggedEvent> select(const std::vector<LoggedEvent> &events,
+                                const EventFilter &filter) {
+  std::vector<LoggedEvent> chosen;
+  std::copy_if(events.begin(), events.end(), std::back_inserter(chosen),
+               [&](const LoggedEvent &e) { return passes(filter, e); });
+  return chosen;
+}
+
+std::vector<LoggedEvent> storyOf(const std::string &job,
+                                 const std::vector<LoggedEvent> &events) {
+  std::optional<int64_t> first;
+  int64_t last = 0;
+  std::set<std::string> workers;
+  for (const LoggedEvent &e : events) {
+    if (!isOf(job, e))
+      continue;
+    first = first.value_or(e.AtUs);
+    last = e.AtUs;
+    if (e.Fields.contains("worker"))
+      workers.insert(textOf(e.Fields, "worker"));
+  }
+  std::vector<LoggedEvent> story;
+  if (!first)
+    return story;
+  for (const LoggedEvent &e : events) {
+    const bool during = e.AtUs >= *first && e.AtUs <= last;
+    const bool atWorker = startsWith(textOf(e.Fields, "name"), "worker.") &&
+                          workers.count(textOf(e.Fields, "worker")) > 0;
+    if (isOf(job, e) || (during && (touchesAll(e) || atWorker)))
+      story.push_back(e);
+  }
+  return story;
+}
+
+void printJson(const std::vector<LoggedEvent> &events, std::ostream &out) {
+  for (const LoggedEvent &e : events)
+    out << e.Fields.dump() << '\n';
+}
+
+void printText(const std::vector<LoggedEvent> &events, std::ostream &out) {
+  for (const LoggedEvent &e : events) {
+    out << std::fixed << std::setprecision(3) << std::setw(9)
+        << static_cast<double>(e.AtUs - events.front().AtUs) / 1e6 << "  "
+        << textOf(e.Fields, "proc") << "  " << textOf(e.Fields, "name");
+    for (const auto &[key, value] : e.Fields.items())
+      if (CommonFields.count(key) == 0)
+        out << "  " << key << '='
+            << (value.is_string() ? value.get<std::string>() : value.dump());
+    out << '\n';
   }
-  std::stable_sort(events.begin(), events.end(),
-                   [](const nlohmann::json &a, const nlohmann::json &b) {
-                     return a["ts_us"].get<int64_t>() <
-                            b["ts_us"].get<int64_t>();
-                   });
-  for (const nlohmann::json &event : events)
-    out << event.dump() << '\n';
-  return skipped;
 }
 
 } // namespace oriolebay::eventlog
--- /dev/null
+++ b/tests/auto/eventlog/tst_timeline.cpp
@@ -0,0 +1,108 @@
+#include "eventlog/timeline.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace oriolebay::eventlog {
+namespace {
+
+/// Logs of two entries and an agent. The first entry's wall clock jumps by an
+/// hour after its second line; a collector has put text before some lines.
+const char *const Logs = R"(
+{"ts_us":1000000,"up_ms":500,"proc":"e1","name":"process.started"}
+{"ts_us":1100000,"up_ms":600,"proc":"e1","name":"call.answered","job":"j1","organisation":"o1","result":"ok"}
+no event at all
+12:00 e1 {"ts_us":3601300000,"up_ms":800,"proc":"e1","name":"run.placed","job":"j1","task":"j1.0.0.0","worker":"w1"}
+{"ts_us":1500000,"up_ms":1000,"proc":"e1","name":"run.ended","job":"j1","task":"j1.0.0.0","worker":"w1"}
+{"ts_us":1350000,"up_ms":90,"proc":"a1","name":"order.received","worker":"w1"}
+{"ts_us":1360000,"up_ms":100,"proc":"a1","name":"order.carried_out","task":"j1.0.0.0","run":1}
+{"ts_us":1370000,"up_ms":110,"proc":"a1","name":"worker.unreachable","worker":"w1"}
+{"ts_us":1380000,"up_ms":70,"proc":"e2","name":"store.lost","why":"timeout"}
+{"ts_us":1390000,"up_ms":80,"proc":"e2","name":"call.answered","job":"j2","organisation":"o2"}
+{"ts_us":1395000,"up_ms":85,"proc":"e2","name":"worker.lost","worker":"w2"}
+{"ts_us":1399000,"up_ms":89,"proc":"e2","name":"run.stopping","job":"j2","task":"j2.0.0.0","why":"makes room for job j1"}
+{"ts_us":1900000,"up_ms":600,"proc":"e2","name":"leader.lost"}
+)";
+
+std::vector<LoggedEvent> sample(int *skipped = nullptr) {
+  const std::string path =
+      ::testing::TempDir() + "oriolebay-logs-" + std::to_string(::getpid());
+  std::ofstream(path) << Logs;
+  const ReadEvents read = readEvents({path});
+  ::unlink(path.c_str());
+  if (skipped != nullptr)
+    *skipped = read.Skipped;
+  return read.Events;
+}
+
+std::vector<std::string> names(const std::vector<LoggedEvent> &events) {
+  std::vector<std::string> names;
+  for (const LoggedEvent &e : events)
+    names.push_back(e.Fields["name"]);
+  return names;
+}
+
+// An entry's wall clock jumped by an hour for a moment. In the time line the
+// placement of a job's run came an hour after its end.
+TEST(Timeline, ProcessKeepsItsOrderThoughItsClockJumps) {
+  int skipped = 0;
+  const std::vector<LoggedEvent> events = sample(&skipped);
+  EXPECT_EQ(skipped, 2);
+  EXPECT_EQ(names(select(events, {"e1", "", "", "", {}, {}})),
+            (std::vector<std::string>{"process.started", "call.answered",
+                                      "run.placed", "run.ended"}));
+  EXPECT_EQ(names(events).front(), "process.started");
+  EXPECT_EQ(names(events).back(), "leader.lost");
+}
+
+struct FilterCase {
+  const char *Name;
+  EventFilter Filter;
+  std::vector<std::string> Names;
+};
+
+void PrintTo(const FilterCase &c, std::ostream *out) { *out << c.Name; }
+
+class Filters : public ::testing::TestWithParam<FilterCase> {};
+
+TEST_P(Filters, LetThrough) {
+  EXPECT_EQ(names(select(sample(), GetParam().Filter)), GetParam().Names);
+}
+
+const FilterCase FilterCases[] = {
+    {"organisation", {"", "", "o2", "", {}, {}}, {"call.answered"}},
+    {"worker", {"", "w2", "", "", {}, {}}, {"worker.lost"}},
+    {"name",
+     {"", "", "", "run.", {}, {}},
+     {"run.placed", "run.stopping", "run.ended"}},
+    {"time",
+     {"", "", "", "", 1375000, 1392000},
+     {"store.lost", "call.answered"}},
+    {"nothing", {"e3", "", "", "", {}, {}}, {}},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, Filters, ::testing::ValuesIn(FilterCases),
+                         [](const auto &info) { return info.param.Name; });
+
+TEST(Story, HasWhatConcernsTheJobAndNothingElse) {
+  EXPECT_EQ(
+      names(storyOf("j1", sample())),
+      (std::vector<std::string>{"call.answered", "run.placed",
+                                "order.carried_out", "worker.unreachable",
+                                "store.lost", "run.stopping", "run.ended"}));
+  EXPECT_TRUE(storyOf("j3", sample()).empty());
+}
+
+TEST(Story, ReadsAsText) {
+  std::ostringstream out;
+  printText(select(sample(), {"a1", "", "", "order.", {}, {}}), out);
+  EXPECT_EQ(out.str(),
+            "    0.000  a1  order.received  worker=w1\n"
+            "    0.010  a1  order.carried_out  run=1  task=j1.0.0.0\n");
+}
+
+} // namespace
+} // namespace oriolebay::eventlog
