Room on its way to an urgent job is kept for it

Cause: an urgent job whose stops were already asked for counted as in time by itself, because the room was on its way, and then nothing was kept for it. Found with explain on a late urgent job of three whole workers. Ruled out: order of placement (the urgent job does come first, but its three tasks fit only when all of a worker is free); the store (7 ms a call).

Change: what comes in time by itself is kept like what stops bring; whether it comes in time is judged first, so that stops are only weighed when needed.

Before: RoomOnItsWayIsNotGivenAway saw a task stopped twelve times, after: once each and three starts.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -299,7 +299,7 @@
   }
   const bool urgent = unit.Rank <= 1;
   if (unit.spec().Gang) {
-    if (!urgent || !preempt(unit))
+    if (!urgent || !makeRoom(unit))
       waitForRoom(unit);
     return;
   }
@@ -309,7 +309,7 @@
   for (size_t n = urgent ? tasks.size() : 1; n > 0; n /= 2) {
     unit.Tasks.assign(tasks.begin(),
                       tasks.begin() + static_cast<std::ptrdiff_t>(n));
-    if (urgent && preempt(unit))
+    if (urgent && makeRoom(unit))
       return;
   }
   waitForRoom(unit);
@@ -536,6 +536,19 @@
   return S.Policy.WasteForAny + S.Policy.WasteForOwnWork * own;
 }
 
+// Whether unit's job comes in time if it waits for the room that ends give by
+// themselves, or that stops which were asked for will give: twice the wait must
+// be within what it may wait, as it is an estimate.
+bool Planner::inTimeAnyway(const Unit &unit,
+                           const std::optional<Plan> &ends) const {
+  if (!ends)
+    return false;
+  const absl::Time natural = Now + ends->Wait;
+  if (unit.Rank == 0 && natural > unit.Owner->Arrived + S.Policy.ReclaimAfter)
+    return false;
+  return ends->Wait * 2 <= slack(unit);
+}
+
 // Stopping others is worth it for a job that comes in time by it and would not
 // otherwise, and whatever it costs where a guarantee would not be kept.
 bool Planner::worthStopping(const Unit &unit, const Plan &stops,
@@ -543,20 +556,24 @@
   const absl::Time natural = ends ? Now + ends->Wait : absl::InfiniteFuture();
   if (unit.Rank == 0 && natural > unit.Owner->Arrived + S.Policy.ReclaimAfter)
     return true;
-  const absl::Duration spare = slack(unit);
-  const bool inTimeAnyway = ends && ends->Wait * 2 <= spare;
-  return !inTimeAnyway && stops.Waste <= mostWaste(unit);
+  return stops.Waste <= mostWaste(unit);
 }
 
-// Asks for the stops that make room for unit and keeps the room for it. False
-// when there are none, or they are not worth it.
-bool Planner::preempt(Unit &unit) {
+// Keeps the room that comes in time by itself for unit, or asks for the stops
+// that make room and keeps that. Without keeping what was on its way, the room
+// of the first stops went to other small tasks, which were stopped in their
+// turn, twelve times over in the test. False when there are no stops, or they
+// are not worth it.
+bool Planner::makeRoom(Unit &unit) {
+  const std::vector<Release> running = releases(unit, false);
+  const std::optional<Plan> ends = firstEnds(unit, running);
+  if (inTimeAnyway(unit, ends)) {
+    keep(unit, *ends);
+    return true;
+  }
   const std::vector<Release> stoppable = releases(unit, true);
   std::optional<Plan> stops = cheapestStops(unit, stoppable);
-  if (!stops)
-    return false;
-  const std::vector<Release> running = releases(unit, false);
-  if (!worthStopping(unit, *stops, firstEnds(unit, running)))
+  if (!stops || !worthStopping(unit, *stops, ends))
     return false;
   const std::string why = "makes room for job " + unit.Owner->Record.Spec.Id;
   for (const Release *r : stops->Releases) {
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -115,7 +115,8 @@
                      const std::optional<Plan> &ends) const;
   absl::Duration slack(const Unit &unit) const;
   absl::Duration chainFrom(const Job &job, size_t step) const;
-  bool preempt(Unit &unit);
+  bool inTimeAnyway(const Unit &unit, const std::optional<Plan> &ends) const;
+  bool makeRoom(Unit &unit);
   void waitForRoom(Unit &unit);
   void keep(const Unit &unit, const Plan &plan);
   double wasteOf(const core::StepSpec &spec, const Task &task) const;
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -303,7 +303,8 @@
           {stop.Task, stop.Run, endpoints::OrderOutcome::Absent, ""});
     } else if (!it->second.Stopping) {
       it->second.Stopping = true;
-      it->second.StopAt = Now + StopTakes;
+      it->second.StopAt =
+          Now + (StopTakesOf ? StopTakesOf(idOf(stop.Task)) : StopTakes);
     }
   }
   for (const endpoints::StartOrder &start : orders.Starts) {
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -103,6 +103,8 @@
   static constexpr int ReportEveryMs = 500;
   /// How long a stop takes.
   absl::Duration StopTakes = absl::Milliseconds(200);
+  /// Where it differs from task to task.
+  std::function<absl::Duration(const core::TaskId &)> StopTakesOf;
   static constexpr int RestoreMs = 600;
   static constexpr absl::Duration CheckpointEvery = absl::Seconds(1);
 
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -230,6 +230,37 @@
                          ::testing::ValuesIn(StopCases),
                          [](const auto &info) { return info.param.Name; });
 
+// An urgent job of three whole workers has small tasks stopped; they end one by
+// one. Users saw the room of the first ends go to other small tasks, which were
+// then stopped for the same job, up to four times each within 0.2 s, and the
+// job began late: while its room was on the way, nothing was kept for it.
+TEST(UrgentWork, RoomOnItsWayIsNotGivenAway) {
+  SimSite site;
+  core::SiteConfig config = guaranteeing(0);
+  config.Queues[0].Stretch = 2;
+  config.Queues[0].TargetLatencyMs = 1000;
+  site.configure(config);
+  site.StopTakesOf = [](const core::TaskId &id) {
+    return absl::Milliseconds(50 + 40 * id.Index);
+  };
+  addRacks(site, 1);
+  for (int n = 0; n < 6; ++n)
+    site.submit(
+        jobOf("fill" + std::to_string(n), step(8, {1000, 1000, 1}, 9000)), 2);
+  site.runFor(absl::Seconds(1));
+  const int before = site.starts();
+  site.submit(jobOf("urgent", step(3, WholeWorker, 4000)), 0);
+  site.runFor(absl::Seconds(2));
+  std::map<std::string, int> stops;
+  for (const Decision &d : site.Log)
+    if (d.What == Decision::Kind::Stopping)
+      ++stops[d.Task];
+  for (const auto &[task, n] : stops)
+    EXPECT_EQ(n, 1) << task;
+  EXPECT_EQ(site.starts(), before + 3);
+  EXPECT_EQ(site.placesOf("urgent").size(), 3u);
+}
+
 struct LeavingCase {
   const char *Name;
   core::StepSpec Step;
