A task is not tried again where it failed while others could hold it

Cause: a worker that fails all it starts has room as soon as a run there has failed. Where it had failed before only came second to room. Ruled out: keeping a worker out after one failure (a task may fail by its own fault, and each of these would cost the site a worker for 4 s).

Change: a task that failed avoids those workers, gangs those of all members, unless no others could hold it, so that what fails by its own fault still ends. Such a task is planned by itself, so that room is made where it goes.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -78,18 +78,8 @@
       for (size_t s = 0; s < steps.size(); ++s) {
         if (!JobScheduler::stepReady(job, steps, s))
           continue;
-        Unit unit{&job, k, static_cast<int>(s), {}, rankOf(job)};
-        bool whole = true;
-        for (size_t i = 0; i < steps[s].size(); ++i) {
-          const Task &task = steps[s][i];
-          if (!task.Progress.Done && !task.mayRun())
-            unit.Tasks.push_back(static_cast<int>(i));
-          else
-            whole = false;
-        }
-        if (unit.Tasks.empty() || (unit.spec().Gang && !whole))
-          continue;
-        Units.push_back(std::move(unit));
+        Unit unit{&job, k, static_cast<int>(s), {}, rankOf(job), {}};
+        collectTasks(unit, steps[s]);
       }
     }
   }
@@ -101,6 +91,64 @@
   });
 }
 
+// A gang waits until all its tasks may start. Of others, each that has failed
+// is a unit of its own, with workers of its own to avoid.
+void Planner::collectTasks(Unit &unit, const JobScheduler::Step &step) {
+  const bool gang = unit.spec().Gang;
+  for (size_t i = 0; i < step.size(); ++i) {
+    const Task &task = step[i];
+    const auto index = static_cast<int>(i);
+    if (task.Progress.Done || task.mayRun()) {
+      if (gang)
+        return;
+    } else if (gang || task.FailedOn.empty()) {
+      unit.Tasks.push_back(index);
+    } else {
+      Unit retry{unit.Owner, unit.Occurrence, unit.Step,
+                 {index},    unit.Rank,       {}};
+      avoidFailed(retry, step);
+      Units.push_back(std::move(retry));
+    }
+  }
+  if (unit.Tasks.empty())
+    return;
+  if (gang)
+    avoidFailed(unit, step);
+  Units.push_back(std::move(unit));
+}
+
+// A worker may fail all that it starts. With room nowhere else a task was tried
+// there again at once and again, until its attempts were used up and its job
+// had failed for good; now it waits for room at a worker that could hold it.
+// Where there is none, what fails by its own fault must still come to its end.
+void Planner::avoidFailed(Unit &unit, const JobScheduler::Step &step) const {
+  for (int index : unit.Tasks) {
+    const auto &failed = step[static_cast<size_t>(index)].FailedOn;
+    unit.Avoid.insert(failed.begin(), failed.end());
+  }
+  if (unit.Avoid.empty())
+    return;
+  const bool elsewhere =
+      unit.spec().SameRack && unit.spec().Gang
+          ? couldEverFitOneRack(unit)
+          : couldHold(unit) >= static_cast<int64_t>(unit.Tasks.size());
+  if (!elsewhere)
+    unit.Avoid.clear();
+}
+
+// How many of its tasks the usable workers could hold if they were empty.
+int64_t Planner::couldHold(const Unit &unit) const {
+  const core::StepSpec &spec = unit.spec();
+  int64_t most = static_cast<int64_t>(unit.Tasks.size());
+  if (spec.MaxPerWorker > 0)
+    most = std::min<int64_t>(most, spec.MaxPerWorker);
+  int64_t held = 0;
+  for (const Place &place : Places)
+    if (eligible(place, unit))
+      held += spec.room().countIn(place.View->State.Capacity, most);
+  return held;
+}
+
 void Planner::placeUnit(Unit &unit) {
   if (unit.spec().Gang) {
     if (!placeGang(unit))
@@ -118,7 +166,7 @@
       S.Config->queue(unit.Owner->Record.Spec.Queue);
   const std::string &service =
       queue != nullptr ? queue->Service : unit.Owner->Record.Service;
-  if (worker.Service != service)
+  if (worker.Service != service || unit.Avoid.count(place.Life) != 0)
     return false;
   const std::string &label = unit.spec().NeedsLabel;
   return label.empty() || std::find(worker.Labels.begin(), worker.Labels.end(),
@@ -261,9 +309,8 @@
   const core::StepSpec &spec = unit.spec();
   std::vector<int> left;
   for (int index : unit.Tasks) {
-    const Task &task = *S.findTask(unit.task(index));
-    // Smaller is better: not where it failed before, near the data, tight.
-    using Score = std::tuple<bool, bool, int64_t, int64_t>;
+    // Smaller is better: near the data, tight.
+    using Score = std::tuple<bool, int64_t, int64_t>;
     std::optional<std::pair<Score, size_t>> best;
     for (size_t p = 0; p < Places.size(); ++p) {
       const Place &place = Places[p];
@@ -271,8 +318,7 @@
         continue;
       const bool away =
           !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
-      const Score score{task.FailedOn.count(place.Life) != 0, away,
-                        place.Free.Accelerators, place.Free.MilliCores};
+      const Score score{away, place.Free.Accelerators, place.Free.MilliCores};
       if (!best || score < best->first)
         best = {score, p};
     }
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
     std::vector<int> Tasks;
     /// 0: within a guarantee; 1: other work of priority 0; then priority + 1.
     int Rank = 0;
+    /// Workers where it failed, while others could hold it.
+    std::set<std::string> Avoid;
 
     const core::StepSpec &spec() const {
       return Owner->Record.Spec.Steps[static_cast<size_t>(Step)];
@@ -80,6 +83,9 @@
   };
 
   void collectUnits();
+  void collectTasks(Unit &unit, const JobScheduler::Step &step);
+  void avoidFailed(Unit &unit, const JobScheduler::Step &step) const;
+  int64_t couldHold(const Unit &unit) const;
   void rankJobs();
   int rankOf(const Job &job) const;
   void placeUnit(Unit &unit);
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -261,6 +261,59 @@
   EXPECT_EQ(site.placesOf("urgent").size(), 3u);
 }
 
+core::StepSpec gangOf(core::StepSpec step) {
+  step.Gang = true;
+  return step;
+}
+
+struct SickCase {
+  const char *Name;
+  core::StepSpec Step;
+  /// Workers that fail all they start, of three.
+  int Sick;
+  JobState State;
+};
+
+void PrintTo(const SickCase &c, std::ostream *out) { *out << c.Name; }
+
+class SickWorkers : public ::testing::TestWithParam<SickCase> {};
+
+// A worker fails all that it starts and is the only one with room. Users saw a
+// job fail for good after half a second: both its attempts went to that worker,
+// although the others would have had room a little later.
+TEST_P(SickWorkers, DoNotUseUpAttempts) {
+  const SickCase &c = GetParam();
+  SimSite site;
+  addRacks(site, 1);
+  for (int n = c.Sick; n < 3; ++n)
+    site.submit(jobOf("fill" + std::to_string(n), step(1, WholeWorker, 3000)),
+                1);
+  site.runFor(absl::Milliseconds(200));
+  const std::multiset<std::string> busy = [&] {
+    std::multiset<std::string> all;
+    for (int n = c.Sick; n < 3; ++n)
+      all.merge(site.placesOf("fill" + std::to_string(n)));
+    return all;
+  }();
+  for (const char *life : {"w00", "w01", "w02"})
+    site.worker(life).FailsAll = busy.count(life) == 0;
+  site.submit(jobOf("j", c.Step), 1, 2);
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(30)));
+  EXPECT_EQ(site.state("j"), c.State);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
+const SickCase SickCases[] = {
+    {"one_task", step(1, WholeWorker, 1000), 1, JobState::Completed},
+    {"several_tasks", step(3, WholeWorker, 1000), 1, JobState::Completed},
+    {"gang", gangOf(step(2, {4000, 1000, 4}, 1000)), 1, JobState::Completed},
+    // Nothing else could hold it: it must come to its end all the same.
+    {"all_workers", step(1, WholeWorker, 1000), 3, JobState::Failed},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, SickWorkers, ::testing::ValuesIn(SickCases),
+                         [](const auto &info) { return info.param.Name; });
+
 struct LeavingCase {
   const char *Name;
   core::StepSpec Step;
@@ -300,11 +353,6 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
-core::StepSpec gangOf(core::StepSpec step) {
-  step.Gang = true;
-  return step;
-}
-
 const LeavingCase LeavingCases[] = {
     {"lets_end_what_can", step(1, WholeWorker, 4000), absl::Seconds(1), 0, 0},
     {"stops_at_once_what_cannot", step(1, WholeWorker, 12000), absl::Seconds(2),
