--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -279,13 +279,22 @@
   Workers.vacate(life, {end.Task, end.Run});
   TaskId id;
   Task *task = core::parseTaskName(end.Task, id) ? findTask(id) : nullptr;
-  if (task == nullptr || task->Progress.Done || end.Run > task->Progress.Run ||
-      ((task->Progress.Worker != life || task->Progress.Run != end.Run) &&
-       end.How != RunEnd::Done)) {
-    if (task == nullptr) {
-      Workers.endRecorded(life, end.Number);
-      return;
-    }
+  const bool counts =
+      task != nullptr && !task->Progress.Done &&
+      end.Run <= task->Progress.Run &&
+      ((task->Progress.Worker == life && task->Progress.Run == end.Run) ||
+       end.How == RunEnd::Done);
+  note(Decision::Kind::Ended, id.Job, end.Task, end.Run, life,
+       endpoints::runEndName(end.How),
+       {{"number", end.Number},
+        {"counts", counts ? 1 : 0},
+        {"failed_before", task == nullptr ? 0 : task->Progress.Failed},
+        {"attempts", task == nullptr ? 0 : Jobs.at(id.Job).Record.Attempts}});
+  if (task == nullptr) {
+    Workers.endRecorded(life, end.Number);
+    return;
+  }
+  if (!counts) {
     Job &job = Jobs.at(id.Job);
     if (task->Progress.Worker == life && task->Progress.Run == end.Run)
       leaveWorker(job, id, *task);
@@ -293,11 +302,6 @@
     return;
   }
   Job &job = Jobs.at(id.Job);
-  note(Decision::Kind::Ended, id.Job, end.Task, end.Run, life,
-       endpoints::runEndName(end.How),
-       {{"number", end.Number},
-        {"failed_before", task->Progress.Failed},
-        {"attempts", job.Record.Attempts}});
   runEnded(job, id, *task, end.How, end.Saved, life, now);
   judgeJob(job, now);
   job.Dirty = true;
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -148,6 +148,25 @@
 /// their usual number while other work fills the workers; up to 2,900
 /// core-seconds a day were thrown away for them, a third of what such a day is
 /// worth.
+// A gang is done with the first member's end; the ends of the others were not
+// logged, so that three of four runs of a job seemed to go on for ever.
+TEST(JobScheduler, EveryEndOfAGangIsLogged) {
+  SimSite site;
+  addRacks(site, 1);
+  site.submit(jobOf("g", step(4, {1000, 100, 4}, 1000, true)));
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(10)));
+  site.runFor(absl::Seconds(2));
+  std::set<std::string> ended;
+  int64_t counting = 0;
+  for (const Decision &d : site.Log)
+    if (d.What == Decision::Kind::Ended) {
+      ended.insert(d.Task);
+      counting += d.input("counts");
+    }
+  EXPECT_EQ(ended.size(), 4u);
+  EXPECT_EQ(counting, 1);
+}
+
 struct StopCase {
   const char *Name;
   /// One job a worker, of tasks of eight accelerators each.
