--- /dev/null
+++ b/tests/auto/adapter/tst_callerform.cpp
@@ -0,0 +1,124 @@
+#include "callerform.h"
+#include "configform.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolebay::adapter {
+namespace {
+
+constexpr const char *Id = "0123456789abcdef";
+
+struct JobCase {
+  const char *Name;
+  std::string Body;
+  bool Good;
+};
+
+void PrintTo(const JobCase &c, std::ostream *out) { *out << c.Name; }
+
+class JobBodies : public ::testing::TestWithParam<JobCase> {};
+
+TEST_P(JobBodies, AreReadOrRefusedWithTheRemedy) {
+  const bool read = utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_AUTO(spec, readJob(Id, GetParam().Body));
+        EXPECT_EQ(spec.Id, Id);
+        return true;
+      },
+      [](const utils::Error &e) {
+        EXPECT_EQ(e.Kind, utils::ErrorKind::BadMessage);
+        EXPECT_NE(e.text().find("remedy"), std::string::npos) << e.text();
+        return false;
+      });
+  EXPECT_EQ(read, GetParam().Good);
+}
+
+const JobCase JobCases[] = {
+    {"smallest", R"({"spec":"x","steps":[{"cpu":100}]})", true},
+    {"unknown_field", R"({"spec":"x","steps":[{"cpu":100}],"colour":1})",
+     false},
+    {"unknown_step_field", R"({"spec":"x","steps":[{"cpus":100}]})", false},
+    {"no_steps", R"({"spec":"x"})", false},
+    {"steps_no_list", R"({"spec":"x","steps":5})", false},
+    {"count_no_number", R"({"spec":"x","steps":[{"count":"two"}]})", false},
+    {"after_no_list", R"({"spec":"x","steps":[{"after":"0"}]})", false},
+    {"list", "[]", false},
+    {"text", "<html>", false},
+    {"empty", "", false},
+    {"deep", std::string(2000, '['), false},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, JobBodies, ::testing::ValuesIn(JobCases),
+                         [](const auto &info) { return info.param.Name; });
+
+TEST(JobForm, StepKeepsWhatItsFieldsMean) {
+  const core::JobSpec spec = utils::handle<core::JobSpec>(
+      [&]() -> utils::Result<core::JobSpec> {
+        return readJob(Id, R"({"spec":"x","steps":[{"cpu":1},{"count":3,
+            "cpu":2500,"memMb":512,"gpu":4,"estimateMs":900,"after":[0],
+            "savesProgress":true,"gang":true,"sameRack":true,"needs":"a",
+            "affinity":"r1-1","antiAffinity":2,"mayMiss":1}]})");
+      },
+      [](const utils::Error &e) {
+        ADD_FAILURE() << e.text();
+        return core::JobSpec();
+      });
+  ASSERT_EQ(spec.Steps.size(), 2u);
+  const core::StepSpec &step = spec.Steps[1];
+  EXPECT_EQ(step.Count, 3);
+  EXPECT_EQ(step.PerTask, (core::Resources{2500, 512, 4}));
+  EXPECT_EQ(step.After, std::vector<int>{0});
+  EXPECT_TRUE(step.Checkpoints && step.Gang && step.SameRack);
+  EXPECT_EQ(step.NeedsLabel, "a");
+  EXPECT_EQ(step.DataRack, "r1-1");
+  EXPECT_EQ(step.MaxPerWorker, 2);
+  EXPECT_EQ(step.MayMiss, 1);
+}
+
+struct ConfigCase {
+  const char *Name;
+  const char *Value;
+  bool Good;
+};
+
+void PrintTo(const ConfigCase &c, std::ostream *out) { *out << c.Name; }
+
+class Configs : public ::testing::TestWithParam<ConfigCase> {};
+
+TEST_P(Configs, AreReadOrRefused) {
+  const bool read = utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_AUTO(config, readConfig(GetParam().Value));
+        EXPECT_EQ(config.Version, 3);
+        EXPECT_EQ(config.Queues.size(), 1u);
+        EXPECT_EQ(config.Organisations.size(), 1u);
+        EXPECT_EQ(config.Organisations.front().GuaranteedAccelerators, 16);
+        return true;
+      },
+      [](const utils::Error &e) {
+        EXPECT_EQ(e.Kind, utils::ErrorKind::BadMessage);
+        return false;
+      });
+  EXPECT_EQ(read, GetParam().Good);
+}
+
+const ConfigCase ConfigCases[] = {
+    {"whole",
+     R"({"version":3,"routes":[{"name":"q","host":"h","prefix":"/p/",
+         "service":"s","priority":1,"stretch":1.5,"targetLatencyMs":250}],
+         "tenants":[{"name":"o","apiKeys":["k"],"guaranteed":{"gpu":16}}]})",
+     true},
+    {"no_version", R"({"routes":[]})", false},
+    {"no_routes", R"({"version":3})", false},
+    {"route_without_host", R"({"version":3,"routes":[{"name":"q"}]})", false},
+    {"keys_no_list",
+     R"({"version":3,"routes":[],"tenants":[{"name":"o","apiKeys":"k"}]})",
+     false},
+    {"no_json", "<html>", false},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, Configs, ::testing::ValuesIn(ConfigCases),
+                         [](const auto &info) { return info.param.Name; });
+
+} // namespace
+} // namespace oriolebay::adapter
--- /dev/null
+++ b/tests/auto/adapter/tst_storeform.cpp
@@ -0,0 +1,95 @@
+#include "platformstub.h"
+#include "storeform.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace oriolebay::adapter {
+namespace {
+
+using nlohmann::json;
+using platform::KeyValue;
+using platform::StoreReply;
+using platform::StoreStatus;
+using platform::StoreTxnReply;
+
+struct AnswerCase {
+  const char *Name;
+  std::optional<http::HttpResponse> Answer;
+  StoreStatus Status;
+};
+
+void PrintTo(const AnswerCase &c, std::ostream *out) { *out << c.Name; }
+
+class StoreAnswers : public ::testing::TestWithParam<AnswerCase> {};
+
+// Whether a write may have been made decides whether it is made again. An
+// answer that says nothing of that must never count as "not done".
+TEST_P(StoreAnswers, AreReadForWhatTheySay) {
+  PlatformStub stub(GetParam().Answer);
+  const platform::Store store = makeStore(stub.Loop, stub.Client, stub.Address);
+  const auto reply = stub.outcome<StoreReply<StoreTxnReply>>(
+      [&](std::function<void(StoreReply<StoreTxnReply>)> done) {
+        platform::StoreTxn txn;
+        txn.Puts.push_back({"k", "v", 0});
+        store.Transact(txn, done);
+      });
+  EXPECT_EQ(reply.Status, GetParam().Status) << reply.Why;
+  EXPECT_EQ(reply.Why.empty(), GetParam().Status == StoreStatus::Ok);
+}
+
+const AnswerCase AnswerCases[] = {
+    {"made", http::HttpResponse{200, R"({"revision":7})"}, StoreStatus::Ok},
+    {"condition_failed", http::HttpResponse{412, R"({"items":[]})"},
+     StoreStatus::Conflict},
+    {"too_many_calls", http::HttpResponse{429, "{}"}, StoreStatus::Refused},
+    {"unavailable", http::HttpResponse{503, "{}"}, StoreStatus::Refused},
+    {"bad_request", http::HttpResponse{400, "{}"}, StoreStatus::Refused},
+    {"server_error", http::HttpResponse{500, "{}"}, StoreStatus::Unknown},
+    {"bad_gateway", http::HttpResponse{502, "{}"}, StoreStatus::Unknown},
+    {"no_json", http::HttpResponse{200, "<html>"}, StoreStatus::Unknown},
+    {"wrong_type", http::HttpResponse{200, R"({"revision":"x"})"},
+     StoreStatus::Unknown},
+    {"nobody_there", std::nullopt, StoreStatus::Refused},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, StoreAnswers, ::testing::ValuesIn(AnswerCases),
+                         [](const auto &info) { return info.param.Name; });
+
+TEST(StoreForm, TransactionCarriesConditionsWritesAndLeases) {
+  PlatformStub stub(http::HttpResponse{200, R"({"revision":7})"});
+  const platform::Store store = makeStore(stub.Loop, stub.Client, stub.Address);
+  const auto reply = stub.outcome<StoreReply<StoreTxnReply>>(
+      [&](std::function<void(StoreReply<StoreTxnReply>)> done) {
+        platform::StoreTxn txn;
+        txn.Expected.push_back({"a", 3});
+        txn.Puts.push_back({"b", "text", 9});
+        txn.Removes.push_back("c");
+        store.Transact(txn, done);
+      });
+  EXPECT_EQ(reply.Value.Revision, 7);
+  EXPECT_EQ(stub.asked().Method, "POST");
+  EXPECT_EQ(json::parse(stub.asked().Body),
+            json::parse(R"({"expected":[{"key":"a","revision":3}],
+                            "puts":[{"key":"b","lease":9,"value":"dGV4dA=="}],
+                            "remove":["c"]})"));
+}
+
+TEST(StoreForm, ReadsAKey) {
+  PlatformStub stub(http::HttpResponse{
+      200,
+      R"({"key":"k","value":"dGV4dA==","created":4,"revision":6,"lease":9})"});
+  const platform::Store store = makeStore(stub.Loop, stub.Client, stub.Address);
+  const auto reply = stub.outcome<StoreReply<KeyValue>>(
+      [&](std::function<void(StoreReply<KeyValue>)> done) {
+        store.Get("a key", done);
+      });
+  EXPECT_EQ(reply.Status, StoreStatus::Ok);
+  EXPECT_EQ(reply.Value.Value, "text");
+  EXPECT_EQ(reply.Value.CreateRevision, 4);
+  EXPECT_EQ(reply.Value.ModRevision, 6);
+  EXPECT_EQ(reply.Value.Lease, 9);
+}
+
+} // namespace
+} // namespace oriolebay::adapter
