A job that cannot be served is refused at once

Cause: a queue may need placement advice, which is not built. Such a job was accepted, its starts were refused by the workers for want of a ticket, and it would never have ended.

Change: the desk refuses it with the remedy before anything is stored.

--- /dev/null
+++ b/src/libs/jobs/callanswer.cpp
@@ -0,0 +1,27 @@
+#include "callanswer.h"
+
+namespace oriolebay::jobs {
+
+const char *callResultName(CallResult result) {
+  switch (result) {
+  case CallResult::Ok:
+    return "ok";
+  case CallResult::Invalid:
+    return "invalid";
+  case CallResult::UnknownQueue:
+    return "unknown_queue";
+  case CallResult::BadKey:
+    return "bad_key";
+  case CallResult::UnknownJob:
+    return "unknown_job";
+  case CallResult::IdTaken:
+    return "id_taken";
+  case CallResult::NotDone:
+    return "not_done";
+  case CallResult::Open:
+    return "open";
+  }
+  return "unknown";
+}
+
+} // namespace oriolebay::jobs
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -35,28 +35,6 @@
 
 } // namespace
 
-const char *callResultName(CallResult result) {
-  switch (result) {
-  case CallResult::Ok:
-    return "ok";
-  case CallResult::Invalid:
-    return "invalid";
-  case CallResult::UnknownQueue:
-    return "unknown_queue";
-  case CallResult::BadKey:
-    return "bad_key";
-  case CallResult::UnknownJob:
-    return "unknown_job";
-  case CallResult::IdTaken:
-    return "id_taken";
-  case CallResult::NotDone:
-    return "not_done";
-  case CallResult::Open:
-    return "open";
-  }
-  return "unknown";
-}
-
 /// One caller's call while it is served.
 struct JobDesk::Call {
   std::string Name;
@@ -233,6 +211,14 @@
     authorise(call, false, [this](const CallPtr &c) { accept(c); });
     return;
   }
+  // Workers refuse what comes without the advice service's ticket, which this
+  // version does not ask for: once accepted, the job would start nowhere.
+  if (call->Queue.NeedsAdvice) {
+    finish(call, CallResult::Invalid,
+           "jobs of this queue need placement advice, which is not supported; "
+           "use a queue without advice");
+    return;
+  }
   JobRecord record;
   record.Spec = call->Spec;
   record.Spec.Organisation = call->Organisation;
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callanswer.h"
 #include "jobview.h"
 #include "operators/configfollower.h"
 
@@ -16,46 +17,7 @@
 
 namespace oriolebay::jobs {
 
-/// How a caller's call ended.
-enum class CallResult {
-  Ok,
-  /// The request cannot be understood or is out of bounds.
-  Invalid,
-  /// No such queue.
-  UnknownQueue,
-  /// The call carries no key that is known.
-  BadKey,
-  /// No such job.
-  UnknownJob,
-  /// Another job has this id.
-  IdTaken,
-  /// Not done, and it never will be on account of this call: come back later.
-  NotDone,
-  /// It may have been done: ask again with the same id.
-  Open,
-};
-
-/// The stable name of result, for logs.
-const char *callResultName(CallResult result);
-
-/// Where a call is addressed to, who makes it, and until when (on the boot
-/// clock) its caller waits.
-struct CallerAccess {
-  std::string Host;
-  std::string Path;
-  std::string Key;
-  absl::Time Deadline;
-};
-
-struct CallAnswer {
-  CallResult Result = CallResult::NotDone;
-  std::string Detail;
-  /// When to come back, with NotDone and Open.
-  int64_t RetryAfterMs = 0;
-  JobState State = JobState::Queued;
-  int Waiting = 0;
-};
-
+/// How long calls may take and how old what answers them may be.
 struct DeskPolicy {
   /// A configuration view older than this serves no calls: a key may have been
   /// taken away since.
@@ -80,21 +42,6 @@
   int64_t LongestRetryAfterMs = 3000;
 };
 
-/// For the log: what a call asked for, what decided it, and the answer.
-struct CallDecision {
-  std::string Call;
-  std::string Job;
-  std::string Queue;
-  int Priority = 0;
-  std::string Organisation;
-  /// What the job asks for, with a submit; see core::summary().
-  std::string Asked;
-  int64_t ConfigVersion = 0;
-  int64_t ConfigAgeMs = 0;
-  CallAnswer Answer;
-  int64_t TookMs = 0;
-};
-
 /// Serves callers at one entry: accepts jobs into the store, cancels them, and
 /// tells their state. Whatever it confirms is in the store. Owned by one event
 /// loop.
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -20,7 +20,7 @@
     organisations.push_back({o.Name, o.Keys, o.GuaranteedAccelerators});
   json queues = json::array();
   for (const auto &q : config.Queues)
-    queues.push_back({q.Name, q.Prefix, q.Priority});
+    queues.push_back({q.Name, q.Prefix, q.Priority, q.NeedsAdvice});
   return json{{"version", config.Version},
               {"organisations", organisations},
               {"queues", queues}}
@@ -42,6 +42,7 @@
     queue.Host = "host";
     queue.Prefix = q[1];
     queue.Priority = q[2];
+    queue.NeedsAdvice = q[3];
     queue.Service = "service";
     queue.Attempts = 4;
     config.Queues.push_back(queue);
@@ -82,6 +83,11 @@
     q.Priority = priority;
     config.Queues.push_back(q);
   }
+  core::QueueConfig advised;
+  advised.Name = "advised";
+  advised.Prefix = "/advised/";
+  advised.NeedsAdvice = true;
+  config.Queues.push_back(advised);
   for (const std::string &key : keys)
     config.Organisations.push_back({"org-of-" + key, {key}, guaranteed});
   Store.put(ConfigKey, encodeConfig(config));
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -48,6 +48,20 @@
   EXPECT_TRUE(keptAllRules(*cluster));
 }
 
+// A queue's policy lets only some workers run its jobs, and the service that
+// knows them is not asked yet: workers refuse every start. Users saw such a job
+// accepted and then start nowhere, for ever.
+TEST(Cluster, JobThatCannotBeServedIsRefusedAtOnce) {
+  auto cluster = serving();
+  auto call = cluster->submit(0, "k1", job("j1", 1, 1, 1000, "advised"));
+  cluster->runFor(absl::Milliseconds(100));
+  ASSERT_TRUE(call->Answer.has_value());
+  EXPECT_EQ(call->Answer->Result, jobs::CallResult::Invalid);
+  EXPECT_NE(call->Answer->Detail.find("advice"), std::string::npos);
+  EXPECT_FALSE(cluster->stored("j1").has_value());
+  EXPECT_EQ(cluster->starts(), 0);
+}
+
 // The store is the scarcest thing on a site: a few hundred writes a second for
 // all. docs/CAPACITY.md rests on these figures.
 TEST(Cluster, JobCostsThreeWritesAndIdlingNone) {
