explain and timeline say which files they could not read

Cause: a file that could not be opened was passed over in silence, so that a story came without one process's lines. Change: it is named with the remedy, exit status 2.

--- a/src/app/entry/logcommands.cpp
+++ b/src/app/entry/logcommands.cpp
@@ -45,11 +45,15 @@
   return true;
 }
 
-ReadEvents readAll(const std::vector<std::string> &files) {
-  ReadEvents read = eventlog::readEvents(files);
+// Says what of the files was not used. False when one could not be read: a
+// story with a process missing would mislead.
+bool tellUnused(const ReadEvents &read) {
   if (read.Skipped > 0)
     std::cerr << read.Skipped << " lines were not events\n";
-  return read;
+  for (const std::string &path : read.Unreadable)
+    std::cerr << "oriolebay-entry: cannot read " << path
+              << " (remedy: give files that this user may read)\n";
+  return read.Unreadable.empty();
 }
 
 int show(const std::vector<LoggedEvent> &events, const po::variables_map &vm) {
@@ -91,7 +95,10 @@
   filter.Name = valueOf(vm, "event");
   if (!readTime(vm, "from", filter.FromUs) || !readTime(vm, "to", filter.ToUs))
     return ExitUsage;
-  const ReadEvents read = readAll({words.begin() + 1, words.end()});
+  const ReadEvents read =
+      eventlog::readEvents({words.begin() + 1, words.end()});
+  if (!tellUnused(read))
+    return ExitUsage;
   return show(eventlog::select(read.Events, filter), vm);
 }
 
@@ -99,7 +106,10 @@
                const po::variables_map &vm) {
   if (words.size() < 3)
     return usage("explain JOB FILE... [--json]");
-  const ReadEvents read = readAll({words.begin() + 2, words.end()});
+  const ReadEvents read =
+      eventlog::readEvents({words.begin() + 2, words.end()});
+  if (!tellUnused(read))
+    return ExitUsage;
   return show(eventlog::storyOf(words[1], read.Events), vm);
 }
 
--- a/src/libs/eventlog/timeline.cpp
+++ b/src/libs/eventlog/timeline.cpp
@@ -122,15 +122,20 @@
 
 ReadEvents readEvents(const std::vector<std::string> &paths) {
   Reader reader;
+  std::vector<std::string> unreadable;
   for (const std::string &path : paths) {
     if (path == "-") {
       reader.read(std::cin);
       continue;
     }
     std::ifstream in(path);
+    if (!in.is_open())
+      unreadable.push_back(path);
     reader.read(in);
   }
-  return reader.finish();
+  ReadEvents read = reader.finish();
+  read.Unreadable = std::move(unreadable);
+  return read;
 }
 
 std::vector<LoggedEvent> select(const std::vector<LoggedEvent> &events,
--- a/src/libs/eventlog/timeline.h
+++ b/src/libs/eventlog/timeline.h
@@ -18,10 +18,12 @@
   bool operator==(const LoggedEvent &) const = default;
 };
 
-/// What was read, in time order, and how many lines were no events.
+/// What was read, in time order, how many lines were no events, and which files
+/// could not be opened.
 struct ReadEvents {
   std::vector<LoggedEvent> Events;
   int Skipped = 0;
+  std::vector<std::string> Unreadable;
 };
 
 /// Reads the event logs in paths; "-" is standard input. Text before a line's
--- a/tests/auto/eventlog/tst_timeline.cpp
+++ b/tests/auto/eventlog/tst_timeline.cpp
@@ -58,6 +58,14 @@
   EXPECT_EQ(names(events).back(), "leader.lost");
 }
 
+// A file name was misspelt; the story came without that process's lines, and
+// nothing said so.
+TEST(Timeline, TellsWhichFilesCannotBeRead) {
+  const ReadEvents read = readEvents({"/no/such/file.log"});
+  EXPECT_TRUE(read.Events.empty());
+  EXPECT_EQ(read.Unreadable, std::vector<std::string>{"/no/such/file.log"});
+}
+
 struct FilterCase {
   const char *Name;
   EventFilter Filter;
