One copy of what the last change wrote twice

Found by reading the change again: the way to a task's step and settings was spelt out sixteen times (now Job::specOf and stepOf); runAbsent repeated leaveWorker and took a time it did not use; cheapestStops and firstEnds were one loop with two costs (leastPlan); the rule for a guarantee at risk stood in two places; the running work was listed anew for each half of an urgent unit's tasks, now once; the list of earlier leaders ended in two ways; the reading of optional JSON fields stood in platform/ and in the time line (utils/jsonfields.h).

--- a/src/libs/entry/predecessors.cpp
+++ b/src/libs/entry/predecessors.cpp
@@ -153,10 +153,8 @@
     return;
   Earlier.erase(std::remove(Earlier.begin(), Earlier.end(), reign),
                 Earlier.end());
-  if (!Earlier.empty())
-    return;
-  Gone(Loop.now());
-  forgetAll();
+  if (Earlier.empty())
+    noneLeft();
 }
 
 // Counted from when this leader entered itself, which is after its election.
@@ -164,6 +162,10 @@
   if (Earlier.empty())
     return;
   Earlier.clear();
+  noneLeft();
+}
+
+void Predecessors::noneLeft() {
   Gone(Loop.now());
   forgetAll();
 }
--- a/src/libs/entry/predecessors.h
+++ b/src/libs/entry/predecessors.h
@@ -69,6 +69,7 @@
   void askAll();
   void stoodDown(const Reign &reign);
   void allOver();
+  void noneLeft();
   void forgetAll();
 
   utils::EventLoop &Loop;
--- a/src/libs/eventlog/timeline.cpp
+++ b/src/libs/eventlog/timeline.cpp
@@ -1,5 +1,7 @@
 #include "timeline.h"
 
+#include "utils/jsonfields.h"
+
 #include <algorithm>
 #include <fstream>
 #include <iomanip>
@@ -10,6 +12,8 @@
 namespace oriolebay::eventlog {
 
 using nlohmann::json;
+using utils::numberIn;
+using utils::textIn;
 
 namespace {
 
@@ -18,16 +22,6 @@
                                             "name"};
 constexpr const char *ProcessStartedName = "process.started";
 
-std::string textOf(const json &fields, const char *key) {
-  auto it = fields.find(key);
-  return it != fields.end() && it->is_string() ? it->get<std::string>() : "";
-}
-
-int64_t numberOf(const json &fields, const char *key) {
-  auto it = fields.find(key);
-  return it != fields.end() && it->is_number() ? it->get<int64_t>() : 0;
-}
-
 bool startsWith(const std::string &text, const std::string &start) {
   return text.compare(0, start.size(), start) == 0;
 }
@@ -39,7 +33,7 @@
   std::vector<int64_t> offsets;
   for (const LoggedEvent &e : life)
     if (e.Fields.contains("up_ms"))
-      offsets.push_back(e.AtUs - numberOf(e.Fields, "up_ms") * 1000);
+      offsets.push_back(e.AtUs - numberIn(e.Fields, "up_ms") * 1000);
   if (offsets.empty())
     return;
   const auto middle =
@@ -47,7 +41,7 @@
   std::nth_element(offsets.begin(), middle, offsets.end());
   for (LoggedEvent &e : life)
     if (e.Fields.contains("up_ms"))
-      e.AtUs = numberOf(e.Fields, "up_ms") * 1000 + *middle;
+      e.AtUs = numberIn(e.Fields, "up_ms") * 1000 + *middle;
 }
 
 class Reader {
@@ -78,10 +72,10 @@
       ++Result.Skipped;
       return;
     }
-    Life &life = Lives[textOf(fields, "proc")];
-    if (textOf(fields, "name") == ProcessStartedName)
+    Life &life = Lives[textIn(fields, "proc")];
+    if (textIn(fields, "name") == ProcessStartedName)
       close(life);
-    const int64_t at = numberOf(fields, "ts_us");
+    const int64_t at = numberIn(fields, "ts_us");
     life.push_back({at, std::move(fields)});
   }
 
@@ -96,24 +90,24 @@
 };
 
 bool passes(const EventFilter &f, const LoggedEvent &e) {
-  return (f.Process.empty() || textOf(e.Fields, "proc") == f.Process) &&
-         (f.Worker.empty() || textOf(e.Fields, "worker") == f.Worker) &&
+  return (f.Process.empty() || textIn(e.Fields, "proc") == f.Process) &&
+         (f.Worker.empty() || textIn(e.Fields, "worker") == f.Worker) &&
          (f.Organisation.empty() ||
-          textOf(e.Fields, "organisation") == f.Organisation) &&
-         startsWith(textOf(e.Fields, "name"), f.Name) &&
+          textIn(e.Fields, "organisation") == f.Organisation) &&
+         startsWith(textIn(e.Fields, "name"), f.Name) &&
          (!f.FromUs || e.AtUs >= *f.FromUs) && (!f.ToUs || e.AtUs <= *f.ToUs);
 }
 
 // A task is named after its job, and a reason may name the job that work made
 // room for.
 bool isOf(const std::string &job, const LoggedEvent &e) {
-  return textOf(e.Fields, "job") == job ||
-         startsWith(textOf(e.Fields, "task"), job + ".") ||
-         textOf(e.Fields, "why").find(job) != std::string::npos;
+  return textIn(e.Fields, "job") == job ||
+         startsWith(textIn(e.Fields, "task"), job + ".") ||
+         textIn(e.Fields, "why").find(job) != std::string::npos;
 }
 
 bool touchesAll(const LoggedEvent &e) {
-  const std::string name = textOf(e.Fields, "name");
+  const std::string name = textIn(e.Fields, "name");
   return startsWith(name, "leader.") || startsWith(name, "store.") ||
          startsWith(name, "log.");
 }
@@ -157,15 +151,15 @@
     first = first.value_or(e.AtUs);
     last = e.AtUs;
     if (e.Fields.contains("worker"))
-      workers.insert(textOf(e.Fields, "worker"));
+      workers.insert(textIn(e.Fields, "worker"));
   }
   std::vector<LoggedEvent> story;
   if (!first)
     return story;
   for (const LoggedEvent &e : events) {
     const bool during = e.AtUs >= *first && e.AtUs <= last;
-    const bool atWorker = startsWith(textOf(e.Fields, "name"), "worker.") &&
-                          workers.count(textOf(e.Fields, "worker")) > 0;
+    const bool atWorker = startsWith(textIn(e.Fields, "name"), "worker.") &&
+                          workers.count(textIn(e.Fields, "worker")) > 0;
     if (isOf(job, e) || (during && (touchesAll(e) || atWorker)))
       story.push_back(e);
   }
@@ -181,7 +175,7 @@
   for (const LoggedEvent &e : events) {
     out << std::fixed << std::setprecision(3) << std::setw(9)
         << static_cast<double>(e.AtUs - events.front().AtUs) / 1e6 << "  "
-        << textOf(e.Fields, "proc") << "  " << textOf(e.Fields, "name");
+        << textIn(e.Fields, "proc") << "  " << textIn(e.Fields, "name");
     for (const auto &[key, value] : e.Fields.items())
       if (CommonFields.count(key) == 0)
         out << "  " << key << '='
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -237,7 +237,7 @@
                          absl::Time now) {
   const WorkerView *worker = Workers.find(task.Progress.Worker);
   if (worker == nullptr || worker->State.Draining || task.StopAsked) {
-    runAbsent(job, id, task, "not ordered: no longer wanted there", now);
+    runAbsent(job, id, task, "not ordered: no longer wanted there");
     return;
   }
   task.What = Phase::Ordered;
@@ -276,8 +276,7 @@
   if (job.State == JobState::Queued)
     job.State = JobState::Running;
   job.Dirty = true;
-  Workers.occupy(life, {core::taskName(id), run},
-                 job.Record.Spec.Steps[static_cast<size_t>(id.Step)].room());
+  Workers.occupy(life, {core::taskName(id), run}, job.specOf(id).room());
   note(Decision::Kind::Placed, id.Job, core::taskName(id), run, life, "",
        {{"rank", rank},
         {"waited_ms", absl::ToInt64Milliseconds(now - job.Arrived)},
@@ -287,8 +286,7 @@
 }
 
 void JobScheduler::watch(const TaskId &id, const Task &task, absl::Time now) {
-  const core::StepSpec &spec =
-      Jobs.at(id.Job).Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const core::StepSpec &spec = Jobs.at(id.Job).specOf(id);
   if (!spec.LongRunning)
     Progress.seen({core::taskName(id), task.Progress.Run}, task.Progress.Worker,
                   task.Percent, absl::Milliseconds(spec.EstimateMs),
@@ -298,8 +296,7 @@
 // A run away from its data, or a gang over several racks, is slow by nature.
 bool JobScheduler::isAway(const Job &job, const TaskId &id,
                           const Task &task) const {
-  const core::StepSpec &spec =
-      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const core::StepSpec &spec = job.specOf(id);
   const WorkerView *worker = Workers.find(task.Progress.Worker);
   if (worker == nullptr)
     return true;
@@ -307,8 +304,7 @@
     return true;
   if (!spec.SameRack)
     return false;
-  const Step &step =
-      job.Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
+  const Step &step = job.stepOf(id);
   return std::any_of(step.begin(), step.end(), [&](const Task &t) {
     const WorkerView *other = Workers.find(t.Progress.Worker);
     return other != nullptr && other->State.Rack != worker->State.Rack;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -220,6 +220,16 @@
     bool WaitLogged = false;
 
     bool over() const { return isFinal(State); }
+    const core::StepSpec &specOf(const core::TaskId &id) const {
+      return Record.Spec.Steps[static_cast<size_t>(id.Step)];
+    }
+    /// All tasks of the task's step; its occurrence must be there.
+    const Step &stepOf(const core::TaskId &id) const {
+      return Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
+    }
+    Step &stepOf(const core::TaskId &id) {
+      return Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
+    }
   };
 
   Task *findTask(const core::TaskId &id);
@@ -256,7 +266,7 @@
   void leaveWorker(Job &job, const core::TaskId &id, Task &task);
   void watch(const core::TaskId &id, const Task &task, absl::Time now);
   void runAbsent(Job &job, const core::TaskId &id, Task &task,
-                 const std::string &why, absl::Time now);
+                 const std::string &why);
   void gangEnded(Job &job, const core::TaskId &id, endpoints::RunEnd how);
   void requestStop(const core::TaskId &id, Task &task, const std::string &why);
   void stopStep(Job &job, int occurrence, int step, const std::string &why);
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -59,9 +59,8 @@
     Job &job = entry.second;
     forEachTask(job, [&](const TaskId &task, Task &state) {
       if (state.Progress.Worker == life)
-        Workers.occupy(
-            life, {core::taskName(task), state.Progress.Run},
-            job.Record.Spec.Steps[static_cast<size_t>(task.Step)].room());
+        Workers.occupy(life, {core::taskName(task), state.Progress.Run},
+                       job.specOf(task).room());
     });
   }
   note(Decision::Kind::WorkerJoined, "", "", 0, life);
@@ -78,7 +77,7 @@
       if (state.Progress.Worker != life)
         return;
       any = true;
-      runAbsent(job, task, state, why, now);
+      runAbsent(job, task, state, why);
     });
     if (any)
       judgeJob(job, now);
@@ -134,7 +133,7 @@
           state.Progress.Worker != report.Worker.Life || listed.count(run) != 0)
         return;
       any = true;
-      runAbsent(job, task, state, "its worker does not know it", now);
+      runAbsent(job, task, state, "its worker does not know it");
     });
     if (any)
       judgeJob(job, now);
@@ -148,11 +147,11 @@
   Workers.vacate(life, {end.Task, end.Run});
   TaskId id;
   Task *task = core::parseTaskName(end.Task, id) ? findTask(id) : nullptr;
-  const bool counts =
-      task != nullptr && !task->Progress.Done &&
-      end.Run <= task->Progress.Run &&
-      ((task->Progress.Worker == life && task->Progress.Run == end.Run) ||
-       end.How == RunEnd::Done);
+  const bool latest = task != nullptr && task->Progress.Worker == life &&
+                      task->Progress.Run == end.Run;
+  const bool counts = task != nullptr && !task->Progress.Done &&
+                      end.Run <= task->Progress.Run &&
+                      (latest || end.How == RunEnd::Done);
   note(Decision::Kind::Ended, id.Job, end.Task, end.Run, life,
        endpoints::runEndName(end.How),
        {{"number", end.Number},
@@ -163,14 +162,13 @@
     Workers.endRecorded(life, end.Number);
     return;
   }
+  Job &job = Jobs.at(id.Job);
   if (!counts) {
-    Job &job = Jobs.at(id.Job);
-    if (task->Progress.Worker == life && task->Progress.Run == end.Run)
+    if (latest)
       leaveWorker(job, id, *task);
     acknowledge(job, life, end.Number);
     return;
   }
-  Job &job = Jobs.at(id.Job);
   runEnded(job, id, *task, end.How, end.Saved, life, now);
   judgeJob(job, now);
   job.Dirty = true;
@@ -189,7 +187,7 @@
     job.EndAcks.push_back({version, life, number});
 }
 
-// The end of a member whose gang was done already: only its room is news.
+// Nothing of the task runs any more, and nothing is ordered.
 void JobScheduler::leaveWorker(Job &job, const TaskId &id, Task &task) {
   Progress.forget({core::taskName(id), task.Progress.Run});
   task.Progress.Worker.clear();
@@ -203,8 +201,7 @@
 // leader did not see it begin.
 void JobScheduler::learnTime(const Job &job, const TaskId &id, Task &task,
                              absl::Time now) {
-  const core::StepSpec &spec =
-      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const core::StepSpec &spec = job.specOf(id);
   if (task.Began == absl::InfinitePast() || !task.SawBegin ||
       !task.Progress.Saved.empty() || spec.LongRunning)
     return;
@@ -217,8 +214,7 @@
 void JobScheduler::runEnded(Job &job, const TaskId &id, Task &task, RunEnd how,
                             const std::string &saved, const std::string &life,
                             absl::Time now) {
-  const core::StepSpec &spec =
-      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const core::StepSpec &spec = job.specOf(id);
   if (how == RunEnd::Done && task.Progress.Worker == life)
     learnTime(job, id, task, now);
   // An earlier run that was thought not to exist may still turn out to have
@@ -266,18 +262,12 @@
 }
 
 void JobScheduler::runAbsent(Job &job, const TaskId &id, Task &task,
-                             const std::string &why, absl::Time /*now*/) {
+                             const std::string &why) {
   note(Decision::Kind::Settled, id.Job, core::taskName(id), task.Progress.Run,
        task.Progress.Worker, why);
-  const RunId run{core::taskName(id), task.Progress.Run};
-  Progress.forget(run);
-  Workers.vacate(task.Progress.Worker, run);
-  task.Progress.Worker.clear();
-  task.Progress.Agent.clear();
-  task.What = Phase::Idle;
-  task.StopAsked = false;
-  job.Dirty = true;
-  if (job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang)
+  Workers.vacate(task.Progress.Worker, {core::taskName(id), task.Progress.Run});
+  leaveWorker(job, id, task);
+  if (job.specOf(id).Gang)
     gangEnded(job, id, RunEnd::Broken);
 }
 
@@ -343,7 +333,7 @@
     return;
   note(Decision::Kind::StartRefused, id.Job, result.Task, result.Run, life,
        result.Detail);
-  runAbsent(job, id, *task, result.Detail, now);
+  runAbsent(job, id, *task, result.Detail);
   judgeJob(job, now);
 }
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -163,8 +163,7 @@
 }
 
 int Planner::onWorker(const Unit &unit, const std::string &life) const {
-  const JobScheduler::Step &step = unit.Owner->Occurrences.at(
-      unit.Occurrence)[static_cast<size_t>(unit.Step)];
+  const JobScheduler::Step &step = unit.step();
   return static_cast<int>(
       std::count_if(step.begin(), step.end(),
                     [&](const Task &t) { return t.Progress.Worker == life; }));
@@ -256,8 +255,7 @@
 }
 
 void Planner::startGang(Unit &unit, const Layout &places) {
-  JobScheduler::Step &step = unit.Owner->Occurrences.at(
-      unit.Occurrence)[static_cast<size_t>(unit.Step)];
+  JobScheduler::Step &step = unit.step();
   // Members save on their own; any member's checkpoint is good for the gang,
   // but all must start from the same one: that of the member furthest on.
   const Task *furthest = &step.front();
@@ -325,21 +323,11 @@
             {"accelerators_each", unit.spec().PerTask.Accelerators},
             {"usable_workers", static_cast<int64_t>(Places.size())}});
   }
-  const bool urgent = unit.Rank <= 1;
-  if (unit.spec().Gang) {
-    if (!urgent || !makeRoom(unit))
-      waitForRoom(unit);
+  if (unit.Rank <= 1 && makeRoom(unit))
     return;
-  }
-  // Its tasks start one by one: room is made, or kept, for as many as it can
-  // be made for.
-  const std::vector<int> tasks = unit.Tasks;
-  for (size_t n = urgent ? tasks.size() : 1; n > 0; n /= 2) {
-    unit.Tasks.assign(tasks.begin(),
-                      tasks.begin() + static_cast<std::ptrdiff_t>(n));
-    if (urgent && makeRoom(unit))
-      return;
-  }
+  // Tasks that start one by one need room for the next one only.
+  if (!unit.spec().Gang)
+    unit.Tasks.resize(1);
   waitForRoom(unit);
 }
 
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -53,6 +53,7 @@
     const core::StepSpec &spec() const {
       return Owner->Record.Spec.Steps[static_cast<size_t>(Step)];
     }
+    JobScheduler::Step &step() const { return Owner->stepOf(task(0)); }
     core::TaskId task(int index) const {
       return {Owner->Record.Spec.Id, Occurrence, Step, index};
     }
@@ -112,10 +113,15 @@
                                const std::vector<size_t> &group,
                                const std::vector<Release> &releases);
   void prune(const Unit &unit, const std::vector<size_t> &group, Plan &plan);
+  template <class Cost>
+  std::optional<Plan> leastPlan(const Unit &unit,
+                                const std::vector<Release> &all,
+                                Cost Plan::*cost);
   std::optional<Plan> cheapestStops(const Unit &unit,
                                     const std::vector<Release> &all);
   std::optional<Plan> firstEnds(const Unit &unit,
                                 const std::vector<Release> &all);
+  bool guaranteeAtRisk(const Unit &unit, const std::optional<Plan> &ends) const;
   double mostWaste(const Unit &unit) const;
   bool worthStopping(const Unit &unit, const Plan &stops,
                      const std::optional<Plan> &ends) const;
@@ -123,6 +129,7 @@
   absl::Duration chainFrom(const Job &job, size_t step) const;
   bool inTimeAnyway(const Unit &unit, const std::optional<Plan> &ends) const;
   bool makeRoom(Unit &unit);
+  void askForStops(const Unit &unit, const Plan &stops);
   void waitForRoom(Unit &unit);
   void keep(const Unit &unit, const Plan &plan);
   double wasteOf(const core::StepSpec &spec, const Task &task) const;
--- a/src/libs/jobs/planner_room.cpp
+++ b/src/libs/jobs/planner_room.cpp
@@ -185,28 +185,30 @@
   }
 }
 
-// The work whose stop makes room for unit and throws away least.
-std::optional<Planner::Plan>
-Planner::cheapestStops(const Unit &unit, const std::vector<Release> &all) {
+// The plan that costs least, over all groups that unit may stand in.
+template <class Cost>
+std::optional<Planner::Plan> Planner::leastPlan(const Unit &unit,
+                                                const std::vector<Release> &all,
+                                                Cost Plan::*cost) {
   std::optional<Plan> best;
   for (const auto &group : groups(unit)) {
     std::optional<Plan> plan = planWith(unit, group, all);
-    if (plan && (!best || plan->Waste < best->Waste))
+    if (plan && (!best || (*plan).*cost < (*best).*cost))
       best = std::move(plan);
   }
   return best;
 }
 
+// The work whose stop makes room for unit and throws away least.
+std::optional<Planner::Plan>
+Planner::cheapestStops(const Unit &unit, const std::vector<Release> &all) {
+  return leastPlan(unit, all, &Plan::Waste);
+}
+
 // The room that will be there first, going by how far what runs is.
 std::optional<Planner::Plan>
 Planner::firstEnds(const Unit &unit, const std::vector<Release> &all) {
-  std::optional<Plan> best;
-  for (const auto &group : groups(unit)) {
-    std::optional<Plan> plan = planWith(unit, group, all);
-    if (plan && (!best || plan->Wait < best->Wait))
-      best = std::move(plan);
-  }
-  return best;
+  return leastPlan(unit, all, &Plan::Wait);
 }
 
 // How long the job takes from the step on if nothing waits.
@@ -244,47 +246,61 @@
   return S.Policy.WasteForAny + S.Policy.WasteForOwnWork * own;
 }
 
+// Whether work within a guarantee would get its room too late from ends alone.
+bool Planner::guaranteeAtRisk(const Unit &unit,
+                              const std::optional<Plan> &ends) const {
+  const absl::Time natural = ends ? Now + ends->Wait : absl::InfiniteFuture();
+  return unit.Rank == 0 &&
+         natural > unit.Owner->Arrived + S.Policy.ReclaimAfter;
+}
+
 // Whether unit's job comes in time if it waits for the room that ends give by
 // themselves, or that stops which were asked for will give: twice the wait must
 // be within what it may wait, as it is an estimate.
 bool Planner::inTimeAnyway(const Unit &unit,
                            const std::optional<Plan> &ends) const {
-  if (!ends)
-    return false;
-  const absl::Time natural = Now + ends->Wait;
-  if (unit.Rank == 0 && natural > unit.Owner->Arrived + S.Policy.ReclaimAfter)
-    return false;
-  return ends->Wait * 2 <= slack(unit);
+  return ends && !guaranteeAtRisk(unit, ends) && ends->Wait * 2 <= slack(unit);
 }
 
 // Stopping others is worth it for a job that comes in time by it and would not
 // otherwise, and whatever it costs where a guarantee would not be kept.
 bool Planner::worthStopping(const Unit &unit, const Plan &stops,
                             const std::optional<Plan> &ends) const {
-  const absl::Time natural = ends ? Now + ends->Wait : absl::InfiniteFuture();
-  if (unit.Rank == 0 && natural > unit.Owner->Arrived + S.Policy.ReclaimAfter)
-    return true;
-  return stops.Waste <= mostWaste(unit);
+  return guaranteeAtRisk(unit, ends) || stops.Waste <= mostWaste(unit);
 }
 
 // Keeps the room that comes in time by itself for unit, or asks for the stops
 // that make room and keeps that. Without keeping what was on its way, the room
 // of the first stops went to other small tasks, which were stopped in their
-// turn, twelve times over in the test. False when there are no stops, or they
-// are not worth it.
+// turn, twelve times over in the test. Tasks that start one by one get room for
+// as many as it can be made for. False when there are no stops, or they are not
+// worth it.
 bool Planner::makeRoom(Unit &unit) {
   const std::vector<Release> running = releases(unit, false);
-  const std::optional<Plan> ends = firstEnds(unit, running);
-  if (inTimeAnyway(unit, ends)) {
-    keep(unit, *ends);
-    return true;
+  std::optional<std::vector<Release>> stoppable;
+  for (size_t n = unit.Tasks.size(); n > 0; n = unit.spec().Gang ? 0 : n / 2) {
+    unit.Tasks.resize(n);
+    const std::optional<Plan> ends = firstEnds(unit, running);
+    if (inTimeAnyway(unit, ends)) {
+      keep(unit, *ends);
+      return true;
+    }
+    if (!stoppable)
+      stoppable = releases(unit, true);
+    std::optional<Plan> stops = cheapestStops(unit, *stoppable);
+    if (stops && worthStopping(unit, *stops, ends)) {
+      askForStops(unit, *stops);
+      stops->Wait = absl::ZeroDuration();
+      keep(unit, *stops);
+      return true;
+    }
   }
-  const std::vector<Release> stoppable = releases(unit, true);
-  std::optional<Plan> stops = cheapestStops(unit, stoppable);
-  if (!stops || !worthStopping(unit, *stops, ends))
-    return false;
+  return false;
+}
+
+void Planner::askForStops(const Unit &unit, const Plan &stops) {
   const std::string why = "makes room for job " + unit.Owner->Record.Spec.Id;
-  for (const Release *r : stops->Releases) {
+  for (const Release *r : stops.Releases) {
     const std::string &id = r->Owner->Record.Spec.Id;
     if (r->Index < 0) {
       S.stopStep(*r->Owner, r->Occurrence, r->Step, why);
@@ -293,9 +309,6 @@
     const core::TaskId task{id, r->Occurrence, r->Step, r->Index};
     S.requestStop(task, *S.findTask(task), why);
   }
-  stops->Wait = absl::ZeroDuration();
-  keep(unit, *stops);
-  return true;
 }
 
 // Keeps the room that will be there first, so that smaller work does not take
--- a/src/libs/jobs/runjudge.cpp
+++ b/src/libs/jobs/runjudge.cpp
@@ -47,8 +47,7 @@
 
 absl::Duration RunJudge::remaining(const Job &job, const TaskId &id,
                                    const Task &task) const {
-  const core::StepSpec &spec =
-      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const core::StepSpec &spec = job.specOf(id);
   if (spec.LongRunning)
     return absl::InfiniteDuration();
   absl::Duration whole = S.Estimates.expected(
@@ -78,10 +77,8 @@
   if (!S.Progress.stalled({core::taskName(id), task.Progress.Run}) ||
       S.Progress.workerMoves(task.Progress.Worker, Now))
     return false;
-  const Step &step =
-      job.Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
-  const bool gang = job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang &&
-                    step.size() > 1;
+  const Step &step = job.stepOf(id);
+  const bool gang = job.specOf(id).Gang && step.size() > 1;
   return !gang || behindItsGang(step, task) ||
          Now - task.Began > S.Policy.GangWait + S.Policy.Progress.StalledAfter;
 }
@@ -90,8 +87,7 @@
 // the same step. Nothing when it has none that is far enough.
 std::optional<absl::Duration> RunJudge::soundTime(const Job &job,
                                                   const TaskId &id) const {
-  const Step &step =
-      job.Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
+  const Step &step = job.stepOf(id);
   std::vector<absl::Duration> others;
   for (size_t i = 0; i < step.size(); ++i) {
     if (static_cast<int>(i) == id.Index)
@@ -126,8 +122,7 @@
   if (!whole || S.isAway(job, id, task))
     return false;
   const absl::Duration takes = whole->AtLeast;
-  const core::StepSpec &spec =
-      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const core::StepSpec &spec = job.specOf(id);
   const absl::Duration estimate = absl::Milliseconds(spec.EstimateMs);
   const std::string &queue = job.Record.Spec.Queue;
   absl::Duration sound = S.Estimates.expected(queue, estimate);
@@ -158,14 +153,13 @@
   const absl::Duration toStop = S.Policy.StopTakes + StopOnItsWay;
   if (remaining(job, id, task) < left - StopOnItsWay)
     return false;
-  const core::StepSpec &spec =
-      job.Record.Spec.Steps[static_cast<size_t>(id.Step)];
+  const core::StepSpec &spec = job.specOf(id);
   return !spec.Checkpoints || left <= toStop;
 }
 
 void RunJudge::restart(Job &job, const TaskId &id, Task &task,
                        const std::string &why) {
-  if (job.Record.Spec.Steps[static_cast<size_t>(id.Step)].Gang)
+  if (job.specOf(id).Gang)
     S.stopStep(job, id.Occurrence, id.Step, "a member " + why);
   else
     S.requestStop(id, task, "it " + why);
