losses LOG...: where the time of late jobs went

Cause: the logs held no promise, so that nobody could say which jobs came late, nor what the time went to.

Change: job.promised (the longest chain of expected work, wide steps in waves, and in how long the job is due), room.planned (how room is made for a step of priority 0, with slack, wait and waste), within_ms with the end; 'oriolebay-entry losses LOG...' splits each late job's time without a gap along its critical path, counts what was thrown away and for whom, by queue, organisation, domain and window; text, JSON, SVG. No decision is changed.

Found on the way: absl::Now() goes by the cycle counter between looks at the clock, so that lines of one moment stood seconds apart and due times were judged by a clock that lags; utils/walltime.h reads the host's.

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -95,8 +95,9 @@
         BOOST_LEAF_AUTO(text, settings::readFile(path));
         BOOST_LEAF_AUTO(s, settings::parseNodeSettings(text));
         BOOST_LEAF_CHECK(eventlog::initEventLog(s.Name, ""));
-        logEvent(Event::ProcessStarted,
-                 {{"role", "agent"}, {"settings", path}});
+        logEvent(Event::ProcessStarted, {{"role", "agent"},
+                                         {"settings", path},
+                                         {"domain", s.FailureDomain}});
         try {
           Process(s).run();
         } catch (const std::runtime_error &e) {
--- a/src/app/agent/main.cpp
+++ b/src/app/agent/main.cpp
@@ -3,8 +3,8 @@
 #include "eventlog/eventlog.h"
 #include "jobscommand.h"
 #include "settings/settings.h"
+#include "utils/walltime.h"
 
-#include <absl/time/clock.h>
 #include <boost/program_options.hpp>
 
 #include <iostream>
@@ -41,7 +41,7 @@
         BOOST_LEAF_CHECK(eventlog::initEventLog(s.Worker.Id, s.LogPath));
         eventlog::logEvent(eventlog::Event::ProcessStarted,
                            {{"role", "agent"}, {"settings", path}});
-        agent::AgentService service(s, absl::ToUnixNanos(absl::Now()));
+        agent::AgentService service(s, absl::ToUnixNanos(utils::wallNow()));
         app::writeReadyFile(s.ReadyFile, {{"address", service.address()}});
         app::waitForStop(s.MetricsPort, "oriolebay_agent",
                          [&] { return service.stats(); });
--- a/src/app/entry/logcommands.cpp
+++ b/src/app/entry/logcommands.cpp
@@ -1,9 +1,11 @@
 #include "logcommands.h"
 
 #include "eventlog/timeline.h"
+#include "losses/lossreport.h"
 
 #include <absl/time/time.h>
 
+#include <fstream>
 #include <iostream>
 
 namespace po = boost::program_options;
@@ -72,13 +74,15 @@
 } // namespace
 
 void addLogOptions(po::options_description &opts) {
-  opts.add_options()("json", "timeline, explain: print JSON lines")(
+  opts.add_options()("json", "timeline, explain, losses: print JSON")(
       "process", po::value<std::string>(), "timeline: only this process")(
       "worker", po::value<std::string>(),
       "timeline: only this worker")("organisation", po::value<std::string>(),
                                     "timeline: only this organisation")(
       "event", po::value<std::string>(),
       "timeline: only events whose names begin so, such as run.")(
+      "svg", po::value<std::string>(),
+      "losses: also draw the lost jobs' time to this file")(
       "from", po::value<std::string>(),
       "timeline: not before, as 2026-01-31T23:59:59Z")(
       "to", po::value<std::string>(), "timeline: not after");
@@ -113,4 +117,35 @@
   return show(eventlog::storyOf(words[1], read.Events), vm);
 }
 
+int showLosses(const std::vector<std::string> &words,
+               const po::variables_map &vm) {
+  if (words.size() < 2)
+    return usage("losses FILE... [--json] [--svg FILE]");
+  const ReadEvents read =
+      eventlog::readEvents({words.begin() + 1, words.end()});
+  if (!tellUnused(read))
+    return ExitUsage;
+  const losses::SiteHistory site = losses::historyOf(read.Events);
+  if (site.Jobs.empty()) {
+    std::cerr << "oriolebay-entry: no job in these logs (remedy: give the logs "
+                 "of all entries)\n";
+    return ExitNothingFound;
+  }
+  const losses::Losses found = losses::lossesOf(site);
+  if (vm.count("svg")) {
+    std::ofstream svg(valueOf(vm, "svg"));
+    losses::printSvg(found, site, svg);
+    if (!svg) {
+      std::cerr << "oriolebay-entry: cannot write " << valueOf(vm, "svg")
+                << " (remedy: name a file that this user may write)\n";
+      return ExitUsage;
+    }
+  }
+  if (vm.count("json"))
+    std::cout << losses::toJson(found, site).dump(2) << '\n';
+  else
+    losses::printText(found, site, std::cout);
+  return ExitFound;
+}
+
 } // namespace oriolebay::entry
--- a/src/app/entry/logcommands.h
+++ b/src/app/entry/logcommands.h
@@ -19,4 +19,9 @@
 int explainJob(const std::vector<std::string> &words,
                const boost::program_options::variables_map &vm);
 
+/// "losses FILE...": which jobs came late, failed or were refused, what their
+/// time went to, and what work was thrown away.
+int showLosses(const std::vector<std::string> &words,
+               const boost::program_options::variables_map &vm);
+
 } // namespace oriolebay::entry
--- a/src/app/entry/main.cpp
+++ b/src/app/entry/main.cpp
@@ -99,8 +99,8 @@
 int main(int argc, char **argv) {
   po::options_description opts("oriolebay-entry COMMAND [options]\n"
                                "commands: jobs, serve, profile get|put, "
-                               "timeline FILE..., explain JOB FILE... "
-                               "(FILE - is standard input)");
+                               "timeline FILE..., explain JOB FILE..., "
+                               "losses FILE... (FILE - is standard input)");
   opts.add_options()("help",
                      "this text")("settings", po::value<std::string>(),
                                   "settings (JSON), for jobs and serve")(
@@ -127,6 +127,8 @@
     return entry::showTimeline(args, vm);
   if (args[0] == "explain")
     return entry::explainJob(args, vm);
+  if (args[0] == "losses")
+    return entry::showLosses(args, vm);
   // All that follows may start threads, which must not take the stop signals.
   app::blockStopSignals();
   if (args[0] == "serve" && vm.count("settings"))
--- a/src/libs/entry/entryservice.cpp
+++ b/src/libs/entry/entryservice.cpp
@@ -3,9 +3,9 @@
 #include "core/codec.h"
 #include "eventlog/eventlog.h"
 #include "utils/steadyclock.h"
+#include "utils/walltime.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/time/clock.h>
 
 #include <algorithm>
 
@@ -54,7 +54,7 @@
   logEvent(Event::ListenerBound,
            {{"role", "agents"}, {"address", Server->address()}});
   Callers = std::make_unique<Submitter>(
-      Settings.Name, absl::ToUnixMillis(absl::Now()), Server->address(),
+      Settings.Name, absl::ToUnixMillis(utils::wallNow()), Server->address(),
       absl::Milliseconds(Settings.MaxQueueWaitMs), Settings.RetryAfterMs,
       [this](endpoints::Message m) {
         return LeadingEpoch != 0 && Inbox.tryPush(std::move(m));
@@ -332,8 +332,8 @@
                    const core::JobRequest &job) {
     if (job.Class == core::JobClass::Urgent || job.DeadlineUnixMs == 0)
       return wait;
-    return std::max(wait,
-                    absl::FromUnixMillis(job.DeadlineUnixMs) - absl::Now());
+    return std::max(wait, absl::FromUnixMillis(job.DeadlineUnixMs) -
+                              utils::wallNow());
   };
   return p;
 }
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -2,8 +2,7 @@
 
 #include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
-
-#include <absl/time/clock.h>
+#include "utils/walltime.h"
 
 namespace oriolebay::entry {
 
@@ -47,6 +46,10 @@
     return Event::RunEvacuated;
   case Kind::Waiting:
     return Event::StepWaiting;
+  case Kind::Promised:
+    return Event::JobPromised;
+  case Kind::RoomPlanned:
+    return Event::RoomPlanned;
   }
   return Event::RunPlaced;
 }
@@ -65,6 +68,8 @@
     fields["why"] = d.Why;
   for (const jobs::Input &input : d.Inputs)
     fields[input.Name] = input.Value;
+  for (const auto &[name, text] : d.Texts)
+    fields[name] = text;
   logEvent(eventOf(d.What), fields);
 }
 
@@ -269,7 +274,7 @@
   options.Policy.ReclaimAfter = Time.ReclaimAfter;
   options.Policy.KeepFinished =
       absl::Milliseconds(Settings.Bounds.KeepFinishedMs) * 5 / 4;
-  options.Policy.WallMs = [] { return absl::ToUnixMillis(absl::Now()); };
+  options.Policy.WallMs = [] { return absl::ToUnixMillis(utils::wallNow()); };
   Duty = std::make_unique<LeaderDuty>(
       Loop, Calls, Peers, *View, options, leadership.Epoch,
       [this] { return Election->confirmed(); },
--- a/src/libs/eventlog/eventlog.cpp
+++ b/src/libs/eventlog/eventlog.cpp
@@ -1,8 +1,8 @@
 #include "eventlog.h"
 
 #include "utils/boottime.h"
+#include "utils/walltime.h"
 
-#include <absl/time/clock.h>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
@@ -105,7 +105,7 @@
 
 void write(Log &log, Event event, const nlohmann::json &fields) {
   nlohmann::json line = {
-      {"ts_us", absl::ToUnixMicros(absl::Now())},
+      {"ts_us", absl::ToUnixMicros(utils::wallNow())},
       {"up_ms", absl::ToUnixMillis(utils::bootNow())},
       {"proc", log.Process},
       {"event", static_cast<int>(event)},
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -43,6 +43,8 @@
       {Event::CallAnswered, "call.answered"},
       {Event::LastingJobEnded, "job.ended"},
       {Event::StepWaiting, "step.waiting"},
+      {Event::JobPromised, "job.promised"},
+      {Event::RoomPlanned, "room.planned"},
       {Event::RunPlaced, "run.placed"},
       {Event::RunStarted, "run.started"},
       {Event::RunRefused, "run.refused"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -28,6 +28,8 @@
   CallAnswered = 210,
   LastingJobEnded = 211,
   StepWaiting = 212,
+  JobPromised = 213,
+  RoomPlanned = 214,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -59,6 +59,14 @@
   return it == Workers.end() ? nullptr : &it->second;
 }
 
+core::Resources Fleet::capacityOf(const std::string &service) const {
+  core::Resources all;
+  for (const auto &[life, worker] : Workers)
+    if (worker.State.Service == service)
+      all += worker.State.Capacity;
+  return all;
+}
+
 bool Fleet::usable(const WorkerView &worker, absl::Time now) const {
   return !worker.State.Draining && worker.Reachable &&
          now - worker.LastHeard < Policy.SuspectAfter &&
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -87,6 +87,8 @@
   WorkerView *find(const std::string &life);
   const WorkerView *find(const std::string &life) const;
   const std::map<std::string, WorkerView> &workers() const { return Workers; }
+  /// What all known workers of the service have together.
+  core::Resources capacityOf(const std::string &service) const;
 
   /// Whether new work may go to the worker.
   bool usable(const WorkerView &worker, absl::Time now) const;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -73,6 +73,45 @@
       std::min<int64_t>(spec.Repeats, elapsed / spec.IntervalMs + 1));
 }
 
+const std::string &JobScheduler::serviceOf(const Job &job) const {
+  const core::QueueConfig *queue =
+      Config == nullptr ? nullptr : Config->queue(job.Record.Spec.Queue);
+  return queue != nullptr ? queue->Service : job.Record.Service;
+}
+
+absl::Duration JobScheduler::taskTime(const Job &job,
+                                      const core::StepSpec &spec) const {
+  return Estimates.expected(job.Record.Spec.Queue,
+                            absl::Milliseconds(spec.EstimateMs));
+}
+
+Promise JobScheduler::promiseOf(const Job &job) const {
+  return jobs::promiseOf(
+      job.Record.Spec.Steps, Workers.capacityOf(serviceOf(job)),
+      job.Record.Stretch, job.Record.TargetLatencyMs,
+      [&](const core::StepSpec &spec) { return taskTime(job, spec); });
+}
+
+// Once a job, and by its end at the latest.
+void JobScheduler::notePromise(Job &job) {
+  if (job.PromiseLogged)
+    return;
+  job.PromiseLogged = true;
+  const Promise promise = promiseOf(job);
+  const core::JobSpec &spec = job.Record.Spec;
+  note(Decision::Kind::Promised, spec.Id, "", 0, "", "",
+       {{"priority", job.Record.Priority},
+        {"chain_ms", absl::ToInt64Milliseconds(promise.Chain)},
+        {"within_ms", absl::ToInt64Milliseconds(promise.Within)},
+        {"stretch_percent", static_cast<int64_t>(job.Record.Stretch * 100)},
+        {"target_ms", job.Record.TargetLatencyMs},
+        {"accelerators", Workers.capacityOf(serviceOf(job)).Accelerators}});
+  Decisions.back().Texts = {{"queue", spec.Queue},
+                            {"organisation", spec.Organisation},
+                            {"asked", core::summary(spec)},
+                            {"steps", stepsText(spec.Steps, promise)}};
+}
+
 bool JobScheduler::stepDone(const Step &step) {
   return std::all_of(step.begin(), step.end(),
                      [](const Task &t) { return t.Progress.Done; });
@@ -165,10 +204,13 @@
   job.State = state;
   job.FinishedAt = now;
   job.Dirty = true;
+  notePromise(job);
   note(Decision::Kind::JobEnded, job.Record.Spec.Id, "", 0, "",
        jobStateName(state),
        {{"priority", job.Record.Priority},
-        {"took_ms", absl::ToInt64Milliseconds(now - job.Arrived)}});
+        {"took_ms", absl::ToInt64Milliseconds(now - job.Arrived)},
+        {"within_ms", absl::ToInt64Milliseconds(promiseOf(job).Within)}});
+  Decisions.back().Texts = {{"queue", job.Record.Spec.Queue}};
   forEachTask(job, [&](const TaskId &id, Task &task) {
     if (!task.Progress.Done)
       requestStop(id, task, absl::StrCat("job ", jobStateName(state)));
@@ -326,6 +368,8 @@
   }
   for (auto &entry : Jobs) {
     Job &job = entry.second;
+    if (!job.over() && now - ElectedAt >= Policy.FleetKnownAfter)
+      notePromise(job);
     if (!job.over() &&
         dueOccurrences(job) > static_cast<int>(job.Occurrences.size()))
       Changed = true;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -4,6 +4,7 @@
 #include "fleet.h"
 #include "jobrecord.h"
 #include "progress.h"
+#include "promise.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -51,6 +52,9 @@
   /// may be done to a task for its slowness.
   absl::Duration MoveCost = absl::Milliseconds(800);
   int MostMoves = 2;
+  /// A leader knows all workers that live so long after its election: two
+  /// periods of their reports. What a job was promised depends on their room.
+  absl::Duration FleetKnownAfter = absl::Seconds(1);
   /// How long a gang's members wait for each other.
   absl::Duration GangWait = absl::Milliseconds(3000);
   /// The time of day in milliseconds since 1970, for jobs due at a time.
@@ -89,6 +93,8 @@
     RunStandsStill,
     RunEvacuated,
     Waiting,
+    Promised,
+    RoomPlanned,
   };
   Kind What = Kind::Placed;
   std::string Job;
@@ -97,6 +103,8 @@
   std::string Worker;
   std::string Why;
   std::vector<Input> Inputs;
+  /// What is no number: by name.
+  std::map<std::string, std::string> Texts = {};
 
   /// The input of that name; zero without one.
   int64_t input(std::string_view name) const {
@@ -218,6 +226,10 @@
     };
     std::vector<EndAck> EndAcks;
     bool WaitLogged = false;
+    bool PromiseLogged = false;
+    /// How room was last planned for a step, by occurrence and step; logged
+    /// when it changes.
+    std::map<std::pair<int, int>, const char *> RoomPlanLogged;
 
     bool over() const { return isFinal(State); }
     const core::StepSpec &specOf(const core::TaskId &id) const {
@@ -235,6 +247,10 @@
   Task *findTask(const core::TaskId &id);
   std::vector<Step> &occurrence(Job &job, int number);
   int dueOccurrences(const Job &job) const;
+  const std::string &serviceOf(const Job &job) const;
+  absl::Duration taskTime(const Job &job, const core::StepSpec &spec) const;
+  Promise promiseOf(const Job &job) const;
+  void notePromise(Job &job);
   static bool stepDone(const Step &step);
   static bool stepReady(const Job &job, const std::vector<Step> &steps,
                         size_t step);
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -111,6 +111,8 @@
       if (task->Began == absl::InfinitePast()) {
         task->Began = now;
         task->SawBegin = task->What == Phase::Ordered;
+        note(Decision::Kind::Started, id.Job, running.Task, running.Run,
+             report.Worker.Life);
       }
       task->What = Phase::Running;
     }
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -144,11 +144,8 @@
 
 bool Planner::eligible(const Place &place, const Unit &unit) const {
   const endpoints::WorkerState &worker = place.View->State;
-  const core::QueueConfig *queue =
-      S.Config->queue(unit.Owner->Record.Spec.Queue);
-  const std::string &service =
-      queue != nullptr ? queue->Service : unit.Owner->Record.Service;
-  if (worker.Service != service || unit.Avoid.count(place.Life) != 0)
+  if (worker.Service != S.serviceOf(*unit.Owner) ||
+      unit.Avoid.count(place.Life) != 0)
     return false;
   const std::string &label = unit.spec().NeedsLabel;
   return label.empty() || std::find(worker.Labels.begin(), worker.Labels.end(),
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -126,9 +126,9 @@
   bool worthStopping(const Unit &unit, const Plan &stops,
                      const std::optional<Plan> &ends) const;
   absl::Duration slack(const Unit &unit) const;
-  absl::Duration chainFrom(const Job &job, size_t step) const;
   bool inTimeAnyway(const Unit &unit, const std::optional<Plan> &ends) const;
   bool makeRoom(Unit &unit);
+  void notePlan(const Unit &unit, const char *outcome, const Plan *plan);
   void askForStops(const Unit &unit, const Plan &stops);
   void waitForRoom(Unit &unit);
   void keep(const Unit &unit, const Plan &plan);
--- a/src/libs/jobs/planner_room.cpp
+++ b/src/libs/jobs/planner_room.cpp
@@ -211,36 +211,25 @@
   return leastPlan(unit, all, &Plan::Wait);
 }
 
-// How long the job takes from the step on if nothing waits.
-absl::Duration Planner::chainFrom(const Job &job, size_t step) const {
-  const std::vector<core::StepSpec> &steps = job.Record.Spec.Steps;
-  absl::Duration rest = absl::ZeroDuration();
-  for (size_t s = step + 1; s < steps.size(); ++s) {
-    const std::vector<int> &after = steps[s].After;
-    if (std::find(after.begin(), after.end(), static_cast<int>(step)) !=
-        after.end())
-      rest = std::max(rest, chainFrom(job, s));
-  }
-  return rest +
-         S.Estimates.expected(job.Record.Spec.Queue,
-                              absl::Milliseconds(steps[step].EstimateMs));
-}
-
 // How long unit may wait for its job to be in time still.
 absl::Duration Planner::slack(const Unit &unit) const {
   const Job &job = *unit.Owner;
-  const absl::Duration whole = chainFrom(job, 0);
-  const absl::Time due = job.Arrived + whole * job.Record.Stretch +
+  const auto &steps = job.Record.Spec.Steps;
+  const std::vector<int> oneWave(steps.size(), 1);
+  const auto chains =
+      chainsFrom(steps, oneWave, [&](const core::StepSpec &spec) {
+        return S.taskTime(job, spec);
+      });
+  const absl::Time due = job.Arrived + chains.front() * job.Record.Stretch +
                          absl::Milliseconds(job.Record.TargetLatencyMs);
-  return due - Now - chainFrom(job, static_cast<size_t>(unit.Step));
+  return due - Now - chains[static_cast<size_t>(unit.Step)];
 }
 
 // How much of others' work may be thrown away for unit, in core-seconds: what
 // its own answer loses by being late.
 double Planner::mostWaste(const Unit &unit) const {
   const core::StepSpec &spec = unit.spec();
-  const absl::Duration each = S.Estimates.expected(
-      unit.Owner->Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs));
+  const absl::Duration each = S.taskTime(*unit.Owner, spec);
   const double own = static_cast<double>(unit.Tasks.size()) *
                      weight(spec.PerTask) * absl::ToDoubleSeconds(each);
   return S.Policy.WasteForAny + S.Policy.WasteForOwnWork * own;
@@ -276,19 +265,26 @@
 // as many as it can be made for. False when there are no stops, or they are not
 // worth it.
 bool Planner::makeRoom(Unit &unit) {
+
   const std::vector<Release> running = releases(unit, false);
   std::optional<std::vector<Release>> stoppable;
   for (size_t n = unit.Tasks.size(); n > 0; n = unit.spec().Gang ? 0 : n / 2) {
     unit.Tasks.resize(n);
     const std::optional<Plan> ends = firstEnds(unit, running);
     if (inTimeAnyway(unit, ends)) {
+      notePlan(unit, "waits for ends in time", &*ends);
       keep(unit, *ends);
       return true;
     }
     if (!stoppable)
       stoppable = releases(unit, true);
     std::optional<Plan> stops = cheapestStops(unit, *stoppable);
+    if (!stops)
+      notePlan(unit, "nothing to stop makes room", nullptr);
+    else if (!worthStopping(unit, *stops, ends))
+      notePlan(unit, "stops would throw away too much", &*stops);
     if (stops && worthStopping(unit, *stops, ends)) {
+      notePlan(unit, "others are stopped", &*stops);
       askForStops(unit, *stops);
       stops->Wait = absl::ZeroDuration();
       keep(unit, *stops);
@@ -298,6 +294,30 @@
   return false;
 }
 
+// Logged when the outcome changes, so that a unit that waits for long says so
+// once and not in each pass.
+void Planner::notePlan(const Unit &unit, const char *outcome,
+                       const Plan *plan) {
+  const char *&logged =
+      unit.Owner->RoomPlanLogged[{unit.Occurrence, unit.Step}];
+  if (logged == outcome)
+    return;
+  logged = outcome;
+  std::vector<Input> inputs = {
+      {"rank", unit.Rank},
+      {"tasks", static_cast<int64_t>(unit.Tasks.size())},
+      {"slack_ms", absl::ToInt64Milliseconds(slack(unit))},
+      {"most_waste_core_s", static_cast<int64_t>(mostWaste(unit))}};
+  if (plan != nullptr) {
+    inputs.push_back({"wait_ms", absl::ToInt64Milliseconds(plan->Wait)});
+    inputs.push_back({"waste_core_s", static_cast<int64_t>(plan->Waste)});
+    inputs.push_back({"ends", static_cast<int64_t>(plan->Releases.size())});
+  }
+  S.note(Decision::Kind::RoomPlanned, unit.Owner->Record.Spec.Id,
+         core::taskName(unit.task(unit.Tasks.front())), 0, "", outcome,
+         std::move(inputs));
+}
+
 void Planner::askForStops(const Unit &unit, const Plan &stops) {
   const std::string why = "makes room for job " + unit.Owner->Record.Spec.Id;
   for (const Release *r : stops.Releases) {
