Ends behind an end are looked for at once

Cause: while a worker lists ends that are not taken note of, its agent came back every 100 ms, for up to half a second after each end.

Change: 15 ms between looks while the list of ends is new (600 ms), then 100 ms as before, so that an outage of the store costs no more looks.

Ruled out: the leader telling its agents when ends are recorded; that costs a message an end at the leader, which is the scarce processor at size.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -22,7 +22,14 @@
 constexpr int64_t LookWaitMs = 500;
 /// Pause before a worker that did not answer is looked at again.
 constexpr absl::Duration LookAgain = absl::Milliseconds(150);
-constexpr absl::Duration LookWithEnds = absl::Milliseconds(100);
+/// While the worker lists ends that are not taken note of, it answers each look
+/// at once, so that the agent has to come back for the next end. The first
+/// looks come quickly, as ends come together: at 100 ms, room stood empty and
+/// callers were told "running" for 50 ms on the mean. The leader takes note
+/// within half a second unless the store is away; then looks are rare again.
+constexpr absl::Duration LookWithNewEnds = absl::Milliseconds(15);
+constexpr absl::Duration LookWithOldEnds = absl::Milliseconds(100);
+constexpr absl::Duration EndsAreNew = absl::Milliseconds(600);
 /// Looks that may fail in a row before the worker counts as not reachable.
 constexpr int MostFailures = 3;
 constexpr int MostNotThere = 4;
@@ -261,6 +268,8 @@
     news |= epoch > ListedEpoch || reply.Ended != Ended ||
             reply.Running.size() != Running.size();
     Running = reply.Running;
+    if (!reply.Ended.empty() && reply.Ended != Ended)
+      EndedAt = Loop.now();
     Ended = reply.Ended;
     ListedEpoch = epoch;
     settleStops(number);
@@ -269,7 +278,13 @@
     reportSoon();
   // The worker answers at once while it has ends to tell that were not taken
   // note of; the leader's answer starts the next look.
-  holdLater(Ended.empty() ? absl::ZeroDuration() : LookWithEnds);
+  holdLater(pauseBeforeLook());
+}
+
+absl::Duration WorkerAgent::pauseBeforeLook() const {
+  if (Ended.empty())
+    return absl::ZeroDuration();
+  return Loop.now() - EndedAt < EndsAreNew ? LookWithNewEnds : LookWithOldEnds;
 }
 
 void WorkerAgent::notReached(const std::string &why) {
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -82,6 +82,7 @@
   void holdLater(absl::Duration delay);
   void onHeld(uint64_t number, int64_t epoch,
               const endpoints::HoldReply &reply);
+  absl::Duration pauseBeforeLook() const;
   void notReached(const std::string &why);
   void noteClock(int64_t clockMs);
   int64_t untilMs() const;
@@ -137,6 +138,8 @@
   // What the worker listed last.
   std::vector<endpoints::RunningTask> Running;
   std::vector<endpoints::EndedTask> Ended;
+  /// When the list of ends last became another one.
+  absl::Time EndedAt = absl::InfinitePast();
   int64_t ListedEpoch = 0;
   uint64_t HoldsSent = 0;
   uint64_t HoldsTaken = 0;
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -39,7 +39,11 @@
       endpoints::HoldReply reply;
       reply.Outcome = answer();
       reply.Running = Running;
-      Loop.runAfter(absl::Milliseconds(c.WaitMs > 0 ? c.WaitMs : 1),
+      for (const endpoints::EndedTask &e : Ended)
+        if (e.Number > c.SeenUpto)
+          reply.Ended.push_back(e);
+      const bool waits = c.WaitMs > 0 && reply.Ended.empty();
+      Loop.runAfter(absl::Milliseconds(waits ? c.WaitMs : 1),
                     [done, reply] { done(reply); });
     };
     platform::Store store;
@@ -84,6 +88,8 @@
   CallOutcome StartAnswer = answer();
   int StartTakesMs = 1;
   std::vector<endpoints::RunningTask> Running;
+  /// Ends that the worker lists until they are taken note of.
+  std::vector<endpoints::EndedTask> Ended;
   std::vector<endpoints::StartCall> Starts;
   std::vector<endpoints::StopCall> Stops;
   std::vector<endpoints::HoldCall> Holds;
@@ -166,5 +172,32 @@
   EXPECT_GT(bench.Loop.now(), silent);
 }
 
+// Two tasks end at a worker, a little apart. While the first end was not taken
+// note of, its agent looked at the worker ten times a second, so that the other
+// end was known up to 100 ms late: room stood empty, and callers were told that
+// their job still ran.
+TEST(WorkerAgent, EndBehindAnotherIsReportedSoon) {
+  AgentBench bench;
+  bench.Ended.push_back({1, "a.0.0.0", 1, endpoints::RunEnd::Done, ""});
+  for (int ms = 0; bench.Reports.back().Ended.empty() && ms < 1000; ++ms)
+    bench.Loop.advance(absl::Milliseconds(1));
+  ASSERT_EQ(bench.Reports.back().Ended.size(), 1u);
+  bench.Loop.advance(absl::Milliseconds(2));
+  bench.Ended.push_back({2, "b.0.0.0", 1, endpoints::RunEnd::Done, ""});
+  bench.Loop.advance(absl::Milliseconds(25));
+  EXPECT_EQ(bench.Reports.back().Ended.size(), 2u);
+}
+
+// Ends cannot be taken note of while the store is away. The agent must not
+// look at its worker fifty times a second all that time.
+TEST(WorkerAgent, EndsThatStayOpenAreNotLookedAtForEver) {
+  AgentBench bench;
+  bench.Ended.push_back({1, "a.0.0.0", 1, endpoints::RunEnd::Done, ""});
+  bench.Loop.advance(absl::Seconds(1));
+  const size_t before = bench.Holds.size();
+  bench.Loop.advance(absl::Seconds(10));
+  EXPECT_LE(bench.Holds.size() - before, 110u);
+}
+
 } // namespace
 } // namespace oriolebay::agent
