Calls are handed to another entry while the store is away here

Cause: the store turns single entries away, or a cut parts one from it, while the others are served.

Change: an entry whose store calls fail, or whose view is older than 800 ms, hands the call to the leader or another entry, once; that one serves it as if its caller had come there (its own configuration and key check). 'Not done' is passed on only if nothing sent before may still be carried out. Entries that did not answer are left out for a second, so that callers of an entry on its own are refused at once. Peers' handlers may answer later.

Ruled out: telling callers to come back at once: the same entry takes them again where the balancer's hash does so, and it costs them a retry.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -54,10 +54,11 @@
       Settings(std::move(settings)), Time(settings::deriveTiming(Settings)),
       Calls(std::move(store)), EntryPrefix(std::move(entryPrefix)),
       Concludes(std::move(concluded)) {
-  Peers.Serve([this, alive = Alive](const Message &m) -> Message {
+  Peers.Serve([this, alive = Alive](const Message &m, const auto &respond) {
     if (*alive)
-      return onMessage(m);
-    return endpoints::Ack{false, "this agent has stopped"};
+      respond(onMessage(m));
+    else
+      respond(endpoints::Ack{false, "this agent has stopped"});
   });
 }
 
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -61,6 +61,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobWritten, Key, Value, Revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StandDown, Epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobEnding, Job)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedCall, Call, Host, Path, Key,
+                                   TimeLeftMs, Job, Record)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedAnswer, Result, Detail,
+                                   RetryAfterMs, State, Waiting)
 
 const char *runEndName(RunEnd end) {
   switch (end) {
@@ -131,7 +135,9 @@
       kindOf<WorkerOrders>("worker_orders"),
       kindOf<JobWritten>("job_written"),
       kindOf<StandDown>("stand_down"),
-      kindOf<JobEnding>("job_ending")};
+      kindOf<JobEnding>("job_ending"),
+      kindOf<ForwardedCall>("forwarded_call"),
+      kindOf<ForwardedAnswer>("forwarded_answer")};
   return table;
 }
 
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -286,6 +286,30 @@
   auto operator<=>(const JobEnding &) const = default;
 };
 
+/// Entry to entry: a caller's call that the sender cannot serve, as the store
+/// does not answer it. Call: submit, state, cancel or queue. Record: with
+/// submit, the job in the form of a stored record.
+struct ForwardedCall {
+  std::string Call;
+  std::string Host;
+  std::string Path;
+  std::string Key;
+  int64_t TimeLeftMs = 0;
+  std::string Job;
+  std::string Record;
+  auto operator<=>(const ForwardedCall &) const = default;
+};
+
+/// The answer to a ForwardedCall, for its caller.
+struct ForwardedAnswer {
+  std::string Result;
+  std::string Detail;
+  int64_t RetryAfterMs = 0;
+  std::string State;
+  int Waiting = 0;
+  auto operator<=>(const ForwardedAnswer &) const = default;
+};
+
 /// A new leader to an earlier one: grant nothing and order nothing any more.
 /// Acknowledged once that is so, also by a process that has not led at all.
 struct StandDown {
@@ -293,10 +317,10 @@
   auto operator<=>(const StandDown &) const = default;
 };
 
-using Message =
-    std::variant<Announce, TaskResult, Reserve, Run, Release, Stop, Submit,
-                 Answered, Cancel, Ack, WorkerReport, ReportAck, WorkerOrders,
-                 JobWritten, StandDown, JobEnding>;
+using Message = std::variant<Announce, TaskResult, Reserve, Run, Release, Stop,
+                             Submit, Answered, Cancel, Ack, WorkerReport,
+                             ReportAck, WorkerOrders, JobWritten, StandDown,
+                             JobEnding, ForwardedCall, ForwardedAnswer>;
 
 /// CBOR bytes of message.
 std::string encode(const Message &message);
--- a/src/libs/endpoints/peers.cpp
+++ b/src/libs/endpoints/peers.cpp
@@ -12,7 +12,10 @@
   NngPeers(utils::EventLoop &loop, const std::string &address)
       : Loop(loop),
         Server(loop, address, [this](const Message &m, const auto &respond) {
-          respond(Serve ? Serve(m) : Message(Ack{false, "not ready yet"}));
+          if (Serve)
+            Serve(m, respond);
+          else
+            respond(Ack{false, "not ready yet"});
         }) {}
 
   void call(const std::string &address, const Message &message, int timeoutMs,
--- a/src/libs/endpoints/peers.h
+++ b/src/libs/endpoints/peers.h
@@ -20,7 +20,9 @@
   /// Gets the answer, or nothing when none came in time: the peer may or may
   /// not have acted.
   using Done = std::function<void(const std::optional<Message> &)>;
-  using Handler = std::function<Message(const Message &)>;
+  /// Answers a request, at once or later.
+  using Respond = std::function<void(const Message &)>;
+  using Handler = std::function<void(const Message &, const Respond &)>;
 
   /// Where others reach this process.
   std::string Address;
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -112,10 +112,14 @@
           },
           Observers.StoreCalled),
       Calls(Health.watching(store)) {
-  Peers.Serve([this, alive = Alive](const Message &m) -> Message {
-    if (*alive)
-      return onMessage(m);
-    return endpoints::Ack{false, "this entry has stopped"};
+  Peers.Serve([this, alive = Alive](const Message &m, const auto &respond) {
+    const auto *call = std::get_if<endpoints::ForwardedCall>(&m);
+    if (!*alive)
+      respond(endpoints::Ack{false, "this entry has stopped"});
+    else if (call != nullptr)
+      onForwarded(*call, respond);
+    else
+      respond(onMessage(m));
   });
   platform::FollowTiming follow;
   auto trouble = [this](const char *what) {
@@ -153,9 +157,14 @@
       trouble("jobs"));
   jobs::DeskPolicy desk;
   desk.OldestConfig = Time.OldestConfig;
+  Forwarder = std::make_unique<CallForwarder>(
+      Loop, Peers, [this] { return otherEntries(); });
   Desk = std::make_unique<jobs::JobDesk>(
       Loop, Calls, *View, *Config, desk,
       [this] { return Health.failingSince(); },
+      [this](const jobs::CallRequest &call, const jobs::OnForwarded &done) {
+        return forward(call, done);
+      },
       [this](const platform::KeyValue &item) { onWritten(item); },
       [this](const jobs::CallDecision &d) {
         logCall(d);
@@ -335,6 +344,48 @@
              PeerTimeoutMs, [](const std::optional<Message> &) {});
 }
 
+// The leader first: if anyone is served by the store, it is.
+std::vector<std::string> JobEntry::otherEntries() const {
+  std::vector<std::string> others;
+  if (!Leader.Mine && !Leader.Address.empty())
+    others.push_back(Leader.Address);
+  for (const auto &[key, address] : EntryAddresses)
+    if (address != Peers.Address && address != Leader.Address)
+      others.push_back(address);
+  return others;
+}
+
+bool JobEntry::forward(const jobs::CallRequest &call,
+                       const jobs::OnForwarded &done) {
+  return Forwarder->forward(
+      jobs::toMessage(call, Loop.now()),
+      [done](const std::optional<endpoints::ForwardedAnswer> &answer,
+             bool mayBeDone) {
+        if (answer)
+          done(jobs::toAnswer(*answer), mayBeDone);
+        else
+          done(std::nullopt, mayBeDone);
+      });
+}
+
+// Served as if its caller had come here, but never handed on again.
+void JobEntry::onForwarded(const endpoints::ForwardedCall &call,
+                           const endpoints::Peers::Respond &respond) {
+  utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_AUTO(request, jobs::toRequest(call, Loop.now()));
+        Desk->serveForwarded(std::move(request),
+                             [respond](const jobs::CallAnswer &answer) {
+                               respond(jobs::toMessage(answer));
+                             });
+        return true;
+      },
+      [&](const utils::Error &e) {
+        respond(endpoints::Ack{false, e.text()});
+        return false;
+      });
+}
+
 void JobEntry::onEnding(const std::string &jobId) {
   Desk->expectEnd(jobId);
   for (const auto &[key, address] : EntryAddresses)
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callforwarder.h"
 #include "endpoints/peers.h"
 #include "jobs/jobdesk.h"
 #include "jobs/jobview.h"
@@ -15,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace oriolebay::entry {
 
@@ -70,6 +72,10 @@
   endpoints::Ack onStandDown(const endpoints::StandDown &down);
   void onWritten(const platform::KeyValue &item);
   void onEnding(const std::string &jobId);
+  std::vector<std::string> otherEntries() const;
+  bool forward(const jobs::CallRequest &call, const jobs::OnForwarded &done);
+  void onForwarded(const endpoints::ForwardedCall &call,
+                   const endpoints::Peers::Respond &respond);
   void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
   void storeTrouble(const char *what, platform::StoreStatus status,
                     const std::string &why);
@@ -89,6 +95,7 @@
   std::map<std::string, std::string> EntryAddresses;
   std::unique_ptr<operators::ConfigFollower> Config;
   std::unique_ptr<jobs::JobView> View;
+  std::unique_ptr<CallForwarder> Forwarder;
   std::unique_ptr<jobs::JobDesk> Desk;
   std::unique_ptr<platform::PrefixFollower> Entries;
   std::unique_ptr<platform::Election> Election;
--- /dev/null
+++ b/src/libs/jobs/callcodec.cpp
@@ -0,0 +1,78 @@
+#include "callcodec.h"
+
+#include "jobrecord.h"
+
+#include <algorithm>
+#include <array>
+
+namespace oriolebay::jobs {
+
+namespace {
+
+constexpr std::array Results = {CallResult::Ok,           CallResult::Invalid,
+                                CallResult::UnknownQueue, CallResult::BadKey,
+                                CallResult::UnknownJob,   CallResult::IdTaken,
+                                CallResult::NotDone,      CallResult::Open};
+constexpr std::array States = {JobState::Queued, JobState::Running,
+                               JobState::Completed, JobState::Failed,
+                               JobState::Cancelled};
+
+template <class Values, class NameOf>
+auto named(const Values &values, const std::string &name, NameOf nameOf) {
+  return std::find_if(values.begin(), values.end(),
+                      [&](auto v) { return nameOf(v) == name; });
+}
+
+} // namespace
+
+endpoints::ForwardedCall toMessage(const CallRequest &call, absl::Time now) {
+  endpoints::ForwardedCall m;
+  m.Call = call.Name;
+  m.Host = call.Access.Host;
+  m.Path = call.Access.Path;
+  m.Key = call.Access.Key;
+  m.TimeLeftMs = absl::ToInt64Milliseconds(call.Access.Deadline - now);
+  m.Job = call.JobId;
+  if (call.Name == "submit") {
+    JobRecord record;
+    record.Spec = call.Spec;
+    m.Record = encode(record);
+  }
+  return m;
+}
+
+utils::Result<CallRequest> toRequest(const endpoints::ForwardedCall &m,
+                                     absl::Time now) {
+  CallRequest call;
+  call.Name = m.Call;
+  call.Access = {m.Host, m.Path, m.Key,
+                 now + absl::Milliseconds(std::max<int64_t>(0, m.TimeLeftMs))};
+  call.JobId = m.Job;
+  if (m.Call == "submit") {
+    BOOST_LEAF_AUTO(record, decodeRecord(m.Record));
+    call.Spec = std::move(record.Spec);
+  }
+  return call;
+}
+
+endpoints::ForwardedAnswer toMessage(const CallAnswer &answer) {
+  return {callResultName(answer.Result), answer.Detail, answer.RetryAfterMs,
+          jobStateName(answer.State), answer.Waiting};
+}
+
+CallAnswer toAnswer(const endpoints::ForwardedAnswer &m) {
+  CallAnswer answer;
+  answer.Result = CallResult::Open;
+  answer.Detail = m.Detail;
+  answer.RetryAfterMs = m.RetryAfterMs;
+  answer.Waiting = m.Waiting;
+  const auto *result = named(Results, m.Result, callResultName);
+  const auto *state = named(States, m.State, jobStateName);
+  if (result == Results.end() || state == States.end())
+    return answer;
+  answer.Result = *result;
+  answer.State = *state;
+  return answer;
+}
+
+} // namespace oriolebay::jobs
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -49,25 +49,25 @@
   std::string Organisation;
   /// A write was sent whose outcome is not known.
   bool MayBeDone = false;
+  /// Handed over by another entry, or to one.
+  bool Foreign = false;
+  bool HandedOver = false;
   int Tries = 0;
   bool Finished = false;
 };
 
 JobDesk::JobDesk(utils::EventLoop &loop, const platform::Store &store,
                  JobView &view, operators::ConfigFollower &config,
-                 DeskPolicy policy, StoreAway storeAway, OnWritten onWritten,
-                 OnDecision onDecision)
+                 DeskPolicy policy, StoreAway storeAway, Forward forward,
+                 OnWritten onWritten, OnDecision onDecision)
     : Loop(loop), Calls(store), View(view), Config(config), Policy(policy),
-      AwaySince(std::move(storeAway)), Written(std::move(onWritten)),
-      Decided(std::move(onDecision)) {}
+      AwaySince(std::move(storeAway)), HandOver(std::move(forward)),
+      Written(std::move(onWritten)), Decided(std::move(onDecision)) {}
 
 JobDesk::~JobDesk() { *Alive = false; }
 
 void JobDesk::finish(const CallPtr &call, CallResult result,
                      std::string detail) {
-  if (call->Finished)
-    return;
-  call->Finished = true;
   CallAnswer answer;
   answer.Result = result;
   answer.Detail = std::move(detail);
@@ -80,6 +80,13 @@
   }
   if (result == CallResult::Ok && call->Name == "queue")
     answer.Waiting = View.waiting(call->Queue.Name);
+  deliver(call, std::move(answer));
+}
+
+void JobDesk::deliver(const CallPtr &call, CallAnswer answer) {
+  if (call->Finished)
+    return;
+  call->Finished = true;
   const absl::Time now = Loop.now();
   Decided({call->Name, call->JobId, call->Queue.Name, call->Queue.Priority,
            call->Organisation,
@@ -90,6 +97,37 @@
   call->Answer(std::move(answer));
 }
 
+// True when another entry is asked; a call is handed over once at most.
+bool JobDesk::forward(const CallPtr &call) {
+  if (call->Foreign || call->HandedOver)
+    return false;
+  call->HandedOver = true;
+  return HandOver({call->Name, call->Access, call->JobId, call->Spec},
+                  [this, alive = Alive, call](
+                      const std::optional<CallAnswer> &answer, bool mayBeDone) {
+                    if (*alive)
+                      onForwarded(call, answer, mayBeDone);
+                  });
+}
+
+// "Not done" holds only if nothing that was sent before, here or to an entry
+// that did not answer, may still be carried out.
+void JobDesk::onForwarded(const CallPtr &call,
+                          const std::optional<CallAnswer> &answer,
+                          bool mayBeDone) {
+  call->MayBeDone |= mayBeDone;
+  if (answer && answer->Result != CallResult::NotDone) {
+    CallAnswer passed = *answer;
+    if (passed.Detail.empty())
+      passed.Detail = "served by another entry";
+    deliver(call, std::move(passed));
+    return;
+  }
+  finish(call, call->MayBeDone ? CallResult::Open : CallResult::NotDone,
+         answer ? "no entry reaches the store"
+                : "the store is not available here, nor any other entry");
+}
+
 bool JobDesk::outOfTime(const CallPtr &call) const {
   return Loop.now() + Policy.AnswerMargin >= call->Access.Deadline;
 }
@@ -98,6 +136,10 @@
   return Loop.now() - AwaySince() < StoreGrace;
 }
 
+bool JobDesk::viewIsFresh() const {
+  return storeUsable() && Config.age(Loop.now()) < Policy.FreshView;
+}
+
 int64_t JobDesk::retryAfterMs() const {
   const int64_t away = absl::ToInt64Milliseconds(
       std::max(Loop.now() - AwaySince(), absl::ZeroDuration()));
@@ -115,6 +157,8 @@
 void JobDesk::authorise(const CallPtr &call, bool confirmed, const Step &step) {
   call->Config = Config.current();
   if (call->Config == nullptr || Config.age(Loop.now()) > Policy.OldestConfig) {
+    if (forward(call))
+      return;
     finish(call, CallResult::NotDone,
            "this entry has no fresh configuration; try another entry");
     return;
@@ -128,13 +172,15 @@
     step(call);
     return;
   }
+  if (!confirmed && !viewIsFresh() && forward(call))
+    return;
   if (!confirmed) {
     Config.confirm([this, alive = Alive, call, step](bool ok) {
       if (!*alive)
         return;
       if (ok)
         authorise(call, true, step);
-      else
+      else if (!forward(call))
         finish(call, CallResult::NotDone,
                "the configuration could not be confirmed; try another entry");
     });
@@ -164,9 +210,12 @@
 void JobDesk::again(const CallPtr &call, StoreStatus status, const Step &step) {
   if (status == StoreStatus::Unknown)
     call->MayBeDone = true;
-  const bool patient = call->MayBeDone
-                           ? timeLeft(call) > absl::ZeroDuration()
-                           : Loop.now() - call->Began < Policy.RefusedPatience;
+  if (forward(call))
+    return;
+  const absl::Duration patience =
+      call->Foreign ? Policy.ForwardedPatience : Policy.RefusedPatience;
+  const bool patient = call->MayBeDone ? timeLeft(call) > absl::ZeroDuration()
+                                       : Loop.now() - call->Began < patience;
   if (outOfTime(call) || !patient) {
     if (call->MayBeDone)
       finish(call, CallResult::Open,
@@ -182,26 +231,66 @@
   });
 }
 
-void JobDesk::submit(CallerAccess access, core::JobSpec spec, Done done) {
+JobDesk::CallPtr JobDesk::newCall(CallRequest request, Done done) {
   auto call = std::make_shared<Call>();
-  call->Name = "submit";
-  call->Access = std::move(access);
-  call->JobId = spec.Id;
-  call->Spec = std::move(spec);
+  call->Name = std::move(request.Name);
+  call->Access = std::move(request.Access);
+  call->JobId = std::move(request.JobId);
+  call->Spec = std::move(request.Spec);
   call->Answer = std::move(done);
-  begin(call, [this](const CallPtr &c) {
-    const std::string problem = core::validate(c->Spec);
-    if (!problem.empty()) {
-      finish(c, CallResult::Invalid, problem);
-      return;
-    }
-    if (!storeUsable()) {
-      finish(c, CallResult::NotDone,
-             "the store is not available; nothing was done");
-      return;
-    }
-    accept(c);
-  });
+  return call;
+}
+
+void JobDesk::serve(const CallPtr &call) {
+  if (call->Name == "submit")
+    begin(call, [this](const CallPtr &c) { admit(c); });
+  else if (call->Name == "state")
+    begin(call, [this](const CallPtr &c) { show(c); });
+  else if (call->Name == "cancel")
+    begin(call, [this](const CallPtr &c) { findForCancel(c); });
+  else
+    begin(call, [this](const CallPtr &c) { countWaiting(c); });
+}
+
+void JobDesk::serveForwarded(CallRequest request, Done done) {
+  const CallPtr call = newCall(std::move(request), std::move(done));
+  call->Foreign = true;
+  serve(call);
+}
+
+void JobDesk::submit(CallerAccess access, core::JobSpec spec, Done done) {
+  const std::string id = spec.Id;
+  serve(newCall({"submit", std::move(access), id, std::move(spec)},
+                std::move(done)));
+}
+
+void JobDesk::state(CallerAccess access, std::string jobId, Done done) {
+  serve(newCall({"state", std::move(access), std::move(jobId), {}},
+                std::move(done)));
+}
+
+void JobDesk::cancel(CallerAccess access, std::string jobId, Done done) {
+  serve(newCall({"cancel", std::move(access), std::move(jobId), {}},
+                std::move(done)));
+}
+
+void JobDesk::queueLength(CallerAccess access, Done done) {
+  serve(newCall({"queue", std::move(access), "", {}}, std::move(done)));
+}
+
+void JobDesk::admit(const CallPtr &call) {
+  const std::string problem = core::validate(call->Spec);
+  if (!problem.empty()) {
+    finish(call, CallResult::Invalid, problem);
+    return;
+  }
+  if (storeUsable()) {
+    accept(call);
+    return;
+  }
+  if (!forward(call))
+    finish(call, CallResult::NotDone,
+           "the store is not available; nothing was done");
 }
 
 // The job's key must not exist, and the configuration that the call was
@@ -281,15 +370,6 @@
   authorise(call, true, [this](const CallPtr &c) { accept(c); });
 }
 
-void JobDesk::state(CallerAccess access, std::string jobId, Done done) {
-  auto call = std::make_shared<Call>();
-  call->Name = "state";
-  call->Access = std::move(access);
-  call->JobId = std::move(jobId);
-  call->Answer = std::move(done);
-  begin(call, [this](const CallPtr &c) { show(c); });
-}
-
 bool JobDesk::mayTouch(const CallPtr &call, const JobRecord &record) const {
   return record.Spec.Queue == call->Queue.Name &&
          (call->Queue.Public || record.Spec.Organisation == call->Organisation);
@@ -345,7 +425,11 @@
 }
 
 void JobDesk::show(const CallPtr &call) {
-  if (const StoredJob *job = View.find(call->JobId)) {
+  const StoredJob *job = View.find(call->JobId);
+  const bool over = job != nullptr && isFinal(job->shown());
+  if (!over && !viewIsFresh() && forward(call))
+    return;
+  if (job != nullptr) {
     answerState(call, *job);
     return;
   }
@@ -383,26 +467,11 @@
             });
 }
 
-void JobDesk::queueLength(CallerAccess access, Done done) {
-  auto call = std::make_shared<Call>();
-  call->Name = "queue";
-  call->Access = std::move(access);
-  call->Answer = std::move(done);
-  begin(call, [this](const CallPtr &c) {
-    if (View.complete())
-      finish(c, CallResult::Ok);
-    else
-      finish(c, CallResult::NotDone, "this entry has not read the jobs yet");
-  });
-}
-
-void JobDesk::cancel(CallerAccess access, std::string jobId, Done done) {
-  auto call = std::make_shared<Call>();
-  call->Name = "cancel";
-  call->Access = std::move(access);
-  call->JobId = std::move(jobId);
-  call->Answer = std::move(done);
-  begin(call, [this](const CallPtr &c) { findForCancel(c); });
+void JobDesk::countWaiting(const CallPtr &call) {
+  if (View.complete())
+    finish(call, CallResult::Ok);
+  else
+    finish(call, CallResult::NotDone, "this entry has not read the jobs yet");
 }
 
 void JobDesk::findForCancel(const CallPtr &call) {
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callanswer.h"
+#include "callcodec.h"
 #include "jobview.h"
 #include "operators/configfollower.h"
 
@@ -30,6 +31,14 @@
   absl::Duration RetryPause = absl::Milliseconds(60);
   /// How long the store may refuse before the caller is told to come back.
   absl::Duration RefusedPatience = absl::Milliseconds(400);
+  /// The same for a call that another entry has handed over, which waits for
+  /// the answer.
+  absl::Duration ForwardedPatience = absl::Milliseconds(250);
+  /// Until it is so old a view of the configuration, which is confirmed every
+  /// 600 ms, tells that the store's watches can be relied on too. An entry that
+  /// the store had stopped to serve showed jobs as running for up to six
+  /// seconds after their end.
+  absl::Duration FreshView = absl::Milliseconds(800);
   /// The share of its caller's time that a call may spend on a store that does
   /// not answer: the rest is the caller's, for another entry.
   double MostShareOfTime = 0.4;
@@ -56,6 +65,11 @@
   absl::Duration NewsOnItsWay = absl::Milliseconds(20);
 };
 
+/// What another entry answered, or nothing when none did; mayBeDone: it may
+/// have been carried out there all the same.
+using OnForwarded =
+    std::function<void(const std::optional<CallAnswer> &, bool mayBeDone)>;
+
 /// Serves callers at one entry: accepts jobs into the store, cancels them, and
 /// tells their state. Whatever it confirms is in the store. Owned by one event
 /// loop.
@@ -68,10 +82,13 @@
   /// Since when the store has not answered, in spite of calls; infinite future
   /// while it does.
   using StoreAway = std::function<absl::Time()>;
+  /// Hands a call to another entry; false when there is none to ask.
+  using Forward = std::function<bool(const CallRequest &, const OnForwarded &)>;
 
   JobDesk(utils::EventLoop &loop, const platform::Store &store, JobView &view,
           operators::ConfigFollower &config, DeskPolicy policy,
-          StoreAway storeAway, OnWritten onWritten, OnDecision onDecision);
+          StoreAway storeAway, Forward forward, OnWritten onWritten,
+          OnDecision onDecision);
   ~JobDesk();
   JobDesk(const JobDesk &) = delete;
   JobDesk &operator=(const JobDesk &) = delete;
@@ -80,6 +97,8 @@
   void submit(CallerAccess access, core::JobSpec spec, Done done);
   void state(CallerAccess access, std::string jobId, Done done);
   void cancel(CallerAccess access, std::string jobId, Done done);
+  /// A call that another entry could not serve. It is not handed on.
+  void serveForwarded(CallRequest request, Done done);
   /// The leader knows of this job's end, which is being recorded.
   void expectEnd(const std::string &jobId);
   /// The end is recorded.
@@ -92,6 +111,12 @@
   using CallPtr = std::shared_ptr<Call>;
   using Step = std::function<void(const CallPtr &)>;
 
+  static CallPtr newCall(CallRequest request, Done done);
+  void serve(const CallPtr &call);
+  bool forward(const CallPtr &call);
+  void onForwarded(const CallPtr &call, const std::optional<CallAnswer> &answer,
+                   bool mayBeDone);
+  void deliver(const CallPtr &call, CallAnswer answer);
   void begin(const CallPtr &call, const Step &step);
   void authorise(const CallPtr &call, bool confirmed, const Step &step);
   void finish(const CallPtr &call, CallResult result, std::string detail = "");
@@ -99,15 +124,18 @@
   absl::Duration timeLeft(const CallPtr &call) const;
   long nextTryMs(const CallPtr &call) const;
   bool storeUsable() const;
+  bool viewIsFresh() const;
   int64_t retryAfterMs() const;
   void again(const CallPtr &call, platform::StoreStatus status,
              const Step &step);
+  void admit(const CallPtr &call);
   void accept(const CallPtr &call);
   void onAccepted(const CallPtr &call,
                   const platform::StoreReply<platform::StoreTxnReply> &reply,
                   absl::Time sent, const std::string &value);
   void show(const CallPtr &call);
   void readProgress(const CallPtr &call);
+  void countWaiting(const CallPtr &call);
   void findForCancel(const CallPtr &call);
   void writeCancel(const CallPtr &call, JobRecord record, int64_t revision);
   bool mayTouch(const CallPtr &call, const JobRecord &record) const;
@@ -120,6 +148,7 @@
   operators::ConfigFollower &Config;
   const DeskPolicy Policy;
   const StoreAway AwaySince;
+  const Forward HandOver;
   const OnWritten Written;
   const OnDecision Decided;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -69,7 +69,11 @@
     Agent->onHeartbeat(Beat);
   }
   endpoints::Ack order(const endpoints::WorkerOrders &orders) {
-    return std::get<endpoints::Ack>(Handler(endpoints::Message(orders)));
+    endpoints::Ack ack;
+    Handler(endpoints::Message(orders), [&](const endpoints::Message &reply) {
+      ack = std::get<endpoints::Ack>(reply);
+    });
+    return ack;
   }
   static endpoints::WorkerOrders start(int64_t epoch, int64_t run) {
     endpoints::WorkerOrders o{epoch, "life", {}, {}};
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -125,10 +125,11 @@
       auto handler = Handlers.find(to);
       if (handler == Handlers.end() || !reaches(process, to))
         return;
-      const endpoints::Message reply = handler->second(message);
-      if (!reaches(process, to))
-        return;
-      Loop.runAfter(HopDelay, [finish, reply] { finish(reply); });
+      handler->second(message, [this, process, to,
+                                finish](const endpoints::Message &reply) {
+        if (reaches(process, to))
+          Loop.runAfter(HopDelay, [finish, reply] { finish(reply); });
+      });
     });
   };
   return peers;
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -100,6 +100,101 @@
   }
 }
 
+struct AwayCase {
+  const char *Name;
+  std::function<void(MemoryStore::Faults &)> Strike;
+  /// From when on after the strike calls come, and how long one may take.
+  int AfterMs;
+  int WithinMs;
+};
+
+std::ostream &operator<<(std::ostream &out, const AwayCase &c) {
+  return out << c.Name;
+}
+
+class StoreAwayForOne : public ::testing::TestWithParam<AwayCase> {};
+
+// The store turns one entry away, or a cut parts it from the store, while the
+// others are served. Its callers were told to come back in a second, two or
+// three times over, and saw their jobs running for seconds after the end.
+TEST_P(StoreAwayForOne, CallsAreServedByAnotherEntry) {
+  for (int seed = 1; seed <= 3; ++seed) {
+    auto cluster = serving({3, 6, 3, static_cast<uint64_t>(seed)});
+    const int away = (cluster->leader() + 1) % 3;
+    GetParam().Strike(cluster->store().faults(MemoryCluster::entryName(away)));
+    cluster->runFor(absl::Milliseconds(GetParam().AfterMs));
+    auto call = cluster->submit(away, "k1", job("j", 1, 1, 500));
+    cluster->runFor(absl::Milliseconds(GetParam().WithinMs));
+    ASSERT_TRUE(call->Answer.has_value());
+    EXPECT_EQ(call->Answer->Result, jobs::CallResult::Ok)
+        << call->Answer->Detail;
+    ASSERT_TRUE(cluster->runUntilOver(absl::Seconds(3)));
+    auto shown = cluster->state(away, "k1", "j");
+    auto unknown = cluster->state(away, "no such key", "j");
+    cluster->runFor(absl::Milliseconds(100));
+    ASSERT_TRUE(shown->Answer.has_value());
+    EXPECT_EQ(shown->Answer->State, jobs::JobState::Completed);
+    ASSERT_TRUE(unknown->Answer.has_value());
+    EXPECT_EQ(unknown->Answer->Result, jobs::CallResult::BadKey);
+    EXPECT_EQ(cluster->starts(), 1);
+    EXPECT_TRUE(keptAllRules(*cluster));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, StoreAwayForOne,
+    ::testing::Values(
+        AwayCase{"refuses", [](auto &f) { f.Refuses = true; }, 5, 50},
+        AwayCase{"refuses_for_long", [](auto &f) { f.Refuses = true; }, 4000,
+                 50},
+        AwayCase{"silent", [](auto &f) { f.Silent = true; }, 5, 400},
+        AwayCase{"silent_for_long", [](auto &f) { f.Silent = true; }, 4000,
+                 50}),
+    [](const auto &info) { return info.param.Name; });
+
+// The store is away for all: the entries must not hand a call round until its
+// caller's time is over, and "not done" must be true.
+TEST(Cluster, CallThatNoEntryCanServeIsRefusedSoon) {
+  auto cluster = serving();
+  for (int n = 0; n < 3; ++n)
+    cluster->store().faults(MemoryCluster::entryName(n)).Refuses = true;
+  cluster->runFor(absl::Seconds(1));
+  std::vector<std::shared_ptr<MemoryCluster::Called>> calls;
+  for (int n = 0; n < 3; ++n)
+    calls.push_back(
+        cluster->submit(n, "k1", job("j" + std::to_string(n), 1, 1, 500)));
+  cluster->runFor(absl::Milliseconds(30));
+  for (const auto &call : calls) {
+    ASSERT_TRUE(call->Answer.has_value());
+    EXPECT_EQ(call->Answer->Result, jobs::CallResult::NotDone);
+    EXPECT_GT(call->Answer->RetryAfterMs, 0);
+    EXPECT_FALSE(cluster->stored(call->Job).has_value());
+  }
+}
+
+// An entry that reaches neither the store nor another entry: the first caller
+// pays for finding that out, those after it are refused at once.
+TEST(Cluster, EntryOnItsOwnRefusesAtOnce) {
+  auto cluster = serving();
+  const int away = (cluster->leader() + 1) % 3;
+  cluster->store().faults(MemoryCluster::entryName(away)).Refuses = true;
+  cluster->cut(MemoryCluster::entryName(away), true);
+  cluster->runFor(absl::Milliseconds(400));
+  auto first = cluster->submit(away, "k1", job("j1", 1, 1, 500));
+  cluster->runFor(absl::Milliseconds(850));
+  ASSERT_TRUE(first->Answer.has_value());
+  auto second = cluster->submit(away, "k1", job("j2", 1, 1, 500));
+  cluster->runFor(absl::Milliseconds(20));
+  ASSERT_TRUE(second->Answer.has_value());
+  EXPECT_EQ(second->Answer->Result, jobs::CallResult::NotDone);
+  cluster->cut(MemoryCluster::entryName(away), false);
+  cluster->runFor(absl::Seconds(1));
+  auto third = cluster->submit(away, "k1", job("j3", 1, 1, 500));
+  cluster->runFor(absl::Milliseconds(50));
+  ASSERT_TRUE(third->Answer.has_value());
+  EXPECT_EQ(third->Answer->Result, jobs::CallResult::Ok);
+}
+
 // The end of a job is known but cannot be recorded, as the store is down: the
 // caller gets what is recorded, and without waiting for long.
 TEST(Cluster, StateOfAnEndThatCannotBeRecordedIsStillAnswered) {
