Urgent work goes to workers that are not slow

Cause: a third of the users' workers takes 1.3 times as long.

Change: SpeedBook compares tasks of one step that ran on different workers (least squares, one step an observation), from a quarter of their work on; urgent gangs take racks and workers without slow ones where they fit, urgent tasks likewise. What is known of a worker's speed is kept at its agent and outlives the leader. Reports say how old their list is, so that percents are placed in time. Estimates are learned against sound workers.

Ruled out: callers' estimates as the measure (off by up to ten times).

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -266,6 +266,7 @@
   if (number > HoldsTaken) {
     HoldsTaken = number;
     Listed = true;
+    ListedAt = Loop.now();
     news |= epoch > ListedEpoch || reply.Ended != Ended ||
             reply.Running.size() != Running.size();
     Running = reply.Running;
@@ -345,6 +346,9 @@
   message.EndedLives = EndedLives;
   message.Reachable = Reachable;
   message.Epoch = ListedEpoch;
+  if (Listed)
+    message.ListedMsAgo = absl::ToInt64Milliseconds(Loop.now() - ListedAt);
+  message.Speed = Speed;
   message.Running = Running;
   message.Ended = Ended;
   message.Results = Results;
@@ -431,6 +435,7 @@
   Epoch = ack.Epoch;
   if (ack.GrantMs > 0)
     GrantEnd = std::max(GrantEnd, sent + absl::Milliseconds(ack.GrantMs));
+  Speed = ack.Speed;
   const bool seenMore = ack.SeenUpto > SeenUpto;
   SeenUpto = std::max(SeenUpto, ack.SeenUpto);
   Ended.erase(std::remove_if(Ended.begin(), Ended.end(),
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -134,10 +134,12 @@
   absl::Time GrantEnd = absl::InfinitePast();
   bool GrantEndTold = false;
   int64_t SeenUpto = 0;
+  endpoints::LearnedSpeed Speed;
 
   // What the worker listed last.
   std::vector<endpoints::RunningTask> Running;
   std::vector<endpoints::EndedTask> Ended;
+  absl::Time ListedAt = absl::InfinitePast();
   /// When the list of ends last became another one.
   absl::Time EndedAt = absl::InfinitePast();
   int64_t ListedEpoch = 0;
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -49,11 +49,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerState, Life, Service, FailureDomain,
                                    Rack, Labels, Capacity, Draining,
                                    RemainingMs, ColdMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedSpeed, Log, Ends)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerReport, Agent, AgentAddress, Worker,
                                    EndedLives, Sequence, Reachable, Epoch,
-                                   Running, Ended, Results)
+                                   ListedMsAgo, Speed, Running, Ended, Results)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportAck, Epoch, Doubtful, Leader,
-                                   LeaderEpoch, Entries, GrantMs, SeenUpto)
+                                   LeaderEpoch, Entries, GrantMs, SeenUpto,
+                                   Speed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
                                    Ticket)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopOrder, Task, Run)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -207,6 +207,15 @@
   auto operator<=>(const WorkerState &) const = default;
 };
 
+/// How fast a worker is, as a leader has learned it: Log is the logarithm of
+/// the times that work takes there against other workers, Ends how many ends it
+/// rests on.
+struct LearnedSpeed {
+  double Log = 0;
+  double Ends = 0;
+  auto operator<=>(const LearnedSpeed &) const = default;
+};
+
 /// Agent to the leading entry, periodically and at once on news: the worker
 /// and all that it runs or that ended and is not acknowledged. An empty Life:
 /// this agent has not heard of its worker yet, which says nothing about what
@@ -223,6 +232,11 @@
   /// The highest epoch that the worker had seen when it listed its tasks:
   /// orders of a lower one can no longer take effect.
   int64_t Epoch = 0;
+  /// How old the list of what runs is.
+  int64_t ListedMsAgo = 0;
+  /// What the last leader said of the worker's speed: it outlives the leader at
+  /// its agents.
+  LearnedSpeed Speed;
   std::vector<RunningTask> Running;
   std::vector<EndedTask> Ended;
   std::vector<OrderResult> Results;
@@ -242,6 +256,7 @@
   std::vector<std::string> Entries;
   int64_t GrantMs = 0;
   int64_t SeenUpto = 0;
+  LearnedSpeed Speed;
   auto operator<=>(const ReportAck &) const = default;
 };
 
--- a/src/libs/entry/leaderduty.cpp
+++ b/src/libs/entry/leaderduty.cpp
@@ -100,6 +100,7 @@
   const absl::Time now = Loop.now();
   ack.Epoch = Epoch;
   ack.SeenUpto = Scheduler.onReport(report, now);
+  ack.Speed = Scheduler.speedOf(report.Agent);
   // Without the store this entry may have been replaced: it goes on for a
   // bounded time, which a new leader waits for workers that it cannot reach.
   const absl::Duration unconfirmed = now - LastConfirmed();
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -17,7 +17,8 @@
                            absl::Time electedAt)
     : Policy(std::move(policy)), Epoch(epoch), ElectedAt(electedAt),
       UnheardLostAt(electedAt + Policy.UnheardLostAfter), Workers(Policy.Fleet),
-      Progress(Policy.Progress), Estimates(Policy.Progress) {}
+      Progress(Policy.Progress), Estimates(Policy.Progress),
+      Speeds(Policy.Speed) {}
 
 JobScheduler::~JobScheduler() = default;
 
@@ -28,6 +29,15 @@
   Decisions.push_back({kind, job, task, run, worker, why, std::move(inputs)});
 }
 
+std::string JobScheduler::stepName(const TaskId &id) {
+  return absl::StrCat(id.Job, ".", id.Occurrence, ".", id.Step);
+}
+
+double JobScheduler::slownessOf(const std::string &life) const {
+  const WorkerView *worker = Workers.find(life);
+  return worker == nullptr ? 1 : Speeds.slowness(worker->Agent);
+}
+
 int64_t JobScheduler::heardMsAgo(const std::string &life,
                                  absl::Time now) const {
   const WorkerView *worker = Workers.find(life);
@@ -214,6 +224,8 @@
         {"within_ms", absl::ToInt64Milliseconds(promiseOf(job).Within)}});
   Decisions.back().Texts = {{"queue", job.Record.Spec.Queue}};
   forEachTask(job, [&](const TaskId &id, Task &task) {
+    if (id.Index == 0)
+      Speeds.forget(stepName(id));
     if (!task.Progress.Done)
       requestStop(id, task, absl::StrCat("job ", jobStateName(state)));
   });
@@ -317,6 +329,7 @@
   task.StopAsked = false;
   task.Percent = 0;
   task.SawBegin = false;
+  task.Compared = false;
   if (job.State == JobState::Queued)
     job.State = JobState::Running;
   job.Dirty = true;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -5,6 +5,7 @@
 #include "jobrecord.h"
 #include "progress.h"
 #include "promise.h"
+#include "speedbook.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -24,6 +25,7 @@
 struct SchedulerPolicy {
   FleetPolicy Fleet;
   ProgressPolicy Progress;
+  SpeedPolicy Speed;
   /// An order that was not answered is sent again after this long.
   absl::Duration ResendAfter = absl::Milliseconds(400);
   /// After the election, tasks that earlier leaders may have kept alive at
@@ -140,6 +142,10 @@
   // Facts from the workers.
   /// Returns the end number up to which all ends of this life are recorded.
   int64_t onReport(const endpoints::WorkerReport &report, absl::Time now);
+  /// What is known of the speed of the worker beside an agent.
+  endpoints::LearnedSpeed speedOf(const std::string &agent) const {
+    return Speeds.learned(agent);
+  }
 
   // The recorder.
   /// Jobs whose progress changed and that are not being written.
@@ -198,6 +204,8 @@
     absl::Time LastOrder = absl::InfinitePast();
     int Percent = 0;
     absl::Time PercentAt = absl::InfinitePast();
+    /// Its speed has been compared with that of its like.
+    bool Compared = false;
     /// How long the run took that has done the work.
     absl::Duration Took = absl::ZeroDuration();
     /// How often it was moved because it crawled.
@@ -276,6 +284,8 @@
                absl::Time now);
   void takeResult(const std::string &life, const endpoints::OrderResult &result,
                   absl::Time now);
+  static std::string stepName(const core::TaskId &id);
+  double slownessOf(const std::string &life) const;
   void learnTime(const Job &job, const core::TaskId &id, Task &task,
                  absl::Time now);
   void acknowledge(Job &job, const std::string &life, int64_t number);
@@ -283,6 +293,9 @@
                 endpoints::RunEnd how, const std::string &saved,
                 const std::string &life, absl::Time now);
   void leaveWorker(Job &job, const core::TaskId &id, Task &task);
+  void compareBySoFar(const core::TaskId &id, Task &task);
+  void compareSpeed(const Job &job, const core::TaskId &id, Task &task,
+                    absl::Duration whole);
   void watch(const core::TaskId &id, const Task &task, absl::Time now);
   void runAbsent(Job &job, const core::TaskId &id, Task &task,
                  const std::string &why);
@@ -310,6 +323,7 @@
   Fleet Workers;
   ProgressWatch Progress;
   EstimateBook Estimates;
+  SpeedBook Speeds;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
   /// Lives that records name and that have not reported to this leader, with
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -10,6 +10,13 @@
 using endpoints::OrderOutcome;
 using endpoints::RunEnd;
 
+namespace {
+
+/// From which percent on a run is compared with its like.
+constexpr int ComparedFromPercent = 25;
+
+} // namespace
+
 int64_t JobScheduler::onReport(const endpoints::WorkerReport &report,
                                absl::Time now) {
   const std::string &life = report.Worker.Life;
@@ -20,6 +27,7 @@
   for (const std::string &ended : Workers.heard(report, now))
     loseLife(ended, "its worker has ended", now);
   endUnheard(report, now);
+  Speeds.recall(report.Agent, report.Speed);
   if (life.empty())
     return 0;
   if (before == nullptr)
@@ -104,8 +112,9 @@
       task->Progress.Saved = running.Saved;
     task->Percent = running.Percent;
     if (report.Reachable) {
-      task->PercentAt = now;
-      watch(id, *task, now);
+      task->PercentAt = now - absl::Milliseconds(report.ListedMsAgo);
+      watch(id, *task, task->PercentAt);
+      compareBySoFar(id, *task);
     }
     if (task->What != Phase::Running) {
       if (task->Began == absl::InfinitePast()) {
@@ -208,9 +217,35 @@
       !task.Progress.Saved.empty() || spec.LongRunning)
     return;
   task.Took = now - task.Began;
-  if (!isAway(job, id, task))
-    Estimates.ended(job.Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs),
-                    task.Took);
+  if (isAway(job, id, task))
+    return;
+  compareSpeed(job, id, task, task.Took);
+  Estimates.ended(job.Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs),
+                  task.Took / slownessOf(task.Progress.Worker));
+}
+
+// A run tells its worker's speed long before it ends: at a quarter of its work
+// the percent, which comes in whole numbers, is good to a twenty-fifth.
+void JobScheduler::compareBySoFar(const TaskId &id, Task &task) {
+  if (task.Percent < ComparedFromPercent || task.Percent >= 100 ||
+      !task.SawBegin || !task.Progress.Saved.empty())
+    return;
+  const Job &job = Jobs.at(id.Job);
+  if (job.specOf(id).LongRunning || isAway(job, id, task))
+    return;
+  compareSpeed(job, id, task,
+               (task.PercentAt - task.Began) * (100 / (task.Percent + 0.5)));
+}
+
+// Once a run. Members of a gang wait for each other, however fast their workers
+// are, and tell nothing.
+void JobScheduler::compareSpeed(const Job &job, const TaskId &id, Task &task,
+                                absl::Duration whole) {
+  const WorkerView *worker = Workers.find(task.Progress.Worker);
+  if (task.Compared || worker == nullptr || job.specOf(id).Gang)
+    return;
+  task.Compared = true;
+  Speeds.took(stepName(id), worker->Agent, whole);
 }
 
 void JobScheduler::runEnded(Job &job, const TaskId &id, Task &task, RunEnd how,
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -1,8 +1,8 @@
 #include "planner.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
+#include <tuple>
 
 namespace oriolebay::jobs {
 
@@ -10,7 +10,8 @@
     : S(scheduler), Now(now) {
   for (const auto &[life, view] : S.Workers.workers())
     if (S.Workers.usable(view, now))
-      Places.push_back({life, &view, view.room(), view.room()});
+      Places.push_back({life, &view, view.room(), view.room(),
+                        absl::InfiniteDuration(), S.Speeds.isSlow(view.Agent)});
 }
 
 void Planner::run() {
@@ -210,17 +211,24 @@
                      [&](const auto &r) { return r.second >= spec.Count; });
 }
 
+int64_t Planner::slowOnes(const Layout &places) const {
+  return std::count_if(places.begin(), places.end(),
+                       [this](size_t p) { return Places[p].Slow; });
+}
+
 // Places all tasks in group, the tightest workers first, so that wide room
-// stays whole. Empty when they do not fit.
+// stays whole; urgent ones keep off slow workers first. Empty when they do not
+// fit.
 std::optional<Planner::Layout>
 Planner::layout(const Unit &unit, const std::vector<size_t> &group) const {
-  std::vector<std::pair<int64_t, size_t>> order;
+  std::vector<std::tuple<bool, int64_t, size_t>> order;
   for (size_t p : group)
     if (fits(Places[p], unit, 1) > 0)
-      order.emplace_back(Places[p].Free.Accelerators, p);
+      order.emplace_back(wantsFast(unit) && Places[p].Slow,
+                         Places[p].Free.Accelerators, p);
   std::sort(order.begin(), order.end());
   Layout places;
-  for (const auto &[free, p] : order) {
+  for (const auto &[slow, free, p] : order) {
     const auto left = static_cast<int64_t>(unit.Tasks.size() - places.size());
     for (int64_t n = fits(Places[p], unit, left); n > 0; --n)
       places.push_back(p);
@@ -232,17 +240,19 @@
 
 bool Planner::placeGang(Unit &unit) {
   std::optional<Layout> best;
-  int64_t bestLeft = std::numeric_limits<int64_t>::max();
+  // Smaller is better: few slow workers, little room left over.
+  std::pair<int64_t, int64_t> bestScore;
   for (const auto &group : groups(unit)) {
     std::optional<Layout> places = layout(unit, group);
     if (!places)
       continue;
-    int64_t left = 0;
+    std::pair<int64_t, int64_t> score{wantsFast(unit) ? slowOnes(*places) : 0,
+                                      0};
     for (size_t p : group)
-      left += Places[p].Free.Accelerators;
-    if (left < bestLeft) {
+      score.second += Places[p].Free.Accelerators;
+    if (!best || score < bestScore) {
       best = std::move(places);
-      bestLeft = left;
+      bestScore = score;
     }
   }
   if (!best)
@@ -286,8 +296,8 @@
   const core::StepSpec &spec = unit.spec();
   std::vector<int> left;
   for (int index : unit.Tasks) {
-    // Smaller is better: near the data, tight.
-    using Score = std::tuple<bool, int64_t, int64_t>;
+    // Smaller is better: near the data, fast, tight.
+    using Score = std::tuple<bool, bool, int64_t, int64_t>;
     std::optional<std::pair<Score, size_t>> best;
     for (size_t p = 0; p < Places.size(); ++p) {
       const Place &place = Places[p];
@@ -295,7 +305,8 @@
         continue;
       const bool away =
           !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
-      const Score score{away, place.Free.Accelerators, place.Free.MilliCores};
+      const Score score{away, wantsFast(unit) && place.Slow,
+                        place.Free.Accelerators, place.Free.MilliCores};
       if (!best || score < best->first)
         best = {score, p};
     }
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -38,6 +38,8 @@
     core::Resources Free;
     core::Resources Spare;
     absl::Duration KeptFor = absl::InfiniteDuration();
+    /// Work takes longer there than on most workers.
+    bool Slow = false;
   };
   /// What is placed as one: a gang, or the ready tasks of a step one by one.
   struct Unit {
@@ -100,6 +102,8 @@
   int64_t fits(const Place &place, const Unit &unit, int64_t most) const;
   int onWorker(const Unit &unit, const std::string &life) const;
   std::vector<std::vector<size_t>> groups(const Unit &unit) const;
+  bool wantsFast(const Unit &unit) const { return unit.Rank <= 1; }
+  int64_t slowOnes(const Layout &places) const;
   std::optional<Layout> layout(const Unit &unit,
                                const std::vector<size_t> &group) const;
   bool couldEverFitOneRack(const Unit &unit) const;
--- a/src/libs/jobs/speedbook.cpp
+++ b/src/libs/jobs/speedbook.cpp
@@ -13,12 +13,12 @@
 // One step of least squares: what the new end takes beyond what was expected of
 // it is put down to its worker, and less of it, the other way round, to those
 // that it was compared with.
-void SpeedBook::ended(const std::string &step, const std::string &worker,
-                      absl::Duration took) {
-  if (took <= absl::ZeroDuration())
+void SpeedBook::took(const std::string &step, const std::string &worker,
+                     absl::Duration whole) {
+  if (whole <= absl::ZeroDuration())
     return;
   std::deque<End> &others = Steps[step];
-  const double logTook = std::log(absl::ToDoubleSeconds(took));
+  const double logTook = std::log(absl::ToDoubleSeconds(whole));
   double sum = 0;
   size_t compared = 0;
   for (const End &other : others)
@@ -44,10 +44,24 @@
     others.pop_front();
 }
 
+void SpeedBook::recall(const std::string &worker,
+                       const endpoints::LearnedSpeed &speed) {
+  Learned &mine = Workers[worker];
+  if (speed.Ends <= mine.Ends)
+    return;
+  mine = speed;
+  UsualKnown = false;
+}
+
+endpoints::LearnedSpeed SpeedBook::learned(const std::string &worker) const {
+  auto it = Workers.find(worker);
+  return it == Workers.end() ? endpoints::LearnedSpeed() : it->second;
+}
+
 void SpeedBook::forget(const std::string &step) { Steps.erase(step); }
 
 double SpeedBook::usual() const {
-  if (UsualKnown)
+  if (UsualKnown || Workers.empty())
     return Usual;
   std::vector<double> all;
   for (const auto &[name, worker] : Workers)
--- a/src/libs/jobs/speedbook.h
+++ b/src/libs/jobs/speedbook.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "endpoints/messages.h"
+
 #include <absl/time/time.h>
 
 #include <deque>
@@ -32,9 +34,12 @@
 public:
   explicit SpeedBook(SpeedPolicy policy = {}) : Policy(policy) {}
 
-  /// A task of that step did all its work at the worker in one run.
-  void ended(const std::string &step, const std::string &worker,
-             absl::Duration took);
+  /// A task of that step takes so long at the worker, in one run.
+  void took(const std::string &step, const std::string &worker,
+            absl::Duration whole);
+  /// What an earlier leader had learned; ignored where this one knows more.
+  void recall(const std::string &worker, const endpoints::LearnedSpeed &speed);
+  endpoints::LearnedSpeed learned(const std::string &worker) const;
   /// No task of the step will end any more.
   void forget(const std::string &step);
 
@@ -46,11 +51,7 @@
   }
 
 private:
-  struct Learned {
-    /// Logarithm of the times that it takes against the others.
-    double Log = 0;
-    double Ends = 0;
-  };
+  using Learned = endpoints::LearnedSpeed;
   struct End {
     std::string Worker;
     double LogTook = 0;
--- a/src/libs/losses/jobhistory.cpp
+++ b/src/libs/losses/jobhistory.cpp
@@ -244,8 +244,8 @@
         if (runs.size() != 1 || runs[0].How != "done" || !runs[0].Started ||
             step >= job.Gang.size() || job.Gang[step])
           continue;
-        speeds.ended(id + "." + std::to_string(task.Step), hostOf(runs[0]),
-                     *runs[0].Ended - *runs[0].Started);
+        speeds.took(id + "." + std::to_string(task.Step), hostOf(runs[0]),
+                    *runs[0].Ended - *runs[0].Started);
       }
     for (const auto &[id, job] : Site.Jobs)
       for (const auto &[task, runs] : job.Tasks)
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -11,8 +11,10 @@
 
 std::string messageName(const testing::TestParamInfo<Message> &info) {
   static const char *const names[] = {
-      "Announce", "TaskResult", "Reserve",  "Run",    "Release",
-      "Stop",     "Submit",     "Answered", "Cancel", "Ack"};
+      "Announce", "TaskResult", "Reserve",        "Run",     "Release",
+      "Stop",     "Submit",     "Answered",       "Cancel",  "Ack",
+      "Report",   "ReportAck",  "Orders",         "Written", "StandDown",
+      "Ending",   "Forwarded",  "ForwardedAnswer"};
   return names[info.param.index()];
 }
 
@@ -38,7 +40,29 @@
         Message(Submit{"job-1", {}, "tcp://127.0.0.1:9"}),
         Message(Answered{"job-1", core::JobAnswer()}),
         Message(Cancel{"stores-east", "job-1"}),
-        Message(Ack{false, "leaving", 4, 12, 10000})),
+        Message(Ack{false, "leaving", 4, 12, 10000}),
+        Message(WorkerReport{
+            "a1",
+            "tcp://127.0.0.1:5",
+            {"i-1", "s", "fd", "r1", {"a"}, {1, 2, 3}, true, 400, 10},
+            {"i-0"},
+            17,
+            true,
+            4,
+            120,
+            {0.25, 6},
+            {{"j.0.0.1", 2, "saved", 40}},
+            {{9, "j.0.0.0", 1, RunEnd::Lapsed, "s"}},
+            {{"j.0.0.2", 1, OrderOutcome::Busy, "503"}}}),
+        Message(ReportAck{4, true, "e1", 3, {"e1", "e2"}, 5500, 9, {0.25, 7}}),
+        Message(WorkerOrders{4,
+                             "i-1",
+                             {{"j.0.0.1", 2, "text", "saved", "ticket"}},
+                             {{"j.0.0.0", 1}}}),
+        Message(JobWritten{"oriolebay/jobs/j/spec", "bytes", 12}),
+        Message(StandDown{4}), Message(JobEnding{"j"}),
+        Message(ForwardedCall{"submit", "h", "/p/j", "key", 1200, "j", "b"}),
+        Message(ForwardedAnswer{"ok", "", 0, "running", 3})),
     messageName);
 
 // A peer of another version, or a corrupted frame, must give a typed error
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -262,6 +262,7 @@
     r.Worker.RemainingMs = absl::ToInt64Milliseconds(worker.LeavesAt - Now);
   r.Sequence = ++worker.Sequence;
   r.Epoch = worker.FenceSeen;
+  r.Speed = worker.Speed;
   for (const auto &[key, run] : worker.Runs)
     r.Running.push_back(
         {key.Task, key.Run, runningSaved(run, idOf(key.Task)),
@@ -269,6 +270,7 @@
   r.Ended = worker.Ended;
   r.Results = std::exchange(worker.Results, {});
   worker.SeenUpto = std::max(worker.SeenUpto, Scheduler->onReport(r, Now));
+  worker.Speed = Scheduler->speedOf(worker.Agent);
   worker.Ended.erase(std::remove_if(worker.Ended.begin(), worker.Ended.end(),
                                     [&](const auto &e) {
                                       return e.Number <= worker.SeenUpto;
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -39,6 +39,8 @@
     std::map<RunId, Run> Runs;
     std::vector<endpoints::EndedTask> Ended;
     std::vector<endpoints::OrderResult> Results;
+    /// What the agent was told of its worker's speed last.
+    endpoints::LearnedSpeed Speed;
     /// Times that work takes there against a sound worker.
     double Slowness = 1;
     /// Every run fails after a moment.
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -452,5 +452,30 @@
   }
 }
 
+// A third of the workers takes 1.3 times as long, as on the users' sites.
+// Urgent work has half its length and a quarter second to spare: on a slow
+// worker it came late after any wait. The scheduler has to know the slow ones
+// from the batch work that runs, and a new leader from the agents.
+TEST(JobScheduler, UrgentWorkKeepsOffSlowWorkers) {
+  SimSite site;
+  addRacks(site, 2);
+  const std::set<std::string> slow = {"w02", "w12"};
+  for (const std::string &life : slow)
+    site.worker(life).Slowness = 1.3;
+  site.submit(jobOf("batch", step(30, {1000, 100, 1}, 5000)), 2);
+  site.runFor(absl::Seconds(2));
+  site.changeLeader();
+  site.runFor(absl::Milliseconds(700));
+  for (int n = 0; n < 4; ++n) {
+    const std::string id = "urgent" + std::to_string(n);
+    site.submit(jobOf(id, step(2, {1000, 100, 1}, 2500, n % 2 == 0)), 0);
+    site.runFor(absl::Milliseconds(50));
+    for (const std::string &life : site.placesOf(id))
+      EXPECT_EQ(slow.count(life), 0u) << id << " stands on " << life;
+  }
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(20)));
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
 } // namespace
 } // namespace oriolebay::jobs
--- a/tests/auto/jobs/tst_promise.cpp
+++ b/tests/auto/jobs/tst_promise.cpp
@@ -85,8 +85,8 @@
     for (int task = 0; task < 9; ++task) {
       const int w = static_cast<int>(random() % 11);
       const double slow = w % 3 == 2 ? 1.3 : 1.0;
-      book.ended("step" + std::to_string(s), "w" + std::to_string(w),
-                 absl::Seconds(work * slow * uneven(random)));
+      book.took("step" + std::to_string(s), "w" + std::to_string(w),
+                absl::Seconds(work * slow * uneven(random)));
     }
     book.forget("step" + std::to_string(s));
   }
@@ -98,7 +98,7 @@
 TEST(SpeedBook, UnknownWorkersAreSound) {
   SpeedBook book;
   EXPECT_EQ(book.slowness("w"), 1);
-  book.ended("s", "w", absl::Seconds(3));
+  book.took("s", "w", absl::Seconds(3));
   EXPECT_EQ(book.slowness("w"), 1);
 }
 
@@ -108,8 +108,8 @@
   auto play = [&](double slow, int from) {
     for (int s = from; s < from + 12; ++s)
       for (const char *w : {"a", "b", "c"})
-        book.ended(std::to_string(s), w,
-                   absl::Seconds(*w == 'c' ? 2 * slow : 2.0));
+        book.took(std::to_string(s), w,
+                  absl::Seconds(*w == 'c' ? 2 * slow : 2.0));
   };
   play(6, 0);
   EXPECT_GT(book.slowness("c"), 3);
