The test of slow workers shows the fault without the change

Cause: with batch work on all workers the test passed with the mechanism switched off as well, as the slow workers were full. Change: the batch tasks stand one to a worker, and the slow workers are the tighter ones; seen to fail with wantsFast() switched off, and to pass with it.

--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -458,11 +458,19 @@
 // from the batch work that runs, and a new leader from the agents.
 TEST(JobScheduler, UrgentWorkKeepsOffSlowWorkers) {
   SimSite site;
-  addRacks(site, 2);
   const std::set<std::string> slow = {"w02", "w12"};
-  for (const std::string &life : slow)
-    site.worker(life).Slowness = 1.3;
-  site.submit(jobOf("batch", step(30, {1000, 100, 1}, 5000)), 2);
+  for (const char *life : {"w00", "w01", "w02", "w10", "w11", "w12"}) {
+    // The slow ones are smaller: by what is free they would be taken first.
+    const bool isSlow = slow.count(life) != 0;
+    site.addWorker(life, life[1] == '0' ? "r0" : "r1",
+                   {32000, 65536, isSlow ? 8 : 12});
+    site.worker(life).Slowness = isSlow ? 1.3 : 1.0;
+  }
+  site.runFor(absl::Milliseconds(600));
+  core::StepSpec everywhere = step(6, {1000, 100, 1}, 5000);
+  everywhere.MaxPerWorker = 1;
+  for (int n = 0; n < 4; ++n)
+    site.submit(jobOf("batch" + std::to_string(n), everywhere), 2);
   site.runFor(absl::Seconds(2));
   site.changeLeader();
   site.runFor(absl::Milliseconds(700));
