Ends that were recorded are told to all entries

Cause: while the store drops its history its watches bring nothing for seconds, to entries whose other calls are answered.

Change: the leader takes what it has written into its own view, and tells the other entries of each job's recorded end.

--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -302,6 +302,9 @@
         storeTrouble("recorder", status, why);
       },
       [this](const std::string &jobId) { onEnding(jobId); },
+      [this](platform::KeyValue item, bool over) {
+        onRecorded(std::move(item), over);
+      },
       [this] {
         logEvent(Event::LeaderLost, {{"why", "another entry leads"}});
         Loop.post([this, alive = Alive] {
@@ -394,6 +397,20 @@
                  [](const std::optional<Message> &) {});
 }
 
+// Watches bring the same, but may be silent for seconds while the store drops
+// its history: jobs that were over were shown as running for so long, also by
+// the entry that had recorded their ends.
+void JobEntry::onRecorded(platform::KeyValue item, bool over) {
+  if (over)
+    for (const auto &[key, address] : EntryAddresses)
+      if (address != Peers.Address)
+        Peers.Call(
+            address,
+            endpoints::JobWritten{item.Key, item.Value, item.ModRevision},
+            PeerTimeoutMs, [](const std::optional<Message> &) {});
+  View->learn(std::move(item));
+}
+
 endpoints::Ack JobEntry::onStandDown(const endpoints::StandDown &down) {
   if (!Duty)
     return {};
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -72,6 +72,7 @@
   endpoints::Ack onStandDown(const endpoints::StandDown &down);
   void onWritten(const platform::KeyValue &item);
   void onEnding(const std::string &jobId);
+  void onRecorded(platform::KeyValue item, bool over);
   std::vector<std::string> otherEntries() const;
   bool forward(const jobs::CallRequest &call, const jobs::OnForwarded &done);
   void onForwarded(const endpoints::ForwardedCall &call,
--- a/src/libs/entry/leaderduty.cpp
+++ b/src/libs/entry/leaderduty.cpp
@@ -32,12 +32,13 @@
                        const endpoints::Peers &peers, const jobs::JobView &view,
                        DutyOptions options, int64_t epoch, Confirmed confirmed,
                        OnDecision onDecision, OnTrouble onTrouble,
-                       OnEnding onEnding, OnDeposed onDeposed)
+                       OnEnding onEnding, OnRecorded onRecorded,
+                       OnDeposed onDeposed)
     : Loop(loop), Calls(store), Peers(peers), View(view),
       Options(std::move(options)), Epoch(epoch),
       LastConfirmed(std::move(confirmed)), Decided(std::move(onDecision)),
       Trouble(std::move(onTrouble)), Ending(std::move(onEnding)),
-      Deposed(std::move(onDeposed)),
+      Recorded(std::move(onRecorded)), Deposed(std::move(onDeposed)),
       Scheduler(Options.Policy, epoch, loop.now()) {}
 
 LeaderDuty::~LeaderDuty() { *Alive = false; }
@@ -179,9 +180,7 @@
                    if (!*alive)
                      return;
                    if (reply.ok()) {
-                     for (const ProgressWrite &one : batch)
-                       Scheduler.onWritten(one.JobId, one.Version,
-                                           reply.Value.Revision, Loop.now());
+                     onWritten(batch, reply.Value.Revision);
                    } else if (reply.Status == StoreStatus::Conflict) {
                      onConflict(batch, reply.Value.Current);
                    } else {
@@ -194,6 +193,15 @@
                  });
 }
 
+void LeaderDuty::onWritten(const std::vector<ProgressWrite> &batch,
+                           int64_t revision) {
+  for (const ProgressWrite &one : batch) {
+    Scheduler.onWritten(one.JobId, one.Version, revision, Loop.now());
+    Recorded({jobs::progressKey(one.JobId), one.Value, revision, revision, 0},
+             one.Over);
+  }
+}
+
 void LeaderDuty::onConflict(const std::vector<ProgressWrite> &batch,
                             const std::vector<KeyValue> &current) {
   const KeyValue *leader = findItem(current, Options.LeaderKey);
--- a/src/libs/entry/leaderduty.h
+++ b/src/libs/entry/leaderduty.h
@@ -49,6 +49,8 @@
   using OnDeposed = std::function<void()>;
   /// A job has ended; it is shown once that is recorded.
   using OnEnding = std::function<void(const std::string &jobId)>;
+  /// A job's progress was recorded; over: with its end.
+  using OnRecorded = std::function<void(platform::KeyValue, bool over)>;
   /// When the store last confirmed that this entry leads.
   using Confirmed = std::function<absl::Time()>;
 
@@ -56,7 +58,7 @@
              const endpoints::Peers &peers, const jobs::JobView &view,
              DutyOptions options, int64_t epoch, Confirmed confirmed,
              OnDecision onDecision, OnTrouble onTrouble, OnEnding onEnding,
-             OnDeposed onDeposed);
+             OnRecorded onRecorded, OnDeposed onDeposed);
   ~LeaderDuty();
   LeaderDuty(const LeaderDuty &) = delete;
   LeaderDuty &operator=(const LeaderDuty &) = delete;
@@ -84,6 +86,8 @@
   void sendOrders();
   void writeProgress();
   void write(std::vector<jobs::ProgressWrite> batch);
+  void onWritten(const std::vector<jobs::ProgressWrite> &batch,
+                 int64_t revision);
   void onConflict(const std::vector<jobs::ProgressWrite> &batch,
                   const std::vector<platform::KeyValue> &current);
   void settleConflict(const jobs::ProgressWrite &write,
@@ -100,6 +104,7 @@
   const OnDecision Decided;
   const OnTrouble Trouble;
   const OnEnding Ending;
+  const OnRecorded Recorded;
   const OnDeposed Deposed;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   jobs::JobScheduler Scheduler;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -251,7 +251,7 @@
       }
     }
     writes.push_back({id, job.RecordRevision, job.ProgressRevision, job.Version,
-                      encode(progress)});
+                      encode(progress), job.over()});
   }
   return writes;
 }
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -71,6 +71,8 @@
   int64_t ProgressRevision = 0;
   int64_t Version = 0;
   std::string Value;
+  /// The job is over.
+  bool Over = false;
 };
 
 /// A figure that a decision went by, for the log.
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -100,6 +100,24 @@
   }
 }
 
+// The store drops its history; before that its watches bring nothing for a
+// while. Jobs that were over were shown as running for six seconds, also by the
+// leader, which had recorded their ends itself.
+TEST(Cluster, EndsAreShownWhileWatchesAreSilent) {
+  auto cluster = serving();
+  for (int n = 0; n < 3; ++n)
+    cluster->store().faults(MemoryCluster::entryName(n)).WatchesSilent = true;
+  cluster->submit(cluster->leader(), "k1", job("j", 1, 1, 500));
+  cluster->runFor(absl::Milliseconds(700));
+  ASSERT_EQ(cluster->stored("j"), jobs::JobState::Completed);
+  for (int n = 0; n < 3; ++n) {
+    auto shown = cluster->state(n, "k1", "j");
+    cluster->runFor(absl::Milliseconds(50));
+    ASSERT_TRUE(shown->Answer.has_value());
+    EXPECT_EQ(shown->Answer->State, jobs::JobState::Completed) << n;
+  }
+}
+
 struct AwayCase {
   const char *Name;
   std::function<void(MemoryStore::Faults &)> Strike;
