The leader decides on news only, and lists what runs once a pass

Every worker's report led to a pass over all that waits, though most reports only tell how far runs are. Each waiting unit had the list of all that runs built anew, with a search through all workers for each task. Each rack's plan was tried against all of that list, and the layout made anew for each release.

Change: reports without news do not lead to a pass; what waits is looked at with each tick. What runs is listed once a pass and kept up to date, ordered once a rank, by rack. Plans count what fits instead of laying out again. A queue's rank is worked out once a job, where a task may stand once a unit.

Ruled out: strings as such (interning): with the scans gone they no longer show.

--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -10,7 +10,10 @@
 namespace {
 
 int64_t countOf(int64_t need, int64_t have, int64_t most) {
-  return need <= 0 ? most : std::min(most, have / need);
+  // Mostly one is asked for, which takes no division.
+  if (need * most <= have)
+    return most;
+  return need <= 0 ? most : have / need;
 }
 
 std::string validateStep(const StepSpec &step, int number) {
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -276,7 +276,6 @@
     else
       later.push_back(ack);
   job.EndAcks = std::move(later);
-  Changed = true;
 }
 
 void JobScheduler::onNotWritten(const std::string &jobId) {
@@ -373,6 +372,7 @@
 }
 
 void JobScheduler::tick(absl::Time now) {
+  Changed |= Waits;
   RunJudge(*this, now).judge();
   for (const std::string &life : Workers.takeLost(now))
     loseLife(life, "silent until its tasks had certainly ended", now);
@@ -405,6 +405,8 @@
   if (!Changed || Config == nullptr)
     return;
   Changed = false;
+  Waits = false;
+  ++Passes;
   Planner(*this, now).run();
 }
 
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -175,6 +175,8 @@
   /// Jobs that ended long enough ago to be removed from the store.
   std::vector<std::string> takeExpired(absl::Time now);
 
+  /// How often decide() has looked at all that waits.
+  int64_t passes() const { return Passes; }
   size_t activeJobs() const;
   int64_t epoch() const { return Epoch; }
   const Fleet &fleet() const { return Workers; }
@@ -244,6 +246,9 @@
     /// when it changes.
     std::map<std::pair<int, int>, const char *> RoomPlanLogged;
 
+    /// As the planner's latest pass ranked it.
+    int Rank = 0;
+
     bool over() const { return isFinal(State); }
     const core::StepSpec &specOf(const core::TaskId &id) const {
       return Record.Spec.Steps[static_cast<size_t>(id.Step)];
@@ -268,12 +273,15 @@
   static bool stepReady(const Job &job, const std::vector<Step> &steps,
                         size_t step);
   template <class F> void forEachTask(Job &job, F f) {
+    core::TaskId id{job.Record.Spec.Id, 0, 0, 0};
     for (auto &[number, steps] : job.Occurrences)
       for (size_t s = 0; s < steps.size(); ++s)
-        for (size_t i = 0; i < steps[s].size(); ++i)
-          f(core::TaskId{job.Record.Spec.Id, number, static_cast<int>(s),
-                         static_cast<int>(i)},
-            steps[s][i]);
+        for (size_t i = 0; i < steps[s].size(); ++i) {
+          id.Occurrence = number;
+          id.Step = static_cast<int>(s);
+          id.Index = static_cast<int>(i);
+          f(static_cast<const core::TaskId &>(id), steps[s][i]);
+        }
   }
 
   void takeLife(const std::string &life);
@@ -331,9 +339,12 @@
   /// Lives that records name and that have not reported to this leader, with
   /// the agents beside them.
   std::map<std::string, std::string> Unheard;
-  /// Set by facts that may let something start, and by the planner while
-  /// something waits for time to pass.
+  /// Set by facts that may let something start.
   bool Changed = false;
+  /// Something waits that time alone may let start: it is looked at again with
+  /// the next tick.
+  bool Waits = false;
+  int64_t Passes = 0;
   std::map<std::string, endpoints::WorkerOrders> Orders;
   std::vector<Decision> Decisions;
   std::vector<std::string> Ending;
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -21,6 +21,7 @@
                                absl::Time now) {
   const std::string &life = report.Worker.Life;
   const WorkerView *before = Workers.find(life);
+  const bool wasUsable = before != nullptr && Workers.usable(*before, now);
   // Reports overtake each other: an older one would undo what a newer told.
   if (before != nullptr && report.Sequence <= before->Sequence)
     return before->SeenUpto;
@@ -42,7 +43,9 @@
   }
   for (const endpoints::OrderResult &result : report.Results)
     takeResult(life, result, now);
-  Changed = true;
+  // Most reports only tell how far runs are. Deciding anew after each of them
+  // took all of the leader's time on a site of hundreds of workers.
+  Changed |= wasUsable != Workers.usable(*worker, now);
   return worker->SeenUpto;
 }
 
@@ -139,9 +142,9 @@
     Job &job = entry.second;
     bool any = false;
     forEachTask(job, [&](const TaskId &task, Task &state) {
-      const RunId run{core::taskName(task), state.Progress.Run};
       if (state.What != Phase::Adopted ||
-          state.Progress.Worker != report.Worker.Life || listed.count(run) != 0)
+          state.Progress.Worker != report.Worker.Life ||
+          listed.count({core::taskName(task), state.Progress.Run}) != 0)
         return;
       any = true;
       runAbsent(job, task, state, "its worker does not know it");
@@ -156,6 +159,7 @@
   if (!Workers.endListed(life, end.Number))
     return;
   Workers.vacate(life, {end.Task, end.Run});
+  Changed = true;
   TaskId id;
   Task *task = core::parseTaskName(end.Task, id) ? findTask(id) : nullptr;
   const bool latest = task != nullptr && task->Progress.Worker == life &&
@@ -303,6 +307,7 @@
   note(Decision::Kind::Settled, id.Job, core::taskName(id), task.Progress.Run,
        task.Progress.Worker, why);
   Workers.vacate(task.Progress.Worker, {core::taskName(id), task.Progress.Run});
+  Changed = true;
   leaveWorker(job, id, task);
   if (job.specOf(id).Gang)
     gangEnded(job, id, RunEnd::Broken);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -12,6 +12,19 @@
     if (S.Workers.usable(view, now))
       Places.push_back({life, &view, view.room(), view.room(),
                         absl::InfiniteDuration(), S.Speeds.isSlow(view.Agent)});
+  WholeSite.emplace_back();
+  std::map<std::string_view, int> racks;
+  for (size_t p = 0; p < Places.size(); ++p) {
+    Place &place = Places[p];
+    const auto next = static_cast<int>(Racks.size());
+    auto [rack, added] = racks.emplace(place.View->State.Rack, next);
+    if (added)
+      Racks.push_back({next});
+    place.Rack = rack->second;
+    Racks[static_cast<size_t>(place.Rack)].Members.push_back(p);
+    WholeSite.front().Members.push_back(p);
+    PlaceOf[place.Life] = p;
+  }
 }
 
 void Planner::run() {
@@ -24,16 +37,18 @@
 // Work of priority 0 counts as guaranteed, oldest first, as long as its
 // organisation's guarantee covers it.
 void Planner::rankJobs() {
-  std::vector<const Job *> urgent;
-  for (const auto &[id, job] : S.Jobs)
+  std::vector<Job *> urgent;
+  for (auto &[id, job] : S.Jobs) {
+    job.Rank = job.Record.Priority + 1;
     if (!job.over() && job.Record.Priority == 0)
       urgent.push_back(&job);
+  }
   std::sort(urgent.begin(), urgent.end(), [](const Job *a, const Job *b) {
     return std::tie(a->Arrived, a->Record.Spec.Id) <
            std::tie(b->Arrived, b->Record.Spec.Id);
   });
   std::map<std::string, int64_t> used;
-  for (const Job *job : urgent) {
+  for (Job *job : urgent) {
     const core::OrganisationConfig *org =
         S.Config->organisation(job->Record.Spec.Organisation);
     int64_t need = 0;
@@ -42,15 +57,10 @@
     int64_t &sum = used[job->Record.Spec.Organisation];
     sum += need;
     const bool covered = org != nullptr && sum <= org->GuaranteedAccelerators;
-    Ranks[job->Record.Spec.Id] = covered ? 0 : 1;
+    job->Rank = covered ? 0 : 1;
   }
 }
 
-int Planner::rankOf(const Job &job) const {
-  auto it = Ranks.find(job.Record.Spec.Id);
-  return it != Ranks.end() ? it->second : job.Record.Priority + 1;
-}
-
 void Planner::collectUnits() {
   for (auto &[id, job] : S.Jobs) {
     if (job.over())
@@ -61,16 +71,22 @@
       for (size_t s = 0; s < steps.size(); ++s) {
         if (!JobScheduler::stepReady(job, steps, s))
           continue;
-        Unit unit{&job, k, static_cast<int>(s), {}, rankOf(job), {}};
+        Unit unit{&job, k, static_cast<int>(s), {}, job.Rank, {}};
         collectTasks(unit, steps[s]);
       }
     }
   }
+  for (Unit &unit : Units)
+    judgeDemand(unit);
   std::sort(Units.begin(), Units.end(), [](const Unit &a, const Unit &b) {
-    return std::tie(a.Rank, a.Owner->Arrived, a.Owner->Record.Spec.Id,
-                    a.Occurrence, a.Step) < std::tie(b.Rank, b.Owner->Arrived,
-                                                     b.Owner->Record.Spec.Id,
-                                                     b.Occurrence, b.Step);
+    if (a.Rank != b.Rank)
+      return a.Rank < b.Rank;
+    if (a.Rank == 1 && a.Slack != b.Slack)
+      return a.Slack < b.Slack;
+    return std::tie(a.Owner->Arrived, a.Owner->Record.Spec.Id, a.Occurrence,
+                    a.Step) < std::tie(b.Owner->Arrived,
+                                       b.Owner->Record.Spec.Id, b.Occurrence,
+                                       b.Step);
   });
 }
 
@@ -127,32 +143,45 @@
     most = std::min<int64_t>(most, spec.MaxPerWorker);
   int64_t held = 0;
   for (const Place &place : Places)
-    if (eligible(place, unit))
+    if (eligible(*place.View, unit))
       held += spec.room().countIn(place.View->State.Capacity, most);
   return held;
 }
 
 void Planner::placeUnit(Unit &unit) {
+  findAllowed(unit);
   if (unit.spec().Gang) {
     if (!placeGang(unit))
       blocked(unit);
     return;
   }
   placeTasks(unit);
-  if (!unit.Tasks.empty())
+  if (unit.Needed > 0 && !unit.Tasks.empty())
     blocked(unit);
 }
 
-bool Planner::eligible(const Place &place, const Unit &unit) const {
-  const endpoints::WorkerState &worker = place.View->State;
+bool Planner::eligible(const WorkerView &view, const Unit &unit) const {
+  const endpoints::WorkerState &worker = view.State;
   if (worker.Service != S.serviceOf(*unit.Owner) ||
-      unit.Avoid.count(place.Life) != 0)
+      unit.Avoid.count(worker.Life) != 0)
     return false;
   const std::string &label = unit.spec().NeedsLabel;
   return label.empty() || std::find(worker.Labels.begin(), worker.Labels.end(),
                                     label) != worker.Labels.end();
 }
 
+void Planner::findAllowed(Unit &unit) const {
+  const int64_t most = unit.spec().MaxPerWorker;
+  unit.Allowed.assign(Places.size(), 0);
+  for (size_t p = 0; p < Places.size(); ++p) {
+    if (!eligible(*Places[p].View, unit))
+      continue;
+    unit.Allowed[p] =
+        most == 0 ? unit.spec().Count
+                  : std::max<int64_t>(0, most - onWorker(unit, Places[p].Life));
+  }
+}
+
 const core::Resources &Planner::room(const Place &place,
                                      const Unit &unit) const {
   const bool endsBefore =
@@ -160,55 +189,45 @@
   return endsBefore ? place.Free : place.Spare;
 }
 
-int Planner::onWorker(const Unit &unit, const std::string &life) const {
+int Planner::onWorker(const Unit &unit, std::string_view life) const {
   const JobScheduler::Step &step = unit.step();
   return static_cast<int>(
       std::count_if(step.begin(), step.end(),
                     [&](const Task &t) { return t.Progress.Worker == life; }));
 }
 
-int64_t Planner::fits(const Place &place, const Unit &unit,
-                      int64_t most) const {
-  if (!eligible(place, unit))
-    return 0;
-  const core::StepSpec &spec = unit.spec();
-  if (spec.MaxPerWorker > 0)
-    most =
-        std::min<int64_t>(most, spec.MaxPerWorker - onWorker(unit, place.Life));
-  return spec.room().countIn(room(place, unit), std::max<int64_t>(most, 0));
+int64_t Planner::fits(size_t p, const Unit &unit, int64_t most) const {
+  most = std::min(most, unit.Allowed[p]);
+  return most <= 0 ? 0
+                   : unit.spec().room().countIn(room(Places[p], unit), most);
 }
 
 // The sets of places that a gang may stand in: each rack, or the whole site.
-std::vector<std::vector<size_t>> Planner::groups(const Unit &unit) const {
-  std::vector<std::vector<size_t>> out;
-  if (unit.spec().SameRack && couldEverFitOneRack(unit)) {
-    std::map<std::string, std::vector<size_t>> racks;
-    for (size_t p = 0; p < Places.size(); ++p)
-      racks[Places[p].View->State.Rack].push_back(p);
-    for (auto &[rack, members] : racks)
-      out.push_back(std::move(members));
-    return out;
-  }
-  out.emplace_back();
-  for (size_t p = 0; p < Places.size(); ++p)
-    out.back().push_back(p);
-  return out;
+const std::vector<Planner::Group> &Planner::groups(const Unit &unit) const {
+  return unit.spec().SameRack && couldEverFitOneRack(unit) ? Racks : WholeSite;
 }
 
 bool Planner::couldEverFitOneRack(const Unit &unit) const {
-  std::map<std::string, int64_t> racks;
+  if (!unit.FitsOneRack)
+    unit.FitsOneRack = findFitsOneRack(unit);
+  return *unit.FitsOneRack;
+}
+
+bool Planner::findFitsOneRack(const Unit &unit) const {
+  std::map<std::string_view, int64_t> racks;
   const core::StepSpec &spec = unit.spec();
+  int64_t most = spec.Count;
+  if (spec.MaxPerWorker > 0)
+    most = std::min<int64_t>(most, spec.MaxPerWorker);
   for (const auto &[life, view] : S.Workers.workers()) {
-    const Place whole{life, &view, view.State.Capacity, view.State.Capacity};
-    if (view.State.Draining || !eligible(whole, unit))
+    if (view.State.Draining || !eligible(view, unit))
       continue;
-    int64_t most = spec.Count;
-    if (spec.MaxPerWorker > 0)
-      most = std::min<int64_t>(most, spec.MaxPerWorker);
-    racks[view.State.Rack] += spec.room().countIn(view.State.Capacity, most);
+    int64_t &held = racks[view.State.Rack];
+    held += spec.room().countIn(view.State.Capacity, most);
+    if (held >= spec.Count)
+      return true;
   }
-  return std::any_of(racks.begin(), racks.end(),
-                     [&](const auto &r) { return r.second >= spec.Count; });
+  return false;
 }
 
 int64_t Planner::slowOnes(const Layout &places) const {
@@ -219,18 +238,18 @@
 // Places all tasks in group, the tightest workers first, so that wide room
 // stays whole; urgent ones keep off slow workers first. Empty when they do not
 // fit.
-std::optional<Planner::Layout>
-Planner::layout(const Unit &unit, const std::vector<size_t> &group) const {
+std::optional<Planner::Layout> Planner::layout(const Unit &unit,
+                                               const Group &group) const {
   std::vector<std::tuple<bool, int64_t, size_t>> order;
-  for (size_t p : group)
-    if (fits(Places[p], unit, 1) > 0)
+  for (size_t p : group.Members)
+    if (fits(p, unit, 1) > 0)
       order.emplace_back(wantsFast(unit) && Places[p].Slow,
                          Places[p].Free.Accelerators, p);
   std::sort(order.begin(), order.end());
   Layout places;
   for (const auto &[slow, free, p] : order) {
     const auto left = static_cast<int64_t>(unit.Tasks.size() - places.size());
-    for (int64_t n = fits(Places[p], unit, left); n > 0; --n)
+    for (int64_t n = fits(p, unit, left); n > 0; --n)
       places.push_back(p);
     if (places.size() == unit.Tasks.size())
       return places;
@@ -248,7 +267,7 @@
       continue;
     std::pair<int64_t, int64_t> score{wantsFast(unit) ? slowOnes(*places) : 0,
                                       0};
-    for (size_t p : group)
+    for (size_t p : group.Members)
       score.second += Places[p].Free.Accelerators;
     if (!best || score < bestScore) {
       best = std::move(places);
@@ -276,51 +295,66 @@
   const std::string saved = furthest->Progress.Saved;
   for (size_t n = 0; n < places.size(); ++n) {
     Place &place = Places[places[n]];
-    S.start(*unit.Owner, unit.task(unit.Tasks[n]), place.Life, saved, run + 1,
-            unit.Rank, Now);
+    S.start(*unit.Owner, unit.task(unit.Tasks[n]), place.View->State.Life,
+            saved, run + 1, unit.Rank, Now);
     place.Free -= unit.spec().room();
     place.Spare -= unit.spec().room();
   }
+  listAgain(*unit.Owner, unit.Occurrence, unit.Step);
 }
 
 void Planner::startTask(Unit &unit, int index, size_t p) {
   const Task &task = *S.findTask(unit.task(index));
-  S.start(*unit.Owner, unit.task(index), Places[p].Life, task.Progress.Saved,
-          task.Progress.Run + 1, unit.Rank, Now);
+  S.start(*unit.Owner, unit.task(index), Places[p].View->State.Life,
+          task.Progress.Saved, task.Progress.Run + 1, unit.Rank, Now);
   Places[p].Free -= unit.spec().room();
   Places[p].Spare -= unit.spec().room();
+  if (unit.spec().MaxPerWorker > 0)
+    --unit.Allowed[p];
 }
 
-// Starts what fits; the tasks that do not are left in the unit.
-void Planner::placeTasks(Unit &unit) {
+std::optional<size_t> Planner::bestPlace(const Unit &unit) const {
   const core::StepSpec &spec = unit.spec();
-  std::vector<int> left;
+  // Smaller is better: near the data, fast, tight.
+  using Score = std::tuple<bool, bool, int64_t, int64_t>;
+  std::optional<std::pair<Score, size_t>> best;
+  for (size_t p = 0; p < Places.size(); ++p) {
+    if (fits(p, unit, 1) == 0)
+      continue;
+    const Place &place = Places[p];
+    const bool away =
+        !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
+    const Score score{away, wantsFast(unit) && place.Slow,
+                      place.Free.Accelerators, place.Free.MilliCores};
+    if (!best || score < best->first)
+      best = {score, p};
+  }
+  if (!best)
+    return std::nullopt;
+  return best->second;
+}
+
+// Starts what fits; the tasks that do not are left in the unit. They are alike:
+// where one finds no place, none of the rest does.
+void Planner::placeTasks(Unit &unit) {
+  size_t started = 0;
   for (int index : unit.Tasks) {
-    // Smaller is better: near the data, fast, tight.
-    using Score = std::tuple<bool, bool, int64_t, int64_t>;
-    std::optional<std::pair<Score, size_t>> best;
-    for (size_t p = 0; p < Places.size(); ++p) {
-      const Place &place = Places[p];
-      if (fits(place, unit, 1) == 0)
-        continue;
-      const bool away =
-          !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
-      const Score score{away, wantsFast(unit) && place.Slow,
-                        place.Free.Accelerators, place.Free.MilliCores};
-      if (!best || score < best->first)
-        best = {score, p};
-    }
-    if (best)
-      startTask(unit, index, best->second);
-    else
-      left.push_back(index);
+    const std::optional<size_t> place = bestPlace(unit);
+    if (!place)
+      break;
+    startTask(unit, index, *place);
+    ++started;
+    --unit.Needed;
   }
-  unit.Tasks = std::move(left);
+  unit.Tasks.erase(unit.Tasks.begin(),
+                   unit.Tasks.begin() + static_cast<std::ptrdiff_t>(started));
+  if (started > 0)
+    listAgain(*unit.Owner, unit.Occurrence, unit.Step);
 }
 
 void Planner::blocked(Unit &unit) {
   // Time alone may let it start: a worker that is kept out comes back.
-  S.Changed = true;
+  S.Waits = true;
   if (!unit.Owner->WaitLogged) {
     unit.Owner->WaitLogged = true;
     S.note(Decision::Kind::Waiting, unit.Owner->Record.Spec.Id,
--- a/src/libs/jobs/planner_room.cpp
+++ b/src/libs/jobs/planner_room.cpp
@@ -5,6 +5,7 @@
 #include "runjudge.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace oriolebay::jobs {
 
@@ -13,6 +14,11 @@
 /// Gangs that room is kept for at the same time while they wait. One would let
 /// the next large gang starve; many would leave the site idle.
 constexpr int MostKept = 2;
+/// A task that follows another in its room is counted with so many times its
+/// expected work, as tasks of a step differ and some workers are slower by 1.3
+/// times, and with the time from the one's end to the other's start.
+constexpr double RoundMargin = 1.25;
+constexpr absl::Duration RoundOverhead = absl::Milliseconds(100);
 /// An accelerator weighs as much as so many cores when work is thrown away.
 constexpr double CoresPerAccelerator = 8;
 
@@ -44,121 +50,198 @@
   return lost * weight(spec.PerTask);
 }
 
-void Planner::addReleases(std::vector<Release> &out, Job &job, int occurrence,
-                          int step, bool stoppingOnly) const {
+void Planner::addReleases(Job &job, int occurrence, int step) {
   const core::StepSpec &spec = job.Record.Spec.Steps[static_cast<size_t>(step)];
   const JobScheduler::Step &tasks =
       job.Occurrences.at(occurrence)[static_cast<size_t>(step)];
-  Release gang{&job, occurrence, step, -1, rankOf(job)};
+  Release gang{&job, occurrence, step, -1, job.Rank};
+  RoomByPlace gangFrees;
+  core::TaskId id{job.Record.Spec.Id, occurrence, step, 0};
   for (size_t i = 0; i < tasks.size(); ++i) {
     const Task &t = tasks[i];
-    if (!t.mayRun() || (stoppingOnly && !t.StopAsked))
+    if (!t.mayRun())
       continue;
-    Release one = gang;
-    one.Index = static_cast<int>(i);
-    one.Frees.clear();
-    one.Waste = wasteOf(spec, t);
-    one.Left = t.StopAsked
-                   ? S.Policy.StopTakes
-                   : RunJudge(S, Now).remaining(job,
-                                                {job.Record.Spec.Id, occurrence,
-                                                 step, static_cast<int>(i)},
-                                                t);
-    gang.Waste += one.Waste;
-    gang.Left = std::max(gang.Left, one.Left);
-    for (size_t p = 0; p < Places.size(); ++p)
-      if (Places[p].Life == t.Progress.Worker) {
-        one.Frees[p] = spec.room();
-        gang.Frees[p] += spec.room();
-      }
-    if (!spec.Gang && !one.Frees.empty())
-      out.push_back(std::move(one));
+    id.Index = static_cast<int>(i);
+    const double waste = wasteOf(spec, t);
+    const absl::Duration left = t.StopAsked
+                                    ? S.Policy.StopTakes
+                                    : RunJudge(S, Now).remaining(job, id, t);
+    auto place = PlaceOf.find(t.Progress.Worker);
+    if (spec.Gang) {
+      gang.Waste += waste;
+      gang.Left = std::max(gang.Left, left);
+      gang.Stopping = gang.Stopping && t.StopAsked;
+      if (place != PlaceOf.end())
+        gangFrees[place->second] += spec.room();
+    } else if (place != PlaceOf.end()) {
+      Running.push_back({&job,
+                         occurrence,
+                         step,
+                         id.Index,
+                         job.Rank,
+                         waste,
+                         left,
+                         t.StopAsked,
+                         {{place->second, spec.room()}}});
+    }
   }
-  if (spec.Gang && !gang.Frees.empty())
-    out.push_back(std::move(gang));
+  if (gangFrees.empty())
+    return;
+  gang.Frees.assign(gangFrees.begin(), gangFrees.end());
+  Running.push_back(std::move(gang));
 }
 
-// By stop: work that comes after unit and could be stopped for it, what is
-// being stopped anyway first, then the least urgent, then the cheapest.
-// Otherwise: all that runs, in the order in which it is expected to end.
-std::vector<Planner::Release> Planner::releases(const Unit &unit,
-                                                bool byStop) const {
-  std::vector<Release> out;
-  for (auto &[id, job] : S.Jobs) {
-    const int rank = rankOf(job);
-    const bool stoppingOnly = byStop && rank <= unit.Rank;
+void Planner::listRunning() {
+  if (RunningListed)
+    return;
+  RunningListed = true;
+  for (auto &[id, job] : S.Jobs)
     for (auto &[number, steps] : job.Occurrences)
       for (size_t s = 0; s < steps.size(); ++s)
-        addReleases(out, job, number, static_cast<int>(s), stoppingOnly);
+        addReleases(job, number, static_cast<int>(s));
+}
+
+// Some of the step's tasks were started, or asked to stop.
+void Planner::listAgain(Job &job, int occurrence, int step) {
+  if (!RunningListed)
+    return;
+  EndOrder.reset();
+  StopOrders.clear();
+  Running.erase(std::remove_if(Running.begin(), Running.end(),
+                               [&](const Release &r) {
+                                 return r.Owner == &job &&
+                                        r.Occurrence == occurrence &&
+                                        r.Step == step;
+                               }),
+                Running.end());
+  addReleases(job, occurrence, step);
+}
+
+Planner::Order Planner::orderOf(Releases all) const {
+  Order order;
+  order.ByRack.resize(Racks.size());
+  for (const Release *r : all) {
+    for (const auto &[p, freed] : r->Frees) {
+      auto &ofRack = order.ByRack[static_cast<size_t>(Places[p].Rack)];
+      if (ofRack.empty() || ofRack.back() != r)
+        ofRack.push_back(r);
+    }
   }
-  std::stable_sort(out.begin(), out.end(),
-                   [byStop](const Release &a, const Release &b) {
-                     if (!byStop)
-                       return a.Left < b.Left;
-                     return std::make_tuple(a.Waste, -a.Rank) <
-                            std::make_tuple(b.Waste, -b.Rank);
+  order.All = std::move(all);
+  return order;
+}
+
+// Work that comes after unit and could be stopped for it: what is being stopped
+// anyway first, then the cheapest, the least urgent of those first.
+const Planner::Order &Planner::stoppable(const Unit &unit) {
+  listRunning();
+  auto known = StopOrders.find(unit.Rank);
+  if (known != StopOrders.end())
+    return known->second;
+  Releases all;
+  for (const Release &r : Running)
+    if (r.Stopping || r.Rank > unit.Rank)
+      all.push_back(&r);
+  std::stable_sort(all.begin(), all.end(),
+                   [](const Release *a, const Release *b) {
+                     return std::make_pair(a->Waste, -a->Rank) <
+                            std::make_pair(b->Waste, -b->Rank);
                    });
-  return out;
+  return StopOrders.emplace(unit.Rank, orderOf(std::move(all))).first->second;
+}
+
+// All that runs, in the order in which it is expected to end.
+const Planner::Order &Planner::byEnd() {
+  listRunning();
+  if (EndOrder)
+    return *EndOrder;
+  Releases all;
+  for (const Release &r : Running)
+    all.push_back(&r);
+  std::stable_sort(
+      all.begin(), all.end(),
+      [](const Release *a, const Release *b) { return a->Left < b->Left; });
+  EndOrder = orderOf(std::move(all));
+  return *EndOrder;
+}
+
+bool Planner::inGroup(size_t p, const Unit &unit, const Group &group) const {
+  return unit.Allowed[p] > 0 &&
+         (group.Rack < 0 || Places[p].Rack == group.Rack);
+}
+
+// Adds what release frees within group (sign 1), or takes it away again (-1).
+// Returns by how many more of unit's tasks fit there.
+int64_t Planner::applyRelease(const Unit &unit, const Group &group,
+                              const Release &release, int sign) {
+  const auto most = static_cast<int64_t>(unit.Tasks.size());
+  int64_t more = 0;
+  for (const auto &[p, freed] : release.Frees) {
+    if (!inGroup(p, unit, group))
+      continue;
+    more -= fits(p, unit, most);
+    Place &place = Places[p];
+    if (sign > 0) {
+      place.Spare += freed;
+      place.Free += freed;
+    } else {
+      place.Spare -= freed;
+      place.Free -= freed;
+    }
+    more += fits(p, unit, most);
+  }
+  return more;
 }
 
 // Takes releases in their order until unit fits into group.
 std::optional<Planner::Plan>
-Planner::planWith(const Unit &unit, const std::vector<size_t> &group,
-                  const std::vector<Release> &all) {
-  const std::vector<Place> before = Places;
-  const std::set<size_t> members(group.begin(), group.end());
+Planner::planWith(const Unit &unit, const Group &group, const Releases &all) {
+  const auto n = static_cast<int64_t>(unit.Tasks.size());
+  int64_t fit = 0;
+  for (size_t p : group.Members)
+    fit += fits(p, unit, n);
   Plan plan;
-  std::optional<Layout> places = layout(unit, group);
-  for (const Release &r : all) {
-    if (places)
+  for (const Release *r : all) {
+    if (fit >= n)
       break;
     const bool useful =
-        std::any_of(r.Frees.begin(), r.Frees.end(), [&](const auto &f) {
-          return members.count(f.first) != 0 && eligible(Places[f.first], unit);
+        std::any_of(r->Frees.begin(), r->Frees.end(), [&](const auto &f) {
+          return inGroup(f.first, unit, group);
         });
     if (!useful)
       continue;
-    for (const auto &[p, freed] : r.Frees) {
-      Places[p].Spare += freed;
-      Places[p].Free += freed;
-      plan.Freed[p] += freed;
-    }
-    plan.Releases.push_back(&r);
-    plan.Waste += r.Waste;
-    plan.Wait = std::max(plan.Wait, r.Left);
-    places = layout(unit, group);
+    fit += applyRelease(unit, group, *r, 1);
+    plan.Ends.push_back(r);
+  }
+  const bool found = fit >= n;
+  if (found) {
+    prune(unit, group, fit, plan);
+    plan.Places = *layout(unit, group);
   }
-  if (places) {
-    plan.Places = *places;
-    prune(unit, group, plan);
+  for (const Release *r : plan.Ends) {
+    applyRelease(unit, group, *r, -1);
+    plan.Waste += r->Waste;
+    plan.Wait = std::max(plan.Wait, r->Left);
+    for (const auto &[p, freed] : r->Frees)
+      plan.Freed[p] += freed;
   }
-  Places = before;
-  if (!places)
+  if (!found)
     return std::nullopt;
   return plan;
 }
 
 // Drops releases that turned out not to be needed, the dearest first.
-void Planner::prune(const Unit &unit, const std::vector<size_t> &group,
+void Planner::prune(const Unit &unit, const Group &group, int64_t fit,
                     Plan &plan) {
-  for (size_t i = plan.Releases.size(); i-- > 0;) {
-    const Release &r = *plan.Releases[i];
-    for (const auto &[p, freed] : r.Frees) {
-      Places[p].Spare -= freed;
-      Places[p].Free -= freed;
-    }
-    if (const std::optional<Layout> places = layout(unit, group)) {
-      plan.Places = *places;
-      plan.Waste -= r.Waste;
-      for (const auto &[p, freed] : r.Frees)
-        plan.Freed[p] -= freed;
-      plan.Releases.erase(plan.Releases.begin() +
-                          static_cast<std::ptrdiff_t>(i));
-      continue;
-    }
-    for (const auto &[p, freed] : r.Frees) {
-      Places[p].Spare += freed;
-      Places[p].Free += freed;
+  const auto n = static_cast<int64_t>(unit.Tasks.size());
+  for (size_t i = plan.Ends.size(); i-- > 0;) {
+    const Release &r = *plan.Ends[i];
+    const int64_t without = fit + applyRelease(unit, group, r, -1);
+    if (without >= n) {
+      fit = without;
+      plan.Ends.erase(plan.Ends.begin() + static_cast<std::ptrdiff_t>(i));
+    } else {
+      applyRelease(unit, group, r, 1);
     }
   }
 }
@@ -187,12 +270,11 @@
 
 // The plan that costs least, over all groups that unit may stand in.
 template <class Cost>
-std::optional<Planner::Plan> Planner::leastPlan(const Unit &unit,
-                                                const std::vector<Release> &all,
-                                                Cost Plan::*cost) {
+std::optional<Planner::Plan>
+Planner::leastPlan(const Unit &unit, const Order &order, Cost Plan::*cost) {
   std::optional<Plan> best;
-  for (const auto &group : groups(unit)) {
-    std::optional<Plan> plan = planWith(unit, group, all);
+  for (const Group &group : groups(unit)) {
+    std::optional<Plan> plan = planWith(unit, group, order.of(group));
     if (plan && (!best || (*plan).*cost < (*best).*cost))
       best = std::move(plan);
   }
@@ -200,29 +282,61 @@
 }
 
 // The work whose stop makes room for unit and throws away least.
-std::optional<Planner::Plan>
-Planner::cheapestStops(const Unit &unit, const std::vector<Release> &all) {
-  return leastPlan(unit, all, &Plan::Waste);
+std::optional<Planner::Plan> Planner::cheapestStops(const Unit &unit) {
+  return leastPlan(unit, stoppable(unit), &Plan::Waste);
 }
 
 // The room that will be there first, going by how far what runs is.
-std::optional<Planner::Plan>
-Planner::firstEnds(const Unit &unit, const std::vector<Release> &all) {
-  return leastPlan(unit, all, &Plan::Wait);
+std::optional<Planner::Plan> Planner::firstEnds(const Unit &unit) {
+  return leastPlan(unit, byEnd(), &Plan::Wait);
 }
 
-// How long unit may wait for its job to be in time still.
-absl::Duration Planner::slack(const Unit &unit) const {
+// How urgent the unit is, and how much room it must have for that. Only work of
+// priority 0 has room made for it; others take what is free.
+void Planner::judgeDemand(Unit &unit) const {
   const Job &job = *unit.Owner;
+  const core::StepSpec &spec = unit.spec();
+  unit.Needed = static_cast<int>(unit.Tasks.size());
+  if (unit.Rank > 1)
+    return;
   const auto &steps = job.Record.Spec.Steps;
-  const std::vector<int> oneWave(steps.size(), 1);
+  const Promise promise = S.promiseOf(job);
   const auto chains =
-      chainsFrom(steps, oneWave, [&](const core::StepSpec &spec) {
-        return S.taskTime(job, spec);
-      });
-  const absl::Time due = job.Arrived + chains.front() * job.Record.Stretch +
-                         absl::Milliseconds(job.Record.TargetLatencyMs);
-  return due - Now - chains[static_cast<size_t>(unit.Step)];
+      chainsFrom(steps, promise.Waves,
+                 [&](const core::StepSpec &s) { return S.taskTime(job, s); });
+  const auto step = static_cast<size_t>(unit.Step);
+  const absl::Duration each = S.taskTime(job, spec);
+  const absl::Duration after = chains[step] - each * promise.Waves[step];
+  const absl::Duration left = job.Arrived + promise.Within - Now - after;
+  unit.Slack = left - each;
+  if (!spec.Gang && unit.Rank == 1)
+    demandOfTasks(unit, left, each);
+}
+
+// A wide step is in time although its tasks run in waves: what runs already,
+// and each task that is started now, is followed by others in its room.
+void Planner::demandOfTasks(Unit &unit, absl::Duration left,
+                            absl::Duration each) const {
+  const absl::Duration round = each * RoundMargin + RoundOverhead;
+  const auto rounds = [round](absl::Duration time) -> int64_t {
+    return time <= absl::ZeroDuration()
+               ? 0
+               : static_cast<int64_t>(absl::FDivDuration(time, round));
+  };
+  const auto n = static_cast<int64_t>(unit.Tasks.size());
+  int64_t followers = 0;
+  const JobScheduler::Step &step = unit.step();
+  for (size_t i = 0; i < step.size(); ++i) {
+    if (!step[i].mayRun())
+      continue;
+    followers += rounds(
+        left - RunJudge(S, Now).remaining(
+                   *unit.Owner, unit.task(static_cast<int>(i)), step[i]));
+  }
+  const int64_t perRoom = std::max<int64_t>(1, rounds(left));
+  const int64_t open = std::max<int64_t>(0, n - followers);
+  unit.Needed = static_cast<int>(std::min(n, (open + perRoom - 1) / perRoom));
+  unit.Slack = left - (perRoom > 1 ? round * perRoom : each);
 }
 
 // How much of others' work may be thrown away for unit, in core-seconds: what
@@ -248,7 +362,7 @@
 // be within what it may wait, as it is an estimate.
 bool Planner::inTimeAnyway(const Unit &unit,
                            const std::optional<Plan> &ends) const {
-  return ends && !guaranteeAtRisk(unit, ends) && ends->Wait * 2 <= slack(unit);
+  return ends && !guaranteeAtRisk(unit, ends) && ends->Wait * 2 <= unit.Slack;
 }
 
 // Stopping others is worth it for a job that comes in time by it and would not
@@ -265,29 +379,26 @@
 // as many as it can be made for. False when there are no stops, or they are not
 // worth it.
 bool Planner::makeRoom(Unit &unit) {
-
-  const std::vector<Release> running = releases(unit, false);
-  std::optional<std::vector<Release>> stoppable;
+  unit.Tasks.resize(
+      std::min(unit.Tasks.size(), static_cast<size_t>(unit.Needed)));
   for (size_t n = unit.Tasks.size(); n > 0; n = unit.spec().Gang ? 0 : n / 2) {
     unit.Tasks.resize(n);
-    const std::optional<Plan> ends = firstEnds(unit, running);
+    const std::optional<Plan> ends = firstEnds(unit);
     if (inTimeAnyway(unit, ends)) {
       notePlan(unit, "waits for ends in time", &*ends);
       keep(unit, *ends);
       return true;
     }
-    if (!stoppable)
-      stoppable = releases(unit, true);
-    std::optional<Plan> stops = cheapestStops(unit, *stoppable);
+    std::optional<Plan> stops = cheapestStops(unit);
     if (!stops)
       notePlan(unit, "nothing to stop makes room", nullptr);
     else if (!worthStopping(unit, *stops, ends))
       notePlan(unit, "stops would throw away too much", &*stops);
     if (stops && worthStopping(unit, *stops, ends)) {
       notePlan(unit, "others are stopped", &*stops);
-      askForStops(unit, *stops);
       stops->Wait = absl::ZeroDuration();
       keep(unit, *stops);
+      askForStops(unit, *stops);
       return true;
     }
   }
@@ -306,12 +417,13 @@
   std::vector<Input> inputs = {
       {"rank", unit.Rank},
       {"tasks", static_cast<int64_t>(unit.Tasks.size())},
-      {"slack_ms", absl::ToInt64Milliseconds(slack(unit))},
+      {"needed", unit.Needed},
+      {"slack_ms", absl::ToInt64Milliseconds(unit.Slack)},
       {"most_waste_core_s", static_cast<int64_t>(mostWaste(unit))}};
   if (plan != nullptr) {
     inputs.push_back({"wait_ms", absl::ToInt64Milliseconds(plan->Wait)});
     inputs.push_back({"waste_core_s", static_cast<int64_t>(plan->Waste)});
-    inputs.push_back({"ends", static_cast<int64_t>(plan->Releases.size())});
+    inputs.push_back({"ends", static_cast<int64_t>(plan->Ends.size())});
   }
   S.note(Decision::Kind::RoomPlanned, unit.Owner->Record.Spec.Id,
          core::taskName(unit.task(unit.Tasks.front())), 0, "", outcome,
@@ -320,15 +432,20 @@
 
 void Planner::askForStops(const Unit &unit, const Plan &stops) {
   const std::string why = "makes room for job " + unit.Owner->Record.Spec.Id;
-  for (const Release *r : stops.Releases) {
-    const std::string &id = r->Owner->Record.Spec.Id;
+  std::set<std::tuple<Job *, int, int>> steps;
+  for (const Release *r : stops.Ends) {
+    steps.insert({r->Owner, r->Occurrence, r->Step});
     if (r->Index < 0) {
       S.stopStep(*r->Owner, r->Occurrence, r->Step, why);
       continue;
     }
-    const core::TaskId task{id, r->Occurrence, r->Step, r->Index};
+    const core::TaskId task{r->Owner->Record.Spec.Id, r->Occurrence, r->Step,
+                            r->Index};
     S.requestStop(task, *S.findTask(task), why);
   }
+  // The plan's releases are not looked at after this.
+  for (const auto &[job, occurrence, step] : steps)
+    listAgain(*job, occurrence, step);
 }
 
 // Keeps the room that will be there first, so that smaller work does not take
@@ -336,8 +453,7 @@
 void Planner::waitForRoom(Unit &unit) {
   if (Kept >= MostKept || !isLarge(unit))
     return;
-  const std::vector<Release> running = releases(unit, false);
-  const std::optional<Plan> best = firstEnds(unit, running);
+  const std::optional<Plan> best = firstEnds(unit);
   if (!best)
     return;
   ++Kept;
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -98,6 +98,46 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// Hundreds of workers tell twice a second how far their tasks are. Callers saw
+// urgent jobs start late and grants lapse: the leader looked at all that waits
+// after each of these reports, though none of them freed any room, and had no
+// time left for anything else. The load: a full site where nothing ends.
+TEST(JobScheduler, ReportsWithoutNewsAreNotDecidedOn) {
+  SimSite site;
+  addRacks(site, 10);
+  site.submit(jobOf("all", step(30, {32000, 1000, 8}, 60000)));
+  site.runFor(absl::Seconds(2));
+  const int64_t before = site.scheduler().passes();
+  site.runFor(absl::Seconds(5));
+  EXPECT_EQ(site.scheduler().passes(), before);
+}
+
+// As above, with a job that waits. Time alone may let it start, so that it is
+// looked at with each tick, but not with each report.
+TEST(JobScheduler, WhatWaitsIsLookedAtWithTicksOnly) {
+  SimSite site;
+  addRacks(site, 1);
+  site.submit(jobOf("all", step(3, {32000, 1000, 8}, 60000)));
+  site.runFor(absl::Seconds(2));
+  site.submit(jobOf("waits", step(2, {32000, 1000, 8}, 1000, true)));
+  site.runFor(absl::Seconds(1));
+  JobScheduler &scheduler = site.scheduler();
+  const SimSite::Worker &worker = site.worker("w01");
+  endpoints::WorkerReport report;
+  report.Worker = worker.State;
+  report.Agent = worker.Agent;
+  report.AgentAddress = worker.Agent;
+  report.Sequence = worker.Sequence + 1;
+  report.Reachable = true;
+  const int64_t before = scheduler.passes();
+  scheduler.onReport(report, site.now());
+  scheduler.decide(site.now());
+  EXPECT_EQ(scheduler.passes(), before);
+  scheduler.tick(site.now());
+  scheduler.decide(site.now());
+  EXPECT_EQ(scheduler.passes(), before + 1);
+}
+
 core::SiteConfig guaranteeing(int64_t accelerators) {
   core::SiteConfig config;
   config.Version = 1;
@@ -253,10 +293,23 @@
 // one. Users saw the room of the first ends go to other small tasks, which were
 // then stopped for the same job, up to four times each within 0.2 s, and the
 // job began late: while its room was on the way, nothing was kept for it.
-TEST(UrgentWork, RoomOnItsWayIsNotGivenAway) {
+//
+// All three tasks have to run at once: because the job is within its
+// organisation's guarantee, or because the time is too short for waves.
+struct OnItsWayCase {
+  const char *Name;
+  int64_t Guaranteed;
+  double Stretch;
+};
+
+void PrintTo(const OnItsWayCase &c, std::ostream *out) { *out << c.Name; }
+
+class RoomOnItsWay : public ::testing::TestWithParam<OnItsWayCase> {};
+
+TEST_P(RoomOnItsWay, IsNotGivenAway) {
   SimSite site;
-  core::SiteConfig config = guaranteeing(0);
-  config.Queues[0].Stretch = 2;
+  core::SiteConfig config = guaranteeing(GetParam().Guaranteed);
+  config.Queues[0].Stretch = GetParam().Stretch;
   config.Queues[0].TargetLatencyMs = 1000;
   site.configure(config);
   site.StopTakesOf = [](const core::TaskId &id) {
@@ -280,6 +333,66 @@
   EXPECT_EQ(site.placesOf("urgent").size(), 3u);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    UrgentWork, RoomOnItsWay,
+    ::testing::Values(OnItsWayCase{"within_a_guarantee", 24, 2},
+                      OnItsWayCase{"no_time_for_waves", 0, 0.75}),
+    [](const auto &info) { return info.param.Name; });
+
+core::SiteConfig urgentInTime(double stretch, int64_t targetMs) {
+  core::SiteConfig config = guaranteeing(0);
+  config.Queues[0].Stretch = stretch;
+  config.Queues[0].TargetLatencyMs = targetMs;
+  return config;
+}
+
+// An urgent step of five whole workers on a site of six, full of batch work.
+// Its promise counts it in waves, as it takes more than a quarter of the room:
+// two workers at a time are enough. Users saw work of five workers thrown away
+// at once for a job that would have been in time with two.
+TEST(UrgentWork, WideStepTakesNoMoreFromOthersThanItNeeds) {
+  SimSite site;
+  site.configure(urgentInTime(1.5, 250));
+  addRacks(site, 2);
+  for (int n = 0; n < 6; ++n)
+    site.submit(jobOf("fill" + std::to_string(n), step(1, WholeWorker, 30000)),
+                2);
+  site.runFor(absl::Seconds(1));
+  site.submit(jobOf("urgent", step(5, WholeWorker, 2000)), 0);
+  ASSERT_EQ(site.state("urgent"), JobState::Queued);
+  site.runFor(absl::Seconds(13));
+  std::set<std::string> stopped;
+  for (const Decision &d : site.Log)
+    if (d.What == Decision::Kind::Stopping)
+      stopped.insert(d.Job);
+  EXPECT_LE(stopped.size(), 2u);
+  EXPECT_EQ(site.state("urgent"), JobState::Completed);
+  // Four waves of two seconds, one and a half times, and a quarter second.
+  EXPECT_LE(*site.took("urgent"), absl::Milliseconds(12250));
+}
+
+// A wide urgent job waits with seconds to spare; then a small one comes that
+// has one. The first worker that comes free must go to the small one, or it is
+// late for nothing.
+TEST(UrgentWork, ThatHasLeastTimeToSpareComesFirst) {
+  SimSite site;
+  site.configure(urgentInTime(1.5, 250));
+  addRacks(site, 1);
+  for (int n = 0; n < 3; ++n)
+    site.submit(
+        jobOf("fill" + std::to_string(n), step(1, WholeWorker, 4000 + n * 900)),
+        0);
+  site.runFor(absl::Seconds(3));
+  site.submit(jobOf("wide", step(3, WholeWorker, 3000)), 0);
+  site.runFor(absl::Milliseconds(100));
+  site.submit(jobOf("small", step(1, WholeWorker, 2000)), 0);
+  site.runFor(absl::Milliseconds(1300));
+  EXPECT_EQ(site.placesOf("small").size(), 1u);
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(30)));
+  EXPECT_LE(*site.took("small"), absl::Milliseconds(3250));
+  EXPECT_LE(*site.took("wide"), absl::Milliseconds(13750));
+}
+
 core::StepSpec gangOf(core::StepSpec step) {
   step.Gang = true;
   return step;
