Entries watch the store at rest, and ask the leader for states

Each change of a job's record woke the watch of each of 55 entries, which read the whole record and watched again; the leader besides sent each end to each entry, twice, 108 messages a job.

Change: after news a view of jobs or of entries rests for half a second (a tenth at the leader) before it watches on, and only the newest version of a key is read. A state call of a job that is not over is answered by the leader, which knows of the end first; without its answer the entry's own view holds. The broadcast of ends is gone, with it the message JobEnding (its row in the table of messages goes with it; that ends are shown at once stays held by Cluster.StateAsked* and EndsAreShownWhileWatchesAreSilent, unchanged). The leader's view takes its own writes without reading them back. Agents are told of six entries, not of all.

Ruled out: watching from the leader alone: the other entries' views are the way on when it is lost.

--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -62,7 +62,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders, Epoch, Life, Starts, Stops)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobWritten, Key, Value, Revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StandDown, Epoch)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobEnding, Job)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedCall, Call, Host, Path, Key,
                                    TimeLeftMs, Job, Record)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedAnswer, Result, Detail,
@@ -137,7 +136,6 @@
       kindOf<WorkerOrders>("worker_orders"),
       kindOf<JobWritten>("job_written"),
       kindOf<StandDown>("stand_down"),
-      kindOf<JobEnding>("job_ending"),
       kindOf<ForwardedCall>("forwarded_call"),
       kindOf<ForwardedAnswer>("forwarded_answer")};
   return table;
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -295,12 +295,6 @@
   auto operator<=>(const JobWritten &) const = default;
 };
 
-/// Leading entry to the others: the job has ended, which is being recorded.
-struct JobEnding {
-  std::string Job;
-  auto operator<=>(const JobEnding &) const = default;
-};
-
 /// Entry to entry: a caller's call that the sender cannot serve, as the store
 /// does not answer it. Call: submit, state, cancel or queue. Record: with
 /// submit, the job in the form of a stored record.
@@ -332,10 +326,10 @@
   auto operator<=>(const StandDown &) const = default;
 };
 
-using Message = std::variant<Announce, TaskResult, Reserve, Run, Release, Stop,
-                             Submit, Answered, Cancel, Ack, WorkerReport,
-                             ReportAck, WorkerOrders, JobWritten, StandDown,
-                             JobEnding, ForwardedCall, ForwardedAnswer>;
+using Message =
+    std::variant<Announce, TaskResult, Reserve, Run, Release, Stop, Submit,
+                 Answered, Cancel, Ack, WorkerReport, ReportAck, WorkerOrders,
+                 JobWritten, StandDown, ForwardedCall, ForwardedAnswer>;
 
 /// CBOR bytes of message.
 std::string encode(const Message &message);
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -4,6 +4,9 @@
 #include "utils/eventloop.h"
 #include "utils/walltime.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace oriolebay::entry {
 
 using endpoints::Message;
@@ -16,6 +19,19 @@
 namespace {
 
 constexpr int PeerTimeoutMs = 400;
+/// The leader answers a state call within what it waits for the record of an
+/// end. One that did not answer is not asked again for so long.
+constexpr int LeaderAnswerMs = 250;
+constexpr absl::Duration LeaderSilentFor = absl::Seconds(1);
+/// How old an entry's view of the jobs and of the other entries may get, beyond
+/// the watch itself. What callers must not see late, the ends of jobs, is asked
+/// of the leader, and the leader is told of new jobs by the entries that accept
+/// them; its own view is the way back when such a message is lost.
+constexpr absl::Duration ViewRest = absl::Milliseconds(500);
+constexpr absl::Duration LeaderViewRest = absl::Milliseconds(100);
+/// Entries that an agent is told of, beside the leader: enough for some of them
+/// to be up, and few enough for an answer to stay small.
+constexpr size_t EntriesTold = 6;
 
 Event eventOf(jobs::Decision::Kind kind) {
   using Kind = jobs::Decision::Kind;
@@ -122,6 +138,10 @@
       respond(onMessage(m));
   });
   platform::FollowTiming follow;
+  platform::FollowTiming restingFollow;
+  restingFollow.RestAfterNews = [this] {
+    return Leader.Mine ? LeaderViewRest : ViewRest;
+  };
   auto trouble = [this](const char *what) {
     return [this, what](platform::StoreStatus status, const std::string &why) {
       storeTrouble(what, status, why);
@@ -137,7 +157,7 @@
       },
       trouble("configuration"));
   View = std::make_unique<jobs::JobView>(
-      Loop, Calls, follow,
+      Loop, Calls, restingFollow,
       [this](const jobs::StoredJob &job) {
         if (Duty)
           Duty->onRecord(job);
@@ -165,6 +185,9 @@
       [this](const jobs::CallRequest &call, const jobs::OnForwarded &done) {
         return forward(call, done);
       },
+      [this](const jobs::CallRequest &call, const jobs::OnLeaderAnswer &done) {
+        return askLeader(call, done);
+      },
       [this](const platform::KeyValue &item) { onWritten(item); },
       [this](const jobs::CallDecision &d) {
         logCall(d);
@@ -172,7 +195,7 @@
           Observers.Called(d);
       });
   Entries = std::make_unique<platform::PrefixFollower>(
-      Loop, Calls, EntryPrefix, follow,
+      Loop, Calls, EntryPrefix, restingFollow,
       [this](const platform::StoreEvent &event) {
         if (event.Deleted)
           EntryAddresses.erase(event.Item.Key);
@@ -259,6 +282,7 @@
 void JobEntry::onLeadership(const platform::Leadership &leadership) {
   const bool led = Leader.Mine;
   Leader = leadership;
+  LeaderSilentUntil = absl::InfinitePast();
   if (led)
     logEvent(Event::LeaderLost,
              {{"epoch", Duty ? Duty->scheduler().epoch() : leadership.Epoch}});
@@ -301,9 +325,12 @@
       [this](platform::StoreStatus status, const std::string &why) {
         storeTrouble("recorder", status, why);
       },
-      [this](const std::string &jobId) { onEnding(jobId); },
-      [this](platform::KeyValue item, bool over) {
-        onRecorded(std::move(item), over);
+      [this](const std::string &jobId) { Desk->expectEnd(jobId); },
+      [this](const jobs::ProgressWrite &write, int64_t revision) {
+        // The watch brings the same, but may be silent for seconds while the
+        // store drops its history: the entry that had recorded an end showed
+        // its job as running for so long.
+        View->learnProgress(write.JobId, write.Progress, revision);
       },
       [this] {
         logEvent(Event::LeaderLost, {{"why", "another entry leads"}});
@@ -371,6 +398,43 @@
       });
 }
 
+bool JobEntry::askLeader(const jobs::CallRequest &call,
+                         const jobs::OnLeaderAnswer &done) {
+  if (Leader.Epoch == 0 || Leader.Mine || Loop.now() < LeaderSilentUntil)
+    return false;
+  Peers.Call(Leader.Address, jobs::toMessage(call, Loop.now()), LeaderAnswerMs,
+             [this, alive = Alive, done](const std::optional<Message> &reply) {
+               if (!*alive)
+                 return;
+               if (!reply)
+                 LeaderSilentUntil = Loop.now() + LeaderSilentFor;
+               const auto *answer =
+                   reply ? std::get_if<endpoints::ForwardedAnswer>(&*reply)
+                         : nullptr;
+               if (answer != nullptr)
+                 done(jobs::toAnswer(*answer));
+               else
+                 done(std::nullopt);
+             });
+  return true;
+}
+
+// Each agent is told of other ones, so that they don't all turn to the same
+// entries when the leader is lost.
+std::vector<std::string>
+JobEntry::entriesToldTo(const std::string &agent) const {
+  std::vector<std::string> all;
+  for (const auto &[key, address] : EntryAddresses)
+    all.push_back(address);
+  if (all.size() <= EntriesTold)
+    return all;
+  const size_t first = std::hash<std::string>()(agent) % all.size();
+  std::rotate(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(first),
+              all.end());
+  all.resize(EntriesTold);
+  return all;
+}
+
 // Served as if its caller had come here, but never handed on again.
 void JobEntry::onForwarded(const endpoints::ForwardedCall &call,
                            const endpoints::Peers::Respond &respond) {
@@ -389,28 +453,6 @@
       });
 }
 
-void JobEntry::onEnding(const std::string &jobId) {
-  Desk->expectEnd(jobId);
-  for (const auto &[key, address] : EntryAddresses)
-    if (address != Peers.Address)
-      Peers.Call(address, endpoints::JobEnding{jobId}, PeerTimeoutMs,
-                 [](const std::optional<Message> &) {});
-}
-
-// Watches bring the same, but may be silent for seconds while the store drops
-// its history: jobs that were over were shown as running for so long, also by
-// the entry that had recorded their ends.
-void JobEntry::onRecorded(platform::KeyValue item, bool over) {
-  if (over)
-    for (const auto &[key, address] : EntryAddresses)
-      if (address != Peers.Address)
-        Peers.Call(
-            address,
-            endpoints::JobWritten{item.Key, item.Value, item.ModRevision},
-            PeerTimeoutMs, [](const std::optional<Message> &) {});
-  View->learn(std::move(item));
-}
-
 endpoints::Ack JobEntry::onStandDown(const endpoints::StandDown &down) {
   if (!Duty)
     return {};
@@ -433,8 +475,7 @@
       ack.Leader = Leader.Address;
       ack.LeaderEpoch = Leader.Epoch;
     }
-    for (const auto &[key, address] : EntryAddresses)
-      ack.Entries.push_back(address);
+    ack.Entries = entriesToldTo(report->Agent);
     return ack;
   }
   if (const auto *written = std::get_if<endpoints::JobWritten>(&message)) {
@@ -443,10 +484,6 @@
   }
   if (const auto *down = std::get_if<endpoints::StandDown>(&message))
     return onStandDown(*down);
-  if (const auto *ending = std::get_if<endpoints::JobEnding>(&message)) {
-    Desk->expectEnd(ending->Job);
-    return endpoints::Ack{};
-  }
   return endpoints::Ack{false, "this entry does not take that message"};
 }
 
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -71,16 +71,16 @@
   void beginDuty();
   endpoints::Ack onStandDown(const endpoints::StandDown &down);
   void onWritten(const platform::KeyValue &item);
-  void onEnding(const std::string &jobId);
-  void onRecorded(platform::KeyValue item, bool over);
   std::vector<std::string> otherEntries() const;
+  std::vector<std::string> entriesToldTo(const std::string &agent) const;
+  bool askLeader(const jobs::CallRequest &call,
+                 const jobs::OnLeaderAnswer &done);
   bool forward(const jobs::CallRequest &call, const jobs::OnForwarded &done);
   void onForwarded(const endpoints::ForwardedCall &call,
                    const endpoints::Peers::Respond &respond);
   void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
   void storeTrouble(const char *what, platform::StoreStatus status,
                     const std::string &why);
-  void refreshEntries();
 
   utils::EventLoop &Loop;
   const endpoints::Peers Peers;
@@ -91,6 +91,7 @@
   platform::StoreHealth Health;
   const platform::Store Calls;
   platform::Leadership Leader;
+  absl::Time LeaderSilentUntil = absl::InfinitePast();
   bool Stopping = false;
   /// Addresses of the entries that are registered, by their keys.
   std::map<std::string, std::string> EntryAddresses;
--- a/src/libs/entry/leaderduty.cpp
+++ b/src/libs/entry/leaderduty.cpp
@@ -196,9 +196,8 @@
 void LeaderDuty::onWritten(const std::vector<ProgressWrite> &batch,
                            int64_t revision) {
   for (const ProgressWrite &one : batch) {
-    Scheduler.onWritten(one.JobId, one.Version, revision, Loop.now());
-    Recorded({jobs::progressKey(one.JobId), one.Value, revision, revision, 0},
-             one.Over);
+    Scheduler.onWritten(one.JobId, one.Progress.Version, revision, Loop.now());
+    Recorded(one, revision);
   }
 }
 
--- a/src/libs/entry/leaderduty.h
+++ b/src/libs/entry/leaderduty.h
@@ -49,8 +49,9 @@
   using OnDeposed = std::function<void()>;
   /// A job has ended; it is shown once that is recorded.
   using OnEnding = std::function<void(const std::string &jobId)>;
-  /// A job's progress was recorded; over: with its end.
-  using OnRecorded = std::function<void(platform::KeyValue, bool over)>;
+  /// A job's progress was recorded at revision.
+  using OnRecorded =
+      std::function<void(const jobs::ProgressWrite &, int64_t revision)>;
   /// When the store last confirmed that this entry leads.
   using Confirmed = std::function<absl::Time()>;
 
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -59,10 +59,12 @@
 JobDesk::JobDesk(utils::EventLoop &loop, const platform::Store &store,
                  JobView &view, operators::ConfigFollower &config,
                  DeskPolicy policy, StoreAway storeAway, Forward forward,
-                 OnWritten onWritten, OnDecision onDecision)
+                 AskLeader askLeader, OnWritten onWritten,
+                 OnDecision onDecision)
     : Loop(loop), Calls(store), View(view), Config(config), Policy(policy),
       AwaySince(std::move(storeAway)), HandOver(std::move(forward)),
-      Written(std::move(onWritten)), Decided(std::move(onDecision)) {}
+      LeadersView(std::move(askLeader)), Written(std::move(onWritten)),
+      Decided(std::move(onDecision)) {}
 
 JobDesk::~JobDesk() { *Alive = false; }
 
@@ -380,11 +382,11 @@
     finish(call, CallResult::UnknownJob, "no such job");
     return;
   }
-  if (job.shown() != JobState::Running) {
+  if (isFinal(job.shown())) {
     finish(call, CallResult::Ok);
     return;
   }
-  if (waitForEnd(call))
+  if (askLeader(call) || waitForEnd(call))
     return;
   Loop.runAfter(Policy.NewsOnItsWay, [this, alive = Alive, call] {
     if (*alive && !waitForEnd(call))
@@ -392,6 +394,31 @@
   });
 }
 
+// The leader knows of an end before anyone, and while it is being recorded.
+bool JobDesk::askLeader(const CallPtr &call) {
+  if (call->Foreign)
+    return false;
+  return LeadersView(
+      {call->Name, call->Access, call->JobId, call->Spec},
+      [this, alive = Alive, call](const std::optional<CallAnswer> &answer) {
+        if (*alive)
+          onLeaderAnswer(call, answer);
+      });
+}
+
+void JobDesk::onLeaderAnswer(const CallPtr &call,
+                             const std::optional<CallAnswer> &answer) {
+  const StoredJob *job = View.find(call->JobId);
+  const bool over = job != nullptr && isFinal(job->shown());
+  if (over || !answer || answer->Result != CallResult::Ok) {
+    finish(call, CallResult::Ok);
+    return;
+  }
+  CallAnswer told = *answer;
+  told.Detail = "as the leader shows it";
+  deliver(call, std::move(told));
+}
+
 // True when the call is answered once the end is recorded, or patience is over.
 bool JobDesk::waitForEnd(const CallPtr &call) {
   const StoredJob *job = View.find(call->JobId);
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -70,6 +70,10 @@
 using OnForwarded =
     std::function<void(const std::optional<CallAnswer> &, bool mayBeDone)>;
 
+/// What the leader answered a state call, or nothing when it did not.
+using OnLeaderAnswer =
+    std::function<void(const std::optional<CallAnswer> &answer)>;
+
 /// Serves callers at one entry: accepts jobs into the store, cancels them, and
 /// tells their state. Whatever it confirms is in the store. Owned by one event
 /// loop.
@@ -84,11 +88,15 @@
   using StoreAway = std::function<absl::Time()>;
   /// Hands a call to another entry; false when there is none to ask.
   using Forward = std::function<bool(const CallRequest &, const OnForwarded &)>;
+  /// Asks the leader for a job's state; false at the leader itself and where
+  /// none is known.
+  using AskLeader =
+      std::function<bool(const CallRequest &, const OnLeaderAnswer &)>;
 
   JobDesk(utils::EventLoop &loop, const platform::Store &store, JobView &view,
           operators::ConfigFollower &config, DeskPolicy policy,
-          StoreAway storeAway, Forward forward, OnWritten onWritten,
-          OnDecision onDecision);
+          StoreAway storeAway, Forward forward, AskLeader askLeader,
+          OnWritten onWritten, OnDecision onDecision);
   ~JobDesk();
   JobDesk(const JobDesk &) = delete;
   JobDesk &operator=(const JobDesk &) = delete;
@@ -140,6 +148,9 @@
   void writeCancel(const CallPtr &call, JobRecord record, int64_t revision);
   bool mayTouch(const CallPtr &call, const JobRecord &record) const;
   void answerState(const CallPtr &call, const StoredJob &job);
+  bool askLeader(const CallPtr &call);
+  void onLeaderAnswer(const CallPtr &call,
+                      const std::optional<CallAnswer> &answer);
   bool waitForEnd(const CallPtr &call);
 
   utils::EventLoop &Loop;
@@ -149,6 +160,7 @@
   const DeskPolicy Policy;
   const StoreAway AwaySince;
   const Forward HandOver;
+  const AskLeader LeadersView;
   const OnWritten Written;
   const OnDecision Decided;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -250,8 +250,9 @@
           tasks.push_back(t.Progress);
       }
     }
-    writes.push_back({id, job.RecordRevision, job.ProgressRevision, job.Version,
-                      encode(progress), job.over()});
+    std::string value = encode(progress);
+    writes.push_back({id, job.RecordRevision, job.ProgressRevision,
+                      std::move(progress), std::move(value)});
   }
   return writes;
 }
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -69,10 +69,9 @@
   std::string JobId;
   int64_t RecordRevision = 0;
   int64_t ProgressRevision = 0;
-  int64_t Version = 0;
+  JobProgress Progress;
+  /// Progress as it is written.
   std::string Value;
-  /// The job is over.
-  bool Over = false;
 };
 
 /// A figure that a decision went by, for the log.
--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -35,6 +35,21 @@
       }));
 }
 
+void JobView::learnProgress(const std::string &jobId, JobProgress progress,
+                            int64_t revision) {
+  if (Follower.noteKnown(progressKey(jobId), revision))
+    takeProgress(jobId, std::move(progress), revision);
+}
+
+void JobView::takeProgress(const std::string &jobId, JobProgress progress,
+                           int64_t revision) {
+  StoredJob &job = Jobs[jobId];
+  job.Progress = std::move(progress);
+  job.ProgressRevision = revision;
+  if (isFinal(job.Progress.State))
+    Ended(jobId);
+}
+
 void JobView::onChange(const platform::StoreEvent &event) {
   std::string id;
   bool progress = false;
@@ -49,11 +64,7 @@
       [&]() -> utils::Result<bool> {
         if (progress) {
           BOOST_LEAF_AUTO(read, decodeProgress(event.Item.Value));
-          StoredJob &job = Jobs[id];
-          job.Progress = std::move(read);
-          job.ProgressRevision = event.Item.ModRevision;
-          if (isFinal(job.Progress.State))
-            Ended(id);
+          takeProgress(id, std::move(read), event.Item.ModRevision);
           return true;
         }
         BOOST_LEAF_AUTO(read, decodeRecord(event.Item.Value));
--- a/src/libs/jobs/jobview.h
+++ b/src/libs/jobs/jobview.h
@@ -50,6 +50,9 @@
   void readAgain() { Follower.readAgain(); }
   /// Takes a job's key as it was just written or read.
   void learn(platform::KeyValue item) { Follower.learn(std::move(item)); }
+  /// Takes a job's progress as this process has just written it.
+  void learnProgress(const std::string &jobId, JobProgress progress,
+                     int64_t revision);
 
   bool complete() const { return Complete; }
   const StoredJob *find(const std::string &jobId) const;
@@ -59,6 +62,8 @@
 
 private:
   void onChange(const platform::StoreEvent &event);
+  void takeProgress(const std::string &jobId, JobProgress progress,
+                    int64_t revision);
 
   const OnRecord RecordChanged;
   const OnRemoved Removed;
--- a/src/libs/platform/prefixfollower.cpp
+++ b/src/libs/platform/prefixfollower.cpp
@@ -77,19 +77,26 @@
 }
 
 void PrefixFollower::apply(const StoreEvent &event) {
-  const auto it = Known.find(event.Item.Key);
-  if (it != Known.end() && it->second >= event.Item.ModRevision)
+  if (!event.Deleted) {
+    if (noteKnown(event.Item.Key, event.Item.ModRevision))
+      Changed(event);
     return;
-  if (event.Deleted) {
-    if (it == Known.end())
-      return;
-    Known.erase(it);
-  } else {
-    Known[event.Item.Key] = event.Item.ModRevision;
   }
+  const auto it = Known.find(event.Item.Key);
+  if (it == Known.end() || it->second >= event.Item.ModRevision)
+    return;
+  Known.erase(it);
   Changed(event);
 }
 
+bool PrefixFollower::noteKnown(const std::string &key, int64_t revision) {
+  const auto [it, added] = Known.emplace(key, revision);
+  if (!added && it->second >= revision)
+    return false;
+  it->second = revision;
+  return true;
+}
+
 void PrefixFollower::learn(KeyValue item) { apply({std::move(item), false}); }
 
 void PrefixFollower::watch(uint64_t round) {
@@ -112,11 +119,35 @@
     return;
   }
   Pause = Timing.FirstPause;
-  for (const StoreEvent &event : reply.Value.Events)
-    apply(event);
+  // Only the newest change of a key is of use: reading a record takes longer
+  // than all else here, and one is written many times a second.
+  const std::vector<StoreEvent> &events = reply.Value.Events;
+  absl::flat_hash_map<std::string, size_t> newest;
+  for (size_t i = 0; i < events.size(); ++i)
+    newest[events[i].Item.Key] = i;
+  for (size_t i = 0; i < events.size(); ++i)
+    if (newest[events[i].Item.Key] == i)
+      apply(events[i]);
   Seen = std::max(Seen, reply.Value.Revision);
-  if (*Round == round)
+  if (*Round != round)
+    return;
+  if (events.empty())
     watch(round);
+  else
+    watchAfterRest(round);
+}
+
+void PrefixFollower::watchAfterRest(uint64_t round) {
+  const absl::Duration rest =
+      Timing.RestAfterNews ? Timing.RestAfterNews() : absl::ZeroDuration();
+  if (rest <= absl::ZeroDuration()) {
+    watch(round);
+    return;
+  }
+  Loop.runAfter(rest, [this, alive = Round, round] {
+    if (*alive == round)
+      watch(round);
+  });
 }
 
 void PrefixFollower::retry(uint64_t round, std::function<void()> step) {
--- a/src/libs/platform/prefixfollower.h
+++ b/src/libs/platform/prefixfollower.h
@@ -22,6 +22,11 @@
   /// Pause after the first failed call; doubles up to LongestPause.
   absl::Duration FirstPause = absl::Milliseconds(100);
   absl::Duration LongestPause = absl::Seconds(1);
+  /// How long to wait after news before the next watch, so that changes which
+  /// come close together are fetched with one call. Each change wakes every
+  /// process that watches: without a rest the calls grow with the processes
+  /// times the changes. Empty: no rest.
+  std::function<absl::Duration()> RestAfterNews = {};
 };
 
 /// Keeps a view of all keys under a prefix: reads them, then watches for
@@ -51,6 +56,9 @@
   /// Takes a key as another call returned or wrote it, without waiting for the
   /// watch to tell. Only its key, value, revision and lease need be set.
   void learn(KeyValue item);
+  /// The caller holds key as of revision already: it is not reported again.
+  /// False when a newer one was reported.
+  bool noteKnown(const std::string &key, int64_t revision);
   /// The store's revision up to which changes were reported.
   int64_t revision() const { return Seen; }
 
@@ -59,6 +67,7 @@
   void onPage(uint64_t round, const StoreReply<StorePage> &reply);
   void finishReading(uint64_t round);
   void watch(uint64_t round);
+  void watchAfterRest(uint64_t round);
   void onEvents(uint64_t round, const StoreReply<StoreEvents> &reply);
   void retry(uint64_t round, std::function<void()> step);
   void apply(const StoreEvent &event);
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -118,6 +118,29 @@
   }
 }
 
+// Many entries, hundreds of records written a second. The store was called two
+// thousand times a second, as each write woke each entry. What an entry that
+// only serves callers asks of the store must not grow with the jobs.
+TEST(Cluster, CallsOfEntriesThatDoNotLeadDoNotGrowWithTheJobs) {
+  constexpr int Seconds = 4;
+  // Two resting views, one confirmed configuration, one lease and idle watches.
+  constexpr int MostCallsAnEntrySecond = 12;
+  std::map<int, int> callsAtSize;
+  for (int entries : {2, 12}) {
+    auto cluster = serving({entries, 6, 3, 1});
+    const int leader = cluster->leader();
+    const int before = cluster->store().calls();
+    for (int n = 0; n < 20 * Seconds; ++n) {
+      cluster->submit(leader, "k1", job("j" + std::to_string(n), 10, 0, 200));
+      cluster->runFor(absl::Milliseconds(50));
+    }
+    callsAtSize[entries] = cluster->store().calls() - before;
+  }
+  const int others = 12 - 2;
+  EXPECT_LE(callsAtSize[12] - callsAtSize[2],
+            others * Seconds * MostCallsAnEntrySecond);
+}
+
 struct AwayCase {
   const char *Name;
   std::function<void(MemoryStore::Faults &)> Strike;
--- /dev/null
+++ b/tests/auto/cluster/tst_prefixfollower.cpp
@@ -0,0 +1,71 @@
+#include "memorystore.h"
+
+#include "platform/prefixfollower.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace oriolebay::cluster {
+namespace {
+
+struct RestCase {
+  const char *Name;
+  absl::Duration Rest;
+  /// Of 200 writes within a second.
+  int MostCalls;
+  int MostReports;
+};
+
+std::ostream &operator<<(std::ostream &out, const RestCase &c) {
+  return out << c.Name;
+}
+
+class FollowerRests : public ::testing::TestWithParam<RestCase> {};
+
+// A job's record is written many times a second, and each write wakes every
+// entry's watch. With 55 entries the store was called two thousand times a
+// second, and entries that had nothing else to do read each version of each
+// record. The load: two keys that change every 10 ms for a second.
+TEST_P(FollowerRests, ManyChangesTakeFewCallsAndTheNewestIsReported) {
+  utils::EventLoop loop(100, utils::EventLoop::Time::Manual);
+  MemoryStore store(loop, 1);
+  const platform::Store client = store.clientOf("entry");
+  platform::FollowTiming timing;
+  timing.RestAfterNews = [] { return GetParam().Rest; };
+  std::vector<std::string> reported;
+  platform::PrefixFollower follower(
+      loop, client, "jobs/", timing,
+      [&](const platform::StoreEvent &e) {
+        reported.push_back(e.Item.Key + "=" + e.Item.Value);
+      },
+      [](int64_t) {},
+      [](platform::StoreStatus, const std::string &why) {
+        ADD_FAILURE() << why;
+      });
+  follower.start();
+  loop.advance(absl::Milliseconds(100));
+  const int before = store.calls();
+  for (int n = 1; n <= 100; ++n) {
+    store.put("jobs/a", std::to_string(n));
+    store.put("jobs/b", std::to_string(n));
+    loop.advance(absl::Milliseconds(10));
+  }
+  loop.advance(absl::Seconds(1));
+  EXPECT_LE(store.calls() - before, GetParam().MostCalls);
+  EXPECT_LE(static_cast<int>(reported.size()), GetParam().MostReports);
+  ASSERT_GE(reported.size(), 2u);
+  EXPECT_EQ(reported[reported.size() - 2], "jobs/a=100");
+  EXPECT_EQ(reported.back(), "jobs/b=100");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, FollowerRests,
+    ::testing::Values(RestCase{"half_a_second", absl::Milliseconds(500), 5, 10},
+                      RestCase{"a_tenth", absl::Milliseconds(100), 15, 30},
+                      RestCase{"none", absl::ZeroDuration(), 202, 400}),
+    [](const auto &info) { return info.param.Name; });
+
+} // namespace
+} // namespace oriolebay::cluster
--- a/tests/bench/jobsbench/siteload.h
+++ b/tests/bench/jobsbench/siteload.h
@@ -25,6 +25,10 @@
   /// ones never are.
   bool Gangs = true;
   double SameRackShare = 0.6;
+  /// A step that takes more accelerators than this is never a gang, or never a
+  /// gang on one rack.
+  int64_t WidestGang = 12;
+  int64_t WidestSameRack = 12;
   /// So many of its jobs have a second step behind the first.
   double SecondStepShare = 0;
   double CheckpointShare = 0.45;
@@ -44,6 +48,8 @@
   /// Workers of each rack: three to a rack in each of three halls, so that
   /// halls of four have a rack of one.
   std::vector<int> Racks = {3, 1, 3, 1, 3};
+  int Domains = 3;
+  int Organisations = 4;
   core::Resources Worker;
   std::vector<JobKind> Kinds;
   /// How long a stop was seen to take there.
@@ -75,6 +81,9 @@
 
 SiteLoad brno();
 SiteLoad pennington();
+/// Hundreds of workers in five halls: urgent gangs of many whole workers beside
+/// wide batch gangs and hundreds of single accelerators.
+SiteLoad halls();
 
 /// What a day came to.
 struct DayResult {
