Like times once a step, task names without sscanf

Change: std::from_chars; the times of a step's tasks are sorted once a tick. The simulated site lists gangs once a step, and its timers can run as seldom as an entry's.

--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -3,7 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
-#include <cstdio>
+#include <charconv>
 
 namespace oriolebay::core {
 
@@ -120,12 +120,19 @@
   const size_t dot = name.find('.');
   if (dot == std::string::npos || dot == 0)
     return false;
-  int n = 0;
-  const int fields = std::sscanf(name.c_str() + dot, ".%d.%d.%d%n",
-                                 &task.Occurrence, &task.Step, &task.Index, &n);
-  if (fields != 3 || dot + static_cast<size_t>(n) != name.size())
+  const char *at = name.data() + dot;
+  const char *const end = name.data() + name.size();
+  for (int *number : {&task.Occurrence, &task.Step, &task.Index}) {
+    if (at == end || *at != '.')
+      return false;
+    const auto [behind, ec] = std::from_chars(at + 1, end, *number);
+    if (ec != std::errc())
+      return false;
+    at = behind;
+  }
+  if (at != end)
     return false;
-  task.Job = name.substr(0, dot);
+  task.Job.assign(name, 0, dot);
   return true;
 }
 
--- a/src/libs/jobs/runjudge.cpp
+++ b/src/libs/jobs/runjudge.cpp
@@ -22,24 +22,35 @@
 } // namespace
 
 void RunJudge::judge() {
-  for (auto &entry : S.Jobs) {
-    Job &job = entry.second;
+  for (auto &[jobId, job] : S.Jobs) {
     if (job.over())
       continue;
-    S.forEachTask(job, [&](const TaskId &id, Task &task) {
-      if (task.What == JobScheduler::Phase::Running && !task.StopAsked &&
-          !task.Progress.Done)
-        judgeRun(job, id, task);
-    });
+    for (auto &[number, steps] : job.Occurrences)
+      for (size_t s = 0; s < steps.size(); ++s)
+        judgeStep(job, {jobId, number, static_cast<int>(s), 0});
   }
 }
 
-void RunJudge::judgeRun(Job &job, const TaskId &id, Task &task) {
+void RunJudge::judgeStep(Job &job, const TaskId &first) {
+  LikeTimes like;
+  TaskId id = first;
+  Step &step = job.stepOf(id);
+  for (size_t i = 0; i < step.size(); ++i) {
+    id.Index = static_cast<int>(i);
+    Task &task = step[i];
+    if (task.What == JobScheduler::Phase::Running && !task.StopAsked &&
+        !task.Progress.Done)
+      judgeRun(job, id, task, like);
+  }
+}
+
+void RunJudge::judgeRun(Job &job, const TaskId &id, Task &task,
+                        LikeTimes &like) {
   if (mustLeave(job, id, task)) {
     evacuate(job, id, task);
   } else if (standsStill(job, id, task)) {
     moveFromSlow(job, id, task, "stands still");
-  } else if (crawls(job, id, task)) {
+  } else if (crawls(job, id, task, like)) {
     ++task.Moves;
     moveFromSlow(job, id, task, "crawls");
   }
@@ -83,39 +94,52 @@
          Now - task.Began > S.Policy.GangWait + S.Policy.Progress.StalledAfter;
 }
 
-// How long the task takes where all is well: as the middle one of its like in
-// the same step. Nothing when it has none that is far enough.
-std::optional<absl::Duration> RunJudge::soundTime(const Job &job,
-                                                  const TaskId &id) const {
-  const Step &step = job.stepOf(id);
-  std::vector<absl::Duration> others;
+// How long each task of the step takes, as far as that shows. Once a step: to
+// look at all others for each task takes the square of a wide step's tasks.
+void RunJudge::findLikeTimes(const Job &job, const TaskId &first,
+                             LikeTimes &like) const {
+  like.Known = true;
+  const Step &step = job.stepOf(first);
+  TaskId id = first;
   for (size_t i = 0; i < step.size(); ++i) {
-    if (static_cast<int>(i) == id.Index)
-      continue;
-    const Task &other = step[i];
-    const TaskId otherId{id.Job, id.Occurrence, id.Step, static_cast<int>(i)};
+    const Task &task = step[i];
+    id.Index = static_cast<int>(i);
     absl::Duration takes = absl::InfiniteDuration();
-    if (other.Took > absl::ZeroDuration())
-      takes = other.Took;
-    else if (other.What == JobScheduler::Phase::Running)
+    if (task.Took > absl::ZeroDuration())
+      takes = task.Took;
+    else if (task.What == JobScheduler::Phase::Running)
       if (const auto whole =
-              S.Progress.whole({core::taskName(otherId), other.Progress.Run}))
+              S.Progress.whole({core::taskName(id), task.Progress.Run}))
         takes = whole->AtMost;
+    like.ByIndex.push_back(takes);
     if (takes != absl::InfiniteDuration())
-      others.push_back(takes);
+      like.Sorted.push_back(takes);
   }
-  if (others.empty())
+  std::sort(like.Sorted.begin(), like.Sorted.end());
+}
+
+// How long the task takes where all is well: as the middle one of its like in
+// the same step. Nothing when it has none that is far enough.
+std::optional<absl::Duration> RunJudge::soundTime(const Job &job,
+                                                  const TaskId &id,
+                                                  LikeTimes &like) const {
+  if (!like.Known)
+    findLikeTimes(job, id, like);
+  const std::vector<absl::Duration> &all = like.Sorted;
+  const absl::Duration own = like.ByIndex[static_cast<size_t>(id.Index)];
+  const bool counted = own != absl::InfiniteDuration();
+  const size_t others = all.size() - (counted ? 1 : 0);
+  if (others == 0)
     return std::nullopt;
-  const auto middle =
-      others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
-  std::nth_element(others.begin(), middle, others.end());
-  return *middle;
+  const size_t middle = others / 2;
+  // The task itself does not count: from its place on the rest moves up.
+  return counted && own <= all[middle] ? all[middle + 1] : all[middle];
 }
 
 // Whether a run gets on so slowly that all of it would be done sooner anew at
 // a sound worker.
-bool RunJudge::crawls(const Job &job, const TaskId &id,
-                      const Task &task) const {
+bool RunJudge::crawls(const Job &job, const TaskId &id, const Task &task,
+                      LikeTimes &like) const {
   if (task.Moves >= S.Policy.MostMoves)
     return false;
   const auto whole = S.Progress.whole({core::taskName(id), task.Progress.Run});
@@ -127,9 +151,9 @@
   const std::string &queue = job.Record.Spec.Queue;
   absl::Duration sound = S.Estimates.expected(queue, estimate);
   bool slow = false;
-  if (const auto like = soundTime(job, id)) {
-    slow = takes > *like * S.Policy.Progress.SlowFactor;
-    sound = *like;
+  if (const auto middle = soundTime(job, id, like)) {
+    slow = takes > *middle * S.Policy.Progress.SlowFactor;
+    sound = *middle;
   } else if (const auto most = S.Estimates.slowBeyond(queue, estimate)) {
     slow = takes > *most;
   }
--- a/src/libs/jobs/runjudge.h
+++ b/src/libs/jobs/runjudge.h
@@ -29,13 +29,27 @@
   using Step = JobScheduler::Step;
   using Task = JobScheduler::Task;
 
-  void judgeRun(Job &job, const core::TaskId &id, Task &task);
+  /// How long the tasks of one step take.
+  struct LikeTimes {
+    bool Known = false;
+    /// Infinite where it does not show yet.
+    std::vector<absl::Duration> ByIndex;
+    /// Those that show.
+    std::vector<absl::Duration> Sorted;
+  };
+
+  void judgeStep(Job &job, const core::TaskId &first);
+  void judgeRun(Job &job, const core::TaskId &id, Task &task, LikeTimes &like);
   bool standsStill(const Job &job, const core::TaskId &id,
                    const Task &task) const;
   static bool behindItsGang(const Step &step, const Task &task);
-  bool crawls(const Job &job, const core::TaskId &id, const Task &task) const;
+  bool crawls(const Job &job, const core::TaskId &id, const Task &task,
+              LikeTimes &like) const;
+  void findLikeTimes(const Job &job, const core::TaskId &first,
+                     LikeTimes &like) const;
   std::optional<absl::Duration> soundTime(const Job &job,
-                                          const core::TaskId &id) const;
+                                          const core::TaskId &id,
+                                          LikeTimes &like) const;
   bool mustLeave(const Job &job, const core::TaskId &id,
                  const Task &task) const;
   void restart(Job &job, const core::TaskId &id, Task &task,
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -147,27 +147,31 @@
   return Jobs.at(id.Job).Record.Spec.Steps.at(static_cast<size_t>(id.Step));
 }
 
-bool SimSite::gangPresent(const TaskId &id, int64_t run) const {
-  int present = 0;
+SimSite::GangKey SimSite::gangKey(const TaskId &id, int64_t run) {
+  return {id.Job, id.Occurrence, id.Step, run};
+}
+
+void SimSite::listGangs() {
+  Gangs.clear();
   for (const auto &[life, worker] : Workers)
-    for (const auto &[key, state] : worker.Runs) {
-      const TaskId other = idOf(key.Task);
-      if (other.Job == id.Job && other.Occurrence == id.Occurrence &&
-          other.Step == id.Step && key.Run == run)
-        ++present;
+    for (const auto &[key, run] : worker.Runs) {
+      const TaskId id = idOf(key.Task);
+      if (!specOf(id).Gang)
+        continue;
+      GangRun &gang = Gangs[gangKey(id, key.Run)];
+      ++gang.Present;
+      gang.Racks.insert(worker.State.Rack);
     }
-  return present == specOf(id).Count;
+}
+
+bool SimSite::gangPresent(const TaskId &id, int64_t run) const {
+  auto it = Gangs.find(gangKey(id, run));
+  return it != Gangs.end() && it->second.Present == specOf(id).Count;
 }
 
 bool SimSite::gangSpread(const TaskId &id, int64_t run) const {
-  std::set<std::string> racks;
-  for (const auto &[life, worker] : Workers)
-    for (const auto &[key, state] : worker.Runs) {
-      const TaskId other = idOf(key.Task);
-      if (other.Job == id.Job && other.Step == id.Step && key.Run == run)
-        racks.insert(worker.State.Rack);
-    }
-  return racks.size() > 1;
+  auto it = Gangs.find(gangKey(id, run));
+  return it != Gangs.end() && it->second.Racks.size() > 1;
 }
 
 // A stop saves all; otherwise what the last checkpoint holds.
@@ -200,6 +204,7 @@
                               : ""});
   if (!specOf(id).Gang)
     return;
+  Gangs.erase(gangKey(id, run.Run));
   const RunEnd others = how == RunEnd::Done ? RunEnd::Done : RunEnd::Broken;
   for (auto &[life, w] : Workers) {
     std::vector<RunId> members;
@@ -394,8 +399,9 @@
 
 void SimSite::step() {
   Now += absl::Milliseconds(StepMs);
-  const bool beat =
-      absl::ToInt64Milliseconds(Now - absl::UnixEpoch()) % ReportEveryMs == 0;
+  const int64_t ms = absl::ToInt64Milliseconds(Now - absl::UnixEpoch());
+  listGangs();
+  const bool beat = ms % ReportEveryMs == 0;
   std::vector<std::string> lives;
   for (const auto &[life, worker] : Workers)
     lives.push_back(life);
@@ -407,7 +413,8 @@
   for (auto &[life, worker] : Workers)
     if (beat || !worker.Ended.empty())
       report(worker);
-  Scheduler->tick(Now);
+  if (ms % TickEveryMs == 0)
+    Scheduler->tick(Now);
   pump();
 }
 
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace oriolebay::jobs {
@@ -103,6 +104,8 @@
 
   static constexpr int StepMs = 10;
   static constexpr int ReportEveryMs = 500;
+  /// How often the scheduler's timers are served.
+  int TickEveryMs = StepMs;
   /// How long a stop takes.
   absl::Duration StopTakes = absl::Milliseconds(200);
   /// Where it differs from task to task.
@@ -121,6 +124,15 @@
     std::optional<absl::Time> Over;
   };
 
+  /// Members of a gang's run that are there, as of this step.
+  struct GangRun {
+    int Present = 0;
+    std::set<std::string> Racks;
+  };
+  using GangKey = std::tuple<std::string, int, int, int64_t>;
+
+  static GangKey gangKey(const core::TaskId &id, int64_t run);
+  void listGangs();
   void step();
   void pump();
   void work(Worker &worker);
@@ -146,6 +158,7 @@
   std::map<std::string, Worker> Workers;
   std::map<std::string, Stored> Jobs;
   std::set<std::string> DoneTasks;
+  std::map<GangKey, GangRun> Gangs;
   double Wasted = 0;
   int Starts = 0;
   std::vector<std::string> Violations;
--- a/tests/bench/jobsbench/siteload.cpp
+++ b/tests/bench/jobsbench/siteload.cpp
@@ -16,6 +16,8 @@
 /// Credit is also taken by windows of so many seconds.
 constexpr int WindowS = 2;
 constexpr int WorstWindows = 2;
+/// As the leading entry does it.
+constexpr int TickEveryMs = 200;
 /// Cores that an accelerator weighs as.
 constexpr double CoresPerAccelerator = 8;
 /// Between the notice and the end of a worker that is taken away.
@@ -192,6 +194,7 @@
     Sim.configure(configOf(site));
     addWorkers();
     Sim.StopTakes = Site.StopTakes;
+    Sim.TickEveryMs = TickEveryMs;
     Sim.Work = [this](const core::TaskId &id, const core::StepSpec &) {
       return Jobs.at(id.Job)
           .Work.at(static_cast<size_t>(id.Step))
