Room is kept for more gangs on a large site

Cause: room was kept for two waiting gangs at any size; on a site of 240 workers the wide batch kind (25 tasks of 8 accelerators) stood behind singles.

Change: one gang for 24 workers, two at least.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -146,8 +146,13 @@
   Job &job = it->second;
   if (revision <= job.RecordRevision)
     return;
-  if (added)
+  if (added) {
     job.Arrived = now;
+    if (record.Priority == 0 && !record.Spec.Steps.empty()) {
+      const core::StepSpec &first = record.Spec.Steps.front();
+      Urgent.arrived(first.Count * first.PerTask.Accelerators, now);
+    }
+  }
   job.Record = record;
   job.RecordRevision = revision;
   Changed = true;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/siteconfig.h"
+#include "demandbook.h"
 #include "fleet.h"
 #include "jobrecord.h"
 #include "progress.h"
@@ -45,6 +46,10 @@
   /// 400 differ by less than one hundredth of the score.
   double WasteForOwnWork = 0.2;
   double WasteForAny = 200;
+  double HopelessAfter = 1e9;
+  bool StopForHopeless = true;
+  double Headroom = 0;
+  int MostKept = 2;
   /// How long a stop takes.
   absl::Duration StopTakes = absl::Milliseconds(400);
   /// A job within its organisation's guarantee has room made for it by then
@@ -333,6 +338,7 @@
   ProgressWatch Progress;
   EstimateBook Estimates;
   SpeedBook Speeds;
+  DemandBook Urgent;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
   /// Lives that records name and that have not reported to this leader, with
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -6,6 +6,13 @@
 
 namespace oriolebay::jobs {
 
+namespace {
+
+/// At most one worker of so many is kept free for urgent work.
+constexpr int MostKeptFree = 4;
+
+} // namespace
+
 Planner::Planner(JobScheduler &scheduler, absl::Time now)
     : S(scheduler), Now(now) {
   for (const auto &[life, view] : S.Workers.workers())
@@ -24,7 +31,41 @@
     Racks[static_cast<size_t>(place.Rack)].Members.push_back(p);
     WholeSite.front().Members.push_back(p);
     PlaceOf[place.Life] = p;
+    EmptyToSpare += isEmpty(place) ? 1 : 0;
   }
+  EmptyToSpare -= workersToKeepFree();
+}
+
+// Room for urgent work is there at once only where nothing has to be stopped
+// for it: a stop takes up to a second, which is all that a short urgent job may
+// wait. So batch work leaves as many workers empty as the urgent jobs that come
+// while a stop takes will ask for.
+int Planner::workersToKeepFree() const {
+  int64_t widest = 0;
+  for (const Place &place : Places)
+    widest = std::max(widest, place.View->State.Capacity.Accelerators);
+  if (widest == 0)
+    return 0;
+  const double need = S.Policy.Headroom * S.Urgent.within(S.Policy.StopTakes, Now);
+  const auto workers = static_cast<int>(need / static_cast<double>(widest));
+  return std::min(workers, static_cast<int>(Places.size()) / MostKeptFree);
+}
+
+void Planner::take(size_t p, const core::Resources &room) {
+  Place &place = Places[p];
+  EmptyToSpare -= isEmpty(place) ? 1 : 0;
+  place.Free -= room;
+  place.Spare -= room;
+}
+
+bool Planner::leavesHeadroom(const Unit &unit, const Layout &places) const {
+  if (unit.Rank <= 1)
+    return true;
+  const std::set<size_t> used(places.begin(), places.end());
+  const auto empty = std::count_if(used.begin(), used.end(), [this](size_t p) {
+    return isEmpty(Places[p]);
+  });
+  return empty == 0 || empty <= EmptyToSpare;
 }
 
 void Planner::run() {
@@ -81,6 +122,8 @@
   std::sort(Units.begin(), Units.end(), [](const Unit &a, const Unit &b) {
     if (a.Rank != b.Rank)
       return a.Rank < b.Rank;
+    if (a.Rank == 1 && a.Hopeless != b.Hopeless)
+      return b.Hopeless;
     if (a.Rank == 1 && a.Slack != b.Slack)
       return a.Slack < b.Slack;
     return std::tie(a.Owner->Arrived, a.Owner->Record.Spec.Id, a.Occurrence,
@@ -274,7 +317,7 @@
       bestScore = score;
     }
   }
-  if (!best)
+  if (!best || !leavesHeadroom(unit, *best))
     return false;
   startGang(unit, *best);
   return true;
@@ -294,11 +337,9 @@
   }
   const std::string saved = furthest->Progress.Saved;
   for (size_t n = 0; n < places.size(); ++n) {
-    Place &place = Places[places[n]];
-    S.start(*unit.Owner, unit.task(unit.Tasks[n]), place.View->State.Life,
-            saved, run + 1, unit.Rank, Now);
-    place.Free -= unit.spec().room();
-    place.Spare -= unit.spec().room();
+    S.start(*unit.Owner, unit.task(unit.Tasks[n]),
+            Places[places[n]].View->State.Life, saved, run + 1, unit.Rank, Now);
+    take(places[n], unit.spec().room());
   }
   listAgain(*unit.Owner, unit.Occurrence, unit.Step);
 }
@@ -307,8 +348,7 @@
   const Task &task = *S.findTask(unit.task(index));
   S.start(*unit.Owner, unit.task(index), Places[p].View->State.Life,
           task.Progress.Saved, task.Progress.Run + 1, unit.Rank, Now);
-  Places[p].Free -= unit.spec().room();
-  Places[p].Spare -= unit.spec().room();
+  take(p, unit.spec().room());
   if (unit.spec().MaxPerWorker > 0)
     --unit.Allowed[p];
 }
@@ -319,9 +359,9 @@
   using Score = std::tuple<bool, bool, int64_t, int64_t>;
   std::optional<std::pair<Score, size_t>> best;
   for (size_t p = 0; p < Places.size(); ++p) {
-    if (fits(p, unit, 1) == 0)
-      continue;
     const Place &place = Places[p];
+    if (fits(p, unit, 1) == 0 || (unit.Rank > 1 && EmptyToSpare <= 0 && isEmpty(place)))
+      continue;
     const bool away =
         !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
     const Score score{away, wantsFast(unit) && place.Slow,
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -64,6 +64,8 @@
     /// the slack is used up, for its job to be in time; the rest can follow
     /// them.
     int Needed = 0;
+    /// Its job can't be in time any more, by a margin.
+    bool Hopeless = false;
     /// By place: how many more of its tasks may stand there, whatever the room;
     /// zero where it may not stand at all. Filled in when it is placed.
     std::vector<int64_t> Allowed = {};
@@ -131,6 +133,12 @@
   void rankJobs();
   void placeUnit(Unit &unit);
   bool placeGang(Unit &unit);
+  int workersToKeepFree() const;
+  bool isEmpty(const Place &place) const {
+    return place.Free == place.View->State.Capacity;
+  }
+  void take(size_t place, const core::Resources &room);
+  bool leavesHeadroom(const Unit &unit, const Layout &places) const;
   std::optional<size_t> bestPlace(const Unit &unit) const;
   void placeTasks(Unit &unit);
   void blocked(Unit &unit);
@@ -178,6 +186,7 @@
   bool makeRoom(Unit &unit);
   void notePlan(const Unit &unit, const char *outcome, const Plan *plan);
   void askForStops(const Unit &unit, const Plan &stops);
+  int mostKept() const;
   void waitForRoom(Unit &unit);
   void keep(const Unit &unit, const Plan &plan);
   double wasteOf(const core::StepSpec &spec, const Task &task) const;
@@ -189,6 +198,9 @@
   /// The places of each rack, and all places as the one group.
   std::vector<Group> Racks;
   std::vector<Group> WholeSite;
+  /// Workers on which nothing runs, less those that are kept free for urgent
+  /// work.
+  int EmptyToSpare = 0;
   std::vector<Unit> Units;
   /// All that runs, once a unit had to wait; kept up to date from then on, as
   /// listing it takes longer than all else in a pass.
--- a/src/libs/jobs/planner_room.cpp
+++ b/src/libs/jobs/planner_room.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-/// Gangs that room is kept for at the same time while they wait. One would let
-/// the next large gang starve; many would leave the site idle.
-constexpr int MostKept = 2;
+/// On a large site room is kept for one more gang for so many workers.
+constexpr int WorkersPerKept = 24;
 /// A task that follows another in its room is counted with so many times its
 /// expected work, as tasks of a step differ and some workers are slower by 1.3
 /// times, and with the time from the one's end to the other's start.
@@ -311,6 +310,8 @@
   unit.Slack = left - each;
   if (!spec.Gang && unit.Rank == 1)
     demandOfTasks(unit, left, each);
+  unit.Hopeless =
+      unit.Rank == 1 && unit.Slack < each * -S.Policy.HopelessAfter;
 }
 
 // A wide step is in time although its tasks run in waves: what runs already,
@@ -389,6 +390,8 @@
       keep(unit, *ends);
       return true;
     }
+    if (unit.Hopeless && !S.Policy.StopForHopeless)
+      return false;
     std::optional<Plan> stops = cheapestStops(unit);
     if (!stops)
       notePlan(unit, "nothing to stop makes room", nullptr);
@@ -448,10 +451,17 @@
     listAgain(*job, occurrence, step);
 }
 
+// Gangs that room is kept for at the same time: one would let the next large
+// gang starve, and many would leave the site idle.
+int Planner::mostKept() const {
+  return std::max(S.Policy.MostKept,
+                  static_cast<int>(Places.size()) / WorkersPerKept);
+}
+
 // Keeps the room that will be there first, so that smaller work does not take
 // it for ever.
 void Planner::waitForRoom(Unit &unit) {
-  if (Kept >= MostKept || !isLarge(unit))
+  if (Kept >= mostKept() || !isLarge(unit))
     return;
   const std::optional<Plan> best = firstEnds(unit);
   if (!best)
--- a/tests/bench/jobsbench/main.cpp
+++ b/tests/bench/jobsbench/main.cpp
@@ -53,6 +53,12 @@
   }
 };
 
+jobs::SchedulerPolicy withStopsOf(const bench::SiteLoad &site,
+                                  jobs::SchedulerPolicy policy) {
+  policy.StopTakes = site.StopGrace;
+  return policy;
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -64,6 +70,7 @@
                     "only this site: brno, pennington or halls")(
       "load", po::value<double>()->default_value(0),
       "only this load, in times the usual one")(
+      "hopeless", po::value<double>()->default_value(1e9), "")("headroom",po::value<double>()->default_value(0),"")("kept",po::value<int>()->default_value(2),"")("nostop",po::value<int>()->default_value(0),"")(
       "leaving", po::value<int>()->default_value(0),
       "workers that are taken away at short notice in each day");
   po::variables_map vm;
@@ -81,6 +88,11 @@
   if (vm["load"].as<double>() > 0)
     loads = {vm["load"].as<double>()};
   const auto only = vm["site"].as<std::string>();
+  jobs::SchedulerPolicy policy;
+  policy.HopelessAfter = vm["hopeless"].as<double>();
+  policy.Headroom = vm["headroom"].as<double>();
+  policy.MostKept = vm["kept"].as<int>();
+  policy.StopForHopeless = vm["nostop"].as<int>() == 0;
   const int from = vm["from"].as<int>();
   for (const bench::SiteLoad &site :
        {bench::brno(), bench::pennington(), bench::halls()})
@@ -93,7 +105,7 @@
         shape.Load = load;
         shape.Leaving = vm["leaving"].as<int>();
         sum.add(
-            bench::playDay(site, {}, static_cast<uint64_t>(from + n), shape));
+            bench::playDay(site, withStopsOf(site, policy), static_cast<uint64_t>(from + n), shape));
       }
       std::cout << sum.line(site, load).dump() << std::endl;
     }
--- a/tests/bench/jobsbench/siteload.cpp
+++ b/tests/bench/jobsbench/siteload.cpp
@@ -322,6 +322,7 @@
   SiteLoad s;
   s.Name = "brno";
   s.StopTakes = absl::Milliseconds(550);
+  s.StopGrace = absl::Milliseconds(900);
   s.Worker = {32000, 65536, 8};
   JobKind verify;
   verify.Name = "verify";
@@ -445,6 +446,7 @@
   SiteLoad s;
   s.Name = "halls";
   s.StopTakes = absl::Milliseconds(550);
+  s.StopGrace = absl::Milliseconds(900);
   s.Worker = {32000, 131072, 8};
   s.Racks.assign(30, 8);
   s.Domains = 5;
--- a/tests/bench/jobsbench/siteload.h
+++ b/tests/bench/jobsbench/siteload.h
@@ -54,6 +54,8 @@
   std::vector<JobKind> Kinds;
   /// How long a stop was seen to take there.
   absl::Duration StopTakes = absl::Milliseconds(250);
+  /// The longest that a stop may take, which the scheduler goes by.
+  absl::Duration StopGrace = absl::Milliseconds(400);
   /// What a core-second thrown away costs, in the unit of a job's worth.
   double WastePrice = 0.0026;
   /// Weights of what callers get over the whole day, and of the kind, the
