A new leader stops nothing before it knows its workers; decisions are paced

Change: in its first second (two periods of reports) a leader plans no stops, unless a guarantee is at risk. After a pass the next one waits three times as long as that took (DecisionPacer).

--- a/src/libs/entry/leaderduty.cpp
+++ b/src/libs/entry/leaderduty.cpp
@@ -134,9 +134,17 @@
   });
 }
 
+void LeaderDuty::decide() {
+  const absl::Time began = Loop.now();
+  if (!Pacer.due(began))
+    return;
+  Scheduler.decide(began);
+  Pacer.decided(began, Loop.now());
+}
+
 void LeaderDuty::pump() {
   PumpQueued = false;
-  Scheduler.decide(Loop.now());
+  decide();
   writeProgress();
   sendOrders();
   for (const std::string &id : Scheduler.takeEnding())
--- a/src/libs/entry/leaderduty.h
+++ b/src/libs/entry/leaderduty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisionpacer.h"
 #include "endpoints/peers.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobview.h"
@@ -33,6 +34,8 @@
   /// Unconfirmed for so long, another entry may have taken the lead.
   absl::Duration DoubtfulAfter = absl::Seconds(2);
   absl::Duration TickEvery = absl::Milliseconds(200);
+  /// A quarter of the time at most goes to decisions: see DecisionPacer.
+  int RestAfterDeciding = 3;
   absl::Duration WriteRetry = absl::Milliseconds(100);
   int AgentTimeoutMs = 400;
 };
@@ -83,6 +86,7 @@
 private:
   void pumpSoon();
   void pump();
+  void decide();
   void tickLater();
   void sendOrders();
   void writeProgress();
@@ -113,6 +117,7 @@
   bool Entered = false;
   bool Begun = false;
   bool PumpQueued = false;
+  DecisionPacer Pacer{Options.RestAfterDeciding};
   bool Removing = false;
   /// After a write that failed no other is tried until then.
   absl::Time WritesHeldUntil = absl::InfinitePast();
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -389,7 +389,7 @@
   }
   for (auto &entry : Jobs) {
     Job &job = entry.second;
-    if (!job.over() && now - ElectedAt >= Policy.FleetKnownAfter)
+    if (!job.over() && fleetKnown(now))
       notePromise(job);
     if (!job.over() &&
         dueOccurrences(job) > static_cast<int>(job.Occurrences.size()))
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -272,6 +272,9 @@
   const std::string &serviceOf(const Job &job) const;
   absl::Duration taskTime(const Job &job, const core::StepSpec &spec) const;
   Promise promiseOf(const Job &job) const;
+  bool fleetKnown(absl::Time now) const {
+    return now - ElectedAt >= Policy.FleetKnownAfter;
+  }
   void notePromise(Job &job);
   static bool stepDone(const Step &step);
   static bool stepReady(const Job &job, const std::vector<Step> &steps,
--- a/src/libs/jobs/planner_room.cpp
+++ b/src/libs/jobs/planner_room.cpp
@@ -373,6 +373,9 @@
   return guaranteeAtRisk(unit, ends) || stops.Waste <= mostWaste(unit);
 }
 
+// A new leader hears of its workers one after another. One that knew a quarter
+// of them stopped batch work for urgent jobs, while the rest stood empty.
+//
 // Keeps the room that comes in time by itself for unit, or asks for the stops
 // that make room and keeps that. Without keeping what was on its way, the room
 // of the first stops went to other small tasks, which were stopped in their
@@ -390,6 +393,10 @@
       keep(unit, *ends);
       return true;
     }
+    if (!S.fleetKnown(Now) && !guaranteeAtRisk(unit, ends)) {
+      notePlan(unit, "waits until the workers are known", nullptr);
+      return false;
+    }
     if (unit.Hopeless && !S.Policy.StopForHopeless)
       return false;
     std::optional<Plan> stops = cheapestStops(unit);
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -168,6 +168,32 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// The leader changes while half of the workers are slow to report to the new
+// one. Users saw batch work thrown away for an urgent job although the other
+// half stood empty: the new leader took what it knew for all there was.
+TEST(JobScheduler, NewLeaderStopsNothingBeforeItKnowsItsWorkers) {
+  SimSite site;
+  addRacks(site, 2);
+  site.submit(jobOf("batch", step(3, {3000, 1000, 8}, 20000)), 2);
+  site.runFor(absl::Seconds(1));
+  const std::multiset<std::string> busy = site.placesOf("batch");
+  ASSERT_EQ(busy.size(), 3u);
+  std::vector<std::string> idle;
+  for (const char *life : {"w00", "w01", "w02", "w10", "w11", "w12"})
+    if (busy.count(life) == 0)
+      idle.push_back(life);
+  for (const std::string &life : idle)
+    site.worker(life).CutOff = true;
+  site.changeLeader();
+  site.submit(jobOf("urgent", step(2, {4000, 8000, 8}, 4000, true)), 0);
+  site.runFor(absl::Milliseconds(700));
+  for (const std::string &life : idle)
+    site.worker(life).CutOff = false;
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(30)));
+  EXPECT_EQ(site.wasted(), 0);
+  EXPECT_LE(*site.waited("urgent"), absl::Milliseconds(1500));
+}
+
 // Urgent tasks that are no gang, each as wide as a worker, come to a site full
 // of batch work. Users saw them wait until batch tasks ended by themselves:
 // room was made for gangs only.
