Gangs keep off a worker whose latest run failed

Cause: workers that fail all that they start end each wide gang that touches them.

Change: such a worker comes last for gangs and for urgent tasks until a run is done there.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -18,7 +18,8 @@
   for (const auto &[life, view] : S.Workers.workers())
     if (S.Workers.usable(view, now))
       Places.push_back({life, &view, view.room(), view.room(),
-                        absl::InfiniteDuration(), S.Speeds.isSlow(view.Agent)});
+                        absl::InfiniteDuration(), S.Speeds.isSlow(view.Agent),
+                        -1, view.FailedInARow > 0});
   WholeSite.emplace_back();
   std::map<std::string_view, int> racks;
   for (size_t p = 0; p < Places.size(); ++p) {
@@ -279,18 +280,21 @@
 }
 
 // Places all tasks in group, the tightest workers first, so that wide room
-// stays whole; urgent ones keep off slow workers first. Empty when they do not
-// fit.
+// stays whole; urgent ones keep off slow workers first. A worker whose latest
+// run failed comes last of all, until one is done there: it may fail whatever
+// it starts, and each run that fails ends its whole gang. Empty when they do
+// not fit.
 std::optional<Planner::Layout> Planner::layout(const Unit &unit,
                                                const Group &group) const {
-  std::vector<std::tuple<bool, int64_t, size_t>> order;
+  std::vector<std::tuple<bool, bool, int64_t, size_t>> order;
   for (size_t p : group.Members)
     if (fits(p, unit, 1) > 0)
-      order.emplace_back(wantsFast(unit) && Places[p].Slow,
+      order.emplace_back(Places[p].Doubted,
+                         wantsFast(unit) && Places[p].Slow,
                          Places[p].Free.Accelerators, p);
   std::sort(order.begin(), order.end());
   Layout places;
-  for (const auto &[slow, free, p] : order) {
+  for (const auto &[doubted, slow, free, p] : order) {
     const auto left = static_cast<int64_t>(unit.Tasks.size() - places.size());
     for (int64_t n = fits(p, unit, left); n > 0; --n)
       places.push_back(p);
@@ -355,8 +359,8 @@
 
 std::optional<size_t> Planner::bestPlace(const Unit &unit) const {
   const core::StepSpec &spec = unit.spec();
-  // Smaller is better: near the data, fast, tight.
-  using Score = std::tuple<bool, bool, int64_t, int64_t>;
+  // Smaller is better: near the data, trusted, fast, tight.
+  using Score = std::tuple<bool, bool, bool, int64_t, int64_t>;
   std::optional<std::pair<Score, size_t>> best;
   for (size_t p = 0; p < Places.size(); ++p) {
     const Place &place = Places[p];
@@ -364,8 +368,9 @@
       continue;
     const bool away =
         !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
-    const Score score{away, wantsFast(unit) && place.Slow,
-                      place.Free.Accelerators, place.Free.MilliCores};
+    const Score score{away, wantsFast(unit) && place.Doubted,
+                      wantsFast(unit) && place.Slow, place.Free.Accelerators,
+                      place.Free.MilliCores};
     if (!best || score < best->first)
       best = {score, p};
   }
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -46,6 +46,8 @@
     /// Work takes longer there than on most workers.
     bool Slow = false;
     int Rack = -1;
+    /// Its latest run failed, and none has been done there since.
+    bool Doubted = false;
   };
   /// What is placed as one: a gang, or the ready tasks of a step one by one.
   struct Unit {
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -168,6 +168,26 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// One worker of many fails all that it starts. Each gang that touched it ended
+// whole, was tried again with it among its workers, and used up its attempts:
+// callers saw wide jobs fail. The load: gangs as wide as half the site, one
+// after another.
+TEST(JobScheduler, WideGangsKeepOffAWorkerWhoseLatestRunFailed) {
+  SimSite site;
+  addRacks(site, 4);
+  site.worker("w00").FailsAll = true;
+  int failedJobs = 0;
+  for (int n = 0; n < 6; ++n) {
+    const std::string id = "g" + std::to_string(n);
+    site.submit(jobOf(id, step(6, {1000, 100, 8}, 5000, true)), 1, 2);
+    ASSERT_TRUE(site.runUntilOver(absl::Seconds(20)));
+    failedJobs += site.state(id) == JobState::Completed ? 0 : 1;
+  }
+  EXPECT_EQ(failedJobs, 0);
+  // The first gang found out; the others were spared.
+  EXPECT_LE(site.starts(), 6 * 6 + 6);
+}
+
 // The leader changes while half of the workers are slow to report to the new
 // one. Users saw batch work thrown away for an urgent job although the other
 // half stood empty: the new leader took what it knew for all there was.
--- a/tests/bench/jobsbench/main.cpp
+++ b/tests/bench/jobsbench/main.cpp
@@ -70,7 +70,7 @@
                     "only this site: brno, pennington or halls")(
       "load", po::value<double>()->default_value(0),
       "only this load, in times the usual one")(
-      "hopeless", po::value<double>()->default_value(1e9), "")("headroom",po::value<double>()->default_value(0),"")("kept",po::value<int>()->default_value(2),"")("nostop",po::value<int>()->default_value(0),"")(
+      "hopeless", po::value<double>()->default_value(1e9), "")("headroom",po::value<double>()->default_value(0),"")("kept",po::value<int>()->default_value(2),"")("sick",po::value<int>()->default_value(0),"workers that fail all for a while in each day")("fails",po::value<int>()->default_value(2),"")("nostop",po::value<int>()->default_value(0),"")(
       "leaving", po::value<int>()->default_value(0),
       "workers that are taken away at short notice in each day");
   po::variables_map vm;
@@ -91,6 +91,7 @@
   jobs::SchedulerPolicy policy;
   policy.HopelessAfter = vm["hopeless"].as<double>();
   policy.Headroom = vm["headroom"].as<double>();
+  policy.Fleet.FailuresInARow = vm["fails"].as<int>();
   policy.MostKept = vm["kept"].as<int>();
   policy.StopForHopeless = vm["nostop"].as<int>() == 0;
   const int from = vm["from"].as<int>();
@@ -103,6 +104,7 @@
       for (int n = 0; n < vm["seeds"].as<int>(); ++n) {
         bench::DayShape shape;
         shape.Load = load;
+        shape.Sick = vm["sick"].as<int>();
         shape.Leaving = vm["leaving"].as<int>();
         sum.add(
             bench::playDay(site, withStopsOf(site, policy), static_cast<uint64_t>(from + n), shape));
--- a/tests/bench/jobsbench/siteload.cpp
+++ b/tests/bench/jobsbench/siteload.cpp
@@ -209,6 +209,8 @@
     constexpr int StepMs = 100;
     const int burstAt = any(Rng, 2, Shape.LengthS / 2) * 1000;
     const int leaveAt = any(Rng, 2, Shape.LengthS / 2) * 1000;
+    const int sickAt =
+        Shape.Sick > 0 ? any(Rng, 2, Shape.LengthS / 2) * 1000 : -1;
     for (int ms = 0; ms < Shape.LengthS * 1000; ms += StepMs) {
       const bool burst = ms >= burstAt && ms < burstAt + Shape.BurstS * 1000;
       for (size_t k = 0; k < Site.Kinds.size(); ++k) {
@@ -218,6 +220,9 @@
         if (chance(Rng, rate * StepMs / 1000))
           handIn(k, ms);
       }
+      if (ms == sickAt || ms == sickAt + Shape.SickS * 1000)
+        for (int n = 0; n < Shape.Sick; ++n)
+          Sim.worker(sickWorker(n)).FailsAll = ms == sickAt;
       if (ms == leaveAt)
         for (int n = 0; n < Shape.Leaving; ++n)
           Sim.leave("w" + std::to_string(n), Notice);
@@ -240,6 +245,13 @@
     Sim.runFor(absl::Milliseconds(600));
   }
 
+  // Spread over the site, and none of those that leave.
+  std::string sickWorker(int n) const {
+    const int64_t all = workersOf(Site);
+    const int64_t apart = std::max<int64_t>(1, all / Shape.Sick);
+    return "w" + std::to_string(all - 1 - n * apart);
+  }
+
   void handIn(size_t kind, int ms) {
     Planned job = draw(Rng, Site, kind, ++Number);
     job.HandedInMs = ms;
--- a/tests/bench/jobsbench/siteload.h
+++ b/tests/bench/jobsbench/siteload.h
@@ -79,6 +79,9 @@
   int BurstS = 6;
   /// Workers that are taken away at short notice, once a day.
   int Leaving = 0;
+  /// Workers that fail all that they start for SickS, once a day.
+  int Sick = 0;
+  int SickS = 7;
 };
 
 SiteLoad brno();
