Workers are kept empty for urgent work that keeps coming

Each such stop throws work away, and when the gang ended batch work took the workers before the next one came.

Change: batch work leaves as many workers empty as the urgent jobs that come while a stop takes will ask for (mean and one deviation of what came lately, an eighth of the site at most).

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -48,7 +48,7 @@
   double WasteForAny = 200;
   double HopelessAfter = 1e9;
   bool StopForHopeless = true;
-  double Headroom = 0;
+  double Headroom = 1;
   int MostKept = 2;
   /// How long a stop takes.
   absl::Duration StopTakes = absl::Milliseconds(400);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// At most one worker of so many is kept free for urgent work.
-constexpr int MostKeptFree = 4;
+constexpr int MostKeptFree = 8;
 
 } // namespace
 
--- a/tests/bench/jobsbench/main.cpp
+++ b/tests/bench/jobsbench/main.cpp
@@ -70,7 +70,7 @@
                     "only this site: brno, pennington or halls")(
       "load", po::value<double>()->default_value(0),
       "only this load, in times the usual one")(
-      "hopeless", po::value<double>()->default_value(1e9), "")("headroom",po::value<double>()->default_value(0),"")("kept",po::value<int>()->default_value(2),"")("sick",po::value<int>()->default_value(0),"workers that fail all for a while in each day")("fails",po::value<int>()->default_value(2),"")("nostop",po::value<int>()->default_value(0),"")(
+      "hopeless", po::value<double>()->default_value(1e9), "")("headroom",po::value<double>()->default_value(1),"")("kept",po::value<int>()->default_value(2),"")("sick",po::value<int>()->default_value(0),"workers that fail all for a while in each day")("fails",po::value<int>()->default_value(2),"")("nostop",po::value<int>()->default_value(0),"")(
       "leaving", po::value<int>()->default_value(0),
       "workers that are taken away at short notice in each day");
   po::variables_map vm;
--- a/tests/bench/jobsbench/siteload.cpp
+++ b/tests/bench/jobsbench/siteload.cpp
@@ -248,7 +248,8 @@
   // Spread over the site, and none of those that leave.
   std::string sickWorker(int n) const {
     const int64_t all = workersOf(Site);
-    const int64_t apart = std::max<int64_t>(1, all / Shape.Sick);
+    const int64_t apart =
+        std::max<int64_t>(1, (all - Shape.Leaving) / Shape.Sick);
     return "w" + std::to_string(all - 1 - n * apart);
   }
 
