An entry that heard of a newer configuration serves nothing by its own

It had handed a call by a route that it did not know to another entry and passed the success on; 0.25 s later it served one by a route that the newer version had dropped, from its own view, which was 2.36 s old (2.5 s are allowed).

Ruled out: the answers of the leader to state calls: the calls were counts of queues.

Change: a configuration that another entry's answer has contradicted serves nothing more; calls are handed on until a newer one comes.

--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -49,6 +49,8 @@
   std::string Organisation;
   /// A write was sent whose outcome is not known.
   bool MayBeDone = false;
+  /// Its route or key is not in the configuration here.
+  bool UnknownHere = false;
   /// Handed over by another entry, or to one.
   bool Foreign = false;
   bool HandedOver = false;
@@ -119,6 +121,9 @@
                           bool mayBeDone) {
   call->MayBeDone |= mayBeDone;
   if (answer && answer->Result != CallResult::NotDone) {
+    if (call->UnknownHere && answer->Result != CallResult::UnknownQueue &&
+        answer->Result != CallResult::BadKey)
+      Outdated = call->Config;
     CallAnswer passed = *answer;
     if (passed.Detail.empty())
       passed.Detail = "served by another entry";
@@ -158,7 +163,8 @@
 
 void JobDesk::authorise(const CallPtr &call, bool confirmed, const Step &step) {
   call->Config = Config.current();
-  if (call->Config == nullptr || Config.age(Loop.now()) > Policy.OldestConfig) {
+  if (call->Config == nullptr || call->Config == Outdated ||
+      Config.age(Loop.now()) > Policy.OldestConfig) {
     if (forward(call))
       return;
     finish(call, CallResult::NotDone,
@@ -174,8 +180,11 @@
     step(call);
     return;
   }
-  if (!confirmed && !viewIsFresh() && forward(call))
-    return;
+  if (!confirmed && !viewIsFresh()) {
+    call->UnknownHere = true;
+    if (forward(call))
+      return;
+  }
   if (!confirmed) {
     Config.confirm([this, alive = Alive, call, step](bool ok) {
       if (!*alive)
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -193,6 +193,29 @@
                  50}),
     [](const auto &info) { return info.param.Name; });
 
+// An entry loses the store, and the configuration changes: one key goes, one
+// comes. A caller with the new key was served, as its call was handed over; the
+// next one, with the key that was gone, was served by the entry's old
+// configuration. Callers saw the change come and go again at one address.
+TEST(Cluster, EntryThatHeardOfANewerConfigurationServesNothingByItsOwn) {
+  auto cluster = serving();
+  const int away = (cluster->leader() + 1) % 3;
+  cluster->submit(away, "k1", job("j", 1, 1, 200));
+  ASSERT_TRUE(cluster->runUntilOver(absl::Seconds(3)));
+  cluster->runFor(absl::Seconds(1));
+  cluster->store().faults(MemoryCluster::entryName(away)).Silent = true;
+  cluster->configure({"k2", "k3"});
+  cluster->runFor(absl::Milliseconds(1100));
+  auto newKey = cluster->state(away, "k3", "j");
+  cluster->runFor(absl::Milliseconds(100));
+  ASSERT_TRUE(newKey->Answer.has_value());
+  ASSERT_EQ(newKey->Answer->Result, jobs::CallResult::UnknownJob);
+  auto oldKey = cluster->state(away, "k1", "j");
+  cluster->runFor(absl::Milliseconds(100));
+  ASSERT_TRUE(oldKey->Answer.has_value());
+  EXPECT_EQ(oldKey->Answer->Result, jobs::CallResult::BadKey);
+}
+
 // The store is away for all: the entries must not hand a call round until its
 // caller's time is over, and "not done" must be true.
 TEST(Cluster, CallThatNoEntryCanServeIsRefusedSoon) {
