--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -121,8 +121,9 @@
                           bool mayBeDone) {
   call->MayBeDone |= mayBeDone;
   if (answer && answer->Result != CallResult::NotDone) {
-    if (call->UnknownHere && answer->Result != CallResult::UnknownQueue &&
-        answer->Result != CallResult::BadKey)
+    const bool unknownThere = answer->Result == CallResult::UnknownQueue ||
+                              answer->Result == CallResult::BadKey;
+    if (call->UnknownHere != unknownThere)
       Outdated = call->Config;
     CallAnswer passed = *answer;
     if (passed.Detail.empty())
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -164,8 +164,8 @@
   const OnWritten Written;
   const OnDecision Decided;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-  /// Another entry served a call by a route or key that this configuration does
-  /// not have. An entry cut off from the store would else have served one
+  /// Another entry knew a call's route or key that this configuration does not
+  /// have, or the other way round. An entry cut off from the store would else have served one
   /// caller by the new configuration, through the other entry, and the next
   /// one by its own old one.
   std::shared_ptr<const core::SiteConfig> Outdated;
