--- a/src/libs/jobs/demandbook.cpp
+++ b/src/libs/jobs/demandbook.cpp
@@ -15,7 +15,8 @@
 } // namespace
 
 double DemandBook::decayed(double sum, absl::Time now) const {
-  return sum == 0 ? 0 : sum * std::exp(-absl::FDivDuration(now - Last, FadesIn));
+  return sum == 0 ? 0
+                  : sum * std::exp(-absl::FDivDuration(now - Last, FadesIn));
 }
 
 void DemandBook::arrived(int64_t accelerators, absl::Time now) {
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -165,9 +165,9 @@
   const OnDecision Decided;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   /// Another entry knew a call's route or key that this configuration does not
-  /// have, or the other way round. An entry cut off from the store would else have served one
-  /// caller by the new configuration, through the other entry, and the next
-  /// one by its own old one.
+  /// have, or the other way round. An entry cut off from the store would else
+  /// have served one caller by the new configuration, through the other entry,
+  /// and the next one by its own old one.
   std::shared_ptr<const core::SiteConfig> Outdated;
   /// Ends that are being recorded, by job, and the state calls that wait for
   /// each.
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -46,10 +46,14 @@
   /// 400 differ by less than one hundredth of the score.
   double WasteForOwnWork = 0.2;
   double WasteForAny = 200;
-  double HopelessAfter = 1e9;
-  bool StopForHopeless = true;
+  /// Workers that batch work leaves empty, as a share of what the urgent work
+  /// is expected to ask for that comes while a stop takes.
   double Headroom = 1;
-  int MostKept = 2;
+  /// Gangs that room is kept for at the same time while they wait: so many, and
+  /// on a large site one for so many workers. One would let the next large gang
+  /// starve; many would leave the site idle.
+  int LeastKept = 2;
+  int WorkersPerKept = 24;
   /// How long a stop takes.
   absl::Duration StopTakes = absl::Milliseconds(400);
   /// A job within its organisation's guarantee has room made for it by then
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -47,7 +47,8 @@
     widest = std::max(widest, place.View->State.Capacity.Accelerators);
   if (widest == 0)
     return 0;
-  const double need = S.Policy.Headroom * S.Urgent.within(S.Policy.StopTakes, Now);
+  const double need =
+      S.Policy.Headroom * S.Urgent.within(S.Policy.StopTakes, Now);
   const auto workers = static_cast<int>(need / static_cast<double>(widest));
   return std::min(workers, static_cast<int>(Places.size()) / MostKeptFree);
 }
@@ -123,8 +124,6 @@
   std::sort(Units.begin(), Units.end(), [](const Unit &a, const Unit &b) {
     if (a.Rank != b.Rank)
       return a.Rank < b.Rank;
-    if (a.Rank == 1 && a.Hopeless != b.Hopeless)
-      return b.Hopeless;
     if (a.Rank == 1 && a.Slack != b.Slack)
       return a.Slack < b.Slack;
     return std::tie(a.Owner->Arrived, a.Owner->Record.Spec.Id, a.Occurrence,
@@ -289,8 +288,7 @@
   std::vector<std::tuple<bool, bool, int64_t, size_t>> order;
   for (size_t p : group.Members)
     if (fits(p, unit, 1) > 0)
-      order.emplace_back(Places[p].Doubted,
-                         wantsFast(unit) && Places[p].Slow,
+      order.emplace_back(Places[p].Doubted, wantsFast(unit) && Places[p].Slow,
                          Places[p].Free.Accelerators, p);
   std::sort(order.begin(), order.end());
   Layout places;
@@ -364,7 +362,8 @@
   std::optional<std::pair<Score, size_t>> best;
   for (size_t p = 0; p < Places.size(); ++p) {
     const Place &place = Places[p];
-    if (fits(p, unit, 1) == 0 || (unit.Rank > 1 && EmptyToSpare <= 0 && isEmpty(place)))
+    if (fits(p, unit, 1) == 0 ||
+        (unit.Rank > 1 && EmptyToSpare <= 0 && isEmpty(place)))
       continue;
     const bool away =
         !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -66,8 +66,6 @@
     /// the slack is used up, for its job to be in time; the rest can follow
     /// them.
     int Needed = 0;
-    /// Its job can't be in time any more, by a margin.
-    bool Hopeless = false;
     /// By place: how many more of its tasks may stand there, whatever the room;
     /// zero where it may not stand at all. Filled in when it is placed.
     std::vector<int64_t> Allowed = {};
--- a/src/libs/jobs/planner_room.cpp
+++ b/src/libs/jobs/planner_room.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// On a large site room is kept for one more gang for so many workers.
-constexpr int WorkersPerKept = 24;
 /// A task that follows another in its room is counted with so many times its
 /// expected work, as tasks of a step differ and some workers are slower by 1.3
 /// times, and with the time from the one's end to the other's start.
@@ -310,8 +308,6 @@
   unit.Slack = left - each;
   if (!spec.Gang && unit.Rank == 1)
     demandOfTasks(unit, left, each);
-  unit.Hopeless =
-      unit.Rank == 1 && unit.Slack < each * -S.Policy.HopelessAfter;
 }
 
 // A wide step is in time although its tasks run in waves: what runs already,
@@ -397,8 +393,6 @@
       notePlan(unit, "waits until the workers are known", nullptr);
       return false;
     }
-    if (unit.Hopeless && !S.Policy.StopForHopeless)
-      return false;
     std::optional<Plan> stops = cheapestStops(unit);
     if (!stops)
       notePlan(unit, "nothing to stop makes room", nullptr);
@@ -458,11 +452,9 @@
     listAgain(*job, occurrence, step);
 }
 
-// Gangs that room is kept for at the same time: one would let the next large
-// gang starve, and many would leave the site idle.
 int Planner::mostKept() const {
-  return std::max(S.Policy.MostKept,
-                  static_cast<int>(Places.size()) / WorkersPerKept);
+  return std::max(S.Policy.LeastKept,
+                  static_cast<int>(Places.size()) / S.Policy.WorkersPerKept);
 }
 
 // Keeps the room that will be there first, so that smaller work does not take
--- a/src/libs/jobs/runjudge.cpp
+++ b/src/libs/jobs/runjudge.cpp
@@ -120,9 +120,8 @@
 
 // How long the task takes where all is well: as the middle one of its like in
 // the same step. Nothing when it has none that is far enough.
-std::optional<absl::Duration> RunJudge::soundTime(const Job &job,
-                                                  const TaskId &id,
-                                                  LikeTimes &like) const {
+std::optional<absl::Duration>
+RunJudge::soundTime(const Job &job, const TaskId &id, LikeTimes &like) const {
   if (!like.Known)
     findLikeTimes(job, id, like);
   const std::vector<absl::Duration> &all = like.Sorted;
--- a/src/libs/jobs/runjudge.h
+++ b/src/libs/jobs/runjudge.h
@@ -47,9 +47,8 @@
               LikeTimes &like) const;
   void findLikeTimes(const Job &job, const core::TaskId &first,
                      LikeTimes &like) const;
-  std::optional<absl::Duration> soundTime(const Job &job,
-                                          const core::TaskId &id,
-                                          LikeTimes &like) const;
+  std::optional<absl::Duration>
+  soundTime(const Job &job, const core::TaskId &id, LikeTimes &like) const;
   bool mustLeave(const Job &job, const core::TaskId &id,
                  const Task &task) const;
   void restart(Job &job, const core::TaskId &id, Task &task,
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -374,8 +374,8 @@
       if (StoreLosesAnswers)
         Scheduler->onNotWritten(write.JobId);
       else
-        Scheduler->onWritten(write.JobId, write.Progress.Version, job.ProgressRevision,
-                             Now);
+        Scheduler->onWritten(write.JobId, write.Progress.Version,
+                             job.ProgressRevision, Now);
       if (isFinal(state(write.JobId)) && !job.Over)
         job.Over = Now;
     }
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -168,6 +168,37 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// Urgent gangs of whole workers come twice a second to a site that batch work
+// fills. Their callers saw each of them wait for stops of up to a second, which
+// is all that a short job may wait, and batch work thrown away for each: the
+// workers of one gang went back to batch work before the next came.
+TEST(JobScheduler, WorkersAreKeptEmptyForUrgentWorkThatKeepsComing) {
+  SchedulerPolicy policy;
+  policy.StopTakes = absl::Milliseconds(900);
+  SimSite site(policy);
+  site.StopTakes = policy.StopTakes;
+  addRacks(site, 10);
+  for (int n = 0; n < 3; ++n)
+    site.submit(
+        jobOf("batch" + std::to_string(n), step(800, {500, 100, 1}, 3000)), 2);
+  site.runFor(absl::Seconds(1));
+  constexpr int Gangs = 40;
+  constexpr int Warm = 20;
+  const auto idOf = [](int n) { return "urgent" + std::to_string(n); };
+  for (int n = 0; n < Gangs; ++n) {
+    site.submit(jobOf(idOf(n), step(2, {4000, 8000, 8}, 1000, true)), 0);
+    site.runFor(absl::Milliseconds(500));
+  }
+  site.runFor(absl::Seconds(3));
+  int atOnce = 0;
+  for (int n = Warm; n < Gangs; ++n) {
+    ASSERT_TRUE(site.waited(idOf(n)).has_value()) << n;
+    atOnce += *site.waited(idOf(n)) <= absl::Milliseconds(100) ? 1 : 0;
+  }
+  EXPECT_GE(atOnce, (Gangs - Warm) * 9 / 10);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
 // One worker of many fails all that it starts. Each gang that touched it ended
 // whole, was tried again with it among its workers, and used up its attempts:
 // callers saw wide jobs fail. The load: gangs as wide as half the site, one
--- a/tests/bench/jobsbench/main.cpp
+++ b/tests/bench/jobsbench/main.cpp
@@ -6,7 +6,10 @@
 #include <nlohmann/json.hpp>
 
 #include <cmath>
+#include <functional>
 #include <iostream>
+#include <string>
+#include <vector>
 
 namespace po = boost::program_options;
 using namespace oriolebay;
@@ -53,9 +56,44 @@
   }
 };
 
-jobs::SchedulerPolicy withStopsOf(const bench::SiteLoad &site,
-                                  jobs::SchedulerPolicy policy) {
+/// A way to decide, to be compared with the deployed one.
+struct NamedPolicy {
+  const char *Name;
+  const char *What;
+  std::function<void(jobs::SchedulerPolicy &)> Set;
+};
+
+const std::vector<NamedPolicy> &policies() {
+  using P = jobs::SchedulerPolicy;
+  static const std::vector<NamedPolicy> all = {
+      {"deployed", "as the leading entry decides", [](P &) {}},
+      {"no_headroom", "no worker is kept empty for urgent work",
+       [](P &p) { p.Headroom = 0; }},
+      {"half_headroom", "half as many are kept empty",
+       [](P &p) { p.Headroom = 0.5; }},
+      {"double_headroom", "twice as many are kept empty",
+       [](P &p) { p.Headroom = 2; }},
+      {"few_kept", "room is kept for two gangs at any size",
+       [](P &p) { p.WorkersPerKept = 1 << 20; }},
+      {"one_failure", "one failed run keeps a worker out",
+       [](P &p) { p.Fleet.FailuresInARow = 1; }},
+      {"little_waste", "little work may be thrown away for urgent work",
+       [](P &p) { p.WasteForAny = 40; }}};
+  return all;
+}
+
+const NamedPolicy *findPolicy(const std::string &name) {
+  for (const NamedPolicy &p : policies())
+    if (name == p.Name)
+      return &p;
+  return nullptr;
+}
+
+jobs::SchedulerPolicy policyFor(const bench::SiteLoad &site,
+                                const NamedPolicy &named) {
+  jobs::SchedulerPolicy policy;
   policy.StopTakes = site.StopGrace;
+  named.Set(policy);
   return policy;
 }
 
@@ -70,7 +108,11 @@
                     "only this site: brno, pennington or halls")(
       "load", po::value<double>()->default_value(0),
       "only this load, in times the usual one")(
-      "hopeless", po::value<double>()->default_value(1e9), "")("headroom",po::value<double>()->default_value(1),"")("kept",po::value<int>()->default_value(2),"")("sick",po::value<int>()->default_value(0),"workers that fail all for a while in each day")("fails",po::value<int>()->default_value(2),"")("nostop",po::value<int>()->default_value(0),"")(
+      "policy", po::value<std::string>()->default_value("deployed"),
+      "how the scheduler decides: see --policies")("policies",
+                                                   "lists the policies")(
+      "sick", po::value<int>()->default_value(0),
+      "workers that fail all that they start for a while in each day")(
       "leaving", po::value<int>()->default_value(0),
       "workers that are taken away at short notice in each day");
   po::variables_map vm;
@@ -84,16 +126,21 @@
     std::cout << opts << '\n';
     return 0;
   }
+  if (vm.count("policies")) {
+    for (const NamedPolicy &p : policies())
+      std::cout << p.Name << ": " << p.What << '\n';
+    return 0;
+  }
   std::vector<double> loads = {0.7, 1.0, 1.4};
   if (vm["load"].as<double>() > 0)
     loads = {vm["load"].as<double>()};
   const auto only = vm["site"].as<std::string>();
-  jobs::SchedulerPolicy policy;
-  policy.HopelessAfter = vm["hopeless"].as<double>();
-  policy.Headroom = vm["headroom"].as<double>();
-  policy.Fleet.FailuresInARow = vm["fails"].as<int>();
-  policy.MostKept = vm["kept"].as<int>();
-  policy.StopForHopeless = vm["nostop"].as<int>() == 0;
+  const auto *const chosen = findPolicy(vm["policy"].as<std::string>());
+  if (chosen == nullptr) {
+    std::cerr
+        << "oriolebay-jobs-bench: no such policy; --policies lists them\n";
+    return 2;
+  }
   const int from = vm["from"].as<int>();
   for (const bench::SiteLoad &site :
        {bench::brno(), bench::pennington(), bench::halls()})
@@ -106,8 +153,8 @@
         shape.Load = load;
         shape.Sick = vm["sick"].as<int>();
         shape.Leaving = vm["leaving"].as<int>();
-        sum.add(
-            bench::playDay(site, withStopsOf(site, policy), static_cast<uint64_t>(from + n), shape));
+        sum.add(bench::playDay(site, policyFor(site, *chosen),
+                               static_cast<uint64_t>(from + n), shape));
       }
       std::cout << sum.line(site, load).dump() << std::endl;
     }
