What counts as a fresh view follows from the settings; comments without figures

Cause: a view was fresh for 800 ms, while it is confirmed each 1,200 ms where config_apply_ms is 4,000: for a third of the time an entry handed calls on that it could have served itself.

Change: fresh for four thirds of the period of confirming.

Measured: the table of derived timing has the large site's bounds; no figure of its own.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -24,9 +24,9 @@
 constexpr absl::Duration LookAgain = absl::Milliseconds(150);
 /// While the worker lists ends that are not taken note of, it answers each look
 /// at once, so that the agent has to come back for the next end. The first
-/// looks come quickly, as ends come together: at 100 ms, room stood empty and
-/// callers were told "running" for 50 ms on the mean. The leader takes note
-/// within half a second unless the store is away; then looks are rare again.
+/// looks come quickly, as ends come together, and room stands empty until the
+/// leader hears of them. The leader takes note within half a second unless the
+/// store is away; then looks are rare again.
 constexpr absl::Duration LookWithNewEnds = absl::Milliseconds(15);
 constexpr absl::Duration LookWithOldEnds = absl::Milliseconds(100);
 constexpr absl::Duration EndsAreNew = absl::Milliseconds(600);
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -177,6 +177,7 @@
       trouble("jobs"));
   jobs::DeskPolicy desk;
   desk.OldestConfig = Time.OldestConfig;
+  desk.FreshView = Time.FreshConfig;
   Forwarder = std::make_unique<CallForwarder>(
       Loop, Peers, [this] { return otherEntries(); });
   Desk = std::make_unique<jobs::JobDesk>(
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -34,16 +34,16 @@
   /// The same for a call that another entry has handed over, which waits for
   /// the answer.
   absl::Duration ForwardedPatience = absl::Milliseconds(250);
-  /// Until it is so old a view of the configuration, which is confirmed every
-  /// 600 ms, tells that the store's watches can be relied on too. An entry that
-  /// the store had stopped to serve showed jobs as running for up to six
-  /// seconds after their end.
+  /// Until it is so old a view of the configuration, which is confirmed all the
+  /// time, tells that the store's watches can be relied on too. An entry that
+  /// the store had stopped to serve showed jobs as running long after their
+  /// end.
   absl::Duration FreshView = absl::Milliseconds(800);
   /// The share of its caller's time that a call may spend on a store that does
   /// not answer: the rest is the caller's, for another entry.
   double MostShareOfTime = 0.4;
   /// The first try is cut short: an answer that was lost shows when the same is
-  /// asked again, while the store answers in 4 ms, or in 400 when it is slow.
+  /// asked again, while a store that answers is mostly much faster.
   long FirstTryMs = 300;
   long ShortestTryMs = 50;
   long LongestTryMs = 700;
@@ -53,15 +53,14 @@
   int64_t LongestRetryAfterMs = 3000;
   /// Callers ask as soon as a job's last task has ended, while its end is on
   /// its way into the store, and then again a quarter of a second later. A
-  /// state call waits for the record of an end that the leader has told of, a
-  /// few milliseconds on a store that answers, and no longer than this. Urgent
-  /// jobs of 2.5 s work have 1.5 s for all else, of which this saves a quarter
-  /// second (of 38 that came late in twenty days of one site, 8 did by that).
+  /// state call waits for the record of an end that the leader knows of, a few
+  /// milliseconds on a store that answers, and no longer than this: short
+  /// urgent jobs have not much more than that quarter second to lose.
   absl::Duration EndPatience = absl::Milliseconds(150);
   /// Callers may ask so soon after the end that its news is behind their call,
-  /// on its way from the worker over its agent and the leader: two hops between
-  /// failure domains of 1.5 ms and three processes' turns. A state call of a
-  /// running job waits for that news, which no caller notices.
+  /// on its way from the worker over its agent to the leader: two hops and
+  /// three processes' turns. A state call of a running job waits for that news,
+  /// which no caller notices.
   absl::Duration NewsOnItsWay = absl::Milliseconds(20);
 };
 
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -40,10 +40,8 @@
   /// Work that may be thrown away so that a job of priority 0 comes in time,
   /// beyond its organisation's guarantee, in core-seconds (an accelerator
   /// counts as eight cores): something for the smallest and a share of its own
-  /// work. A late answer loses its caller about four fifths of its worth, so
-  /// much is worth stopping; what is stopped may come late in its turn. In the
-  /// jobs bench 200 core-seconds did best over both sites' loads, and 150 to
-  /// 400 differ by less than one hundredth of the score.
+  /// work. A late urgent answer is worth little to its caller, so that much is
+  /// worth stopping; what is stopped may come late in its turn.
   double WasteForOwnWork = 0.2;
   double WasteForAny = 200;
   /// Workers that batch work leaves empty, as a share of what the urgent work
--- a/src/libs/jobs/progress.h
+++ b/src/libs/jobs/progress.h
@@ -23,15 +23,12 @@
   absl::Duration Restore = absl::Milliseconds(600);
   /// Rates are taken over at least so long: two looks.
   absl::Duration RateOver = absl::Milliseconds(900);
-  /// A run is slow if it takes so many times as long as its like. The tasks of
-  /// one step were seen to take from 7 to 16.5 s on sound workers (they are
-  /// uneven by a third, and workers differ by 1.3 times); slow workers take six
-  /// times as long or more.
+  /// A run is slow if it takes so many times as long as its like: more than
+  /// tasks of a step and sound workers differ.
   double SlowFactor = 4;
   /// Estimates of a queue's tasks are believed after so many ends, and within
-  /// so many standard deviations of how far they were off. With six ends and
-  /// 2.5 deviations sound tasks of a queue whose estimates are off by up to ten
-  /// times were taken for slow.
+  /// so many standard deviations of how far they were off. With less of either,
+  /// sound tasks of a queue with wild estimates are taken for slow.
   int EndsToBelieve = 10;
   double Deviations = 3;
   /// Estimates that scatter more than this (in the logarithm) tell nothing.
--- a/src/libs/jobs/promise.h
+++ b/src/libs/jobs/promise.h
@@ -11,8 +11,7 @@
 namespace oriolebay::jobs {
 
 /// A step that takes more than this share of its service's room is not expected
-/// to run all at once: its work counts in as many waves as it needs then. From
-/// the users' rules on when a job is in time.
+/// to run all at once: its work counts in as many waves as it needs then.
 constexpr int WidestShareOfRoom = 4;
 
 /// How many waves of tasks step counts as on a service with so much room, by
--- a/src/libs/jobs/speedbook.h
+++ b/src/libs/jobs/speedbook.h
@@ -13,14 +13,12 @@
 /// How speeds are learned.
 struct SpeedPolicy {
   /// Ends that count as if the worker had been seen at the usual speed: tasks
-  /// of one step differ among themselves by an eighth (the standard deviation
-  /// of their logarithm on three sites), so that one end says little.
+  /// of one step differ among themselves, so that one end says little.
   double UsualBefore = 2;
   /// No more ends than this weigh against a new one, so that a worker that has
   /// turned slow, or sound again, shows within as many.
   double MostEnds = 12;
-  /// A worker is slow from so many times the usual time on. Between sound
-  /// workers, 1.0, and the slow third of the users' sites, 1.3.
+  /// A worker is slow from so many times the usual time on.
   double SlowFrom = 1.12;
   /// Ends of a step that a new one is compared with.
   size_t MostCompared = 16;
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -143,6 +143,7 @@
   t.LeaderLease = std::max(absl::Milliseconds(s.Bounds.LeaseMs) * 2 / 3,
                            absl::Milliseconds(s.StoreMinLeaseMs));
   t.ConfirmEvery = absl::Milliseconds(s.Bounds.ConfigApplyMs) * 3 / 10;
+  t.FreshConfig = t.ConfirmEvery * 4 / 3;
   t.OldestConfig = absl::Milliseconds(s.Bounds.RevokeMs) / 2;
   t.NotReadyAfter = absl::Milliseconds(s.Bounds.ConfigApplyMs);
   t.ReclaimAfter =
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -90,6 +90,8 @@
   /// The configuration is confirmed so often that a change is in force in time
   /// even if one answer is lost.
   absl::Duration ConfirmEvery;
+  /// A view of the configuration that was confirmed in time is no older.
+  absl::Duration FreshConfig;
   /// Older views of the configuration serve no calls, and show as not ready.
   absl::Duration OldestConfig;
   absl::Duration NotReadyAfter;
--- a/tests/auto/settings/tst_nodesettings.cpp
+++ b/tests/auto/settings/tst_nodesettings.cpp
@@ -117,6 +117,10 @@
   EXPECT_LE(2 * t.ConfirmEvery, t.OldestConfig);
   EXPECT_LE(t.OldestConfig, absl::Milliseconds(b.RevokeMs) / 2);
   EXPECT_LE(t.ConfirmEvery * 3, absl::Milliseconds(b.ConfigApplyMs));
+  // A view that was confirmed in time counts as fresh. Where it did not, an
+  // entry handed on calls that it could have served itself.
+  EXPECT_GT(t.FreshConfig, t.ConfirmEvery);
+  EXPECT_LT(t.FreshConfig, t.OldestConfig);
   // Room is made in time for the stop to end within the bound.
   EXPECT_LT(t.ReclaimAfter + absl::Milliseconds(b.StopGraceMs),
             absl::Milliseconds(b.ReclaimMs));
@@ -129,6 +133,7 @@
         SiteCase{"Brno", 1500, bounds(6000, 900, 2000, 5000, 3000, 3400)},
         SiteCase{"Pennington", 1500, bounds(6000, 400, 2000, 5000, 3000, 2900)},
         SiteCase{"Grown", 1500, bounds(6000, 900, 3000, 5000, 3000, 3400)},
+        SiteCase{"Large", 1500, bounds(10000, 900, 4000, 5000, 3000, 3400)},
         SiteCase{"QuickHeartbeat", 500,
                  bounds(4000, 300, 1000, 4000, 2000, 2000)},
         SiteCase{"Slow", 3000, bounds(20000, 2000, 5000, 10000, 6000, 6000)}),
