--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -11,7 +11,7 @@
     : RecordChanged(std::move(onRecord)), Removed(std::move(onRemoved)),
       Ended(std::move(onEnded)), Refused(std::move(onRefused)),
       Follower(
-          loop, store, JobPrefix, timing,
+          loop, store, JobPrefix, std::move(timing),
           [this](const platform::StoreEvent &event) { onChange(event); },
           [this, done = std::move(onComplete)](int64_t) {
             Complete = true;
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -61,10 +61,7 @@
 }
 
 bool Planner::leavesHeadroom(const Unit &unit, const Layout &places) const {
-  // A batch gang of whole workers finds no room but this: it would wait until
-  // no urgent work comes any more.
-  const absl::Duration waited = Now - unit.Owner->Arrived;
-  if (unit.Rank <= 1 || waited > S.taskTime(*unit.Owner, unit.spec()))
+  if (unit.Rank <= 1)
     return true;
   const std::set<size_t> used(places.begin(), places.end());
   const auto empty = std::count_if(used.begin(), used.end(), [this](size_t p) {
--- a/src/libs/platform/prefixfollower.cpp
+++ b/src/libs/platform/prefixfollower.cpp
@@ -11,9 +11,10 @@
                                std::string prefix, FollowTiming timing,
                                OnChange onChange, OnComplete onComplete,
                                OnTrouble onTrouble)
-    : Loop(loop), Calls(store), Prefix(std::move(prefix)), Timing(timing),
-      Changed(std::move(onChange)), Complete(std::move(onComplete)),
-      Trouble(std::move(onTrouble)), Pause(timing.FirstPause) {}
+    : Loop(loop), Calls(store), Prefix(std::move(prefix)),
+      Timing(std::move(timing)), Changed(std::move(onChange)),
+      Complete(std::move(onComplete)), Trouble(std::move(onTrouble)),
+      Pause(timing.FirstPause) {}
 
 PrefixFollower::~PrefixFollower() { ++*Round; }
 
