The follower's first pause is read from what it keeps

Cause: its timing is moved into place before that line; the pause itself is a plain value, so nothing was wrong yet.

--- a/src/libs/platform/prefixfollower.cpp
+++ b/src/libs/platform/prefixfollower.cpp
@@ -14,7 +14,7 @@
     : Loop(loop), Calls(store), Prefix(std::move(prefix)),
       Timing(std::move(timing)), Changed(std::move(onChange)),
       Complete(std::move(onComplete)), Trouble(std::move(onTrouble)),
-      Pause(timing.FirstPause) {}
+      Pause(Timing.FirstPause) {}
 
 PrefixFollower::~PrefixFollower() { ++*Round; }
 
