What a new leader reads back is not taken for a burst of urgent work

Cause: found on reading the change. A new leader has all jobs of the last minutes handed in at once, and the book of urgent demand counted them as if they had just come: an eighth of the site stood empty for batch work until that had faded.

Change: only what comes after the leader knows its workers counts.

Measured: the new test fails without it (a batch gang as wide as the site does not begin within a second after the change of leader).

--- a/src/libs/jobs/demandbook.h
+++ b/src/libs/jobs/demandbook.h
@@ -14,7 +14,7 @@
   void arrived(int64_t accelerators, absl::Time now);
 
   /// Accelerators that the jobs which come within the next span will ask for:
-  /// the mean, and Spread standard deviations more, as they come by chance.
+  /// the mean, and a standard deviation more, as they come by chance.
   double within(absl::Duration span, absl::Time now) const;
 
 private:
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -148,7 +148,9 @@
     return;
   if (added) {
     job.Arrived = now;
-    if (record.Priority == 0 && !record.Spec.Steps.empty()) {
+    // What a new leader reads back has come over minutes, not at once: it says
+    // nothing of what is to come.
+    if (record.Priority == 0 && fleetKnown(now) && !record.Spec.Steps.empty()) {
       const core::StepSpec &first = record.Spec.Steps.front();
       Urgent.arrived(first.Count * first.PerTask.Accelerators, now);
     }
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -199,6 +199,27 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// Urgent jobs have come and gone, and the leader changes. The new one reads all
+// of them back at once and took them for a burst: for half a minute it kept
+// workers empty, and a batch gang as wide as the site waited.
+TEST(JobScheduler, NewLeaderKeepsNothingEmptyForWhatItReadsBack) {
+  SimSite site;
+  addRacks(site, 4);
+  for (int n = 0; n < 20; ++n) {
+    site.submit(jobOf("urgent" + std::to_string(n),
+                      step(2, {4000, 8000, 8}, 300, true)),
+                0);
+    site.runFor(absl::Milliseconds(500));
+  }
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(5)));
+  site.runFor(absl::Seconds(60));
+  site.changeLeader();
+  site.runFor(absl::Seconds(2));
+  site.submit(jobOf("wide", step(12, {4000, 8000, 8}, 1000, true)), 1);
+  site.runFor(absl::Seconds(1));
+  ASSERT_TRUE(site.waited("wide").has_value());
+}
+
 // One worker of many fails all that it starts. Each gang that touched it ended
 // whole, was tried again with it among its workers, and used up its attempts:
 // callers saw wide jobs fail. The load: gangs as wide as half the site, one
