A contradicted view serves again once the store has confirmed it

Cause: found on reading. An entry whose own configuration is the newest, and that hands a call on to one that lags, took its own for outdated, and would have handed every call on until the next change of the configuration.

Change: the time of the contradiction counts: a view that the store has confirmed since is used again.

--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -124,7 +124,7 @@
     const bool unknownThere = answer->Result == CallResult::UnknownQueue ||
                               answer->Result == CallResult::BadKey;
     if (call->UnknownHere != unknownThere)
-      Outdated = call->Config;
+      ContradictedAt = Loop.now();
     CallAnswer passed = *answer;
     if (passed.Detail.empty())
       passed.Detail = "served by another entry";
@@ -144,6 +144,11 @@
   return Loop.now() - AwaySince() < StoreGrace;
 }
 
+bool JobDesk::isContradicted() const {
+  const absl::Time now = Loop.now();
+  return now - Config.age(now) <= ContradictedAt;
+}
+
 bool JobDesk::viewIsFresh() const {
   return storeUsable() && Config.age(Loop.now()) < Policy.FreshView;
 }
@@ -164,7 +169,7 @@
 
 void JobDesk::authorise(const CallPtr &call, bool confirmed, const Step &step) {
   call->Config = Config.current();
-  if (call->Config == nullptr || call->Config == Outdated ||
+  if (call->Config == nullptr || isContradicted() ||
       Config.age(Loop.now()) > Policy.OldestConfig) {
     if (forward(call))
       return;
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -131,6 +131,7 @@
   absl::Duration timeLeft(const CallPtr &call) const;
   long nextTryMs(const CallPtr &call) const;
   bool storeUsable() const;
+  bool isContradicted() const;
   bool viewIsFresh() const;
   int64_t retryAfterMs() const;
   void again(const CallPtr &call, platform::StoreStatus status,
@@ -163,11 +164,12 @@
   const OnWritten Written;
   const OnDecision Decided;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-  /// Another entry knew a call's route or key that this configuration does not
-  /// have, or the other way round. An entry cut off from the store would else
-  /// have served one caller by the new configuration, through the other entry,
-  /// and the next one by its own old one.
-  std::shared_ptr<const core::SiteConfig> Outdated;
+  /// When another entry knew a call's route or key that the configuration here
+  /// does not have, or the other way round. Until the store has confirmed it
+  /// again nothing is served by it: an entry cut off from the store would else
+  /// serve one caller by the new configuration, through the other entry, and
+  /// the next one by its own old one.
+  absl::Time ContradictedAt = absl::InfinitePast();
   /// Ends that are being recorded, by job, and the state calls that wait for
   /// each.
   std::map<std::string, std::vector<CallPtr>> Ending;
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -214,6 +214,17 @@
   cluster->runFor(absl::Milliseconds(100));
   ASSERT_TRUE(oldKey->Answer.has_value());
   EXPECT_EQ(oldKey->Answer->Result, jobs::CallResult::BadKey);
+  // Once the store has confirmed its view, the entry serves by itself again.
+  cluster->store().faults(MemoryCluster::entryName(away)).Silent = false;
+  cluster->runFor(absl::Seconds(4));
+  auto later = cluster->state(away, "k1", "j");
+  auto known = cluster->submit(away, "k2", job("j2", 1, 1, 200));
+  cluster->runFor(absl::Milliseconds(100));
+  ASSERT_TRUE(known->Answer.has_value());
+  EXPECT_EQ(known->Answer->Result, jobs::CallResult::Ok);
+  EXPECT_EQ(known->Answer->Detail, "");
+  ASSERT_TRUE(later->Answer.has_value());
+  EXPECT_EQ(later->Answer->Result, jobs::CallResult::BadKey);
 }
 
 // The store is away for all: the entries must not hand a call round until its
