What one rack holds is looked up anew once nothing is avoided

Cause: found on reading the change. Whether one rack can hold a gang is kept with the gang since the passes became cheap; it was first asked while the worker that failed the gang was avoided. Where no other rack would do, that worker is avoided no more, but the answer stayed: the gang was spread over racks and ran three times as long.

Change: the question while workers are avoided is not kept.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -172,7 +172,7 @@
     return;
   const bool elsewhere =
       unit.spec().SameRack && unit.spec().Gang
-          ? couldEverFitOneRack(unit)
+          ? findFitsOneRack(unit)
           : couldHold(unit) >= static_cast<int64_t>(unit.Tasks.size());
   if (!elsewhere)
     unit.Avoid.clear();
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -220,6 +220,24 @@
   ASSERT_TRUE(site.waited("wide").has_value());
 }
 
+// A gang fails by its own fault in the only rack that can hold it. Callers saw
+// its next run take three times as long: what was looked up while the worker
+// that failed it was avoided still held when it was not avoided any more, and
+// the gang was spread over two racks.
+TEST(JobScheduler, GangThatFailedStaysInTheOnlyRackThatHoldsIt) {
+  SimSite site;
+  for (const char *life : {"a0", "a1", "a2"})
+    site.addWorker(life, "ra");
+  for (const char *life : {"b0", "b1"})
+    site.addWorker(life, "rb");
+  site.FailsItself = [](const core::TaskId &, int64_t run) { return run == 1; };
+  site.runFor(absl::Milliseconds(600));
+  site.submit(jobOf("g", step(3, {1000, 100, 8}, 1000, true, true)));
+  site.runFor(absl::Milliseconds(1800));
+  const std::multiset<std::string> second = {"a0", "a1", "a2"};
+  EXPECT_EQ(site.placesOf("g"), second);
+}
+
 // One worker of many fails all that it starts. Each gang that touched it ended
 // whole, was tried again with it among its workers, and used up its attempts:
 // callers saw wide jobs fail. The load: gangs as wide as half the site, one
