explain shows one failed store call a process and outage

Cause: the story of a job has every store.call_failed of every process between its first and last line; of 45 lines 30 were these.

Change: failures of one process that follow each other within three seconds are one outage, until the store is regained. timeline shows all as before.

Measured: HasOneFailedStoreCallAProcessAndOutage fails before, passes after; 13 of 13 tests of the event log.

--- a/src/libs/eventlog/timeline.cpp
+++ b/src/libs/eventlog/timeline.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace oriolebay::eventlog {
 
@@ -21,6 +22,10 @@
 const std::set<std::string> CommonFields = {"ts_us", "up_ms", "proc", "event",
                                             "name"};
 constexpr const char *ProcessStartedName = "process.started";
+constexpr const char *StoreCallFailedName = "store.call_failed";
+constexpr const char *StoreRegainedName = "store.regained";
+/// Failures of one process that follow each other within this are one outage.
+constexpr int64_t SameOutageUs = 3'000'000;
 
 bool startsWith(const std::string &text, const std::string &start) {
   return text.compare(0, start.size(), start) == 0;
@@ -112,6 +117,26 @@
          startsWith(name, "log.");
 }
 
+/// Lets one failed store call a process and outage into a job's story: each
+/// process makes several calls a second, and their failures say the same.
+class OutageFilter {
+public:
+  bool repeats(const LoggedEvent &e) {
+    const std::string name = textIn(e.Fields, "name");
+    const std::string process = textIn(e.Fields, "proc");
+    if (name == StoreRegainedName)
+      FailedAtUs.erase(process);
+    if (name != StoreCallFailedName)
+      return false;
+    auto [it, isFirst] = FailedAtUs.try_emplace(process, e.AtUs);
+    const int64_t sinceLastUs = e.AtUs - std::exchange(it->second, e.AtUs);
+    return !isFirst && sinceLastUs <= SameOutageUs;
+  }
+
+private:
+  std::map<std::string, int64_t> FailedAtUs;
+};
+
 } // namespace
 
 ReadEvents readEvents(const std::vector<std::string> &paths) {
@@ -156,11 +181,13 @@
   std::vector<LoggedEvent> story;
   if (!first)
     return story;
+  OutageFilter outages;
   for (const LoggedEvent &e : events) {
     const bool during = e.AtUs >= *first && e.AtUs <= last;
     const bool atWorker = startsWith(textIn(e.Fields, "name"), "worker.") &&
                           workers.count(textIn(e.Fields, "worker")) > 0;
-    if (isOf(job, e) || (during && (touchesAll(e) || atWorker)))
+    const bool isNews = during && !outages.repeats(e);
+    if (isOf(job, e) || (isNews && (touchesAll(e) || atWorker)))
       story.push_back(e);
   }
   return story;
--- a/src/libs/eventlog/timeline.h
+++ b/src/libs/eventlog/timeline.h
@@ -49,7 +49,7 @@
 
 /// All that concerns one job: its own events, those of the workers it was
 /// placed on, and what happened to leader and store from its first event to its
-/// last.
+/// last. Of an outage's failed store calls it has one a process.
 std::vector<LoggedEvent> storyOf(const std::string &job,
                                  const std::vector<LoggedEvent> &events);
 
--- a/tests/auto/eventlog/tst_timeline.cpp
+++ b/tests/auto/eventlog/tst_timeline.cpp
@@ -104,6 +104,31 @@
   EXPECT_TRUE(storyOf("j3", sample()).empty());
 }
 
+// The store was away for a while; two lines of three in a job's story were
+// store calls of all processes that had failed.
+TEST(Story, HasOneFailedStoreCallAProcessAndOutage) {
+  std::vector<LoggedEvent> events;
+  const auto add = [&](int64_t ms, const char *process, const char *name,
+                       const char *job = "") {
+    events.push_back(
+        {ms * 1000, {{"proc", process}, {"name", name}, {"job", job}}});
+  };
+  add(0, "e1", "call.answered", "j1");
+  for (int64_t ms = 100; ms < 5000; ms += 300) {
+    add(ms, "e1", "store.call_failed");
+    add(ms + 1, "e2", "store.call_failed");
+  }
+  add(6000, "e1", "store.regained");
+  add(6100, "e1", "store.call_failed");
+  add(12000, "e2", "store.call_failed");
+  add(13000, "e1", "job.ended", "j1");
+  EXPECT_EQ(names(storyOf("j1", events)),
+            (std::vector<std::string>{"call.answered", "store.call_failed",
+                                      "store.call_failed", "store.regained",
+                                      "store.call_failed", "store.call_failed",
+                                      "job.ended"}));
+}
+
 TEST(Story, ReadsAsText) {
   std::ostringstream out;
   printText(select(sample(), {"a1", "", "", "order.", {}, {}}), out);
