Lines of callers' calls name the entry and configuration that decided them

Cause: a call that another entry decided was logged with the version here when it came and the age of the view when it was answered, and named neither the other entry nor its configuration.

Change: answers between entries carry the configuration that decided them, version and store revision, and the entry's address; call.answered shows them, and version and age here are both of the moment when the call was checked. Nothing is decided by them yet.

--- a/src/libs/core/codec.h
+++ b/src/libs/core/codec.h
@@ -5,6 +5,7 @@
 #include "jobspec.h"
 #include "profile.h"
 #include "shape.h"
+#include "siteconfig.h"
 #include "workerinfo.h"
 
 #include <nlohmann/json.hpp>
@@ -37,6 +38,7 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Resources, MilliCores, MemoryMb,
                                    Accelerators)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigStamp, Version, Revision)
 
 void to_json(nlohmann::json &j, const Shape &v);
 void from_json(const nlohmann::json &j, Shape &v);
--- a/src/libs/core/siteconfig.h
+++ b/src/libs/core/siteconfig.h
@@ -42,6 +42,16 @@
   auto operator<=>(const OrganisationConfig &) const = default;
 };
 
+/// Which configuration something was decided by; a newer one compares greater.
+/// The version alone does not tell: an operator may write one number twice.
+struct ConfigStamp {
+  int64_t Version = 0;
+  /// The store's revision of the configuration's key.
+  int64_t Revision = 0;
+
+  auto operator<=>(const ConfigStamp &) const = default;
+};
+
 /// The operator's configuration at one version. Versions only grow.
 struct SiteConfig {
   int64_t Version = 0;
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -65,7 +65,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedCall, Call, Host, Path, Key,
                                    TimeLeftMs, Job, Record)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedAnswer, Result, Detail,
-                                   RetryAfterMs, State, Waiting)
+                                   RetryAfterMs, State, Waiting, DecidedBy,
+                                   Entry)
 
 const char *runEndName(RunEnd end) {
   switch (end) {
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -3,6 +3,7 @@
 #include "core/answer.h"
 #include "core/job.h"
 #include "core/jobspec.h"
+#include "core/siteconfig.h"
 #include "core/workerinfo.h"
 #include "utils/error.h"
 
@@ -316,6 +317,10 @@
   int64_t RetryAfterMs = 0;
   std::string State;
   int Waiting = 0;
+  /// The configuration that decided it.
+  core::ConfigStamp DecidedBy;
+  /// The address of the entry that answers.
+  std::string Entry;
   auto operator<=>(const ForwardedAnswer &) const = default;
 };
 
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -105,6 +105,10 @@
   }
   if (!d.Answer.Detail.empty())
     fields["why"] = d.Answer.Detail;
+  if (!d.Answer.ServedBy.empty()) {
+    fields["served_by"] = d.Answer.ServedBy;
+    fields["served_config_version"] = d.Answer.DecidedBy.Version;
+  }
   if (d.Call == "state" && d.Answer.Result == jobs::CallResult::Ok)
     fields["state"] = jobs::jobStateName(d.Answer.State);
   logEvent(Event::CallAnswered, fields);
@@ -443,8 +447,10 @@
       [&]() -> utils::Result<bool> {
         BOOST_LEAF_AUTO(request, jobs::toRequest(call, Loop.now()));
         Desk->serveForwarded(std::move(request),
-                             [respond](const jobs::CallAnswer &answer) {
-                               respond(jobs::toMessage(answer));
+                             [this, respond](const jobs::CallAnswer &answer) {
+                               jobs::CallAnswer ours = answer;
+                               ours.ServedBy = Peers.Address;
+                               respond(jobs::toMessage(ours));
                              });
         return true;
       },
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/siteconfig.h"
 #include "jobrecord.h"
 
 #include <absl/time/time.h>
@@ -47,6 +48,10 @@
   int64_t RetryAfterMs = 0;
   JobState State = JobState::Queued;
   int Waiting = 0;
+  /// The configuration that decided it; zeros where there was none.
+  core::ConfigStamp DecidedBy;
+  /// The address of the entry that decided it, where that was another one.
+  std::string ServedBy;
 };
 
 /// For the log: what a call asked for, what decided it, and the answer.
@@ -58,6 +63,7 @@
   std::string Organisation;
   /// What the job asks for, with a submit; see core::summary().
   std::string Asked;
+  /// The configuration here, and its age, when the call was checked against it.
   int64_t ConfigVersion = 0;
   int64_t ConfigAgeMs = 0;
   CallAnswer Answer;
--- a/src/libs/jobs/callcodec.cpp
+++ b/src/libs/jobs/callcodec.cpp
@@ -56,8 +56,13 @@
 }
 
 endpoints::ForwardedAnswer toMessage(const CallAnswer &answer) {
-  return {callResultName(answer.Result), answer.Detail, answer.RetryAfterMs,
-          jobStateName(answer.State), answer.Waiting};
+  return {callResultName(answer.Result),
+          answer.Detail,
+          answer.RetryAfterMs,
+          jobStateName(answer.State),
+          answer.Waiting,
+          answer.DecidedBy,
+          answer.ServedBy};
 }
 
 CallAnswer toAnswer(const endpoints::ForwardedAnswer &m) {
@@ -66,6 +71,8 @@
   answer.Detail = m.Detail;
   answer.RetryAfterMs = m.RetryAfterMs;
   answer.Waiting = m.Waiting;
+  answer.DecidedBy = m.DecidedBy;
+  answer.ServedBy = m.Entry;
   const auto *result = named(Results, m.Result, callResultName);
   const auto *state = named(States, m.State, jobStateName);
   if (result == Results.end() || state == States.end())
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -16,6 +16,8 @@
 /// Calls to the store may fail for so long before callers are refused at once:
 /// one lost answer is no outage.
 constexpr absl::Duration StoreGrace = absl::Milliseconds(250);
+/// A configuration that was never confirmed has no age; lines show this.
+constexpr absl::Duration LongestAgeShown = absl::Hours(1);
 
 const KeyValue *findItem(const std::vector<KeyValue> &items,
                          const std::string &key) {
@@ -45,6 +47,8 @@
   absl::Time Began;
   /// What the call was checked against last.
   std::shared_ptr<const core::SiteConfig> Config;
+  core::ConfigStamp CheckedBy;
+  absl::Duration ConfigAge = absl::InfiniteDuration();
   core::QueueConfig Queue;
   std::string Organisation;
   /// A write was sent whose outcome is not known.
@@ -75,6 +79,7 @@
   CallAnswer answer;
   answer.Result = result;
   answer.Detail = std::move(detail);
+  answer.DecidedBy = call->CheckedBy;
   if (result == CallResult::NotDone || result == CallResult::Open)
     answer.RetryAfterMs = retryAfterMs();
   if (result == CallResult::Ok && call->Name == "state") {
@@ -91,13 +96,13 @@
   if (call->Finished)
     return;
   call->Finished = true;
-  const absl::Time now = Loop.now();
-  Decided({call->Name, call->JobId, call->Queue.Name, call->Queue.Priority,
-           call->Organisation,
-           call->Name == "submit" ? core::summary(call->Spec) : "",
-           call->Config != nullptr ? call->Config->Version : 0,
-           absl::ToInt64Milliseconds(std::min(Config.age(now), absl::Hours(1))),
-           answer, absl::ToInt64Milliseconds(now - call->Began)});
+  Decided(
+      {call->Name, call->JobId, call->Queue.Name, call->Queue.Priority,
+       call->Organisation,
+       call->Name == "submit" ? core::summary(call->Spec) : "",
+       call->CheckedBy.Version,
+       absl::ToInt64Milliseconds(std::min(call->ConfigAge, LongestAgeShown)),
+       answer, absl::ToInt64Milliseconds(Loop.now() - call->Began)});
   call->Answer(std::move(answer));
 }
 
@@ -169,6 +174,8 @@
 
 void JobDesk::authorise(const CallPtr &call, bool confirmed, const Step &step) {
   call->Config = Config.current();
+  call->CheckedBy = Config.stamp();
+  call->ConfigAge = Config.age(Loop.now());
   if (call->Config == nullptr || isContradicted() ||
       Config.age(Loop.now()) > Policy.OldestConfig) {
     if (forward(call))
--- a/src/libs/operators/configfollower.h
+++ b/src/libs/operators/configfollower.h
@@ -55,6 +55,10 @@
   const std::shared_ptr<const core::SiteConfig> &current() const {
     return Current;
   }
+  /// Which one that is; zeros before the first.
+  core::ConfigStamp stamp() const {
+    return {Current != nullptr ? Current->Version : 0, Revision};
+  }
   /// The condition under which a transaction acts on the configuration in
   /// force and no other.
   platform::StoreCondition condition() const { return {Source.Key, Revision}; }
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -137,9 +137,13 @@
 
 void MemoryCluster::startEntry(int n) {
   const std::string name = entryName(n);
+  entry::EntryObservers observers;
+  observers.Called = [this](const jobs::CallDecision &d) {
+    Decided.push_back(d);
+  };
   Entries[n].Process = std::make_unique<entry::JobEntry>(
       Loop, Store.clientOf(name), peersOf(name), settingsOf(name), decodeConfig,
-      ConfigKey);
+      ConfigKey, std::move(observers));
   Entries[n].Process->start();
 }
 
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -71,6 +71,8 @@
   static std::string entryName(int n) { return "entry-" + std::to_string(n); }
   static std::string agentName(int n) { return "agent-" + std::to_string(n); }
 
+  /// What the entries logged of callers' calls, in order.
+  const std::vector<jobs::CallDecision> &decisions() const { return Decided; }
   /// What rules were seen broken, empty when none.
   std::vector<std::string> violations();
   const std::set<std::string> &accepted() const { return Accepted; }
@@ -114,6 +116,7 @@
   std::map<int, Side> Workers;
   std::set<std::string> Accepted;
   std::map<std::string, core::JobSpec> Specs;
+  std::vector<jobs::CallDecision> Decided;
 };
 
 /// A configuration in the form that a MemoryCluster's entries read.
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -227,6 +227,28 @@
   EXPECT_EQ(later->Answer->Result, jobs::CallResult::BadKey);
 }
 
+// What another entry decided was logged as decided by the configuration here,
+// confirmed only later: nobody could tell who had served a call and by what.
+TEST(Cluster, LogOfACallServedElsewhereNamesEntryAndConfiguration) {
+  auto cluster = serving();
+  const int away = (cluster->leader() + 1) % 3;
+  const std::string leader = MemoryCluster::entryName(cluster->leader());
+  cluster->submit(away, "k1", job("j", 1, 1, 200));
+  ASSERT_TRUE(cluster->runUntilOver(absl::Seconds(3)));
+  cluster->runFor(absl::Seconds(1));
+  cluster->store().faults(MemoryCluster::entryName(away)).Silent = true;
+  cluster->configure({"k1", "k3"});
+  cluster->runFor(absl::Milliseconds(1100));
+  cluster->state(away, "k3", "j");
+  cluster->runFor(absl::Milliseconds(100));
+  const jobs::CallDecision &line = cluster->decisions().back();
+  EXPECT_EQ(line.ConfigVersion, 1);
+  EXPECT_GE(line.ConfigAgeMs, 1100);
+  EXPECT_EQ(line.Answer.ServedBy, leader);
+  EXPECT_EQ(line.Answer.DecidedBy.Version, 2);
+  EXPECT_GT(line.Answer.DecidedBy.Revision, 0);
+}
+
 // The store is away for all: the entries must not hand a call round until its
 // caller's time is over, and "not done" must be true.
 TEST(Cluster, CallThatNoEntryCanServeIsRefusedSoon) {
