Tests: an entry goes back to an older configuration, four ways

What callers see: one address answers by a newer configuration and then by an older one.

KNOWN-RED.txt lists the four; scripts/test.sh passes over just the tests listed (a name that contained a listed one was passed over, too).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Installs what the build needs, builds, and runs every test. Tests listed in
-# KNOWN-RED.txt (first word of each line) are passed over and printed.
+# Installs what the build needs, builds, and runs every test. Just the tests that
+# are the first word of a line in KNOWN-RED.txt are passed over and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash scripts/install-deps.sh
@@ -10,7 +10,7 @@
 if [ -s KNOWN-RED.txt ]; then
   echo "Known red, passed over:"
   sed 's/^/  /' KNOWN-RED.txt
-  exclude=$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|')
+  exclude="^($(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|'))\$"
 fi
 cd build
 if [ -n "$exclude" ]; then
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -74,8 +74,17 @@
 
 void MemoryCluster::configure(const std::vector<std::string> &keys,
                               int64_t guaranteed) {
+  std::vector<core::OrganisationConfig> organisations;
+  for (const std::string &key : keys)
+    organisations.push_back({"org-of-" + key, {key}, guaranteed});
+  configureOwners(std::move(organisations));
+}
+
+void MemoryCluster::configureOwners(
+    std::vector<core::OrganisationConfig> organisations) {
   core::SiteConfig config;
   config.Version = ++Version;
+  config.Organisations = std::move(organisations);
   for (int priority = 0; priority < 3; ++priority) {
     core::QueueConfig q;
     q.Name = "q" + std::to_string(priority);
@@ -88,8 +97,6 @@
   advised.Prefix = "/advised/";
   advised.NeedsAdvice = true;
   config.Queues.push_back(advised);
-  for (const std::string &key : keys)
-    config.Organisations.push_back({"org-of-" + key, {key}, guaranteed});
   Store.put(ConfigKey, encodeConfig(config));
 }
 
@@ -292,6 +299,18 @@
   return called;
 }
 
+std::shared_ptr<MemoryCluster::Called>
+MemoryCluster::count(int n, const std::string &key, const std::string &queue) {
+  auto called = call("", key);
+  if (!entryUp(n))
+    return called;
+  jobs::CallerAccess a = access(key);
+  a.Path = "/" + queue + "/";
+  Entries[n].Process->desk().queueLength(
+      a, [called](const jobs::CallAnswer &answer) { called->Answer = answer; });
+  return called;
+}
+
 std::vector<std::string> MemoryCluster::violations() {
   std::vector<std::string> out = All.Violations;
   for (const std::string &job : Accepted)
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -31,6 +31,9 @@
   /// Writes a configuration with these keys (one organisation each).
   void configure(const std::vector<std::string> &keys, int64_t guaranteed = 16);
 
+  /// The same with these organisations.
+  void configureOwners(std::vector<core::OrganisationConfig> organisations);
+
   void runFor(absl::Duration time);
   /// Until all accepted jobs are over as their entries show it.
   bool runUntilOver(absl::Duration limit);
@@ -48,6 +51,9 @@
                                  const std::string &job);
   std::shared_ptr<Called> state(int entry, const std::string &key,
                                 const std::string &job);
+  /// Asks how many jobs wait in queue.
+  std::shared_ptr<Called> count(int entry, const std::string &key,
+                                const std::string &queue);
 
   // Faults.
   void killEntry(int entry);
--- a/tests/auto/cluster/tst_randomdays.cpp
+++ b/tests/auto/cluster/tst_randomdays.cpp
@@ -1,23 +1,13 @@
 #include "memorycluster.h"
+#include "seeds.h"
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <random>
 
 namespace oriolebay::cluster {
 namespace {
 
-/// Days from First to Last are played; in CI a few, by hand as many as the
-/// variable says ("1-2000").
-std::pair<int, int> seedsToPlay() {
-  int first = 1;
-  int last = 60;
-  if (const char *range = std::getenv("ORIOLEBAY_SEEDS"))
-    std::sscanf(range, "%d-%d", &first, &last);
-  return {first, last};
-}
-
 core::JobSpec randomJob(std::mt19937_64 &random, int number) {
   auto any = [&](int from, int to) {
     return std::uniform_int_distribution<>(from, to)(random);
