What decided an answer is told between entries: none goes back behind it

What callers saw: one address answered by version 84 of the configuration and 1.3 s later by 81 or older (CONFIG). The entry had lost the store, handed a call on, passed the newer answer on, and served the next call by its own view.

Cause: an answer that another entry decided brings knowledge that is newer than one's own copy, and nothing said so: calls and answers that entries hand each other carried no revision of the configuration. The mend before inferred it from a route or key known on one side only, and only where a call had been handed on from a view that was not fresh.

Change: an answer carries the configuration that decided it, a call the oldest that may decide it. An entry goes by none older than it has heard of: it hands calls on, asks the store for the newer one (config.outdated, oriolebay_config_outdated), and as the one asked confirms its own first. An answer by an older one than is known by now is not passed on, but for a write that was done. The inference goes.

Why it holds: revisions of the store's key only grow, and whatever an entry has served or passed on raises the floor before its caller has the answer.

--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -90,6 +90,9 @@
     m.set("config_age_seconds",
           "Since the store last confirmed the configuration here.",
           s.ConfigAgeSeconds);
+    m.set("config_outdated",
+          "1 while another entry is known to go by a newer configuration.",
+          s.ConfigOutdated ? 1 : 0);
     m.set("leader", "1 while this entry leads.", s.Leads ? 1 : 0);
     m.set("leader_epoch", "Epoch of the leader that this process follows.",
           static_cast<double>(s.LeaderEpoch));
--- a/src/libs/core/codec.h
+++ b/src/libs/core/codec.h
@@ -38,7 +38,7 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Resources, MilliCores, MemoryMb,
                                    Accelerators)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigStamp, Version, Revision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigStamp, Revision, Version)
 
 void to_json(nlohmann::json &j, const Shape &v);
 void from_json(const nlohmann::json &j, Shape &v);
--- a/src/libs/core/siteconfig.h
+++ b/src/libs/core/siteconfig.h
@@ -42,12 +42,12 @@
   auto operator<=>(const OrganisationConfig &) const = default;
 };
 
-/// Which configuration something was decided by; a newer one compares greater.
-/// The version alone does not tell: an operator may write one number twice.
+/// Which configuration something was decided by. Revision, the store's of the
+/// configuration's key, tells which of two is newer; an operator may write one
+/// version twice.
 struct ConfigStamp {
-  int64_t Version = 0;
-  /// The store's revision of the configuration's key.
   int64_t Revision = 0;
+  int64_t Version = 0;
 
   auto operator<=>(const ConfigStamp &) const = default;
 };
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -63,7 +63,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobWritten, Key, Value, Revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StandDown, Epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedCall, Call, Host, Path, Key,
-                                   TimeLeftMs, Job, Record)
+                                   TimeLeftMs, Job, Record, OldestRevision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedAnswer, Result, Detail,
                                    RetryAfterMs, State, Waiting, DecidedBy,
                                    Entry)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -307,6 +307,8 @@
   int64_t TimeLeftMs = 0;
   std::string Job;
   std::string Record;
+  /// The store's revision of the oldest configuration that may decide the call.
+  int64_t OldestRevision = 0;
   auto operator<=>(const ForwardedCall &) const = default;
 };
 
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -159,6 +159,7 @@
       [](const utils::Error &e) {
         logEvent(Event::ConfigRefused, {{"error", e.text()}});
       },
+      [this](const core::ConfigStamp &newer) { onConfigOutdated(newer); },
       trouble("configuration"));
   View = std::make_unique<jobs::JobView>(
       Loop, Calls, restingFollow,
@@ -249,6 +250,7 @@
   EntryStatus s;
   if (Config->current() != nullptr) {
     s.ConfigVersion = Config->current()->Version;
+    s.ConfigOutdated = Config->outdated();
     s.ConfigAgeSeconds = absl::ToDoubleSeconds(Config->age(Loop.now()));
   }
   s.Leads = Duty != nullptr && Duty->begun();
@@ -276,6 +278,17 @@
     Duty->onConfig(config);
 }
 
+void JobEntry::onConfigOutdated(const core::ConfigStamp &newer) {
+  const core::ConfigStamp held = Config->stamp();
+  logEvent(Event::ConfigOutdated,
+           {{"version", held.Version},
+            {"revision", held.Revision},
+            {"newer_version", newer.Version},
+            {"newer_revision", newer.Revision},
+            {"config_age_ms", absl::ToInt64Milliseconds(std::min(
+                                  Config->age(Loop.now()), absl::Hours(1)))}});
+}
+
 void JobEntry::storeTrouble(const char *what, platform::StoreStatus status,
                             const std::string &why) {
   logEvent(Event::StoreCallFailed,
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -31,6 +31,8 @@
 struct EntryStatus {
   int64_t ConfigVersion = 0;
   double ConfigAgeSeconds = 0;
+  /// Another entry is known to go by a newer configuration.
+  bool ConfigOutdated = false;
   bool Leads = false;
   int64_t LeaderEpoch = 0;
   size_t JobsKnown = 0;
@@ -79,6 +81,7 @@
   void onForwarded(const endpoints::ForwardedCall &call,
                    const endpoints::Peers::Respond &respond);
   void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
+  void onConfigOutdated(const core::ConfigStamp &newer);
   void storeTrouble(const char *what, platform::StoreStatus status,
                     const std::string &why);
 
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -59,6 +59,7 @@
       {Event::StoreLost, "store.lost"},
       {Event::StoreRegained, "store.regained"},
       {Event::ConfigAccepted, "config.accepted"},
+      {Event::ConfigOutdated, "config.outdated"},
       {Event::ConfigRefused, "config.refused"},
       {Event::RecordRefused, "record.refused"},
       {Event::WorkerLifeBegan, "worker.life_began"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -71,6 +71,7 @@
   ConfigAccepted = 508,
   ConfigRefused = 509,
   RecordRefused = 510,
+  ConfigOutdated = 511,
 
   LeaderElected = 600,
   LeaderLost = 601,
--- a/src/libs/jobs/callcodec.cpp
+++ b/src/libs/jobs/callcodec.cpp
@@ -33,6 +33,7 @@
   m.Key = call.Access.Key;
   m.TimeLeftMs = absl::ToInt64Milliseconds(call.Access.Deadline - now);
   m.Job = call.JobId;
+  m.OldestRevision = call.OldestRevision;
   if (call.Name == "submit") {
     JobRecord record;
     record.Spec = call.Spec;
@@ -48,6 +49,7 @@
   call.Access = {m.Host, m.Path, m.Key,
                  now + absl::Milliseconds(std::max<int64_t>(0, m.TimeLeftMs))};
   call.JobId = m.Job;
+  call.OldestRevision = m.OldestRevision;
   if (m.Call == "submit") {
     BOOST_LEAF_AUTO(record, decodeRecord(m.Record));
     call.Spec = std::move(record.Spec);
--- a/src/libs/jobs/callcodec.h
+++ b/src/libs/jobs/callcodec.h
@@ -19,6 +19,9 @@
   std::string JobId;
   /// With submit.
   core::JobSpec Spec;
+  /// The store's revision of the oldest configuration that may decide it; an
+  /// older one would take back what callers have seen.
+  int64_t OldestRevision = 0;
 
   bool operator==(const CallRequest &) const = default;
 };
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -53,8 +53,6 @@
   std::string Organisation;
   /// A write was sent whose outcome is not known.
   bool MayBeDone = false;
-  /// Its route or key is not in the configuration here.
-  bool UnknownHere = false;
   /// Handed over by another entry, or to one.
   bool Foreign = false;
   bool HandedOver = false;
@@ -111,7 +109,7 @@
   if (call->Foreign || call->HandedOver)
     return false;
   call->HandedOver = true;
-  return HandOver({call->Name, call->Access, call->JobId, call->Spec},
+  return HandOver(requestOf(call),
                   [this, alive = Alive, call](
                       const std::optional<CallAnswer> &answer, bool mayBeDone) {
                     if (*alive)
@@ -119,17 +117,29 @@
                   });
 }
 
+CallRequest JobDesk::requestOf(const CallPtr &call) const {
+  return {call->Name, call->Access, call->JobId, call->Spec,
+          Config.newestRevision()};
+}
+
+// What was done stays done. Anything else that was decided by an older
+// configuration than one that is known by now would take that one back.
+bool JobDesk::mayPassOn(const CallPtr &call, const CallAnswer &answer) const {
+  const bool writes = call->Name == "submit" || call->Name == "cancel";
+  return (writes && answer.Result == CallResult::Ok) ||
+         answer.DecidedBy.Revision >= Config.newestRevision();
+}
+
 // "Not done" holds only if nothing that was sent before, here or to an entry
 // that did not answer, may still be carried out.
 void JobDesk::onForwarded(const CallPtr &call,
                           const std::optional<CallAnswer> &answer,
                           bool mayBeDone) {
   call->MayBeDone |= mayBeDone;
-  if (answer && answer->Result != CallResult::NotDone) {
-    const bool unknownThere = answer->Result == CallResult::UnknownQueue ||
-                              answer->Result == CallResult::BadKey;
-    if (call->UnknownHere != unknownThere)
-      ContradictedAt = Loop.now();
+  if (answer)
+    Config.heardOf(answer->DecidedBy);
+  if (answer && answer->Result != CallResult::NotDone &&
+      mayPassOn(call, *answer)) {
     CallAnswer passed = *answer;
     if (passed.Detail.empty())
       passed.Detail = "served by another entry";
@@ -149,9 +159,11 @@
   return Loop.now() - AwaySince() < StoreGrace;
 }
 
-bool JobDesk::isContradicted() const {
-  const absl::Time now = Loop.now();
-  return now - Config.age(now) <= ContradictedAt;
+// An entry that knows of a newer configuration has passed on what it decided,
+// or is asked by an entry that has. Serving by its own would take that back.
+bool JobDesk::mayGoByConfig() const {
+  return Config.current() != nullptr && !Config.outdated() &&
+         Config.age(Loop.now()) <= Policy.OldestConfig;
 }
 
 bool JobDesk::viewIsFresh() const {
@@ -176,10 +188,13 @@
   call->Config = Config.current();
   call->CheckedBy = Config.stamp();
   call->ConfigAge = Config.age(Loop.now());
-  if (call->Config == nullptr || isContradicted() ||
-      Config.age(Loop.now()) > Policy.OldestConfig) {
+  if (!mayGoByConfig()) {
     if (forward(call))
       return;
+    if (!confirmed && Config.outdated() && storeUsable()) {
+      confirmFirst(call, step);
+      return;
+    }
     finish(call, CallResult::NotDone,
            "this entry has no fresh configuration; try another entry");
     return;
@@ -193,21 +208,9 @@
     step(call);
     return;
   }
-  if (!confirmed && !viewIsFresh()) {
-    call->UnknownHere = true;
-    if (forward(call))
-      return;
-  }
   if (!confirmed) {
-    Config.confirm([this, alive = Alive, call, step](bool ok) {
-      if (!*alive)
-        return;
-      if (ok)
-        authorise(call, true, step);
-      else if (!forward(call))
-        finish(call, CallResult::NotDone,
-               "the configuration could not be confirmed; try another entry");
-    });
+    if (viewIsFresh() || !forward(call))
+      confirmFirst(call, step);
     return;
   }
   if (queue == nullptr)
@@ -217,6 +220,18 @@
     finish(call, CallResult::BadKey, "unknown key; check the key in use");
 }
 
+void JobDesk::confirmFirst(const CallPtr &call, const Step &step) {
+  Config.confirm([this, alive = Alive, call, step](bool ok) {
+    if (!*alive)
+      return;
+    if (ok)
+      authorise(call, true, step);
+    else if (!forward(call))
+      finish(call, CallResult::NotDone,
+             "the configuration could not be confirmed; try another entry");
+  });
+}
+
 absl::Duration JobDesk::timeLeft(const CallPtr &call) const {
   const absl::Duration whole = call->Access.Deadline - call->Began;
   return call->Began + whole * Policy.MostShareOfTime - Loop.now();
@@ -277,6 +292,7 @@
 }
 
 void JobDesk::serveForwarded(CallRequest request, Done done) {
+  Config.heardOf({request.OldestRevision, 0});
   const CallPtr call = newCall(std::move(request), std::move(done));
   call->Foreign = true;
   serve(call);
@@ -421,7 +437,7 @@
   if (call->Foreign)
     return false;
   return LeadersView(
-      {call->Name, call->Access, call->JobId, call->Spec},
+      requestOf(call),
       [this, alive = Alive, call](const std::optional<CallAnswer> &answer) {
         if (*alive)
           onLeaderAnswer(call, answer);
@@ -430,6 +446,8 @@
 
 void JobDesk::onLeaderAnswer(const CallPtr &call,
                              const std::optional<CallAnswer> &answer) {
+  if (answer)
+    Config.heardOf(answer->DecidedBy);
   const StoredJob *job = View.find(call->JobId);
   const bool over = job != nullptr && isFinal(job->shown());
   if (over || !answer || answer->Result != CallResult::Ok) {
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -119,19 +119,22 @@
   using Step = std::function<void(const CallPtr &)>;
 
   static CallPtr newCall(CallRequest request, Done done);
+  CallRequest requestOf(const CallPtr &call) const;
   void serve(const CallPtr &call);
   bool forward(const CallPtr &call);
   void onForwarded(const CallPtr &call, const std::optional<CallAnswer> &answer,
                    bool mayBeDone);
+  bool mayPassOn(const CallPtr &call, const CallAnswer &answer) const;
   void deliver(const CallPtr &call, CallAnswer answer);
   void begin(const CallPtr &call, const Step &step);
   void authorise(const CallPtr &call, bool confirmed, const Step &step);
+  void confirmFirst(const CallPtr &call, const Step &step);
   void finish(const CallPtr &call, CallResult result, std::string detail = "");
   bool outOfTime(const CallPtr &call) const;
   absl::Duration timeLeft(const CallPtr &call) const;
   long nextTryMs(const CallPtr &call) const;
   bool storeUsable() const;
-  bool isContradicted() const;
+  bool mayGoByConfig() const;
   bool viewIsFresh() const;
   int64_t retryAfterMs() const;
   void again(const CallPtr &call, platform::StoreStatus status,
@@ -164,12 +167,6 @@
   const OnWritten Written;
   const OnDecision Decided;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-  /// When another entry knew a call's route or key that the configuration here
-  /// does not have, or the other way round. Until the store has confirmed it
-  /// again nothing is served by it: an entry cut off from the store would else
-  /// serve one caller by the new configuration, through the other entry, and
-  /// the next one by its own old one.
-  absl::Time ContradictedAt = absl::InfinitePast();
   /// Ends that are being recorded, by job, and the state calls that wait for
   /// each.
   std::map<std::string, std::vector<CallPtr>> Ending;
--- a/src/libs/operators/configfollower.cpp
+++ b/src/libs/operators/configfollower.cpp
@@ -13,10 +13,11 @@
 ConfigFollower::ConfigFollower(utils::EventLoop &loop,
                                const platform::Store &store,
                                ConfigSource source, OnConfig onConfig,
-                               OnRefused onRefused, OnTrouble onTrouble)
+                               OnRefused onRefused, OnOutdated onOutdated,
+                               OnTrouble onTrouble)
     : Loop(loop), Calls(store), Source(std::move(source)),
       Changed(std::move(onConfig)), Refused(std::move(onRefused)),
-      Trouble(std::move(onTrouble)),
+      Outdated(std::move(onOutdated)), Trouble(std::move(onTrouble)),
       Follower(
           loop, store, Source.Key, Source.Follow,
           [this](const platform::StoreEvent &event) {
@@ -68,6 +69,14 @@
     Confirmed = std::max(Confirmed, sent);
 }
 
+void ConfigFollower::heardOf(const core::ConfigStamp &newer) {
+  if (newer.Revision <= newestRevision())
+    return;
+  NewestHeard = newer.Revision;
+  Outdated(newer);
+  confirm([](bool) {});
+}
+
 void ConfigFollower::confirmLater() {
   Loop.runAfter(Source.ConfirmEvery, [this, alive = Alive] {
     if (!*alive)
--- a/src/libs/operators/configfollower.h
+++ b/src/libs/operators/configfollower.h
@@ -7,6 +7,7 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -40,12 +41,14 @@
   using OnConfig =
       std::function<void(const std::shared_ptr<const core::SiteConfig> &)>;
   using OnRefused = std::function<void(const utils::Error &)>;
+  /// A newer configuration than the one in force here is known to be.
+  using OnOutdated = std::function<void(const core::ConfigStamp &newer)>;
   using OnTrouble =
       std::function<void(platform::StoreStatus, const std::string &why)>;
 
   ConfigFollower(utils::EventLoop &loop, const platform::Store &store,
                  ConfigSource source, OnConfig onConfig, OnRefused onRefused,
-                 OnTrouble onTrouble);
+                 OnOutdated onOutdated, OnTrouble onTrouble);
   ~ConfigFollower();
   ConfigFollower(const ConfigFollower &) = delete;
   ConfigFollower &operator=(const ConfigFollower &) = delete;
@@ -57,8 +60,15 @@
   }
   /// Which one that is; zeros before the first.
   core::ConfigStamp stamp() const {
-    return {Current != nullptr ? Current->Version : 0, Revision};
+    return {Revision, Current != nullptr ? Current->Version : 0};
   }
+  /// Another entry has gone by the configuration of newer: nobody must be
+  /// served by an older one here any more. The store is asked for it.
+  void heardOf(const core::ConfigStamp &newer);
+  /// Whether a newer configuration than the one in force here is known to be.
+  bool outdated() const { return Revision < NewestHeard; }
+  /// The store's revision of the newest configuration that is known to be.
+  int64_t newestRevision() const { return std::max(Revision, NewestHeard); }
   /// The condition under which a transaction acts on the configuration in
   /// force and no other.
   platform::StoreCondition condition() const { return {Source.Key, Revision}; }
@@ -79,6 +89,7 @@
   const ConfigSource Source;
   const OnConfig Changed;
   const OnRefused Refused;
+  const OnOutdated Outdated;
   const OnTrouble Trouble;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   platform::PrefixFollower Follower;
@@ -86,6 +97,8 @@
   int64_t Revision = 0;
   /// Revision of the newest value seen, readable or not.
   int64_t SeenRevision = 0;
+  /// Of the newest configuration that any entry was heard to go by.
+  int64_t NewestHeard = 0;
   absl::Time Confirmed = absl::InfinitePast();
 };
 
