An end that a caller was shown is not taken back

What callers saw: a job is shown as completed and, when the same entry is asked again, as running.

Change: an end that another entry told is kept until the view has it too, or the job is gone from the store.

--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -170,6 +170,8 @@
       [this](const std::string &id) {
         if (Duty)
           Duty->onRemoved(id);
+        if (Desk)
+          Desk->forget(id);
       },
       [this](const std::string &id) {
         if (Desk)
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -83,7 +83,7 @@
   if (result == CallResult::Ok && call->Name == "state") {
     const StoredJob *job = View.find(call->JobId);
     if (job != nullptr)
-      answer.State = job->shown();
+      answer.State = shown(*job);
   }
   if (result == CallResult::Ok && call->Name == "queue")
     answer.Waiting = View.waiting(call->Queue.Name);
@@ -140,6 +140,7 @@
     Config.heardOf(answer->DecidedBy);
   if (answer && answer->Result != CallResult::NotDone &&
       mayPassOn(call, *answer)) {
+    noteTold(call, *answer);
     CallAnswer passed = *answer;
     if (passed.Detail.empty())
       passed.Detail = "served by another entry";
@@ -410,6 +411,20 @@
   authorise(call, true, [this](const CallPtr &c) { accept(c); });
 }
 
+// An end that callers have seen is not taken back.
+JobState JobDesk::shown(const StoredJob &job) const {
+  auto it = EndsTold.find(job.Record.Spec.Id);
+  return it == EndsTold.end() ? job.shown() : it->second;
+}
+
+void JobDesk::noteTold(const CallPtr &call, const CallAnswer &answer) {
+  const StoredJob *job = View.find(call->JobId);
+  const bool knownHere = job == nullptr || isFinal(job->shown());
+  if (call->Name == "state" && answer.Result == CallResult::Ok &&
+      isFinal(answer.State) && !knownHere)
+    EndsTold.emplace(call->JobId, answer.State);
+}
+
 bool JobDesk::mayTouch(const CallPtr &call, const JobRecord &record) const {
   return record.Spec.Queue == call->Queue.Name &&
          (call->Queue.Public || record.Spec.Organisation == call->Organisation);
@@ -420,7 +435,7 @@
     finish(call, CallResult::UnknownJob, "no such job");
     return;
   }
-  if (isFinal(job.shown())) {
+  if (isFinal(shown(job))) {
     finish(call, CallResult::Ok);
     return;
   }
@@ -449,11 +464,12 @@
   if (answer)
     Config.heardOf(answer->DecidedBy);
   const StoredJob *job = View.find(call->JobId);
-  const bool over = job != nullptr && isFinal(job->shown());
+  const bool over = job != nullptr && isFinal(shown(*job));
   if (over || !answer || answer->Result != CallResult::Ok) {
     finish(call, CallResult::Ok);
     return;
   }
+  noteTold(call, *answer);
   CallAnswer told = *answer;
   told.Detail = "as the leader shows it";
   deliver(call, std::move(told));
@@ -463,7 +479,7 @@
 bool JobDesk::waitForEnd(const CallPtr &call) {
   const StoredJob *job = View.find(call->JobId);
   auto it = Ending.find(call->JobId);
-  if (it == Ending.end() || job == nullptr || isFinal(job->shown()))
+  if (it == Ending.end() || job == nullptr || isFinal(shown(*job)))
     return false;
   it->second.push_back(call);
   return true;
@@ -471,7 +487,7 @@
 
 void JobDesk::expectEnd(const std::string &jobId) {
   const StoredJob *job = View.find(jobId);
-  if (job != nullptr && isFinal(job->shown()))
+  if (job != nullptr && isFinal(shown(*job)))
     return;
   if (!Ending.try_emplace(jobId).second)
     return;
@@ -482,6 +498,9 @@
 }
 
 void JobDesk::onEndRecorded(const std::string &jobId) {
+  const StoredJob *job = View.find(jobId);
+  if (job == nullptr || isFinal(job->shown()))
+    EndsTold.erase(jobId);
   auto it = Ending.find(jobId);
   if (it == Ending.end())
     return;
@@ -493,7 +512,7 @@
 
 void JobDesk::show(const CallPtr &call) {
   const StoredJob *job = View.find(call->JobId);
-  const bool over = job != nullptr && isFinal(job->shown());
+  const bool over = job != nullptr && isFinal(shown(*job));
   if (!over && !viewIsFresh() && forward(call))
     return;
   if (job != nullptr) {
@@ -545,7 +564,7 @@
   if (const StoredJob *job = View.find(call->JobId)) {
     if (!mayTouch(call, job->Record))
       finish(call, CallResult::UnknownJob, "no such job");
-    else if (isFinal(job->shown()))
+    else if (isFinal(shown(*job)))
       finish(call, CallResult::Ok);
     else
       writeCancel(call, job->Record, job->RecordRevision);
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -110,6 +110,8 @@
   void expectEnd(const std::string &jobId);
   /// The end is recorded.
   void onEndRecorded(const std::string &jobId);
+  /// The job's record is gone from the store.
+  void forget(const std::string &jobId) { EndsTold.erase(jobId); }
   /// How many of the queue's jobs have not begun.
   void queueLength(CallerAccess access, Done done);
 
@@ -155,6 +157,8 @@
   void onLeaderAnswer(const CallPtr &call,
                       const std::optional<CallAnswer> &answer);
   bool waitForEnd(const CallPtr &call);
+  JobState shown(const StoredJob &job) const;
+  void noteTold(const CallPtr &call, const CallAnswer &answer);
 
   utils::EventLoop &Loop;
   const platform::Store &Calls;
@@ -170,6 +174,9 @@
   /// Ends that are being recorded, by job, and the state calls that wait for
   /// each.
   std::map<std::string, std::vector<CallPtr>> Ending;
+  /// Ends that callers were shown as another entry told them, until the view
+  /// here has them too.
+  std::map<std::string, JobState> EndsTold;
 };
 
 } // namespace oriolebay::jobs
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -118,6 +118,29 @@
   }
 }
 
+// Guards against an entry that has shown a job's end as the leader told it and
+// then shows the job as running, by its own view, when the leader is cut off.
+TEST(Cluster, EndThatTheLeaderToldIsNotTakenBack) {
+  auto cluster = serving();
+  const int leader = cluster->leader();
+  const int asked = (leader + 1) % 3;
+  cluster->submit(asked, "k1", job("j", 1, 1, 500));
+  cluster->runFor(absl::Milliseconds(300));
+  cluster->store().faults(MemoryCluster::entryName(asked)).WatchesSilent = true;
+  cluster->runFor(absl::Milliseconds(400));
+  ASSERT_EQ(cluster->stored("j"), jobs::JobState::Completed);
+  auto told = cluster->state(asked, "k1", "j");
+  cluster->runFor(absl::Milliseconds(50));
+  ASSERT_TRUE(told->Answer.has_value());
+  ASSERT_EQ(told->Answer->State, jobs::JobState::Completed);
+  cluster->cutPair(MemoryCluster::entryName(asked),
+                   MemoryCluster::entryName(leader));
+  auto again = cluster->state(asked, "k1", "j");
+  cluster->runFor(absl::Milliseconds(400));
+  ASSERT_TRUE(again->Answer.has_value());
+  EXPECT_EQ(again->Answer->State, jobs::JobState::Completed);
+}
+
 // Many entries, hundreds of records written a second. The store was called two
 // thousand times a second, as each write woke each entry. What an entry that
 // only serves callers asks of the store must not grow with the jobs.
