A job whose progress cannot be read is not shown as queued

What callers saw: a job that was over is shown as queued.

Cause: an entry that does not know a job reads its record and then its progress. A progress that the store refused to tell was taken for one that is not there.

Change: only 'not found' says so; anything else is tried again or handed on, as for the record.

Measured: JobWhoseProgressCannotBeReadIsNotShownAsQueued fails before, passes after; 48 of 48 tests of the cluster.

--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -543,6 +543,11 @@
             [this, alive = Alive, call](const StoreReply<KeyValue> &reply) {
               if (!*alive)
                 return;
+              if (!reply.ok() && reply.Status != StoreStatus::NotFound) {
+                again(call, StoreStatus::Refused,
+                      [this](const CallPtr &c) { readProgress(c); });
+                return;
+              }
               if (reply.ok())
                 View.learn(reply.Value);
               const StoredJob *job = View.find(call->JobId);
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -141,6 +141,29 @@
   EXPECT_EQ(again->Answer->State, jobs::JobState::Completed);
 }
 
+// Guards against an entry that shows a job as queued, long over, since the
+// store refused to tell how far it is.
+TEST(Cluster, JobWhoseProgressCannotBeReadIsNotShownAsQueued) {
+  auto cluster = serving();
+  const int leader = cluster->leader();
+  const int asked = (leader + 1) % 3;
+  MemoryStore::Faults &store =
+      cluster->store().faults(MemoryCluster::entryName(asked));
+  store.WatchesSilent = true;
+  cluster->submit(leader, "k1", job("j", 1, 1, 200));
+  cluster->runFor(absl::Milliseconds(700));
+  ASSERT_EQ(cluster->stored("j"), jobs::JobState::Completed);
+  cluster->cutPair(MemoryCluster::entryName(asked),
+                   MemoryCluster::entryName(leader));
+  auto shown = cluster->state(asked, "k1", "j");
+  cluster->runFor(absl::Milliseconds(1));
+  store.Refuses = true;
+  cluster->runFor(absl::Seconds(2));
+  ASSERT_TRUE(shown->Answer.has_value());
+  ASSERT_EQ(shown->Answer->Result, jobs::CallResult::Ok);
+  EXPECT_EQ(shown->Answer->State, jobs::JobState::Completed);
+}
+
 // Many entries, hundreds of records written a second. The store was called two
 // thousand times a second, as each write woke each entry. What an entry that
 // only serves callers asks of the store must not grow with the jobs.
