--- /dev/null
+++ b/src/libs/entry/decisionlog.cpp
@@ -0,0 +1,95 @@
+#include "decisionlog.h"
+
+#include "eventlog/eventlog.h"
+
+namespace oriolebay::entry {
+
+using eventlog::Event;
+using eventlog::logEvent;
+
+namespace {
+
+Event eventOf(jobs::Decision::Kind kind) {
+  using Kind = jobs::Decision::Kind;
+  switch (kind) {
+  case Kind::Placed:
+    return Event::RunPlaced;
+  case Kind::Started:
+    return Event::RunStarted;
+  case Kind::StartRefused:
+    return Event::RunRefused;
+  case Kind::Stopping:
+    return Event::RunStopping;
+  case Kind::Ended:
+    return Event::RunEnded;
+  case Kind::Settled:
+    return Event::RunSettled;
+  case Kind::JobEnded:
+    return Event::LastingJobEnded;
+  case Kind::WorkerJoined:
+    return Event::WorkerJoined;
+  case Kind::WorkerLost:
+    return Event::WorkerLost;
+  case Kind::WorkerKeptOut:
+    return Event::WorkerKeptOut;
+  case Kind::RunStandsStill:
+    return Event::RunStandsStill;
+  case Kind::RunEvacuated:
+    return Event::RunEvacuated;
+  case Kind::Waiting:
+    return Event::StepWaiting;
+  case Kind::Promised:
+    return Event::JobPromised;
+  case Kind::RoomPlanned:
+    return Event::RoomPlanned;
+  }
+  return Event::RunPlaced;
+}
+
+} // namespace
+
+void logDecision(const jobs::Decision &d) {
+  nlohmann::json fields = nlohmann::json::object();
+  if (!d.Job.empty())
+    fields["job"] = d.Job;
+  if (!d.Task.empty())
+    fields["task"] = d.Task;
+  if (d.Run > 0)
+    fields["run"] = d.Run;
+  if (!d.Worker.empty())
+    fields["worker"] = d.Worker;
+  if (!d.Why.empty())
+    fields["why"] = d.Why;
+  for (const jobs::Input &input : d.Inputs)
+    fields[input.Name] = input.Value;
+  for (const auto &[name, text] : d.Texts)
+    fields[name] = text;
+  logEvent(eventOf(d.What), fields);
+}
+
+void logCall(const jobs::CallDecision &d) {
+  nlohmann::json fields = {{"call", d.Call},
+                           {"queue", d.Queue},
+                           {"organisation", d.Organisation},
+                           {"config_version", d.ConfigVersion},
+                           {"config_age_ms", d.ConfigAgeMs},
+                           {"result", jobs::callResultName(d.Answer.Result)},
+                           {"took_ms", d.TookMs}};
+  if (!d.Job.empty())
+    fields["job"] = d.Job;
+  if (!d.Asked.empty()) {
+    fields["asked"] = d.Asked;
+    fields["priority"] = d.Priority;
+  }
+  if (!d.Answer.Detail.empty())
+    fields["why"] = d.Answer.Detail;
+  if (!d.Answer.ServedBy.empty()) {
+    fields["served_by"] = d.Answer.ServedBy;
+    fields["served_config_version"] = d.Answer.DecidedBy.Version;
+  }
+  if (d.Call == "state" && d.Answer.Result == jobs::CallResult::Ok)
+    fields["state"] = jobs::jobStateName(d.Answer.State);
+  logEvent(Event::CallAnswered, fields);
+}
+
+} // namespace oriolebay::entry
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -1,4 +1,4 @@
-#include "jobdesk.h"
+#include "jobdeskcall.h"
 
 #include "utils/eventloop.h"
 
@@ -37,29 +37,6 @@
 
 } // namespace
 
-/// One caller's call while it is served.
-struct JobDesk::Call {
-  std::string Name;
-  CallerAccess Access;
-  core::JobSpec Spec;
-  std::string JobId;
-  Done Answer;
-  absl::Time Began;
-  /// What the call was checked against last.
-  std::shared_ptr<const core::SiteConfig> Config;
-  core::ConfigStamp CheckedBy;
-  absl::Duration ConfigAge = absl::InfiniteDuration();
-  core::QueueConfig Queue;
-  std::string Organisation;
-  /// A write was sent whose outcome is not known.
-  bool MayBeDone = false;
-  /// Handed over by another entry, or to one.
-  bool Foreign = false;
-  bool HandedOver = false;
-  int Tries = 0;
-  bool Finished = false;
-};
-
 JobDesk::JobDesk(utils::EventLoop &loop, const platform::Store &store,
                  JobView &view, operators::ConfigFollower &config,
                  DeskPolicy policy, StoreAway storeAway, Forward forward,
@@ -411,153 +388,11 @@
   authorise(call, true, [this](const CallPtr &c) { accept(c); });
 }
 
-// An end that callers have seen is not taken back.
-JobState JobDesk::shown(const StoredJob &job) const {
-  auto it = EndsTold.find(job.Record.Spec.Id);
-  return it == EndsTold.end() ? job.shown() : it->second;
-}
-
-void JobDesk::noteTold(const CallPtr &call, const CallAnswer &answer) {
-  const StoredJob *job = View.find(call->JobId);
-  const bool knownHere = job == nullptr || isFinal(job->shown());
-  if (call->Name == "state" && answer.Result == CallResult::Ok &&
-      isFinal(answer.State) && !knownHere)
-    EndsTold.emplace(call->JobId, answer.State);
-}
-
 bool JobDesk::mayTouch(const CallPtr &call, const JobRecord &record) const {
   return record.Spec.Queue == call->Queue.Name &&
          (call->Queue.Public || record.Spec.Organisation == call->Organisation);
 }
 
-void JobDesk::answerState(const CallPtr &call, const StoredJob &job) {
-  if (!mayTouch(call, job.Record)) {
-    finish(call, CallResult::UnknownJob, "no such job");
-    return;
-  }
-  if (isFinal(shown(job))) {
-    finish(call, CallResult::Ok);
-    return;
-  }
-  if (askLeader(call) || waitForEnd(call))
-    return;
-  Loop.runAfter(Policy.NewsOnItsWay, [this, alive = Alive, call] {
-    if (*alive && !waitForEnd(call))
-      finish(call, CallResult::Ok);
-  });
-}
-
-// The leader knows of an end before anyone, and while it is being recorded.
-bool JobDesk::askLeader(const CallPtr &call) {
-  if (call->Foreign)
-    return false;
-  return LeadersView(
-      requestOf(call),
-      [this, alive = Alive, call](const std::optional<CallAnswer> &answer) {
-        if (*alive)
-          onLeaderAnswer(call, answer);
-      });
-}
-
-void JobDesk::onLeaderAnswer(const CallPtr &call,
-                             const std::optional<CallAnswer> &answer) {
-  if (answer)
-    Config.heardOf(answer->DecidedBy);
-  const StoredJob *job = View.find(call->JobId);
-  const bool over = job != nullptr && isFinal(shown(*job));
-  if (over || !answer || answer->Result != CallResult::Ok) {
-    finish(call, CallResult::Ok);
-    return;
-  }
-  noteTold(call, *answer);
-  CallAnswer told = *answer;
-  told.Detail = "as the leader shows it";
-  deliver(call, std::move(told));
-}
-
-// True when the call is answered once the end is recorded, or patience is over.
-bool JobDesk::waitForEnd(const CallPtr &call) {
-  const StoredJob *job = View.find(call->JobId);
-  auto it = Ending.find(call->JobId);
-  if (it == Ending.end() || job == nullptr || isFinal(shown(*job)))
-    return false;
-  it->second.push_back(call);
-  return true;
-}
-
-void JobDesk::expectEnd(const std::string &jobId) {
-  const StoredJob *job = View.find(jobId);
-  if (job != nullptr && isFinal(shown(*job)))
-    return;
-  if (!Ending.try_emplace(jobId).second)
-    return;
-  Loop.runAfter(Policy.EndPatience, [this, alive = Alive, jobId] {
-    if (*alive)
-      onEndRecorded(jobId);
-  });
-}
-
-void JobDesk::onEndRecorded(const std::string &jobId) {
-  const StoredJob *job = View.find(jobId);
-  if (job == nullptr || isFinal(job->shown()))
-    EndsTold.erase(jobId);
-  auto it = Ending.find(jobId);
-  if (it == Ending.end())
-    return;
-  const std::vector<CallPtr> calls = std::move(it->second);
-  Ending.erase(it);
-  for (const CallPtr &call : calls)
-    finish(call, CallResult::Ok, "waited for the record of its end");
-}
-
-void JobDesk::show(const CallPtr &call) {
-  const StoredJob *job = View.find(call->JobId);
-  const bool over = job != nullptr && isFinal(shown(*job));
-  if (!over && !viewIsFresh() && forward(call))
-    return;
-  if (job != nullptr) {
-    answerState(call, *job);
-    return;
-  }
-  // It may have been accepted at another entry a moment ago.
-  const std::string key = specKey(call->JobId);
-  Calls.Get(key, [this, alive = Alive,
-                  call](const StoreReply<KeyValue> &reply) {
-    if (!*alive)
-      return;
-    if (reply.Status == StoreStatus::NotFound) {
-      finish(call, CallResult::UnknownJob, "no such job");
-      return;
-    }
-    if (!reply.ok()) {
-      again(call, StoreStatus::Refused, [this](const CallPtr &c) { show(c); });
-      return;
-    }
-    View.learn(reply.Value);
-    readProgress(call);
-  });
-}
-
-void JobDesk::readProgress(const CallPtr &call) {
-  Calls.Get(progressKey(call->JobId),
-            [this, alive = Alive, call](const StoreReply<KeyValue> &reply) {
-              if (!*alive)
-                return;
-              if (!reply.ok() && reply.Status != StoreStatus::NotFound) {
-                again(call, StoreStatus::Refused,
-                      [this](const CallPtr &c) { readProgress(c); });
-                return;
-              }
-              if (reply.ok())
-                View.learn(reply.Value);
-              const StoredJob *job = View.find(call->JobId);
-              if (job == nullptr)
-                finish(call, CallResult::NotDone, "the record is unreadable");
-              else
-                answerState(call, *job);
-            });
-}
-
 void JobDesk::countWaiting(const CallPtr &call) {
   if (View.complete())
     finish(call, CallResult::Ok);
