No other entry's answer takes back an end that a caller was shown

Change: withEndTold: what is passed on shows the end that is known here or was told.

The file is tst_answerorder.cpp now, as it holds both orders.

--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -117,8 +117,7 @@
     Config.heardOf(answer->DecidedBy);
   if (answer && answer->Result != CallResult::NotDone &&
       mayPassOn(call, *answer)) {
-    noteTold(call, *answer);
-    CallAnswer passed = *answer;
+    CallAnswer passed = withEndTold(call, *answer);
     if (passed.Detail.empty())
       passed.Detail = "served by another entry";
     deliver(call, std::move(passed));
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -158,7 +158,9 @@
                       const std::optional<CallAnswer> &answer);
   bool waitForEnd(const CallPtr &call);
   JobState shown(const StoredJob &job) const;
-  void noteTold(const CallPtr &call, const CallAnswer &answer);
+  /// Another entry's answer, which may know less of the job's end than an
+  /// earlier one.
+  CallAnswer withEndTold(const CallPtr &call, CallAnswer answer);
 
   utils::EventLoop &Loop;
   const platform::Store &Calls;
--- a/src/libs/jobs/jobdesk_state.cpp
+++ b/src/libs/jobs/jobdesk_state.cpp
@@ -98,8 +98,7 @@
     finish(call, CallResult::Ok);
     return;
   }
-  noteTold(call, *answer);
-  CallAnswer told = *answer;
+  CallAnswer told = withEndTold(call, *answer);
   told.Detail = "as the leader shows it";
   deliver(call, std::move(told));
 }
@@ -110,12 +109,20 @@
   return it == EndsTold.end() ? job.shown() : it->second;
 }
 
-void JobDesk::noteTold(const CallPtr &call, const CallAnswer &answer) {
+CallAnswer JobDesk::withEndTold(const CallPtr &call, CallAnswer answer) {
+  if (call->Name != "state" || answer.Result != CallResult::Ok)
+    return answer;
   const StoredJob *job = View.find(call->JobId);
-  const bool knownHere = job == nullptr || isFinal(job->shown());
-  if (call->Name == "state" && answer.Result == CallResult::Ok &&
-      isFinal(answer.State) && !knownHere)
+  if (job != nullptr && isFinal(job->shown())) {
+    answer.State = job->shown();
+    return answer;
+  }
+  if (isFinal(answer.State))
     EndsTold.emplace(call->JobId, answer.State);
+  auto it = EndsTold.find(call->JobId);
+  if (it != EndsTold.end())
+    answer.State = it->second;
+  return answer;
 }
 
 // True when the call is answered once the end is recorded, or patience is over.
--- a/tests/auto/cluster/tst_configorder.cpp
+++ b/tests/auto/cluster/tst_answerorder.cpp
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <random>
+#include <set>
+#include <tuple>
 
 namespace oriolebay::cluster {
 namespace {
@@ -25,6 +28,61 @@
          answer.Result != CallResult::Open;
 }
 
+/// A cluster whose entries lose the store, its news and each other in all ways,
+/// and are killed and started again.
+class StruckCluster {
+public:
+  explicit StruckCluster(uint64_t seed)
+      : Random(seed), Cluster({Entries, 3, 3, seed}) {}
+
+  MemoryCluster &cluster() { return Cluster; }
+  /// Grows with each kill of entry.
+  int life(int entry) const { return Lives.at(entry); }
+  int any(int from, int to) {
+    return std::uniform_int_distribution<>(from, to)(Random);
+  }
+
+  void strike(int n) {
+    const std::string entry = MemoryCluster::entryName(n);
+    const std::string other =
+        MemoryCluster::entryName((n + any(1, Entries - 1)) % Entries);
+    MemoryStore::Faults &store = Cluster.store().faults(entry);
+    switch (any(0, 5)) {
+    case 0:
+      store.Silent = true;
+      return later([&store] { store.Silent = false; });
+    case 1:
+      store.Refuses = true;
+      return later([&store] { store.Refuses = false; });
+    case 2:
+      store.WatchesSilent = true;
+      return later([&store] { store.WatchesSilent = false; });
+    case 3:
+      store.Delay = absl::Milliseconds(any(4, 400));
+      return later([&store] { store.Delay = absl::Milliseconds(4); });
+    case 4:
+      Cluster.cut(other, true);
+      return later([this, other] { Cluster.cut(other, false); });
+    default:
+      Cluster.killEntry(n);
+      ++Lives[n];
+      return later([this, n] {
+        if (!Cluster.entryUp(n))
+          Cluster.startEntry(n);
+      });
+    }
+  }
+
+private:
+  void later(std::function<void()> heal) {
+    Cluster.loop().runAfter(absl::Milliseconds(any(50, 4000)), std::move(heal));
+  }
+
+  std::mt19937_64 Random;
+  MemoryCluster Cluster;
+  std::array<int, Entries> Lives{};
+};
+
 /// What callers of one entry can tell of the configurations that it has gone
 /// by, in one lifetime of the entry.
 class SeenByCallers {
@@ -61,8 +119,7 @@
 /// about to come or have just gone.
 class ConfigDay {
 public:
-  explicit ConfigDay(uint64_t seed)
-      : Random(seed), Cluster({Entries, 3, 3, seed}) {}
+  explicit ConfigDay(uint64_t seed) : Struck(seed) {}
 
   /// The first thing that callers saw go back, or nothing.
   std::string play() {
@@ -73,7 +130,7 @@
       if (any(1, 40) == 1)
         change();
       if (any(1, 25) == 1)
-        strike(any(0, Entries - 1));
+        Struck.strike(any(0, Entries - 1));
       if (any(1, 3) == 1)
         ask(any(0, Entries - 1), Newest - any(0, 3));
       Cluster.runFor(absl::Milliseconds(20));
@@ -93,9 +150,7 @@
     std::shared_ptr<MemoryCluster::Called> Call;
   };
 
-  int any(int from, int to) {
-    return std::uniform_int_distribution<>(from, to)(Random);
-  }
+  int any(int from, int to) { return Struck.any(from, to); }
 
   void change() {
     ++Newest;
@@ -103,7 +158,8 @@
   }
 
   void ask(int entry, int64_t number) {
-    Open.push_back({entry, Lives[entry], number, Seen[entry].oldest(),
+    const int life = Struck.life(entry);
+    Open.push_back({entry, life, number, Seen[{entry, life}].oldest(),
                     Cluster.count(entry, keyOf(number), Queue)});
   }
 
@@ -112,9 +168,7 @@
         std::partition(Open.begin(), Open.end(),
                        [](const Asked &asked) { return !asked.Call->Answer; });
     for (auto it = first; it != Open.end(); ++it) {
-      if (it->Life != Lives[it->Entry])
-        continue;
-      const std::string wrong = Seen[it->Entry].take(
+      const std::string wrong = Seen[{it->Entry, it->Life}].take(
           *it->Call->Answer, it->Number, it->SentAt, Newest);
       Answered += decided(*it->Call->Answer) ? 1 : 0;
       if (!wrong.empty())
@@ -125,47 +179,11 @@
     Open.erase(first, Open.end());
   }
 
-  void later(std::function<void()> heal) {
-    Cluster.loop().runAfter(absl::Milliseconds(any(50, 4000)), std::move(heal));
-  }
-
-  void strike(int n) {
-    const std::string entry = MemoryCluster::entryName(n);
-    const std::string other =
-        MemoryCluster::entryName((n + any(1, Entries - 1)) % Entries);
-    MemoryStore::Faults &store = Cluster.store().faults(entry);
-    switch (any(0, 5)) {
-    case 0:
-      store.Silent = true;
-      return later([&store] { store.Silent = false; });
-    case 1:
-      store.Refuses = true;
-      return later([&store] { store.Refuses = false; });
-    case 2:
-      store.WatchesSilent = true;
-      return later([&store] { store.WatchesSilent = false; });
-    case 3:
-      store.Delay = absl::Milliseconds(any(4, 400));
-      return later([&store] { store.Delay = absl::Milliseconds(4); });
-    case 4:
-      Cluster.cut(other, true);
-      return later([this, other] { Cluster.cut(other, false); });
-    default:
-      Cluster.killEntry(n);
-      ++Lives[n];
-      Seen[n] = SeenByCallers();
-      return later([this, n] {
-        if (!Cluster.entryUp(n))
-          Cluster.startEntry(n);
-      });
-    }
-  }
-
-  std::mt19937_64 Random;
-  MemoryCluster Cluster;
+  StruckCluster Struck;
+  MemoryCluster &Cluster = Struck.cluster();
   int64_t Newest = 0;
-  std::array<int, Entries> Lives{};
-  std::array<SeenByCallers, Entries> Seen;
+  /// By entry and its life.
+  std::map<std::pair<int, int>, SeenByCallers> Seen;
   std::vector<Asked> Open;
   int Answered = 0;
   std::string Broken;
@@ -264,5 +282,85 @@
   EXPECT_GT(answered, 0);
 }
 
+/// One day of short jobs whose states callers ask for all the time, everywhere.
+class StatesDay {
+public:
+  explicit StatesDay(uint64_t seed) : Struck(seed) {}
+
+  /// The first end that callers saw taken back, or nothing.
+  std::string play() {
+    Cluster.configure({"k1"});
+    Cluster.runFor(absl::Seconds(4));
+    for (int tick = 0; tick < 1000 && Broken.empty(); ++tick) {
+      if (Struck.any(1, 20) == 1)
+        Cluster.submit(Struck.any(0, Entries - 1), "k1",
+                       job("j" + std::to_string(++Jobs), Struck.any(50, 800)));
+      if (Struck.any(1, 25) == 1)
+        Struck.strike(Struck.any(0, Entries - 1));
+      if (Jobs > 0)
+        ask(Struck.any(0, Entries - 1),
+            Struck.any(std::max(1, Jobs - 3), Jobs));
+      Cluster.runFor(absl::Milliseconds(20));
+      judge();
+    }
+    return Broken;
+  }
+
+  int ends() const { return static_cast<int>(Over.size()); }
+
+private:
+  using AtEntry = std::tuple<int, int, std::string>;
+  struct Asked {
+    AtEntry At;
+    bool WasOver;
+    std::shared_ptr<MemoryCluster::Called> Call;
+  };
+
+  void ask(int entry, int number) {
+    const std::string id = "j" + std::to_string(number);
+    const AtEntry at{entry, Struck.life(entry), id};
+    Open.push_back({at, Over.count(at) > 0, Cluster.state(entry, "k1", id)});
+  }
+
+  void judge() {
+    const auto first =
+        std::partition(Open.begin(), Open.end(),
+                       [](const Asked &asked) { return !asked.Call->Answer; });
+    for (auto it = first; it != Open.end(); ++it) {
+      const jobs::CallAnswer &answer = *it->Call->Answer;
+      const bool isOver = answer.Result == CallResult::Ok &&
+                          answer.State == jobs::JobState::Completed;
+      if (it->WasOver && decided(answer) && !isOver)
+        Broken = MemoryCluster::entryName(std::get<0>(it->At)) +
+                 " took back the end of " + it->Call->Job + ": " +
+                 jobs::callResultName(answer.Result) + " " +
+                 jobs::jobStateName(answer.State) + " " + answer.Detail;
+      if (isOver)
+        Over.insert(it->At);
+    }
+    Open.erase(first, Open.end());
+  }
+
+  StruckCluster Struck;
+  MemoryCluster &Cluster = Struck.cluster();
+  int Jobs = 0;
+  /// Ends that callers have seen, by entry, its life and the job.
+  std::set<AtEntry> Over;
+  std::vector<Asked> Open;
+  std::string Broken;
+};
+
+// Guards against an entry that shows a job as over and later as not over.
+TEST(EndOrder, NoEntryTakesAnEndBackWhateverStrikes) {
+  const auto [first, last] = seedsToPlay();
+  int ends = 0;
+  for (int seed = first; seed <= last; ++seed) {
+    StatesDay day(static_cast<uint64_t>(seed));
+    EXPECT_EQ(day.play(), "") << "seed " << seed;
+    ends += day.ends();
+  }
+  EXPECT_GT(ends, 0);
+}
+
 } // namespace
 } // namespace oriolebay::cluster
