A new key is not held up by a store that fell silent

Cause: the store is asked to confirm the configuration for as long as any store call may take; a job that is handed in gives its first try 0.3 s.

Change: the confirmation that a caller waits for has the same bound.

--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -198,7 +198,7 @@
 }
 
 void JobDesk::confirmFirst(const CallPtr &call, const Step &step) {
-  Config.confirm([this, alive = Alive, call, step](bool ok) {
+  const auto onConfirmed = [this, alive = Alive, call, step](bool ok) {
     if (!*alive)
       return;
     if (ok)
@@ -206,7 +206,8 @@
     else if (!forward(call))
       finish(call, CallResult::NotDone,
              "the configuration could not be confirmed; try another entry");
-  });
+  };
+  Config.confirm(onConfirmed, Policy.FirstTryMs);
 }
 
 absl::Duration JobDesk::timeLeft(const CallPtr &call) const {
--- a/src/libs/operators/configfollower.cpp
+++ b/src/libs/operators/configfollower.cpp
@@ -88,13 +88,14 @@
   });
 }
 
-void ConfigFollower::confirm(std::function<void(bool)> done) {
+void ConfigFollower::confirm(std::function<void(bool)> done, long timeoutMs) {
   if (Revision == 0) {
     done(false);
     return;
   }
   platform::StoreTxn txn;
   txn.Expected.push_back(condition());
+  txn.TimeoutMs = timeoutMs;
   const absl::Time sent = Loop.now();
   const int64_t asked = Revision;
   Calls.Transact(std::move(txn),
--- a/src/libs/operators/configfollower.h
+++ b/src/libs/operators/configfollower.h
@@ -77,8 +77,9 @@
   absl::Duration age(absl::Time now) const { return now - Confirmed; }
   /// Takes the configuration's key as some call returned it, asked at sent.
   void learn(const platform::KeyValue &item, absl::Time sent);
-  /// Confirms the view now; done is called with whether that worked.
-  void confirm(std::function<void(bool)> done);
+  /// Confirms the view now; done is called with whether that worked. timeoutMs
+  /// 0: the store's own.
+  void confirm(std::function<void(bool)> done, long timeoutMs = 0);
 
 private:
   void confirmLater();
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -295,6 +295,21 @@
   EXPECT_GT(line.Answer.DecidedBy.Revision, 0);
 }
 
+// Guards against a caller with a new key that waits for a silent store as long
+// as a store call may take, though another entry could serve it.
+TEST(Cluster, NewKeyAtAnEntryWhoseStoreFellSilentIsServedElsewhereSoon) {
+  constexpr int FirstTryAndHandOverMs = 400;
+  auto cluster = serving();
+  const int away = (cluster->leader() + 1) % 3;
+  cluster->store().faults(MemoryCluster::entryName(away)).Silent = true;
+  cluster->configure({"k1", "k3"});
+  cluster->runFor(absl::Milliseconds(50));
+  auto call = cluster->count(away, "k3", "q1");
+  cluster->runFor(absl::Milliseconds(FirstTryAndHandOverMs));
+  ASSERT_TRUE(call->Answer.has_value());
+  EXPECT_EQ(call->Answer->Result, jobs::CallResult::Ok);
+}
+
 // The store is away for all: the entries must not hand a call round until its
 // caller's time is over, and "not done" must be true.
 TEST(Cluster, CallThatNoEntryCanServeIsRefusedSoon) {
