--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -410,25 +410,14 @@
       writeCancel(call, job->Record, job->RecordRevision);
     return;
   }
-  Calls.Get(specKey(call->JobId),
-            [this, alive = Alive, call](const StoreReply<KeyValue> &reply) {
-              if (!*alive)
-                return;
-              if (reply.Status == StoreStatus::NotFound) {
-                finish(call, CallResult::UnknownJob, "no such job");
-                return;
-              }
-              if (!reply.ok()) {
-                again(call, StoreStatus::Refused,
-                      [this](const CallPtr &c) { findForCancel(c); });
-                return;
-              }
-              View.learn(reply.Value);
-              if (View.find(call->JobId) != nullptr)
-                findForCancel(call);
-              else
-                finish(call, CallResult::NotDone, "the record is unreadable");
-            });
+  fetchRecord(
+      call, [this](const CallPtr &c) { findForCancel(c); },
+      [this](const CallPtr &c) {
+        if (View.find(c->JobId) != nullptr)
+          findForCancel(c);
+        else
+          finish(c, CallResult::NotDone, "the record is unreadable");
+      });
 }
 
 void JobDesk::writeCancel(const CallPtr &call, JobRecord record,
--- a/src/libs/jobs/jobdesk.h
+++ b/src/libs/jobs/jobdesk.h
@@ -147,6 +147,9 @@
                   const platform::StoreReply<platform::StoreTxnReply> &reply,
                   absl::Time sent, const std::string &value);
   void show(const CallPtr &call);
+  /// Reads the record of the call's job into the view and goes on with next;
+  /// retry where the store did not answer.
+  void fetchRecord(const CallPtr &call, const Step &retry, const Step &next);
   void readProgress(const CallPtr &call);
   void countWaiting(const CallPtr &call);
   void findForCancel(const CallPtr &call);
--- a/src/libs/jobs/jobdesk_state.cpp
+++ b/src/libs/jobs/jobdesk_state.cpp
@@ -21,9 +21,15 @@
     return;
   }
   // It may have been accepted at another entry a moment ago.
-  const std::string key = specKey(call->JobId);
-  Calls.Get(key, [this, alive = Alive,
-                  call](const StoreReply<KeyValue> &reply) {
+  fetchRecord(
+      call, [this](const CallPtr &c) { show(c); },
+      [this](const CallPtr &c) { readProgress(c); });
+}
+
+void JobDesk::fetchRecord(const CallPtr &call, const Step &retry,
+                          const Step &next) {
+  Calls.Get(specKey(call->JobId), [this, alive = Alive, call, retry,
+                                   next](const StoreReply<KeyValue> &reply) {
     if (!*alive)
       return;
     if (reply.Status == StoreStatus::NotFound) {
@@ -31,11 +37,11 @@
       return;
     }
     if (!reply.ok()) {
-      again(call, StoreStatus::Refused, [this](const CallPtr &c) { show(c); });
+      again(call, StoreStatus::Refused, retry);
       return;
     }
     View.learn(reply.Value);
-    readProgress(call);
+    next(call);
   });
 }
 
