Entries with a larger processor share lead, once all leases have lapsed

Cause: 15 entries have half a core, 42 have 0.12. The store is down from 31 to 33.9 s and all leases lapse; whoever renews first leads. A leader that cannot decide in its share leaves jobs waiting beside free workers.

Change: an entry registers its share (setting processor_share), and leaves the lead for one and a half renewals from its new lease to entries that are known to have more. Where none of them is left a small one leads after that.

The registration is JSON now: entries and agents have to be of one version.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -1,6 +1,7 @@
 #include "workeragent.h"
 
 #include "eventlog/eventlog.h"
+#include "platform/election.h"
 #include "utils/eventloop.h"
 
 #include <algorithm>
@@ -390,6 +391,24 @@
   });
 }
 
+std::vector<std::string>
+WorkerAgent::addressesIn(const platform::StorePage &page) {
+  std::vector<std::string> addresses;
+  for (const platform::KeyValue &item : page.Items)
+    utils::handle<bool>(
+        [&]() -> utils::Result<bool> {
+          BOOST_LEAF_AUTO(entry, platform::decodeEntry(item.Value));
+          addresses.push_back(entry.Address);
+          return true;
+        },
+        [&](const utils::Error &e) {
+          logEvent(Event::RecordRefused,
+                   {{"key", item.Key}, {"error", e.text()}});
+          return false;
+        });
+  return addresses;
+}
+
 // A stale answer will do: an entry that has gone does not answer, and those
 // that do know the others.
 void WorkerAgent::askStore() {
@@ -401,10 +420,7 @@
                   const platform::StoreReply<platform::StorePage> &reply) {
                 if (!*alive)
                   return;
-                std::vector<std::string> entries;
-                if (reply.ok())
-                  for (const platform::KeyValue &item : reply.Value.Items)
-                    entries.push_back(item.Value);
+                std::vector<std::string> entries = addressesIn(reply.Value);
                 const bool found = !entries.empty();
                 Leader.learnEntries(std::move(entries));
                 Loop.runAfter(found ? absl::ZeroDuration() : AskStoreAgain,
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -107,6 +107,7 @@
   void reportAgain(absl::Duration delay);
   void noteGrantEnd();
   void askStore();
+  static std::vector<std::string> addressesIn(const platform::StorePage &page);
 
   utils::EventLoop &Loop;
   const endpoints::Peers Peers;
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -124,18 +124,16 @@
       });
   Entries = std::make_unique<platform::PrefixFollower>(
       Loop, Calls, EntryPrefix, restingFollow,
-      [this](const platform::StoreEvent &event) {
-        if (event.Deleted)
-          EntryAddresses.erase(event.Item.Key);
-        else
-          EntryAddresses[event.Item.Key] = event.Item.Value;
-      },
+      [this](const platform::StoreEvent &event) { onEntry(event); },
       [](int64_t) {}, trouble("entries"));
   platform::ElectionOptions election;
   election.LeaderKey = JobLeaderKey;
   election.EntryPrefix = EntryPrefix;
   election.Name = Settings.Name;
-  election.Address = Peers.Address;
+  election.Entry = {Peers.Address, Settings.ProcessorShare};
+  election.LargerIsKnown = [this] {
+    return LargestProcessorShare > Settings.ProcessorShare;
+  };
   election.LeaseTtl = Time.LeaderLease;
   election.Follow = follow;
   Election = std::make_unique<platform::Election>(
@@ -200,6 +198,26 @@
     Duty->onConfig(config);
 }
 
+void JobEntry::onEntry(const platform::StoreEvent &event) {
+  const std::string &key = event.Item.Key;
+  if (event.Deleted) {
+    EntryAddresses.erase(key);
+    return;
+  }
+  utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_AUTO(entry, platform::decodeEntry(event.Item.Value));
+        EntryAddresses[key] = entry.Address;
+        LargestProcessorShare =
+            std::max(LargestProcessorShare, entry.ProcessorShare);
+        return true;
+      },
+      [&](const utils::Error &e) {
+        logEvent(Event::RecordRefused, {{"key", key}, {"error", e.text()}});
+        return false;
+      });
+}
+
 void JobEntry::onConfigOutdated(const core::ConfigStamp &newer) {
   const core::ConfigStamp held = Config->stamp();
   logEvent(Event::ConfigOutdated,
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -82,6 +82,7 @@
                    const endpoints::Peers::Respond &respond);
   void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
   void onConfigOutdated(const core::ConfigStamp &newer);
+  void onEntry(const platform::StoreEvent &event);
   void storeTrouble(const char *what, platform::StoreStatus status,
                     const std::string &why);
 
@@ -98,6 +99,9 @@
   bool Stopping = false;
   /// Addresses of the entries that are registered, by their keys.
   std::map<std::string, std::string> EntryAddresses;
+  /// The largest that any entry was seen with. It outlasts its registration:
+  /// all lapse at once in an outage.
+  double LargestProcessorShare = 0;
   std::unique_ptr<operators::ConfigFollower> Config;
   std::unique_ptr<jobs::JobView> View;
   std::unique_ptr<CallForwarder> Forwarder;
--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -1,11 +1,28 @@
 #include "election.h"
 
 #include "utils/eventloop.h"
+#include "utils/jsonfields.h"
 
 #include <algorithm>
 
 namespace oriolebay::platform {
 
+std::string encode(const EntryRecord &record) {
+  return nlohmann::json{{"address", record.Address},
+                        {"processor_share", record.ProcessorShare}}
+      .dump();
+}
+
+utils::Result<EntryRecord> decodeEntry(const std::string &value) {
+  const auto j = nlohmann::json::parse(value, nullptr, false);
+  if (!j.is_object() || !j.contains("processor_share") ||
+      !j["processor_share"].is_number() || utils::textIn(j, "address").empty())
+    return utils::fail(utils::ErrorKind::BadMessage, "no record of an entry",
+                       "run one version of all entries and agents");
+  return EntryRecord{utils::textIn(j, "address"),
+                     j["processor_share"].get<double>()};
+}
+
 Election::Election(utils::EventLoop &loop, const Store &store,
                    ElectionOptions options, OnChange onChange,
                    OnTrouble onTrouble)
@@ -62,6 +79,7 @@
   }
   Lease = reply.Value.Id;
   LeaseConfirmed = sent;
+  LeftUntil = absl::InfinitePast();
   registerEntry();
   contend();
   keepLater();
@@ -70,7 +88,7 @@
 void Election::registerEntry() {
   StoreTxn txn;
   txn.Puts.push_back(
-      {Options.EntryPrefix + Options.Name, Options.Address, Lease});
+      {Options.EntryPrefix + Options.Name, encode(Options.Entry), Lease});
   Calls.Transact(
       std::move(txn),
       guarded<StoreTxnReply>([this](const StoreReply<StoreTxnReply> &r) {
@@ -148,13 +166,31 @@
   contend();
 }
 
+bool Election::leavesLeadToLarger() {
+  if (!Options.LargerIsKnown())
+    return false;
+  const absl::Time now = Loop.now();
+  if (LeftUntil == absl::InfinitePast()) {
+    // They learn of it with their next renewal, and ask for a new lease first.
+    const absl::Duration wait = period() * 3 / 2;
+    LeftUntil = now + wait;
+    Loop.runAfter(wait, [this, alive = Alive] {
+      if (*alive)
+        contend();
+    });
+  }
+  return now < LeftUntil;
+}
+
 void Election::contend() {
   if (Resigned || Contending || !ViewComplete || Lease == 0 || Known.Epoch != 0)
     return;
+  if (leavesLeadToLarger())
+    return;
   Contending = true;
   StoreTxn txn;
   txn.Expected.push_back({Options.LeaderKey, 0});
-  txn.Puts.push_back({Options.LeaderKey, Options.Address, Lease});
+  txn.Puts.push_back({Options.LeaderKey, Options.Entry.Address, Lease});
   const int64_t lease = Lease;
   Calls.Transact(
       std::move(txn),
@@ -163,9 +199,9 @@
         // Any other outcome, a lost answer too, is settled by the watch.
         if (r.ok() && lease == Lease) {
           const int64_t revision = r.Value.Revision;
-          onLeaderKey(
-              {{Options.LeaderKey, Options.Address, revision, revision, Lease},
-               false});
+          onLeaderKey({{Options.LeaderKey, Options.Entry.Address, revision,
+                        revision, Lease},
+                       false});
         } else if (!r.ok() && r.Status != StoreStatus::Conflict) {
           Trouble(r.Status, r.Why);
         }
@@ -179,6 +215,8 @@
   if (next.Epoch != 0 && next.Epoch < Known.Epoch)
     return;
   Known = std::move(next);
+  if (Known.Epoch != 0)
+    LeftUntil = absl::InfinitePast();
   Changed(Known);
 }
 
--- a/src/libs/platform/election.h
+++ b/src/libs/platform/election.h
@@ -3,6 +3,7 @@
 #include "leaderelection.h"
 #include "prefixfollower.h"
 #include "store.h"
+#include "utils/error.h"
 
 #include <absl/time/time.h>
 
@@ -12,13 +13,27 @@
 
 namespace oriolebay::platform {
 
+/// An entry as it registers itself in the store.
+struct EntryRecord {
+  std::string Address;
+  /// Of a core.
+  double ProcessorShare = 0;
+  auto operator<=>(const EntryRecord &) const = default;
+};
+std::string encode(const EntryRecord &record);
+/// BadMessage when value is no such record.
+utils::Result<EntryRecord> decodeEntry(const std::string &value);
+
 /// The keys of an election and how it keeps time.
 struct ElectionOptions {
   std::string LeaderKey = "oriolebay/leader";
   std::string EntryPrefix = "oriolebay/entries/";
   /// This entry's name and the address that others reach it at.
   std::string Name;
-  std::string Address;
+  EntryRecord Entry;
+  /// Whether an entry with a larger share of a processor is known: it is left
+  /// the lead for as long as it may take to learn that its lease has lapsed.
+  std::function<bool()> LargerIsKnown = [] { return false; };
   /// How long the leader may be silent before the store removes its key.
   absl::Duration LeaseTtl = absl::Seconds(2);
   /// Renewals in one lease's time: three may be lost before it lapses.
@@ -61,6 +76,7 @@
   void loseLease();
   void onLeaderKey(const StoreEvent &event);
   void onView();
+  bool leavesLeadToLarger();
   void contend();
   void change(Leadership next);
   absl::Duration period() const;
@@ -77,6 +93,8 @@
   absl::Time Confirmed = absl::InfinitePast();
   bool ViewComplete = false;
   bool Contending = false;
+  /// Until when larger entries are left the lead; infinite past: not yet asked.
+  absl::Time LeftUntil = absl::InfinitePast();
   bool Resigned = false;
   /// The leader's key as the follower saw it last; Epoch zero when absent.
   Leadership Known;
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -114,6 +114,7 @@
   BOOST_LEAF_CHECK(r.get("store_min_lease_ms", s.StoreMinLeaseMs, false));
   BOOST_LEAF_CHECK(readAddress(r, "advice_address", false, s.Advice));
   BOOST_LEAF_CHECK(r.get("heartbeat_ms", s.HeartbeatMs, false));
+  BOOST_LEAF_CHECK(r.get("processor_share", s.ProcessorShare, false));
   json bounds;
   BOOST_LEAF_CHECK(r.get("bounds", bounds, false));
   BOOST_LEAF_CHECK(r.noOthers());
@@ -124,6 +125,10 @@
                        "settings heartbeat_ms and store_min_lease_ms must be "
                        "above zero",
                        "give a positive number of milliseconds");
+  if (s.ProcessorShare <= 0)
+    return utils::fail(ErrorKind::BadSettings,
+                       "setting processor_share must be above zero",
+                       "give the cores that the process may use, such as 0.25");
   if (s.Bounds.HoldMaxMs <= 2 * s.HeartbeatMs)
     return utils::fail(ErrorKind::BadSettings,
                        "setting bounds.hold_max_ms must be above twice "
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -66,6 +66,8 @@
   int StoreMinLeaseMs = 1000;
   HostPort Advice;
   int HeartbeatMs = 1500;
+  /// Of a core, as the host gives it to its processes.
+  double ProcessorShare = 1;
   SiteBounds Bounds;
   bool operator==(const NodeSettings &) const = default;
 };
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -1,4 +1,6 @@
 #include "agent/workeragent.h"
+
+#include "platform/election.h"
 #include "utils/eventloop.h"
 
 #include <gtest/gtest.h>
@@ -50,7 +52,9 @@
     store.Range = [](const std::string &, const std::string &,
                      platform::ReadMode, const auto &done) {
       platform::StorePage page;
-      page.Items.push_back({"entries/e", "entry", 1, 1, 1});
+      page.Items.push_back({"entries/e",
+                            platform::encode(platform::EntryRecord{"entry", 1}),
+                            1, 1, 1});
       done({platform::StoreStatus::Ok, page, ""});
     };
     Ack.Epoch = 5;
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -144,12 +144,14 @@
 
 void MemoryCluster::startEntry(int n) {
   const std::string name = entryName(n);
+  settings::NodeSettings settings = settingsOf(name);
+  settings.ProcessorShare = n < Setup.FirstWeakEntry ? 0.5 : 0.05;
   entry::EntryObservers observers;
   observers.Called = [this](const jobs::CallDecision &d) {
     Decided.push_back(d);
   };
   Entries[n].Process = std::make_unique<entry::JobEntry>(
-      Loop, Store.clientOf(name), peersOf(name), settingsOf(name), decodeConfig,
+      Loop, Store.clientOf(name), peersOf(name), settings, decodeConfig,
       ConfigKey, std::move(observers));
   Entries[n].Process->start();
 }
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -24,6 +24,8 @@
     int Workers = 6;
     int WorkersPerRack = 3;
     uint64_t Seed = 1;
+    /// Entries from here on have a tenth of the others' processor share.
+    int FirstWeakEntry = 1000;
   };
   explicit MemoryCluster(Options options);
   ~MemoryCluster();
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -310,6 +310,43 @@
   EXPECT_EQ(call->Answer->Result, jobs::CallResult::Ok);
 }
 
+// Guards against a leader that cannot keep up: all leases lapse in an outage,
+// and one of many small entries is the first to ask for the lead.
+TEST(Cluster, LargeEntriesLeadOnceAllLeasesHaveLapsed) {
+  constexpr int Large = 2;
+  constexpr int Entries = 8;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    MemoryCluster::Options options{Entries, 3, 3, seed};
+    options.FirstWeakEntry = Large;
+    auto cluster = serving(options);
+    // Their renewals come at different times.
+    for (int n = Large; n < Entries; ++n) {
+      cluster->killEntry(n);
+      cluster->runFor(absl::Milliseconds(61 * static_cast<int>(seed)));
+      cluster->startEntry(n);
+    }
+    cluster->runFor(absl::Seconds(2));
+    for (int n = 0; n < Entries; ++n)
+      cluster->store().faults(MemoryCluster::entryName(n)).Refuses = true;
+    cluster->runFor(absl::Seconds(4));
+    for (int n = 0; n < Entries; ++n)
+      cluster->store().faults(MemoryCluster::entryName(n)).Refuses = false;
+    cluster->runFor(absl::Seconds(3));
+    EXPECT_GE(cluster->leader(), 0) << "seed " << seed;
+    EXPECT_LT(cluster->leader(), Large) << "seed " << seed;
+  }
+}
+
+// Guards against small entries that leave the lead to large ones that are gone.
+TEST(Cluster, SmallEntriesLeadWhereNoLargeOneIsLeft) {
+  MemoryCluster::Options options;
+  options.FirstWeakEntry = 1;
+  auto cluster = serving(options);
+  cluster->killEntry(0);
+  cluster->runFor(absl::Seconds(5));
+  EXPECT_GT(cluster->leader(), 0);
+}
+
 // The store is away for all: the entries must not hand a call round until its
 // caller's time is over, and "not done" must be true.
 TEST(Cluster, CallThatNoEntryCanServeIsRefusedSoon) {
--- a/tests/auto/settings/tst_nodesettings.cpp
+++ b/tests/auto/settings/tst_nodesettings.cpp
@@ -63,6 +63,8 @@
                 "bounds.stop_grace_ms"},
         BadCase{"no grace", with(R"("bounds":{"term_grace_s":-1})"),
                 "bounds.term_grace_s"},
+        BadCase{"no processor", with(R"("processor_share":0)"),
+                "processor_share"},
         BadCase{"wrong type", with(R"("heartbeat_ms":"often")"),
                 "heartbeat_ms"},
         BadCase{"holds shorter than two heartbeats",
