--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -225,8 +225,7 @@
             {"revision", held.Revision},
             {"newer_version", newer.Version},
             {"newer_revision", newer.Revision},
-            {"config_age_ms", absl::ToInt64Milliseconds(std::min(
-                                  Config->age(Loop.now()), absl::Hours(1)))}});
+            {"config_age_ms", jobs::shownAgeMs(Config->age(Loop.now()))}});
 }
 
 void JobEntry::storeTrouble(const char *what, platform::StoreStatus status,
--- a/src/libs/jobs/callanswer.cpp
+++ b/src/libs/jobs/callanswer.cpp
@@ -1,5 +1,7 @@
 #include "callanswer.h"
 
+#include <algorithm>
+
 namespace oriolebay::jobs {
 
 const char *callResultName(CallResult result) {
@@ -24,4 +26,9 @@
   return "unknown";
 }
 
+int64_t shownAgeMs(absl::Duration age) {
+  constexpr absl::Duration Longest = absl::Hours(1);
+  return absl::ToInt64Milliseconds(std::min(age, Longest));
+}
+
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -54,6 +54,10 @@
   std::string ServedBy;
 };
 
+/// The age of a configuration in milliseconds as lines show it, an hour at
+/// most: one that was never confirmed has none.
+int64_t shownAgeMs(absl::Duration age);
+
 /// For the log: what a call asked for, what decided it, and the answer.
 struct CallDecision {
   std::string Call;
--- a/src/libs/jobs/jobdesk.cpp
+++ b/src/libs/jobs/jobdesk.cpp
@@ -16,8 +16,6 @@
 /// Calls to the store may fail for so long before callers are refused at once:
 /// one lost answer is no outage.
 constexpr absl::Duration StoreGrace = absl::Milliseconds(250);
-/// A configuration that was never confirmed has no age; lines show this.
-constexpr absl::Duration LongestAgeShown = absl::Hours(1);
 
 const KeyValue *findItem(const std::vector<KeyValue> &items,
                          const std::string &key) {
@@ -71,13 +69,11 @@
   if (call->Finished)
     return;
   call->Finished = true;
-  Decided(
-      {call->Name, call->JobId, call->Queue.Name, call->Queue.Priority,
-       call->Organisation,
-       call->Name == "submit" ? core::summary(call->Spec) : "",
-       call->CheckedBy.Version,
-       absl::ToInt64Milliseconds(std::min(call->ConfigAge, LongestAgeShown)),
-       answer, absl::ToInt64Milliseconds(Loop.now() - call->Began)});
+  Decided({call->Name, call->JobId, call->Queue.Name, call->Queue.Priority,
+           call->Organisation,
+           call->Name == "submit" ? core::summary(call->Spec) : "",
+           call->CheckedBy.Version, shownAgeMs(call->ConfigAge), answer,
+           absl::ToInt64Milliseconds(Loop.now() - call->Began)});
   call->Answer(std::move(answer));
 }
 
--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -7,6 +7,14 @@
 
 namespace oriolebay::platform {
 
+namespace {
+
+/// Larger entries learn with their next renewal that their lease has lapsed,
+/// and have to be granted a new one.
+constexpr double RenewalsLeftToLarger = 1.5;
+
+} // namespace
+
 std::string encode(const EntryRecord &record) {
   return nlohmann::json{{"address", record.Address},
                         {"processor_share", record.ProcessorShare}}
@@ -171,8 +179,7 @@
     return false;
   const absl::Time now = Loop.now();
   if (LeftUntil == absl::InfinitePast()) {
-    // They learn of it with their next renewal, and ask for a new lease first.
-    const absl::Duration wait = period() * 3 / 2;
+    const absl::Duration wait = period() * RenewalsLeftToLarger;
     LeftUntil = now + wait;
     Loop.runAfter(wait, [this, alive = Alive] {
       if (*alive)
