Agents tell how a worker's life ended, and what had just begun there

On call for tasks that crash workers, nobody could tell from the logs that a worker had crashed rather than left, nor which of its runs had just begun: it had to be put together from three kinds of lines of several processes.

The agent beside a worker knows best: it notes the starts it sent, when the worker last answered and when it fell silent. A report now carries for each life that is over whether it crashed and which starts may be why: those that began, or may have, less than a second before. Starts that were sent to a worker that had fallen silent already do not count. The leader logs run.crashed_worker (418), counted as all events are.

No decision goes by it yet.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -120,7 +120,7 @@
       return;
     TryingLife.clear();
     if (reply.Outcome.Status == CallStatus::OtherLife)
-      noteEnded(beat.Worker.Life);
+      noteEnded({beat.Worker.Life});
     if (reply.Outcome.Status != CallStatus::Ok)
       return;
     adoptLife(beat);
@@ -131,7 +131,7 @@
 
 void WorkerAgent::adoptLife(const Heartbeat &beat) {
   if (!State.Life.empty())
-    endLife("a new life answers");
+    endLife("a new life answers", true);
   State = beat.Worker;
   LastBeat = beat.Sequence;
   BeatAt = Loop.now();
@@ -142,9 +142,16 @@
             {"accelerators", State.Capacity.Accelerators}});
 }
 
-void WorkerAgent::endLife(const std::string &why) {
-  logEvent(Event::WorkerLifeEnded, {{"worker", State.Life}, {"why", why}});
-  noteEnded(State.Life);
+void WorkerAgent::endLife(const std::string &why, bool crashed) {
+  endpoints::LifeEnd end{State.Life, crashed && !State.Draining};
+  if (end.Crashed)
+    end.JustBegun = Sent.justBegun();
+  logEvent(Event::WorkerLifeEnded, {{"worker", State.Life},
+                                    {"why", why},
+                                    {"crashed", end.Crashed},
+                                    {"just_begun", end.JustBegun.size()}});
+  noteEnded(std::move(end));
+  Sent = {};
   State = {};
   LastBeat = 0;
   ClockOffset.reset();
@@ -170,22 +177,25 @@
   reportSoon();
 }
 
-void WorkerAgent::noteEnded(const std::string &life) {
-  EndedLives.push_back(life);
+void WorkerAgent::noteEnded(endpoints::LifeEnd end) {
+  if (hasEnded(end.Life))
+    return;
+  EndedLives.push_back(std::move(end));
   if (EndedLives.size() > MostEndedLives)
     EndedLives.erase(EndedLives.begin());
 }
 
 bool WorkerAgent::hasEnded(const std::string &life) const {
-  return std::find(EndedLives.begin(), EndedLives.end(), life) !=
-         EndedLives.end();
+  return std::any_of(
+      EndedLives.begin(), EndedLives.end(),
+      [&](const endpoints::LifeEnd &end) { return end.Life == life; });
 }
 
 void WorkerAgent::onLeave(const std::string &life) {
   if (life == State.Life)
-    endLife("it said so");
+    endLife("it said so", false);
   else
-    noteEnded(life);
+    noteEnded({life});
 }
 
 // ---- Keeping its tasks alive, and looking ----
@@ -193,8 +203,10 @@
 void WorkerAgent::noteClock(int64_t clockMs) {
   // The answer may have been on its way for a while: the worker's clock is
   // then further on than this says, and what is held ends the sooner.
-  if (clockMs > 0)
-    ClockOffset = clockMs - toMs(Loop.now());
+  if (clockMs <= 0)
+    return;
+  ClockOffset = clockMs - toMs(Loop.now());
+  Sent.answered(Loop.now());
 }
 
 int64_t WorkerAgent::untilMs() const {
@@ -242,14 +254,16 @@
                          const HoldReply &reply) {
   const CallOutcome &outcome = reply.Outcome;
   if (outcome.Status == CallStatus::OtherLife) {
-    endLife("another life answered");
+    endLife("another life answered", true);
     return;
   }
   // A process that listened here has ended; the next one has another id. A
   // few in a row, so that a moment without a listener is not taken for it.
   NotThere = outcome.Status == CallStatus::NotThere ? NotThere + 1 : 0;
+  if (outcome.Status != CallStatus::Ok)
+    Sent.unanswered(Loop.now());
   if (NotThere >= MostNotThere) {
-    endLife("nothing listens at its address");
+    endLife("nothing listens at its address", true);
     return;
   }
   if (outcome.Status != CallStatus::Ok) {
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -5,6 +5,7 @@
 #include "leaderfinder.h"
 #include "platform/store.h"
 #include "settings/nodesettings.h"
+#include "startbook.h"
 
 #include <absl/time/time.h>
 
@@ -74,8 +75,9 @@
 
   void tryLife(const endpoints::Heartbeat &beat);
   void adoptLife(const endpoints::Heartbeat &beat);
-  void endLife(const std::string &why);
-  void noteEnded(const std::string &life);
+  /// Crashed: it ended without a word, unless an end was planned.
+  void endLife(const std::string &why, bool crashed);
+  void noteEnded(endpoints::LifeEnd end);
   bool hasEnded(const std::string &life) const;
 
   void hold(int64_t waitMs);
@@ -126,7 +128,7 @@
   int64_t LastBeat = 0;
   absl::Time BeatAt;
   /// The latest lives that are over, the newest last.
-  std::vector<std::string> EndedLives;
+  std::vector<endpoints::LifeEnd> EndedLives;
   std::string TryingLife;
   /// Worker clock less boot clock, in milliseconds, as of the last answer.
   std::optional<int64_t> ClockOffset;
@@ -154,6 +156,8 @@
   /// This life has been looked at.
   bool Listed = false;
 
+  /// Starts that this life was sent.
+  StartBook Sent;
   /// Orders that are being carried out.
   std::map<RunKey, OrderPtr> Starting;
   std::map<RunKey, OrderPtr> StoppingRuns;
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -104,6 +104,8 @@
             {"run", run.second},
             {"outcome", endpoints::orderOutcomeName(outcome)},
             {"why", detail}});
+  if (outcome != OrderOutcome::Started && outcome != OrderOutcome::Unconfirmed)
+    Sent.neverBegan({run.first, run.second});
   if (Concludes)
     Concludes(result);
   if (Concluded.emplace(run, result).second)
@@ -147,6 +149,7 @@
   call.Epoch = order->Epoch;
   call.FreshConnection = order->Tries > 0;
   ++order->Tries;
+  Sent.sent({key.first, key.second}, Loop.now());
   Worker.Start(call, [this, alive = Alive, order](const CallOutcome &outcome) {
     if (*alive && order->Life == State.Life)
       onStarted(order, outcome);
@@ -183,6 +186,8 @@
     break;
   case CallStatus::NotSent:
   case CallStatus::NotThere:
+    if (!order->MayHaveArrived)
+      Sent.neverBegan({key.first, key.second});
     break;
   }
   if (order->Tries >= StartTries)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -7,6 +7,8 @@
 #include "core/workerinfo.h"
 #include "utils/error.h"
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -134,6 +136,13 @@
   auto operator<=>(const Ack &) const = default;
 };
 
+/// One run of a task: what orders, room and ends refer to.
+struct RunId {
+  std::string Task;
+  int64_t Run = 0;
+  auto operator<=>(const RunId &) const = default;
+};
+
 /// A task that a worker runs, as it last listed it.
 struct RunningTask {
   /// core::taskName().
@@ -217,15 +226,28 @@
   auto operator<=>(const LearnedSpeed &) const = default;
 };
 
+/// A worker that lives on for so long after a start was not crashed by it.
+constexpr absl::Duration CrashShowsWithin = absl::Seconds(1);
+
+/// The end of a worker's life. Crashed: it ended without a word, and no end of
+/// it was planned. JustBegun: the runs that may have crashed it, as they began,
+/// or may have, less than CrashShowsWithin before.
+struct LifeEnd {
+  std::string Life;
+  bool Crashed = false;
+  std::vector<RunId> JustBegun = {};
+  auto operator<=>(const LifeEnd &) const = default;
+};
+
 /// Agent to the leading entry, periodically and at once on news: the worker
 /// and all that it runs or that ended and is not acknowledged. An empty Life:
 /// this agent has not heard of its worker yet, which says nothing about what
-/// runs there. EndedLives: lives that the worker itself said are over.
+/// runs there. EndedLives: the latest lives of its workers that are over.
 struct WorkerReport {
   std::string Agent;
   std::string AgentAddress;
   WorkerState Worker;
-  std::vector<std::string> EndedLives;
+  std::vector<LifeEnd> EndedLives;
   /// Grows with each report of this life, also when the agent restarts.
   int64_t Sequence = 0;
   /// The worker answers its agent. While it does not, nothing is granted.
--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -36,6 +36,8 @@
     return Event::RunStandsStill;
   case Kind::RunEvacuated:
     return Event::RunEvacuated;
+  case Kind::RunCrashedWorker:
+    return Event::RunCrashedWorker;
   case Kind::Waiting:
     return Event::StepWaiting;
   case Kind::Promised:
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -52,6 +52,7 @@
       {Event::RunEnded, "run.ended"},
       {Event::RunStandsStill, "run.stands_still"},
       {Event::RunEvacuated, "run.evacuated"},
+      {Event::RunCrashedWorker, "run.crashed_worker"},
       {Event::RunSettled, "run.settled"},
       {Event::OrderReceived, "order.received"},
       {Event::OrderCarriedOut, "order.carried_out"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -56,6 +56,7 @@
   RunSettled = 415,
   RunStandsStill = 416,
   RunEvacuated = 417,
+  RunCrashedWorker = 418,
   OrderReceived = 420,
   OrderCarriedOut = 421,
   GrantEnded = 422,
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -6,21 +6,25 @@
 
 // An agent that has just started has not heard of its worker yet: that says
 // nothing about a life that was known before.
-bool saysEnded(const endpoints::WorkerReport &report, const std::string &life) {
-  const auto &ended = report.EndedLives;
-  if (std::find(ended.begin(), ended.end(), life) != ended.end())
-    return true;
-  return !report.Worker.Life.empty() && report.Worker.Life != life;
+std::optional<endpoints::LifeEnd> endOf(const endpoints::WorkerReport &report,
+                                        const std::string &life) {
+  for (const endpoints::LifeEnd &end : report.EndedLives)
+    if (end.Life == life)
+      return end;
+  if (!report.Worker.Life.empty() && report.Worker.Life != life)
+    return endpoints::LifeEnd{life};
+  return std::nullopt;
 }
 
-std::vector<std::string> Fleet::heard(const endpoints::WorkerReport &report,
-                                      absl::Time now) {
-  std::vector<std::string> ended;
+std::vector<endpoints::LifeEnd>
+Fleet::heard(const endpoints::WorkerReport &report, absl::Time now) {
+  std::vector<endpoints::LifeEnd> ended;
   for (const auto &[life, worker] : Workers)
-    if (worker.Agent == report.Agent && saysEnded(report, life))
-      ended.push_back(life);
-  for (const std::string &life : ended)
-    Workers.erase(life);
+    if (worker.Agent == report.Agent)
+      if (const auto end = endOf(report, life))
+        ended.push_back(*end);
+  for (const endpoints::LifeEnd &end : ended)
+    Workers.erase(end.Life);
   if (report.Worker.Life.empty())
     return ended;
   WorkerView &worker = Workers[report.Worker.Life];
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -6,19 +6,14 @@
 #include <absl/time/time.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace oriolebay::jobs {
 
-/// One run of a task: what orders, room and ends refer to.
-struct RunId {
-  std::string Task;
-  int64_t Run = 0;
-
-  auto operator<=>(const RunId &) const = default;
-};
+using endpoints::RunId;
 
 /// How workers are judged.
 struct FleetPolicy {
@@ -67,9 +62,10 @@
   }
 };
 
-/// Whether report, which comes from the agent beside it, tells that this life
-/// of a worker is over.
-bool saysEnded(const endpoints::WorkerReport &report, const std::string &life);
+/// How this life of a worker ended, as report, which comes from the agent
+/// beside it, tells; nothing when it does not say that it is over.
+std::optional<endpoints::LifeEnd> endOf(const endpoints::WorkerReport &report,
+                                        const std::string &life);
 
 /// The workers that report to the leader: who they are, what room they have
 /// and whether they are fit for new work. No threads, clock or sockets.
@@ -79,8 +75,8 @@
 
   /// Takes a report's worker. Returns the lives that it ended: a new life of
   /// the same agent's worker means that nothing of the old one runs.
-  std::vector<std::string> heard(const endpoints::WorkerReport &report,
-                                 absl::Time now);
+  std::vector<endpoints::LifeEnd> heard(const endpoints::WorkerReport &report,
+                                        absl::Time now);
   /// Lives whose tasks have certainly ended because nobody kept them alive.
   std::vector<std::string> takeLost(absl::Time now);
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -383,11 +383,11 @@
   Changed |= Waits;
   RunJudge(*this, now).judge();
   for (const std::string &life : Workers.takeLost(now))
-    loseLife(life, "silent until its tasks had certainly ended", now);
+    loseLife({life}, "silent until its tasks had certainly ended", now);
   if (!Unheard.empty() && now >= UnheardLostAt) {
     const auto lives = std::exchange(Unheard, {});
     for (const auto &[life, agent] : lives)
-      loseLife(life, "never reported to this leader", now);
+      loseLife({life}, "never reported to this leader", now);
   }
   for (auto &entry : Jobs) {
     Job &job = entry.second;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -102,6 +102,7 @@
     WorkerKeptOut,
     RunStandsStill,
     RunEvacuated,
+    RunCrashedWorker,
     Waiting,
     Promised,
     RoomPlanned,
@@ -295,8 +296,9 @@
 
   void takeLife(const std::string &life);
   void endUnheard(const endpoints::WorkerReport &report, absl::Time now);
-  void loseLife(const std::string &life, const std::string &why,
+  void loseLife(const endpoints::LifeEnd &end, const std::string &why,
                 absl::Time now);
+  void takeCrash(const core::TaskId &id, const Task &task);
   void takeRunning(const endpoints::WorkerReport &report, absl::Time now);
   void settleUnlisted(const endpoints::WorkerReport &report, absl::Time now);
   void takeEnd(const std::string &life, const endpoints::EndedTask &end,
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -25,8 +25,8 @@
   // Reports overtake each other: an older one would undo what a newer told.
   if (before != nullptr && report.Sequence <= before->Sequence)
     return before->SeenUpto;
-  for (const std::string &ended : Workers.heard(report, now))
-    loseLife(ended, "its worker has ended", now);
+  for (const endpoints::LifeEnd &end : Workers.heard(report, now))
+    loseLife(end, "its worker has ended", now);
   endUnheard(report, now);
   Speeds.recall(report.Agent, report.Speed);
   if (life.empty())
@@ -53,13 +53,14 @@
 // one stands there.
 void JobScheduler::endUnheard(const endpoints::WorkerReport &report,
                               absl::Time now) {
-  std::vector<std::string> ended;
+  std::vector<endpoints::LifeEnd> ended;
   for (const auto &[life, agent] : Unheard)
-    if (agent == report.Agent && saysEnded(report, life))
-      ended.push_back(life);
-  for (const std::string &life : ended) {
-    Unheard.erase(life);
-    loseLife(life, "a new life of its worker reports", now);
+    if (agent == report.Agent)
+      if (const auto end = endOf(report, life))
+        ended.push_back(*end);
+  for (const endpoints::LifeEnd &end : ended) {
+    Unheard.erase(end.Life);
+    loseLife(end, "its worker has ended", now);
   }
 }
 
@@ -77,10 +78,13 @@
   note(Decision::Kind::WorkerJoined, "", "", 0, life);
 }
 
-void JobScheduler::loseLife(const std::string &life, const std::string &why,
-                            absl::Time now) {
+void JobScheduler::loseLife(const endpoints::LifeEnd &end,
+                            const std::string &why, absl::Time now) {
+  const std::string &life = end.Life;
   note(Decision::Kind::WorkerLost, "", "", 0, life, why,
-       {{"elected_ms_ago", absl::ToInt64Milliseconds(now - ElectedAt)}});
+       {{"elected_ms_ago", absl::ToInt64Milliseconds(now - ElectedAt)},
+        {"crashed", end.Crashed ? 1 : 0}});
+  const std::set<RunId> suspects(end.JustBegun.begin(), end.JustBegun.end());
   for (auto &entry : Jobs) {
     Job &job = entry.second;
     bool any = false;
@@ -88,6 +92,8 @@
       if (state.Progress.Worker != life)
         return;
       any = true;
+      if (suspects.count({core::taskName(task), state.Progress.Run}) != 0)
+        takeCrash(task, state);
       runAbsent(job, task, state, why);
     });
     if (any)
@@ -96,6 +102,12 @@
   Changed = true;
 }
 
+// The task's worker crashed right after the task had begun there.
+void JobScheduler::takeCrash(const TaskId &id, const Task &task) {
+  note(Decision::Kind::RunCrashedWorker, id.Job, core::taskName(id),
+       task.Progress.Run, task.Progress.Worker, "it had just begun there");
+}
+
 void JobScheduler::takeRunning(const endpoints::WorkerReport &report,
                                absl::Time now) {
   for (const endpoints::RunningTask &running : report.Running) {
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -39,12 +39,13 @@
     worker.Hold = [this](const endpoints::HoldCall &c, const auto &done) {
       Holds.push_back(c);
       endpoints::HoldReply reply;
-      reply.Outcome = answer();
+      reply.Outcome = HoldAnswer;
       reply.Running = Running;
       for (const endpoints::EndedTask &e : Ended)
         if (e.Number > c.SeenUpto)
           reply.Ended.push_back(e);
-      const bool waits = c.WaitMs > 0 && reply.Ended.empty();
+      const bool waits = c.WaitMs > 0 && reply.Ended.empty() &&
+                         HoldAnswer.Status == CallStatus::Ok;
       Loop.runAfter(absl::Milliseconds(waits ? c.WaitMs : 1),
                     [done, reply] { done(reply); });
     };
@@ -94,6 +95,7 @@
   endpoints::ReportAck Ack;
   endpoints::Heartbeat Beat;
   CallOutcome StartAnswer = answer();
+  CallOutcome HoldAnswer = answer();
   int StartTakesMs = 1;
   std::vector<endpoints::RunningTask> Running;
   /// Ends that the worker lists until they are taken note of.
@@ -196,6 +198,32 @@
   EXPECT_EQ(bench.Reports.back().Ended.size(), 2u);
 }
 
+// Guards against a leader that cannot tell which task crashed its worker.
+TEST(WorkerAgent, LeaderIsToldOfACrashAndWhatHadJustBegun) {
+  AgentBench bench;
+  bench.order(AgentBench::start(5, 1));
+  bench.Loop.advance(absl::Milliseconds(20));
+  bench.HoldAnswer = {};
+  bench.HoldAnswer.Status = CallStatus::NotThere;
+  bench.Loop.advance(absl::Milliseconds(1500));
+  ASSERT_EQ(bench.Reports.back().EndedLives.size(), 1u);
+  const endpoints::LifeEnd end = bench.Reports.back().EndedLives.front();
+  EXPECT_EQ(end, (endpoints::LifeEnd{"life", true, {{"j.0.0.0", 1}}}));
+}
+
+// Guards against planned ends of workers that are taken for crashes.
+TEST(WorkerAgent, EndOfADrainingWorkerIsNoCrash) {
+  AgentBench bench;
+  bench.order(AgentBench::start(5, 1));
+  bench.Beat.Worker.Draining = true;
+  bench.beat();
+  bench.HoldAnswer = {};
+  bench.HoldAnswer.Status = CallStatus::NotThere;
+  bench.Loop.advance(absl::Milliseconds(1500));
+  ASSERT_EQ(bench.Reports.back().EndedLives.size(), 1u);
+  EXPECT_FALSE(bench.Reports.back().EndedLives.front().Crashed);
+}
+
 // Ends cannot be taken note of while the store is away. The agent must not
 // look at its worker fifty times a second all that time.
 TEST(WorkerAgent, EndsThatStayOpenAreNotLookedAtForEver) {
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -92,7 +92,7 @@
   endpoints::WorkerReport r;
   r.Agent = Workers.at(life).Agent;
   r.AgentAddress = r.Agent;
-  r.EndedLives = {life};
+  r.EndedLives = {{life}};
   crash(life);
   Scheduler->onReport(r, Now);
 }
