--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -8,7 +8,8 @@
 /// What a call returned. Status is zero when no HTTP answer came at all
 /// (refused, timed out, connection lost); Error then says why. Sent says
 /// whether any byte of the request had left: if not, the peer cannot have
-/// acted on it.
+/// acted on it. Both Sent and Refused: it left on a connection that was open,
+/// which broke, and the next one was refused.
 struct HttpResult {
   int Status = 0;
   std::string Body;
--- a/tests/auto/adapter/tst_workerform.cpp
+++ b/tests/auto/adapter/tst_workerform.cpp
@@ -1,5 +1,6 @@
 #include "http/httpclient.h"
 #include "platformstub.h"
+#include "vanishingpeer.h"
 #include "workerform.h"
 
 #include <gtest/gtest.h>
@@ -89,6 +90,40 @@
                             "untilMs":5000,"fencingToken":11})"));
 }
 
+// Guards against a start that was carried out and is taken for one that never
+// came, as its worker crashed before it answered.
+TEST(WorkerForm, StartThatItsWorkerTookBeforeItVanishedMayHaveBegun) {
+  PlatformStub stub(std::nullopt);
+  VanishingPeer worker(R"({"clockMs":9,"running":[],"ended":[]})");
+  const endpoints::WorkerCalls calls =
+      makeWorkerCalls(stub.Loop, stub.Client, worker.Address);
+  const auto look = stub.outcome<endpoints::HoldReply>(
+      [&](std::function<void(endpoints::HoldReply)> done) {
+        calls.Hold({"life-1", 0, 11, 3, 0}, done);
+      });
+  ASSERT_EQ(look.Outcome.Status, CallStatus::Ok);
+  const auto outcome =
+      stub.outcome<CallOutcome>([&](std::function<void(CallOutcome)> done) {
+        calls.Start(aStart(), done);
+      });
+  EXPECT_EQ(outcome.Status, CallStatus::NoAnswer) << outcome.Detail;
+}
+
+// Guards against a crash that is noticed one look later than it shows.
+TEST(WorkerForm, LookThatFindsNobodyListeningSaysSo) {
+  PlatformStub stub(std::nullopt);
+  VanishingPeer worker(R"({"clockMs":9,"running":[],"ended":[]})");
+  const endpoints::WorkerCalls calls =
+      makeWorkerCalls(stub.Loop, stub.Client, worker.Address);
+  endpoints::HoldReply look;
+  for (int n = 0; n < 2; ++n)
+    look = stub.outcome<endpoints::HoldReply>(
+        [&](std::function<void(endpoints::HoldReply)> done) {
+          calls.Hold({"life-1", 0, 11, 3, 0}, done);
+        });
+  EXPECT_EQ(look.Outcome.Status, CallStatus::NotThere) << look.Outcome.Detail;
+}
+
 struct HoldCase {
   const char *Name;
   const char *Body;
