Tests: tasks that crash each worker that starts them, red

What callers saw: jobs lost with their workers, one worker after another, while two tasks were started again at once wherever a worker came back.

A workers' stand-in counts the crashes: at most two starts may follow the third.

--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -191,7 +191,7 @@
 
 void MemoryCluster::beat(int n) {
   Side &side = Workers[n];
-  if (side.Agent != nullptr && !side.Machine->Down)
+  if (side.Agent != nullptr && !side.Machine->Down && side.Machine->listens())
     side.Agent->onHeartbeat(side.Machine->heartbeat());
   Loop.runAfter(BeatEvery, [this, n] { beat(n); });
 }
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -86,6 +86,10 @@
   const std::set<std::string> &accepted() const { return Accepted; }
   int starts() const { return All.Starts; }
   const Field &field() const { return All; }
+  /// Which tasks crash each worker that starts them.
+  void setCrashing(std::function<bool(const std::string &task)> crashes) {
+    All.Crashes = std::move(crashes);
+  }
   /// The state as the store has it.
   std::optional<jobs::JobState> stored(const std::string &job) const;
 
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -16,6 +16,8 @@
 constexpr absl::Duration Answer = absl::Milliseconds(1);
 constexpr absl::Duration StopTakes = absl::Milliseconds(300);
 constexpr int64_t HoldMaxMs = 6000;
+constexpr absl::Duration CrashAfterStart = absl::Milliseconds(10);
+constexpr absl::Duration BackAfterCrash = absl::Seconds(2);
 } // namespace
 
 MemoryWorker::MemoryWorker(utils::EventLoop &loop, Field &field,
@@ -62,6 +64,30 @@
   State.Life = Name + "-" + std::to_string(++Lives);
 }
 
+void MemoryWorker::fall(absl::Duration backAfter) {
+  std::vector<Look> open = std::exchange(Looks, {});
+  crash();
+  BackAt = Loop.now() + backAfter;
+  for (Look &look : open)
+    Loop.runAfter(Answer, [done = look.Done] { done({}); });
+}
+
+// At most two starts may follow the third crash.
+void MemoryWorker::countStart(const std::string &task) {
+  ++All.Starts;
+  if (!All.Crashes || !All.Crashes(task))
+    return;
+  if (All.CrashesUnder[task] >= 3 && ++All.StartsAfterThirdCrash[task] == 3)
+    All.Violations.push_back(task + " started three times more after three "
+                                    "workers had crashed under it");
+  Loop.runAfter(CrashAfterStart, [this, task, life = State.Life] {
+    if (life != State.Life)
+      return;
+    ++All.CrashesUnder[task];
+    fall(BackAfterCrash);
+  });
+}
+
 void MemoryWorker::drain(int64_t remainingMs) {
   State.Draining = true;
   State.RemainingMs = remainingMs;
@@ -101,7 +127,7 @@
     used += All.StepOf(k.first).room();
   if (!used.fitsIn(State.Capacity))
     All.Violations.push_back(State.Life + " has more than it holds");
-  ++All.Starts;
+  countStart(key.first);
   All.Running[key.first].insert({State.Life, key.second});
   Run run;
   run.Began = Loop.now();
@@ -160,7 +186,15 @@
     noAnswer();
     return;
   }
+  if (!listens()) {
+    Loop.runAfter(Answer, [done] {
+      done({CallStatus::NotThere, RefusalReason::None, 0, "refused"});
+    });
+    return;
+  }
   auto checked = [this, life, carryOut]() -> CallOutcome {
+    if (!listens())
+      return {};
     if (life != State.Life)
       return {CallStatus::OtherLife, RefusalReason::None, clockMs(), ""};
     return carryOut();
@@ -196,6 +230,12 @@
       return;
     }
     Loop.runAfter(Answer, [this, c, done] {
+      if (!listens()) {
+        endpoints::HoldReply reply;
+        reply.Outcome.Status = CallStatus::NotThere;
+        done(reply);
+        return;
+      }
       if (c.Life != State.Life) {
         endpoints::HoldReply reply;
         reply.Outcome.Status = CallStatus::OtherLife;
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -21,6 +21,10 @@
   /// Runs by task, over all workers that are up.
   std::map<std::string, std::set<std::pair<std::string, int64_t>>> Running;
   std::set<std::string> DoneAndSeen;
+  /// Whether the task crashes each worker that starts it.
+  std::function<bool(const std::string &task)> Crashes;
+  std::map<std::string, int> CrashesUnder;
+  std::map<std::string, int> StartsAfterThirdCrash;
   std::vector<std::string> Violations;
   int Starts = 0;
 };
@@ -38,8 +42,11 @@
   endpoints::Heartbeat heartbeat();
   const std::string &life() const { return State.Life; }
 
-  /// It dies and stands up again as another life.
+  /// It dies and stands up again at once as another life.
   void crash();
+  /// It dies; nobody listens there until it stands up again as another life.
+  void fall(absl::Duration backAfter);
+  bool listens() const { return Loop.now() >= BackAt; }
   void drain(int64_t remainingMs);
 
   /// This share of orders gets no answer and is carried out 2 to 12 s later.
@@ -63,6 +70,7 @@
   };
   using Key = std::pair<std::string, int64_t>;
 
+  void countStart(const std::string &task);
   int64_t clockMs() const;
   bool chance(double share);
   endpoints::CallOutcome ok() const;
@@ -86,6 +94,7 @@
   int Lives = 0;
   int64_t Beats = 0;
   absl::Time Born;
+  absl::Time BackAt = absl::InfinitePast();
   int64_t Fence = 0;
   int64_t UntilMs = 0;
   int64_t NextEnd = 1;
--- /dev/null
+++ b/tests/auto/cluster/tst_crashdays.cpp
@@ -0,0 +1,154 @@
+// Days on which workers crash: by themselves, and under tasks that crash each
+// worker that starts them.
+#include "memorycluster.h"
+#include "seeds.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <set>
+#include <string>
+
+namespace oriolebay::cluster {
+namespace {
+
+constexpr int Entries = 3;
+constexpr int Workers = 8;
+/// Jobs with names that begin so have a first task that crashes its workers.
+const std::string Bad = "bad";
+
+bool isBad(const std::string &job) { return job.rfind(Bad, 0) == 0; }
+
+class CrashDay {
+public:
+  explicit CrashDay(uint64_t seed) : Random(seed), Cluster(options(seed)) {
+    Cluster.setCrashing([](const std::string &task) {
+      core::TaskId id;
+      return core::parseTaskName(task, id) && isBad(id.Job) && id.Index == 0;
+    });
+  }
+
+  void play() {
+    Cluster.configure({"k"});
+    Cluster.runFor(absl::Seconds(4));
+    for (int tick = 0; tick < 120; ++tick) {
+      if (any(1, 5) == 1)
+        submit(any(1, 5) == 1 ? Bad : "clean");
+      if (any(1, 15) == 1)
+        strike();
+      Cluster.runFor(absl::Milliseconds(200));
+    }
+    healAll();
+  }
+
+  MemoryCluster &cluster() { return Cluster; }
+
+private:
+  static MemoryCluster::Options options(uint64_t seed) {
+    MemoryCluster::Options o;
+    o.Entries = Entries;
+    o.Workers = Workers;
+    o.Seed = seed;
+    return o;
+  }
+  int any(int from, int to) {
+    return std::uniform_int_distribution<>(from, to)(Random);
+  }
+
+  void submit(const std::string &kind) {
+    core::JobSpec spec;
+    spec.Id = kind + std::to_string(++Jobs);
+    spec.Queue = "q" + std::to_string(any(0, 2));
+    spec.Payload = "text";
+    core::StepSpec step;
+    step.Count = any(1, 6);
+    step.PerTask = {500 * any(1, 8), 1000 * any(1, 8), 1 << any(0, 3)};
+    step.EstimateMs = 100 * any(5, 60);
+    step.Gang = any(0, 1) == 1;
+    step.Checkpoints = any(0, 1) == 1;
+    spec.Steps.push_back(step);
+    Cluster.submit(any(0, Entries - 1), "k", spec);
+  }
+
+  void later(std::function<void()> heal) {
+    Cluster.loop().runAfter(absl::Milliseconds(any(300, 6000)),
+                            std::move(heal));
+  }
+
+  void strike() {
+    const int entry = any(0, Entries - 1);
+    const int worker = any(0, Workers - 1);
+    MemoryStore::Faults &store =
+        Cluster.store().faults(MemoryCluster::entryName(entry));
+    switch (any(0, 7)) {
+    case 0:
+      Cluster.killEntry(entry);
+      return later([this, entry] { revive(entry); });
+    case 1:
+      Cluster.killAgent(worker);
+      return later([this, worker] { Cluster.startAgent(worker); });
+    case 2:
+      store.Silent = true;
+      return later([&store] { store.Silent = false; });
+    case 3:
+      store.LosesAnswers = 0.4;
+      return later([&store] { store.LosesAnswers = 0; });
+    case 4:
+      Cluster.worker(worker).LateOrders = 0.3;
+      return later([this, worker] { Cluster.worker(worker).LateOrders = 0; });
+    case 5:
+      Cluster.worker(worker).LostAnswers = 0.4;
+      return later([this, worker] { Cluster.worker(worker).LostAnswers = 0; });
+    default:
+      return fallSome();
+    }
+  }
+
+  void fallSome() {
+    const int many = any(1, Workers / 2);
+    for (int n = 0; n < many; ++n)
+      Cluster.worker(any(0, Workers - 1))
+          .fall(absl::Milliseconds(any(500, 4000)));
+  }
+
+  void revive(int entry) {
+    if (!Cluster.entryUp(entry))
+      Cluster.startEntry(entry);
+  }
+
+  void healAll() {
+    Cluster.runFor(absl::Seconds(8));
+    for (int n = 0; n < Entries; ++n)
+      revive(n);
+    for (int n = 0; n < Workers; ++n)
+      Cluster.startAgent(n);
+  }
+
+  std::mt19937_64 Random;
+  MemoryCluster Cluster;
+  int Jobs = 0;
+};
+
+// Guards against tasks that take workers down without end, and against clean
+// jobs that are lost or failed for it.
+TEST(CrashDays, PromisesHold) {
+  const auto [first, last] = seedsToPlay();
+  for (int seed = first; seed <= last; ++seed) {
+    CrashDay day(static_cast<uint64_t>(seed));
+    day.play();
+    MemoryCluster &cluster = day.cluster();
+    EXPECT_TRUE(cluster.runUntilOver(absl::Minutes(3)))
+        << "seed " << seed << ": a job does not end";
+    const std::vector<std::string> broken = cluster.violations();
+    EXPECT_TRUE(broken.empty()) << "seed " << seed << ": " << broken.front();
+    for (const std::string &job : cluster.accepted()) {
+      const auto state = cluster.stored(job);
+      EXPECT_TRUE(state == jobs::JobState::Completed ||
+                  (isBad(job) && state == jobs::JobState::Failed))
+          << "seed " << seed << ": " << job;
+    }
+  }
+}
+
+} // namespace
+} // namespace oriolebay::cluster
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -78,6 +78,57 @@
   w.Agent = old.Agent;
 }
 
+void SimSite::fall(const std::string &life) {
+  Fallen fallen{Workers.at(life), Now + NoticedAfter, Now + BackAfter};
+  endpoints::LifeEnd end{life, true};
+  for (const auto &[run, state] : fallen.Before.Runs) {
+    if (Now - state.Began < endpoints::CrashShowsWithin)
+      end.JustBegun.push_back(run);
+    if (CrashesWorker && CrashesWorker(idOf(run.Task)))
+      ++CrashesUnder[run.Task];
+  }
+  crash(life);
+  fallen.Before.EndedLives.push_back(std::move(end));
+  Down.push_back(std::move(fallen));
+}
+
+int SimSite::crashesUnder(const std::string &task) const {
+  auto it = CrashesUnder.find(task);
+  return it == CrashesUnder.end() ? 0 : it->second;
+}
+
+// Its agent finds that nobody answers; then the next life shows up.
+void SimSite::serveFallen() {
+  std::vector<Fallen> still;
+  for (Fallen &one : std::exchange(Down, {})) {
+    if (!one.Noticed && Now >= one.NoticedAt) {
+      one.Noticed = true;
+      endpoints::WorkerReport r;
+      r.Agent = one.Before.Agent;
+      r.AgentAddress = one.Before.Agent;
+      r.EndedLives = one.Before.EndedLives;
+      Scheduler->onReport(r, Now);
+    }
+    if (Now < one.BackAt) {
+      still.push_back(std::move(one));
+      continue;
+    }
+    const endpoints::WorkerState &old = one.Before.State;
+    Worker &w = addWorker(old.Life + "'", old.Rack, old.Capacity);
+    w.Agent = one.Before.Agent;
+    w.EndedLives = one.Before.EndedLives;
+    report(w);
+  }
+  Down = std::move(still);
+}
+
+// At most two starts may follow the third crash.
+void SimSite::countStart(const std::string &task) {
+  if (crashesUnder(task) >= 3 && ++StartsAfterThird[task] == 3)
+    Violations.push_back(task + " started three times more after three "
+                                "workers had crashed under it");
+}
+
 void SimSite::leave(const std::string &life, absl::Duration notice) {
   auto it = Workers.find(life);
   if (it == Workers.end())
@@ -266,6 +317,7 @@
   if (worker.State.Draining)
     r.Worker.RemainingMs = absl::ToInt64Milliseconds(worker.LeavesAt - Now);
   r.Sequence = ++worker.Sequence;
+  r.EndedLives = worker.EndedLives;
   r.Epoch = worker.FenceSeen;
   r.Speed = worker.Speed;
   for (const auto &[key, run] : worker.Runs)
@@ -333,6 +385,9 @@
     }
     worker.Runs[key] = run;
     ++Starts;
+    countStart(start.Task);
+    if (CrashesWorker && CrashesWorker(id))
+      worker.CrashesAt = Now + CrashAfter;
     checkRoom(worker);
     Stored &job = Jobs.at(id.Job);
     if (!job.FirstStart)
@@ -409,7 +464,10 @@
     work(Workers.at(life));
     if (Now >= Workers.at(life).LeavesAt)
       goAway(life);
+    else if (Now >= Workers.at(life).CrashesAt)
+      fall(life);
   }
+  serveFallen();
   for (auto &[life, worker] : Workers)
     if (beat || !worker.Ended.empty())
       report(worker);
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -53,6 +53,9 @@
     /// Orders are swallowed.
     bool LosesOrders = false;
     absl::Time LeavesAt = absl::InfiniteFuture();
+    absl::Time CrashesAt = absl::InfiniteFuture();
+    /// Earlier lives, as the agent beside it tells of them.
+    std::vector<endpoints::LifeEnd> EndedLives;
   };
 
   /// Adds a worker with the resources of a whole one of the Brno site.
@@ -61,6 +64,9 @@
   Worker &worker(const std::string &life) { return Workers.at(life); }
   /// The worker dies and comes back as another life, or not at all.
   void crash(const std::string &life, const std::string &newLife = "");
+  /// The worker crashes by itself: its agent notices, and it is back as another
+  /// life of its host after BackAfter.
+  void fall(const std::string &life);
   /// The worker says that it drains, and is gone after notice with all that
   /// still runs there.
   void leave(const std::string &life, absl::Duration notice);
@@ -89,6 +95,8 @@
   /// cores.
   double wasted() const { return Wasted; }
   int starts() const { return Starts; }
+  /// How many workers have crashed under the task by its own doing.
+  int crashesUnder(const std::string &task) const;
   const std::vector<std::string> &violations() const { return Violations; }
 
   /// How long a task works; the default is its estimate.
@@ -96,6 +104,12 @@
       Work;
   /// Whether this run fails by its own fault.
   std::function<bool(const core::TaskId &, int64_t run)> FailsItself;
+  /// Whether the task crashes each worker that starts it, CrashAfter its start.
+  std::function<bool(const core::TaskId &)> CrashesWorker;
+  static constexpr absl::Duration CrashAfter = absl::Milliseconds(10);
+  /// From a crash until its agent tells, and until the worker is back.
+  static constexpr absl::Duration NoticedAfter = absl::Milliseconds(460);
+  absl::Duration BackAfter = absl::Seconds(2);
   /// While set, writes get no answer and are not made.
   bool StoreDown = false;
   /// While set, writes are made but their answers are lost.
@@ -130,6 +144,13 @@
     std::set<std::string> Racks;
   };
   using GangKey = std::tuple<std::string, int, int, int64_t>;
+  /// A worker that has crashed and is not back.
+  struct Fallen {
+    Worker Before;
+    absl::Time NoticedAt;
+    absl::Time BackAt;
+    bool Noticed = false;
+  };
 
   static GangKey gangKey(const core::TaskId &id, int64_t run);
   void listGangs();
@@ -137,6 +158,8 @@
   void pump();
   void work(Worker &worker);
   void goAway(const std::string &life);
+  void serveFallen();
+  void countStart(const std::string &task);
   absl::Duration saved(const Run &run, const core::TaskId &id,
                        bool byStop) const;
   std::string runningSaved(const Run &run, const core::TaskId &id) const;
@@ -159,6 +182,9 @@
   std::map<std::string, Stored> Jobs;
   std::set<std::string> DoneTasks;
   std::map<GangKey, GangRun> Gangs;
+  std::vector<Fallen> Down;
+  std::map<std::string, int> CrashesUnder;
+  std::map<std::string, int> StartsAfterThird;
   double Wasted = 0;
   int Starts = 0;
   std::vector<std::string> Violations;
