A task that crashes the workers that start it is given up

Cause: a run that ends with its worker's life is settled as one that certainly runs nowhere and starts again at once; only ends listed as failed count. The class: a retry without a budget on a path that does not look like a failure.

The crash that follows a start (LifeEnd::JustBegun) is now counted in the task's progress, with the agent beside the worker, in the same write that takes the run off the worker, so that it is there before the next start is recorded, outlives the leader and cannot be taken twice. After the first one the task is a suspect: it starts where nothing else has just begun, nothing else starts there until the worker has outlived it by half a second, empty workers and hosts without a crash of late come first, and hosts where it crashed come last. A suspect that its worker outlives is cleared; one that has crashed workers of two hosts, or three workers, is given up, and its job ends as failed, with the task in job.ended (cause).

Ruled out: a growing delay between starts alone. It slows the harm and cannot tell the guilty task from its neighbours.

--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -227,7 +227,7 @@
 };
 
 /// A worker that lives on for so long after a start was not crashed by it.
-constexpr absl::Duration CrashShowsWithin = absl::Seconds(1);
+constexpr absl::Duration CrashShowsWithin = absl::Milliseconds(500);
 
 /// The end of a worker's life. Crashed: it ended without a word, and no end of
 /// it was planned. JustBegun: the runs that may have crashed it, as they began,
--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -38,6 +38,8 @@
     return Event::RunEvacuated;
   case Kind::RunCrashedWorker:
     return Event::RunCrashedWorker;
+  case Kind::SuspectCleared:
+    return Event::SuspectCleared;
   case Kind::Waiting:
     return Event::StepWaiting;
   case Kind::Promised:
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -53,6 +53,7 @@
       {Event::RunStandsStill, "run.stands_still"},
       {Event::RunEvacuated, "run.evacuated"},
       {Event::RunCrashedWorker, "run.crashed_worker"},
+      {Event::SuspectCleared, "run.suspect_cleared"},
       {Event::RunSettled, "run.settled"},
       {Event::OrderReceived, "order.received"},
       {Event::OrderCarriedOut, "order.carried_out"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -57,6 +57,7 @@
   RunStandsStill = 416,
   RunEvacuated = 417,
   RunCrashedWorker = 418,
+  SuspectCleared = 419,
   OrderReceived = 420,
   OrderCarriedOut = 421,
   GrantEnded = 422,
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -111,8 +111,11 @@
 json taskToJson(const TaskProgress &t, Places &places) {
   if (t == TaskProgress{})
     return 0;
-  return json::array(
+  json j = json::array(
       {t.Run, t.Failed, t.Done ? 1 : 0, places.indexOf(t), t.Saved});
+  if (!t.CrashedAt.empty())
+    j.push_back(t.CrashedAt);
+  return j;
 }
 
 TaskProgress taskFromJson(const json &j, const Places &places) {
@@ -124,6 +127,8 @@
   t.Done = j.at(2).get<int>() != 0;
   places.put(j.at(3).get<int>(), t);
   j.at(4).get_to(t.Saved);
+  if (j.size() > 5)
+    j.at(5).get_to(t.CrashedAt);
   return t;
 }
 
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -39,6 +39,8 @@
 /// the first. Worker is the life of the worker that may be running it, and
 /// Agent the agent beside it; both empty when it certainly runs nowhere. The
 /// agent outlives the life: a new life there tells that the old one ended.
+/// CrashedAt: the agents beside the workers that crashed right after the task
+/// had begun there, one entry a crash; empty once a worker has outlived it.
 struct TaskProgress {
   int64_t Run = 0;
   int Failed = 0;
@@ -46,6 +48,7 @@
   std::string Worker;
   std::string Agent;
   std::string Saved;
+  std::vector<std::string> CrashedAt = {};
 
   auto operator<=>(const TaskProgress &) const = default;
 };
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -179,6 +179,7 @@
     for (size_t s = 0; s < std::min(steps.size(), mine.size()); ++s)
       for (size_t i = 0; i < std::min(steps[s].size(), mine[s].size()); ++i) {
         mine[s][i].Progress = steps[s][i];
+        job.HasSuspects |= mine[s][i].isSuspect();
         // Whether the run was ever ordered is not known; the worker's list
         // tells.
         if (mine[s][i].mayRun()) {
@@ -200,6 +201,13 @@
 void JobScheduler::judgeJob(Job &job, absl::Time now) {
   if (job.over())
     return;
+  if (job.HasSuspects) {
+    const std::string cause = givenUpFor(job);
+    if (!cause.empty()) {
+      endJob(job, JobState::Failed, now, cause);
+      return;
+    }
+  }
   bool failed = false;
   bool allDone = true;
   for (const auto &[number, steps] : job.Occurrences)
@@ -217,7 +225,8 @@
     endJob(job, JobState::Completed, now);
 }
 
-void JobScheduler::endJob(Job &job, JobState state, absl::Time now) {
+void JobScheduler::endJob(Job &job, JobState state, absl::Time now,
+                          const std::string &cause) {
   job.State = state;
   job.FinishedAt = now;
   job.Dirty = true;
@@ -230,6 +239,8 @@
         {"took_ms", absl::ToInt64Milliseconds(now - job.Arrived)},
         {"within_ms", absl::ToInt64Milliseconds(promiseOf(job).Within)}});
   Decisions.back().Texts = {{"queue", job.Record.Spec.Queue}};
+  if (!cause.empty())
+    Decisions.back().Texts["cause"] = cause;
   forEachTask(job, [&](const TaskId &id, Task &task) {
     if (id.Index == 0)
       Speeds.forget(stepName(id));
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -64,6 +64,14 @@
   /// A leader knows all workers that live so long after its election: two
   /// periods of their reports. What a job was promised depends on their room.
   absl::Duration FleetKnownAfter = absl::Seconds(1);
+  /// A task is given up once workers of so many hosts have crashed right after
+  /// it had begun there, or so many workers on whatever hosts: a host may crash
+  /// its workers by itself.
+  size_t CrashedHostsToGiveUp = 2;
+  size_t CrashesToGiveUp = 3;
+  /// A host whose worker has crashed is not one to try a suspect on for so
+  /// long.
+  absl::Duration CrashRemembered = absl::Seconds(30);
   /// How long a gang's members wait for each other.
   absl::Duration GangWait = absl::Milliseconds(3000);
   /// The time of day in milliseconds since 1970, for jobs due at a time.
@@ -103,6 +111,7 @@
     RunStandsStill,
     RunEvacuated,
     RunCrashedWorker,
+    SuspectCleared,
     Waiting,
     Promised,
     RoomPlanned,
@@ -224,6 +233,13 @@
     std::set<std::string> FailedOn;
 
     bool mayRun() const { return !Progress.Worker.empty(); }
+    /// It may be why a worker crashed.
+    bool isSuspect() const { return !Progress.CrashedAt.empty(); }
+    /// Its worker has lived on for so long that its run did not crash it.
+    bool outlived() const {
+      return What == Phase::Running &&
+             PercentAt - Began >= endpoints::CrashShowsWithin;
+    }
   };
   using Step = std::vector<Task>;
   struct Job {
@@ -247,6 +263,8 @@
       int64_t Number = 0;
     };
     std::vector<EndAck> EndAcks;
+    /// Some task of it is a suspect.
+    bool HasSuspects = false;
     bool WaitLogged = false;
     bool PromiseLogged = false;
     /// How room was last planned for a step, by occurrence and step; logged
@@ -298,7 +316,10 @@
   void endUnheard(const endpoints::WorkerReport &report, absl::Time now);
   void loseLife(const endpoints::LifeEnd &end, const std::string &why,
                 absl::Time now);
-  void takeCrash(const core::TaskId &id, const Task &task);
+  void takeCrash(Job &job, const core::TaskId &id, Task &task);
+  void clearOutlived(Job &job, const core::TaskId &id, Task &task);
+  bool isGivenUp(const Task &task) const;
+  bool crashedLately(const std::string &agent, absl::Time now) const;
   void takeRunning(const endpoints::WorkerReport &report, absl::Time now);
   void settleUnlisted(const endpoints::WorkerReport &report, absl::Time now);
   void takeEnd(const std::string &life, const endpoints::EndedTask &end,
@@ -324,8 +345,10 @@
   void requestStop(const core::TaskId &id, Task &task, const std::string &why);
   void stopStep(Job &job, int occurrence, int step, const std::string &why);
   void judgeJob(Job &job, absl::Time now);
+  std::string givenUpFor(Job &job);
   bool isAway(const Job &job, const core::TaskId &id, const Task &task) const;
-  void endJob(Job &job, JobState state, absl::Time now);
+  void endJob(Job &job, JobState state, absl::Time now,
+              const std::string &cause = "");
   void order(Job &job, const core::TaskId &id, Task &task, absl::Time now);
   void orderStop(const core::TaskId &id, Task &task, absl::Time now);
   void start(Job &job, const core::TaskId &id, const std::string &life,
@@ -351,6 +374,8 @@
   /// Lives that records name and that have not reported to this leader, with
   /// the agents beside them.
   std::map<std::string, std::string> Unheard;
+  /// When the worker beside an agent last crashed.
+  std::map<std::string, absl::Time> Crashes;
   /// Set by facts that may let something start.
   bool Changed = false;
   /// Something waits that time alone may let start: it is looked at again with
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -25,8 +25,11 @@
   // Reports overtake each other: an older one would undo what a newer told.
   if (before != nullptr && report.Sequence <= before->Sequence)
     return before->SeenUpto;
-  for (const endpoints::LifeEnd &end : Workers.heard(report, now))
+  for (const endpoints::LifeEnd &end : Workers.heard(report, now)) {
+    if (end.Crashed)
+      Crashes[report.Agent] = now;
     loseLife(end, "its worker has ended", now);
+  }
   endUnheard(report, now);
   Speeds.recall(report.Agent, report.Speed);
   if (life.empty())
@@ -93,7 +96,7 @@
         return;
       any = true;
       if (suspects.count({core::taskName(task), state.Progress.Run}) != 0)
-        takeCrash(task, state);
+        takeCrash(job, task, state);
       runAbsent(job, task, state, why);
     });
     if (any)
@@ -102,12 +105,6 @@
   Changed = true;
 }
 
-// The task's worker crashed right after the task had begun there.
-void JobScheduler::takeCrash(const TaskId &id, const Task &task) {
-  note(Decision::Kind::RunCrashedWorker, id.Job, core::taskName(id),
-       task.Progress.Run, task.Progress.Worker, "it had just begun there");
-}
-
 void JobScheduler::takeRunning(const endpoints::WorkerReport &report,
                                absl::Time now) {
   for (const endpoints::RunningTask &running : report.Running) {
@@ -140,6 +137,7 @@
       }
       task->What = Phase::Running;
     }
+    clearOutlived(Jobs.at(id.Job), id, *task);
   }
 }
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -71,6 +71,7 @@
 }
 
 void Planner::run() {
+  markTrials();
   rankJobs();
   collectUnits();
   for (Unit &unit : Units)
@@ -143,7 +144,7 @@
     if (task.Progress.Done || task.mayRun()) {
       if (gang)
         return;
-    } else if (gang || task.FailedOn.empty()) {
+    } else if (gang || (task.FailedOn.empty() && !task.isSuspect())) {
       unit.Tasks.push_back(index);
     } else {
       Unit retry{unit.Owner, unit.Occurrence, unit.Step,
@@ -165,17 +166,22 @@
 // Where there is none, what fails by its own fault must still come to its end.
 void Planner::avoidFailed(Unit &unit, const JobScheduler::Step &step) const {
   for (int index : unit.Tasks) {
-    const auto &failed = step[static_cast<size_t>(index)].FailedOn;
-    unit.Avoid.insert(failed.begin(), failed.end());
+    const Task &task = step[static_cast<size_t>(index)];
+    const auto &crashed = task.Progress.CrashedAt;
+    unit.Avoid.insert(task.FailedOn.begin(), task.FailedOn.end());
+    unit.AvoidHosts.insert(crashed.begin(), crashed.end());
+    unit.Suspect |= task.isSuspect();
   }
-  if (unit.Avoid.empty())
+  if (unit.Avoid.empty() && unit.AvoidHosts.empty())
     return;
   const bool elsewhere =
       unit.spec().SameRack && unit.spec().Gang
           ? findFitsOneRack(unit)
           : couldHold(unit) >= static_cast<int64_t>(unit.Tasks.size());
-  if (!elsewhere)
-    unit.Avoid.clear();
+  if (elsewhere)
+    return;
+  unit.Avoid.clear();
+  unit.AvoidHosts.clear();
 }
 
 // How many of its tasks the usable workers could hold if they were empty.
@@ -206,7 +212,8 @@
 bool Planner::eligible(const WorkerView &view, const Unit &unit) const {
   const endpoints::WorkerState &worker = view.State;
   if (worker.Service != S.serviceOf(*unit.Owner) ||
-      unit.Avoid.count(worker.Life) != 0)
+      unit.Avoid.count(worker.Life) != 0 ||
+      unit.AvoidHosts.count(view.Agent) != 0)
     return false;
   const std::string &label = unit.spec().NeedsLabel;
   return label.empty() || std::find(worker.Labels.begin(), worker.Labels.end(),
@@ -217,7 +224,7 @@
   const int64_t most = unit.spec().MaxPerWorker;
   unit.Allowed.assign(Places.size(), 0);
   for (size_t p = 0; p < Places.size(); ++p) {
-    if (!eligible(*Places[p].View, unit))
+    if (!eligible(*Places[p].View, unit) || !mayStartOn(Places[p], unit))
       continue;
     unit.Allowed[p] =
         most == 0 ? unit.spec().Count
@@ -285,14 +292,15 @@
 // not fit.
 std::optional<Planner::Layout> Planner::layout(const Unit &unit,
                                                const Group &group) const {
-  std::vector<std::tuple<bool, bool, int64_t, size_t>> order;
+  std::vector<std::tuple<int, bool, bool, int64_t, size_t>> order;
   for (size_t p : group.Members)
     if (fits(p, unit, 1) > 0)
-      order.emplace_back(Places[p].Doubted, wantsFast(unit) && Places[p].Slow,
+      order.emplace_back(riskOf(Places[p], unit), Places[p].Doubted,
+                         wantsFast(unit) && Places[p].Slow,
                          Places[p].Free.Accelerators, p);
   std::sort(order.begin(), order.end());
   Layout places;
-  for (const auto &[doubted, slow, free, p] : order) {
+  for (const auto &[risk, doubted, slow, free, p] : order) {
     const auto left = static_cast<int64_t>(unit.Tasks.size() - places.size());
     for (int64_t n = fits(p, unit, left); n > 0; --n)
       places.push_back(p);
@@ -342,6 +350,7 @@
     S.start(*unit.Owner, unit.task(unit.Tasks[n]),
             Places[places[n]].View->State.Life, saved, run + 1, unit.Rank, Now);
     take(places[n], unit.spec().room());
+    markBegun(places[n], unit);
   }
   listAgain(*unit.Owner, unit.Occurrence, unit.Step);
 }
@@ -351,14 +360,15 @@
   S.start(*unit.Owner, unit.task(index), Places[p].View->State.Life,
           task.Progress.Saved, task.Progress.Run + 1, unit.Rank, Now);
   take(p, unit.spec().room());
+  markBegun(p, unit);
   if (unit.spec().MaxPerWorker > 0)
     --unit.Allowed[p];
 }
 
 std::optional<size_t> Planner::bestPlace(const Unit &unit) const {
   const core::StepSpec &spec = unit.spec();
-  // Smaller is better: near the data, trusted, fast, tight.
-  using Score = std::tuple<bool, bool, bool, int64_t, int64_t>;
+  // Smaller is better: little at risk, near the data, trusted, fast, tight.
+  using Score = std::tuple<int, bool, bool, bool, int64_t, int64_t>;
   std::optional<std::pair<Score, size_t>> best;
   for (size_t p = 0; p < Places.size(); ++p) {
     const Place &place = Places[p];
@@ -367,8 +377,11 @@
       continue;
     const bool away =
         !spec.DataRack.empty() && place.View->State.Rack != spec.DataRack;
-    const Score score{away, wantsFast(unit) && place.Doubted,
-                      wantsFast(unit) && place.Slow, place.Free.Accelerators,
+    const Score score{riskOf(place, unit),
+                      away,
+                      wantsFast(unit) && place.Doubted,
+                      wantsFast(unit) && place.Slow,
+                      place.Free.Accelerators,
                       place.Free.MilliCores};
     if (!best || score < best->first)
       best = {score, p};
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -48,6 +48,11 @@
     int Rack = -1;
     /// Its latest run failed, and none has been done there since.
     bool Doubted = false;
+    /// A run began there, or may yet, so lately that a crash may be its doing.
+    bool JustBegun = false;
+    /// One of those is a suspect's: nothing else starts there until the worker
+    /// has outlived it, so that a crash tells whose doing it is.
+    bool OnTrial = false;
   };
   /// What is placed as one: a gang, or the ready tasks of a step one by one.
   struct Unit {
@@ -59,6 +64,11 @@
     int Rank = 0;
     /// Workers where it failed, while others could hold it.
     std::set<std::string> Avoid;
+    /// A task of it may have crashed its worker: it is tried where nothing else
+    /// has just begun, rather on an empty worker, and not again on AvoidHosts
+    /// (by agent) while others could hold it.
+    bool Suspect = false;
+    std::set<std::string> AvoidHosts = {};
     /// How long it may wait for its job to be in time still. Least first among
     /// other work of priority 0.
     absl::Duration Slack = absl::ZeroDuration();
@@ -129,6 +139,11 @@
   void collectUnits();
   void collectTasks(Unit &unit, const JobScheduler::Step &step);
   void avoidFailed(Unit &unit, const JobScheduler::Step &step) const;
+  void markTrials();
+  void markBegun(size_t place, const Unit &unit);
+  bool mayStartOn(const Place &place, const Unit &unit) const;
+  /// Smaller is better.
+  int riskOf(const Place &place, const Unit &unit) const;
   int64_t couldHold(const Unit &unit) const;
   void rankJobs();
   void placeUnit(Unit &unit);
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -150,6 +150,9 @@
   observers.Called = [this](const jobs::CallDecision &d) {
     Decided.push_back(d);
   };
+  observers.Decided = [this](const jobs::Decision &d) {
+    LeaderDecided.emplace_back(Loop.now(), d);
+  };
   Entries[n].Process = std::make_unique<entry::JobEntry>(
       Loop, Store.clientOf(name), peersOf(name), settings, decodeConfig,
       ConfigKey, std::move(observers));
@@ -313,6 +316,17 @@
   return called;
 }
 
+std::string MemoryCluster::storyOf(const std::string &job) const {
+  std::string story;
+  for (const auto &[at, d] : LeaderDecided)
+    if (d.Job == job)
+      story += absl::FormatTime("%M:%E3S ", at, absl::UTCTimeZone()) +
+               std::to_string(static_cast<int>(d.What)) + " " + d.Task +
+               " run " + std::to_string(d.Run) + " " + d.Worker + " " + d.Why +
+               "\n";
+  return story;
+}
+
 std::vector<std::string> MemoryCluster::violations() {
   std::vector<std::string> out = All.Violations;
   for (const std::string &job : Accepted)
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -81,6 +81,8 @@
 
   /// What the entries logged of callers' calls, in order.
   const std::vector<jobs::CallDecision> &decisions() const { return Decided; }
+  /// What the leaders decided on the job, a line each.
+  std::string storyOf(const std::string &job) const;
   /// What rules were seen broken, empty when none.
   std::vector<std::string> violations();
   const std::set<std::string> &accepted() const { return Accepted; }
@@ -129,6 +131,7 @@
   std::set<std::string> Accepted;
   std::map<std::string, core::JobSpec> Specs;
   std::vector<jobs::CallDecision> Decided;
+  std::vector<std::pair<absl::Time, jobs::Decision>> LeaderDecided;
 };
 
 /// A configuration in the form that a MemoryCluster's entries read.
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -24,6 +24,8 @@
   /// Whether the task crashes each worker that starts it.
   std::function<bool(const std::string &task)> Crashes;
   std::map<std::string, int> CrashesUnder;
+  /// Workers that went down, for whatever cause, while they ran the task.
+  std::map<std::string, int> WorkersLostUnder;
   std::map<std::string, int> StartsAfterThirdCrash;
   std::vector<std::string> Violations;
   int Starts = 0;
