A start that is on its way to a draining worker is settled before another

The first order may still be carried out, and the task starts elsewhere at once: it may run twice.

Only a start whose record was just made was never ordered; one that was is stopped, and its task starts elsewhere once the worker has settled that.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -306,12 +306,16 @@
 }
 
 // The start is recorded: it is ordered, unless the job ended or the worker
-// was lost meanwhile. Then it certainly never ran.
+// was lost meanwhile. Then it certainly never ran, unless it was ordered before:
+// that order may still be carried out.
 void JobScheduler::order(Job &job, const TaskId &id, Task &task,
                          absl::Time now) {
   const WorkerView *worker = Workers.find(task.Progress.Worker);
   if (worker == nullptr || worker->State.Draining || task.StopAsked) {
-    runAbsent(job, id, task, "not ordered: no longer wanted there");
+    if (task.What == Phase::Recording)
+      runAbsent(job, id, task, "not ordered: no longer wanted there");
+    else
+      requestStop(id, task, "no longer wanted there");
     return;
   }
   task.What = Phase::Ordered;
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -80,6 +81,31 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// Guards against a task that runs twice: its start is on its way to a worker
+// that begins to drain, and is taken for one that was never ordered.
+TEST(JobScheduler, StartOnItsWayToADrainingWorkerIsSettledFirst) {
+  SimSite site;
+  addRacks(site, 1);
+  for (const char *life : {"w00", "w01", "w02"})
+    site.worker(life).LosesOrders = true;
+  site.submit(jobOf("j", step(1, {1000, 100, 8}, 1000)));
+  const auto starts = [&site] {
+    return std::count_if(
+        site.Log.begin(), site.Log.end(),
+        [](const Decision &d) { return d.What == Decision::Kind::Placed; });
+  };
+  site.runFor(absl::Milliseconds(50));
+  ASSERT_EQ(starts(), 1);
+  const std::string life = site.Log.back().Worker;
+  site.leave(life, absl::Seconds(20));
+  site.runFor(absl::Seconds(2));
+  EXPECT_EQ(starts(), 1);
+  for (const char *each : {"w00", "w01", "w02"})
+    site.worker(each).LosesOrders = false;
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(6)));
+  EXPECT_EQ(site.state("j"), JobState::Completed);
+}
+
 // All processes are killed at once, the workers run on. Users saw tasks run
 // twice: an agent that had just started knew no worker yet, and the new leader
 // took its empty report to mean that the worker it had before was gone.
