A worker that shrinks gets no start that was decided on what it had

The leader decides on reports that are up to half a second old, and a start is recorded before it is ordered. An order now carries the capacity that it was decided on; the agent, which hears of a change first, refuses it where the worker has less, and reports the change at once (worker.capacity_changed, 311). A start that is recorded while its worker shrinks below what is placed there, stopping runs included, is not ordered and placed anew. Growth lets what waits be looked at without a tick. What runs stays, as its stop would throw its work away and only starts are bound; it goes on taking its room.

Before: the new tests failed (a start on the shrunk worker, a change reported with the next period, two starts above the capacity, growth unused until the next tick). The stand-in's worker counts what it had until the users' bound, contact and one heartbeat, is over.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -96,7 +96,17 @@
   LastBeat = beat.Sequence;
   BeatAt = Loop.now();
   const bool draining = beat.Worker.Draining && !State.Draining;
+  const core::Resources before = State.Capacity;
   State = beat.Worker;
+  if (State.Capacity != before) {
+    logEvent(Event::WorkerCapacityChanged,
+             {{"worker", life},
+              {"cores_milli", State.Capacity.MilliCores},
+              {"memory_mb", State.Capacity.MemoryMb},
+              {"accelerators", State.Capacity.Accelerators},
+              {"accelerators_before", before.Accelerators}});
+    reportSoon();
+  }
   if (draining) {
     logEvent(Event::WorkerDraining,
              {{"worker", life}, {"remaining_ms", beat.Worker.RemainingMs}});
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -131,6 +131,16 @@
     Starting.erase(known);
     return;
   }
+  // The worker has shrunk since the leader decided, and does not refuse by
+  // itself what it cannot hold.
+  if (!order->Start.DecidedOn.fitsIn(State.Capacity)) {
+    Starting.erase(key);
+    conclude(key,
+             order->MayHaveArrived ? OrderOutcome::Unconfirmed
+                                   : OrderOutcome::NoRoom,
+             "its capacity has shrunk");
+    return;
+  }
   // What is not granted any more must not begin: the leader may count this
   // worker's tasks as ended.
   const int64_t until = untilMs();
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -59,7 +59,7 @@
                                    LeaderEpoch, Entries, GrantMs, SeenUpto,
                                    Speed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
-                                   Ticket)
+                                   Ticket, DecidedOn)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopOrder, Task, Run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders, Epoch, Life, Starts, Stops)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobWritten, Key, Value, Revision)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -283,13 +283,15 @@
   auto operator<=>(const ReportAck &) const = default;
 };
 
-/// Leading entry to agent: start this run.
+/// Leading entry to agent: start this run. DecidedOn: the worker's capacity as
+/// the leader knew it. An agent that knows of a smaller one refuses the start.
 struct StartOrder {
   std::string Task;
   int64_t Run = 0;
   std::string Payload;
   std::string Saved;
   std::string Ticket;
+  core::Resources DecidedOn = {};
   auto operator<=>(const StartOrder &) const = default;
 };
 
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -69,6 +69,7 @@
       {Event::WorkerDraining, "worker.draining"},
       {Event::WorkerUnreachable, "worker.unreachable"},
       {Event::WorkerReachable, "worker.reachable"},
+      {Event::WorkerCapacityChanged, "worker.capacity_changed"},
       {Event::LogLinesLeftOut, "log.lines_left_out"},
       {Event::MetricsUnavailable, "metrics.unavailable"},
       {Event::SettingsReloaded, "settings.reloaded"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -41,6 +41,7 @@
   WorkerDraining = 308,
   WorkerUnreachable = 309,
   WorkerReachable = 310,
+  WorkerCapacityChanged = 311,
 
   TaskReserved = 400,
   TaskStarted = 401,
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -306,25 +306,34 @@
 }
 
 // The start is recorded: it is ordered, unless the job ended or the worker
-// was lost meanwhile. Then it certainly never ran, unless it was ordered before:
-// that order may still be carried out.
+// was lost meanwhile. Then it certainly never ran, unless it was ordered
+// before: that order may still be carried out.
 void JobScheduler::order(Job &job, const TaskId &id, Task &task,
                          absl::Time now) {
   const WorkerView *worker = Workers.find(task.Progress.Worker);
+  const bool isFirst = task.What == Phase::Recording;
   if (worker == nullptr || worker->State.Draining || task.StopAsked) {
-    if (task.What == Phase::Recording)
+    if (isFirst)
       runAbsent(job, id, task, "not ordered: no longer wanted there");
     else
       requestStop(id, task, "no longer wanted there");
     return;
   }
+  if (isFirst && !worker->Used.fitsIn(worker->State.Capacity)) {
+    runAbsent(job, id, task, "not ordered: its worker has shrunk");
+    return;
+  }
   task.What = Phase::Ordered;
   task.LastOrder = now;
   task.Began = absl::InfinitePast();
   endpoints::WorkerOrders &orders = Orders[worker->AgentAddress];
   orders.Life = task.Progress.Worker;
-  endpoints::StartOrder start{core::taskName(id), task.Progress.Run,
-                              job.Record.Spec.Payload, task.Progress.Saved, ""};
+  endpoints::StartOrder start{core::taskName(id),
+                              task.Progress.Run,
+                              job.Record.Spec.Payload,
+                              task.Progress.Saved,
+                              "",
+                              worker->State.Capacity};
   orders.Starts.push_back(std::move(start));
 }
 
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -22,6 +22,8 @@
   const std::string &life = report.Worker.Life;
   const WorkerView *before = Workers.find(life);
   const bool wasUsable = before != nullptr && Workers.usable(*before, now);
+  const core::Resources capacityBefore =
+      before == nullptr ? core::Resources() : before->State.Capacity;
   // Reports overtake each other: an older one would undo what a newer told.
   if (before != nullptr && report.Sequence <= before->Sequence)
     return before->SeenUpto;
@@ -48,7 +50,8 @@
     takeResult(life, result, now);
   // Most reports only tell how far runs are. Deciding anew after each of them
   // took all of the leader's time on a site of hundreds of workers.
-  Changed |= wasUsable != Workers.usable(*worker, now);
+  Changed |= wasUsable != Workers.usable(*worker, now) ||
+             capacityBefore != worker->State.Capacity;
   return worker->SeenUpto;
 }
 
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -226,6 +226,33 @@
   EXPECT_FALSE(bench.Reports.back().EndedLives.front().Crashed);
 }
 
+// Guards against a worker that gets more than it holds: the leader decided on
+// what the worker had before, and only the agent knows better.
+TEST(WorkerAgent, StartDecidedOnALargerCapacityIsRefused) {
+  AgentBench bench;
+  endpoints::WorkerOrders orders = AgentBench::start(5, 1);
+  orders.Starts.front().DecidedOn = bench.Beat.Worker.Capacity;
+  bench.Beat.Worker.Capacity.Accelerators = 4;
+  bench.beat();
+  bench.Ack = {};
+  bench.order(orders);
+  bench.Loop.advance(absl::Milliseconds(20));
+  EXPECT_TRUE(bench.Starts.empty());
+  bench.Loop.advance(absl::Seconds(1));
+  ASSERT_FALSE(bench.results().empty());
+  EXPECT_EQ(bench.results().back().Outcome, endpoints::OrderOutcome::NoRoom);
+}
+
+// Guards against room that is given out after it has gone, or stays unused
+// after it has come.
+TEST(WorkerAgent, ChangeOfCapacityIsReportedAtOnce) {
+  AgentBench bench;
+  bench.Beat.Worker.Capacity.Accelerators = 4;
+  bench.beat();
+  bench.Loop.advance(absl::Milliseconds(2));
+  EXPECT_EQ(bench.Reports.back().Worker.Capacity.Accelerators, 4);
+}
+
 // Ends cannot be taken note of while the store is away. The agent must not
 // look at its worker fifty times a second all that time.
 TEST(WorkerAgent, EndsThatStayOpenAreNotLookedAtForEver) {
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -50,6 +50,8 @@
   void fall(absl::Duration backAfter);
   bool listens() const { return Loop.now() >= BackAt; }
   void drain(int64_t remainingMs);
+  /// What it says of itself from now on. A smaller one binds later.
+  void setCapacity(core::Resources capacity);
 
   /// This share of orders gets no answer and is carried out 2 to 12 s later.
   double LateOrders = 0;
@@ -73,6 +75,7 @@
   using Key = std::pair<std::string, int64_t>;
 
   void countStart(const std::string &task);
+  core::Resources bindingCapacity() const;
   int64_t clockMs() const;
   bool chance(double share);
   endpoints::CallOutcome ok() const;
@@ -97,6 +100,8 @@
   int64_t Beats = 0;
   absl::Time Born;
   absl::Time BackAt = absl::InfinitePast();
+  /// Earlier capacities, and until when each was what it had.
+  std::vector<std::pair<absl::Time, core::Resources>> Capacities;
   int64_t Fence = 0;
   int64_t UntilMs = 0;
   int64_t NextEnd = 1;
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -67,6 +67,8 @@
   /// The worker crashes by itself: its agent notices, and it is back as another
   /// life of its host after BackAfter.
   void fall(const std::string &life);
+  /// The worker has another capacity from now on, and says so.
+  void shrink(const std::string &life, core::Resources capacity);
   /// The worker says that it drains, and is gone after notice with all that
   /// still runs there.
   void leave(const std::string &life, absl::Duration notice);
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -106,6 +106,49 @@
   EXPECT_EQ(site.state("j"), JobState::Completed);
 }
 
+// Guards against a start that was decided on before its worker had less.
+TEST(JobScheduler, StartRecordedWhileItsWorkerShrinksGoesElsewhere) {
+  SimSite site;
+  addRacks(site, 1);
+  site.StoreDown = true;
+  site.submit(jobOf("j", step(3, {1000, 100, 8}, 1000)));
+  site.shrink("w01", {32000, 65536, 4});
+  site.StoreDown = false;
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(6)));
+  EXPECT_EQ(site.state("j"), JobState::Completed);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
+// Guards against runs that are stopped, and starts beyond what is left, where a
+// worker shrinks below what it runs: what it runs stays, and takes its room.
+TEST(JobScheduler, ShrunkWorkerKeepsWhatItRunsAndGetsNoMore) {
+  SimSite site;
+  site.addWorker("w", "r");
+  site.runFor(absl::Milliseconds(600));
+  site.submit(jobOf("runs", step(3, {1000, 100, 2}, 3000)));
+  site.runFor(absl::Milliseconds(500));
+  site.shrink("w", {32000, 65536, 4});
+  site.submit(jobOf("waits", step(1, {1000, 100, 2}, 500)));
+  site.runFor(absl::Seconds(2));
+  EXPECT_EQ(site.placesOf("runs").size(), 3u);
+  EXPECT_EQ(site.placesOf("waits").size(), 0u);
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(6)));
+  EXPECT_EQ(site.starts(), 4);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
+// Guards against room that has come back and stays unused.
+TEST(JobScheduler, GrownWorkerIsUsedAtOnce) {
+  SimSite site;
+  site.addWorker("w", "r", {32000, 65536, 1});
+  site.runFor(absl::Milliseconds(600));
+  site.submit(jobOf("j", step(1, {1000, 100, 8}, 1000)));
+  site.runFor(absl::Milliseconds(500));
+  site.TickEveryMs = 10000;
+  site.shrink("w", {32000, 65536, 8});
+  EXPECT_EQ(site.placesOf("j").size(), 1u);
+}
+
 // All processes are killed at once, the workers run on. Users saw tasks run
 // twice: an agent that had just started knew no worker yet, and the new leader
 // took its empty report to mean that the worker it had before was gone.
