An agent tells of heartbeats that it takes for those of a life that has ended

On call for workers that stood empty, nothing told that their heartbeats came and were dropped: worker.life_ended was the last line of 61 of 62 workers.

worker.heartbeat_ignored (312), once a life, with the heartbeat's sequence and clock: those that began anew tell of a worker that started again under its id, others of news that came late. No decision changes.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -84,8 +84,10 @@
 
 bool WorkerAgent::onHeartbeat(const Heartbeat &beat) {
   const std::string &life = beat.Worker.Life;
-  if (hasEnded(life))
+  if (hasEnded(life)) {
+    noteIgnored(beat);
     return true;
+  }
   if (life != State.Life) {
     tryLife(beat);
     return true;
@@ -115,6 +117,16 @@
   return true;
 }
 
+// Once a life: a late one is common, many tell that the life goes on.
+void WorkerAgent::noteIgnored(const Heartbeat &beat) {
+  if (!IgnoredLives.insert(beat.Worker.Life).second)
+    return;
+  logEvent(Event::WorkerHeartbeatIgnored, {{"worker", beat.Worker.Life},
+                                           {"sequence", beat.Sequence},
+                                           {"clock_ms", beat.ClockMs},
+                                           {"why", "that life has ended"}});
+}
+
 // A heartbeat that a cut delayed may come after its sender has crashed and a
 // new life has begun at the same address. Only the worker itself can tell
 // which of two lives is the present one.
@@ -191,8 +203,10 @@
   if (hasEnded(end.Life))
     return;
   EndedLives.push_back(std::move(end));
-  if (EndedLives.size() > MostEndedLives)
-    EndedLives.erase(EndedLives.begin());
+  if (EndedLives.size() <= MostEndedLives)
+    return;
+  IgnoredLives.erase(EndedLives.front().Life);
+  EndedLives.erase(EndedLives.begin());
 }
 
 bool WorkerAgent::hasEnded(const std::string &life) const {
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -78,6 +78,7 @@
   /// Crashed: it ended without a word, unless an end was planned.
   void endLife(const std::string &why, bool crashed);
   void noteEnded(endpoints::LifeEnd end);
+  void noteIgnored(const endpoints::Heartbeat &beat);
   bool hasEnded(const std::string &life) const;
 
   void hold(int64_t waitMs);
@@ -129,6 +130,8 @@
   absl::Time BeatAt;
   /// The latest lives that are over, the newest last.
   std::vector<endpoints::LifeEnd> EndedLives;
+  /// Those of them whose heartbeats still came.
+  std::set<std::string> IgnoredLives;
   std::string TryingLife;
   /// Worker clock less boot clock, in milliseconds, as of the last answer.
   std::optional<int64_t> ClockOffset;
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -70,6 +70,7 @@
       {Event::WorkerUnreachable, "worker.unreachable"},
       {Event::WorkerReachable, "worker.reachable"},
       {Event::WorkerCapacityChanged, "worker.capacity_changed"},
+      {Event::WorkerHeartbeatIgnored, "worker.heartbeat_ignored"},
       {Event::LogLinesLeftOut, "log.lines_left_out"},
       {Event::MetricsUnavailable, "metrics.unavailable"},
       {Event::SettingsReloaded, "settings.reloaded"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -42,6 +42,7 @@
   WorkerUnreachable = 309,
   WorkerReachable = 310,
   WorkerCapacityChanged = 311,
+  WorkerHeartbeatIgnored = 312,
 
   TaskReserved = 400,
   TaskStarted = 401,
