Tests: workers that start again under the id they had, red

What callers saw: jobs that never ran beside workers that stood empty, and an urgent job within a guarantee that began late.

Entries, agents, workers and store on manual time; workers come back under their id between two looks of their agent, quickly, as their end is noticed, and later, with counts that begin anew: the worker is used again, lost work starts again soon, ends that count from one are taken, and a start that was sent to the life before and is carried out by the next does not run beside its task, with an agent or a leader that is new, too.

--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -48,7 +48,7 @@
   return {State, ++Beats, clockMs()};
 }
 
-void MemoryWorker::crash() {
+void MemoryWorker::crash(Id id) {
   for (const auto &[key, run] : Runs) {
     All.Running[key.first].erase({State.Life, key.second});
     ++All.WorkersLostUnder[key.first];
@@ -65,7 +65,8 @@
   Beats = 0;
   Born = Loop.now();
   State.Draining = false;
-  State.Life = Name + "-" + std::to_string(++Lives);
+  if (id == Id::New)
+    State.Life = Name + "-" + std::to_string(++Lives);
 }
 
 void MemoryWorker::setCapacity(core::Resources capacity) {
@@ -83,9 +84,9 @@
   return most;
 }
 
-void MemoryWorker::fall(absl::Duration backAfter) {
+void MemoryWorker::fall(absl::Duration backAfter, Id id) {
   std::vector<Look> open = std::exchange(Looks, {});
-  crash();
+  crash(id);
   BackAt = Loop.now() + backAfter;
   for (Look &look : open)
     Loop.runAfter(Answer, [done = look.Done] { done({}); });
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -44,10 +44,12 @@
   endpoints::Heartbeat heartbeat();
   const std::string &life() const { return State.Life; }
 
+  /// The id that a worker has when it starts again.
+  enum class Id { New, Same };
   /// It dies and stands up again at once as another life.
-  void crash();
+  void crash(Id id = Id::New);
   /// It dies; nobody listens there until it stands up again as another life.
-  void fall(absl::Duration backAfter);
+  void fall(absl::Duration backAfter, Id id = Id::New);
   bool listens() const { return Loop.now() >= BackAt; }
   void drain(int64_t remainingMs);
   /// What it says of itself from now on. A smaller one binds later.
--- a/tests/auto/cluster/tst_crashdays.cpp
+++ b/tests/auto/cluster/tst_crashdays.cpp
@@ -1,5 +1,6 @@
 // Days on which workers crash, by themselves and under tasks that crash each
-// worker that starts them, and on which they shrink and grow.
+// worker that starts them, come back under new ids or their own, and shrink and
+// grow.
 #include "memorycluster.h"
 #include "seeds.h"
 
@@ -120,7 +121,9 @@
     const int many = any(1, Workers / 2);
     for (int n = 0; n < many; ++n)
       Cluster.worker(any(0, Workers - 1))
-          .fall(absl::Milliseconds(any(500, 4000)));
+          .fall(absl::Milliseconds(any(20, 4000)),
+                any(0, 2) == 0 ? MemoryWorker::Id::New
+                               : MemoryWorker::Id::Same);
   }
 
   void revive(int entry) {
