--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -43,7 +43,9 @@
             [this](const endpoints::Heartbeat &b) {
               return Agent.onHeartbeat(b);
             },
-            [this](const std::string &life) { Agent.onLeave(life); }) {
+            [this](const endpoints::WorkerLife &life) {
+              Agent.onLeave(life);
+            }) {
     if (Settings.Metrics.Port > 0)
       MetricsFront = std::make_unique<metrics::MetricsServer>(
           Loop, Metrics, [this](metrics::ProcessMetrics &m) { refresh(m); },
--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -10,7 +10,6 @@
 
 using endpoints::CallOutcome;
 using endpoints::CallStatus;
-using endpoints::Heartbeat;
 using endpoints::HoldReply;
 using endpoints::Message;
 using eventlog::Event;
@@ -38,8 +37,6 @@
 /// Pause before another entry is tried, and before the store is read again.
 constexpr absl::Duration ReportAgain = absl::Milliseconds(50);
 constexpr absl::Duration AskStoreAgain = absl::Milliseconds(300);
-/// Ended lives remembered, so that late messages find them.
-constexpr size_t MostEndedLives = 8;
 
 int64_t toMs(absl::Time t) {
   return absl::ToInt64Milliseconds(t - absl::UnixEpoch());
@@ -80,148 +77,6 @@
   return s;
 }
 
-// ---- The worker's life -----------------------------------------------------
-
-bool WorkerAgent::onHeartbeat(const Heartbeat &beat) {
-  const std::string &life = beat.Worker.Life;
-  if (hasEnded(life)) {
-    noteIgnored(beat);
-    return true;
-  }
-  if (life != State.Life) {
-    tryLife(beat);
-    return true;
-  }
-  // A heartbeat that was held up on its way tells an older state.
-  if (beat.Sequence <= LastBeat)
-    return true;
-  LastBeat = beat.Sequence;
-  BeatAt = Loop.now();
-  const bool draining = beat.Worker.Draining && !State.Draining;
-  const core::Resources before = State.Capacity;
-  State = beat.Worker;
-  if (State.Capacity != before) {
-    logEvent(Event::WorkerCapacityChanged,
-             {{"worker", life},
-              {"cores_milli", State.Capacity.MilliCores},
-              {"memory_mb", State.Capacity.MemoryMb},
-              {"accelerators", State.Capacity.Accelerators},
-              {"accelerators_before", before.Accelerators}});
-    reportSoon();
-  }
-  if (draining) {
-    logEvent(Event::WorkerDraining,
-             {{"worker", life}, {"remaining_ms", beat.Worker.RemainingMs}});
-    reportSoon();
-  }
-  return true;
-}
-
-// Once a life: a late one is common, many tell that the life goes on.
-void WorkerAgent::noteIgnored(const Heartbeat &beat) {
-  if (!IgnoredLives.insert(beat.Worker.Life).second)
-    return;
-  logEvent(Event::WorkerHeartbeatIgnored, {{"worker", beat.Worker.Life},
-                                           {"sequence", beat.Sequence},
-                                           {"clock_ms", beat.ClockMs},
-                                           {"why", "that life has ended"}});
-}
-
-// A heartbeat that a cut delayed may come after its sender has crashed and a
-// new life has begun at the same address. Only the worker itself can tell
-// which of two lives is the present one.
-void WorkerAgent::tryLife(const Heartbeat &beat) {
-  if (TryingLife == beat.Worker.Life)
-    return;
-  TryingLife = beat.Worker.Life;
-  endpoints::HoldCall look;
-  look.Life = beat.Worker.Life;
-  look.Epoch = Epoch;
-  Worker.Hold(look, [this, alive = Alive, beat](const HoldReply &reply) {
-    if (!*alive || TryingLife != beat.Worker.Life)
-      return;
-    TryingLife.clear();
-    if (reply.Outcome.Status == CallStatus::OtherLife)
-      noteEnded({beat.Worker.Life});
-    if (reply.Outcome.Status != CallStatus::Ok)
-      return;
-    adoptLife(beat);
-    noteClock(reply.Outcome.ClockMs);
-    hold(0);
-  });
-}
-
-void WorkerAgent::adoptLife(const Heartbeat &beat) {
-  if (!State.Life.empty())
-    endLife("a new life answers", true);
-  State = beat.Worker;
-  LastBeat = beat.Sequence;
-  BeatAt = Loop.now();
-  logEvent(Event::WorkerLifeBegan,
-           {{"worker", State.Life},
-            {"rack", State.Rack},
-            {"cores_milli", State.Capacity.MilliCores},
-            {"accelerators", State.Capacity.Accelerators}});
-}
-
-void WorkerAgent::endLife(const std::string &why, bool crashed) {
-  endpoints::LifeEnd end{State.Life, crashed && !State.Draining};
-  if (end.Crashed)
-    end.JustBegun = Sent.justBegun();
-  logEvent(Event::WorkerLifeEnded, {{"worker", State.Life},
-                                    {"why", why},
-                                    {"crashed", end.Crashed},
-                                    {"just_begun", end.JustBegun.size()}});
-  noteEnded(std::move(end));
-  Sent = {};
-  State = {};
-  LastBeat = 0;
-  ClockOffset.reset();
-  SeenUpto = 0;
-  Running.clear();
-  Ended.clear();
-  ListedEpoch = 0;
-  HoldsTaken = HoldsSent;
-  // A look at the old life may stay open for a while yet; it must not keep the
-  // new life from being looked at.
-  HoldsOut = 0;
-  HoldFailures = 0;
-  NotThere = 0;
-  Reachable = false;
-  Listed = false;
-  Starting.clear();
-  StoppingRuns.clear();
-  Stopped.clear();
-  Concluded.clear();
-  ConcludedOrder.clear();
-  FirstResult += Results.size();
-  Results.clear();
-  reportSoon();
-}
-
-void WorkerAgent::noteEnded(endpoints::LifeEnd end) {
-  if (hasEnded(end.Life))
-    return;
-  EndedLives.push_back(std::move(end));
-  if (EndedLives.size() <= MostEndedLives)
-    return;
-  IgnoredLives.erase(EndedLives.front().Life);
-  EndedLives.erase(EndedLives.begin());
-}
-
-bool WorkerAgent::hasEnded(const std::string &life) const {
-  return std::any_of(
-      EndedLives.begin(), EndedLives.end(),
-      [&](const endpoints::LifeEnd &end) { return end.Life == life; });
-}
-
-void WorkerAgent::onLeave(const std::string &life) {
-  if (life == State.Life)
-    endLife("it said so", false);
-  else
-    noteEnded({life});
-}
-
 // ---- Keeping its tasks alive, and looking ----
 
 void WorkerAgent::noteClock(int64_t clockMs) {
@@ -277,12 +132,12 @@
 void WorkerAgent::onHeld(uint64_t number, int64_t epoch,
                          const HoldReply &reply) {
   const CallOutcome &outcome = reply.Outcome;
-  if (outcome.Status == CallStatus::OtherLife) {
+  if (isOther(outcome, State.Life)) {
     endLife("another life answered", true);
     return;
   }
-  // A process that listened here has ended; the next one has another id. A
-  // few in a row, so that a moment without a listener is not taken for it.
+  // A process that listened here has ended. A few in a row, so that a moment
+  // without a listener is not taken for it.
   NotThere = outcome.Status == CallStatus::NotThere ? NotThere + 1 : 0;
   if (outcome.Status != CallStatus::Ok)
     Sent.unanswered(Loop.now());
@@ -299,7 +154,7 @@
   HoldFailures = 0;
   bool news = !Reachable;
   if (!Reachable)
-    logEvent(Event::WorkerReachable, {{"worker", State.Life}});
+    logEvent(Event::WorkerReachable, {{"worker", State.Life.Id}});
   Reachable = true;
   // Answers on different connections overtake each other.
   if (number > HoldsTaken) {
@@ -332,7 +187,7 @@
   if (++HoldFailures < MostFailures || !Reachable)
     return;
   Reachable = false;
-  logEvent(Event::WorkerUnreachable, {{"worker", State.Life}, {"why", why}});
+  logEvent(Event::WorkerUnreachable, {{"worker", State.Life.Id}, {"why", why}});
   reportSoon();
 }
 
@@ -352,7 +207,7 @@
   const bool ended = GrantEnd <= Loop.now();
   if (ended && !GrantEndTold && GrantEnd != absl::InfinitePast())
     logEvent(Event::GrantEnded,
-             {{"worker", State.Life}, {"running", Running.size()}});
+             {{"worker", State.Life.Id}, {"running", Running.size()}});
   GrantEndTold = ended;
 }
 
@@ -510,7 +365,7 @@
   if (StopAsked)
     return;
   StopAsked = true;
-  logEvent(Event::ProcessStopping, {{"worker", State.Life}});
+  logEvent(Event::ProcessStopping, {{"worker", State.Life.Id}});
   if (State.Life.empty()) {
     done();
     return;
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -59,7 +59,7 @@
   /// The worker announced itself. True: it may be told that it was heard.
   bool onHeartbeat(const endpoints::Heartbeat &beat);
   /// That life of the worker says that it has ended.
-  void onLeave(const std::string &life);
+  void onLeave(const endpoints::WorkerLife &life);
   /// Planned stop: tasks are held as long as granted, so that they outlive the
   /// change to the next process. Done is called when this one may end.
   void stop(std::function<void()> done);
@@ -73,13 +73,17 @@
   endpoints::Message onMessage(const endpoints::Message &message);
   endpoints::Ack onOrders(const endpoints::WorkerOrders &orders);
 
+  static bool isOther(const endpoints::CallOutcome &outcome,
+                      const endpoints::WorkerLife &life);
+  void takeHeartbeat(const endpoints::Heartbeat &beat);
   void tryLife(const endpoints::Heartbeat &beat);
   void adoptLife(const endpoints::Heartbeat &beat);
   /// Crashed: it ended without a word, unless an end was planned.
   void endLife(const std::string &why, bool crashed);
   void noteEnded(endpoints::LifeEnd end);
   void noteIgnored(const endpoints::Heartbeat &beat);
-  bool hasEnded(const std::string &life) const;
+  bool hasEnded(const endpoints::WorkerLife &life) const;
+  void forgetEnd(const endpoints::WorkerLife &life);
 
   void hold(int64_t waitMs);
   void holdLater(absl::Duration delay);
@@ -131,8 +135,8 @@
   /// The latest lives that are over, the newest last.
   std::vector<endpoints::LifeEnd> EndedLives;
   /// Those of them whose heartbeats still came.
-  std::set<std::string> IgnoredLives;
-  std::string TryingLife;
+  std::set<endpoints::WorkerLife> IgnoredLives;
+  endpoints::WorkerLife TryingLife;
   /// Worker clock less boot clock, in milliseconds, as of the last answer.
   std::optional<int64_t> ClockOffset;
 
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -35,7 +35,7 @@
 struct WorkerAgent::Order {
   endpoints::StartOrder Start;
   endpoints::StopOrder Stop;
-  std::string Life;
+  endpoints::WorkerLife Life;
   /// Of the leader that gave it: every try carries this one, never a newer.
   int64_t Epoch = 0;
   int Tries = 0;
@@ -56,7 +56,7 @@
   if (State.Life.empty())
     return {false, "no worker has shown up yet", Epoch};
   Epoch = orders.Epoch;
-  logEvent(Event::OrderReceived, {{"worker", orders.Life},
+  logEvent(Event::OrderReceived, {{"worker", orders.Life.Id},
                                   {"epoch", orders.Epoch},
                                   {"starts", orders.Starts.size()},
                                   {"stops", orders.Stops.size()}});
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -46,6 +46,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningTask, Task, Run, Saved, Percent)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndedTask, Number, Task, Run, How, Saved)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OrderResult, Task, Run, Outcome, Detail)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLife, Id, BornMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerState, Life, Service, FailureDomain,
                                    Rack, Labels, Capacity, Draining,
                                    RemainingMs, ColdMs)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -6,6 +6,7 @@
 #include "core/siteconfig.h"
 #include "core/workerinfo.h"
 #include "utils/error.h"
+#include "workerlife.h"
 
 #include <absl/time/time.h>
 
@@ -200,10 +201,9 @@
   auto operator<=>(const OrderResult &) const = default;
 };
 
-/// A worker as its agent knows it. Life is the worker's id, which is new after
-/// each start.
+/// A worker as its agent knows it.
 struct WorkerState {
-  std::string Life;
+  WorkerLife Life;
   std::string Service;
   std::string FailureDomain;
   std::string Rack;
@@ -233,7 +233,7 @@
 /// it was planned. JustBegun: the runs that may have crashed it, as they began,
 /// or may have, less than CrashShowsWithin before.
 struct LifeEnd {
-  std::string Life;
+  WorkerLife Life;
   bool Crashed = false;
   std::vector<RunId> JustBegun = {};
   auto operator<=>(const LifeEnd &) const = default;
@@ -305,7 +305,7 @@
 /// at once that it has them; what became of each comes in a report.
 struct WorkerOrders {
   int64_t Epoch = 0;
-  std::string Life;
+  WorkerLife Life;
   std::vector<StartOrder> Starts;
   std::vector<StopOrder> Stops;
   auto operator<=>(const WorkerOrders &) const = default;
--- a/src/libs/endpoints/workercalls.h
+++ b/src/libs/endpoints/workercalls.h
@@ -10,7 +10,7 @@
 namespace oriolebay::endpoints {
 
 /// A worker's announcement of itself to the agent beside it. Sequence grows
-/// with each within one life, so that a late one can be told.
+/// with each within one life, and begins anew with the next.
 struct Heartbeat {
   WorkerState Worker;
   int64_t Sequence = 0;
@@ -44,12 +44,14 @@
   /// Milliseconds on the worker's steady clock; zero when not told.
   int64_t ClockMs = 0;
   std::string Detail;
+  /// When the life that answered was born; zero when not told.
+  int64_t BornMs = 0;
 };
 
 /// UntilMs is a time on the worker's clock: what it runs ends then unless it
 /// is held longer.
 struct StartCall {
-  std::string Life;
+  WorkerLife Life;
   StartOrder Order;
   int64_t UntilMs = 0;
   int64_t Epoch = 0;
@@ -57,7 +59,7 @@
 };
 
 struct StopCall {
-  std::string Life;
+  WorkerLife Life;
   StopOrder Order;
   int64_t Epoch = 0;
   bool FreshConnection = false;
@@ -65,7 +67,7 @@
 
 /// UntilMs zero: only look. The answer waits up to WaitMs for an end.
 struct HoldCall {
-  std::string Life;
+  WorkerLife Life;
   int64_t UntilMs = 0;
   int64_t Epoch = 0;
   int64_t SeenUpto = 0;
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -7,7 +7,7 @@
 // An agent that has just started has not heard of its worker yet: that says
 // nothing about a life that was known before.
 std::optional<endpoints::LifeEnd> endOf(const endpoints::WorkerReport &report,
-                                        const std::string &life) {
+                                        const WorkerLife &life) {
   for (const endpoints::LifeEnd &end : report.EndedLives)
     if (end.Life == life)
       return end;
@@ -43,22 +43,22 @@
   return ended;
 }
 
-std::vector<std::string> Fleet::takeLost(absl::Time now) {
-  std::vector<std::string> lost;
+std::vector<WorkerLife> Fleet::takeLost(absl::Time now) {
+  std::vector<WorkerLife> lost;
   for (const auto &[life, worker] : Workers)
     if (worker.LostAt <= now)
       lost.push_back(life);
-  for (const std::string &life : lost)
+  for (const WorkerLife &life : lost)
     Workers.erase(life);
   return lost;
 }
 
-WorkerView *Fleet::find(const std::string &life) {
+WorkerView *Fleet::find(const WorkerLife &life) {
   auto it = Workers.find(life);
   return it == Workers.end() ? nullptr : &it->second;
 }
 
-const WorkerView *Fleet::find(const std::string &life) const {
+const WorkerView *Fleet::find(const WorkerLife &life) const {
   auto it = Workers.find(life);
   return it == Workers.end() ? nullptr : &it->second;
 }
@@ -77,7 +77,7 @@
          now >= worker.KeptOutUntil;
 }
 
-bool Fleet::recordEnd(const std::string &life, bool ok, absl::Time now) {
+bool Fleet::recordEnd(const WorkerLife &life, bool ok, absl::Time now) {
   WorkerView *worker = find(life);
   if (worker == nullptr)
     return false;
@@ -92,7 +92,7 @@
   return keepOut(life, now);
 }
 
-bool Fleet::keepOut(const std::string &life, absl::Time now) {
+bool Fleet::keepOut(const WorkerLife &life, absl::Time now) {
   WorkerView *worker = find(life);
   if (worker == nullptr || now < worker->KeptOutUntil)
     return false;
@@ -103,14 +103,14 @@
   return true;
 }
 
-void Fleet::occupy(const std::string &life, const RunId &run,
+void Fleet::occupy(const WorkerLife &life, const RunId &run,
                    const core::Resources &room) {
   WorkerView *worker = find(life);
   if (worker != nullptr && worker->Occupants.emplace(run, room).second)
     worker->Used += room;
 }
 
-void Fleet::vacate(const std::string &life, const RunId &run) {
+void Fleet::vacate(const WorkerLife &life, const RunId &run) {
   WorkerView *worker = find(life);
   if (worker == nullptr)
     return;
@@ -121,14 +121,14 @@
   worker->Occupants.erase(it);
 }
 
-bool Fleet::endListed(const std::string &life, int64_t number) {
+bool Fleet::endListed(const WorkerLife &life, int64_t number) {
   WorkerView *worker = find(life);
   if (worker == nullptr || number <= worker->SeenUpto)
     return false;
   return worker->Ends.emplace(number, false).second;
 }
 
-void Fleet::endRecorded(const std::string &life, int64_t number) {
+void Fleet::endRecorded(const WorkerLife &life, int64_t number) {
   WorkerView *worker = find(life);
   if (worker == nullptr)
     return;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -14,6 +14,7 @@
 namespace oriolebay::jobs {
 
 using endpoints::RunId;
+using endpoints::WorkerLife;
 
 /// How workers are judged.
 struct FleetPolicy {
@@ -65,7 +66,7 @@
 /// How this life of a worker ended, as report, which comes from the agent
 /// beside it, tells; nothing when it does not say that it is over.
 std::optional<endpoints::LifeEnd> endOf(const endpoints::WorkerReport &report,
-                                        const std::string &life);
+                                        const WorkerLife &life);
 
 /// The workers that report to the leader: who they are, what room they have
 /// and whether they are fit for new work. No threads, clock or sockets.
@@ -78,11 +79,11 @@
   std::vector<endpoints::LifeEnd> heard(const endpoints::WorkerReport &report,
                                         absl::Time now);
   /// Lives whose tasks have certainly ended because nobody kept them alive.
-  std::vector<std::string> takeLost(absl::Time now);
+  std::vector<WorkerLife> takeLost(absl::Time now);
 
-  WorkerView *find(const std::string &life);
-  const WorkerView *find(const std::string &life) const;
-  const std::map<std::string, WorkerView> &workers() const { return Workers; }
+  WorkerView *find(const WorkerLife &life);
+  const WorkerView *find(const WorkerLife &life) const;
+  const std::map<WorkerLife, WorkerView> &workers() const { return Workers; }
   /// What all known workers of the service have together.
   core::Resources capacityOf(const std::string &service) const;
 
@@ -90,23 +91,23 @@
   bool usable(const WorkerView &worker, absl::Time now) const;
   /// Keeps the worker out for a while, longer each time. False when it is kept
   /// out already.
-  bool keepOut(const std::string &life, absl::Time now);
+  bool keepOut(const WorkerLife &life, absl::Time now);
   /// Counts a run's end for keeping out workers that fail what they start.
   /// True when the worker is kept out from now on.
-  bool recordEnd(const std::string &life, bool ok, absl::Time now);
+  bool recordEnd(const WorkerLife &life, bool ok, absl::Time now);
 
-  void occupy(const std::string &life, const RunId &run,
+  void occupy(const WorkerLife &life, const RunId &run,
               const core::Resources &room);
-  void vacate(const std::string &life, const RunId &run);
+  void vacate(const WorkerLife &life, const RunId &run);
 
   /// An end was listed; false when it was listed before.
-  bool endListed(const std::string &life, int64_t number);
+  bool endListed(const WorkerLife &life, int64_t number);
   /// The end is recorded, or needs no record.
-  void endRecorded(const std::string &life, int64_t number);
+  void endRecorded(const WorkerLife &life, int64_t number);
 
 private:
   const FleetPolicy Policy;
-  std::map<std::string, WorkerView> Workers;
+  std::map<WorkerLife, WorkerView> Workers;
 };
 
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -86,7 +86,7 @@
   int indexOf(const TaskProgress &t) {
     if (t.Worker.empty())
       return -1;
-    const json place = {t.Worker, t.Agent};
+    const json place = {t.Worker.Id, t.Agent, t.Worker.BornMs};
     for (size_t i = 0; i < List.size(); ++i)
       if (List[i] == place)
         return static_cast<int>(i);
@@ -97,8 +97,11 @@
   void put(int index, TaskProgress &t) const {
     if (index < 0)
       return;
-    t.Worker = List.at(static_cast<size_t>(index)).at(0).get<std::string>();
-    t.Agent = List.at(static_cast<size_t>(index)).at(1).get<std::string>();
+    const json &place = List.at(static_cast<size_t>(index));
+    place.at(0).get_to(t.Worker.Id);
+    place.at(1).get_to(t.Agent);
+    if (place.size() > 2)
+      place.at(2).get_to(t.Worker.BornMs);
   }
 
   const json &list() const { return List; }
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/jobspec.h"
+#include "endpoints/workerlife.h"
 #include "utils/error.h"
 
 #include <compare>
@@ -45,7 +46,7 @@
   int64_t Run = 0;
   int Failed = 0;
   bool Done = false;
-  std::string Worker;
+  endpoints::WorkerLife Worker;
   std::string Agent;
   std::string Saved;
   std::vector<std::string> CrashedAt = {};
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -33,13 +33,12 @@
   return absl::StrCat(id.Job, ".", id.Occurrence, ".", id.Step);
 }
 
-double JobScheduler::slownessOf(const std::string &life) const {
+double JobScheduler::slownessOf(const WorkerLife &life) const {
   const WorkerView *worker = Workers.find(life);
   return worker == nullptr ? 1 : Speeds.slowness(worker->Agent);
 }
 
-int64_t JobScheduler::heardMsAgo(const std::string &life,
-                                 absl::Time now) const {
+int64_t JobScheduler::heardMsAgo(const WorkerLife &life, absl::Time now) const {
   const WorkerView *worker = Workers.find(life);
   return worker == nullptr ? -1
                            : absl::ToInt64Milliseconds(now - worker->LastHeard);
@@ -347,7 +346,7 @@
   orders.Stops.push_back({core::taskName(id), task.Progress.Run});
 }
 
-void JobScheduler::start(Job &job, const TaskId &id, const std::string &life,
+void JobScheduler::start(Job &job, const TaskId &id, const WorkerLife &life,
                          const std::string &saved, int64_t run, int rank,
                          absl::Time now) {
   Task &task = *findTask(id);
@@ -365,7 +364,7 @@
     job.State = JobState::Running;
   job.Dirty = true;
   Workers.occupy(life, {core::taskName(id), run}, job.specOf(id).room());
-  note(Decision::Kind::Placed, id.Job, core::taskName(id), run, life, "",
+  note(Decision::Kind::Placed, id.Job, core::taskName(id), run, life.Id, "",
        {{"rank", rank},
         {"waited_ms", absl::ToInt64Milliseconds(now - job.Arrived)},
         {"worker_heard_ms_ago", heardMsAgo(life, now)},
@@ -406,7 +405,7 @@
 void JobScheduler::tick(absl::Time now) {
   Changed |= Waits;
   RunJudge(*this, now).judge();
-  for (const std::string &life : Workers.takeLost(now))
+  for (const WorkerLife &life : Workers.takeLost(now))
     loseLife({life}, "silent until its tasks had certainly ended", now);
   if (!Unheard.empty() && now >= UnheardLostAt) {
     const auto lives = std::exchange(Unheard, {});
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -230,7 +230,7 @@
     absl::Duration Took = absl::ZeroDuration();
     /// How often it was moved because it crawled.
     int Moves = 0;
-    std::set<std::string> FailedOn;
+    std::set<WorkerLife> FailedOn;
 
     bool mayRun() const { return !Progress.Worker.empty(); }
     /// It may be why a worker crashed.
@@ -259,7 +259,7 @@
     /// Ends to acknowledge once a write of this version was made.
     struct EndAck {
       int64_t Version = 0;
-      std::string Life;
+      WorkerLife Life;
       int64_t Number = 0;
     };
     std::vector<EndAck> EndAcks;
@@ -312,7 +312,7 @@
         }
   }
 
-  void takeLife(const std::string &life);
+  void takeLife(const WorkerLife &life);
   void endUnheard(const endpoints::WorkerReport &report, absl::Time now);
   void loseLife(const endpoints::LifeEnd &end, const std::string &why,
                 absl::Time now);
@@ -322,18 +322,18 @@
   bool crashedLately(const std::string &agent, absl::Time now) const;
   void takeRunning(const endpoints::WorkerReport &report, absl::Time now);
   void settleUnlisted(const endpoints::WorkerReport &report, absl::Time now);
-  void takeEnd(const std::string &life, const endpoints::EndedTask &end,
+  void takeEnd(const WorkerLife &life, const endpoints::EndedTask &end,
                absl::Time now);
-  void takeResult(const std::string &life, const endpoints::OrderResult &result,
+  void takeResult(const WorkerLife &life, const endpoints::OrderResult &result,
                   absl::Time now);
   static std::string stepName(const core::TaskId &id);
-  double slownessOf(const std::string &life) const;
+  double slownessOf(const WorkerLife &life) const;
   void learnTime(const Job &job, const core::TaskId &id, Task &task,
                  absl::Time now);
-  void acknowledge(Job &job, const std::string &life, int64_t number);
+  void acknowledge(Job &job, const WorkerLife &life, int64_t number);
   void runEnded(Job &job, const core::TaskId &id, Task &task,
                 endpoints::RunEnd how, const std::string &saved,
-                const std::string &life, absl::Time now);
+                const WorkerLife &life, absl::Time now);
   void leaveWorker(Job &job, const core::TaskId &id, Task &task);
   void compareBySoFar(const core::TaskId &id, Task &task);
   void compareSpeed(const Job &job, const core::TaskId &id, Task &task,
@@ -351,13 +351,13 @@
               const std::string &cause = "");
   void order(Job &job, const core::TaskId &id, Task &task, absl::Time now);
   void orderStop(const core::TaskId &id, Task &task, absl::Time now);
-  void start(Job &job, const core::TaskId &id, const std::string &life,
+  void start(Job &job, const core::TaskId &id, const WorkerLife &life,
              const std::string &saved, int64_t run, int rank, absl::Time now);
   void note(Decision::Kind kind, const std::string &job,
             const std::string &task = "", int64_t run = 0,
             const std::string &worker = "", const std::string &why = "",
             std::vector<Input> inputs = {});
-  int64_t heardMsAgo(const std::string &life, absl::Time now) const;
+  int64_t heardMsAgo(const WorkerLife &life, absl::Time now) const;
 
   const SchedulerPolicy Policy;
   const int64_t Epoch;
@@ -373,7 +373,7 @@
   std::map<std::string, Job> Jobs;
   /// Lives that records name and that have not reported to this leader, with
   /// the agents beside them.
-  std::map<std::string, std::string> Unheard;
+  std::map<WorkerLife, std::string> Unheard;
   /// When the worker beside an agent last crashed.
   std::map<std::string, absl::Time> Crashes;
   /// Set by facts that may let something start.
--- a/src/libs/jobs/jobscheduler_crashes.cpp
+++ b/src/libs/jobs/jobscheduler_crashes.cpp
@@ -18,7 +18,7 @@
   job.HasSuspects = true;
   job.Dirty = true;
   note(Decision::Kind::RunCrashedWorker, id.Job, core::taskName(id),
-       task.Progress.Run, task.Progress.Worker, "it had just begun there",
+       task.Progress.Run, task.Progress.Worker.Id, "it had just begun there",
        {{"crashes", static_cast<int64_t>(task.Progress.CrashedAt.size())}});
 }
 
@@ -29,7 +29,7 @@
   task.Progress.CrashedAt.clear();
   job.Dirty = true;
   note(Decision::Kind::SuspectCleared, id.Job, core::taskName(id),
-       task.Progress.Run, task.Progress.Worker, "its worker lives on");
+       task.Progress.Run, task.Progress.Worker.Id, "its worker lives on");
   job.HasSuspects = false;
   forEachTask(job, [&](const TaskId &, const Task &other) {
     job.HasSuspects |= other.isSuspect();
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -19,7 +19,7 @@
 
 int64_t JobScheduler::onReport(const endpoints::WorkerReport &report,
                                absl::Time now) {
-  const std::string &life = report.Worker.Life;
+  const WorkerLife &life = report.Worker.Life;
   const WorkerView *before = Workers.find(life);
   const bool wasUsable = before != nullptr && Workers.usable(*before, now);
   const core::Resources capacityBefore =
@@ -71,7 +71,7 @@
 }
 
 // Runs that records name here take room from the first report on.
-void JobScheduler::takeLife(const std::string &life) {
+void JobScheduler::takeLife(const WorkerLife &life) {
   Unheard.erase(life);
   for (auto &entry : Jobs) {
     Job &job = entry.second;
@@ -81,13 +81,13 @@
                        job.specOf(task).room());
     });
   }
-  note(Decision::Kind::WorkerJoined, "", "", 0, life);
+  note(Decision::Kind::WorkerJoined, "", "", 0, life.Id);
 }
 
 void JobScheduler::loseLife(const endpoints::LifeEnd &end,
                             const std::string &why, absl::Time now) {
-  const std::string &life = end.Life;
-  note(Decision::Kind::WorkerLost, "", "", 0, life, why,
+  const WorkerLife &life = end.Life;
+  note(Decision::Kind::WorkerLost, "", "", 0, life.Id, why,
        {{"elected_ms_ago", absl::ToInt64Milliseconds(now - ElectedAt)},
         {"crashed", end.Crashed ? 1 : 0}});
   const std::set<RunId> suspects(end.JustBegun.begin(), end.JustBegun.end());
@@ -120,7 +120,7 @@
       orders.Life = report.Worker.Life;
       orders.Stops.push_back({running.Task, running.Run});
       note(Decision::Kind::Stopping, id.Job, running.Task, running.Run,
-           report.Worker.Life, "no record of this run");
+           report.Worker.Life.Id, "no record of this run");
       continue;
     }
     if (!running.Saved.empty())
@@ -136,7 +136,7 @@
         task->Began = now;
         task->SawBegin = task->What == Phase::Ordered;
         note(Decision::Kind::Started, id.Job, running.Task, running.Run,
-             report.Worker.Life);
+             report.Worker.Life.Id);
       }
       task->What = Phase::Running;
     }
@@ -167,7 +167,7 @@
   }
 }
 
-void JobScheduler::takeEnd(const std::string &life,
+void JobScheduler::takeEnd(const WorkerLife &life,
                            const endpoints::EndedTask &end, absl::Time now) {
   if (!Workers.endListed(life, end.Number))
     return;
@@ -180,7 +180,7 @@
   const bool counts = task != nullptr && !task->Progress.Done &&
                       end.Run <= task->Progress.Run &&
                       (latest || end.How == RunEnd::Done);
-  note(Decision::Kind::Ended, id.Job, end.Task, end.Run, life,
+  note(Decision::Kind::Ended, id.Job, end.Task, end.Run, life.Id,
        endpoints::runEndName(end.How),
        {{"number", end.Number},
         {"counts", counts ? 1 : 0},
@@ -206,7 +206,7 @@
 // The worker forgets an end that was acknowledged, so all that followed from
 // it has to be in the store first. That a task is done counts too when it is
 // not this end that made it so: the other one may not be recorded yet.
-void JobScheduler::acknowledge(Job &job, const std::string &life,
+void JobScheduler::acknowledge(Job &job, const WorkerLife &life,
                                int64_t number) {
   const int64_t version = job.Dirty ? job.Version + 1 : job.Version;
   if (version <= job.WrittenVersion)
@@ -218,7 +218,7 @@
 // Nothing of the task runs any more, and nothing is ordered.
 void JobScheduler::leaveWorker(Job &job, const TaskId &id, Task &task) {
   Progress.forget({core::taskName(id), task.Progress.Run});
-  task.Progress.Worker.clear();
+  task.Progress.Worker = {};
   task.Progress.Agent.clear();
   task.What = Phase::Idle;
   task.StopAsked = false;
@@ -266,7 +266,7 @@
 }
 
 void JobScheduler::runEnded(Job &job, const TaskId &id, Task &task, RunEnd how,
-                            const std::string &saved, const std::string &life,
+                            const std::string &saved, const WorkerLife &life,
                             absl::Time now) {
   const core::StepSpec &spec = job.specOf(id);
   if (how == RunEnd::Done && task.Progress.Worker == life)
@@ -284,7 +284,7 @@
   if ((how == RunEnd::Done || how == RunEnd::Failed) &&
       Workers.recordEnd(life, how == RunEnd::Done, now))
     note(Decision::Kind::WorkerKeptOut, id.Job, core::taskName(id),
-         task.Progress.Run, life, "failed runs in a row");
+         task.Progress.Run, life.Id, "failed runs in a row");
   if (spec.Gang) {
     gangEnded(job, id, how);
     return;
@@ -318,7 +318,7 @@
 void JobScheduler::runAbsent(Job &job, const TaskId &id, Task &task,
                              const std::string &why) {
   note(Decision::Kind::Settled, id.Job, core::taskName(id), task.Progress.Run,
-       task.Progress.Worker, why);
+       task.Progress.Worker.Id, why);
   Workers.vacate(task.Progress.Worker, {core::taskName(id), task.Progress.Run});
   Changed = true;
   leaveWorker(job, id, task);
@@ -332,7 +332,7 @@
     return;
   task.StopAsked = true;
   note(Decision::Kind::Stopping, id.Job, core::taskName(id), task.Progress.Run,
-       task.Progress.Worker, why);
+       task.Progress.Worker.Id, why);
   // A start that is not recorded yet was not ordered either; it is dropped
   // when its write is confirmed.
   if (task.What != Phase::Recording)
@@ -347,7 +347,7 @@
                 tasks[i], why);
 }
 
-void JobScheduler::takeResult(const std::string &life,
+void JobScheduler::takeResult(const WorkerLife &life,
                               const endpoints::OrderResult &result,
                               absl::Time now) {
   TaskId id;
@@ -362,7 +362,7 @@
       task->What = Phase::Running;
       task->Began = now;
       task->SawBegin = true;
-      note(Decision::Kind::Started, id.Job, result.Task, result.Run, life);
+      note(Decision::Kind::Started, id.Job, result.Task, result.Run, life.Id);
     }
     return;
   case OrderOutcome::Unconfirmed:
@@ -373,8 +373,8 @@
     return;
   case OrderOutcome::Busy:
     if (Workers.recordEnd(life, false, now))
-      note(Decision::Kind::WorkerKeptOut, id.Job, result.Task, result.Run, life,
-           "refuses starts");
+      note(Decision::Kind::WorkerKeptOut, id.Job, result.Task, result.Run,
+           life.Id, "refuses starts");
     task->FailedOn.insert(life);
     break;
   case OrderOutcome::Refused:
@@ -386,7 +386,7 @@
   // A run that was seen running and then "absent" has an end in the list.
   if (task->What == Phase::Running && result.Outcome != OrderOutcome::Gone)
     return;
-  note(Decision::Kind::StartRefused, id.Job, result.Task, result.Run, life,
+  note(Decision::Kind::StartRefused, id.Job, result.Task, result.Run, life.Id,
        result.Detail);
   runAbsent(job, id, *task, result.Detail);
   judgeJob(job, now);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -17,7 +17,7 @@
     : S(scheduler), Now(now) {
   for (const auto &[life, view] : S.Workers.workers())
     if (S.Workers.usable(view, now))
-      Places.push_back({life, &view, view.room(), view.room(),
+      Places.push_back({&view, view.room(), view.room(),
                         absl::InfiniteDuration(), S.Speeds.isSlow(view.Agent),
                         -1, view.FailedInARow > 0});
   WholeSite.emplace_back();
@@ -31,7 +31,7 @@
     place.Rack = rack->second;
     Racks[static_cast<size_t>(place.Rack)].Members.push_back(p);
     WholeSite.front().Members.push_back(p);
-    PlaceOf[place.Life] = p;
+    PlaceOf[place.View->State.Life] = p;
     EmptyToSpare += isEmpty(place) ? 1 : 0;
   }
   EmptyToSpare -= workersToKeepFree();
@@ -228,7 +228,8 @@
       continue;
     unit.Allowed[p] =
         most == 0 ? unit.spec().Count
-                  : std::max<int64_t>(0, most - onWorker(unit, Places[p].Life));
+                  : std::max<int64_t>(
+                        0, most - onWorker(unit, Places[p].View->State.Life));
   }
 }
 
@@ -239,7 +240,7 @@
   return endsBefore ? place.Free : place.Spare;
 }
 
-int Planner::onWorker(const Unit &unit, std::string_view life) const {
+int Planner::onWorker(const Unit &unit, const WorkerLife &life) const {
   const JobScheduler::Step &step = unit.step();
   return static_cast<int>(
       std::count_if(step.begin(), step.end(),
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -38,7 +38,6 @@
   /// are expected to end within KeptFor.
   struct Place {
     /// Owned by the fleet, which does not change during a pass.
-    std::string_view Life;
     const WorkerView *View = nullptr;
     core::Resources Free;
     core::Resources Spare;
@@ -63,7 +62,7 @@
     /// 0: within a guarantee; 1: other work of priority 0; then priority + 1.
     int Rank = 0;
     /// Workers where it failed, while others could hold it.
-    std::set<std::string> Avoid;
+    std::set<WorkerLife> Avoid;
     /// A task of it may have crashed its worker: it is tried where nothing else
     /// has just begun, rather on an empty worker, and not again on AvoidHosts
     /// (by agent) while others could hold it.
@@ -163,7 +162,7 @@
   void findAllowed(Unit &unit) const;
   const core::Resources &room(const Place &place, const Unit &unit) const;
   int64_t fits(size_t place, const Unit &unit, int64_t most) const;
-  int onWorker(const Unit &unit, std::string_view life) const;
+  int onWorker(const Unit &unit, const WorkerLife &life) const;
   const std::vector<Group> &groups(const Unit &unit) const;
   bool wantsFast(const Unit &unit) const { return unit.Rank <= 1; }
   int64_t slowOnes(const Layout &places) const;
@@ -209,7 +208,7 @@
   JobScheduler &S;
   const absl::Time Now;
   std::vector<Place> Places;
-  absl::flat_hash_map<std::string_view, size_t> PlaceOf;
+  absl::flat_hash_map<WorkerLife, size_t> PlaceOf;
   /// The places of each rack, and all places as the one group.
   std::vector<Group> Racks;
   std::vector<Group> WholeSite;
--- a/src/libs/jobs/progress.cpp
+++ b/src/libs/jobs/progress.cpp
@@ -5,7 +5,7 @@
 
 namespace oriolebay::jobs {
 
-void ProgressWatch::seen(const RunId &run, const std::string &worker,
+void ProgressWatch::seen(const RunId &run, const WorkerLife &worker,
                          int percent, absl::Duration estimate, bool resumed,
                          absl::Time now) {
   auto [it, added] = Runs.try_emplace(
@@ -35,7 +35,7 @@
   return w.LastSeen - w.LastGain >= patience;
 }
 
-bool ProgressWatch::workerMoves(const std::string &worker,
+bool ProgressWatch::workerMoves(const WorkerLife &worker,
                                 absl::Time now) const {
   return std::any_of(Runs.begin(), Runs.end(), [&](const auto &entry) {
     const Watched &w = entry.second;
--- a/src/libs/jobs/progress.h
+++ b/src/libs/jobs/progress.h
@@ -44,7 +44,7 @@
 
   /// A run was seen at percent on worker. Estimate is how long all of it
   /// should take.
-  void seen(const RunId &run, const std::string &worker, int percent,
+  void seen(const RunId &run, const WorkerLife &worker, int percent,
             absl::Duration estimate, bool resumed, absl::Time now);
   void forget(const RunId &run);
 
@@ -53,7 +53,7 @@
   /// killed or cut off.
   bool stalled(const RunId &run) const;
   /// Some run has got on at the worker within the same time.
-  bool workerMoves(const std::string &worker, absl::Time now) const;
+  bool workerMoves(const WorkerLife &worker, absl::Time now) const;
   /// How long all of the run takes at its present rate, between bounds:
   /// percent comes in whole numbers, which early on leaves much open. Nothing
   /// until it has been seen to get on for long enough, or at its end.
@@ -69,7 +69,7 @@
     int Percent = 0;
   };
   struct Watched {
-    std::string Worker;
+    WorkerLife Worker;
     absl::Duration Estimate;
     bool Resumed = false;
     int FirstPercent = 0;
--- a/src/libs/jobs/runjudge.cpp
+++ b/src/libs/jobs/runjudge.cpp
@@ -191,7 +191,7 @@
 void RunJudge::evacuate(Job &job, const TaskId &id, Task &task) {
   const WorkerView *worker = S.Workers.find(task.Progress.Worker);
   S.note(Decision::Kind::RunEvacuated, id.Job, core::taskName(id),
-         task.Progress.Run, task.Progress.Worker, "",
+         task.Progress.Run, task.Progress.Worker.Id, "",
          {{"percent", task.Percent},
           {"worker_leaves_in_ms",
            absl::ToInt64Milliseconds(worker->LeavesAt - Now)},
@@ -203,10 +203,10 @@
                             const std::string &why) {
   const std::string name = core::taskName(id);
   S.note(Decision::Kind::RunStandsStill, id.Job, name, task.Progress.Run,
-         task.Progress.Worker, absl::StrCat(why, " at ", task.Percent, "%"));
+         task.Progress.Worker.Id, absl::StrCat(why, " at ", task.Percent, "%"));
   if (S.Workers.keepOut(task.Progress.Worker, Now))
     S.note(Decision::Kind::WorkerKeptOut, id.Job, name, task.Progress.Run,
-           task.Progress.Worker, why);
+           task.Progress.Worker.Id, why);
   restart(job, id, task, why);
 }
 
--- a/tests/auto/adapter/tst_workerform.cpp
+++ b/tests/auto/adapter/tst_workerform.cpp
@@ -16,7 +16,7 @@
 
 endpoints::StartCall aStart() {
   endpoints::StartCall call;
-  call.Life = "life-1";
+  call.Life = {"life-1", 1000};
   call.Order.Task = "j.0.0.0";
   call.Order.Run = 2;
   call.Order.Payload = "spec";
@@ -99,7 +99,7 @@
       makeWorkerCalls(stub.Loop, stub.Client, worker.Address);
   const auto look = stub.outcome<endpoints::HoldReply>(
       [&](std::function<void(endpoints::HoldReply)> done) {
-        calls.Hold({"life-1", 0, 11, 3, 0}, done);
+        calls.Hold({{"life-1", 1000}, 0, 11, 3, 0}, done);
       });
   ASSERT_EQ(look.Outcome.Status, CallStatus::Ok);
   const auto outcome =
@@ -119,7 +119,7 @@
   for (int n = 0; n < 2; ++n)
     look = stub.outcome<endpoints::HoldReply>(
         [&](std::function<void(endpoints::HoldReply)> done) {
-          calls.Hold({"life-1", 0, 11, 3, 0}, done);
+          calls.Hold({{"life-1", 1000}, 0, 11, 3, 0}, done);
         });
   EXPECT_EQ(look.Outcome.Status, CallStatus::NotThere) << look.Outcome.Detail;
 }
@@ -144,7 +144,7 @@
       makeWorkerCalls(stub.Loop, stub.Client, stub.Address);
   const auto reply = stub.outcome<endpoints::HoldReply>(
       [&](std::function<void(endpoints::HoldReply)> done) {
-        calls.Hold({"life-1", 0, 11, 3, 0}, done);
+        calls.Hold({{"life-1", 1000}, 0, 11, 3, 0}, done);
       });
   EXPECT_EQ(reply.Outcome.Status, GetParam().Status) << reply.Outcome.Detail;
   EXPECT_EQ(reply.Running.size(), GetParam().Running);
@@ -169,6 +169,20 @@
 INSTANTIATE_TEST_SUITE_P(Table, HoldAnswers, ::testing::ValuesIn(HoldCases),
                          [](const auto &info) { return info.param.Name; });
 
+// Guards against lists of a worker that has started again under its id, which
+// are taken for those of the life before.
+TEST(WorkerForm, ListSaysWhenItsWorkerWasBorn) {
+  PlatformStub stub(http::HttpResponse{
+      200, R"({"clockMs":9,"born":1791000000000,"running":[],"ended":[]})"});
+  const endpoints::WorkerCalls calls =
+      makeWorkerCalls(stub.Loop, stub.Client, stub.Address);
+  const auto reply = stub.outcome<endpoints::HoldReply>(
+      [&](std::function<void(endpoints::HoldReply)> done) {
+        calls.Hold({{"life-1", 1000}, 0, 11, 3, 0}, done);
+      });
+  EXPECT_EQ(reply.Outcome.BornMs, 1791000000000);
+}
+
 struct BeatCase {
   const char *Name;
   const char *Body;
@@ -188,7 +202,7 @@
         heard = b;
         return true;
       },
-      [](const std::string &) {});
+      [](const endpoints::WorkerLife &) {});
   const http::HttpResult result = http::HttpClient(2000).call(
       "PUT",
       "http://127.0.0.1:" + std::to_string(front.port()) +
@@ -198,7 +212,8 @@
   EXPECT_EQ(heard.has_value(), GetParam().Status == 200);
   if (!heard)
     return;
-  EXPECT_EQ(heard->Worker.Life, "life-1");
+  EXPECT_EQ(heard->Worker.Life,
+            (endpoints::WorkerLife{"life-1", 1791000000000}));
   EXPECT_EQ(heard->Worker.Rack, "r1-3");
   EXPECT_EQ(heard->Worker.Capacity, (core::Resources{16000, 32768, 8}));
   EXPECT_TRUE(heard->Worker.Draining);
@@ -208,10 +223,12 @@
 const BeatCase BeatCases[] = {
     {"whole",
      R"({"service":"s","state":"draining","remainingMs":4500,"sequence":4,
+         "born":1791000000000,
          "capacity":{"cpu":16000,"memMb":32768,"gpu":8},
          "labels":["a","r1-3"],"clockMs":482113})",
      200},
     {"no_service", R"({"state":"ready"})", 400},
+    {"born_of_wrong_type", R"({"service":"s","born":"x"})", 400},
     {"wrong_type", R"({"service":"s","sequence":"x"})", 400},
     {"no_json", "<html>", 400},
 };
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -65,7 +65,7 @@
     Agent = std::make_unique<WorkerAgent>(Loop, store, peers, worker, settings,
                                           "entries/");
     Agent->start();
-    Beat.Worker.Life = "life";
+    Beat.Worker.Life = {"life", 1};
     Beat.Worker.Capacity = {32000, 65536, 8};
     beat();
     Loop.advance(absl::Seconds(1));
@@ -83,7 +83,7 @@
     return ack;
   }
   static endpoints::WorkerOrders start(int64_t epoch, int64_t run) {
-    endpoints::WorkerOrders o{epoch, "life", {}, {}};
+    endpoints::WorkerOrders o{epoch, {"life", 1}, {}, {}};
     o.Starts.push_back({"j.0.0.0", run, "text", "", ""});
     return o;
   }
@@ -137,7 +137,7 @@
   bench.Loop.advance(absl::Milliseconds(100));
   ASSERT_EQ(bench.Starts.size(), 1u);
   bench.Ack.Epoch = 6;
-  bench.order({6, "life", {}, {}});
+  bench.order({6, {"life", 1}, {}, {}});
   bench.Loop.advance(absl::Seconds(3));
   EXPECT_EQ(bench.Starts.size(), 1u);
   for (const endpoints::StartCall &call : bench.Starts)
@@ -210,7 +210,7 @@
   bench.Loop.advance(absl::Milliseconds(1500));
   ASSERT_EQ(bench.Reports.back().EndedLives.size(), 1u);
   const endpoints::LifeEnd end = bench.Reports.back().EndedLives.front();
-  EXPECT_EQ(end, (endpoints::LifeEnd{"life", true, {{"j.0.0.0", 1}}}));
+  EXPECT_EQ(end, (endpoints::LifeEnd{{"life", 1}, true, {{"j.0.0.0", 1}}}));
 }
 
 // Guards against planned ends of workers that are taken for crashes.
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -30,11 +30,17 @@
   State.Rack = std::move(rack);
   State.Labels = {"a", State.Rack};
   State.Capacity = capacity;
-  State.Life = Name + "-0";
   Born = Loop.now();
+  State.Life = {Name + "-0", bornMs()};
   Loop.runAfter(StepEvery, [this] { step(); });
 }
 
+// By the time of day, which may step back between two lives.
+int64_t MemoryWorker::bornMs() {
+  const int64_t stepMs = std::uniform_int_distribution<>(-5000, 5000)(Random);
+  return absl::ToUnixMillis(Born) + 1000000 + stepMs;
+}
+
 bool MemoryWorker::chance(double share) {
   return share > 0 && std::uniform_real_distribution<>(0, 1)(Random) < share;
 }
@@ -50,7 +56,7 @@
 
 void MemoryWorker::crash(Id id) {
   for (const auto &[key, run] : Runs) {
-    All.Running[key.first].erase({State.Life, key.second});
+    All.Running[key.first].erase({State.Life.Id, key.second});
     ++All.WorkersLostUnder[key.first];
   }
   Runs.clear();
@@ -66,7 +72,8 @@
   Born = Loop.now();
   State.Draining = false;
   if (id == Id::New)
-    State.Life = Name + "-" + std::to_string(++Lives);
+    State.Life.Id = Name + "-" + std::to_string(++Lives);
+  State.Life.BornMs = bornMs();
 }
 
 void MemoryWorker::setCapacity(core::Resources capacity) {
@@ -146,9 +153,9 @@
   for (const auto &[k, run] : Runs)
     used += All.StepOf(k.first).room();
   if (!used.fitsIn(bindingCapacity()))
-    All.Violations.push_back(State.Life + " has more than it holds");
+    All.Violations.push_back(State.Life.Id + " has more than it holds");
   countStart(key.first);
-  All.Running[key.first].insert({State.Life, key.second});
+  All.Running[key.first].insert({State.Life.Id, key.second});
   Run run;
   run.Began = Loop.now();
   Runs[key] = run;
@@ -170,6 +177,7 @@
 endpoints::HoldReply MemoryWorker::hold(const endpoints::HoldCall &call) {
   endpoints::HoldReply reply;
   reply.Outcome = ok();
+  reply.Outcome.BornMs = State.Life.BornMs;
   if (call.Epoch < Fence) {
     reply.Outcome = refuse(RefusalReason::Fenced);
     return reply;
@@ -194,7 +202,7 @@
   return reply;
 }
 
-void MemoryWorker::order(const std::string &life,
+void MemoryWorker::order(const endpoints::WorkerLife &life,
                          const std::function<CallOutcome()> &carryOut,
                          const std::function<void(CallOutcome)> &done) {
   auto noAnswer = [this, done] {
@@ -212,10 +220,11 @@
     });
     return;
   }
+  // Calls name the id only.
   auto checked = [this, life, carryOut]() -> CallOutcome {
     if (!listens())
       return {};
-    if (life != State.Life)
+    if (life.Id != State.Life.Id)
       return {CallStatus::OtherLife, RefusalReason::None, clockMs(), ""};
     return carryOut();
   };
@@ -256,7 +265,7 @@
         done(reply);
         return;
       }
-      if (c.Life != State.Life) {
+      if (c.Life.Id != State.Life.Id) {
         endpoints::HoldReply reply;
         reply.Outcome.Status = CallStatus::OtherLife;
         done(reply);
@@ -277,7 +286,7 @@
 void MemoryWorker::end(const Key &key, RunEnd how) {
   const std::string saved = Runs.at(key).Saved;
   Runs.erase(key);
-  All.Running[key.first].erase({State.Life, key.second});
+  All.Running[key.first].erase({State.Life.Id, key.second});
   Highest[key.first] = std::max(Highest[key.first], key.second);
   LapsesAtEnd[NextEnd] = Lapses;
   Ended.push_back({NextEnd++, key.first, key.second, how, saved});
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -42,7 +42,7 @@
   endpoints::WorkerCalls calls();
   /// The heartbeat to hand to the agent beside it.
   endpoints::Heartbeat heartbeat();
-  const std::string &life() const { return State.Life; }
+  const std::string &life() const { return State.Life.Id; }
 
   /// The id that a worker has when it starts again.
   enum class Id { New, Same };
@@ -78,6 +78,7 @@
 
   void countStart(const std::string &task);
   core::Resources bindingCapacity() const;
+  int64_t bornMs();
   int64_t clockMs() const;
   bool chance(double share);
   endpoints::CallOutcome ok() const;
@@ -85,7 +86,7 @@
   endpoints::CallOutcome start(const endpoints::StartCall &call);
   endpoints::CallOutcome stop(const endpoints::StopCall &call);
   endpoints::HoldReply hold(const endpoints::HoldCall &call);
-  void order(const std::string &life,
+  void order(const endpoints::WorkerLife &life,
              const std::function<endpoints::CallOutcome()> &carryOut,
              const std::function<void(endpoints::CallOutcome)> &done);
   void extend(int64_t untilMs);
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -44,8 +44,8 @@
         Message(WorkerReport{
             "a1",
             "tcp://127.0.0.1:5",
-            {"i-1", "s", "fd", "r1", {"a"}, {1, 2, 3}, true, 400, 10},
-            {{"i-0", true, {{"j.0.0.0", 1}}}},
+            {{"i-1", 7}, "s", "fd", "r1", {"a"}, {1, 2, 3}, true, 400, 10},
+            {{{"i-0", 6}, true, {{"j.0.0.0", 1}}}},
             17,
             true,
             4,
@@ -57,7 +57,7 @@
         Message(ReportAck{4, true, "e1", 3, {"e1", "e2"}, 5500, 9, {0.25, 7}}),
         Message(WorkerOrders{
             4,
-            "i-1",
+            {"i-1", 7},
             {{"j.0.0.1", 2, "text", "saved", "ticket", {1, 2, 3}}},
             {{"j.0.0.0", 1}}}),
         Message(JobWritten{"oriolebay/jobs/j/spec", "bytes", 12}),
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -56,7 +56,7 @@
                                     const std::string &rack,
                                     core::Resources capacity) {
   Worker &w = Workers[life];
-  w.State.Life = life;
+  w.State.Life = {life, 1};
   w.State.Service = "service";
   w.State.Rack = rack;
   w.State.Labels = {"a", rack};
@@ -80,7 +80,7 @@
 
 void SimSite::fall(const std::string &life) {
   Fallen fallen{Workers.at(life), Now + NoticedAfter, Now + BackAfter};
-  endpoints::LifeEnd end{life, true};
+  endpoints::LifeEnd end{fallen.Before.State.Life, true};
   for (const auto &[run, state] : fallen.Before.Runs) {
     if (Now - state.Began < endpoints::CrashShowsWithin)
       end.JustBegun.push_back(run);
@@ -120,7 +120,7 @@
       continue;
     }
     const endpoints::WorkerState &old = one.Before.State;
-    Worker &w = addWorker(old.Life + "'", old.Rack, old.Capacity);
+    Worker &w = addWorker(old.Life.Id + "'", old.Rack, old.Capacity);
     w.Agent = one.Before.Agent;
     w.EndedLives = one.Before.EndedLives;
     report(w);
@@ -149,7 +149,7 @@
   endpoints::WorkerReport r;
   r.Agent = Workers.at(life).Agent;
   r.AgentAddress = r.Agent;
-  r.EndedLives = {{life}};
+  r.EndedLives = {{Workers.at(life).State.Life}};
   crash(life);
   Scheduler->onReport(r, Now);
 }
@@ -355,7 +355,7 @@
   for (const auto &[key, run] : worker.Runs)
     used += specOf(idOf(key.Task)).room();
   if (!used.fitsIn(worker.State.Capacity))
-    Violations.push_back(worker.State.Life + " has more than it holds");
+    Violations.push_back(worker.State.Life.Id + " has more than it holds");
 }
 
 void SimSite::obey(Worker &worker, const endpoints::WorkerOrders &orders) {
--- a/tests/bench/decidebench/main.cpp
+++ b/tests/bench/decidebench/main.cpp
@@ -57,7 +57,9 @@
   }
 
 private:
-  std::string life(int worker) const { return "w" + std::to_string(worker); }
+  endpoints::WorkerLife life(int worker) const {
+    return {"w" + std::to_string(worker), 1};
+  }
 
   void report(int worker) {
     endpoints::WorkerReport r;
@@ -113,7 +115,8 @@
   int NextWorker = 0;
   int64_t Sequence = 0;
   int64_t Revision = 0;
-  std::map<std::string, std::vector<endpoints::RunningTask>> RunningAt;
+  std::map<endpoints::WorkerLife, std::vector<endpoints::RunningTask>>
+      RunningAt;
 };
 
 void decideWhileGangsWait(benchmark::State &state) {
