A start that may reach a worker's next life is settled there first

What callers would see: a task that runs twice. Calls name the worker's id only, so that a start which was sent to a life that has crashed since, and got no answer or only one that cannot tell whose it was, is carried out by the next life under the id, while the task starts elsewhere.

Cause: the end of a life was taken for the end of all that was sent to it, which held as long as each life had an id of its own.

An agent tells with the end of a life which starts that life was not seen to have (LifeEnd::MayStillBegin): not listed by it, and not taken by a process for which nobody listens any more. The leader moves such a run in its record to the next life under the id, or to whichever may come, and has it stopped there: a worker that was told to stop a run lists it or refuses it from then on. Until that, a life with another id, or the longest that an order may be late, the task starts nowhere else. Where the agent is new and knows nothing, what the leader did not see listed counts as such. Work that was listed starts again at once.

--- a/src/libs/agent/startbook.cpp
+++ b/src/libs/agent/startbook.cpp
@@ -1,20 +1,35 @@
 #include "startbook.h"
 
+#include <algorithm>
+
 namespace oriolebay::agent {
 
-void StartBook::sent(const endpoints::RunId &run, absl::Time now) {
-  FirstSent.emplace(run, now);
+using endpoints::RunId;
+
+void StartBook::sent(const RunId &run, absl::Time now) {
+  Starts.emplace(run, Start{now});
 }
 
-void StartBook::neverBegan(const endpoints::RunId &run) {
-  FirstSent.erase(run);
+void StartBook::taken(const RunId &run) {
+  auto it = Starts.find(run);
+  if (it != Starts.end())
+    it->second.Taken = true;
 }
 
+void StartBook::listed(const RunId &run) {
+  auto it = Starts.find(run);
+  if (it != Starts.end())
+    it->second.Listed = true;
+}
+
+void StartBook::neverBegan(const RunId &run) { Starts.erase(run); }
+
 void StartBook::answered(absl::Time now) {
   LastAnswer = now;
   SilentSince = absl::InfiniteFuture();
-  std::erase_if(FirstSent, [now](const auto &start) {
-    return now - start.second >= endpoints::CrashShowsWithin;
+  std::erase_if(Starts, [now](const auto &entry) {
+    const Start &start = entry.second;
+    return start.Listed && now - start.FirstSent >= endpoints::CrashShowsWithin;
   });
 }
 
@@ -23,10 +38,19 @@
 }
 
 // What was sent to a worker that had fallen silent before cannot be why.
-std::vector<endpoints::RunId> StartBook::justBegun() const {
-  std::vector<endpoints::RunId> runs;
-  for (const auto &[run, at] : FirstSent)
-    if (at <= SilentSince && LastAnswer - at < endpoints::CrashShowsWithin)
+std::vector<RunId> StartBook::justBegun() const {
+  std::vector<RunId> runs;
+  for (const auto &[run, start] : Starts)
+    if (start.FirstSent <= SilentSince &&
+        LastAnswer - start.FirstSent < endpoints::CrashShowsWithin)
+      runs.push_back(run);
+  return runs;
+}
+
+std::vector<RunId> StartBook::mayStillBegin(bool nobodyListens) const {
+  std::vector<RunId> runs;
+  for (const auto &[run, start] : Starts)
+    if (!start.Listed && !(start.Taken && nobodyListens))
       runs.push_back(run);
   return runs;
 }
--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -133,7 +133,7 @@
                          const HoldReply &reply) {
   const CallOutcome &outcome = reply.Outcome;
   if (isOther(outcome, State.Life)) {
-    endLife("another life answered", true);
+    endLife("another life answered", EndSign::OtherLife);
     return;
   }
   // A process that listened here has ended. A few in a row, so that a moment
@@ -142,7 +142,7 @@
   if (outcome.Status != CallStatus::Ok)
     Sent.unanswered(Loop.now());
   if (NotThere >= MostNotThere) {
-    endLife("nothing listens at its address", true);
+    endLife("nothing listens at its address", EndSign::NobodyListens);
     return;
   }
   if (outcome.Status != CallStatus::Ok) {
@@ -164,6 +164,10 @@
     news |= epoch > ListedEpoch || reply.Ended != Ended ||
             reply.Running.size() != Running.size();
     Running = reply.Running;
+    for (const endpoints::RunningTask &r : Running)
+      Sent.listed({r.Task, r.Run});
+    for (const endpoints::EndedTask &e : reply.Ended)
+      Sent.listed({e.Task, e.Run});
     if (!reply.Ended.empty() && reply.Ended != Ended)
       EndedAt = Loop.now();
     Ended = reply.Ended;
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -78,8 +78,9 @@
   void takeHeartbeat(const endpoints::Heartbeat &beat);
   void tryLife(const endpoints::Heartbeat &beat);
   void adoptLife(const endpoints::Heartbeat &beat);
-  /// Crashed: it ended without a word, unless an end was planned.
-  void endLife(const std::string &why, bool crashed);
+  /// How it shows that the life which is served is over.
+  enum class EndSign { SaidSo, NobodyListens, OtherLife };
+  void endLife(const std::string &why, EndSign sign);
   void noteEnded(endpoints::LifeEnd end);
   void noteIgnored(const endpoints::Heartbeat &beat);
   bool hasEnded(const endpoints::WorkerLife &life) const;
--- a/src/libs/agent/workeragent_life.cpp
+++ b/src/libs/agent/workeragent_life.cpp
@@ -109,7 +109,7 @@
 
 void WorkerAgent::adoptLife(const Heartbeat &beat) {
   if (!State.Life.empty())
-    endLife("a new life answers", true);
+    endLife("a new life answers", EndSign::OtherLife);
   forgetEnd(beat.Worker.Life);
   State = beat.Worker;
   LastBeat = beat.Sequence;
@@ -122,15 +122,19 @@
             {"accelerators", State.Capacity.Accelerators}});
 }
 
-void WorkerAgent::endLife(const std::string &why, bool crashed) {
-  LifeEnd end{State.Life, crashed && !State.Draining};
+void WorkerAgent::endLife(const std::string &why, EndSign sign) {
+  LifeEnd end{State.Life};
+  end.Crashed = sign != EndSign::SaidSo && !State.Draining;
   if (end.Crashed)
     end.JustBegun = Sent.justBegun();
+  end.Witnessed = true;
+  end.MayStillBegin = Sent.mayStillBegin(sign == EndSign::NobodyListens);
   logEvent(Event::WorkerLifeEnded, {{"worker", State.Life.Id},
                                     {"born_ms", State.Life.BornMs},
                                     {"why", why},
                                     {"crashed", end.Crashed},
-                                    {"just_begun", end.JustBegun.size()}});
+                                    {"just_begun", end.JustBegun.size()},
+                                    {"may_begin", end.MayStillBegin.size()}});
   noteEnded(std::move(end));
   Sent = {};
   State = {};
@@ -185,7 +189,7 @@
 void WorkerAgent::onLeave(const WorkerLife &life) {
   const bool anyLife = life.BornMs == 0 && life.Id == State.Life.Id;
   if (life == State.Life || (anyLife && State.Draining))
-    endLife("it said so", false);
+    endLife("it said so", EndSign::SaidSo);
   else if (!anyLife)
     noteEnded({life});
 }
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -180,6 +180,7 @@
   };
   switch (outcome.Status) {
   case CallStatus::Ok:
+    Sent.taken({key.first, key.second});
     return end(OrderOutcome::Started);
   case CallStatus::OtherLife:
     return end(OrderOutcome::Gone);
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -52,7 +52,8 @@
                                    RemainingMs, ColdMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedSpeed, Log, Ends)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunId, Task, Run)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LifeEnd, Life, Crashed, JustBegun)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LifeEnd, Life, Crashed, JustBegun, Witnessed,
+                                   MayStillBegin)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerReport, Agent, AgentAddress, Worker,
                                    EndedLives, Sequence, Reachable, Epoch,
                                    ListedMsAgo, Speed, Running, Ended, Results)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -231,11 +231,16 @@
 
 /// The end of a worker's life. Crashed: it ended without a word, and no end of
 /// it was planned. JustBegun: the runs that may have crashed it, as they began,
-/// or may have, less than CrashShowsWithin before.
+/// or may have, less than CrashShowsWithin before. Witnessed: the agent served
+/// that life and knows what it sent; else it has only learned that it is over.
+/// MayStillBegin: starts that were sent and not seen there, and that the next
+/// life under the same id would carry out.
 struct LifeEnd {
   WorkerLife Life;
   bool Crashed = false;
   std::vector<RunId> JustBegun = {};
+  bool Witnessed = false;
+  std::vector<RunId> MayStillBegin = {};
   auto operator<=>(const LifeEnd &) const = default;
 };
 
--- a/src/libs/endpoints/workerlife.h
+++ b/src/libs/endpoints/workerlife.h
@@ -16,6 +16,8 @@
   int64_t BornMs = 0;
 
   bool empty() const { return Id.empty(); }
+  /// Whichever life answers to the id.
+  WorkerLife ofAnyBirth() const { return {Id, 0}; }
   auto operator<=>(const WorkerLife &) const = default;
   template <class H>
   // NOLINTNEXTLINE(readability-identifier-naming): Abseil's name for it.
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -183,7 +183,7 @@
         // tells.
         if (mine[s][i].mayRun()) {
           mine[s][i].What = Phase::Adopted;
-          Unheard[steps[s][i].Worker] = steps[s][i].Agent;
+          Unheard[steps[s][i].Worker] = {steps[s][i].Agent};
         }
       }
   }
@@ -359,6 +359,8 @@
   task.StopAsked = false;
   task.Percent = 0;
   task.SawBegin = false;
+  task.Listed = false;
+  task.MayBeginUntil = absl::InfinitePast();
   task.Compared = false;
   if (job.State == JobState::Queued)
     job.State = JobState::Running;
@@ -402,16 +404,25 @@
   UnheardLostAt = std::min(UnheardLostAt, gone + Policy.Fleet.LostAfter);
 }
 
+void JobScheduler::loseUnheard(absl::Time now) {
+  std::vector<WorkerLife> lost;
+  for (const auto &[life, unheard] : Unheard)
+    if (now >= (unheard.Until == absl::InfiniteFuture() ? UnheardLostAt
+                                                        : unheard.Until))
+      lost.push_back(life);
+  for (const WorkerLife &life : lost) {
+    Unheard.erase(life);
+    loseLife({life}, "never reported to this leader", nullptr, now);
+  }
+}
+
 void JobScheduler::tick(absl::Time now) {
   Changed |= Waits;
   RunJudge(*this, now).judge();
   for (const WorkerLife &life : Workers.takeLost(now))
-    loseLife({life}, "silent until its tasks had certainly ended", now);
-  if (!Unheard.empty() && now >= UnheardLostAt) {
-    const auto lives = std::exchange(Unheard, {});
-    for (const auto &[life, agent] : lives)
-      loseLife({life}, "never reported to this leader", now);
-  }
+    loseLife({life}, "silent until its tasks had certainly ended", nullptr,
+             now);
+  loseUnheard(now);
   for (auto &entry : Jobs) {
     Job &job = entry.second;
     if (!job.over() && fleetKnown(now))
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -29,6 +29,8 @@
   SpeedPolicy Speed;
   /// An order that was not answered is sent again after this long.
   absl::Duration ResendAfter = absl::Milliseconds(400);
+  /// An order without an answer is carried out within so long, if ever.
+  absl::Duration LateOrdersWithin = absl::Seconds(15);
   /// After the election, tasks that earlier leaders may have kept alive at
   /// workers that never reported have certainly ended after this long.
   absl::Duration UnheardLostAfter = absl::Seconds(18);
@@ -221,6 +223,11 @@
     absl::Time Began = absl::InfinitePast();
     /// This leader saw it begin.
     bool SawBegin = false;
+    /// Its worker has listed the run.
+    bool Listed = false;
+    /// The start was sent to a life that has ended, and may be carried out by
+    /// the next one under its id until then.
+    absl::Time MayBeginUntil = absl::InfinitePast();
     absl::Time LastOrder = absl::InfinitePast();
     int Percent = 0;
     absl::Time PercentAt = absl::InfinitePast();
@@ -313,9 +320,17 @@
   }
 
   void takeLife(const WorkerLife &life);
+  void loseUnheard(absl::Time now);
   void endUnheard(const endpoints::WorkerReport &report, absl::Time now);
+  /// Next: the life that the same report names, which may be empty; null when
+  /// time alone tells that all is over there.
   void loseLife(const endpoints::LifeEnd &end, const std::string &why,
-                absl::Time now);
+                const WorkerLife *next, absl::Time now);
+  bool mayStillBegin(const core::TaskId &id, const Task &task,
+                     const endpoints::LifeEnd &end, const WorkerLife *next,
+                     absl::Time now) const;
+  void settleAtNextLife(Job &job, const core::TaskId &id, Task &task,
+                        const WorkerLife &next, absl::Time now);
   void takeCrash(Job &job, const core::TaskId &id, Task &task);
   void clearOutlived(Job &job, const core::TaskId &id, Task &task);
   bool isGivenUp(const Task &task) const;
@@ -371,9 +386,13 @@
   DemandBook Urgent;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
-  /// Lives that records name and that have not reported to this leader, with
-  /// the agents beside them.
-  std::map<WorkerLife, std::string> Unheard;
+  /// A life that a record names and that has not reported to this leader.
+  struct UnheardLife {
+    std::string Agent;
+    /// Its tasks have ended by then; UnheardLostAt if that is not known.
+    absl::Time Until = absl::InfiniteFuture();
+  };
+  std::map<WorkerLife, UnheardLife> Unheard;
   /// When the worker beside an agent last crashed.
   std::map<std::string, absl::Time> Crashes;
   /// Set by facts that may let something start.
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -30,7 +30,7 @@
   for (const endpoints::LifeEnd &end : Workers.heard(report, now)) {
     if (end.Crashed)
       Crashes[report.Agent] = now;
-    loseLife(end, "its worker has ended", now);
+    loseLife(end, "its worker has ended", &life, now);
   }
   endUnheard(report, now);
   Speeds.recall(report.Agent, report.Speed);
@@ -60,13 +60,13 @@
 void JobScheduler::endUnheard(const endpoints::WorkerReport &report,
                               absl::Time now) {
   std::vector<endpoints::LifeEnd> ended;
-  for (const auto &[life, agent] : Unheard)
-    if (agent == report.Agent)
+  for (const auto &[life, unheard] : Unheard)
+    if (unheard.Agent == report.Agent)
       if (const auto end = endOf(report, life))
         ended.push_back(*end);
   for (const endpoints::LifeEnd &end : ended) {
     Unheard.erase(end.Life);
-    loseLife(end, "its worker has ended", now);
+    loseLife(end, "its worker has ended", &report.Worker.Life, now);
   }
 }
 
@@ -85,7 +85,8 @@
 }
 
 void JobScheduler::loseLife(const endpoints::LifeEnd &end,
-                            const std::string &why, absl::Time now) {
+                            const std::string &why, const WorkerLife *next,
+                            absl::Time now) {
   const WorkerLife &life = end.Life;
   note(Decision::Kind::WorkerLost, "", "", 0, life.Id, why,
        {{"elected_ms_ago", absl::ToInt64Milliseconds(now - ElectedAt)},
@@ -100,7 +101,10 @@
       any = true;
       if (suspects.count({core::taskName(task), state.Progress.Run}) != 0)
         takeCrash(job, task, state);
-      runAbsent(job, task, state, why);
+      if (mayStillBegin(task, state, end, next, now))
+        settleAtNextLife(job, task, state, *next, now);
+      else
+        runAbsent(job, task, state, why);
     });
     if (any)
       judgeJob(job, now);
@@ -126,6 +130,7 @@
     if (!running.Saved.empty())
       task->Progress.Saved = running.Saved;
     task->Percent = running.Percent;
+    task->Listed = true;
     if (report.Reachable) {
       task->PercentAt = now - absl::Milliseconds(report.ListedMsAgo);
       watch(id, *task, task->PercentAt);
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -210,7 +210,8 @@
   bench.Loop.advance(absl::Milliseconds(1500));
   ASSERT_EQ(bench.Reports.back().EndedLives.size(), 1u);
   const endpoints::LifeEnd end = bench.Reports.back().EndedLives.front();
-  EXPECT_EQ(end, (endpoints::LifeEnd{{"life", 1}, true, {{"j.0.0.0", 1}}}));
+  EXPECT_EQ(
+      end, (endpoints::LifeEnd{{"life", 1}, true, {{"j.0.0.0", 1}}, true, {}}));
 }
 
 // Guards against planned ends of workers that are taken for crashes.
