A worker's next life is not told to forget its ends by an earlier count

What callers would see: a job that never ends, and room that stays taken.

Cause: each look said up to which number ends may be forgotten, also when there was nothing to forget. A look that reaches the next life, before its agent knows, has that one forget ends which count from one again. The leader then took "absent" for a run that it had seen running to mean that its end was still to come, for ever.

A look now names the number only while the worker lists ends up to it, and does not wait then. A run that is absent, and has no end in the list, has ended.

EndsAreForgottenOnlyWhileThereAreSome and RunThatIsAbsentWithoutAnEndGivesItsRoomBack failed before.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -99,12 +99,7 @@
 void WorkerAgent::hold(int64_t waitMs) {
   if (State.Life.empty())
     return;
-  endpoints::HoldCall call;
-  call.Life = State.Life;
-  call.UntilMs = untilMs();
-  call.Epoch = Epoch;
-  call.SeenUpto = SeenUpto;
-  call.WaitMs = waitMs;
+  const endpoints::HoldCall call = holdCall(waitMs);
   const uint64_t number = ++HoldsSent;
   ++HoldsOut;
   Worker.Hold(call, [this, alive = Alive, number, life = State.Life,
@@ -116,6 +111,20 @@
   });
 }
 
+endpoints::HoldCall WorkerAgent::holdCall(int64_t waitMs) const {
+  endpoints::HoldCall call;
+  call.Life = State.Life;
+  call.UntilMs = untilMs();
+  call.Epoch = Epoch;
+  // A look may reach the next life under the same id, whose ends count anew: it
+  // says up to which number they can be forgotten only while there are some,
+  // and does not wait then.
+  const bool canForget = OldestEnd != 0 && OldestEnd <= SeenUpto;
+  call.SeenUpto = canForget ? SeenUpto : 0;
+  call.WaitMs = canForget ? 0 : waitMs;
+  return call;
+}
+
 void WorkerAgent::holdLater(absl::Duration delay) {
   if (HoldQueued)
     return;
@@ -171,6 +180,7 @@
     if (!reply.Ended.empty() && reply.Ended != Ended)
       EndedAt = Loop.now();
     Ended = reply.Ended;
+    OldestEnd = Ended.empty() ? 0 : Ended.front().Number;
     ListedEpoch = epoch;
     settleStops(number);
   }
@@ -374,12 +384,8 @@
     done();
     return;
   }
-  endpoints::HoldCall call;
-  call.Life = State.Life;
-  call.UntilMs = untilMs();
-  call.Epoch = Epoch;
-  call.SeenUpto = SeenUpto;
-  Worker.Hold(call, [done = std::move(done)](const HoldReply &) { done(); });
+  Worker.Hold(holdCall(0),
+              [done = std::move(done)](const HoldReply &) { done(); });
 }
 
 } // namespace oriolebay::agent
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -87,6 +87,7 @@
   void forgetEnd(const endpoints::WorkerLife &life);
 
   void hold(int64_t waitMs);
+  endpoints::HoldCall holdCall(int64_t waitMs) const;
   void holdLater(absl::Duration delay);
   void onHeld(uint64_t number, int64_t epoch,
               const endpoints::HoldReply &reply);
@@ -151,6 +152,8 @@
   std::vector<endpoints::RunningTask> Running;
   std::vector<endpoints::EndedTask> Ended;
   absl::Time ListedAt = absl::InfinitePast();
+  /// Number of the first end that the worker has not forgotten; zero: none.
+  int64_t OldestEnd = 0;
   /// When the list of ends last became another one.
   absl::Time EndedAt = absl::InfinitePast();
   int64_t ListedEpoch = 0;
--- a/src/libs/agent/workeragent_life.cpp
+++ b/src/libs/agent/workeragent_life.cpp
@@ -143,6 +143,7 @@
   SeenUpto = 0;
   Running.clear();
   Ended.clear();
+  OldestEnd = 0;
   ListedEpoch = 0;
   HoldsTaken = HoldsSent;
   // A look at the old life may stay open for a while yet; it must not keep the
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -388,8 +388,10 @@
   case OrderOutcome::Absent:
     break;
   }
-  // A run that was seen running and then "absent" has an end in the list.
-  if (task->What == Phase::Running && result.Outcome != OrderOutcome::Gone)
+  // A refusal that comes late, or of a repeated order. A run that was seen and
+  // is absent, without an end in the list, has certainly ended all the same.
+  if (task->What == Phase::Running && result.Outcome != OrderOutcome::Gone &&
+      result.Outcome != OrderOutcome::Absent)
     return;
   note(Decision::Kind::StartRefused, id.Job, result.Task, result.Run, life.Id,
        result.Detail);
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace oriolebay::agent {
 namespace {
 
@@ -40,9 +42,10 @@
       Holds.push_back(c);
       endpoints::HoldReply reply;
       reply.Running = Running;
-      for (const endpoints::EndedTask &e : Ended)
-        if (e.Number > c.SeenUpto)
-          reply.Ended.push_back(e);
+      std::erase_if(Ended, [&](const endpoints::EndedTask &e) {
+        return e.Number <= c.SeenUpto;
+      });
+      reply.Ended = Ended;
       const bool waits = c.WaitMs > 0 && reply.Ended.empty() &&
                          HoldAnswer.Status == CallStatus::Ok;
       Loop.runAfter(absl::Milliseconds(waits ? c.WaitMs : 1),
@@ -214,6 +217,25 @@
       end, (endpoints::LifeEnd{{"life", 1}, true, {{"j.0.0.0", 1}}, true, {}}));
 }
 
+// Guards against a worker's next life under the same id that forgets its ends
+// unseen, as they count from one again.
+TEST(WorkerAgent, EndsAreForgottenOnlyWhileThereAreSome) {
+  AgentBench bench;
+  for (int64_t n = 1; n <= 5; ++n)
+    bench.Ended.push_back({n, "a.0.0.0", n, endpoints::RunEnd::Stopped, ""});
+  bench.Ack.SeenUpto = 5;
+  bench.Loop.advance(absl::Seconds(1));
+  const bool told = std::any_of(
+      bench.Holds.begin(), bench.Holds.end(),
+      [](const endpoints::HoldCall &call) { return call.SeenUpto == 5; });
+  EXPECT_TRUE(told);
+  bench.Holds.clear();
+  bench.Loop.advance(absl::Seconds(2));
+  ASSERT_FALSE(bench.Holds.empty());
+  for (const endpoints::HoldCall &call : bench.Holds)
+    EXPECT_EQ(call.SeenUpto, 0);
+}
+
 // Guards against planned ends of workers that are taken for crashes.
 TEST(WorkerAgent, EndOfADrainingWorkerIsNoCrash) {
   AgentBench bench;
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -106,6 +106,20 @@
   EXPECT_EQ(site.state("j"), JobState::Completed);
 }
 
+// Guards against room that stays taken by a run whose end nobody will list.
+TEST(JobScheduler, RunThatIsAbsentWithoutAnEndGivesItsRoomBack) {
+  SimSite site;
+  site.addWorker("w", "r");
+  site.runFor(absl::Milliseconds(600));
+  site.submit(jobOf("gone", step(1, {1000, 100, 8}, 3000)));
+  site.runFor(absl::Milliseconds(500));
+  site.worker("w").Runs.clear();
+  site.cancel("gone");
+  site.submit(jobOf("next", step(1, {1000, 100, 8}, 1000)));
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(5)));
+  EXPECT_EQ(site.state("next"), JobState::Completed);
+}
+
 // Guards against a start that was decided on before its worker had less.
 TEST(JobScheduler, StartRecordedWhileItsWorkerShrinksGoesElsewhere) {
   SimSite site;
