A crash is not blamed on a run that the worker's next life has

What callers would see: a clean job that fails, as its task "crashed 2 workers".

Cause: the count was taken when the life ended, before it was known whether the run had been there at all.

Where the run may be at the next life, the crash counts only once that life does not have it, or no such life comes.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -360,6 +360,7 @@
   task.Percent = 0;
   task.SawBegin = false;
   task.Listed = false;
+  task.CrashedUnlessThere = false;
   task.MayBeginUntil = absl::InfinitePast();
   task.Compared = false;
   if (job.State == JobState::Queued)
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -226,6 +226,9 @@
     /// The start was sent to a life that has ended, and may be carried out by
     /// the next one under its id until then.
     absl::Time MayBeginUntil = absl::InfinitePast();
+    /// If that one does not have it either, it has crashed the life it was sent
+    /// to.
+    bool CrashedUnlessThere = false;
     absl::Time LastOrder = absl::InfinitePast();
     int Percent = 0;
     absl::Time PercentAt = absl::InfinitePast();
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -99,8 +99,8 @@
       if (state.Progress.Worker != life)
         return;
       any = true;
-      if (suspects.count({core::taskName(task), state.Progress.Run}) != 0)
-        takeCrash(job, task, state);
+      state.CrashedUnlessThere |=
+          suspects.count({core::taskName(task), state.Progress.Run}) != 0;
       if (mayStillBegin(task, state, end, next, now))
         settleAtNextLife(job, task, state, *next, now);
       else
@@ -131,6 +131,7 @@
       task->Progress.Saved = running.Saved;
     task->Percent = running.Percent;
     task->Listed = true;
+    task->CrashedUnlessThere = false;
     if (report.Reachable) {
       task->PercentAt = now - absl::Milliseconds(report.ListedMsAgo);
       watch(id, *task, task->PercentAt);
@@ -322,6 +323,8 @@
 
 void JobScheduler::runAbsent(Job &job, const TaskId &id, Task &task,
                              const std::string &why) {
+  if (std::exchange(task.CrashedUnlessThere, false))
+    takeCrash(job, id, task);
   note(Decision::Kind::Settled, id.Job, core::taskName(id), task.Progress.Run,
        task.Progress.Worker.Id, why);
   Workers.vacate(task.Progress.Worker, {core::taskName(id), task.Progress.Run});
--- a/tests/auto/cluster/tst_crashdays.cpp
+++ b/tests/auto/cluster/tst_crashdays.cpp
@@ -149,6 +149,7 @@
 constexpr int RegressionSeeds[] = {
     199,  // a try of a start came late to the worker's next life
     1254, // the same, after its run had ended
+    133,  // a crash was blamed on a run that the next life had
     581,  // the next life was told to forget an end by the count of the one
           // before
     616,  // the same
