A report of a worker's earlier life that comes late ends nothing

Reports overtake each other; each life's are numbered, but one of an earlier life was not held against those of the next one: it named another life than the one that stands there, which was taken for ended, and its tasks started elsewhere while they ran. It could happen with new ids, too.

The fleet keeps the latest life that ended beside each agent and the number of the report that told it; an older report that names that life is dropped.

ReportOfAnEarlierLifeThatComesLateEndsNothing failed before (j.0.0.0 ran twice).

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -16,6 +16,12 @@
   return std::nullopt;
 }
 
+bool Fleet::isOvertaken(const endpoints::WorkerReport &report) const {
+  auto it = ToldEnds.find(report.Agent);
+  return it != ToldEnds.end() && it->second.Life == report.Worker.Life &&
+         report.Sequence < it->second.Sequence;
+}
+
 std::vector<endpoints::LifeEnd>
 Fleet::heard(const endpoints::WorkerReport &report, absl::Time now) {
   std::vector<endpoints::LifeEnd> ended;
@@ -23,8 +29,10 @@
     if (worker.Agent == report.Agent)
       if (const auto end = endOf(report, life))
         ended.push_back(*end);
-  for (const endpoints::LifeEnd &end : ended)
+  for (const endpoints::LifeEnd &end : ended) {
     Workers.erase(end.Life);
+    ToldEnds[report.Agent] = {end.Life, report.Sequence};
+  }
   if (report.Worker.Life.empty())
     return ended;
   WorkerView &worker = Workers[report.Worker.Life];
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -74,6 +74,8 @@
 public:
   explicit Fleet(FleetPolicy policy) : Policy(policy) {}
 
+  /// Whether report was overtaken by one that told that its life is over.
+  bool isOvertaken(const endpoints::WorkerReport &report) const;
   /// Takes a report's worker. Returns the lives that it ended: a new life of
   /// the same agent's worker means that nothing of the old one runs.
   std::vector<endpoints::LifeEnd> heard(const endpoints::WorkerReport &report,
@@ -108,6 +110,12 @@
 private:
   const FleetPolicy Policy;
   std::map<WorkerLife, WorkerView> Workers;
+  /// The latest life that ended beside an agent, and the report that told it.
+  struct ToldEnd {
+    WorkerLife Life;
+    int64_t Sequence = 0;
+  };
+  std::map<std::string, ToldEnd> ToldEnds;
 };
 
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -27,6 +27,8 @@
   // Reports overtake each other: an older one would undo what a newer told.
   if (before != nullptr && report.Sequence <= before->Sequence)
     return before->SeenUpto;
+  if (Workers.isOvertaken(report))
+    return 0;
   for (const endpoints::LifeEnd &end : Workers.heard(report, now)) {
     if (end.Crashed)
       Crashes[report.Agent] = now;
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -106,6 +106,29 @@
   EXPECT_EQ(site.state("j"), JobState::Completed);
 }
 
+// Guards against a task that runs twice: a report of a worker's earlier life,
+// overtaken by the next one's, is taken for the end of that.
+TEST(JobScheduler, ReportOfAnEarlierLifeThatComesLateEndsNothing) {
+  SimSite site;
+  site.addWorker("w", "r");
+  site.runFor(absl::Milliseconds(600));
+  endpoints::WorkerReport late;
+  late.Worker = site.worker("w").State;
+  late.Agent = site.worker("w").Agent;
+  late.AgentAddress = late.Agent;
+  site.crash("w", "next");
+  site.worker("next").Sequence = 100;
+  late.Sequence = 50;
+  site.runFor(absl::Milliseconds(600));
+  site.submit(jobOf("j", step(1, {1000, 100, 8}, 2000)));
+  site.runFor(absl::Milliseconds(500));
+  ASSERT_EQ(site.placesOf("j").size(), 1u);
+  site.scheduler().onReport(late, site.now());
+  ASSERT_TRUE(site.runUntilOver(absl::Seconds(6)));
+  EXPECT_EQ(site.starts(), 1);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
 // Guards against room that stays taken by a run whose end nobody will list.
 TEST(JobScheduler, RunThatIsAbsentWithoutAnEndGivesItsRoomBack) {
   SimSite site;
