--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -139,64 +139,6 @@
   Changed = true;
 }
 
-void JobScheduler::onRecord(const JobRecord &record, int64_t revision,
-                            absl::Time now) {
-  auto [it, added] = Jobs.try_emplace(record.Spec.Id);
-  Job &job = it->second;
-  if (revision <= job.RecordRevision)
-    return;
-  if (added) {
-    job.Arrived = now;
-    // What a new leader reads back has come over minutes, not at once: it says
-    // nothing of what is to come.
-    if (record.Priority == 0 && fleetKnown(now) && !record.Spec.Steps.empty()) {
-      const core::StepSpec &first = record.Spec.Steps.front();
-      Urgent.arrived(first.Count * first.PerTask.Accelerators, now);
-    }
-  }
-  job.Record = record;
-  job.RecordRevision = revision;
-  Changed = true;
-  if (record.Cancelled && !job.over())
-    endJob(job, JobState::Cancelled, now);
-}
-
-void JobScheduler::onProgress(const std::string &jobId,
-                              const JobProgress &progress, int64_t revision,
-                              absl::Time now) {
-  auto it = Jobs.find(jobId);
-  if (it == Jobs.end())
-    return;
-  Job &job = it->second;
-  job.ProgressRevision = revision;
-  job.Version = progress.Version;
-  job.WrittenVersion = progress.Version;
-  job.State = progress.State;
-  job.WrittenState = progress.State;
-  for (const auto &[number, steps] : progress.Tasks) {
-    std::vector<Step> &mine = occurrence(job, number);
-    for (size_t s = 0; s < std::min(steps.size(), mine.size()); ++s)
-      for (size_t i = 0; i < std::min(steps[s].size(), mine[s].size()); ++i) {
-        mine[s][i].Progress = steps[s][i];
-        job.HasSuspects |= mine[s][i].isSuspect();
-        // Whether the run was ever ordered is not known; the worker's list
-        // tells.
-        if (mine[s][i].mayRun()) {
-          mine[s][i].What = Phase::Adopted;
-          Unheard[steps[s][i].Worker] = {steps[s][i].Agent};
-        }
-      }
-  }
-  if (job.over())
-    job.FinishedAt = now;
-  else if (job.Record.Cancelled)
-    endJob(job, JobState::Cancelled, now);
-}
-
-void JobScheduler::onRecordRemoved(const std::string &jobId) {
-  Jobs.erase(jobId);
-}
-
 void JobScheduler::judgeJob(Job &job, absl::Time now) {
   if (job.over())
     return;
@@ -248,62 +190,6 @@
   });
 }
 
-std::vector<ProgressWrite> JobScheduler::takeWrites() {
-  std::vector<ProgressWrite> writes;
-  for (auto &[id, job] : Jobs) {
-    if (!job.Dirty || job.Writing)
-      continue;
-    job.Dirty = false;
-    job.Writing = true;
-    ++job.Version;
-    JobProgress progress;
-    progress.Version = job.Version;
-    progress.State = job.State;
-    for (const auto &[number, steps] : job.Occurrences) {
-      auto &out = progress.Tasks[number];
-      for (const Step &step : steps) {
-        auto &tasks = out.emplace_back();
-        for (const Task &t : step)
-          tasks.push_back(t.Progress);
-      }
-    }
-    std::string value = encode(progress);
-    writes.push_back({id, job.RecordRevision, job.ProgressRevision,
-                      std::move(progress), std::move(value)});
-  }
-  return writes;
-}
-
-void JobScheduler::onWritten(const std::string &jobId, int64_t version,
-                             int64_t revision, absl::Time now) {
-  auto it = Jobs.find(jobId);
-  if (it == Jobs.end())
-    return;
-  Job &job = it->second;
-  job.Writing = false;
-  job.ProgressRevision = revision;
-  job.WrittenVersion = version;
-  forEachTask(job, [&](const TaskId &id, Task &task) {
-    if (task.What == Phase::Recording && task.StartVersion <= version)
-      order(job, id, task, now);
-  });
-  std::vector<Job::EndAck> later;
-  for (const Job::EndAck &ack : job.EndAcks)
-    if (ack.Version <= version)
-      Workers.endRecorded(ack.Life, ack.Number);
-    else
-      later.push_back(ack);
-  job.EndAcks = std::move(later);
-}
-
-void JobScheduler::onNotWritten(const std::string &jobId) {
-  auto it = Jobs.find(jobId);
-  if (it == Jobs.end())
-    return;
-  it->second.Writing = false;
-  it->second.Dirty = true;
-}
-
 // The start is recorded: it is ordered, unless the job ended or the worker
 // was lost meanwhile. Then it certainly never ran, unless it was ordered
 // before: that order may still be carried out.
@@ -467,39 +353,10 @@
   return std::exchange(Ending, {});
 }
 
-std::vector<std::string> JobScheduler::takeExpired(absl::Time now) {
-  std::vector<std::string> expired;
-  for (auto &[id, job] : Jobs) {
-    bool settled = isFinal(job.State) && !job.Dirty && !job.Writing &&
-                   now - job.FinishedAt > Policy.KeepFinished;
-    forEachTask(job, [&](const TaskId &, Task &task) {
-      settled = settled && !task.mayRun();
-    });
-    if (settled)
-      expired.push_back(id);
-  }
-  return expired;
-}
-
 size_t JobScheduler::activeJobs() const {
   return static_cast<size_t>(
       std::count_if(Jobs.begin(), Jobs.end(),
                     [](const auto &j) { return !j.second.over(); }));
 }
 
-std::optional<JobProgress>
-JobScheduler::progress(const std::string &jobId) const {
-  auto it = Jobs.find(jobId);
-  if (it == Jobs.end())
-    return std::nullopt;
-  JobProgress progress{it->second.Version, it->second.State, {}};
-  for (const auto &[number, steps] : it->second.Occurrences)
-    for (const Step &step : steps) {
-      auto &tasks = progress.Tasks[number].emplace_back();
-      for (const Task &t : step)
-        tasks.push_back(t.Progress);
-    }
-  return progress;
-}
-
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -295,6 +295,7 @@
     }
   };
 
+  static JobProgress progressOf(const Job &job);
   Task *findTask(const core::TaskId &id);
   std::vector<Step> &occurrence(Job &job, int number);
   int dueOccurrences(const Job &job) const;
--- a/tests/auto/cluster/tst_restarts.cpp
+++ b/tests/auto/cluster/tst_restarts.cpp
@@ -54,6 +54,14 @@
     Site->runFor(absl::Milliseconds(100));
     ASSERT_EQ(Site->accepted().count(spec.Id), 1u);
   }
+  /// Hands in a job whose starts all go out and come late to their workers.
+  void submitWithLateStarts() {
+    for (int n = 0; n < Workers; ++n)
+      Site->worker(n).LateOrders = 1;
+    submit(job("j", Workers, 8, 6000));
+    for (int n = 0; n < Workers; ++n)
+      Site->worker(n).LateOrders = 0;
+  }
   void expectOver(absl::Duration limit) {
     EXPECT_TRUE(Site->runUntilOver(limit));
     for (const std::string &id : Site->accepted())
@@ -109,24 +117,17 @@
 // Guards against a task that runs twice: the start for the life before is
 // carried out by the next one, which answers to the same id.
 TEST_P(Restart, LateStartForTheLifeBeforeDoesNotRunBesideItsTask) {
+  submitWithLateStarts();
   for (int n = 0; n < Workers; ++n)
-    Site->worker(n).LateOrders = 1;
-  submit(job("j", Workers, 8, 6000));
-  for (int n = 0; n < Workers; ++n) {
-    Site->worker(n).LateOrders = 0;
     restart(n);
-  }
   Site->runFor(absl::Seconds(14));
   expectOver(absl::Seconds(30));
 }
 
 // Guards against the same where the agent is new, too, and knows of nothing.
 TEST_P(Restart, LateStartIsSettledByAnAgentThatIsNewToo) {
-  for (int n = 0; n < Workers; ++n)
-    Site->worker(n).LateOrders = 1;
-  submit(job("j", Workers, 8, 6000));
+  submitWithLateStarts();
   for (int n = 0; n < Workers; ++n) {
-    Site->worker(n).LateOrders = 0;
     Site->killAgent(n);
     restart(n);
   }
@@ -139,13 +140,9 @@
 
 // Guards against the same where the leader is new.
 TEST_P(Restart, LateStartIsSettledByTheNextLeader) {
+  submitWithLateStarts();
   for (int n = 0; n < Workers; ++n)
-    Site->worker(n).LateOrders = 1;
-  submit(job("j", Workers, 8, 6000));
-  for (int n = 0; n < Workers; ++n) {
-    Site->worker(n).LateOrders = 0;
     restart(n);
-  }
   Site->runFor(absl::Milliseconds(500));
   Site->killEntry(Site->leader());
   Site->runFor(absl::Seconds(14));
