Tests: leaves with and without a birth, a life that was taken for ended

A leave that names its life's birth, none, one of another type, or is no JSON; one without a birth ends only a worker that drains; a life that was taken for ended and answers again is served again.

--- a/tests/auto/adapter/tst_workerform.cpp
+++ b/tests/auto/adapter/tst_workerform.cpp
@@ -236,5 +236,42 @@
 INSTANTIATE_TEST_SUITE_P(Table, Heartbeats, ::testing::ValuesIn(BeatCases),
                          [](const auto &info) { return info.param.Name; });
 
+struct LeaveCase {
+  const char *Name;
+  const char *Body;
+  int64_t BornMs;
+};
+
+void PrintTo(const LeaveCase &c, std::ostream *out) { *out << c.Name; }
+
+class Leaves : public ::testing::TestWithParam<LeaveCase> {};
+
+// Guards against a leave of an earlier life that is taken for the present
+// one's.
+TEST_P(Leaves, SayWhichLifeLeavesIfTheyCan) {
+  PlatformStub stub(std::nullopt);
+  std::optional<endpoints::WorkerLife> left;
+  HeartbeatFront front(
+      stub.Loop, "127.0.0.1", 0,
+      [](const endpoints::Heartbeat &) { return true; },
+      [&left](const endpoints::WorkerLife &life) { left = life; });
+  const http::HttpResult result = http::HttpClient(2000).call(
+      "POST",
+      "http://127.0.0.1:" + std::to_string(front.port()) +
+          "/-/Instances.Deregister/life-1",
+      GetParam().Body);
+  EXPECT_EQ(result.Status, 200);
+  EXPECT_EQ(left, (endpoints::WorkerLife{"life-1", GetParam().BornMs}));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, Leaves,
+    ::testing::Values(LeaveCase{"born", R"({"born":1791000000000})",
+                                1791000000000},
+                      LeaveCase{"not_told", "{}", 0},
+                      LeaveCase{"wrong_type", R"({"born":"x"})", 0},
+                      LeaveCase{"no_json", "<html>", 0}),
+    [](const auto &test) { return std::string(test.param.Name); });
+
 } // namespace
 } // namespace oriolebay::adapter
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -236,6 +236,36 @@
     EXPECT_EQ(call.SeenUpto, 0);
 }
 
+// Guards against a worker that has started again under its id and is taken for
+// gone, as a leave of its life before comes late and names no birth.
+TEST(WorkerAgent, LeaveWithoutABirthEndsOnlyAWorkerThatDrains) {
+  AgentBench bench;
+  bench.Agent->onLeave({"life", 0});
+  bench.Loop.advance(absl::Milliseconds(10));
+  EXPECT_TRUE(bench.Agent->status().Reachable);
+  bench.Beat.Worker.Draining = true;
+  bench.beat();
+  bench.Agent->onLeave({"life", 0});
+  bench.Loop.advance(absl::Milliseconds(10));
+  EXPECT_FALSE(bench.Agent->status().Reachable);
+}
+
+// Guards against a worker that answers and is never used again, as it was once
+// taken for gone.
+TEST(WorkerAgent, LifeThatWasTakenForEndedIsServedAgainIfItAnswers) {
+  AgentBench bench;
+  bench.HoldAnswer = {};
+  bench.HoldAnswer.Status = CallStatus::NotThere;
+  bench.Loop.advance(absl::Milliseconds(1500));
+  ASSERT_FALSE(bench.Agent->status().Reachable);
+  bench.HoldAnswer.Status = CallStatus::Ok;
+  bench.HoldAnswer.ClockMs = 7000;
+  bench.beat();
+  bench.Loop.advance(absl::Seconds(1));
+  EXPECT_TRUE(bench.Agent->status().Reachable);
+  EXPECT_TRUE(bench.Reports.back().EndedLives.empty());
+}
+
 // Guards against planned ends of workers that are taken for crashes.
 TEST(WorkerAgent, EndOfADrainingWorkerIsNoCrash) {
   AgentBench bench;
