--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -71,7 +71,7 @@
 }
 
 void Planner::run() {
-  markTrials();
+  markSuspects();
   rankJobs();
   collectUnits();
   for (Unit &unit : Units)
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -51,7 +51,7 @@
     bool JustBegun = false;
     /// One of those is a suspect's: nothing else starts there until the worker
     /// has outlived it, so that a crash tells whose doing it is.
-    bool OnTrial = false;
+    bool HoldsSuspect = false;
   };
   /// What is placed as one: a gang, or the ready tasks of a step one by one.
   struct Unit {
@@ -138,7 +138,7 @@
   void collectUnits();
   void collectTasks(Unit &unit, const JobScheduler::Step &step);
   void avoidFailed(Unit &unit, const JobScheduler::Step &step) const;
-  void markTrials();
+  void markSuspects();
   void markBegun(size_t place, const Unit &unit);
   bool mayStartOn(const Place &place, const Unit &unit) const;
   /// Smaller is better.
--- a/src/libs/jobs/planner_trials.cpp
+++ b/src/libs/jobs/planner_suspects.cpp
@@ -8,15 +8,15 @@
 
 namespace {
 
-/// What a start puts at risk besides itself: work on the same worker, and the
-/// judgement, where the worker may crash by itself.
+/// What the start of a suspect puts at risk: work on the same worker, and its
+/// own job, where the worker may crash by itself.
 constexpr int RiskOfWork = 1;
 constexpr int RiskOfOwnCrash = 2;
 
 } // namespace
 
 // Looks at all that runs, and so only while there are suspects.
-void Planner::markTrials() {
+void Planner::markSuspects() {
   const bool suspects =
       std::any_of(S.Jobs.begin(), S.Jobs.end(),
                   [](const auto &entry) { return entry.second.HasSuspects; });
@@ -30,17 +30,17 @@
       if (place == PlaceOf.end())
         return;
       Places[place->second].JustBegun = true;
-      Places[place->second].OnTrial |= task.isSuspect();
+      Places[place->second].HoldsSuspect |= task.isSuspect();
     });
 }
 
 void Planner::markBegun(size_t p, const Unit &unit) {
   Places[p].JustBegun = true;
-  Places[p].OnTrial |= unit.Suspect;
+  Places[p].HoldsSuspect |= unit.Suspect;
 }
 
 bool Planner::mayStartOn(const Place &place, const Unit &unit) const {
-  return !place.OnTrial && !(unit.Suspect && place.JustBegun);
+  return !place.HoldsSuspect && !(unit.Suspect && place.JustBegun);
 }
 
 int Planner::riskOf(const Place &place, const Unit &unit) const {
--- a/tests/auto/jobs/tst_crashes.cpp
+++ b/tests/auto/jobs/tst_crashes.cpp
@@ -152,8 +152,9 @@
   EXPECT_EQ(startsOfLong, 3);
 }
 
-// Guards against a task that is held to be guilty for good because it happened
-// to stand on workers that crashed, once each time it was started anew.
+// Guards against a task that is taken for the cause for good because it
+// happened to stand on workers that crashed, once each time it was started
+// anew.
 TEST(CrashingTask, SuspectThatItsWorkerOutlivesIsCleared) {
   CrashSite site(4);
   site.submit(jobOf("clean", step(1, 8, 4000)));
@@ -169,7 +170,7 @@
 }
 
 // Guards against jobs that fail because all workers crash at once, twice.
-TEST(CrashingTask, CrashesOfAllWorkersAtOnceMakeNobodyGuilty) {
+TEST(CrashingTask, CrashesOfAllWorkersAtOnceFailNoJob) {
   CrashSite site(6);
   for (int n = 0; n < 6; ++n)
     site.submit(jobOf("clean" + std::to_string(n), step(2, 4, 5000)));
