Tests: one place says when a job may fail

WorkerCrashes knew by itself that a job may fail once two workers have gone down while they ran one task of it. The tests of late starts need the same rule, so it moves unchanged into MemoryCluster.

Checked with WorkerCrashes.InvariantsHoldUnderRandomFaults (passes, as before).

--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -231,6 +231,15 @@
       [](const utils::Error &) { return std::optional<jobs::JobState>(); });
 }
 
+bool MemoryCluster::isFailureAllowed(const std::string &job) const {
+  return std::any_of(Shared.WorkersLostByTask.begin(),
+                     Shared.WorkersLostByTask.end(), [&](const auto &entry) {
+                       core::TaskId id;
+                       return core::parseTaskName(entry.first, id) &&
+                              id.Job == job && entry.second >= 2;
+                     });
+}
+
 bool MemoryCluster::runUntilAllEnded(absl::Duration limit) {
   const absl::Time end = Loop.now() + limit;
   auto finished = [this] {
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -100,6 +100,9 @@
   void setCrashingTasks(std::function<bool(const std::string &task)> crashes) {
     Shared.CrashesWorker = std::move(crashes);
   }
+  /// Returns whether the job may fail: two workers have gone down while they
+  /// ran one task of it.
+  bool isFailureAllowed(const std::string &job) const;
   /// The job's state according to the store.
   std::optional<jobs::JobState> storedState(const std::string &job) const;
 
--- a/tests/auto/cluster/tst_workercrashes.cpp
+++ b/tests/auto/cluster/tst_workercrashes.cpp
@@ -6,7 +6,6 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <random>
 #include <set>
 #include <string>
@@ -162,18 +161,6 @@
     616,  // the same
 };
 
-/// A job may fail once two workers have gone down while they ran one task of
-/// it.
-bool isFailureAllowed(const MemoryCluster &cluster, const std::string &job) {
-  const auto &workersLost = cluster.sharedState().WorkersLostByTask;
-  return std::any_of(workersLost.begin(), workersLost.end(),
-                     [&](const auto &entry) {
-                       core::TaskId id;
-                       return core::parseTaskName(entry.first, id) &&
-                              id.Job == job && entry.second >= 2;
-                     });
-}
-
 // Guards against tasks that crash workers without end, and against other jobs
 // that are lost or failed because of them.
 TEST(WorkerCrashes, InvariantsHoldUnderRandomFaults) {
@@ -198,7 +185,7 @@
       EXPECT_TRUE(isCrashingJob(job) ? state == jobs::JobState::Failed
                                      : state == jobs::JobState::Completed ||
                                            (state == jobs::JobState::Failed &&
-                                            isFailureAllowed(cluster, job)))
+                                            cluster.isFailureAllowed(job)))
           << "seed " << seed << ": " << job << '\n'
           << cluster.decisionsText(job);
     }
