Tests: the stand-in worker names both runs; late keep-alive calls and clocks

A violation said only "TASK runs twice" or "WORKER runs more than its capacity", which left open which start went over and what ran there. It now names the start that broke the rule (task, run, worker), the run beside it with its worker, and for the capacity all runs on the worker. Each run beside the start is one violation.

New options, all off by default and none of them more lenient: late keep-alive calls like late orders, the bounds of the delay, a clock that goes on across restarts, and the id after a crash that a task caused.

--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -33,6 +33,7 @@
   State.Labels = {"a", State.Rack};
   State.Capacity = capacity;
   IncarnationStart = Loop.now();
+  ClockStart = Loop.now();
   State.Life = {Name + "-0", randomStartTimeMs()};
   Loop.runAfter(StepInterval, [this] { step(); });
 }
@@ -48,10 +49,17 @@
   return share > 0 && std::uniform_real_distribution<>(0, 1)(Random) < share;
 }
 
+absl::Duration MemoryWorker::randomLateDelay() {
+  const auto ms = std::uniform_int_distribution<int64_t>(
+      absl::ToInt64Milliseconds(MinLateDelay),
+      absl::ToInt64Milliseconds(MaxLateDelay))(Random);
+  return absl::Milliseconds(ms);
+}
+
 int64_t MemoryWorker::clockMs() const {
-  return 1000 + static_cast<int64_t>(
-                    absl::ToDoubleMilliseconds(Loop.now() - IncarnationStart) *
-                    ClockRate);
+  return 1000 +
+         static_cast<int64_t>(
+             absl::ToDoubleMilliseconds(Loop.now() - ClockStart) * ClockRate);
 }
 
 endpoints::Heartbeat MemoryWorker::heartbeat() {
@@ -74,6 +82,8 @@
   NextEndNumber = 1;
   HeartbeatSequence = 0;
   IncarnationStart = Loop.now();
+  if (!ClockGoesOn)
+    ClockStart = Loop.now();
   State.Draining = false;
   if (id == RestartId::New)
     State.Life.Id = Name + "-" + std::to_string(++IncarnationCount);
@@ -119,7 +129,7 @@
     if (incarnation != State.Life)
       return;
     ++Shared.CrashesByTask[task];
-    crashFor(RestartDelay);
+    crashFor(RestartDelay, IdAfterTaskCrash);
   });
 }
 
@@ -141,6 +151,29 @@
       std::max(LeaseUntilMs, std::min(untilMs, clockMs() + MaxLeaseMs));
 }
 
+// Records what no start may cause: a second run of a task, a start after an
+// acknowledged end, and more than the worker's capacity.
+void MemoryWorker::checkStart(const Key &key) {
+  const std::string started =
+      key.first + " run " + std::to_string(key.second) + " on " + State.Life.Id;
+  if (Shared.AcknowledgedDone.count(key.first) != 0)
+    Shared.Violations.push_back(started +
+                                " was started after its end was acknowledged");
+  for (const auto &[worker, run] : Shared.Running[key.first])
+    Shared.Violations.push_back(started + " runs twice: beside run " +
+                                std::to_string(run) + " on " + worker);
+  core::Resources used = Shared.StepOf(key.first).taskResources();
+  std::string others;
+  for (const auto &[k, run] : Runs) {
+    used += Shared.StepOf(k.first).taskResources();
+    others += ' ' + k.first + " run " + std::to_string(k.second);
+  }
+  if (!used.fitsIn(enforcedCapacity()))
+    Shared.Violations.push_back(
+        started + " makes the worker run more than its capacity: beside" +
+        others);
+}
+
 CallOutcome MemoryWorker::start(const endpoints::StartCall &call) {
   const Key key{call.Order.Task, call.Order.Run};
   if (call.Epoch < FencingToken)
@@ -154,16 +187,7 @@
     return refuse(RefusalReason::StaleRun);
   if (call.UntilMs <= clockMs())
     return refuse(RefusalReason::TooLate);
-  if (Shared.AcknowledgedDone.count(key.first) != 0)
-    Shared.Violations.push_back(key.first +
-                                " was started after its end was acknowledged");
-  if (!Shared.Running[key.first].empty())
-    Shared.Violations.push_back(key.first + " runs twice");
-  core::Resources used = Shared.StepOf(key.first).taskResources();
-  for (const auto &[k, run] : Runs)
-    used += Shared.StepOf(k.first).taskResources();
-  if (!used.fitsIn(enforcedCapacity()))
-    Shared.Violations.push_back(State.Life.Id + " runs more than its capacity");
+  checkStart(key);
   countStart(key.first);
   Shared.Running[key.first].insert({State.Life.Id, key.second});
   Run run;
@@ -242,8 +266,7 @@
     return execute();
   };
   if (chance(LateOrderShare)) {
-    const auto ms = std::uniform_int_distribution<>(2000, 12000)(Random);
-    Loop.runAfter(absl::Milliseconds(ms),
+    Loop.runAfter(randomLateDelay(),
                   [executeIfAddressed] { executeIfAddressed(); });
     noAnswer();
     return;
@@ -268,35 +291,46 @@
         c.Incarnation, [this, c] { return stop(c); }, done);
   };
   calls.KeepAlive = [this](const endpoints::KeepAliveCall &c,
-                           const auto &done) {
-    if (Down) {
-      Loop.runAfter(OrderTimeout, [done] { done({}); });
+                           const auto &done) { deliverKeepAlive(c, done); };
+  return calls;
+}
+
+void MemoryWorker::deliverKeepAlive(
+    const endpoints::KeepAliveCall &call,
+    const std::function<void(endpoints::KeepAliveReply)> &done) {
+  if (Down) {
+    Loop.runAfter(OrderTimeout, [done] { done({}); });
+    return;
+  }
+  if (isListening() && chance(LateKeepAliveShare)) {
+    Loop.runAfter(randomLateDelay(), [this, call] {
+      if (isListening() && call.Incarnation.Id == State.Life.Id)
+        keepAlive(call);
+    });
+    Loop.runAfter(PollTimeout, [done] { done({}); });
+    return;
+  }
+  Loop.runAfter(AnswerDelay, [this, call, done] {
+    endpoints::KeepAliveReply reply;
+    if (!isListening()) {
+      reply.Outcome.Status = CallStatus::NotListening;
+      done(reply);
       return;
     }
-    Loop.runAfter(AnswerDelay, [this, c, done] {
-      if (!isListening()) {
-        endpoints::KeepAliveReply reply;
-        reply.Outcome.Status = CallStatus::NotListening;
-        done(reply);
-        return;
-      }
-      if (c.Incarnation.Id != State.Life.Id) {
-        endpoints::KeepAliveReply reply;
-        reply.Outcome.Status = CallStatus::OtherIncarnation;
-        done(reply);
-        return;
-      }
-      const endpoints::KeepAliveReply reply = keepAlive(c);
-      if (c.WaitMs == 0 || !reply.Ended.empty() ||
-          reply.Outcome.Status != CallStatus::Ok) {
-        done(reply);
-        return;
-      }
-      PendingPolls.push_back(
-          {c, done, Loop.now() + absl::Milliseconds(c.WaitMs)});
-    });
-  };
-  return calls;
+    if (call.Incarnation.Id != State.Life.Id) {
+      reply.Outcome.Status = CallStatus::OtherIncarnation;
+      done(reply);
+      return;
+    }
+    reply = keepAlive(call);
+    if (call.WaitMs == 0 || !reply.Ended.empty() ||
+        reply.Outcome.Status != CallStatus::Ok) {
+      done(reply);
+      return;
+    }
+    PendingPolls.push_back(
+        {call, done, Loop.now() + absl::Milliseconds(call.WaitMs)});
+  });
 }
 
 void MemoryWorker::endRun(const Key &key, RunEnd how) {
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -60,8 +60,19 @@
   /// enforced only after a delay.
   void setCapacity(core::Resources capacity);
 
-  /// Share of orders that get no answer and are carried out 2 to 12 s later.
+  /// Share of orders that get no answer and are carried out late, by whatever
+  /// incarnation has the same id and listens then.
   double LateOrderShare = 0;
+  /// The same for keep-alive calls.
+  double LateKeepAliveShare = 0;
+  /// Bounds of the delay of late orders and keep-alive calls.
+  absl::Duration MinLateDelay = absl::Seconds(2);
+  absl::Duration MaxLateDelay = absl::Seconds(12);
+  /// Whether the worker's clock goes on across restarts, as that of its host
+  /// does. Otherwise it begins anew with each incarnation.
+  bool ClockGoesOn = false;
+  /// The id after a crash that a task caused.
+  RestartId IdAfterTaskCrash = RestartId::New;
   /// Share of orders that are carried out but whose answer is lost.
   double LostOrderAnswerShare = 0;
   bool FailsAll = false;
@@ -86,11 +97,16 @@
   int64_t randomStartTimeMs();
   int64_t clockMs() const;
   bool chance(double share);
+  absl::Duration randomLateDelay();
   endpoints::CallOutcome ok() const;
   endpoints::CallOutcome refuse(endpoints::RefusalReason reason) const;
+  void checkStart(const Key &key);
   endpoints::CallOutcome start(const endpoints::StartCall &call);
   endpoints::CallOutcome stop(const endpoints::StopCall &call);
   endpoints::KeepAliveReply keepAlive(const endpoints::KeepAliveCall &call);
+  void
+  deliverKeepAlive(const endpoints::KeepAliveCall &call,
+                   const std::function<void(endpoints::KeepAliveReply)> &done);
   void deliverOrder(const endpoints::WorkerIncarnation &incarnation,
                     const std::function<endpoints::CallOutcome()> &execute,
                     const std::function<void(endpoints::CallOutcome)> &done);
@@ -107,6 +123,7 @@
   int IncarnationCount = 0;
   int64_t HeartbeatSequence = 0;
   absl::Time IncarnationStart;
+  absl::Time ClockStart;
   absl::Time ListensFrom = absl::InfinitePast();
   /// Earlier capacities, each with the time until which it was valid.
   std::vector<std::pair<absl::Time, core::Resources>> PreviousCapacities;
