Tests: a listed run that is not recorded takes no capacity and bars nothing, red

Callers saw a worker over its capacity and, on the same traces, a second run of a task that the leader could have known of. The leader ordered the stop ("no record of this run"), but counted nothing for the run on that worker: it placed a waiting task there 5 ms later, and the next run of the listed task on another worker. Both began while the first one was still being stopped.

That is not the late start by itself but what the leader does with a run that it has no record of, so it gets tests of its own: the late start arrives while the agent is away, and its worker lists it from the first report on.

--- a/tests/auto/cluster/tst_latestarts.cpp
+++ b/tests/auto/cluster/tst_latestarts.cpp
@@ -114,6 +114,31 @@
       Cluster->worker(n).crashFor(absl::Milliseconds(GetParam().DowntimeMs),
                                   RestartId::Same);
   }
+  /// Makes late orders arrive once the workers have restarted for the first
+  /// time, but before their agents are back.
+  void setLateDelayToFirstRestart() {
+    const absl::Duration delay =
+        absl::Milliseconds(GetParam().GapMs + GetParam().DowntimeMs + 200);
+    for (int n = 0; n < Workers; ++n) {
+      Cluster->worker(n).MinLateDelay = delay;
+      Cluster->worker(n).MaxLateDelay = delay;
+    }
+  }
+  /// Restarts all workers but the last. Their agents are lost, and come back
+  /// once late orders have arrived.
+  void restartWorkersWithoutAgents() {
+    restartWorkers();
+    for (int n = 0; n < Workers - 1; ++n)
+      Cluster->killAgent(n);
+    Cluster->runFor(absl::Milliseconds(GetParam().DowntimeMs + 300));
+    for (int n = 0; n < Workers - 1; ++n)
+      Cluster->startAgent(n);
+  }
+  void expectCapacityNotExceeded() {
+    for (const std::string &violation : Cluster->violations())
+      EXPECT_EQ(violation.find("more than its capacity"), std::string::npos)
+          << violation;
+  }
   void expectRunsOnce() {
     Cluster->runFor(AllLateOrdersDelivered);
     expectAllEnd(*Cluster);
@@ -192,13 +217,38 @@
     restartWorkers();
     restartWorkers();
     Cluster->runFor(AllLateOrdersDelivered);
-    for (const std::string &violation : Cluster->violations())
-      EXPECT_EQ(violation.find("more than its capacity"), std::string::npos)
-          << violation;
+    expectCapacityNotExceeded();
+    expectAllEnd(*Cluster);
+  });
+}
+
+// Guards against a worker that runs more than its capacity: it lists a late
+// start that nobody recorded, and gets other tasks before that has ended.
+TEST_P(LateStart, ThatIsListedButNotRecordedTakesCapacity) {
+  forEachSeed([this] {
+    setLateDelayToFirstRestart();
+    submitWithLateStarts(6000);
+    restartWorkersWithoutAgents();
+    core::JobSpec urgent = makeJob("urgent", 2 * Workers, 8, 1500);
+    urgent.Queue = "q0";
+    Cluster->submit(0, "k", urgent);
+    Cluster->runFor(AllLateOrdersDelivered);
+    expectCapacityNotExceeded();
     expectAllEnd(*Cluster);
   });
 }
 
+// Guards against a task that runs twice: a worker lists a run that nobody
+// expects there, and the next run starts before that has ended.
+TEST_P(LateStart, ThatIsListedBarsOtherRunsOfItsTask) {
+  forEachSeed([this] {
+    setLateDelayToFirstRestart();
+    submitWithLateStarts(6000);
+    restartWorkersWithoutAgents();
+    expectRunsOnce();
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Table, LateStart,
     testing::Values(RestartTiming{"between_two_polls", 20, 1500},
