Tests: a start that never ran counts as a crash of its worker, red

A job was shown as failed although no worker had run any task of it. A start got no answer, its worker restarted within half a second of it for another reason, and the leader counted that as a crash by the task ("it had just started there"), although the next incarnation had confirmed that it does not know the run. The second such restart fails the job.

--- a/tests/auto/cluster/tst_latestarts.cpp
+++ b/tests/auto/cluster/tst_latestarts.cpp
@@ -134,6 +134,13 @@
     for (int n = 0; n < Workers - 1; ++n)
       Cluster->startAgent(n);
   }
+  /// Runs until the leader has placed the run.
+  void runUntilPlaced(const std::string &run) {
+    for (int n = 0; n < 20000 && Cluster->decisionsText("late").find(
+                                     "0 " + run) == std::string::npos;
+         ++n)
+      Cluster->runFor(absl::Milliseconds(1));
+  }
   void expectCapacityNotExceeded() {
     for (const std::string &violation : Cluster->violations())
       EXPECT_EQ(violation.find("more than its capacity"), std::string::npos)
@@ -249,6 +256,25 @@
   });
 }
 
+// Guards against a job that fails although none of its tasks has crashed a
+// worker: workers restart before they carry out its starts.
+TEST_P(LateStart, ThatNeverRanDoesNotFailItsJob) {
+  forEachSeed([this] {
+    Cluster->submit(0, "k", makeJob("late", 1, 8, 1000));
+    for (int run = 1; run <= 3; ++run) {
+      runUntilPlaced("late.0.0.0 run " + std::to_string(run));
+      setLateOrderShare(1);
+      Cluster->runFor(absl::Milliseconds(300));
+      setLateOrderShare(0);
+      for (int n = 0; n < Workers; ++n)
+        Cluster->worker(n).crashFor(absl::Milliseconds(GetParam().DowntimeMs),
+                                    RestartId::Same);
+    }
+    Cluster->runFor(AllLateOrdersDelivered);
+    expectAllEnd(*Cluster);
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Table, LateStart,
     testing::Values(RestartTiming{"between_two_polls", 20, 1500},
