Tests: random restarts with late keep-alive calls

A keep-alive call may be carried out late as well, by a later incarnation under the id: it extends the lease, raises the fencing token and acknowledges ends there. The random scenario of late starts now has a second test in which a fifth of the keep-alive calls are late while orders are.

--- a/tests/auto/cluster/tst_latestarts.cpp
+++ b/tests/auto/cluster/tst_latestarts.cpp
@@ -290,9 +290,9 @@
 /// them.
 class LateStartScenario {
 public:
-  explicit LateStartScenario(uint64_t seed)
-      : Random(seed), WorkerCount(randomInt(4, 8)),
-        LateShare(randomInt(0, 1) == 0 ? 1 : 0.4),
+  explicit LateStartScenario(uint64_t seed, double lateKeepAliveShare = 0)
+      : Random(seed), LateKeepAliveShare(lateKeepAliveShare),
+        WorkerCount(randomInt(4, 8)), LateShare(randomInt(0, 1) == 0 ? 1 : 0.4),
         LosesAgents(randomInt(0, 1) == 0), LosesLeaders(randomInt(0, 2) == 0),
         Cluster(options(seed, WorkerCount)) {
     const bool clockGoesOn = randomInt(0, 3) == 0;
@@ -342,14 +342,18 @@
   }
 
   void submitWithLateOrders() {
-    for (int n = 0; n < WorkerCount; ++n)
+    for (int n = 0; n < WorkerCount; ++n) {
       Cluster.worker(n).LateOrderShare = LateShare;
+      Cluster.worker(n).LateKeepAliveShare = LateKeepAliveShare;
+    }
     const int count = randomInt(1, 3);
     for (int n = 0; n < count; ++n)
       submitRandomJob();
     Cluster.runFor(absl::Milliseconds(randomInt(100, 900)));
-    for (int n = 0; n < WorkerCount; ++n)
+    for (int n = 0; n < WorkerCount; ++n) {
       Cluster.worker(n).LateOrderShare = 0;
+      Cluster.worker(n).LateKeepAliveShare = 0;
+    }
   }
   /// Submits tasks that wait for the capacity of restarted workers.
   void submitSomeLater() {
@@ -450,6 +454,7 @@
   }
 
   std::mt19937_64 Random;
+  const double LateKeepAliveShare;
   const int WorkerCount;
   const double LateShare;
   const bool LosesAgents;
@@ -459,18 +464,24 @@
   std::set<int> LostAgents;
 };
 
-// Guards against tasks that run twice and workers that run more than their
-// capacity: late starts outlive restarts, agents and leaders.
-TEST(LateStarts, InvariantsHoldUnderRandomRestarts) {
+void runSeeds(double lateKeepAliveShare) {
   const auto [first, last] = seedsToRun();
   for (int seed = first; seed <= last; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
-    LateStartScenario scenario(static_cast<uint64_t>(seed));
+    LateStartScenario scenario(static_cast<uint64_t>(seed), lateKeepAliveShare);
     scenario.run();
     expectAllEnd(scenario.cluster());
     expectNoViolations(scenario.cluster());
   }
 }
 
+// Guards against tasks that run twice and workers that run more than their
+// capacity: late starts outlive restarts, agents and leaders.
+TEST(LateStarts, InvariantsHoldUnderRandomRestarts) { runSeeds(0); }
+
+// Guards against leases, fencing tokens and acknowledgements of an earlier
+// incarnation that take effect on the next one.
+TEST(LateStarts, InvariantsHoldWithLateKeepAliveCalls) { runSeeds(0.2); }
+
 } // namespace
 } // namespace oriolebay::cluster
