Log unanswered attempts to start, and the clock of a new incarnation

Two runs of a task were seen at the same time. To tell the hypotheses apart the logs have to show which attempts to start got no answer, when, and for which incarnation of the worker: until now only the order's outcome was logged, after its last attempt, and nothing at all if the incarnation ended meanwhile.

order.unanswered (423) is logged once for each such attempt, also if the answer fails to come after the end of the incarnation. worker.life_began has clock_ms, the clock in the heartbeat: it shows whether a worker's clock goes on across a restart, on which the time limit of a delayed start depends.

No change of behaviour.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -127,6 +127,7 @@
   /// Sends the next attempt of a start. Completes the order without an attempt
   /// if the run must not start any more.
   void startTask(const OrderPtr &order);
+  static void logUnansweredStart(const Order &order, int attempt);
   /// Handles the outcome of an attempt of a start, also if it got no answer.
   void onStartReply(const OrderPtr &order,
                     const endpoints::CallOutcome &outcome);
--- a/src/libs/agent/workeragent_incarnation.cpp
+++ b/src/libs/agent/workeragent_incarnation.cpp
@@ -127,6 +127,7 @@
   logEvent(Event::WorkerLifeBegan,
            {{"worker", State.Life.Id},
             {"born_ms", State.Life.BornMs},
+            {"clock_ms", heartbeat.ClockMs},
             {"rack", State.Rack},
             {"cores_milli", State.Capacity.MilliCores},
             {"accelerators", State.Capacity.Accelerators}});
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -168,12 +168,25 @@
   call.FreshConnection = order->Attempts > 0;
   ++order->Attempts;
   SentStarts.recordSent({key.first, key.second}, Loop.now());
-  Worker.Start(call, [this, alive = Alive, order](const CallOutcome &outcome) {
-    if (*alive && order->Incarnation == State.Life)
+  Worker.Start(call, [this, alive = Alive, order,
+                      attempt = order->Attempts](const CallOutcome &outcome) {
+    if (!*alive)
+      return;
+    if (outcome.Status == CallStatus::NoAnswer)
+      logUnansweredStart(*order, attempt);
+    if (order->Incarnation == State.Life)
       onStartReply(order, outcome);
   });
 }
 
+void WorkerAgent::logUnansweredStart(const Order &order, int attempt) {
+  logEvent(Event::OrderUnanswered, {{"task", order.Start.Task},
+                                    {"run", order.Start.Run},
+                                    {"attempt", attempt},
+                                    {"worker", order.Incarnation.Id},
+                                    {"born_ms", order.Incarnation.BornMs}});
+}
+
 void WorkerAgent::onStartReply(const OrderPtr &order,
                                const CallOutcome &outcome) {
   const RunKey key{order->Start.Task, order->Start.Run};
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -58,6 +58,7 @@
       {Event::OrderReceived, "order.received"},
       {Event::OrderCarriedOut, "order.carried_out"},
       {Event::GrantEnded, "grant.ended"},
+      {Event::OrderUnanswered, "order.unanswered"},
       {Event::StoreLost, "store.lost"},
       {Event::StoreRegained, "store.regained"},
       {Event::ConfigAccepted, "config.accepted"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -63,6 +63,7 @@
   OrderReceived = 420,
   OrderCarriedOut = 421,
   GrantEnded = 422,
+  OrderUnanswered = 423,
 
   ProfileAccepted = 500,
   ProfileRefusedStale = 501,
