The agent names a run by endpoints::RunId

RunId is used everywhere now; first and second become Task and Run.

No change of behaviour: both order by task, then by run.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -74,8 +74,6 @@
 
 private:
   struct Order;
-  /// A task and the number of its run.
-  using RunKey = std::pair<std::string, int64_t>;
   using OrderPtr = std::shared_ptr<Order>;
 
   endpoints::Message onMessage(const endpoints::Message &message);
@@ -141,7 +139,8 @@
   /// as ended either is reported as absent.
   void resolveStops(uint64_t callNumber);
   /// Remembers, logs and reports the outcome of an order.
-  void completeOrder(const RunKey &run, endpoints::OrderOutcome outcome,
+  void completeOrder(const endpoints::RunId &run,
+                     endpoints::OrderOutcome outcome,
                      const std::string &detail);
 
   /// Sends a report in the next iteration of the event loop.
@@ -230,14 +229,14 @@
   /// id.
   UnansweredStarts Unanswered;
   /// Starts and stops that are being carried out.
-  std::map<RunKey, OrderPtr> StartsInProgress;
-  std::map<RunKey, OrderPtr> StopsInProgress;
+  std::map<endpoints::RunId, OrderPtr> StartsInProgress;
+  std::map<endpoints::RunId, OrderPtr> StopsInProgress;
   /// Stopped runs that the worker's lists have not confirmed yet, with the
   /// number of the first keep-alive call that was sent after the stop.
-  std::map<RunKey, uint64_t> UnconfirmedStops;
+  std::map<endpoints::RunId, uint64_t> UnconfirmedStops;
   /// Outcomes of completed orders, to answer starts that are sent again.
-  std::map<RunKey, endpoints::OrderResult> CompletedOrders;
-  std::deque<RunKey> CompletionOrder;
+  std::map<endpoints::RunId, endpoints::OrderResult> CompletedOrders;
+  std::deque<endpoints::RunId> CompletionOrder;
   /// Results that the leader has not acknowledged. FirstResultNumber is the
   /// number of the first.
   std::vector<endpoints::OrderResult> Results;
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -14,6 +14,7 @@
 using endpoints::Message;
 using endpoints::OrderOutcome;
 using endpoints::RefusalReason;
+using endpoints::RunId;
 using eventlog::Event;
 using eventlog::logEvent;
 
@@ -67,7 +68,7 @@
                                   {"stops", orders.Stops.size()}});
   const bool otherIncarnation = orders.Life != State.Life;
   for (const endpoints::StopOrder &stop : orders.Stops) {
-    const RunKey key{stop.Task, stop.Run};
+    const RunId key{stop.Task, stop.Run};
     if (otherIncarnation)
       completeOrder(key, OrderOutcome::Gone,
                     "that life of the worker has ended");
@@ -81,7 +82,7 @@
     }
   }
   for (const endpoints::StartOrder &start : orders.Starts) {
-    const RunKey key{start.Task, start.Run};
+    const RunId key{start.Task, start.Run};
     auto known = CompletedOrders.find(key);
     if (otherIncarnation) {
       completeOrder(key, OrderOutcome::Gone,
@@ -103,16 +104,16 @@
   return {true, "", Epoch};
 }
 
-void WorkerAgent::completeOrder(const RunKey &run, OrderOutcome outcome,
+void WorkerAgent::completeOrder(const RunId &run, OrderOutcome outcome,
                                 const std::string &detail) {
-  endpoints::OrderResult result{run.first, run.second, outcome, detail};
+  endpoints::OrderResult result{run.Task, run.Run, outcome, detail};
   logEvent(Event::OrderCarriedOut,
-           {{"task", run.first},
-            {"run", run.second},
+           {{"task", run.Task},
+            {"run", run.Run},
             {"outcome", endpoints::orderOutcomeName(outcome)},
             {"why", detail}});
   if (outcome != OrderOutcome::Started && outcome != OrderOutcome::Unconfirmed)
-    SentStarts.recordNotStarted({run.first, run.second});
+    SentStarts.recordNotStarted(run);
   if (NotifyOrderCompleted)
     NotifyOrderCompleted(result);
   if (CompletedOrders.emplace(run, result).second)
@@ -128,7 +129,7 @@
 }
 
 void WorkerAgent::startTask(const OrderPtr &order) {
-  const RunKey key{order->Start.Task, order->Start.Run};
+  const RunId key{order->Start.Task, order->Start.Run};
   auto known = StartsInProgress.find(key);
   if (known == StartsInProgress.end() || known->second != order)
     return;
@@ -167,7 +168,7 @@
   call.Epoch = order->Epoch;
   call.FreshConnection = order->Attempts > 0;
   ++order->Attempts;
-  SentStarts.recordSent({key.first, key.second}, Loop.now());
+  SentStarts.recordSent(key, Loop.now());
   Worker.Start(call, [this, alive = Alive, order,
                       attempt = order->Attempts](const CallOutcome &outcome) {
     if (!*alive)
@@ -189,7 +190,7 @@
 
 void WorkerAgent::onStartReply(const OrderPtr &order,
                                const CallOutcome &outcome) {
-  const RunKey key{order->Start.Task, order->Start.Run};
+  const RunId key{order->Start.Task, order->Start.Run};
   recordWorkerClock(outcome.ClockMs);
   auto end = [&](OrderOutcome result) {
     StartsInProgress.erase(key);
@@ -202,7 +203,7 @@
   };
   switch (outcome.Status) {
   case CallStatus::Ok:
-    SentStarts.recordAccepted({key.first, key.second});
+    SentStarts.recordAccepted(key);
     return end(OrderOutcome::Started);
   case CallStatus::OtherIncarnation:
     return end(OrderOutcome::Gone);
@@ -216,12 +217,12 @@
     return end(OrderOutcome::Refused);
   case CallStatus::NoAnswer:
     order->PossiblyDelivered = true;
-    Unanswered.recordAttempt({key.first, key.second}, Loop.now());
+    Unanswered.recordAttempt(key, Loop.now());
     break;
   case CallStatus::NotSent:
   case CallStatus::NotListening:
     if (!order->PossiblyDelivered)
-      SentStarts.recordNotStarted({key.first, key.second});
+      SentStarts.recordNotStarted(key);
     break;
   }
   if (order->Attempts >= MaxStartAttempts)
@@ -251,7 +252,7 @@
 
 void WorkerAgent::onStopReply(const OrderPtr &order,
                               const CallOutcome &outcome) {
-  const RunKey key{order->Stop.Task, order->Stop.Run};
+  const RunId key{order->Stop.Task, order->Stop.Run};
   recordWorkerClock(outcome.ClockMs);
   if (outcome.Status == CallStatus::Ok) {
     // From now on the run is either listed or can never start. The next poll
@@ -276,14 +277,14 @@
 }
 
 void WorkerAgent::resolveStops(uint64_t callNumber) {
-  std::set<RunKey> listed;
+  std::set<RunId> listed;
   for (const endpoints::RunningTask &r : Running)
     listed.insert({r.Task, r.Run});
-  std::set<RunKey> ended;
+  std::set<RunId> ended;
   for (const endpoints::EndedTask &e : Ended)
     ended.insert({e.Task, e.Run});
   for (auto it = UnconfirmedStops.begin(); it != UnconfirmedStops.end();) {
-    const RunKey key = it->first;
+    const RunId key = it->first;
     if (callNumber < it->second || listed.count(key) != 0) {
       ++it;
       continue;
