No start is sent before the open attempts of earlier incarnations are stopped

A worker was given more than it has room for. After a restart the worker may still carry out starts for its previous incarnation, or runs one already, and the leader doesn't count these when it decides on the next one: a start that followed went over the capacity, which the worker doesn't check.

startTask defers a start while the served incarnation has not confirmed the stops of the open attempts of earlier ones, while no list came since, and while a list shows such a run as running.

--- a/src/libs/agent/openattempts.cpp
+++ b/src/libs/agent/openattempts.cpp
@@ -64,6 +64,16 @@
   return starts;
 }
 
+bool OpenAttempts::isOpenElsewhere(const RunId &run,
+                                   const WorkerIncarnation &incarnation,
+                                   absl::Time now) const {
+  return std::any_of(Attempts.begin(), Attempts.end(), [&](const auto &entry) {
+    const Attempt &attempt = entry.second;
+    return attempt.Run == run && attempt.Incarnation != incarnation &&
+           attempt.isOpen(now);
+  });
+}
+
 std::vector<OpenAttempts::PendingStop>
 OpenAttempts::pendingStops(const WorkerIncarnation &incarnation,
                            absl::Time now) const {
--- a/src/libs/agent/openattempts.h
+++ b/src/libs/agent/openattempts.h
@@ -46,6 +46,11 @@
   /// Returns the runs with an open attempt, with the time for which the latest
   /// one is open.
   std::vector<endpoints::OpenStart> openStarts(absl::Time now) const;
+  /// Returns whether the run has an open attempt that was sent to another
+  /// incarnation.
+  bool isOpenElsewhere(const endpoints::RunId &run,
+                       const endpoints::WorkerIncarnation &incarnation,
+                       absl::Time now) const;
   /// A run that an incarnation has to stop, and the id that it is sent to.
   struct PendingStop {
     endpoints::RunId Run;
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -136,6 +136,10 @@
   void startTask(const OrderPtr &order);
   /// Calls startTask() again after a pause.
   void retryStart(const OrderPtr &order);
+  /// Returns whether the served incarnation may still carry out or still run
+  /// starts that were sent to earlier ones. The leader does not count these as
+  /// used capacity.
+  bool mustDeferStarts() const;
   /// Updates the open attempts with the outcome of an attempt, also if its
   /// incarnation has ended meanwhile.
   void recordAttemptOutcome(const Order &order, int attempt,
@@ -248,6 +252,9 @@
   /// replaces the previous one.
   uint64_t StopRound = 0;
   bool StopRoundQueued = false;
+  /// Number of the first keep-alive call that was sent after the last confirmed
+  /// stop of an open attempt.
+  uint64_t FirstKeepAliveAfterStop = 0;
   /// Starts and stops that are being carried out.
   std::map<endpoints::RunId, OrderPtr> StartsInProgress;
   std::map<endpoints::RunId, OrderPtr> StopsInProgress;
--- a/src/libs/agent/workeragent_incarnation.cpp
+++ b/src/libs/agent/workeragent_incarnation.cpp
@@ -244,8 +244,14 @@
   const WorkerIncarnation stoppedAt =
       outcome.BornMs != 0 ? WorkerIncarnation{stop.WorkerId, outcome.BornMs}
                           : served;
-  if (!stoppedAt.empty())
-    Attempts.recordStopped(stop.Run, stoppedAt);
+  if (stoppedAt.empty())
+    return;
+  Attempts.recordStopped(stop.Run, stoppedAt);
+  if (stoppedAt != State.Life)
+    return;
+  FirstKeepAliveAfterStop = KeepAlivesSent + 1;
+  if (Attempts.pendingStops(State.Life, Loop.now()).empty())
+    sendKeepAlive(0);
 }
 
 void WorkerAgent::recordIncarnationEnd(IncarnationEnd end) {
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -161,6 +161,10 @@
                   "no grant to keep it alive");
     return;
   }
+  if (mustDeferStarts()) {
+    retryStart(order);
+    return;
+  }
   endpoints::StartCall call;
   call.Incarnation = order->Incarnation;
   call.Order = order->Start;
@@ -188,6 +192,15 @@
   });
 }
 
+bool WorkerAgent::mustDeferStarts() const {
+  if (!Attempts.pendingStops(State.Life, Loop.now()).empty() ||
+      LastAppliedKeepAlive < FirstKeepAliveAfterStop)
+    return true;
+  return std::any_of(Running.begin(), Running.end(), [this](const auto &r) {
+    return Attempts.isOpenElsewhere({r.Task, r.Run}, State.Life, Loop.now());
+  });
+}
+
 void WorkerAgent::recordAttemptOutcome(const Order &order, int attempt,
                                        OpenAttempts::AttemptNumber number,
                                        const CallOutcome &outcome) {
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -111,6 +111,12 @@
           return call.Order.Task == run.Task && call.Order.Run == run.Run;
         }));
   }
+  size_t countStartsOf(const std::string &task) const {
+    return static_cast<size_t>(std::count_if(
+        Starts.begin(), Starts.end(), [&](const endpoints::StartCall &call) {
+          return call.Order.Task == task;
+        }));
+  }
   std::vector<endpoints::OrderResult> results() const {
     return Reports.empty() ? std::vector<endpoints::OrderResult>()
                            : Reports.back().Results;
@@ -419,10 +425,61 @@
     Fixture.StartOutcome = AgentFixture::okOutcome();
     Fixture.StartDurationMs = 1;
   }
+  void orderOtherStart() {
+    endpoints::WorkerOrders orders{
+        5, Fixture.NextHeartbeat.Worker.Life, {}, {}};
+    orders.Starts.push_back({OtherTask, 1, "text", "", ""});
+    EXPECT_TRUE(Fixture.sendOrders(orders).Ok);
+  }
 
+  const std::string OtherTask = "k.0.0.0";
   AgentFixture Fixture;
 };
 
+// Guards against a worker that runs more than its capacity: a start arrives
+// before it was told to refuse a delayed start for its previous incarnation.
+TEST_F(AfterRestart, NoStartIsSentBeforeTheStopsAreConfirmed) {
+  Fixture.StopOutcome = {};
+  Fixture.restartWorker({"life", 2});
+  Fixture.Loop.advance(absl::Milliseconds(100));
+  orderOtherStart();
+  Fixture.Loop.advance(absl::Milliseconds(500));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 0u);
+  Fixture.StopOutcome = AgentFixture::okOutcome();
+  Fixture.Loop.advance(absl::Milliseconds(200));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 1u);
+}
+
+// Guards against a worker that runs more than its capacity: it has carried out
+// a delayed start for its previous incarnation and is still stopping the run.
+TEST_F(AfterRestart, NoStartIsSentWhileADelayedOneIsStillRunning) {
+  Fixture.restartWorker({"life", 2});
+  Fixture.Running.push_back({TestRun.Task, TestRun.Run, "", 0});
+  Fixture.Loop.advance(absl::Milliseconds(100));
+  orderOtherStart();
+  Fixture.Loop.advance(absl::Milliseconds(500));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 0u);
+  Fixture.Running.clear();
+  // The next poll that begins after the end lists it.
+  Fixture.Loop.advance(absl::Milliseconds(1200));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 1u);
+}
+
+// Guards against a deferred start that outlives the grant.
+TEST_F(AfterRestart, DeferredStartEndsWithTheGrant) {
+  Fixture.StopOutcome = {};
+  Fixture.restartWorker({"life", 2});
+  Fixture.Loop.advance(absl::Milliseconds(100));
+  orderOtherStart();
+  Fixture.Ack = {};
+  Fixture.Loop.advance(absl::Seconds(6));
+  Fixture.StopOutcome = AgentFixture::okOutcome();
+  Fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 0u);
+  ASSERT_FALSE(Fixture.results().empty());
+  EXPECT_EQ(Fixture.results().back().Outcome, endpoints::OrderOutcome::Refused);
+}
+
 // Guards against a delayed start that the next incarnation carries out before
 // it receives the stop, because the stop is sent too seldom while nothing
 // listens.
