Reports name open attempts to start and for how long starts are known

Only the agent knew which of its starts may still be carried out: the leader barred nothing, and a task could start elsewhere while an attempt to start its previous run was under way. The knowledge also died with the agent's process.

WorkerReport has two fields more, filled also while no worker is known: OpenStarts, the runs with an open attempt and the time for which it may be carried out, and StartsKnownForMs, for how long this process has tracked the starts that it sent, up to MaxOrderDelay. A new agent says about 0, so that the leader knows that an earlier process may have sent others. The leader uses neither yet. Reports without the fields, of earlier agents, decode to none and 0.

The fields didn't exist before, so the tests didn't compile without them: AfterRestart.ReportsListOpenStartsAlsoWithoutAWorker, WorkerAgent.ReportsTellForHowLongStartsAreKnown, Decode.ReportOfAnEarlierAgentKnowsNoStarts.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -57,7 +57,7 @@
     : Loop(loop), Peers(std::move(peers)), Worker(std::move(worker)),
       Settings(std::move(settings)), Time(settings::deriveTiming(Settings)),
       StoreClient(std::move(store)), EntryPrefix(std::move(entryPrefix)),
-      NotifyOrderCompleted(std::move(onCompleted)) {
+      NotifyOrderCompleted(std::move(onCompleted)), StartedAt(Loop.now()) {
   Peers.Serve([this, alive = Alive](const Message &m, const auto &respond) {
     if (*alive)
       respond(onMessage(m));
@@ -273,6 +273,9 @@
   message.Running = Running;
   message.Ended = Ended;
   message.Results = Results;
+  message.OpenStarts = Attempts.openStarts(Loop.now());
+  message.StartsKnownForMs = absl::ToInt64Milliseconds(
+      std::min(Loop.now() - StartedAt, endpoints::MaxOrderDelay));
   LastSequence = std::max(LastSequence + 1, toMs(Loop.now()));
   message.Sequence = LastSequence;
   sendReport(Leader.target(), message);
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -192,6 +192,8 @@
   const platform::Store StoreClient;
   const std::string EntryPrefix;
   const OnOrderCompleted NotifyOrderCompleted;
+  /// When this process began to track the starts that it sends.
+  const absl::Time StartedAt;
   LeaderFinder Leader;
   bool ReadingEntries = false;
 
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -54,9 +54,37 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunId, Task, Run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(IncarnationEnd, Life, Crashed, JustBegun,
                                    Witnessed, MayStillBegin)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerReport, Agent, AgentAddress, Worker,
-                                   EndedLives, Sequence, Reachable, Epoch,
-                                   ListedMsAgo, Speed, Running, Ended, Results)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OpenStart, Task, Run, PossibleForMs)
+
+static void to_json(json &j, const WorkerReport &r) {
+  j = {{"Agent", r.Agent},           {"AgentAddress", r.AgentAddress},
+       {"Worker", r.Worker},         {"EndedLives", r.EndedLives},
+       {"Sequence", r.Sequence},     {"Reachable", r.Reachable},
+       {"Epoch", r.Epoch},           {"ListedMsAgo", r.ListedMsAgo},
+       {"Speed", r.Speed},           {"Running", r.Running},
+       {"Ended", r.Ended},           {"Results", r.Results},
+       {"OpenStarts", r.OpenStarts}, {"StartsKnownForMs", r.StartsKnownForMs}};
+}
+
+// Agents of earlier versions do not track open starts. Their reports lack the
+// last two fields and must remain readable during an upgrade.
+static void from_json(const json &j, WorkerReport &r) {
+  j.at("Agent").get_to(r.Agent);
+  j.at("AgentAddress").get_to(r.AgentAddress);
+  j.at("Worker").get_to(r.Worker);
+  j.at("EndedLives").get_to(r.EndedLives);
+  j.at("Sequence").get_to(r.Sequence);
+  j.at("Reachable").get_to(r.Reachable);
+  j.at("Epoch").get_to(r.Epoch);
+  j.at("ListedMsAgo").get_to(r.ListedMsAgo);
+  j.at("Speed").get_to(r.Speed);
+  j.at("Running").get_to(r.Running);
+  j.at("Ended").get_to(r.Ended);
+  j.at("Results").get_to(r.Results);
+  r.OpenStarts = j.value("OpenStarts", std::vector<OpenStart>());
+  r.StartsKnownForMs = j.value("StartsKnownForMs", int64_t{0});
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportAck, Epoch, Doubtful, Leader,
                                    LeaderEpoch, Entries, GrantMs, SeenUpto,
                                    Speed)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -297,6 +297,12 @@
   std::vector<RunningTask> Running;
   std::vector<EndedTask> Ended;
   std::vector<OrderResult> Results;
+  /// Starts that this incarnation, or a later one under its id, may still carry
+  /// out.
+  std::vector<OpenStart> OpenStarts;
+  /// Time for which this agent process has tracked the starts that it sent, at
+  /// most MaxOrderDelay. An earlier process may have sent others before.
+  int64_t StartsKnownForMs = 0;
   auto operator<=>(const WorkerReport &) const = default;
 };
 
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -505,5 +505,43 @@
   EXPECT_EQ(Fixture.takeStopsOf(TestRun), 0u);
 }
 
+// Guards against a leader that starts a task elsewhere while an attempt to
+// start its previous run may still be carried out: only the agent knew of it.
+TEST_F(AfterRestart, ReportsListOpenStartsAlsoWithoutAWorker) {
+  const auto openStarts = [this] {
+    std::vector<endpoints::RunId> runs;
+    for (const auto &start : Fixture.Reports.back().OpenStarts) {
+      EXPECT_GT(start.PossibleForMs, 0);
+      EXPECT_LE(start.PossibleForMs, 15000);
+      runs.push_back({start.Task, start.Run});
+    }
+    return runs;
+  };
+  Fixture.KeepAliveOutcome = {};
+  Fixture.KeepAliveOutcome.Status = CallStatus::NotListening;
+  Fixture.Loop.advance(absl::Seconds(2));
+  ASSERT_TRUE(Fixture.Reports.back().Worker.Life.empty());
+  EXPECT_EQ(openStarts(), std::vector<endpoints::RunId>{TestRun});
+  Fixture.restartWorker({"life", 2});
+  Fixture.Loop.advance(absl::Seconds(2));
+  ASSERT_FALSE(Fixture.Reports.back().Worker.Life.empty());
+  EXPECT_EQ(openStarts(), std::vector<endpoints::RunId>{TestRun});
+  Fixture.Loop.advance(absl::Seconds(15));
+  EXPECT_TRUE(openStarts().empty());
+}
+
+// Guards against a leader that takes the silence of a new agent for knowledge
+// of all starts: its previous process may have sent some.
+TEST(WorkerAgent, ReportsTellForHowLongStartsAreKnown) {
+  AgentFixture fixture;
+  ASSERT_FALSE(fixture.Reports.empty());
+  EXPECT_LE(fixture.Reports.front().StartsKnownForMs, 1000);
+  fixture.Loop.advance(absl::Seconds(9));
+  EXPECT_GE(fixture.Reports.back().StartsKnownForMs, 9000);
+  EXPECT_LE(fixture.Reports.back().StartsKnownForMs, 10000);
+  fixture.Loop.advance(absl::Seconds(20));
+  EXPECT_EQ(fixture.Reports.back().StartsKnownForMs, 15000);
+}
+
 } // namespace
 } // namespace oriolebay::agent
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 using namespace oriolebay;
 using namespace oriolebay::endpoints;
 
@@ -53,7 +55,9 @@
             {0.25, 6},
             {{"j.0.0.1", 2, "saved", 40}},
             {{9, "j.0.0.0", 1, RunEnd::Lapsed, "s"}},
-            {{"j.0.0.2", 1, OrderOutcome::Busy, "503"}}}),
+            {{"j.0.0.2", 1, OrderOutcome::Busy, "503"}},
+            {{"j.0.0.4", 3, 14000}},
+            15000}),
         Message(ReportAck{4, true, "e1", 3, {"e1", "e2"}, 5500, 9, {0.25, 7}}),
         Message(WorkerOrders{
             4,
@@ -68,6 +72,25 @@
             "ok", "", 0, "running", 3, {4711, 12}, "tcp://127.0.0.1:5"})),
     messageName);
 
+// Guards against an entry that loses all its workers during an upgrade, because
+// it cannot read the reports of agents that do not track open starts yet.
+TEST(Decode, ReportOfAnEarlierAgentKnowsNoStarts) {
+  WorkerReport report;
+  report.Agent = "a1";
+  report.OpenStarts = {{"j.0.0.4", 3, 14000}};
+  report.StartsKnownForMs = 15000;
+  const std::string bytes = encode(report);
+  nlohmann::json envelope = nlohmann::json::from_cbor(bytes);
+  envelope["body"].erase("OpenStarts");
+  envelope["body"].erase("StartsKnownForMs");
+  const std::vector<uint8_t> earlier = nlohmann::json::to_cbor(envelope);
+  auto decoded = decode(std::string(earlier.begin(), earlier.end()));
+  ASSERT_TRUE(decoded);
+  WorkerReport expected;
+  expected.Agent = "a1";
+  EXPECT_EQ(std::get<WorkerReport>(decoded.value()), expected);
+}
+
 // A message of another version, or a corrupted frame, must give a typed error
 // with which the reply thread answers, and must not crash the agent or the
 // entry.
