A start without an answer is repeated for as long as a gang waits

The agent gave a start up after four attempts, 1.2 s, also if none of them got an answer. The task then had to leave a worker that might answer a moment later, and must now wait elsewhere until no attempt is open, up to MaxOrderDelay. A repeated start is idempotent at the worker, so there are ten attempts without an answer now, 3 s, about as long as the members of a gang wait for each other. Attempts that certainly did nothing keep the limit of four.

The test StartWithoutAnswerIsReportedAsUnconfirmed waited 2 s for the result, which followed from the four attempts. The table FailingStart replaces it: it checks the same outcome and also how many attempts are made, for each kind. Before the change:

[ FAILED ] FailingStart.../without_answer: 4 starts, 10 expected [ OK ] FailingStart.../not_sent and .../not_listening

With it tst_agent (71 tests) and tst_cluster (81) pass.

--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -20,8 +20,13 @@
 
 namespace {
 
-/// Maximum number of attempts to start or to stop a run.
-constexpr int MaxStartAttempts = 4;
+/// Maximum number of attempts to start a run that certainly did nothing, and of
+/// those without an answer. The latter are repeated for about as long as the
+/// members of a gang wait for each other: the repeated start is idempotent, and
+/// a task that leaves the worker has to wait until no attempt is open.
+constexpr int MaxUnsentStartAttempts = 4;
+constexpr int MaxUnansweredStartAttempts = 10;
+/// Maximum number of attempts to stop a run.
 constexpr int MaxStopAttempts = 40;
 /// Pause before an order without an answer is sent again, on another
 /// connection. The worker on the same machine normally answers within
@@ -44,9 +49,11 @@
   /// never a newer one.
   int64_t Epoch = 0;
   int Attempts = 0;
-  /// An earlier attempt got no answer, so the worker may have carried it out or
-  /// may still do so.
-  bool PossiblyDelivered = false;
+  /// Attempts of a start without an answer. The worker may have carried them
+  /// out or may still do so.
+  int UnansweredAttempts = 0;
+
+  bool isPossiblyDelivered() const { return UnansweredAttempts > 0; }
 };
 
 Message WorkerAgent::onMessage(const Message &message) {
@@ -144,8 +151,8 @@
   if (!order->Start.DecidedOn.fitsIn(State.Capacity)) {
     StartsInProgress.erase(key);
     completeOrder(key,
-                  order->PossiblyDelivered ? OrderOutcome::Unconfirmed
-                                           : OrderOutcome::NoCapacity,
+                  order->isPossiblyDelivered() ? OrderOutcome::Unconfirmed
+                                               : OrderOutcome::NoCapacity,
                   "its capacity has shrunk");
     return;
   }
@@ -156,8 +163,8 @@
       GrantEnd - Loop.now() < absl::Milliseconds(MinGrantForStartMs)) {
     StartsInProgress.erase(key);
     completeOrder(key,
-                  order->PossiblyDelivered ? OrderOutcome::Unconfirmed
-                                           : OrderOutcome::Refused,
+                  order->isPossiblyDelivered() ? OrderOutcome::Unconfirmed
+                                               : OrderOutcome::Refused,
                   "no grant to keep it alive");
     return;
   }
@@ -231,7 +238,7 @@
     StartsInProgress.erase(key);
     // The worker may still carry out an attempt that got no answer, so the
     // refusal of another attempt does not resolve the run.
-    if (order->PossiblyDelivered && result != OrderOutcome::Started &&
+    if (order->isPossiblyDelivered() && result != OrderOutcome::Started &&
         result != OrderOutcome::Gone)
       result = OrderOutcome::Unconfirmed;
     completeOrder(key, result, outcome.Detail);
@@ -251,15 +258,17 @@
       return end(OrderOutcome::Fenced);
     return end(OrderOutcome::Refused);
   case CallStatus::NoAnswer:
-    order->PossiblyDelivered = true;
+    ++order->UnansweredAttempts;
     break;
   case CallStatus::NotSent:
   case CallStatus::NotListening:
-    if (!order->PossiblyDelivered)
+    if (!order->isPossiblyDelivered())
       SentStarts.recordNotStarted(key);
     break;
   }
-  if (order->Attempts >= MaxStartAttempts)
+  const int unsentAttempts = order->Attempts - order->UnansweredAttempts;
+  if (unsentAttempts >= MaxUnsentStartAttempts ||
+      order->UnansweredAttempts >= MaxUnansweredStartAttempts)
     return end(OrderOutcome::Refused);
   retryStart(order);
 }
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -176,18 +176,43 @@
   EXPECT_FALSE(fixture.sendOrders(AgentFixture::makeStart(5, 2)).Ok);
 }
 
-TEST(WorkerAgent, StartWithoutAnswerIsReportedAsUnconfirmed) {
+/// A start of which every attempt has the same outcome.
+struct FailingStartCase {
+  const char *Name;
+  CallStatus Status;
+  size_t Attempts;
+  endpoints::OrderOutcome Reported;
+};
+
+void PrintTo(const FailingStartCase &c, std::ostream *out) { *out << c.Name; }
+
+class FailingStart : public testing::TestWithParam<FailingStartCase> {};
+
+// Guards against a task that leaves a worker which answers again after a
+// second, and so waits until none of its attempts can be carried out any more.
+TEST_P(FailingStart, IsRetriedAndReportedAsExpected) {
   AgentFixture fixture;
   fixture.StartOutcome = {};
+  fixture.StartOutcome.Status = GetParam().Status;
   fixture.StartDurationMs = 250;
   fixture.sendOrders(AgentFixture::makeStart(5, 1));
   fixture.Ack = {};
-  fixture.Loop.advance(absl::Seconds(2));
+  fixture.Loop.advance(absl::Milliseconds(3500));
+  EXPECT_EQ(fixture.Starts.size(), GetParam().Attempts);
   ASSERT_FALSE(fixture.results().empty());
-  EXPECT_EQ(fixture.results().back().Outcome,
-            endpoints::OrderOutcome::Unconfirmed);
+  EXPECT_EQ(fixture.results().back().Outcome, GetParam().Reported);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Table, FailingStart,
+    testing::Values(FailingStartCase{"without_answer", CallStatus::NoAnswer, 10,
+                                     endpoints::OrderOutcome::Unconfirmed},
+                    FailingStartCase{"not_sent", CallStatus::NotSent, 4,
+                                     endpoints::OrderOutcome::Refused},
+                    FailingStartCase{"not_listening", CallStatus::NotListening,
+                                     4, endpoints::OrderOutcome::Refused}),
+    [](const auto &test) { return std::string(test.param.Name); });
+
 TEST(WorkerAgent, DrainingWorkerGetsNoStart) {
   AgentFixture fixture;
   fixture.NextHeartbeat.Worker.Draining = true;
