A start is abandoned once a stop of its run was confirmed

After the worker had confirmed a stop and so refuses the run, the agent went on with the attempts to start it: each attempt without an answer kept the run open for longer, could be carried out by the next incarnation, and the order was reported a second time, as unconfirmed, after the stop had reported it absent.

A confirmed stop now ends the start in progress, and the answer of an abandoned start changes no order any more. WorkerAgent.StartIsNotRetriedAfterAConfirmedStop failed before:

fixture.Starts.size() Which is: 10, expected 1 fixture.results().size() Which is: 2, expected 1

With it tst_agent (72 tests), tst_cluster (81), tst_jobs (70), tst_endpoints (21) and tst_eventlog (13) pass.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -134,6 +134,9 @@
   /// Sends the next attempt of a start. Completes the order without an attempt
   /// if the run must not start any more.
   void startTask(const OrderPtr &order);
+  /// Returns whether the start is still being carried out, that is, neither
+  /// completed nor abandoned.
+  bool isInProgress(const OrderPtr &start) const;
   /// Calls startTask() again after a pause.
   void retryStart(const OrderPtr &order);
   /// Returns whether the served incarnation may still carry out or still run
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -135,15 +135,19 @@
   reportSoon();
 }
 
+bool WorkerAgent::isInProgress(const OrderPtr &start) const {
+  auto it = StartsInProgress.find({start->Start.Task, start->Start.Run});
+  return it != StartsInProgress.end() && it->second == start;
+}
+
 void WorkerAgent::startTask(const OrderPtr &order) {
   const RunId key{order->Start.Task, order->Start.Run};
-  auto known = StartsInProgress.find(key);
-  if (known == StartsInProgress.end() || known->second != order)
+  if (!isInProgress(order))
     return;
   // A new leader has taken over and resolves this run from the worker's list.
   // A further attempt could start the run after that, without its knowledge.
   if (order->Epoch < Epoch) {
-    StartsInProgress.erase(known);
+    StartsInProgress.erase(key);
     return;
   }
   // The worker's capacity decreased after the leader's decision, and the worker
@@ -234,6 +238,10 @@
                                const CallOutcome &outcome) {
   const RunId key{order->Start.Task, order->Start.Run};
   recordWorkerClock(outcome.ClockMs);
+  if (outcome.Status == CallStatus::Ok)
+    SentStarts.recordAccepted(key);
+  if (!isInProgress(order))
+    return;
   auto end = [&](OrderOutcome result) {
     StartsInProgress.erase(key);
     // The worker may still carry out an attempt that got no answer, so the
@@ -245,7 +253,6 @@
   };
   switch (outcome.Status) {
   case CallStatus::Ok:
-    SentStarts.recordAccepted(key);
     return end(OrderOutcome::Started);
   case CallStatus::OtherIncarnation:
     return end(OrderOutcome::Gone);
@@ -298,6 +305,7 @@
     // From now on the run is either listed or can never start. The next poll
     // shows which.
     StopsInProgress.erase(key);
+    StartsInProgress.erase(key);
     UnconfirmedStops[key] = KeepAlivesSent + 1;
     sendKeepAlive(0);
     return;
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -176,6 +176,23 @@
   EXPECT_FALSE(fixture.sendOrders(AgentFixture::makeStart(5, 2)).Ok);
 }
 
+// Guards against open attempts of a run that the worker has already been told
+// to refuse: each retry lets the task wait longer, and the worker's next
+// incarnation may carry it out.
+TEST(WorkerAgent, StartIsNotRetriedAfterAConfirmedStop) {
+  AgentFixture fixture;
+  fixture.StartOutcome = {};
+  fixture.StartDurationMs = 250;
+  fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Loop.advance(absl::Milliseconds(100));
+  fixture.Ack = {};
+  fixture.sendOrders({5, {"life", 1}, {}, {{"j.0.0.0", 1}}});
+  fixture.Loop.advance(absl::Milliseconds(3500));
+  EXPECT_EQ(fixture.Starts.size(), 1u);
+  ASSERT_EQ(fixture.results().size(), 1u);
+  EXPECT_EQ(fixture.results().back().Outcome, endpoints::OrderOutcome::Absent);
+}
+
 /// A start of which every attempt has the same outcome.
 struct FailingStartCase {
   const char *Name;
