--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -3,10 +3,10 @@
 #include "endpoints/peers.h"
 #include "endpoints/workercalls.h"
 #include "leaderfinder.h"
+#include "openattempts.h"
 #include "platform/store.h"
 #include "settings/nodesettings.h"
 #include "starttracker.h"
-#include "unansweredstarts.h"
 
 #include <absl/time/time.h>
 
@@ -74,8 +74,6 @@
 
 private:
   struct Order;
-  /// A task and the number of its run.
-  using RunKey = std::pair<std::string, int64_t>;
   using OrderPtr = std::shared_ptr<Order>;
 
   endpoints::Message onMessage(const endpoints::Message &message);
@@ -95,9 +93,18 @@
   /// How the agent learned that the served incarnation has ended.
   enum class EndReason { Deregistered, ConnectionRefused, Superseded };
   void endIncarnation(const std::string &why, EndReason reason);
-  void resolveUnansweredStarts(const endpoints::WorkerIncarnation &ended);
-  void resolveUnansweredStart(const endpoints::WorkerIncarnation &ended,
-                              const endpoints::RunId &run);
+  /// Calls stopOpenStarts() in the next iteration of the event loop.
+  void stopOpenStartsSoon();
+  /// Has the worker stop every run with an open attempt that was sent to
+  /// another incarnation than the served one, until it confirms the stop.
+  void stopOpenStarts();
+  /// Sends one such stop, and retries it for as long as no other round begins.
+  void sendOpenStartStop(const OpenAttempts::PendingStop &stop, uint64_t round);
+  /// Handles the outcome of such a stop, which was sent while this incarnation
+  /// was served.
+  void onOpenStartStopReply(const OpenAttempts::PendingStop &stop,
+                            const endpoints::WorkerIncarnation &served,
+                            const endpoints::CallOutcome &outcome);
   void recordIncarnationEnd(endpoints::IncarnationEnd end);
   void logIgnoredHeartbeat(const endpoints::Heartbeat &heartbeat);
   bool hasEnded(const endpoints::WorkerIncarnation &incarnation) const;
@@ -127,6 +134,21 @@
   /// Sends the next attempt of a start. Completes the order without an attempt
   /// if the run must not start any more.
   void startTask(const OrderPtr &order);
+  /// Returns whether the start is still being carried out, that is, neither
+  /// completed nor abandoned.
+  bool isInProgress(const OrderPtr &start) const;
+  /// Calls startTask() again after a pause.
+  void retryStart(const OrderPtr &order);
+  /// Returns whether the served incarnation may still carry out or still run
+  /// starts that were sent to earlier ones. The leader does not count these as
+  /// used capacity.
+  bool mustDeferStarts() const;
+  /// Updates the open attempts with the outcome of an attempt, also if its
+  /// incarnation has ended meanwhile.
+  void recordAttemptOutcome(const Order &order, int attempt,
+                            OpenAttempts::AttemptNumber number,
+                            const endpoints::CallOutcome &outcome);
+  static void logUnansweredStart(const Order &order, int attempt);
   /// Handles the outcome of an attempt of a start, also if it got no answer.
   void onStartReply(const OrderPtr &order,
                     const endpoints::CallOutcome &outcome);
@@ -140,7 +162,8 @@
   /// as ended either is reported as absent.
   void resolveStops(uint64_t callNumber);
   /// Remembers, logs and reports the outcome of an order.
-  void completeOrder(const RunKey &run, endpoints::OrderOutcome outcome,
+  void completeOrder(const endpoints::RunId &run,
+                     endpoints::OrderOutcome outcome,
                      const std::string &detail);
 
   /// Sends a report in the next iteration of the event loop.
@@ -172,6 +195,8 @@
   const platform::Store StoreClient;
   const std::string EntryPrefix;
   const OnOrderCompleted NotifyOrderCompleted;
+  /// When this process began to track the starts that it sends.
+  const absl::Time StartedAt;
   LeaderFinder Leader;
   bool ReadingEntries = false;
 
@@ -225,18 +250,25 @@
 
   /// Starts that were sent to this incarnation.
   StartTracker SentStarts;
-  /// Starts without an answer. Kept across incarnations, as they may share an
-  /// id.
-  UnansweredStarts Unanswered;
+  /// Open attempts to start runs. Kept across incarnations, as they may share
+  /// an id.
+  OpenAttempts Attempts;
+  /// Number of the current round of stops of open attempts. A new round
+  /// replaces the previous one.
+  uint64_t StopRound = 0;
+  bool StopRoundQueued = false;
+  /// Number of the first keep-alive call that was sent after the last confirmed
+  /// stop of an open attempt.
+  uint64_t FirstKeepAliveAfterStop = 0;
   /// Starts and stops that are being carried out.
-  std::map<RunKey, OrderPtr> StartsInProgress;
-  std::map<RunKey, OrderPtr> StopsInProgress;
+  std::map<endpoints::RunId, OrderPtr> StartsInProgress;
+  std::map<endpoints::RunId, OrderPtr> StopsInProgress;
   /// Stopped runs that the worker's lists have not confirmed yet, with the
   /// number of the first keep-alive call that was sent after the stop.
-  std::map<RunKey, uint64_t> UnconfirmedStops;
+  std::map<endpoints::RunId, uint64_t> UnconfirmedStops;
   /// Outcomes of completed orders, to answer starts that are sent again.
-  std::map<RunKey, endpoints::OrderResult> CompletedOrders;
-  std::deque<RunKey> CompletionOrder;
+  std::map<endpoints::RunId, endpoints::OrderResult> CompletedOrders;
+  std::deque<endpoints::RunId> CompletionOrder;
   /// Results that the leader has not acknowledged. FirstResultNumber is the
   /// number of the first.
   std::vector<endpoints::OrderResult> Results;
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -14,13 +14,19 @@
 using endpoints::Message;
 using endpoints::OrderOutcome;
 using endpoints::RefusalReason;
+using endpoints::RunId;
 using eventlog::Event;
 using eventlog::logEvent;
 
 namespace {
 
-/// Maximum number of attempts to start or to stop a run.
-constexpr int MaxStartAttempts = 4;
+/// Maximum number of attempts to start a run that certainly did nothing, and of
+/// those without an answer. The latter are repeated for about as long as the
+/// members of a gang wait for each other: the repeated start is idempotent, and
+/// a task that leaves the worker has to wait until no attempt is open.
+constexpr int MaxUnsentStartAttempts = 4;
+constexpr int MaxUnansweredStartAttempts = 10;
+/// Maximum number of attempts to stop a run.
 constexpr int MaxStopAttempts = 40;
 /// Pause before an order without an answer is sent again, on another
 /// connection. The worker on the same machine normally answers within
@@ -43,9 +49,11 @@
   /// never a newer one.
   int64_t Epoch = 0;
   int Attempts = 0;
-  /// An earlier attempt got no answer, so the worker may have carried it out or
-  /// may still do so.
-  bool PossiblyDelivered = false;
+  /// Attempts of a start without an answer. The worker may have carried them
+  /// out or may still do so.
+  int UnansweredAttempts = 0;
+
+  bool isPossiblyDelivered() const { return UnansweredAttempts > 0; }
 };
 
 Message WorkerAgent::onMessage(const Message &message) {
@@ -67,7 +75,7 @@
                                   {"stops", orders.Stops.size()}});
   const bool otherIncarnation = orders.Life != State.Life;
   for (const endpoints::StopOrder &stop : orders.Stops) {
-    const RunKey key{stop.Task, stop.Run};
+    const RunId key{stop.Task, stop.Run};
     if (otherIncarnation)
       completeOrder(key, OrderOutcome::Gone,
                     "that life of the worker has ended");
@@ -81,7 +89,7 @@
     }
   }
   for (const endpoints::StartOrder &start : orders.Starts) {
-    const RunKey key{start.Task, start.Run};
+    const RunId key{start.Task, start.Run};
     auto known = CompletedOrders.find(key);
     if (otherIncarnation) {
       completeOrder(key, OrderOutcome::Gone,
@@ -103,16 +111,16 @@
   return {true, "", Epoch};
 }
 
-void WorkerAgent::completeOrder(const RunKey &run, OrderOutcome outcome,
+void WorkerAgent::completeOrder(const RunId &run, OrderOutcome outcome,
                                 const std::string &detail) {
-  endpoints::OrderResult result{run.first, run.second, outcome, detail};
+  endpoints::OrderResult result{run.Task, run.Run, outcome, detail};
   logEvent(Event::OrderCarriedOut,
-           {{"task", run.first},
-            {"run", run.second},
+           {{"task", run.Task},
+            {"run", run.Run},
             {"outcome", endpoints::orderOutcomeName(outcome)},
             {"why", detail}});
   if (outcome != OrderOutcome::Started && outcome != OrderOutcome::Unconfirmed)
-    SentStarts.recordNotStarted({run.first, run.second});
+    SentStarts.recordNotStarted(run);
   if (NotifyOrderCompleted)
     NotifyOrderCompleted(result);
   if (CompletedOrders.emplace(run, result).second)
@@ -127,15 +135,19 @@
   reportSoon();
 }
 
+bool WorkerAgent::isInProgress(const OrderPtr &start) const {
+  auto it = StartsInProgress.find({start->Start.Task, start->Start.Run});
+  return it != StartsInProgress.end() && it->second == start;
+}
+
 void WorkerAgent::startTask(const OrderPtr &order) {
-  const RunKey key{order->Start.Task, order->Start.Run};
-  auto known = StartsInProgress.find(key);
-  if (known == StartsInProgress.end() || known->second != order)
+  const RunId key{order->Start.Task, order->Start.Run};
+  if (!isInProgress(order))
     return;
   // A new leader has taken over and resolves this run from the worker's list.
   // A further attempt could start the run after that, without its knowledge.
   if (order->Epoch < Epoch) {
-    StartsInProgress.erase(known);
+    StartsInProgress.erase(key);
     return;
   }
   // The worker's capacity decreased after the leader's decision, and the worker
@@ -143,8 +155,8 @@
   if (!order->Start.DecidedOn.fitsIn(State.Capacity)) {
     StartsInProgress.erase(key);
     completeOrder(key,
-                  order->PossiblyDelivered ? OrderOutcome::Unconfirmed
-                                           : OrderOutcome::NoCapacity,
+                  order->isPossiblyDelivered() ? OrderOutcome::Unconfirmed
+                                               : OrderOutcome::NoCapacity,
                   "its capacity has shrunk");
     return;
   }
@@ -155,11 +167,15 @@
       GrantEnd - Loop.now() < absl::Milliseconds(MinGrantForStartMs)) {
     StartsInProgress.erase(key);
     completeOrder(key,
-                  order->PossiblyDelivered ? OrderOutcome::Unconfirmed
-                                           : OrderOutcome::Refused,
+                  order->isPossiblyDelivered() ? OrderOutcome::Unconfirmed
+                                               : OrderOutcome::Refused,
                   "no grant to keep it alive");
     return;
   }
+  if (mustDeferStarts()) {
+    retryStart(order);
+    return;
+  }
   endpoints::StartCall call;
   call.Incarnation = order->Incarnation;
   call.Order = order->Start;
@@ -167,29 +183,76 @@
   call.Epoch = order->Epoch;
   call.FreshConnection = order->Attempts > 0;
   ++order->Attempts;
-  SentStarts.recordSent({key.first, key.second}, Loop.now());
-  Worker.Start(call, [this, alive = Alive, order](const CallOutcome &outcome) {
-    if (*alive && order->Incarnation == State.Life)
+  SentStarts.recordSent(key, Loop.now());
+  const OpenAttempts::AttemptNumber number =
+      Attempts.open(key, order->Incarnation, Loop.now());
+  Worker.Start(call, [this, alive = Alive, order, attempt = order->Attempts,
+                      number](const CallOutcome &outcome) {
+    if (!*alive)
+      return;
+    recordAttemptOutcome(*order, attempt, number, outcome);
+    if (order->Incarnation == State.Life)
       onStartReply(order, outcome);
   });
 }
 
+void WorkerAgent::retryStart(const OrderPtr &order) {
+  Loop.runAfter(OrderRetryPause, [this, alive = Alive, order] {
+    if (*alive && order->Incarnation == State.Life)
+      startTask(order);
+  });
+}
+
+bool WorkerAgent::mustDeferStarts() const {
+  if (!Attempts.pendingStops(State.Life, Loop.now()).empty() ||
+      LastAppliedKeepAlive < FirstKeepAliveAfterStop)
+    return true;
+  return std::any_of(Running.begin(), Running.end(), [this](const auto &r) {
+    return Attempts.isOpenElsewhere({r.Task, r.Run}, State.Life, Loop.now());
+  });
+}
+
+void WorkerAgent::recordAttemptOutcome(const Order &order, int attempt,
+                                       OpenAttempts::AttemptNumber number,
+                                       const CallOutcome &outcome) {
+  if (outcome.Status == CallStatus::NoAnswer) {
+    logUnansweredStart(order, attempt);
+    return;
+  }
+  // An attempt that was accepted after its incarnation had ended may have been
+  // carried out by the next one, which still has to stop the run.
+  if (outcome.Status == CallStatus::Ok && order.Incarnation != State.Life)
+    return;
+  Attempts.close(number);
+}
+
+void WorkerAgent::logUnansweredStart(const Order &order, int attempt) {
+  logEvent(Event::OrderUnanswered, {{"task", order.Start.Task},
+                                    {"run", order.Start.Run},
+                                    {"attempt", attempt},
+                                    {"worker", order.Incarnation.Id},
+                                    {"born_ms", order.Incarnation.BornMs}});
+}
+
 void WorkerAgent::onStartReply(const OrderPtr &order,
                                const CallOutcome &outcome) {
-  const RunKey key{order->Start.Task, order->Start.Run};
+  const RunId key{order->Start.Task, order->Start.Run};
   recordWorkerClock(outcome.ClockMs);
+  if (outcome.Status == CallStatus::Ok)
+    SentStarts.recordAccepted(key);
+  if (!isInProgress(order))
+    return;
   auto end = [&](OrderOutcome result) {
     StartsInProgress.erase(key);
     // The worker may still carry out an attempt that got no answer, so the
     // refusal of another attempt does not resolve the run.
-    if (order->PossiblyDelivered && result != OrderOutcome::Started &&
+    if (order->isPossiblyDelivered() && result != OrderOutcome::Started &&
         result != OrderOutcome::Gone)
       result = OrderOutcome::Unconfirmed;
     completeOrder(key, result, outcome.Detail);
   };
   switch (outcome.Status) {
   case CallStatus::Ok:
-    SentStarts.recordAccepted({key.first, key.second});
     return end(OrderOutcome::Started);
   case CallStatus::OtherIncarnation:
     return end(OrderOutcome::Gone);
@@ -202,21 +265,19 @@
       return end(OrderOutcome::Fenced);
     return end(OrderOutcome::Refused);
   case CallStatus::NoAnswer:
-    order->PossiblyDelivered = true;
-    Unanswered.recordAttempt({key.first, key.second}, Loop.now());
+    ++order->UnansweredAttempts;
     break;
   case CallStatus::NotSent:
   case CallStatus::NotListening:
-    if (!order->PossiblyDelivered)
-      SentStarts.recordNotStarted({key.first, key.second});
+    if (!order->isPossiblyDelivered())
+      SentStarts.recordNotStarted(key);
     break;
   }
-  if (order->Attempts >= MaxStartAttempts)
+  const int unsentAttempts = order->Attempts - order->UnansweredAttempts;
+  if (unsentAttempts >= MaxUnsentStartAttempts ||
+      order->UnansweredAttempts >= MaxUnansweredStartAttempts)
     return end(OrderOutcome::Refused);
-  Loop.runAfter(OrderRetryPause, [this, alive = Alive, order] {
-    if (*alive && order->Incarnation == State.Life)
-      startTask(order);
-  });
+  retryStart(order);
 }
 
 void WorkerAgent::stopTask(const OrderPtr &order) {
@@ -238,12 +299,13 @@
 
 void WorkerAgent::onStopReply(const OrderPtr &order,
                               const CallOutcome &outcome) {
-  const RunKey key{order->Stop.Task, order->Stop.Run};
+  const RunId key{order->Stop.Task, order->Stop.Run};
   recordWorkerClock(outcome.ClockMs);
   if (outcome.Status == CallStatus::Ok) {
     // From now on the run is either listed or can never start. The next poll
     // shows which.
     StopsInProgress.erase(key);
+    StartsInProgress.erase(key);
     UnconfirmedStops[key] = KeepAlivesSent + 1;
     sendKeepAlive(0);
     return;
@@ -263,14 +325,14 @@
 }
 
 void WorkerAgent::resolveStops(uint64_t callNumber) {
-  std::set<RunKey> listed;
+  std::set<RunId> listed;
   for (const endpoints::RunningTask &r : Running)
     listed.insert({r.Task, r.Run});
-  std::set<RunKey> ended;
+  std::set<RunId> ended;
   for (const endpoints::EndedTask &e : Ended)
     ended.insert({e.Task, e.Run});
   for (auto it = UnconfirmedStops.begin(); it != UnconfirmedStops.end();) {
-    const RunKey key = it->first;
+    const RunId key = it->first;
     if (callNumber < it->second || listed.count(key) != 0) {
       ++it;
       continue;
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolebay::agent {
 namespace {
@@ -36,7 +37,7 @@
     };
     worker.Stop = [this](const endpoints::StopCall &c, const auto &done) {
       Stops.push_back(c);
-      Loop.runAfter(absl::Milliseconds(1), [this, done] { done(okOutcome()); });
+      Loop.runAfter(absl::Milliseconds(1), [this, done] { done(StopOutcome); });
     };
     worker.KeepAlive = [this](const endpoints::KeepAliveCall &c,
                               const auto &done) {
@@ -91,6 +92,31 @@
     o.Starts.push_back({"j.0.0.0", run, "text", "", ""});
     return o;
   }
+  /// Starts the worker again under this id and start time. Nothing runs there.
+  void restartWorker(const endpoints::WorkerIncarnation &incarnation) {
+    NextHeartbeat.Worker.Life = incarnation;
+    NextHeartbeat.Sequence = 0;
+    KeepAliveOutcome = okOutcome();
+    KeepAliveOutcome.BornMs = incarnation.BornMs;
+    Running.clear();
+    Ended.clear();
+    sendHeartbeat();
+  }
+  /// Returns how many stops of the run were sent since the last call, and
+  /// forgets them.
+  size_t takeStopsOf(const endpoints::RunId &run) {
+    const std::vector<endpoints::StopCall> calls = std::exchange(Stops, {});
+    return static_cast<size_t>(std::count_if(
+        calls.begin(), calls.end(), [&](const endpoints::StopCall &call) {
+          return call.Order.Task == run.Task && call.Order.Run == run.Run;
+        }));
+  }
+  size_t countStartsOf(const std::string &task) const {
+    return static_cast<size_t>(std::count_if(
+        Starts.begin(), Starts.end(), [&](const endpoints::StartCall &call) {
+          return call.Order.Task == task;
+        }));
+  }
   std::vector<endpoints::OrderResult> results() const {
     return Reports.empty() ? std::vector<endpoints::OrderResult>()
                            : Reports.back().Results;
@@ -101,6 +127,7 @@
   endpoints::ReportAck Ack;
   endpoints::Heartbeat NextHeartbeat;
   CallOutcome StartOutcome = okOutcome();
+  CallOutcome StopOutcome = okOutcome();
   CallOutcome KeepAliveOutcome = okOutcome();
   int StartDurationMs = 1;
   std::vector<endpoints::RunningTask> Running;
@@ -112,7 +139,6 @@
   std::vector<endpoints::WorkerReport> Reports;
   std::unique_ptr<WorkerAgent> Agent;
 
-private:
   static CallOutcome okOutcome() {
     return {CallStatus::Ok, endpoints::RefusalReason::None, 7000, ""};
   }
@@ -150,18 +176,60 @@
   EXPECT_FALSE(fixture.sendOrders(AgentFixture::makeStart(5, 2)).Ok);
 }
 
-TEST(WorkerAgent, StartWithoutAnswerIsReportedAsUnconfirmed) {
+// Guards against open attempts of a run that the worker has already been told
+// to refuse: each retry lets the task wait longer, and the worker's next
+// incarnation may carry it out.
+TEST(WorkerAgent, StartIsNotRetriedAfterAConfirmedStop) {
   AgentFixture fixture;
   fixture.StartOutcome = {};
   fixture.StartDurationMs = 250;
   fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Loop.advance(absl::Milliseconds(100));
   fixture.Ack = {};
-  fixture.Loop.advance(absl::Seconds(2));
+  fixture.sendOrders({5, {"life", 1}, {}, {{"j.0.0.0", 1}}});
+  fixture.Loop.advance(absl::Milliseconds(3500));
+  EXPECT_EQ(fixture.Starts.size(), 1u);
+  ASSERT_EQ(fixture.results().size(), 1u);
+  EXPECT_EQ(fixture.results().back().Outcome, endpoints::OrderOutcome::Absent);
+}
+
+/// A start of which every attempt has the same outcome.
+struct FailingStartCase {
+  const char *Name;
+  CallStatus Status;
+  size_t Attempts;
+  endpoints::OrderOutcome Reported;
+};
+
+void PrintTo(const FailingStartCase &c, std::ostream *out) { *out << c.Name; }
+
+class FailingStart : public testing::TestWithParam<FailingStartCase> {};
+
+// Guards against a task that leaves a worker which answers again after a
+// second, and so waits until none of its attempts can be carried out any more.
+TEST_P(FailingStart, IsRetriedAndReportedAsExpected) {
+  AgentFixture fixture;
+  fixture.StartOutcome = {};
+  fixture.StartOutcome.Status = GetParam().Status;
+  fixture.StartDurationMs = 250;
+  fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Ack = {};
+  fixture.Loop.advance(absl::Milliseconds(3500));
+  EXPECT_EQ(fixture.Starts.size(), GetParam().Attempts);
   ASSERT_FALSE(fixture.results().empty());
-  EXPECT_EQ(fixture.results().back().Outcome,
-            endpoints::OrderOutcome::Unconfirmed);
+  EXPECT_EQ(fixture.results().back().Outcome, GetParam().Reported);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Table, FailingStart,
+    testing::Values(FailingStartCase{"without_answer", CallStatus::NoAnswer, 10,
+                                     endpoints::OrderOutcome::Unconfirmed},
+                    FailingStartCase{"not_sent", CallStatus::NotSent, 4,
+                                     endpoints::OrderOutcome::Refused},
+                    FailingStartCase{"not_listening", CallStatus::NotListening,
+                                     4, endpoints::OrderOutcome::Refused}),
+    [](const auto &test) { return std::string(test.param.Name); });
+
 TEST(WorkerAgent, DrainingWorkerGetsNoStart) {
   AgentFixture fixture;
   fixture.NextHeartbeat.Worker.Draining = true;
@@ -322,5 +390,200 @@
   EXPECT_LE(fixture.KeepAliveCalls.size() - before, 110u);
 }
 
+const endpoints::RunId TestRun{"j.0.0.0", 1};
+
+/// An attempt to start a run, and two restarts of the worker after it.
+struct AttemptCase {
+  const char *Name;
+  CallStatus Outcome;
+  /// Time from the attempt to its outcome and to the first restart.
+  int OutcomeAfterMs;
+  int RestartAfterMs;
+  /// Whether the incarnation that follows, and the one after it, may carry out
+  /// the attempt.
+  bool IsOpenAtFirst;
+  bool IsOpenAtSecond;
+};
+
+void PrintTo(const AttemptCase &c, std::ostream *out) { *out << c.Name; }
+
+class AttemptBeforeRestarts : public testing::TestWithParam<AttemptCase> {
+protected:
+  void sendAttempt() {
+    Fixture.StartOutcome.Status = GetParam().Outcome;
+    Fixture.StartDurationMs = GetParam().OutcomeAfterMs;
+    Fixture.sendOrders(AgentFixture::makeStart(5, TestRun.Run));
+    Fixture.Loop.advance(absl::Milliseconds(GetParam().RestartAfterMs));
+  }
+  bool isStoppedAtRestart(int64_t bornMs) {
+    Fixture.Stops.clear();
+    Fixture.restartWorker({"life", bornMs});
+    Fixture.Loop.advance(absl::Milliseconds(400));
+    return Fixture.takeStopsOf(TestRun) > 0;
+  }
+
+  AgentFixture Fixture;
+};
+
+// Guards against a task that runs twice because its start, which got no answer,
+// is carried out by a second incarnation that follows under the same id: only
+// the first one had been told to refuse it.
+TEST_P(AttemptBeforeRestarts, IsStoppedAtEachIncarnationWhileItIsOpen) {
+  sendAttempt();
+  EXPECT_EQ(isStoppedAtRestart(2), GetParam().IsOpenAtFirst);
+  EXPECT_EQ(isStoppedAtRestart(3), GetParam().IsOpenAtSecond);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, AttemptBeforeRestarts,
+    testing::Values(
+        AttemptCase{"no_answer", CallStatus::NoAnswer, 250, 600, true, true},
+        AttemptCase{"in_flight_without_answer", CallStatus::NoAnswer, 250, 100,
+                    true, true},
+        AttemptCase{"accepted_after_the_restart", CallStatus::Ok, 250, 100,
+                    true, true},
+        AttemptCase{"refused_after_the_restart", CallStatus::Refused, 250, 240,
+                    true, false},
+        AttemptCase{"not_answered_long_ago", CallStatus::NoAnswer, 250, 20000,
+                    false, false},
+        AttemptCase{"accepted", CallStatus::Ok, 1, 100, false, false},
+        AttemptCase{"refused", CallStatus::Refused, 1, 100, false, false},
+        AttemptCase{"busy", CallStatus::Busy, 1, 100, false, false},
+        AttemptCase{"other_incarnation", CallStatus::OtherIncarnation, 1, 100,
+                    false, false},
+        AttemptCase{"not_sent", CallStatus::NotSent, 1, 100, false, false},
+        AttemptCase{"not_listening", CallStatus::NotListening, 1, 100, false,
+                    false}),
+    [](const auto &test) { return std::string(test.param.Name); });
+
+/// A worker that has restarted after a start without an answer.
+class AfterRestart : public testing::Test {
+protected:
+  AfterRestart() {
+    Fixture.StartOutcome = {};
+    Fixture.StartDurationMs = 250;
+    Fixture.sendOrders(AgentFixture::makeStart(5, TestRun.Run));
+    Fixture.Loop.advance(absl::Milliseconds(300));
+    Fixture.StartOutcome = AgentFixture::okOutcome();
+    Fixture.StartDurationMs = 1;
+  }
+  void orderOtherStart() {
+    endpoints::WorkerOrders orders{
+        5, Fixture.NextHeartbeat.Worker.Life, {}, {}};
+    orders.Starts.push_back({OtherTask, 1, "text", "", ""});
+    EXPECT_TRUE(Fixture.sendOrders(orders).Ok);
+  }
+
+  const std::string OtherTask = "k.0.0.0";
+  AgentFixture Fixture;
+};
+
+// Guards against a worker that runs more than its capacity: a start arrives
+// before it was told to refuse a delayed start for its previous incarnation.
+TEST_F(AfterRestart, NoStartIsSentBeforeTheStopsAreConfirmed) {
+  Fixture.StopOutcome = {};
+  Fixture.restartWorker({"life", 2});
+  Fixture.Loop.advance(absl::Milliseconds(100));
+  orderOtherStart();
+  Fixture.Loop.advance(absl::Milliseconds(500));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 0u);
+  Fixture.StopOutcome = AgentFixture::okOutcome();
+  Fixture.Loop.advance(absl::Milliseconds(200));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 1u);
+}
+
+// Guards against a worker that runs more than its capacity: it has carried out
+// a delayed start for its previous incarnation and is still stopping the run.
+TEST_F(AfterRestart, NoStartIsSentWhileADelayedOneIsStillRunning) {
+  Fixture.restartWorker({"life", 2});
+  Fixture.Running.push_back({TestRun.Task, TestRun.Run, "", 0});
+  Fixture.Loop.advance(absl::Milliseconds(100));
+  orderOtherStart();
+  Fixture.Loop.advance(absl::Milliseconds(500));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 0u);
+  Fixture.Running.clear();
+  // The next poll that begins after the end lists it.
+  Fixture.Loop.advance(absl::Milliseconds(1200));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 1u);
+}
+
+// Guards against a deferred start that outlives the grant.
+TEST_F(AfterRestart, DeferredStartEndsWithTheGrant) {
+  Fixture.StopOutcome = {};
+  Fixture.restartWorker({"life", 2});
+  Fixture.Loop.advance(absl::Milliseconds(100));
+  orderOtherStart();
+  Fixture.Ack = {};
+  Fixture.Loop.advance(absl::Seconds(6));
+  Fixture.StopOutcome = AgentFixture::okOutcome();
+  Fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_EQ(Fixture.countStartsOf(OtherTask), 0u);
+  ASSERT_FALSE(Fixture.results().empty());
+  EXPECT_EQ(Fixture.results().back().Outcome, endpoints::OrderOutcome::Refused);
+}
+
+// Guards against a delayed start that the next incarnation carries out before
+// it receives the stop, because the stop is sent too seldom while nothing
+// listens.
+TEST_F(AfterRestart, StopIsSentAsSoonAsTheWorkerListensAgain) {
+  Fixture.KeepAliveOutcome = {};
+  Fixture.KeepAliveOutcome.Status = CallStatus::NotListening;
+  Fixture.StopOutcome = Fixture.KeepAliveOutcome;
+  Fixture.Loop.advance(absl::Seconds(2));
+  ASSERT_FALSE(Fixture.Agent->status().Reachable);
+  Fixture.Stops.clear();
+  Fixture.Loop.advance(absl::Milliseconds(12));
+  EXPECT_EQ(Fixture.takeStopsOf(TestRun), 1u);
+}
+
+// Guards against stops that do not end when the worker's id is no longer used.
+TEST_F(AfterRestart, StopsEndWhenTheWorkerHasAnotherId) {
+  Fixture.StopOutcome.Status = CallStatus::OtherIncarnation;
+  Fixture.KeepAliveOutcome.Status = CallStatus::OtherIncarnation;
+  Fixture.Loop.advance(absl::Seconds(1));
+  Fixture.Stops.clear();
+  Fixture.restartWorker({"another-life", 2});
+  Fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_EQ(Fixture.takeStopsOf(TestRun), 0u);
+}
+
+// Guards against a leader that starts a task elsewhere while an attempt to
+// start its previous run may still be carried out: only the agent knew of it.
+TEST_F(AfterRestart, ReportsListOpenStartsAlsoWithoutAWorker) {
+  const auto openStarts = [this] {
+    std::vector<endpoints::RunId> runs;
+    for (const auto &start : Fixture.Reports.back().OpenStarts) {
+      EXPECT_GT(start.PossibleForMs, 0);
+      EXPECT_LE(start.PossibleForMs, 15000);
+      runs.push_back({start.Task, start.Run});
+    }
+    return runs;
+  };
+  Fixture.KeepAliveOutcome = {};
+  Fixture.KeepAliveOutcome.Status = CallStatus::NotListening;
+  Fixture.Loop.advance(absl::Seconds(2));
+  ASSERT_TRUE(Fixture.Reports.back().Worker.Life.empty());
+  EXPECT_EQ(openStarts(), std::vector<endpoints::RunId>{TestRun});
+  Fixture.restartWorker({"life", 2});
+  Fixture.Loop.advance(absl::Seconds(2));
+  ASSERT_FALSE(Fixture.Reports.back().Worker.Life.empty());
+  EXPECT_EQ(openStarts(), std::vector<endpoints::RunId>{TestRun});
+  Fixture.Loop.advance(absl::Seconds(15));
+  EXPECT_TRUE(openStarts().empty());
+}
+
+// Guards against a leader that takes the silence of a new agent for knowledge
+// of all starts: its previous process may have sent some.
+TEST(WorkerAgent, ReportsTellForHowLongStartsAreKnown) {
+  AgentFixture fixture;
+  ASSERT_FALSE(fixture.Reports.empty());
+  EXPECT_LE(fixture.Reports.front().StartsKnownForMs, 1000);
+  fixture.Loop.advance(absl::Seconds(9));
+  EXPECT_GE(fixture.Reports.back().StartsKnownForMs, 9000);
+  EXPECT_LE(fixture.Reports.back().StartsKnownForMs, 10000);
+  fixture.Loop.advance(absl::Seconds(20));
+  EXPECT_EQ(fixture.Reports.back().StartsKnownForMs, 15000);
+}
+
 } // namespace
 } // namespace oriolebay::agent
