A run that is listed but not recorded keeps its worker and its task out

Callers saw a worker run more than its capacity, and two runs of one task. A worker listed a run that the leader had no record of, a start that had come late; the leader ordered its stop and counted nothing for it, so that the worker looked empty until the run had ended, and the run's task started elsewhere although it was listed.

A worker that lists such runs now gets no new tasks until they have ended, as their resources are not known, and their tasks start nowhere meanwhile. The decision has a line of its own (425 run.unexpected) with what the leader counted there and the task's latest run; it was a run.stopping before, which did not tell these apart.

--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -64,6 +64,7 @@
   OrderCarriedOut = 421,
   GrantEnded = 422,
   OrderUnanswered = 423,
+  RunUnexpected = 425,
 
   ProfileAccepted = 500,
   ProfileRefusedStale = 501,
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -85,6 +85,7 @@
 
 bool Fleet::isUsable(const WorkerView &worker, absl::Time now) const {
   return !worker.State.Draining && worker.Reachable &&
+         worker.UnexpectedRuns.empty() &&
          now - worker.LastReportAt < Policy.UnresponsiveAfter &&
          now >= worker.QuarantinedUntil;
 }
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -48,6 +48,10 @@
   /// Time by which its tasks have ended unless its agent reports it as
   /// reachable again.
   absl::Time LostAt;
+  /// Runs in its latest list that are not recorded for it. Their resources are
+  /// not counted, so it gets no new tasks until they have ended, and their
+  /// tasks start nowhere else.
+  std::set<RunId> UnexpectedRuns;
   /// Resources of the runs on the worker. A run's resources are released when
   /// its end is listed or it is known not to run.
   std::map<RunId, core::Resources> Allocations;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -121,6 +121,7 @@
     Waiting,
     DeadlineSet,
     CapacityPlanned,
+    UnexpectedRun,
   };
   Kind What = Kind::Placed;
   std::string Job;
@@ -383,6 +384,11 @@
   bool hasCrashedRecently(const std::string &agent, absl::Time now) const;
   void handleRunningTasks(const endpoints::WorkerReport &report,
                           absl::Time now);
+  /// Stops a run that the worker lists but that is not the latest one of its
+  /// task, which is null if it is unknown.
+  void stopUnexpectedRun(const WorkerView &worker,
+                         const endpoints::RunningTask &running,
+                         const Task *task);
   void resolveUnlistedRuns(const endpoints::WorkerReport &report,
                            absl::Time now);
   void handleTaskEnd(const WorkerIncarnation &incarnation,
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -123,17 +123,15 @@
 
 void JobScheduler::handleRunningTasks(const endpoints::WorkerReport &report,
                                       absl::Time now) {
+  WorkerView &worker = *Workers.find(report.Worker.Life);
+  worker.UnexpectedRuns.clear();
   for (const endpoints::RunningTask &running : report.Running) {
     TaskId id;
     Task *task = core::parseTaskName(running.Task, id) ? findTask(id) : nullptr;
     if (task == nullptr || task->Progress.Run != running.Run ||
         task->Progress.Worker != report.Worker.Life) {
-      // The run is not recorded, or its job was removed: it must be stopped.
-      endpoints::WorkerOrders &orders = Orders[report.AgentAddress];
-      orders.Life = report.Worker.Life;
-      orders.Stops.push_back({running.Task, running.Run});
-      logDecision(Decision::Kind::Stopping, id.Job, running.Task, running.Run,
-                  report.Worker.Life.Id, "no record of this run");
+      worker.UnexpectedRuns.insert({running.Task, running.Run});
+      stopUnexpectedRun(worker, running, task);
       continue;
     }
     if (!running.Saved.empty())
@@ -159,6 +157,24 @@
   }
 }
 
+// The run is not recorded, or its job was removed: it must be stopped.
+void JobScheduler::stopUnexpectedRun(const WorkerView &worker,
+                                     const endpoints::RunningTask &running,
+                                     const Task *task) {
+  endpoints::WorkerOrders &orders = Orders[worker.AgentAddress];
+  orders.Life = worker.State.Life;
+  orders.Stops.push_back({running.Task, running.Run});
+  TaskId id;
+  core::parseTaskName(running.Task, id);
+  logDecision(Decision::Kind::UnexpectedRun, id.Job, running.Task, running.Run,
+              worker.State.Life.Id, "no record of this run",
+              {{"born_ms", worker.State.Life.BornMs},
+               {"accelerators_counted", worker.Used.Accelerators},
+               {"latest_run", task == nullptr ? 0 : task->Progress.Run}});
+  if (task != nullptr)
+    Decisions.back().Texts = {{"latest_worker", task->Progress.Worker.Id}};
+}
+
 // The worker had seen this leader's fencing token when it listed its tasks. A
 // run of a previous leader that it lists neither as running nor as ended can
 // therefore no longer start.
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -15,12 +15,15 @@
 
 Planner::Planner(JobScheduler &scheduler, absl::Time now)
     : Scheduler(scheduler), Now(now) {
-  for (const auto &[incarnation, view] : Scheduler.Workers.workers())
+  for (const auto &[incarnation, view] : Scheduler.Workers.workers()) {
+    for (const RunId &run : view.UnexpectedRuns)
+      UnexpectedTasks.insert(run.Task);
     if (Scheduler.Workers.isUsable(view, now))
       Candidates.push_back({&view, view.freeResources(), view.freeResources(),
                             absl::InfiniteDuration(),
                             Scheduler.Speeds.isSlow(view.Agent), -1,
                             view.ConsecutiveFailures > 0});
+  }
   SiteDomain.emplace_back();
   std::map<std::string_view, int> rackIndices;
   for (size_t c = 0; c < Candidates.size(); ++c) {
@@ -146,6 +149,12 @@
             });
 }
 
+// Whether a run of the task is still listed on a worker that it has left.
+bool Planner::mayRunElsewhere(const core::TaskId &id) const {
+  return !UnexpectedTasks.empty() &&
+         UnexpectedTasks.count(core::taskName(id)) != 0;
+}
+
 // Adds the pending tasks of a step to Units. A gang is added once none of its
 // tasks is done or may still run. Of other steps, each task that failed or is
 // suspect becomes a unit of its own, with its own workers to avoid.
@@ -158,6 +167,10 @@
     if (task.Progress.Done || task.isAssigned()) {
       if (gang)
         return;
+    } else if (mayRunElsewhere(unit.taskId(index))) {
+      Scheduler.RetryOnTick = true;
+      if (gang)
+        return;
     } else if (gang || (task.FailedOn.empty() && !task.isSuspect())) {
       unit.Tasks.push_back(index);
     } else {
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -156,6 +156,7 @@
   };
 
   void collectUnits();
+  bool mayRunElsewhere(const core::TaskId &id) const;
   void collectTasks(PlacementUnit &unit, const JobScheduler::Step &step);
   void avoidFailedWorkers(PlacementUnit &unit,
                           const JobScheduler::Step &step) const;
@@ -253,6 +254,8 @@
   std::vector<TopologyDomain> RackDomains;
   /// All candidates as the only domain.
   std::vector<TopologyDomain> SiteDomain;
+  /// Names of the tasks that a worker lists without a record of that run.
+  std::set<std::string> UnexpectedTasks;
   /// Number of empty workers beyond the headroom for urgent work.
   int EmptyBeyondHeadroom = 0;
   std::vector<PlacementUnit> Units;
