An outdated list keeps no task from starting elsewhere

An agent that cannot reach its worker goes on reporting the last list. Once the worker counted as lost and its tasks were free, the next report listed their runs again as unexpected, and the tasks waited although their leases had lapsed; only the pass in the tick of the loss itself could place them, and a gang on two such workers never started.

Runs in a list that is older than the time after which all leases have lapsed (FleetPolicy::LostAfter) bar nothing.

--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -132,12 +132,16 @@
                                       absl::Time now) {
   WorkerView &worker = *Workers.find(report.Worker.Life);
   worker.UnexpectedRuns.clear();
+  // The leases of what an older list names have lapsed.
+  const bool isOutdated =
+      absl::Milliseconds(report.ListedMsAgo) >= Policy.Fleet.LostAfter;
   for (const endpoints::RunningTask &running : report.Running) {
     TaskId id;
     Task *task = core::parseTaskName(running.Task, id) ? findTask(id) : nullptr;
     if (task == nullptr || task->Progress.Run != running.Run ||
         task->Progress.Worker != report.Worker.Life) {
-      worker.UnexpectedRuns.insert({running.Task, running.Run});
+      if (!isOutdated)
+        worker.UnexpectedRuns.insert({running.Task, running.Run});
       stopUnexpectedRun(worker, running, task);
       continue;
     }
--- a/tests/auto/jobs/tst_latestarts.cpp
+++ b/tests/auto/jobs/tst_latestarts.cpp
@@ -147,6 +147,33 @@
   EXPECT_EQ(site.starts(), 0);
 }
 
+// Guards against a task that waits for as long as its worker stands still: the
+// agent goes on reporting the last list, although the run's lease has lapsed.
+TEST(LateStart, OutdatedListBarsNoTask) {
+  constexpr int ReportIntervalMs = 500;
+  constexpr int ReportedForMs = 11000;
+  LateStartSite site;
+  site.worker("w0").OpenStarts.clear();
+  site.submit(jobOf("others", taskStep(2, 8, 9000)));
+  site.runFor(absl::Seconds(1));
+  endpoints::WorkerReport report;
+  report.Worker = site.worker("w0").State;
+  report.Agent = site.worker("w0").Agent;
+  report.AgentAddress = report.Agent;
+  report.Sequence = site.worker("w0").Sequence;
+  report.Reachable = false;
+  report.Running = {{"j.0.0.0", 1, "", 10}};
+  report.StartsKnownForMs = absl::ToInt64Milliseconds(endpoints::MaxOrderDelay);
+  site.crash("w0");
+  for (int ms = 0; ms < ReportedForMs; ms += ReportIntervalMs) {
+    ++report.Sequence;
+    report.ListedMsAgo = ms;
+    site.scheduler().onReport(report, site.now());
+    site.runFor(absl::Milliseconds(ReportIntervalMs));
+  }
+  EXPECT_EQ(site.workersOf("j").size(), 1u);
+}
+
 // Guards against a worker that runs more than its capacity, because a run that
 // nobody expects there takes resources that nobody counts.
 TEST(LateStart, WorkerWithAnUnexpectedRunGetsNoTasks) {
