A delayed report of an earlier incarnation ends no later one, however many lie between

A report that was held up until its worker had restarted twice was taken for the end of the present incarnation, because the fleet remembered only the latest end beside each agent. Runs that were listed there started elsewhere at once, beside the running ones.

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -4,6 +4,14 @@
 
 namespace oriolebay::jobs {
 
+namespace {
+
+/// Number of ended incarnations beside an agent that are remembered to
+/// recognise delayed reports.
+constexpr size_t MaxReportedEnds = 8;
+
+} // namespace
+
 // An agent that has just started has not received a heartbeat of its worker
 // yet. Its report then says nothing about an incarnation that was known before.
 std::optional<endpoints::IncarnationEnd>
@@ -20,8 +28,11 @@
 bool Fleet::isOutdated(const endpoints::WorkerReport &report) const {
   auto it = ReportedEnds.find(report.Agent);
   return it != ReportedEnds.end() &&
-         it->second.Incarnation == report.Worker.Life &&
-         report.Sequence < it->second.Sequence;
+         std::any_of(it->second.begin(), it->second.end(),
+                     [&report](const ReportedEnd &end) {
+                       return end.Incarnation == report.Worker.Life &&
+                              report.Sequence < end.Sequence;
+                     });
 }
 
 std::vector<endpoints::IncarnationEnd>
@@ -33,7 +44,10 @@
         ended.push_back(*end);
   for (const endpoints::IncarnationEnd &end : ended) {
     Workers.erase(end.Life);
-    ReportedEnds[report.Agent] = {end.Life, report.Sequence};
+    std::deque<ReportedEnd> &ends = ReportedEnds[report.Agent];
+    ends.push_back({end.Life, report.Sequence});
+    if (ends.size() > MaxReportedEnds)
+      ends.pop_front();
   }
   if (report.Worker.Life.empty())
     return ended;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -5,6 +5,7 @@
 
 #include <absl/time/time.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -150,13 +151,14 @@
 private:
   const FleetPolicy Policy;
   std::map<WorkerIncarnation, WorkerView> Workers;
-  /// The latest ended incarnation of the worker beside an agent, and the
-  /// sequence number of the report that said so.
+  /// An ended incarnation of a worker, and the sequence number of the report
+  /// that said so.
   struct ReportedEnd {
     WorkerIncarnation Incarnation;
     int64_t Sequence = 0;
   };
-  std::map<std::string, ReportedEnd> ReportedEnds;
+  /// The latest ends reported by each agent, the newest last.
+  std::map<std::string, std::deque<ReportedEnd>> ReportedEnds;
 };
 
 } // namespace oriolebay::jobs
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -252,6 +252,32 @@
   EXPECT_EQ(scheduler.passCount(), before + 1);
 }
 
+// Guards against the same after a second restart: the incarnation that has just
+// ended is not the one of the delayed report.
+TEST(JobScheduler, IgnoresDelayedReportOfTheIncarnationBeforeThePrevious) {
+  SimSite site;
+  site.addWorker("w", "r");
+  site.runFor(absl::Milliseconds(600));
+  endpoints::WorkerReport delayed;
+  delayed.Worker = site.worker("w").State;
+  delayed.Agent = site.worker("w").Agent;
+  delayed.AgentAddress = delayed.Agent;
+  delayed.Sequence = 50;
+  site.crash("w", "next");
+  site.worker("next").Sequence = 100;
+  site.runFor(absl::Milliseconds(600));
+  site.crash("next", "latest");
+  site.worker("latest").Sequence = 200;
+  site.runFor(absl::Milliseconds(600));
+  site.submit(jobOf("j", step(1, {1000, 100, 8}, 2000)));
+  site.runFor(absl::Milliseconds(500));
+  ASSERT_EQ(site.workersOf("j").size(), 1u);
+  site.scheduler().onReport(delayed, site.now());
+  ASSERT_TRUE(site.runUntilAllEnded(absl::Seconds(6)));
+  EXPECT_EQ(site.starts(), 1);
+  EXPECT_TRUE(site.violations().empty()) << site.violations().front();
+}
+
 core::SiteConfig configWithGuarantee(int64_t accelerators) {
   core::SiteConfig config;
   config.Version = 1;
