A restart is noticed within milliseconds while attempts to start are open

Callers saw a task start again after it was done: a run had ended, an earlier attempt to start it had had no answer, and the worker restarted. Nobody can bar that start; only a stop that reaches the next incarnation first prevents it. The agent noticed a restart up to 0.66 s late: it waited 150 ms after a failed poll and then sent one that waits, whose answer the next incarnation held back for 500 ms.

While attempts are open, a failed poll is followed by the next one after 10 ms, and no poll after a failed one waits. Failures still count once in 150 ms, so that a worker does not count as ended or unreachable any sooner.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -23,6 +23,9 @@
 constexpr int64_t MaxPollWaitMs = 500;
 /// Pause before a worker that did not answer is polled again.
 constexpr absl::Duration PollRetryPause = absl::Milliseconds(150);
+/// The same while attempts to start runs are open, so that the next incarnation
+/// is noticed before it can carry them out.
+constexpr absl::Duration PollRetryPauseWithOpenStarts = absl::Milliseconds(10);
 /// While the worker lists ends that the leader has not acknowledged, it answers
 /// each poll at once, so that the agent has to poll again for the next end. The
 /// first polls follow quickly, because several runs often end together and
@@ -141,8 +144,12 @@
     if (!*alive)
       return;
     KeepAliveQueued = false;
+    // A worker that did not answer may have restarted: a poll that waits would
+    // learn of that late.
+    const bool canWait =
+        UnconfirmedStops.empty() && ConsecutivePollFailures == 0;
     if (KeepAlivesInFlight == 0)
-      sendKeepAlive(UnconfirmedStops.empty() ? MaxPollWaitMs : 0);
+      sendKeepAlive(canWait ? MaxPollWaitMs : 0);
   });
 }
 
@@ -153,25 +160,14 @@
     endIncarnation("another incarnation answered", EndReason::Superseded);
     return;
   }
-  // If nothing listens at the worker's address, its process has ended. Several
-  // consecutive refusals are required, because a listener may be missing for a
-  // moment.
-  RefusedConnections =
-      outcome.Status == CallStatus::NotListening ? RefusedConnections + 1 : 0;
-  if (outcome.Status != CallStatus::Ok)
-    SentStarts.recordNoAnswer(Loop.now());
-  if (RefusedConnections >= RefusalsUntilProcessEnded) {
-    endIncarnation("nothing listens at its address",
-                   EndReason::ConnectionRefused);
-    return;
-  }
   if (outcome.Status != CallStatus::Ok) {
-    recordFailedPoll(outcome.Detail);
-    scheduleKeepAlive(PollRetryPause);
+    onFailedPoll(outcome);
     return;
   }
   recordWorkerClock(outcome.ClockMs);
   ConsecutivePollFailures = 0;
+  RefusedConnections = 0;
+  LastCountedFailureAt = absl::InfinitePast();
   bool changed = !Reachable;
   if (!Reachable)
     logEvent(Event::WorkerReachable, {{"worker", State.Life.Id}});
@@ -210,12 +206,31 @@
                                                        : PollPauseWithOldEnds;
 }
 
-void WorkerAgent::recordFailedPoll(const std::string &why) {
-  if (++ConsecutivePollFailures < FailuresUntilUnreachable || !Reachable)
+// If nothing listens at the worker's address, its process has ended. Several
+// consecutive refusals are required, because a listener may be missing for a
+// moment. Polls that follow more quickly than PollRetryPause count as one.
+void WorkerAgent::onFailedPoll(const CallOutcome &outcome) {
+  SentStarts.recordNoAnswer(Loop.now());
+  if (Loop.now() - LastCountedFailureAt >= PollRetryPause) {
+    LastCountedFailureAt = Loop.now();
+    ++ConsecutivePollFailures;
+    RefusedConnections =
+        outcome.Status == CallStatus::NotListening ? RefusedConnections + 1 : 0;
+  }
+  if (RefusedConnections >= RefusalsUntilProcessEnded) {
+    endIncarnation("nothing listens at its address",
+                   EndReason::ConnectionRefused);
     return;
-  Reachable = false;
-  logEvent(Event::WorkerUnreachable, {{"worker", State.Life.Id}, {"why", why}});
-  reportSoon();
+  }
+  if (Reachable && ConsecutivePollFailures >= FailuresUntilUnreachable) {
+    Reachable = false;
+    logEvent(Event::WorkerUnreachable,
+             {{"worker", State.Life.Id}, {"why", outcome.Detail}});
+    reportSoon();
+  }
+  scheduleKeepAlive(Attempts.openRuns(Loop.now()).empty()
+                        ? PollRetryPause
+                        : PollRetryPauseWithOpenStarts);
 }
 
 // ---- Reports ----
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -122,8 +122,9 @@
   void onKeepAliveReply(uint64_t number, int64_t epoch,
                         const endpoints::KeepAliveReply &reply);
   absl::Duration pauseBeforePoll() const;
-  /// Counts a failed poll, and reports the worker as unreachable after several.
-  void recordFailedPoll(const std::string &why);
+  /// Handles a poll that was not answered: reports the worker as unreachable,
+  /// or its process as ended, after several.
+  void onFailedPoll(const endpoints::CallOutcome &outcome);
   /// Records that the worker answered, with its clock. Has no effect if the
   /// answer contained no clock (zero).
   void recordWorkerClock(int64_t clockMs);
@@ -243,6 +244,7 @@
   int ConsecutivePollFailures = 0;
   /// Consecutive keep-alive calls whose connection was refused.
   int RefusedConnections = 0;
+  absl::Time LastCountedFailureAt = absl::InfinitePast();
   bool KeepAliveQueued = false;
   bool Reachable = false;
   /// The lists of this incarnation have been received.
--- a/src/libs/agent/workeragent_incarnation.cpp
+++ b/src/libs/agent/workeragent_incarnation.cpp
@@ -174,6 +174,7 @@
   KeepAlivesInFlight = 0;
   ConsecutivePollFailures = 0;
   RefusedConnections = 0;
+  LastCountedFailureAt = absl::InfinitePast();
   Reachable = false;
   ListsReceived = false;
   StartsInProgress.clear();
