A start is sent no more often than needed, and each time on a connection of its own

Found in review. (1) The agent went on with attempts to start a run that the worker already listed, its first answer having been lost: each was one more start that may be carried out late, and the leader took the list for the end of the attempts. A listed run completes its start now. (2) The first attempt went over a reused connection; if that breaks, the HTTP library repeats the call by itself, so that an attempt counted as answered while its first copy was still under way. Every attempt uses a fresh connection, as the retries did; these calls stay on the machine.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -140,6 +140,8 @@
   bool isInProgress(const OrderPtr &start) const;
   /// Calls startTask() again after a pause.
   void retryStart(const OrderPtr &order);
+  /// Returns whether the worker's last list names the run as running.
+  bool isListedAsRunning(const endpoints::RunId &run) const;
   /// Returns whether the served incarnation may still carry out or still run
   /// starts that were sent to earlier ones. The leader does not count these as
   /// used capacity.
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -176,12 +176,20 @@
     retryStart(order);
     return;
   }
+  // Each attempt that is not needed is one more that may be carried out late.
+  if (isListedAsRunning(key)) {
+    StartsInProgress.erase(key);
+    completeOrder(key, OrderOutcome::Started, "the worker lists it");
+    return;
+  }
   endpoints::StartCall call;
   call.Incarnation = order->Incarnation;
   call.Order = order->Start;
   call.UntilMs = until;
   call.Epoch = order->Epoch;
-  call.FreshConnection = order->Attempts > 0;
+  // The HTTP library repeats a call by itself if a reused connection breaks.
+  // The worker may then receive the start twice after a single attempt.
+  call.FreshConnection = true;
   ++order->Attempts;
   SentStarts.recordSent(key, Loop.now());
   const OpenAttempts::AttemptNumber number =
@@ -203,6 +211,12 @@
   });
 }
 
+bool WorkerAgent::isListedAsRunning(const RunId &run) const {
+  return std::any_of(Running.begin(), Running.end(), [&run](const auto &r) {
+    return r.Task == run.Task && r.Run == run.Run;
+  });
+}
+
 bool WorkerAgent::mustDeferStarts() const {
   if (!Attempts.pendingStops(State.Life, Loop.now()).empty() ||
       LastAppliedKeepAlive < FirstKeepAliveAfterStop)
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -585,5 +585,35 @@
   EXPECT_EQ(fixture.Reports.back().StartsKnownForMs, 15000);
 }
 
+// Guards against attempts that are carried out late although the run had
+// started long before: the answer of the first one was lost.
+TEST(WorkerAgent, StartIsNotRetriedOnceTheRunIsListed) {
+  AgentFixture fixture;
+  fixture.StartOutcome = CallOutcome();
+  fixture.StartDurationMs = 250;
+  fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Running = {{"j.0.0.0", 1, "", 1}};
+  fixture.Loop.advance(absl::Seconds(1));
+  const size_t attempts = fixture.Starts.size();
+  fixture.Loop.advance(absl::Seconds(2));
+  EXPECT_EQ(fixture.Starts.size(), attempts);
+  const bool reported = std::any_of(
+      fixture.Reports.begin(), fixture.Reports.end(), [](const auto &report) {
+        return !report.Results.empty() && report.Results.front().Outcome ==
+                                              endpoints::OrderOutcome::Started;
+      });
+  EXPECT_TRUE(reported);
+}
+
+// Guards against a start that reaches the worker twice without the agent's
+// knowledge: a call on a reused connection may be repeated by the HTTP library.
+TEST(WorkerAgent, EachStartUsesAFreshConnection) {
+  AgentFixture fixture;
+  fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Loop.advance(absl::Seconds(1));
+  ASSERT_EQ(fixture.Starts.size(), 1u);
+  EXPECT_TRUE(fixture.Starts.front().FreshConnection);
+}
+
 } // namespace
 } // namespace oriolebay::agent
