entry: split entryservice.cpp along its duties

The service itself (start, stop, inputs, messages and counters) stays; entryservice_leadership.cpp follows the election and adopts runs, entryservice_runs.cpp records, starts and stops runs, entryservice_answers.cpp sends and keeps answers. Pure moves: TickPeriod and reportStoreError(), which two of the files use, are now private members of the class; nothing else has changed. The sorted lines of old and new files differ only in includes, using lines, namespaces, head comments and these two declarations.

--- a/src/libs/entry/entryservice.cpp
+++ b/src/libs/entry/entryservice.cpp
@@ -5,8 +5,6 @@
 #include "utils/steadyclock.h"
 #include "utils/walltime.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 
 namespace oriolebay::entry {
@@ -23,18 +21,11 @@
 // maximum number of pending jobs.
 constexpr size_t InboxFactor = 8;
 constexpr int DispatchThreads = 4;
-constexpr int EntryCallTimeoutMs = 1000;
-constexpr int ReplyAttempts = 10;
-// Number of answers that are kept for entries that submit a gang again.
-constexpr size_t MaxRecentAnswers = 4096;
 // Maximum time in milliseconds for which the store holds a watch call. A change
 // answers the call at once. The period only limits how long a graceful stop
 // waits for the watcher, and costs one store call per second and entry when
 // nothing changes.
 constexpr long WatchPollMs = 1000;
-// Maximum time between two ticks of the scheduler. Also the polling period of a
-// graceful stop and the delay before the recorded runs are read again.
-const absl::Duration TickPeriod = absl::Milliseconds(20);
 const absl::Duration StatsPeriod = absl::Milliseconds(100);
 // The time between two updates of the counters is at least this many times the
 // duration of one.
@@ -42,13 +33,6 @@
 // Accelerators of a whole worker at current sites. Fragmentation is computed
 // for members of this width, or of the widest waiting gang if that is wider.
 constexpr int ReferenceWidth = 8;
-// Allowance for a back end whose clock is slow, and for the time that it needs
-// to stop a task.
-const absl::Duration LeaseSlack = absl::Seconds(1);
-
-void reportStoreError(const utils::Error &e) {
-  logEvent(Event::StoreCallFailed, {{"error", e.text()}});
-}
 } // namespace
 
 EntryService::EntryService(settings::EntrySettings settings,
@@ -273,81 +257,6 @@
     Scheduler->onProfile(profile);
 }
 
-void EntryService::handle(const platform::Leadership &leadership) {
-  if (Leader.Mine)
-    stepDown();
-  Leader = leadership;
-  logEvent(Event::LeaderFollowed,
-           {{"epoch", Leader.Epoch}, {"leader", Leader.Address}});
-  if (Leader.Mine)
-    startLeading();
-  Callers->onLeadership(Leader);
-}
-
-void EntryService::startLeading() {
-  std::vector<scheduler::AdoptedRun> runs;
-  bool loaded = false;
-  while (!loaded && !Stopping) {
-    loaded = utils::handle<bool>(
-        [&]() -> utils::Result<bool> {
-          BOOST_LEAF_AUTO(unendedRuns, RunRecorder->loadUnendedRuns());
-          runs = unendedRuns;
-          return true;
-        },
-        [](const utils::Error &e) {
-          reportStoreError(e);
-          absl::SleepFor(TickPeriod);
-          return false;
-        });
-  }
-  const absl::Time now = steadyNow();
-  Scheduler.emplace(placement::ClusterState(Place, Settings.RetryAfterMs),
-                    policy(), absl::StrCat(Leader.Epoch), now);
-  for (const auto &[name, profile] : Profiles)
-    Scheduler->onProfile(profile);
-  for (const scheduler::AdoptedRun &run : runs) {
-    logEvent(Event::GangAdopted,
-             {{"run", run.Run}, {"job", run.Request.Job.Id}});
-    RecordedRuns.insert(run.Run);
-    Scheduler->adopt(
-        run, now,
-        absl::Milliseconds(Settings.OutageHoldMs + Settings.TaskLeaseMs) +
-            LeaseSlack);
-  }
-  LeadingEpoch = Leader.Epoch;
-  logEvent(Event::LeaderElected,
-           {{"epoch", Leader.Epoch}, {"adopted", runs.size()}});
-}
-
-void EntryService::stepDown() {
-  LeadingEpoch = 0;
-  Scheduler.reset();
-  RunsBeingRecorded.clear();
-  RecordedRuns.clear();
-  ReplyAddresses.clear();
-  RecentAnswers.clear();
-  RecentAnswerOrder.clear();
-  logEvent(Event::LeaderLost, {{"epoch", Leader.Epoch}});
-}
-
-scheduler::Policy EntryService::policy() const {
-  scheduler::Policy p;
-  p.HeartbeatTimeout = absl::Milliseconds(Settings.HeartbeatTimeoutMs);
-  p.TaskLease = absl::Milliseconds(Settings.TaskLeaseMs) + LeaseSlack;
-  p.DrainWorkersAfter = absl::Milliseconds(Settings.StarveAfterMs);
-  p.RetryAfterMs = Settings.RetryAfterMs;
-  p.MaxAttempts = Settings.MaxAttempts;
-  p.MaxPending = static_cast<size_t>(Settings.MaxPendingJobs);
-  p.WaitLimit = [wait = absl::Milliseconds(Settings.MaxQueueWaitMs)](
-                    const core::JobRequest &job) {
-    if (job.Class == core::JobClass::Urgent || job.DeadlineUnixMs == 0)
-      return wait;
-    return std::max(wait, absl::FromUnixMillis(job.DeadlineUnixMs) -
-                              utils::wallNow());
-  };
-  return p;
-}
-
 void EntryService::performActions() {
   if (!Scheduler)
     return;
@@ -355,189 +264,6 @@
     std::visit([this](const auto &a) { perform(a); }, action);
 }
 
-void EntryService::recordStart(const RecordStart &request) {
-  const scheduler::StartGang &start = request.Start;
-  if (RunRecorder->recordStart(request))
-    return;
-  RunsBeingRecorded.erase(start.Run);
-  Scheduler->onStartAborted(
-      start.Run, core::notRun(start.Request.Job.Id, NotRunReason::Overloaded,
-                              "too many starts wait for the store",
-                              Settings.RetryAfterMs));
-  performActions();
-}
-
-void EntryService::perform(const scheduler::StartGang &start) {
-  RunsBeingRecorded[start.Run] = std::nullopt;
-  recordStart({LeadingEpoch, start, 0});
-}
-
-void EntryService::handle(const RecordOutcome &outcome) {
-  const scheduler::StartGang &start = outcome.Request.Start;
-  auto it = RunsBeingRecorded.find(start.Run);
-  if (!Scheduler || outcome.Request.Epoch != LeadingEpoch ||
-      it == RunsBeingRecorded.end())
-    return;
-  const std::optional<scheduler::StopGang> requestedStop = it->second;
-  const auto abortStart = [&](JobAnswer answer) {
-    RunsBeingRecorded.erase(start.Run);
-    Scheduler->onStartAborted(start.Run, std::move(answer));
-  };
-  switch (outcome.What) {
-  case RecordOutcome::Kind::Refused:
-    if (outcome.Answer.Result != Outcome::NotRun)
-      ++Duplicates;
-    return abortStart(outcome.Answer);
-  case RecordOutcome::Kind::KeyInUse: {
-    ++Duplicates;
-    logEvent(Event::JobDuplicate,
-             {{"job", start.Request.Job.Id}, {"holder", outcome.Holder}});
-    auto recent = RecentAnswers.find(outcome.Holder);
-    const bool isAnswered = recent != RecentAnswers.end() &&
-                            recent->second.Result != Outcome::NotRun;
-    if (isAnswered) {
-      JobAnswer answer = recent->second;
-      answer.JobId = start.Request.Job.Id;
-      return abortStart(std::move(answer));
-    }
-    if (Scheduler->hasGang(outcome.Holder))
-      return abortStart({start.Request.Job.Id,
-                         Outcome::InProgress,
-                         NotRunReason::None,
-                         "an earlier attempt with this idempotency key has not "
-                         "ended; ask again for its answer",
-                         Settings.RetryAfterMs,
-                         {}});
-    // The leader knows all runs. A holder that it does not know was answered
-    // "not run" after its record had been written but the reply was lost.
-    RecordStart retry = outcome.Request;
-    retry.PriorRevision = outcome.HolderRevision;
-    recordStart(retry);
-    return;
-  }
-  case RecordOutcome::Kind::LeadershipLost:
-    // The lease of this entry expired while its process was paused, and it has
-    // not been notified yet. The gang was not started and its caller continues
-    // to wait: the entry that holds the caller submits the gang to the new
-    // leader as soon as it is notified of the election.
-    RunsBeingRecorded.erase(start.Run);
-    return;
-  case RecordOutcome::Kind::Recorded:
-    break;
-  }
-  RunsBeingRecorded.erase(start.Run);
-  RecordedRuns.insert(start.Run);
-  if (requestedStop) {
-    // The run was stopped before any message was sent, so every member ends as
-    // stopped.
-    for (const auto &[worker, members] : requestedStop->Members)
-      for (int m : members)
-        Scheduler->onTaskResult({start.Run, m, worker,
-                                 endpoints::TaskEnd::Stopped, "did not run",
-                                 start.Saved},
-                                steadyNow());
-    return;
-  }
-  if (!GangDispatcher->start(LeadingEpoch, ConfigVersion, start))
-    Scheduler->onStartRefused(start.Run, "");
-}
-
-void EntryService::perform(const scheduler::StopGang &stop) {
-  auto it = RunsBeingRecorded.find(stop.Run);
-  if (it != RunsBeingRecorded.end())
-    it->second = stop;
-  else
-    // If the queue is full, the scheduler sends the stop again.
-    GangDispatcher->stop(LeadingEpoch, stop);
-}
-
-void EntryService::handle(const StartOutcome &outcome) {
-  if (!Scheduler)
-    return;
-  switch (outcome.What) {
-  case StartOutcome::Kind::Started:
-    ++Placed;
-    if (const auto *alloc = Scheduler->state().allocation(outcome.Run))
-      logEvent(Event::JobPlaced, {{"job", alloc->Job.Id},
-                                  {"run", outcome.Run},
-                                  {"workers", alloc->Workers}});
-    return;
-  case StartOutcome::Kind::Refused:
-    logEvent(Event::GangAborted, {{"run", outcome.Run},
-                                  {"worker", outcome.Worker},
-                                  {"why", outcome.Detail}});
-    Scheduler->onStartRefused(outcome.Run, outcome.Worker);
-    return;
-  case StartOutcome::Kind::Unconfirmed:
-    logEvent(Event::GangStopping, {{"run", outcome.Run},
-                                   {"worker", outcome.Worker},
-                                   {"why", outcome.Detail}});
-    Scheduler->onStartUnconfirmed(outcome.Run, steadyNow());
-    return;
-  }
-}
-
-void EntryService::perform(const scheduler::AnswerCaller &answer) {
-  if (answer.Answer.Result == Outcome::Done ||
-      answer.Answer.Result == Outcome::Failed) {
-    ++Finished;
-    logEvent(Event::JobFinished, {{"job", answer.Request.Job.Id},
-                                  {"outcome", answer.Answer.Result}});
-  }
-  // The answer of a non-idempotent gang must always be cached. An adopted
-  // idempotent gang that has not been submitted to this leader can run again if
-  // it is submitted later.
-  if (!answer.Orphan || !answer.Request.Job.Idempotent)
-    cacheAnswer(answer.Request.GangId, answer.Answer);
-  sendAnswer(answer.Request.GangId, answer.Answer);
-}
-
-void EntryService::cacheAnswer(const std::string &gangId,
-                               const JobAnswer &answer) {
-  if (!RecentAnswers.emplace(gangId, answer).second)
-    return;
-  RecentAnswerOrder.push_back(gangId);
-  if (RecentAnswerOrder.size() > MaxRecentAnswers) {
-    RecentAnswers.erase(RecentAnswerOrder.front());
-    RecentAnswerOrder.pop_front();
-  }
-}
-
-// Sends the answer to the entry that submitted the gang last. Does nothing if
-// that entry is unknown or has been sent an answer already.
-void EntryService::sendAnswer(const std::string &gangId,
-                              const JobAnswer &answer) {
-  auto it = ReplyAddresses.find(gangId);
-  if (it == ReplyAddresses.end())
-    return;
-  const Reply reply{it->second, {gangId, answer}};
-  ReplyAddresses.erase(it);
-  if (reply.Address == Server->address())
-    Callers->handleAnswer(reply.Answer);
-  else
-    // The answer must not be dropped here, because a lost answer is requested
-    // again only after a change of leader. The reply thread empties the queue
-    // continuously.
-    while (!Replies.tryPush(reply) && !Stopping)
-      absl::SleepFor(absl::Milliseconds(1));
-}
-
-void EntryService::perform(const scheduler::DeleteRunRecord &deletion) {
-  // A run without a record may have been refused because another gang holds its
-  // idempotency key. The record of that gang must not be overwritten.
-  if (RecordedRuns.erase(deletion.Run) == 0)
-    return;
-  DeleteRecord end{LeadingEpoch, deletion.Run, std::nullopt,
-                   deletion.Request.GangId, std::nullopt};
-  auto it = RecentAnswers.find(deletion.Request.GangId);
-  if (!deletion.Request.Job.Idempotent && it != RecentAnswers.end() &&
-      it->second.Result != Outcome::NotRun) {
-    end.Job = deletion.Request.Job;
-    end.Answer = it->second;
-  }
-  RunRecorder->recordEnd(std::move(end));
-}
-
 void EntryService::perform(const scheduler::LogReason &logReason) {
   switch (logReason.What) {
   case scheduler::LogReason::Kind::Stopping:
@@ -556,24 +282,6 @@
   }
 }
 
-void EntryService::sendReplies() {
-  std::map<std::string, std::shared_ptr<endpoints::RequestChannel>> channels;
-  while (std::optional<Reply> reply = Replies.pop(absl::InfiniteDuration())) {
-    auto &channel = channels[reply->Address];
-    if (!channel)
-      channel = std::make_shared<endpoints::RequestChannel>(reply->Address);
-    bool acknowledged = false;
-    for (int i = 0; i < ReplyAttempts && !acknowledged && !Stopping; ++i)
-      acknowledged = endpoints::RequestChannel::call(channel, reply->Answer,
-                                                     EntryCallTimeoutMs)
-                         .has_value();
-    // An entry that does not answer after all attempts has died, and its
-    // callers' connections with it.
-    if (!acknowledged)
-      channels.erase(reply->Address);
-  }
-}
-
 // Updates the counters for stats(), and removes the dispatcher's channels to
 // workers that are no longer known.
 void EntryService::publishStats() {
@@ -594,4 +302,8 @@
       [&](const std::string &id) { return state.isWorkerKnown(id); });
 }
 
+void EntryService::reportStoreError(const utils::Error &e) {
+  logEvent(Event::StoreCallFailed, {{"error", e.text()}});
+}
+
 } // namespace oriolebay::entry
--- a/src/libs/entry/entryservice.h
+++ b/src/libs/entry/entryservice.h
@@ -48,6 +48,10 @@
   nlohmann::json stats() const;
 
 private:
+  /// Maximum time between two ticks of the scheduler. Also the polling period
+  /// of a graceful stop and the delay before the recorded runs are read again.
+  static constexpr absl::Duration TickPeriod = absl::Milliseconds(20);
+
   /// An answer to send to the entry that holds the caller's connection.
   struct Reply {
     std::string Address;
@@ -82,6 +86,7 @@
   void sendReplies();
   void publishStats();
   scheduler::Policy policy() const;
+  static void reportStoreError(const utils::Error &e);
 
   const settings::EntrySettings Settings;
   platform::KvClient &Kv;
