jobs: split jobservice.cpp along its duties

Pure moves: the sorted lines of old and new files differ only in includes, using lines, namespaces and head comments.

--- /dev/null
+++ b/src/libs/jobs/jobservice_access.cpp
@@ -0,0 +1,84 @@
+// Checks calls against the configuration: queue and key, and whether the
+// configuration known here is new enough to decide.
+
+#include "jobservicecall.h"
+
+#include "utils/eventloop.h"
+
+namespace oriolebay::jobs {
+
+// Checks queue and key, then calls next. A call is refused only after the store
+// has confirmed that the configuration is the newest one, as the key or queue
+// may just have been added.
+void JobService::authoriseNewCall(const CallPtr &call,
+                                  const Continuation &next) {
+  call->ReceivedAt = Loop.now();
+  authorise(call, false, next);
+}
+
+// Whether calls can be checked against this entry's configuration. If a newer
+// one is known, this entry may have passed on an answer that was based on it,
+// or another entry that has done so may be asking. An answer based on the older
+// one would contradict that.
+bool JobService::isConfigUsable() const {
+  return Config.current() != nullptr && !Config.isOutdated() &&
+         Config.age(Loop.now()) <= Policy.MaxConfigAge;
+}
+
+void JobService::authorise(const CallPtr &call, bool confirmed,
+                           const Continuation &next) {
+  call->Config = Config.current();
+  call->CheckedConfig = Config.stamp();
+  call->ConfigAge = Config.age(Loop.now());
+  if (!isConfigUsable()) {
+    if (forward(call))
+      return;
+    if (!confirmed && Config.isOutdated() && isStoreUsable()) {
+      confirmConfig(call, next);
+      return;
+    }
+    finish(call, CallResult::NotDone,
+           "this entry has no fresh configuration; try another entry");
+    return;
+  }
+  const core::QueueConfig *queue =
+      call->Config->route(call->Access.Host, call->Access.Path);
+  const core::OrganisationConfig *owner = call->Config->owner(call->Access.Key);
+  if (queue != nullptr && (queue->Public || owner != nullptr)) {
+    call->Queue = *queue;
+    call->Organisation = owner != nullptr ? owner->Name : "";
+    next(call);
+    return;
+  }
+  if (!confirmed) {
+    if (isViewFresh() || !forward(call))
+      confirmConfig(call, next);
+    return;
+  }
+  if (queue == nullptr)
+    finish(call, CallResult::UnknownQueue,
+           "no such queue; check host and path");
+  else
+    finish(call, CallResult::BadKey, "unknown key; check the key in use");
+}
+
+void JobService::confirmConfig(const CallPtr &call, const Continuation &next) {
+  const auto onConfirmed = [this, alive = Alive, call, next](bool ok) {
+    if (!*alive)
+      return;
+    if (ok)
+      authorise(call, true, next);
+    else if (!forward(call))
+      finish(call, CallResult::NotDone,
+             "the configuration could not be confirmed; try another entry");
+  };
+  Config.confirm(onConfirmed, Policy.FirstTryTimeoutMs);
+}
+
+bool JobService::isAccessAllowed(const CallPtr &call,
+                                 const JobRecord &record) const {
+  return record.Spec.Queue == call->Queue.Name &&
+         (call->Queue.Public || record.Spec.Organisation == call->Organisation);
+}
+
+} // namespace oriolebay::jobs
--- /dev/null
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -0,0 +1,190 @@
+// Calls that write to the store: submitted jobs are stored, and jobs are marked
+// as cancelled.
+
+#include "jobservicecall.h"
+
+#include "utils/eventloop.h"
+
+#include <algorithm>
+
+namespace oriolebay::jobs {
+
+using platform::KeyValue;
+using platform::StoreReply;
+using platform::StoreStatus;
+using platform::StoreTxnReply;
+
+namespace {
+
+const KeyValue *findItem(const std::vector<KeyValue> &items,
+                         const std::string &key) {
+  auto it = std::find_if(items.begin(), items.end(),
+                         [&](const KeyValue &i) { return i.Key == key; });
+  return it == items.end() ? nullptr : &*it;
+}
+
+std::optional<JobRecord> tryDecodeRecord(const std::string &bytes) {
+  return utils::handle<std::optional<JobRecord>>(
+      [&]() -> utils::Result<std::optional<JobRecord>> {
+        BOOST_LEAF_AUTO(record, decodeRecord(bytes));
+        return std::optional<JobRecord>(std::move(record));
+      },
+      [](const utils::Error &) { return std::optional<JobRecord>(); });
+}
+
+} // namespace
+
+void JobService::validateAndStore(const CallPtr &call) {
+  const std::string problem = core::validate(call->Spec);
+  if (!problem.empty()) {
+    finish(call, CallResult::Invalid, problem);
+    return;
+  }
+  if (isStoreUsable()) {
+    storeJob(call);
+    return;
+  }
+  if (!forward(call))
+    finish(call, CallResult::NotDone,
+           "the store is not available; nothing was done");
+}
+
+// Writes the job on condition that its key does not exist and that the
+// configuration the call was checked against is still the newest.
+void JobService::storeJob(const CallPtr &call) {
+  if (call->Config != Config.current()) {
+    authorise(call, false, [this](const CallPtr &c) { storeJob(c); });
+    return;
+  }
+  // This version does not request tickets from the advice service, and workers
+  // refuse tasks without one: once accepted, the job could not start anywhere.
+  if (call->Queue.NeedsAdvice) {
+    finish(call, CallResult::Invalid,
+           "jobs of this queue need placement advice, which is not supported; "
+           "use a queue without advice");
+    return;
+  }
+  JobRecord record;
+  record.Spec = call->Spec;
+  record.Spec.Organisation = call->Organisation;
+  record.Spec.Queue = call->Queue.Name;
+  record.Service = call->Queue.Service;
+  record.Priority = call->Queue.Priority;
+  record.Attempts = std::max(1, call->Queue.Attempts);
+  record.Stretch = call->Queue.Stretch;
+  record.TargetLatencyMs = call->Queue.TargetLatencyMs;
+  record.NeedsAdvice = call->Queue.NeedsAdvice;
+  std::string value = encode(record);
+  platform::StoreTxn txn;
+  txn.Expected.push_back({specKey(call->JobId), 0});
+  txn.Expected.push_back(Config.condition());
+  txn.Puts.push_back({specKey(call->JobId), value, 0});
+  txn.TimeoutMs = nextTryTimeoutMs(call);
+  const absl::Time sentAt = Loop.now();
+  StoreClient.Transact(std::move(txn),
+                       [this, alive = Alive, call, sentAt,
+                        value](const StoreReply<StoreTxnReply> &reply) {
+                         if (*alive)
+                           onStoreJobReply(call, reply, sentAt, value);
+                       });
+}
+
+void JobService::onStoreJobReply(const CallPtr &call,
+                                 const StoreReply<StoreTxnReply> &reply,
+                                 absl::Time sentAt, const std::string &value) {
+  const std::string key = specKey(call->JobId);
+  if (reply.ok()) {
+    const KeyValue item{key, value, reply.Value.Revision, reply.Value.Revision,
+                        0};
+    View.applyItem(item);
+    NotifyLeader(item);
+    finish(call, CallResult::Ok);
+    return;
+  }
+  if (reply.Status != StoreStatus::Conflict) {
+    retryStoreCall(call, reply.Status,
+                   [this](const CallPtr &c) { storeJob(c); });
+    return;
+  }
+  if (const KeyValue *existing = findItem(reply.Value.Current, key)) {
+    // The id was submitted before, by this call or an earlier one. That is the
+    // same job if it is of the same organisation.
+    const std::optional<JobRecord> record = tryDecodeRecord(existing->Value);
+    View.applyItem(*existing);
+    if (record && record->Spec.Organisation != call->Organisation) {
+      finish(call, CallResult::IdTaken, "another job has this id");
+      return;
+    }
+    NotifyLeader(*existing);
+    finish(call, CallResult::Ok);
+    return;
+  }
+  if (const KeyValue *config =
+          findItem(reply.Value.Current, Config.condition().Key))
+    Config.applyItem(*config, sentAt);
+  // Without time left, retryStoreCall() only forwards the call or finishes it.
+  if (isOutOfTime(call)) {
+    retryStoreCall(call, StoreStatus::Refused, {});
+    return;
+  }
+  authorise(call, true, [this](const CallPtr &c) { storeJob(c); });
+}
+
+void JobService::findJobToCancel(const CallPtr &call) {
+  if (const StoredJob *job = View.find(call->JobId)) {
+    if (!isAccessAllowed(call, job->Record))
+      finish(call, CallResult::UnknownJob, "no such job");
+    else if (isFinal(visibleState(*job)))
+      finish(call, CallResult::Ok);
+    else
+      writeCancel(call, job->Record, job->RecordRevision);
+    return;
+  }
+  fetchRecord(
+      call, [this](const CallPtr &c) { findJobToCancel(c); },
+      [this](const CallPtr &c) {
+        if (View.find(c->JobId) != nullptr)
+          findJobToCancel(c);
+        else
+          finish(c, CallResult::NotDone, "the record is unreadable");
+      });
+}
+
+void JobService::writeCancel(const CallPtr &call, JobRecord record,
+                             int64_t revision) {
+  record.Cancelled = true;
+  const std::string key = specKey(call->JobId);
+  const std::string value = encode(record);
+  platform::StoreTxn txn;
+  txn.Expected.push_back({key, revision});
+  txn.Puts.push_back({key, value, 0});
+  StoreClient.Transact(
+      std::move(txn), [this, alive = Alive, call, key,
+                       value](const StoreReply<StoreTxnReply> &reply) {
+        if (!*alive)
+          return;
+        if (reply.ok()) {
+          const KeyValue item{key, value, 0, reply.Value.Revision, 0};
+          View.applyItem(item);
+          NotifyLeader(item);
+          finish(call, CallResult::Ok);
+          return;
+        }
+        if (reply.Status != StoreStatus::Conflict) {
+          retryStoreCall(call, reply.Status,
+                         [this](const CallPtr &c) { findJobToCancel(c); });
+          return;
+        }
+        // The record has changed: it was cancelled by another call, or by this
+        // one with the store's answer lost.
+        if (const KeyValue *current = findItem(reply.Value.Current, key)) {
+          View.applyItem(*current);
+          NotifyLeader(*current);
+          findJobToCancel(call);
+          return;
+        }
+        finish(call, CallResult::UnknownJob, "no such job");
+      });
+}
+
+} // namespace oriolebay::jobs
