app: one function runs a process with its settings

The entry and the agent command repeated to the letter how settings are read, the event log is opened, the start is logged and an error becomes an exit status. app::runWithSettings() does this for both; events, texts and statuses stay.

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -1,19 +1,16 @@
 #include "jobscommand.h"
 
 #include "agent/workeragent.h"
+#include "common/settingsprocess.h"
 #include "common/signalthread.h"
 #include "eventlog/eventlog.h"
 #include "http/asyncclient.h"
 #include "metrics/metricsserver.h"
 #include "settings/nodesettings.h"
-#include "settings/settings.h"
 #include "storeadapter.h"
 #include "utils/eventloop.h"
 #include "workeradapter.h"
 
-#include <iostream>
-#include <stdexcept>
-
 namespace oriolebay::agent {
 
 using eventlog::Event;
@@ -94,27 +91,9 @@
 } // namespace
 
 int serveJobs(const std::string &path) {
-  return utils::handle<int>(
-      [&]() -> utils::Result<int> {
-        BOOST_LEAF_AUTO(text, settings::readFile(path));
-        BOOST_LEAF_AUTO(s, settings::parseNodeSettings(text));
-        BOOST_LEAF_CHECK(eventlog::initEventLog(s.Name, ""));
-        logEvent(Event::ProcessStarted, {{"role", "agent"},
-                                         {"settings", path},
-                                         {"domain", s.FailureDomain}});
-        try {
-          Process(s).run();
-        } catch (const std::runtime_error &e) {
-          return utils::fail(utils::ErrorKind::BadSettings, e.what(),
-                             "free the address or change it");
-        }
-        eventlog::closeEventLog();
-        return 0;
-      },
-      [](const utils::Error &e) {
-        std::cerr << "oriolebay-agent: " << e.text() << '\n';
-        return 2;
-      });
+  return app::runWithSettings(
+      "agent", path,
+      [](const settings::NodeSettings &settings) { Process(settings).run(); });
 }
 
 } // namespace oriolebay::agent
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -1,6 +1,7 @@
 #include "jobscommand.h"
 
 #include "calleradapter.h"
+#include "common/settingsprocess.h"
 #include "common/signalthread.h"
 #include "configadapter.h"
 #include "entry/jobentry.h"
@@ -8,14 +9,10 @@
 #include "http/asyncclient.h"
 #include "metrics/metricsserver.h"
 #include "settings/nodesettings.h"
-#include "settings/settings.h"
 #include "storeadapter.h"
 #include "utils/boottime.h"
 #include "utils/eventloop.h"
 
-#include <iostream>
-#include <stdexcept>
-
 namespace oriolebay::entry {
 
 using eventlog::Event;
@@ -150,27 +147,9 @@
 } // namespace
 
 int serveJobs(const std::string &path) {
-  return utils::handle<int>(
-      [&]() -> utils::Result<int> {
-        BOOST_LEAF_AUTO(text, settings::readFile(path));
-        BOOST_LEAF_AUTO(s, settings::parseNodeSettings(text));
-        BOOST_LEAF_CHECK(eventlog::initEventLog(s.Name, ""));
-        logEvent(Event::ProcessStarted, {{"role", "entry"},
-                                         {"settings", path},
-                                         {"domain", s.FailureDomain}});
-        try {
-          Process(s).run();
-        } catch (const std::runtime_error &e) {
-          return utils::fail(utils::ErrorKind::BadSettings, e.what(),
-                             "free the address or change it");
-        }
-        eventlog::closeEventLog();
-        return 0;
-      },
-      [](const utils::Error &e) {
-        std::cerr << "oriolebay-entry: " << e.text() << '\n';
-        return 2;
-      });
+  return app::runWithSettings(
+      "entry", path,
+      [](const settings::NodeSettings &settings) { Process(settings).run(); });
 }
 
 } // namespace oriolebay::entry
