jobs: one function publishes what a call wrote

Submits and cancels each put a written item into the view and then notified the leader, three times in all. JobService::publishWrite() serves them. The place where a foreign job's id is refused between the two steps stays as it is.

--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -172,6 +172,9 @@
   onStoreJobReply(const CallPtr &call,
                   const platform::StoreReply<platform::StoreTxnReply> &reply,
                   absl::Time sentAt, const std::string &value);
+  /// Updates the view with a job's key as it is in the store now, and notifies
+  /// the leader of it.
+  void publishWrite(const platform::KeyValue &item);
   /// Answers a state call.
   void showState(const CallPtr &call);
   /// Reads the record of the call's job from the store into the view and calls
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -96,8 +96,7 @@
   if (reply.ok()) {
     const KeyValue item{key, value, reply.Value.Revision, reply.Value.Revision,
                         0};
-    View.applyItem(item);
-    NotifyLeader(item);
+    publishWrite(item);
     finish(call, CallResult::Ok);
     return;
   }
@@ -130,6 +129,11 @@
   authorise(call, true, [this](const CallPtr &c) { storeJob(c); });
 }
 
+void JobService::publishWrite(const KeyValue &item) {
+  View.applyItem(item);
+  NotifyLeader(item);
+}
+
 void JobService::findJobToCancel(const CallPtr &call) {
   if (const StoredJob *job = View.find(call->JobId)) {
     if (!isAccessAllowed(call, job->Record))
@@ -165,8 +169,7 @@
           return;
         if (reply.ok()) {
           const KeyValue item{key, value, 0, reply.Value.Revision, 0};
-          View.applyItem(item);
-          NotifyLeader(item);
+          publishWrite(item);
           finish(call, CallResult::Ok);
           return;
         }
@@ -178,8 +181,7 @@
         // The record has changed: it was cancelled by another call, or by this
         // one with the store's answer lost.
         if (const KeyValue *current = findItem(reply.Value.Current, key)) {
-          View.applyItem(*current);
-          NotifyLeader(*current);
+          publishWrite(*current);
           findJobToCancel(call);
           return;
         }
