A start that the worker outlived is not blamed for its crash

Found by the tests of late starts: a job failed although none of its tasks had crashed a worker. Its start had had no answer, the worker crashed within half a second, on another host once more, and two such crashes fail a job. An attempt that ran into its timeout while the worker still answered had not begun, or would have crashed it then.

A start that was neither accepted nor listed is no possible cause if its latest attempt had timed out before the worker fell silent. An attempt that was cut off, or still waiting, counts as before, so that a task whose crash swallows the answer is still found.

--- a/src/libs/agent/starttracker.cpp
+++ b/src/libs/agent/starttracker.cpp
@@ -7,7 +7,11 @@
 using endpoints::RunId;
 
 void StartTracker::recordSent(const RunId &run, absl::Time now) {
-  Starts.emplace(run, Start{now});
+  Start &start = Starts.emplace(run, Start{now}).first->second;
+  // An attempt that is sent to a worker that has stopped answering does not
+  // tell what stopped it.
+  if (now <= UnansweredSince)
+    start.TimedOutAt = absl::InfiniteFuture();
 }
 
 void StartTracker::recordAccepted(const RunId &run) {
@@ -24,6 +28,12 @@
 
 void StartTracker::recordNotStarted(const RunId &run) { Starts.erase(run); }
 
+void StartTracker::recordTimeout(const RunId &run, absl::Time now) {
+  auto it = Starts.find(run);
+  if (it != Starts.end())
+    it->second.TimedOutAt = now;
+}
+
 void StartTracker::recordAnswer(absl::Time now) {
   LastAnswer = now;
   UnansweredSince = absl::InfiniteFuture();
@@ -42,10 +52,13 @@
 // it.
 std::vector<RunId> StartTracker::recentlyStartedRuns() const {
   std::vector<RunId> runs;
-  for (const auto &[run, start] : Starts)
-    if (start.FirstSent <= UnansweredSince &&
+  for (const auto &[run, start] : Starts) {
+    const bool outlived =
+        !start.Accepted && !start.Listed && start.TimedOutAt <= UnansweredSince;
+    if (!outlived && start.FirstSent <= UnansweredSince &&
         LastAnswer - start.FirstSent < endpoints::CrashDetectionWindow)
       runs.push_back(run);
+  }
   return runs;
 }
 
--- a/src/libs/agent/starttracker.h
+++ b/src/libs/agent/starttracker.h
@@ -24,6 +24,8 @@
   void recordListed(const endpoints::RunId &run);
   /// Records that the worker certainly did not start the run.
   void recordNotStarted(const endpoints::RunId &run);
+  /// Records that the latest attempt to start the run ran into its timeout.
+  void recordTimeout(const endpoints::RunId &run, absl::Time now);
   /// Records that the worker answered a call. Drops the listed starts that are
   /// older than endpoints::CrashDetectionWindow: they can neither have crashed
   /// the worker nor start late.
@@ -34,7 +36,9 @@
   /// Returns the runs that may have crashed the worker: those that started, or
   /// may have started, less than endpoints::CrashDetectionWindow before its
   /// last answer or after that answer. Runs that were sent after the first
-  /// unanswered call are excluded.
+  /// unanswered call are excluded, and so are those that were neither accepted
+  /// nor listed and whose latest attempt had timed out by then: the worker
+  /// outlived it.
   std::vector<endpoints::RunId> recentlyStartedRuns() const;
   /// Returns the runs that this incarnation never listed and that the next one
   /// under its id may have or still receive. If nothing listens at the worker's
@@ -48,6 +52,8 @@
     /// The worker, or another incarnation under its id, accepted the run.
     bool Accepted = false;
     bool Listed = false;
+    /// Time at which the latest attempt timed out.
+    absl::Time TimedOutAt = absl::InfiniteFuture();
   };
 
   std::map<endpoints::RunId, Start> Starts;
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -32,6 +32,9 @@
 /// connection. The worker on the same machine normally answers within
 /// milliseconds.
 constexpr absl::Duration OrderRetryPause = absl::Milliseconds(60);
+/// A call without an answer that took at least this long ran into its timeout.
+/// A shorter one broke with its connection.
+constexpr absl::Duration MinOrderTimeout = absl::Milliseconds(200);
 /// Number of completed orders that are remembered to answer delayed messages.
 constexpr size_t MaxCompletedOrders = 2048;
 /// Minimum remaining grant that is required to send a start, so that the start
@@ -194,14 +197,19 @@
   SentStarts.recordSent(key, Loop.now());
   const OpenAttempts::AttemptNumber number =
       Attempts.open(key, order->Incarnation, Loop.now());
-  Worker.Start(call, [this, alive = Alive, order, attempt = order->Attempts,
-                      number](const CallOutcome &outcome) {
-    if (!*alive)
-      return;
-    recordAttemptOutcome(*order, attempt, number, outcome);
-    if (order->Incarnation == State.Life)
-      onStartReply(order, outcome);
-  });
+  Worker.Start(call,
+               [this, alive = Alive, order, attempt = order->Attempts, number,
+                key, sentAt = Loop.now()](const CallOutcome &outcome) {
+                 if (!*alive)
+                   return;
+                 recordAttemptOutcome(*order, attempt, number, outcome);
+                 if (order->Incarnation != State.Life)
+                   return;
+                 if (outcome.Status == CallStatus::NoAnswer &&
+                     Loop.now() - sentAt >= MinOrderTimeout)
+                   SentStarts.recordTimeout(key, Loop.now());
+                 onStartReply(order, outcome);
+               });
 }
 
 void WorkerAgent::retryStart(const OrderPtr &order) {
--- a/tests/auto/agent/tst_starttracker.cpp
+++ b/tests/auto/agent/tst_starttracker.cpp
@@ -14,7 +14,8 @@
   Listed,
   NotStarted,
   Answered,
-  Unanswered
+  Unanswered,
+  TimedOut
 };
 
 struct Event {
@@ -55,6 +56,9 @@
     case EventKind::Accepted:
       tracker.recordAccepted(run);
       break;
+    case EventKind::TimedOut:
+      tracker.recordTimeout(run, now);
+      break;
     case EventKind::Listed:
       tracker.recordListed(run);
       break;
@@ -151,6 +155,32 @@
                                {200, EventKind::Sent},
                                {210, EventKind::Unanswered}},
                               true},
+                    StartCase{"timed_out_before_the_crash",
+                              {{0, EventKind::Answered},
+                               {10, EventKind::Sent},
+                               {260, EventKind::TimedOut},
+                               {300, EventKind::Unanswered}},
+                              false},
+                    StartCase{"timed_out_after_the_crash",
+                              {{0, EventKind::Answered},
+                               {10, EventKind::Sent},
+                               {20, EventKind::Unanswered},
+                               {260, EventKind::TimedOut}},
+                              true},
+                    StartCase{"sent_again_before_the_crash",
+                              {{0, EventKind::Answered},
+                               {10, EventKind::Sent},
+                               {260, EventKind::TimedOut},
+                               {320, EventKind::Sent},
+                               {330, EventKind::Unanswered}},
+                              true},
+                    StartCase{"sent_again_after_the_crash",
+                              {{0, EventKind::Answered},
+                               {10, EventKind::Sent},
+                               {260, EventKind::TimedOut},
+                               {300, EventKind::Unanswered},
+                               {320, EventKind::Sent}},
+                              false},
                     StartCase{"refused",
                               {{0, EventKind::Answered},
                                {10, EventKind::Sent},
