--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -14,6 +14,20 @@
 constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
 } // namespace
 
+core::JobSpec makeJob(const std::string &id, int count, int64_t accelerators,
+                      int64_t ms) {
+  core::JobSpec spec;
+  spec.Id = id;
+  spec.Queue = "q1";
+  spec.Payload = "text";
+  core::StepSpec step;
+  step.Count = count;
+  step.PerTask = {1000, 1000, accelerators};
+  step.EstimateMs = ms;
+  spec.Steps.push_back(step);
+  return spec;
+}
+
 std::string encodeConfig(const core::SiteConfig &config) {
   json organisations = json::array();
   for (const auto &o : config.Organisations)
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -147,6 +147,11 @@
   std::vector<std::pair<absl::Time, jobs::Decision>> LeaderDecisions;
 };
 
+/// Returns a job of queue q1 with one step of count tasks, each of which takes
+/// the accelerators and works for ms milliseconds.
+core::JobSpec makeJob(const std::string &id, int count, int64_t accelerators,
+                      int64_t ms);
+
 /// Encodes a configuration in the format that the entries of a MemoryCluster
 /// read.
 std::string encodeConfig(const core::SiteConfig &config);
--- a/tests/auto/cluster/tst_latestarts.cpp
+++ b/tests/auto/cluster/tst_latestarts.cpp
@@ -29,20 +29,6 @@
   return job.rfind(CrashingPrefix, 0) == 0;
 }
 
-core::JobSpec makeJob(const std::string &id, int count, int64_t accelerators,
-                      int64_t ms) {
-  core::JobSpec spec;
-  spec.Id = id;
-  spec.Queue = "q1";
-  spec.Payload = "text";
-  core::StepSpec step;
-  step.Count = count;
-  step.PerTask = {1000, 1000, accelerators};
-  step.EstimateMs = ms;
-  spec.Steps.push_back(step);
-  return spec;
-}
-
 void expectNoViolations(MemoryCluster &cluster) {
   const std::vector<std::string> found = cluster.violations();
   EXPECT_TRUE(found.empty())
--- a/tests/auto/cluster/tst_restarts.cpp
+++ b/tests/auto/cluster/tst_restarts.cpp
@@ -13,20 +13,6 @@
 
 constexpr int Workers = 3;
 
-core::JobSpec job(const std::string &id, int count, int64_t accelerators,
-                  int64_t ms) {
-  core::JobSpec spec;
-  spec.Id = id;
-  spec.Queue = "q1";
-  spec.Payload = "text";
-  core::StepSpec step;
-  step.Count = count;
-  step.PerTask = {1000, 1000, accelerators};
-  step.EstimateMs = ms;
-  spec.Steps.push_back(step);
-  return spec;
-}
-
 struct RestartCase {
   const char *Name;
   /// Time from the crash until the worker listens again.
@@ -58,7 +44,7 @@
   void submitWithLateStarts() {
     for (int n = 0; n < Workers; ++n)
       Cluster->worker(n).LateOrderShare = 1;
-    submit(job("j", Workers, 8, 6000));
+    submit(makeJob("j", Workers, 8, 6000));
     for (int n = 0; n < Workers; ++n)
       Cluster->worker(n).LateOrderShare = 0;
   }
@@ -81,14 +67,14 @@
   for (int n = 0; n < Workers; ++n)
     restart(n);
   Cluster->runFor(absl::Seconds(4));
-  submit(job("all", Workers, 8, 1000));
+  submit(makeJob("all", Workers, 8, 1000));
   expectAllCompleted(absl::Seconds(6));
 }
 
 // Guards against runs that count as running on a worker that has lost them in
 // its restart.
 TEST_P(Restart, LostRunsStartAgainSoon) {
-  submit(job("j", Workers, 8, 3000));
+  submit(makeJob("j", Workers, 8, 3000));
   Cluster->runFor(absl::Seconds(1));
   restart(0);
   expectAllCompleted(absl::Seconds(9));
@@ -97,19 +83,19 @@
 // Guards against ends that are never accepted because their numbers begin at
 // one again.
 TEST_P(Restart, EndsNumberedFromOneAgainAreAccepted) {
-  submit(job("before", 60, 1, 300));
+  submit(makeJob("before", 60, 1, 300));
   ASSERT_TRUE(Cluster->runUntilAllEnded(absl::Seconds(10)));
   for (int n = 0; n < Workers; ++n)
     restart(n);
   Cluster->runFor(absl::Seconds(1));
-  submit(job("after", 24, 1, 300));
+  submit(makeJob("after", 24, 1, 300));
   expectAllCompleted(absl::Seconds(9));
 }
 
 // Guards against a worker whose repeated restarts go undetected.
 TEST_P(Restart, RepeatedlyRestartingWorkerIsUsedBetweenRestarts) {
   for (int n = 0; n < 12; ++n) {
-    submit(job("j" + std::to_string(n), Workers, 4, 1000));
+    submit(makeJob("j" + std::to_string(n), Workers, 4, 1000));
     restart(n % Workers);
     Cluster->runFor(absl::Seconds(3));
   }
