Evacuated failure domains get no starts

Cause: the operator's key was read nowhere.

Ways weighed. (a) The leader alone: an order held up on the way or retried by an agent starts a task after the bound; with only that, the row of held orders and the random scenario fail. (b) Each agent reads the store: 62 readers today, 8,600 at the target size, and an agent that the store does not serve could start nothing. (c) A version in each order, compared with what the agent reads: the same reads. (d) Chosen: the leader reads the cordons from the store's newest state once a second; its answer to a report says whether the agent's domain is cordoned and how old that view is; the agent checks both before each attempt. A start needs a view of at most 0.7 of the bound, counted from when the report was sent, so a cut-off agent, a leader that the store does not serve, a new leader and a held or repeated order cannot start late. A key counts whatever its value is. A read has no history to miss, a silent watch does not matter.

The leader gives such workers nothing, counts capacity and racks without them, drops starts that are not ordered yet, and logs a wait for a cordon as such. With all domains cordoned a new job is refused at once ("not run", Retry-After), after a transaction without writes has shown that it was not accepted before; accepted jobs wait. Price: one read a second at the leader, one in five (a tenth of the price) at the others; the idle-call bound of tst_cluster stands as it was.

Shown to fail: without the agent's check 2 tests, among them the random scenario and held orders; with the leader placing anywhere AreInForceSoonWithoutFaults; without the age check NoStartIsSentWithAnOutdatedViewOfTheCordons (all cluster rows pass without it: there the grant covers it).

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -68,6 +68,12 @@
     m.set("worker_reachable", "1 while the worker beside it answers.",
           s.Reachable ? 1 : 0);
     m.set("worker_draining", "1 while the worker drains.", s.Draining ? 1 : 0);
+    m.set("worker_cordoned",
+          "1 while the operator evacuates the worker's failure domain.",
+          s.Cordoned ? 1 : 0);
+    m.set("starts_refused_by_cordon",
+          "Starts that were refused because of that.",
+          static_cast<double>(s.StartsRefusedByCordon));
     m.set("leader_known", "1 while a leader answers.", s.KnowsLeader ? 1 : 0);
     m.set("leader_epoch", "Epoch of the leader that this process follows.",
           static_cast<double>(s.LeaderEpoch));
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -36,7 +36,8 @@
       : Settings(settings), Loop(LoopCapacity),
         Entry(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
               endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text()),
-              Settings, adapter::parseConfig, adapter::ConfigKey,
+              Settings,
+              {adapter::ConfigKey, adapter::parseConfig, adapter::CordonPrefix},
               metricObservers()),
         Callers(Loop, Entry.jobService(), Settings.Callers.Host,
                 Settings.Callers.Port),
@@ -95,6 +96,12 @@
     m.set("config_outdated",
           "1 while another entry is known to go by a newer configuration.",
           s.ConfigOutdated ? 1 : 0);
+    m.set("cordoned_domains", "Failure domains that the operator evacuates.",
+          static_cast<double>(s.CordonedDomains));
+    if (s.Leads)
+      m.set("cordon_age_seconds",
+            "Since the store last confirmed the cordons at the leader.",
+            s.CordonAgeSeconds);
     m.set("leader", "1 while this entry leads.", s.Leads ? 1 : 0);
     m.set("leader_epoch", "Epoch of the leader that this process follows.",
           static_cast<double>(s.LeaderEpoch));
--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -60,7 +60,8 @@
     : Loop(loop), Peers(std::move(peers)), Worker(std::move(worker)),
       Settings(std::move(settings)), Time(settings::deriveTiming(Settings)),
       StoreClient(std::move(store)), EntryPrefix(std::move(entryPrefix)),
-      NotifyOrderCompleted(std::move(onCompleted)), StartedAt(Loop.now()) {
+      NotifyOrderCompleted(std::move(onCompleted)), StartedAt(Loop.now()),
+      Cordon(Time.MaxCordonAge) {
   Peers.Serve([this, alive = Alive](const Message &m, const auto &respond) {
     if (*alive)
       respond(onMessage(m));
@@ -81,6 +82,8 @@
   s.LeaderEpoch = Epoch;
   s.Running = Running.size();
   s.UnacknowledgedEnds = Ended.size();
+  s.Cordoned = Cordon.isCordoned();
+  s.StartsRefusedByCordon = StartsRefusedByCordon;
   if (GrantEnd > Loop.now())
     s.GrantLeftSeconds = absl::ToDoubleSeconds(GrantEnd - Loop.now());
   return s;
@@ -391,6 +394,8 @@
   Epoch = ack.Epoch;
   if (ack.GrantMs > 0)
     GrantEnd = std::max(GrantEnd, sent + absl::Milliseconds(ack.GrantMs));
+  if (Cordon.apply(ack, sent))
+    logCordonChange();
   Speed = ack.Speed;
   const bool moreEndsRecorded = ack.SeenUpto > SeenUpto;
   SeenUpto = std::max(SeenUpto, ack.SeenUpto);
@@ -410,6 +415,13 @@
     sendKeepAlive(0);
 }
 
+void WorkerAgent::logCordonChange() const {
+  logEvent(Cordon.isCordoned() ? Event::CordonInForce : Event::CordonOver,
+           {{"worker", State.Life.Id},
+            {"domain", State.FailureDomain},
+            {"epoch", Epoch}});
+}
+
 void WorkerAgent::stop(std::function<void()> done) {
   if (StopRequested)
     return;
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cordonview.h"
 #include "endpoints/peers.h"
 #include "endpoints/workercalls.h"
 #include "leaderfinder.h"
@@ -37,6 +38,10 @@
   /// Time in seconds for which the agent may still keep its tasks alive; zero
   /// if the grant has expired.
   double GrantLeftSeconds = 0;
+  /// The operator evacuates the worker's failure domain.
+  bool Cordoned = false;
+  /// Number of starts refused because of that since this process began.
+  int64_t StartsRefusedByCordon = 0;
 };
 
 /// The process that runs beside a worker. It receives the worker's heartbeats,
@@ -135,6 +140,10 @@
   /// Sends the next attempt of a start. Completes the order without an attempt
   /// if the run must not start any more.
   void startTask(const OrderPtr &order);
+  /// Completes the start without a further attempt, as its run must not start.
+  void refuseStart(const OrderPtr &order, endpoints::OrderOutcome outcome,
+                   const std::string &why);
+  void logCordonChange() const;
   /// Returns whether the start is still being carried out, that is, neither
   /// completed nor abandoned.
   bool isInProgress(const OrderPtr &start) const;
@@ -222,6 +231,8 @@
   /// Until when the leader lets this agent keep the worker's tasks alive.
   absl::Time GrantEnd = absl::InfinitePast();
   bool GrantEndLogged = false;
+  CordonView Cordon;
+  int64_t StartsRefusedByCordon = 0;
   /// Number up to which the leader has recorded ends of this incarnation.
   int64_t SeenUpto = 0;
   /// Speed of the worker as the last leader reported it.
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -156,11 +156,7 @@
   // The worker's capacity decreased after the leader's decision, and the worker
   // does not refuse tasks that exceed its capacity.
   if (!order->Start.DecidedOn.fitsIn(State.Capacity)) {
-    StartsInProgress.erase(key);
-    completeOrder(key,
-                  order->isPossiblyDelivered() ? OrderOutcome::Unconfirmed
-                                               : OrderOutcome::NoCapacity,
-                  "its capacity has shrunk");
+    refuseStart(order, OrderOutcome::NoCapacity, "its capacity has shrunk");
     return;
   }
   // No run may start without a grant, as the leader may already count this
@@ -168,14 +164,17 @@
   const int64_t until = keepAliveUntilMs();
   if (!ClockOffset ||
       GrantEnd - Loop.now() < absl::Milliseconds(MinGrantForStartMs)) {
-    StartsInProgress.erase(key);
-    completeOrder(key,
-                  order->isPossiblyDelivered() ? OrderOutcome::Unconfirmed
-                                               : OrderOutcome::Refused,
-                  "no grant to keep it alive");
+    refuseStart(order, OrderOutcome::Refused, "no grant to keep it alive");
+    return;
+  }
+  const CordonView::Permission permission = Cordon.permission(Loop.now());
+  if (permission == CordonView::Permission::Cordoned) {
+    ++StartsRefusedByCordon;
+    refuseStart(order, OrderOutcome::Refused,
+                "the operator evacuates its failure domain");
     return;
   }
-  if (mustDeferStarts()) {
+  if (permission == CordonView::Permission::Unknown || mustDeferStarts()) {
     retryStart(order);
     return;
   }
@@ -212,6 +211,15 @@
                });
 }
 
+void WorkerAgent::refuseStart(const OrderPtr &order, OrderOutcome outcome,
+                              const std::string &why) {
+  const RunId key{order->Start.Task, order->Start.Run};
+  StartsInProgress.erase(key);
+  completeOrder(
+      key, order->isPossiblyDelivered() ? OrderOutcome::Unconfirmed : outcome,
+      why);
+}
+
 void WorkerAgent::retryStart(const OrderPtr &order) {
   Loop.runAfter(OrderRetryPause, [this, alive = Alive, order] {
     if (*alive && order->Incarnation == State.Life)
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -85,9 +85,29 @@
   r.StartsKnownForMs = j.value("StartsKnownForMs", int64_t{0});
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportAck, Epoch, Doubtful, Leader,
-                                   LeaderEpoch, Entries, GrantMs, SeenUpto,
-                                   Speed)
+static void to_json(json &j, const ReportAck &a) {
+  j = {{"Epoch", a.Epoch},       {"Doubtful", a.Doubtful},
+       {"Leader", a.Leader},     {"LeaderEpoch", a.LeaderEpoch},
+       {"Entries", a.Entries},   {"GrantMs", a.GrantMs},
+       {"SeenUpto", a.SeenUpto}, {"Speed", a.Speed},
+       {"Cordoned", a.Cordoned}, {"CordonAgeMs", a.CordonAgeMs}};
+}
+
+// Entries of earlier versions do not know cordons. Their answers lack the last
+// two fields and must remain readable during an upgrade.
+static void from_json(const json &j, ReportAck &a) {
+  j.at("Epoch").get_to(a.Epoch);
+  j.at("Doubtful").get_to(a.Doubtful);
+  j.at("Leader").get_to(a.Leader);
+  j.at("LeaderEpoch").get_to(a.LeaderEpoch);
+  j.at("Entries").get_to(a.Entries);
+  j.at("GrantMs").get_to(a.GrantMs);
+  j.at("SeenUpto").get_to(a.SeenUpto);
+  j.at("Speed").get_to(a.Speed);
+  a.Cordoned = j.value("Cordoned", false);
+  a.CordonAgeMs = j.value("CordonAgeMs", int64_t{-1});
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
                                    Ticket, DecidedOn)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopOrder, Task, Run)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -312,7 +312,9 @@
 /// confirmed its lease for longer than the lease time. GrantMs: time for which
 /// the agent may keep the worker's tasks alive, counted from when it sent the
 /// report; zero does not extend the last grant. SeenUpto: ends of this
-/// incarnation up to this number are recorded.
+/// incarnation up to this number are recorded. Cordoned: the operator evacuates
+/// the failure domain of the worker, according to a view that is CordonAgeMs
+/// old; a negative age means that the entry has no view.
 struct ReportAck {
   int64_t Epoch = 0;
   bool Doubtful = false;
@@ -322,6 +324,8 @@
   int64_t GrantMs = 0;
   int64_t SeenUpto = 0;
   LearnedSpeed Speed;
+  bool Cordoned = false;
+  int64_t CordonAgeMs = -1;
   auto operator<=>(const ReportAck &) const = default;
 };
 
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -39,12 +39,9 @@
 
 } // namespace
 
-JobEntry::JobEntry(
-    utils::EventLoop &loop, const platform::Store &store,
-    endpoints::Peers peers, settings::NodeSettings settings,
-    std::function<utils::Result<core::SiteConfig>(const std::string &)>
-        decodeConfig,
-    std::string configKey, EntryObservers observers)
+JobEntry::JobEntry(utils::EventLoop &loop, const platform::Store &store,
+                   endpoints::Peers peers, settings::NodeSettings settings,
+                   OperatorKeys operatorKeys, EntryObservers observers)
     : Loop(loop), Peers(std::move(peers)), Settings(std::move(settings)),
       Time(settings::deriveTiming(Settings)), Observers(std::move(observers)),
       Health(
@@ -76,7 +73,7 @@
   };
   Config = std::make_unique<operators::ConfigFollower>(
       Loop, StoreClient,
-      operators::ConfigSource{std::move(configKey), std::move(decodeConfig),
+      operators::ConfigSource{operatorKeys.Config, operatorKeys.DecodeConfig,
                               Time.ConfirmInterval, follow},
       [this](const std::shared_ptr<const core::SiteConfig> &c) { onConfig(c); },
       [](const utils::Error &e) {
@@ -84,6 +81,14 @@
       },
       [this](const core::ConfigStamp &newer) { onConfigOutdated(newer); },
       storeErrorLogger("configuration"));
+  operators::CordonSource cordonSource;
+  cordonSource.Prefix = operatorKeys.CordonPrefix;
+  cordonSource.ReadInterval = Time.CordonReadInterval;
+  cordonSource.NeedsFreshView = [this] { return Leader.Mine; };
+  Cordons = std::make_unique<operators::CordonFollower>(
+      Loop, StoreClient, cordonSource,
+      [this](const core::Cordons &c) { onCordons(c); },
+      storeErrorLogger("cordons"));
   View = std::make_unique<jobs::JobView>(
       Loop, StoreClient, pacedFollow,
       [this](const jobs::StoredJob &job) {
@@ -113,6 +118,9 @@
   Service = std::make_unique<jobs::JobService>(
       Loop, StoreClient, *View, *Config, servicePolicy,
       [this] { return Health.failingSince(); },
+      [this] {
+        return Cordons->current().containsAll(Settings.SiteFailureDomains);
+      },
       [this](const jobs::CallRequest &call, const jobs::OnForwarded &done) {
         return forward(call, done);
       },
@@ -149,6 +157,7 @@
 
 void JobEntry::start() {
   Config->start();
+  Cordons->read();
   View->start();
   Entries->start();
   Election->start();
@@ -176,6 +185,8 @@
     s.ConfigOutdated = Config->isOutdated();
     s.ConfigAgeSeconds = absl::ToDoubleSeconds(Config->age(Loop.now()));
   }
+  s.CordonedDomains = Cordons->current().Domains.size();
+  s.CordonAgeSeconds = absl::ToDoubleSeconds(Cordons->age(Loop.now()));
   s.Leads = Session != nullptr && Session->isRunning();
   s.LeaderEpoch = Leader.Epoch;
   s.JobsKnown = View->jobs().size();
@@ -201,6 +212,20 @@
     Session->onConfig(config);
 }
 
+void JobEntry::onCordons(const core::Cordons &cordons) {
+  const auto logDifference = [this](const core::Cordons &from,
+                                    const core::Cordons &to, Event event) {
+    for (const std::string &domain : to.Domains)
+      if (!from.contains(domain))
+        logEvent(event, {{"domain", domain}, {"leads", Leader.Mine}});
+  };
+  logDifference(LoggedCordons, cordons, Event::DomainCordoned);
+  logDifference(cordons, LoggedCordons, Event::DomainCordonLifted);
+  LoggedCordons = cordons;
+  if (Session)
+    Session->onCordons(cordons);
+}
+
 void JobEntry::onEntry(const platform::StoreEvent &event) {
   const std::string &key = event.Item.Key;
   if (event.Deleted) {
@@ -277,7 +302,7 @@
       absl::Milliseconds(Settings.Bounds.KeepFinishedMs) * 5 / 4;
   options.Policy.WallMs = [] { return absl::ToUnixMillis(utils::wallNow()); };
   Session = std::make_unique<LeaderSession>(
-      Loop, StoreClient, Peers, *View, options, leadership.Epoch,
+      Loop, StoreClient, Peers, *View, *Cordons, options, leadership.Epoch,
       [this] { return Election->confirmedAt(); },
       [this](const jobs::Decision &d) {
         logDecision(d);
@@ -304,16 +329,18 @@
   // Only a read after the election is certain to contain everything that
   // earlier leaders wrote.
   View->readAgain();
+  Cordons->read();
   Session->registerLeader([this] { beginSession(); });
 }
 
 // Begins the session once this entry is registered in the list of leaders, the
-// jobs have been read since the election, and a configuration is available.
+// jobs have been read since the election, and a configuration and the cordons
+// are available.
 void JobEntry::beginSession() {
   if (!Session || Session->isRunning() || !Session->isRegistered() ||
       !ViewReadSinceElection)
     return;
-  if (Config->current() != nullptr) {
+  if (Config->current() != nullptr && Cordons->isConfirmed()) {
     Session->begin(Config->current());
     return;
   }
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -6,6 +6,7 @@
 #include "jobs/jobview.h"
 #include "leadersession.h"
 #include "operators/configfollower.h"
+#include "operators/cordonfollower.h"
 #include "platform/election.h"
 #include "platform/storehealth.h"
 #include "settings/nodesettings.h"
@@ -34,6 +35,10 @@
   double ConfigAgeSeconds = 0;
   /// Another entry is known to use a newer configuration.
   bool ConfigOutdated = false;
+  /// Number of cordoned failure domains, and the age of that view; the age is
+  /// infinite at entries that do not lead.
+  size_t CordonedDomains = 0;
+  double CordonAgeSeconds = 0;
   bool Leads = false;
   int64_t LeaderEpoch = 0;
   size_t JobsKnown = 0;
@@ -42,6 +47,16 @@
   size_t Workers = 0;
 };
 
+/// Where the operator's decisions lie in the store.
+struct OperatorKeys {
+  std::string Config;
+  std::function<utils::Result<core::SiteConfig>(const std::string &)>
+      DecodeConfig;
+  /// A key under this prefix cordons the failure domain that the rest of its
+  /// name denotes.
+  std::string CordonPrefix;
+};
+
 /// An entry for jobs that are recorded in the store and outlive the call that
 /// submitted them; EntryService serves gangs whose callers wait for the answer.
 /// It follows the configuration and the jobs, serves callers through its job
@@ -51,9 +66,7 @@
 public:
   JobEntry(utils::EventLoop &loop, const platform::Store &store,
            endpoints::Peers peers, settings::NodeSettings settings,
-           std::function<utils::Result<core::SiteConfig>(const std::string &)>
-               decodeConfig,
-           std::string configKey, EntryObservers observers = {});
+           OperatorKeys operatorKeys, EntryObservers observers = {});
   ~JobEntry();
   JobEntry(const JobEntry &) = delete;
   JobEntry &operator=(const JobEntry &) = delete;
@@ -86,6 +99,7 @@
                    const endpoints::Peers::Respond &respond);
   void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
   void onConfigOutdated(const core::ConfigStamp &newer);
+  void onCordons(const core::Cordons &cordons);
   void onEntry(const platform::StoreEvent &event);
   void logStoreError(const char *what, platform::StoreStatus status,
                      const std::string &why);
@@ -110,6 +124,9 @@
   /// together in an outage of the store.
   double LargestProcessorShare = 0;
   std::unique_ptr<operators::ConfigFollower> Config;
+  std::unique_ptr<operators::CordonFollower> Cordons;
+  /// The cordons in force here, to log what changes.
+  core::Cordons LoggedCordons;
   std::unique_ptr<jobs::JobView> View;
   std::unique_ptr<CallForwarder> Forwarder;
   std::unique_ptr<jobs::JobService> Service;
--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -31,11 +31,12 @@
 LeaderSession::LeaderSession(
     utils::EventLoop &loop, const platform::Store &store,
     const endpoints::Peers &peers, const jobs::JobView &view,
-    LeaderSessionOptions options, int64_t epoch, ConfirmationTime confirmed,
-    OnDecision onDecision, OnStoreError onStoreError, OnEnding onEnding,
-    OnRecorded onRecorded, OnLeadershipLost onLeadershipLost)
+    const operators::CordonFollower &cordons, LeaderSessionOptions options,
+    int64_t epoch, ConfirmationTime confirmed, OnDecision onDecision,
+    OnStoreError onStoreError, OnEnding onEnding, OnRecorded onRecorded,
+    OnLeadershipLost onLeadershipLost)
     : Loop(loop), StoreClient(store), Peers(peers), View(view),
-      Options(std::move(options)), Epoch(epoch),
+      Cordons(cordons), Options(std::move(options)), Epoch(epoch),
       LastConfirmed(std::move(confirmed)),
       ReportDecision(std::move(onDecision)),
       ReportStoreError(std::move(onStoreError)),
@@ -67,6 +68,7 @@
   Running = true;
   const absl::Time now = Loop.now();
   Scheduler.onConfig(config);
+  Scheduler.onCordons(Cordons.current());
   for (const auto &[id, job] : View.jobs()) {
     if (job.RecordRevision == 0)
       continue;
@@ -86,6 +88,13 @@
   postPass();
 }
 
+void LeaderSession::onCordons(const core::Cordons &cordons) {
+  if (!Running)
+    return;
+  Scheduler.onCordons(cordons);
+  postPass();
+}
+
 void LeaderSession::onRecord(const jobs::StoredJob &job) {
   if (!Running)
     return;
@@ -107,6 +116,11 @@
   ack.Epoch = Epoch;
   ack.SeenUpto = Scheduler.onReport(report, now);
   ack.Speed = Scheduler.speedOf(report.Agent);
+  if (Cordons.isConfirmed()) {
+    ack.Cordoned = Cordons.current().contains(report.Worker.FailureDomain);
+    ack.CordonAgeMs = absl::ToInt64Milliseconds(
+        absl::Ceil(Cordons.age(now), absl::Milliseconds(1)));
+  }
   // Without confirmation from the store this entry may have been replaced. It
   // continues to grant for GrantWithoutStore. A new leader waits for that time
   // and the last grant before it counts tasks on unreachable workers as lost.
--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -4,6 +4,7 @@
 #include "endpoints/peers.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobview.h"
+#include "operators/cordonfollower.h"
 #include "platform/store.h"
 #include "previousleaders.h"
 
@@ -65,6 +66,7 @@
 
   LeaderSession(utils::EventLoop &loop, const platform::Store &store,
                 const endpoints::Peers &peers, const jobs::JobView &view,
+                const operators::CordonFollower &cordons,
                 LeaderSessionOptions options, int64_t epoch,
                 ConfirmationTime confirmed, OnDecision onDecision,
                 OnStoreError onStoreError, OnEnding onEnding,
@@ -78,11 +80,12 @@
   void registerLeader(std::function<void()> onRegistered);
   bool isRegistered() const { return Registered; }
   /// Takes over all jobs and starts scheduling. The view must have been read
-  /// completely since the election.
+  /// completely since the election, and the cordons confirmed.
   void begin(const std::shared_ptr<const core::SiteConfig> &config);
   bool isRunning() const { return Running; }
 
   void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
+  void onCordons(const core::Cordons &cordons);
   void onRecord(const jobs::StoredJob &job);
   void onRemoved(const std::string &jobId);
   /// Handles an agent's report and returns the answer for it.
@@ -110,6 +113,7 @@
   const platform::Store &StoreClient;
   const endpoints::Peers &Peers;
   const jobs::JobView &View;
+  const operators::CordonFollower &Cordons;
   const LeaderSessionOptions Options;
   const int64_t Epoch;
   const ConfirmationTime LastConfirmed;
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -78,6 +78,10 @@
       {Event::MetricsUnavailable, "metrics.unavailable"},
       {Event::SettingsReloaded, "settings.reloaded"},
       {Event::LeaderUnreachable, "leader.unreachable"},
+      {Event::DomainCordoned, "domain.cordoned"},
+      {Event::DomainCordonLifted, "domain.cordon_lifted"},
+      {Event::CordonInForce, "cordon.in_force"},
+      {Event::CordonOver, "cordon.over"},
   };
   return events;
 }
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -79,6 +79,10 @@
   ConfigRefused = 509,
   RecordRefused = 510,
   ConfigOutdated = 511,
+  DomainCordoned = 512,
+  DomainCordonLifted = 513,
+  CordonInForce = 514,
+  CordonOver = 515,
 
   LeaderElected = 600,
   LeaderLost = 601,
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -92,13 +92,13 @@
 core::Resources Fleet::capacityOf(const std::string &service) const {
   core::Resources all;
   for (const auto &[incarnation, worker] : Workers)
-    if (worker.State.Service == service)
+    if (worker.State.Service == service && !isCordoned(worker))
       all += worker.State.Capacity;
   return all;
 }
 
 bool Fleet::isUsable(const WorkerView &worker, absl::Time now) const {
-  return !worker.State.Draining && worker.Reachable &&
+  return !worker.State.Draining && !isCordoned(worker) && worker.Reachable &&
          worker.LateStops.empty() && worker.UnexpectedRuns.empty() &&
          now - worker.LastReportAt < Policy.UnresponsiveAfter &&
          now >= worker.QuarantinedUntil;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/cordons.h"
 #include "core/jobspec.h"
 #include "endpoints/messages.h"
 
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oriolebay::jobs {
@@ -112,7 +114,13 @@
   const std::map<WorkerIncarnation, WorkerView> &workers() const {
     return Workers;
   }
-  /// Total capacity of all known workers of the service.
+  /// Sets the failure domains whose workers get no new tasks.
+  void setCordons(core::Cordons cordons) { Cordons = std::move(cordons); }
+  bool isCordoned(const WorkerView &worker) const {
+    return Cordons.contains(worker.State.FailureDomain);
+  }
+  /// Total capacity of all known workers of the service outside the cordoned
+  /// failure domains.
   core::Resources capacityOf(const std::string &service) const;
 
   /// Whether new tasks may be placed on the worker.
@@ -150,6 +158,7 @@
 
 private:
   const FleetPolicy Policy;
+  core::Cordons Cordons;
   std::map<WorkerIncarnation, WorkerView> Workers;
   /// An ended incarnation of a worker, and the sequence number of the report
   /// that said so.
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -143,6 +143,11 @@
   PassNeeded = true;
 }
 
+void JobScheduler::onCordons(core::Cordons cordons) {
+  Workers.setCordons(std::move(cordons));
+  PassNeeded = true;
+}
+
 void JobScheduler::checkJobEnd(Job &job, absl::Time now) {
   if (job.hasEnded())
     return;
@@ -196,18 +201,19 @@
 }
 
 // Orders a recorded start, unless in the meantime its stop was requested or its
-// worker was lost, started to drain, or reduced its capacity. In that case the
-// run certainly never started if this would have been the first order; an
+// worker was lost, cordoned, started to drain, or reduced its capacity. Then
+// the run certainly never started if this would have been the first order; an
 // earlier order may still be carried out.
 void JobScheduler::orderStart(Job &job, const TaskId &id, Task &task,
                               absl::Time now) {
   const WorkerView *worker = Workers.find(task.Progress.Worker);
   const bool isFirstOrder = task.RunPhase == Phase::Recording;
-  if (worker == nullptr || worker->State.Draining || task.StopRequested) {
+  if (worker == nullptr || worker->State.Draining ||
+      Workers.isCordoned(*worker) || task.StopRequested) {
     if (isFirstOrder)
       handleAbsentRun(job, id, task,
                       "not ordered: its stop was requested or its worker is "
-                      "draining or lost",
+                      "draining, cordoned or lost",
                       now);
     else
       requestStop(id, task, "no longer wanted there");
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -96,6 +96,11 @@
   std::string Value;
 };
 
+/// Why a step waits whose tasks would fit into the free capacity of cordoned
+/// workers, for the log.
+inline constexpr const char *WaitsForCordonReason =
+    "its capacity is in cordoned failure domains";
+
 /// A number that a decision was based on, for the log.
 struct DecisionInput {
   const char *Name;
@@ -158,6 +163,8 @@
 
   // Changes in the store.
   void onConfig(std::shared_ptr<const core::SiteConfig> config);
+  /// The operator has cordoned failure domains or lifted cordons.
+  void onCordons(core::Cordons cordons);
   /// A job's record is new or changed. Revisions older than the known one are
   /// ignored.
   void onRecord(const JobRecord &record, int64_t revision, absl::Time now);
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -20,11 +20,13 @@
 JobService::JobService(utils::EventLoop &loop, const platform::Store &store,
                        JobView &view, operators::ConfigFollower &config,
                        JobServicePolicy policy,
-                       StoreFailingSince storeFailingSince, Forward forward,
+                       StoreFailingSince storeFailingSince,
+                       IsSiteCordoned isSiteCordoned, Forward forward,
                        AskLeader askLeader, OnWritten onWritten,
                        OnDecision onDecision)
     : Loop(loop), StoreClient(store), View(view), Config(config),
       Policy(policy), FailingSince(std::move(storeFailingSince)),
+      CheckSiteCordoned(std::move(isSiteCordoned)),
       ForwardToEntry(std::move(forward)), QueryLeader(std::move(askLeader)),
       NotifyLeader(std::move(onWritten)),
       ReportDecision(std::move(onDecision)) {}
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -90,6 +90,8 @@
   /// Returns the time since which calls to the store have been failing, or the
   /// infinite future if they are not.
   using StoreFailingSince = std::function<absl::Time()>;
+  /// Returns whether the operator evacuates all failure domains of the site.
+  using IsSiteCordoned = std::function<bool()>;
   /// Forwards a call to another entry. Returns false if no other entry can be
   /// asked.
   using Forward = std::function<bool(const CallRequest &, const OnForwarded &)>;
@@ -101,8 +103,8 @@
   JobService(utils::EventLoop &loop, const platform::Store &store,
              JobView &view, operators::ConfigFollower &config,
              JobServicePolicy policy, StoreFailingSince storeFailingSince,
-             Forward forward, AskLeader askLeader, OnWritten onWritten,
-             OnDecision onDecision);
+             IsSiteCordoned isSiteCordoned, Forward forward,
+             AskLeader askLeader, OnWritten onWritten, OnDecision onDecision);
   ~JobService();
   JobService(const JobService &) = delete;
   JobService &operator=(const JobService &) = delete;
@@ -211,6 +213,7 @@
   operators::ConfigFollower &Config;
   const JobServicePolicy Policy;
   const StoreFailingSince FailingSince;
+  const IsSiteCordoned CheckSiteCordoned;
   const Forward ForwardToEntry;
   const AskLeader QueryLeader;
   const OnWritten NotifyLeader;
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -74,11 +74,16 @@
   record.Stretch = call->Queue.Stretch;
   record.TargetLatencyMs = call->Queue.TargetLatencyMs;
   record.NeedsAdvice = call->Queue.NeedsAdvice;
-  std::string value = encode(record);
+  // While no task can start anywhere, the transaction writes nothing and only
+  // shows whether the job was accepted before.
+  std::string value;
+  if (!CheckSiteCordoned() || call->OutcomeUnknown)
+    value = encode(record);
   platform::StoreTxn txn;
   txn.Expected.push_back({specKey(call->JobId), 0});
   txn.Expected.push_back(Config.condition());
-  txn.Puts.push_back({specKey(call->JobId), value, 0});
+  if (!value.empty())
+    txn.Puts.push_back({specKey(call->JobId), value, 0});
   txn.TimeoutMs = nextTryTimeoutMs(call);
   const absl::Time sentAt = Loop.now();
   StoreClient.Transact(std::move(txn),
@@ -93,6 +98,11 @@
                                  const StoreReply<StoreTxnReply> &reply,
                                  absl::Time sentAt, const std::string &value) {
   const std::string key = specKey(call->JobId);
+  if (reply.ok() && value.empty()) {
+    finish(call, CallResult::NotDone,
+           "the operator evacuates all failure domains; nothing was done");
+    return;
+  }
   if (reply.ok()) {
     const KeyValue item{key, value, reply.Value.Revision, reply.Value.Revision,
                         0};
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -321,7 +321,8 @@
   if (spec.MaxPerWorker > 0)
     maxTasks = std::min<int64_t>(maxTasks, spec.MaxPerWorker);
   for (const auto &[incarnation, view] : Scheduler.Workers.workers()) {
-    if (view.State.Draining || !isEligible(view, unit))
+    if (view.State.Draining || Scheduler.Workers.isCordoned(view) ||
+        !isEligible(view, unit))
       continue;
     int64_t &taskCount = tasksByRack[view.State.Rack];
     taskCount += spec.taskResources().countIn(view.State.Capacity, maxTasks);
@@ -474,6 +475,37 @@
     refreshRunningUnits(*unit.Owner, unit.Occurrence, unit.Step);
 }
 
+// Returns why unit has to wait: for the end of a cordon, if it would fit with
+// the free capacity of the cordoned workers, else for the end of other work.
+const char *Planner::waitReason(const PlacementUnit &unit) const {
+  const core::Resources each = unit.spec().taskResources();
+  const auto n = static_cast<int64_t>(unit.Tasks.size());
+  int64_t behindCordons = 0;
+  for (const auto &[incarnation, view] : Scheduler.Workers.workers())
+    if (Scheduler.Workers.isCordoned(view) && isEligible(view, unit))
+      behindCordons += each.countIn(view.freeResources(), n);
+  int64_t fitting = behindCordons;
+  for (size_t c = 0; c < Candidates.size(); ++c)
+    fitting += countFitting(c, unit, n);
+  if (behindCordons > 0 && fitting >= n)
+    return WaitsForCordonReason;
+  return unit.spec().Gang ? "no capacity for the whole gang" : "no capacity";
+}
+
+// Logs only the first wait of each job.
+void Planner::logWait(const PlacementUnit &unit) {
+  if (unit.Owner->WaitLogged)
+    return;
+  unit.Owner->WaitLogged = true;
+  Scheduler.logDecision(
+      Decision::Kind::Waiting, unit.Owner->Record.Spec.Id,
+      core::taskName(unit.taskId(unit.Tasks.front())), 0, "", waitReason(unit),
+      {{"rank", unit.Rank},
+       {"tasks", static_cast<int64_t>(unit.Tasks.size())},
+       {"accelerators_each", unit.spec().PerTask.Accelerators},
+       {"usable_workers", static_cast<int64_t>(Candidates.size())}});
+}
+
 // Obtains capacity for the tasks of unit that could not be placed. For work of
 // priority 0, others may be stopped; otherwise, or if that is not possible or
 // not worthwhile, reserves capacity that becomes free.
@@ -481,17 +513,7 @@
   // The unit may become startable without an event, for example when the
   // quarantine of a worker ends.
   Scheduler.RetryOnTick = true;
-  if (!unit.Owner->WaitLogged) {
-    unit.Owner->WaitLogged = true;
-    Scheduler.logDecision(
-        Decision::Kind::Waiting, unit.Owner->Record.Spec.Id,
-        core::taskName(unit.taskId(unit.Tasks.front())), 0, "",
-        unit.spec().Gang ? "no capacity for the whole gang" : "no capacity",
-        {{"rank", unit.Rank},
-         {"tasks", static_cast<int64_t>(unit.Tasks.size())},
-         {"accelerators_each", unit.spec().PerTask.Accelerators},
-         {"usable_workers", static_cast<int64_t>(Candidates.size())}});
-  }
+  logWait(unit);
   if (unit.Rank <= 1 && secureCapacity(unit))
     return;
   // Tasks that start one by one need capacity for the next one only.
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -181,6 +181,8 @@
   std::optional<size_t> findBestCandidate(const PlacementUnit &unit) const;
   void placeTasks(PlacementUnit &unit);
   void handleBlockedUnit(PlacementUnit &unit);
+  void logWait(const PlacementUnit &unit);
+  const char *waitReason(const PlacementUnit &unit) const;
   bool isLarge(const PlacementUnit &unit) const;
 
   bool isEligible(const WorkerView &worker, const PlacementUnit &unit) const;
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -90,6 +90,7 @@
   BOOST_LEAF_CHECK(readMs(r, "lease_ms", b.LeaseMs));
   BOOST_LEAF_CHECK(readMs(r, "restore_ms", b.RestoreMs));
   BOOST_LEAF_CHECK(readMs(r, "reclaim_ms", b.ReclaimMs));
+  BOOST_LEAF_CHECK(readMs(r, "cordon_ms", b.CordonMs));
   BOOST_LEAF_CHECK(readSeconds(r, "term_grace_s", b.TermGraceMs));
   BOOST_LEAF_CHECK(readSeconds(r, "keep_finished_s", b.KeepFinishedMs));
   BOOST_LEAF_CHECK(r.get("remote_factor", b.RemoteFactor, false));
@@ -110,6 +111,7 @@
   Reader r(j, "");
   BOOST_LEAF_CHECK(r.get("name", s.Name, true));
   BOOST_LEAF_CHECK(r.get("failure_domain", s.FailureDomain, true));
+  BOOST_LEAF_CHECK(r.get("site_failure_domains", s.SiteFailureDomains, false));
   BOOST_LEAF_CHECK(readAddress(r, "callers_listen", false, s.Callers));
   BOOST_LEAF_CHECK(readAddress(r, "ready_listen", false, s.Ready));
   BOOST_LEAF_CHECK(readAddress(r, "control_listen", false, s.Control));
@@ -161,6 +163,8 @@
       std::max(absl::Milliseconds(s.Bounds.ReclaimMs - s.Bounds.StopGraceMs) -
                    MaxStopToStartDelay,
                absl::ZeroDuration());
+  t.CordonReadInterval = absl::Milliseconds(s.Bounds.CordonMs) / 5;
+  t.MaxCordonAge = absl::Milliseconds(s.Bounds.CordonMs) * 7 / 10;
   t.MaxShutdownTime = absl::Milliseconds(s.Bounds.TermGraceMs) - ShutdownMargin;
   return t;
 }
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -46,6 +46,9 @@
   /// Maximum time until work of priority 0 within its organisation's guarantee
   /// runs.
   int ReclaimMs = 3400;
+  /// Maximum time after the operator has cordoned a failure domain in which
+  /// tasks may still start there.
+  int CordonMs = 5000;
   bool operator==(const SiteBounds &) const = default;
 };
 
@@ -54,6 +57,8 @@
 struct NodeSettings {
   std::string Name;
   std::string FailureDomain;
+  /// All failure domains of the site; empty if they are not known.
+  std::vector<std::string> SiteFailureDomains;
   /// Addresses at which callers, the readiness check and the worker's
   /// heartbeats are served; the port is 0 when the role does not serve them.
   HostPort Callers;
@@ -116,6 +121,12 @@
   /// bound (ReclaimMs) is for the stop itself, the writes to the store and the
   /// start.
   absl::Duration ReclaimAfter;
+  /// Interval at which the leader reads the cordons of failure domains. It is
+  /// short enough that starts go on while single reads or reports are lost.
+  absl::Duration CordonReadInterval;
+  /// Maximum age of the view of the cordons with which an agent starts a run.
+  /// The rest of the bound (CordonMs) is for the call to the worker.
+  absl::Duration MaxCordonAge;
   /// Maximum time that a process takes to stop.
   absl::Duration MaxShutdownTime;
 };
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -67,6 +67,7 @@
     };
     Ack.Epoch = 5;
     Ack.GrantMs = 5500;
+    Ack.CordonAgeMs = 0;
     Agent = std::make_unique<WorkerAgent>(Loop, store, peers, worker, settings,
                                           "entries/");
     Agent->start();
@@ -239,6 +240,55 @@
   EXPECT_TRUE(fixture.Starts.empty());
 }
 
+// Guards against a start in a failure domain that the operator evacuates: the
+// order was given before the leader knew of that, or by another leader.
+TEST(WorkerAgent, CordonedWorkerGetsNoStartUntilTheCordonIsLifted) {
+  AgentFixture fixture;
+  fixture.Ack.Cordoned = true;
+  fixture.Loop.advance(absl::Seconds(1));
+  fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Loop.advance(absl::Milliseconds(20));
+  EXPECT_TRUE(fixture.Starts.empty());
+  ASSERT_FALSE(fixture.results().empty());
+  EXPECT_EQ(fixture.results().back().Outcome, endpoints::OrderOutcome::Refused);
+  EXPECT_EQ(fixture.Agent->status().StartsRefusedByCordon, 1);
+  fixture.Ack.Cordoned = false;
+  fixture.Loop.advance(absl::Seconds(1));
+  fixture.sendOrders(AgentFixture::makeStart(5, 2));
+  fixture.Loop.advance(absl::Milliseconds(20));
+  EXPECT_EQ(fixture.Starts.size(), 1u);
+}
+
+// Guards against a further attempt of a start after the cordon has become known
+// here.
+TEST(WorkerAgent, UnansweredStartIsNotRetriedOnceItsDomainIsCordoned) {
+  AgentFixture fixture;
+  fixture.StartOutcome = {};
+  fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Loop.advance(absl::Milliseconds(20));
+  fixture.Ack.Cordoned = true;
+  fixture.Loop.advance(absl::Milliseconds(600));
+  const size_t attempts = fixture.Starts.size();
+  fixture.Loop.advance(absl::Seconds(5));
+  EXPECT_EQ(fixture.Starts.size(), attempts);
+  EXPECT_EQ(fixture.results().back().Outcome,
+            endpoints::OrderOutcome::Unconfirmed);
+}
+
+// Guards against a start after the bound of a cordon that the leader cannot
+// learn of: it keeps granting for seconds while the store does not serve it.
+TEST(WorkerAgent, NoStartIsSentWithAnOutdatedViewOfTheCordons) {
+  AgentFixture fixture;
+  fixture.Ack.CordonAgeMs = 6000;
+  fixture.Loop.advance(absl::Seconds(6));
+  fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Loop.advance(absl::Seconds(2));
+  EXPECT_TRUE(fixture.Starts.empty());
+  fixture.Ack.CordonAgeMs = 100;
+  fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_EQ(fixture.Starts.size(), 1u);
+}
+
 // The leader has become unreachable. The worker's tasks must end when the grant
 // does, because the leader may start them elsewhere from then on.
 TEST(WorkerAgent, DoesNotKeepTasksAliveBeyondTheGrant) {
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr const char *ConfigKey = "test/config";
+const std::string CordonPrefix = "test/cordons/";
 constexpr absl::Duration HopDelay = absl::Milliseconds(1);
 constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
 } // namespace
@@ -75,6 +76,7 @@
   for (int n = 0; n < Setup.Workers; ++n) {
     Workers[n].FakeWorker = std::make_unique<MemoryWorker>(
         Loop, Shared, "w" + std::to_string(n),
+        domainName(n / Setup.WorkersPerDomain),
         "r" + std::to_string(n / Setup.WorkersPerRack),
         core::Resources{32000, 65536, 8},
         Setup.Seed * 100 + static_cast<uint64_t>(n));
@@ -120,6 +122,7 @@
   settings::NodeSettings s;
   s.Name = name;
   s.FailureDomain = "zone";
+  s.SiteFailureDomains = Setup.SiteDomains;
   return s;
 }
 
@@ -143,7 +146,8 @@
                   [finish] { finish(std::nullopt); });
     if (!canReach(process, to))
       return;
-    Loop.runAfter(HopDelay, [this, to, message, process, finish] {
+    const absl::Time arrivesAt = std::max(Loop.now() + HopDelay, HeldUntil[to]);
+    Loop.runAfter(arrivesAt - Loop.now(), [this, to, message, process, finish] {
       auto handler = Handlers.find(to);
       if (handler == Handlers.end() || !canReach(process, to))
         return;
@@ -169,11 +173,23 @@
     LeaderDecisions.emplace_back(Loop.now(), d);
   };
   Entries[n].Process = std::make_unique<entry::JobEntry>(
-      Loop, Store.clientOf(name), peersOf(name), settings, decodeConfig,
-      ConfigKey, std::move(observers));
+      Loop, Store.clientOf(name), peersOf(name), settings,
+      entry::OperatorKeys{ConfigKey, decodeConfig, CordonPrefix},
+      std::move(observers));
   Entries[n].Process->start();
 }
 
+void MemoryCluster::cordon(const std::string &domain,
+                           const std::string &value) {
+  Store.put(CordonPrefix + domain, value);
+  Shared.CordonedSince.emplace(domain, Loop.now());
+}
+
+void MemoryCluster::liftCordon(const std::string &domain) {
+  Store.erase(CordonPrefix + domain);
+  Shared.CordonedSince.erase(domain);
+}
+
 void MemoryCluster::killEntry(int n) {
   Handlers.erase(entryName(n));
   ++Generation[entryName(n)];
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -27,6 +27,9 @@
     uint64_t Seed = 1;
     /// Entries from this index on have a tenth of the others' processor share.
     int FirstSmallEntry = 1000;
+    int WorkersPerDomain = 2;
+    /// All failure domains that the entries' settings name.
+    std::vector<std::string> SiteDomains = {};
   };
   explicit MemoryCluster(Options options);
   ~MemoryCluster();
@@ -60,6 +63,11 @@
   std::shared_ptr<CallerCall> countQueued(int entry, const std::string &key,
                                           const std::string &queue);
 
+  // Cordons, as the operator sets and lifts them in the store.
+  void cordon(const std::string &domain, const std::string &value = "{}");
+  void liftCordon(const std::string &domain);
+  static std::string domainName(int n) { return "d" + std::to_string(n); }
+
   // Fault injection.
   void killEntry(int entry);
   void startEntry(int entry);
@@ -78,6 +86,11 @@
     PartitionedPairs.insert({a, b});
     PartitionedPairs.insert({b, a});
   }
+  /// Holds back all messages to process for this time. They arrive then, as
+  /// bytes do that a network outage has held up.
+  void holdMessages(const std::string &process, absl::Duration time) {
+    HeldUntil[process] = Loop.now() + time;
+  }
   int leader() const;
   MemoryStore &store() { return Store; }
   MemoryWorker &worker(int n) { return *Workers.at(n).FakeWorker; }
@@ -137,6 +150,7 @@
            PartitionedPairs.count({from, to}) == 0;
   }
 
+  std::map<std::string, absl::Time> HeldUntil;
   std::set<std::string> Partitioned;
   std::set<std::pair<std::string, std::string>> PartitionedPairs;
   std::map<int, Entry> Entries;
--- a/tests/auto/cluster/memorystore.cpp
+++ b/tests/auto/cluster/memorystore.cpp
@@ -85,6 +85,12 @@
   notifyWatches();
 }
 
+void MemoryStore::erase(const std::string &key) {
+  ++Revision;
+  remove(key);
+  notifyWatches();
+}
+
 void MemoryStore::compact() {
   OldestRevision = Revision;
   History.clear();
--- a/tests/auto/cluster/memorystore.h
+++ b/tests/auto/cluster/memorystore.h
@@ -43,6 +43,8 @@
   Faults &faults(const std::string &client) { return FaultsByClient[client]; }
   /// Writes value directly, without any client's faults.
   void put(const std::string &key, const std::string &value);
+  /// Removes key directly.
+  void erase(const std::string &key);
   const std::map<std::string, platform::KeyValue> &items() const {
     return Items;
   }
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -25,10 +25,12 @@
 } // namespace
 
 MemoryWorker::MemoryWorker(utils::EventLoop &loop, SharedWorkerState &shared,
-                           std::string name, std::string rack,
-                           core::Resources capacity, uint64_t seed)
+                           std::string name, std::string domain,
+                           std::string rack, core::Resources capacity,
+                           uint64_t seed)
     : Loop(loop), Shared(shared), Name(std::move(name)), Random(seed) {
   State.Service = "service";
+  State.FailureDomain = std::move(domain);
   State.Rack = std::move(rack);
   State.Labels = {"a", State.Rack};
   State.Capacity = capacity;
@@ -174,6 +176,18 @@
         others);
 }
 
+void MemoryWorker::checkCordon(const endpoints::StartCall &call) {
+  auto since = Shared.CordonedSince.find(State.FailureDomain);
+  if (since == Shared.CordonedSince.end() ||
+      Loop.now() - since->second <= Shared.CordonBound)
+    return;
+  Shared.Violations.push_back(call.Order.Task + " run " +
+                              std::to_string(call.Order.Run) + " on " +
+                              State.Life.Id + " is started " +
+                              absl::FormatDuration(Loop.now() - since->second) +
+                              " after the cordon of " + State.FailureDomain);
+}
+
 CallOutcome MemoryWorker::start(const endpoints::StartCall &call) {
   const Key key{call.Order.Task, call.Order.Run};
   if (call.Epoch < FencingToken)
@@ -283,6 +297,8 @@
 endpoints::WorkerCalls MemoryWorker::calls() {
   endpoints::WorkerCalls calls;
   calls.Start = [this](const endpoints::StartCall &c, const auto &done) {
+    ++StartsSent;
+    checkCordon(c);
     deliverOrder(
         c.Incarnation, [this, c] { return start(c); }, done);
   };
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -31,6 +31,11 @@
   std::map<std::string, int> StartsAfterThirdCrash;
   std::vector<std::string> Violations;
   int Starts = 0;
+  /// The failure domains that the operator evacuates, each with the time since
+  /// which the store has its cordon.
+  std::map<std::string, absl::Time> CordonedSince;
+  /// Time after which no agent may send a start to a cordoned domain.
+  absl::Duration CordonBound = absl::Seconds(5);
 };
 
 /// One worker through its successive incarnations, on the loop's time. It
@@ -39,13 +44,16 @@
 class MemoryWorker {
 public:
   MemoryWorker(utils::EventLoop &loop, SharedWorkerState &shared,
-               std::string name, std::string rack, core::Resources capacity,
-               uint64_t seed);
+               std::string name, std::string domain, std::string rack,
+               core::Resources capacity, uint64_t seed);
 
   endpoints::WorkerCalls calls();
   /// Returns the heartbeat to pass to the agent beside the worker.
   endpoints::Heartbeat heartbeat();
   const std::string &incarnation() const { return State.Life.Id; }
+  const std::string &failureDomain() const { return State.FailureDomain; }
+  /// Number of starts that its agent has sent.
+  int startsSent() const { return StartsSent; }
 
   /// The id that a worker has after a restart.
   enum class RestartId { New, Same };
@@ -101,6 +109,8 @@
   endpoints::CallOutcome ok() const;
   endpoints::CallOutcome refuse(endpoints::RefusalReason reason) const;
   void checkStart(const Key &key);
+  /// Records a start that is sent although the failure domain is cordoned.
+  void checkCordon(const endpoints::StartCall &call);
   endpoints::CallOutcome start(const endpoints::StartCall &call);
   endpoints::CallOutcome stop(const endpoints::StopCall &call);
   endpoints::KeepAliveReply keepAlive(const endpoints::KeepAliveCall &call);
@@ -122,6 +132,7 @@
   endpoints::WorkerState State;
   int IncarnationCount = 0;
   int64_t HeartbeatSequence = 0;
+  int StartsSent = 0;
   absl::Time IncarnationStart;
   absl::Time ClockStart;
   absl::Time ListensFrom = absl::InfinitePast();
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -449,7 +449,8 @@
   cluster->runFor(absl::Seconds(30));
   EXPECT_EQ(cluster->store().writes(), idleWrites);
   // Three entries: a lease renewed twice a second, a configuration confirmed
-  // every 0.6 s, four watches every 5 s. Agents make no store calls.
+  // every 0.6 s, four watches every 5 s; the leader reads the cordons once a
+  // second. Agents make no store calls.
   EXPECT_LE(cluster->store().calls() - idleCalls, 30 * 15);
   const int writes = cluster->store().writes();
   constexpr int Jobs = 10;
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -58,7 +58,8 @@
             {{"j.0.0.2", 1, OrderOutcome::Busy, "503"}},
             {{"j.0.0.4", 3, 14000}},
             15000}),
-        Message(ReportAck{4, true, "e1", 3, {"e1", "e2"}, 5500, 9, {0.25, 7}}),
+        Message(ReportAck{
+            4, true, "e1", 3, {"e1", "e2"}, 5500, 9, {0.25, 7}, true, 120}),
         Message(WorkerOrders{
             4,
             {"i-1", 7},
@@ -91,6 +92,25 @@
   EXPECT_EQ(std::get<WorkerReport>(decoded.value()), expected);
 }
 
+// Guards against agents that lose their leader during an upgrade, because they
+// cannot read the answers of an entry that knows no cordons.
+TEST(Decode, AnswerOfAnEarlierEntryKnowsNoCordons) {
+  ReportAck ack;
+  ack.Epoch = 4;
+  ack.Cordoned = true;
+  ack.CordonAgeMs = 120;
+  const std::string bytes = encode(ack);
+  nlohmann::json envelope = nlohmann::json::from_cbor(bytes);
+  envelope["body"].erase("Cordoned");
+  envelope["body"].erase("CordonAgeMs");
+  const std::vector<uint8_t> earlier = nlohmann::json::to_cbor(envelope);
+  auto decoded = decode(std::string(earlier.begin(), earlier.end()));
+  ASSERT_TRUE(decoded);
+  ReportAck expected;
+  expected.Epoch = 4;
+  EXPECT_EQ(std::get<ReportAck>(decoded.value()), expected);
+}
+
 // A message of another version, or a corrupted frame, must give a typed error
 // with which the reply thread answers, and must not crash the agent or the
 // entry.
