--- a/src/libs/losses/attribution.h
+++ b/src/libs/losses/attribution.h
@@ -20,6 +20,8 @@
   WaitingForCapacity,
   /// Waiting while other work was being stopped for the job.
   WaitingForStops,
+  /// Waiting for capacity in failure domains that the operator evacuates.
+  WaitingForCordon,
   /// Waiting of a gang that needs one rack.
   WaitingForRack,
   /// Waiting for tasks of the same step.
--- a/src/libs/losses/attribution_names.cpp
+++ b/src/libs/losses/attribution_names.cpp
@@ -5,12 +5,15 @@
 
 const std::vector<Cause> &allCauses() {
   static const std::vector<Cause> all = {
-      Cause::Accepting,          Cause::StoreOutage,     Cause::LeaderChange,
-      Cause::WaitingForCapacity, Cause::WaitingForStops, Cause::WaitingForRack,
-      Cause::OwnWaves,           Cause::Starting,        Cause::Working,
-      Cause::SlowWorker,         Cause::RunFailed,       Cause::RunLost,
-      Cause::RunStoodStill,      Cause::RunStopped,      Cause::RunEvacuated,
-      Cause::RunBroken,          Cause::Showing};
+      Cause::Accepting,       Cause::StoreOutage,
+      Cause::LeaderChange,    Cause::WaitingForCapacity,
+      Cause::WaitingForStops, Cause::WaitingForCordon,
+      Cause::WaitingForRack,  Cause::OwnWaves,
+      Cause::Starting,        Cause::Working,
+      Cause::SlowWorker,      Cause::RunFailed,
+      Cause::RunLost,         Cause::RunStoodStill,
+      Cause::RunStopped,      Cause::RunEvacuated,
+      Cause::RunBroken,       Cause::Showing};
   return all;
 }
 
@@ -26,6 +29,8 @@
     return "waiting_for_room";
   case Cause::WaitingForStops:
     return "waiting_for_stops";
+  case Cause::WaitingForCordon:
+    return "waiting_for_cordon";
   case Cause::WaitingForRack:
     return "waiting_for_rack";
   case Cause::OwnWaves:
--- a/src/libs/losses/attribution_path.cpp
+++ b/src/libs/losses/attribution_path.cpp
@@ -178,6 +178,8 @@
     const auto s = static_cast<size_t>(step);
     if (s < Job.Waves.size() && Job.Waves[s] > 1)
       return Cause::OwnWaves;
+    if (Job.WaitedForCordon)
+      return Cause::WaitingForCordon;
     if (flagOf(Job.SameRack, step))
       return Cause::WaitingForRack;
     return Cause::WaitingForCapacity;
--- a/src/libs/losses/jobhistory.cpp
+++ b/src/libs/losses/jobhistory.cpp
@@ -43,6 +43,9 @@
       handleCallAnswered(e, at);
     else if (name == "job.promised")
       handleDeadlineSet(e);
+    else if (name == "step.waiting" &&
+             textIn(e.Fields, "why") == CordonWaitReason)
+      findOrAddJob(textIn(e.Fields, "job")).WaitedForCordon = true;
     else if (name == "job.ended")
       handleJobEnded(e, at);
     else if (absl::StartsWith(name, "run."))
--- a/src/libs/losses/jobhistory.h
+++ b/src/libs/losses/jobhistory.h
@@ -17,6 +17,10 @@
 /// job's id follows.
 inline const std::string CapacityStopPrefix = "makes room for job ";
 
+/// Reason of a wait for the end of a cordon.
+inline const std::string CordonWaitReason =
+    "its capacity is in cordoned failure domains";
+
 /// A period of time.
 struct Span {
   absl::Time From = absl::InfinitePast();
@@ -90,6 +94,8 @@
   std::map<core::TaskId, std::vector<RunHistory>> Tasks;
   /// Times when other work was stopped for this job.
   std::vector<absl::Time> StopsForJob;
+  /// It waited for capacity in cordoned failure domains.
+  bool WaitedForCordon = false;
 
   bool operator==(const JobHistory &) const = default;
 };
--- a/tests/auto/losses/tst_losses.cpp
+++ b/tests/auto/losses/tst_losses.cpp
@@ -190,6 +190,16 @@
            runEvent(3000, "ended", "j.0.1.0", 1, "done") +
            jobEndedEvent(3000, "j"),
        "working=1000 waiting_for_room=100 working=900 ", Outcome::InTime},
+      {"waited_for_a_cordon",
+       AcceptedJob +
+           eventLine(1010, "step.waiting",
+                     "\"job\":\"j\",\"why\":\"its capacity is in cordoned "
+                     "failure domains\"") +
+           runEvent(4010, "placed", "j.0.0.0", 1) +
+           runEvent(4010, "started", "j.0.0.0", 1) +
+           runEvent(6010, "ended", "j.0.0.0", 1, "done") +
+           jobEndedEvent(6010, "j"),
+       "accepting=10 waiting_for_cordon=3000 working=2000 ", Outcome::Late},
       {"wide_step_waits_for_its_own_tasks",
        submitEvent(1000, "j", "ok", 0) +
            deadlineEvent(1000, "j", "2x1000m/100MB/8acc est=1000ms",
