A new agent learns from the leader which starts its worker must refuse

Cause: the attempts without an answer were known to the lost agent. The leader has them in its records, but the next agent was not told, so that nothing stopped them at the worker's next incarnation.

Now an agent reports as soon as it starts, and as long as it has not tracked its starts for 15 s the answer names what an earlier process sent: task, run, the incarnation that may run it (none, if the run is over). The agent adopts these as open attempts of its own: stopped at each incarnation that must not run them, before any start is sent there. The leader keeps an index by agent, renewed with each tick, so that an answer costs no look at all tasks.

Ruled out: holding back the acknowledgement of an end while an attempt is open. It would only hide the second start.

New test rows: adopted attempts, a start that the leader names, a done run beside a lost agent.

--- a/src/libs/agent/openattempts.cpp
+++ b/src/libs/agent/openattempts.cpp
@@ -22,6 +22,19 @@
   return LastNumber;
 }
 
+void OpenAttempts::adopt(const endpoints::EarlierStart &earlier,
+                         absl::Time now) {
+  const RunId run{earlier.Start.Task, earlier.Start.Run};
+  for (const auto &[number, attempt] : Attempts)
+    if (attempt.Run == run && attempt.Incarnation == earlier.Life)
+      return;
+  const absl::Duration left =
+      std::min(absl::Milliseconds(earlier.Start.PossibleForMs),
+               endpoints::MaxOrderDelay);
+  Attempts[++LastNumber] = {run, earlier.Life,
+                            now + left - endpoints::MaxOrderDelay};
+}
+
 void OpenAttempts::closeOtherIds(const std::string &id) {
   std::erase_if(Attempts, [&id](const auto &entry) {
     return entry.second.Incarnation.Id != id;
--- a/src/libs/agent/openattempts.h
+++ b/src/libs/agent/openattempts.h
@@ -28,6 +28,9 @@
   AttemptNumber open(const endpoints::RunId &run,
                      const endpoints::WorkerIncarnation &incarnation,
                      absl::Time now);
+  /// Adds an open attempt of an earlier process of the agent, unless one of the
+  /// same run at that incarnation is known.
+  void adopt(const endpoints::EarlierStart &earlier, absl::Time now);
   /// Records that the attempt was answered. Has no effect if it is not open.
   void close(AttemptNumber number) { Attempts.erase(number); }
   /// Drops the attempts that were sent to any other id. Called when the worker
--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -72,7 +72,12 @@
 
 WorkerAgent::~WorkerAgent() { *Alive = false; }
 
-void WorkerAgent::start() { scheduleReport(); }
+// The first report is sent at once: the answer names the starts of an earlier
+// process that the worker must refuse.
+void WorkerAgent::start() {
+  reportSoon();
+  scheduleReport();
+}
 
 AgentStatus WorkerAgent::status() const {
   AgentStatus s;
@@ -396,6 +401,7 @@
     GrantEnd = std::max(GrantEnd, sent + absl::Milliseconds(ack.GrantMs));
   if (Cordon.apply(ack, sent))
     logCordonChange();
+  adoptEarlierStarts(ack.EarlierStarts);
   Speed = ack.Speed;
   const bool moreEndsRecorded = ack.SeenUpto > SeenUpto;
   SeenUpto = std::max(SeenUpto, ack.SeenUpto);
@@ -415,6 +421,15 @@
     sendKeepAlive(0);
 }
 
+void WorkerAgent::adoptEarlierStarts(
+    const std::vector<endpoints::EarlierStart> &starts) {
+  for (const endpoints::EarlierStart &earlier : starts)
+    if (State.Life.empty() || State.Life.Id == earlier.Life.Id)
+      Attempts.adopt(earlier, Loop.now());
+  if (!starts.empty())
+    stopOpenStartsSoon();
+}
+
 void WorkerAgent::logCordonChange() const {
   logEvent(Cordon.isCordoned() ? Event::CordonInForce : Event::CordonOver,
            {{"worker", State.Life.Id},
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -190,6 +190,9 @@
   /// result in the report.
   void onReportAck(const std::string &address, const endpoints::ReportAck &ack,
                    absl::Time sent, uint64_t resultsEnd);
+  /// Takes over what the leader knows of starts by an earlier process of this
+  /// agent, and has the worker refuse them.
+  void adoptEarlierStarts(const std::vector<endpoints::EarlierStart> &starts);
   void onReportUnanswered(const std::string &address);
   void reportAfter(absl::Duration delay);
   /// Logs once that the grant has expired.
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -55,6 +55,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(IncarnationEnd, Life, Crashed, JustBegun,
                                    Witnessed, MayStillBegin)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OpenStart, Task, Run, PossibleForMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EarlierStart, Start, Life)
 
 static void to_json(json &j, const WorkerReport &r) {
   j = {{"Agent", r.Agent},           {"AgentAddress", r.AgentAddress},
@@ -86,15 +87,22 @@
 }
 
 static void to_json(json &j, const ReportAck &a) {
-  j = {{"Epoch", a.Epoch},       {"Doubtful", a.Doubtful},
-       {"Leader", a.Leader},     {"LeaderEpoch", a.LeaderEpoch},
-       {"Entries", a.Entries},   {"GrantMs", a.GrantMs},
-       {"SeenUpto", a.SeenUpto}, {"Speed", a.Speed},
-       {"Cordoned", a.Cordoned}, {"CordonAgeMs", a.CordonAgeMs}};
+  j = {{"Epoch", a.Epoch},
+       {"Doubtful", a.Doubtful},
+       {"Leader", a.Leader},
+       {"LeaderEpoch", a.LeaderEpoch},
+       {"Entries", a.Entries},
+       {"GrantMs", a.GrantMs},
+       {"SeenUpto", a.SeenUpto},
+       {"Speed", a.Speed},
+       {"Cordoned", a.Cordoned},
+       {"CordonAgeMs", a.CordonAgeMs},
+       {"EarlierStarts", a.EarlierStarts}};
 }
 
-// Entries of earlier versions do not know cordons. Their answers lack the last
-// two fields and must remain readable during an upgrade.
+// Entries of earlier versions do not know cordons and earlier starts. Their
+// answers lack the last three fields and must remain readable during an
+// upgrade.
 static void from_json(const json &j, ReportAck &a) {
   j.at("Epoch").get_to(a.Epoch);
   j.at("Doubtful").get_to(a.Doubtful);
@@ -106,6 +114,7 @@
   j.at("Speed").get_to(a.Speed);
   a.Cordoned = j.value("Cordoned", false);
   a.CordonAgeMs = j.value("CordonAgeMs", int64_t{-1});
+  a.EarlierStarts = j.value("EarlierStarts", std::vector<EarlierStart>());
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -252,6 +252,15 @@
   auto operator<=>(const OpenStart &) const = default;
 };
 
+/// An open start that an earlier process of the agent sent, as the leader knows
+/// it. Life: the incarnation that may run it; any other one under the same id
+/// must refuse it. Without a start time no incarnation may run it.
+struct EarlierStart {
+  OpenStart Start;
+  WorkerIncarnation Life;
+  auto operator<=>(const EarlierStart &) const = default;
+};
+
 /// The end of a worker incarnation. Crashed: it ended without notice, and no
 /// shutdown was planned. JustBegun: the runs that may have crashed it, because
 /// they started, or may have started, less than CrashDetectionWindow before it
@@ -314,7 +323,8 @@
 /// report; zero does not extend the last grant. SeenUpto: ends of this
 /// incarnation up to this number are recorded. Cordoned: the operator evacuates
 /// the failure domain of the worker, according to a view that is CordonAgeMs
-/// old; a negative age means that the entry has no view.
+/// old; a negative age means that the entry has no view. EarlierStarts: for an
+/// agent that has not tracked its starts for MaxOrderDelay yet.
 struct ReportAck {
   int64_t Epoch = 0;
   bool Doubtful = false;
@@ -326,6 +336,7 @@
   LearnedSpeed Speed;
   bool Cordoned = false;
   int64_t CordonAgeMs = -1;
+  std::vector<EarlierStart> EarlierStarts;
   auto operator<=>(const ReportAck &) const = default;
 };
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -345,6 +345,7 @@
         nullptr, now);
   endUnreportedIncarnations(now);
   resendLateStops(now);
+  LateStartsByAgent.clear();
   for (auto &entry : Jobs) {
     Job &job = entry.second;
     if (!job.hasEnded() && isFleetKnown(now))
@@ -354,6 +355,7 @@
       PassNeeded = true;
     forEachTask(job, [&](const TaskId &id, Task &task) {
       forgetLateStarts(job, task, now);
+      indexLateStarts(id, task);
       if (!task.isAssigned() || task.RunPhase == Phase::Recording)
         return;
       if (now - task.LastOrderAt < Policy.OrderResendInterval)
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -178,6 +178,11 @@
   /// Handles a report. Returns the number up to which all ends of runs of this
   /// worker incarnation are recorded.
   int64_t onReport(const endpoints::WorkerReport &report, absl::Time now);
+  /// The starts by an earlier process of the agent that its worker may still
+  /// carry out. Empty if the agent has tracked its starts for long enough to
+  /// know them all.
+  std::vector<endpoints::EarlierStart>
+  earlierStarts(const endpoints::WorkerReport &report, absl::Time now) const;
   /// What this leader has learned about the speed of an agent's worker.
   endpoints::LearnedSpeed speedOf(const std::string &agent) const {
     return Speeds.learnedSpeed(agent);
@@ -403,6 +408,8 @@
   void updateStartOpenUntil(Job &job, const core::TaskId &id, Task &task,
                             absl::Time now);
   static void recordLateStart(Job &job, Task &task);
+  /// Adds the task's recorded late starts to LateStartsByAgent.
+  void indexLateStarts(const core::TaskId &id, const Task &task);
   /// Applies the late starts that a previous leader recorded.
   static void adoptLateStarts(Task &task, absl::Time now);
   /// Time until which an attempt to start the task's run may still be carried
@@ -518,6 +525,13 @@
     absl::Time TasksEndedBy = absl::InfiniteFuture();
   };
   std::map<WorkerIncarnation, UnreportedIncarnation> UnreportedIncarnations;
+  /// A recorded late start, and until when it may be carried out.
+  struct IndexedLateStart {
+    endpoints::EarlierStart Start;
+    absl::Time Until;
+  };
+  /// The recorded late starts by agent, as of the last tick.
+  std::map<std::string, std::vector<IndexedLateStart>> LateStartsByAgent;
   /// Time of the latest crash of the worker, by agent.
   std::map<std::string, absl::Time> LastCrashes;
   /// Something has changed since the last pass that may let a task start.
--- a/src/libs/jobs/jobscheduler_incarnations.cpp
+++ b/src/libs/jobs/jobscheduler_incarnations.cpp
@@ -167,6 +167,39 @@
                           task.StartBarredUntil);
 }
 
+void JobScheduler::indexLateStarts(const TaskId &id, const Task &task) {
+  const absl::Time until =
+      task.isAssigned() ? task.StartOpenUntil.value_or(absl::InfinitePast())
+                        : task.StartBarredUntil;
+  for (const LateStart &start : task.Progress.LateStarts) {
+    const bool mayRun = task.isAssigned() && task.Progress.Run == start.Run &&
+                        task.Progress.Agent == start.Agent;
+    endpoints::EarlierStart earlier{
+        {core::taskName(id), start.Run},
+        mayRun ? task.Progress.Worker : WorkerIncarnation{start.WorkerId, 0}};
+    LateStartsByAgent[start.Agent].push_back({std::move(earlier), until});
+  }
+}
+
+std::vector<endpoints::EarlierStart>
+JobScheduler::earlierStarts(const endpoints::WorkerReport &report,
+                            absl::Time now) const {
+  std::vector<endpoints::EarlierStart> starts;
+  if (absl::Milliseconds(report.StartsKnownForMs) >= endpoints::MaxOrderDelay)
+    return starts;
+  auto indexed = LateStartsByAgent.find(report.Agent);
+  if (indexed == LateStartsByAgent.end())
+    return starts;
+  for (const IndexedLateStart &late : indexed->second) {
+    if (late.Until <= now)
+      continue;
+    starts.push_back(late.Start);
+    starts.back().Start.PossibleForMs =
+        absl::ToInt64Milliseconds(late.Until - now) + 1;
+  }
+  return starts;
+}
+
 void JobScheduler::resendLateStops(absl::Time now) {
   for (const auto &[incarnation, runs] :
        Workers.takeLateStops(Policy.OrderResendInterval, now)) {
--- a/tests/auto/agent/tst_openattempts.cpp
+++ b/tests/auto/agent/tst_openattempts.cpp
@@ -90,5 +90,19 @@
   EXPECT_TRUE(attempts.openRuns(now).empty());
 }
 
+// Guards against a start by an earlier process of the agent that nobody stops
+// at the next incarnation, and against a stop of the run that is still wanted.
+TEST(OpenAttempts, AdoptedOnesAreStoppedWhereTheyMustNotRun) {
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  OpenAttempts attempts;
+  attempts.adopt({{"over", 1, 9000}, {"w", 0}}, now);
+  attempts.adopt({{"wanted", 1, 9000}, {"w", 7}}, now);
+  attempts.adopt({{"wanted", 1, 9000}, {"w", 7}}, now);
+  EXPECT_EQ(attempts.openRuns(now).size(), 2u);
+  EXPECT_EQ(attempts.pendingStops({"w", 7}, now).size(), 1u);
+  EXPECT_EQ(attempts.pendingStops({"w", 8}, now).size(), 2u);
+  EXPECT_TRUE(attempts.openRuns(now + absl::Seconds(9)).empty());
+}
+
 } // namespace
 } // namespace oriolebay::agent
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace oriolebay::agent {
@@ -123,6 +124,15 @@
                            : Reports.back().Results;
   }
 
+  /// Returns the outcomes in all reports so far.
+  std::set<endpoints::OrderOutcome> reportedOutcomes() const {
+    std::set<endpoints::OrderOutcome> outcomes;
+    for (const endpoints::WorkerReport &report : Reports)
+      for (const endpoints::OrderResult &result : report.Results)
+        outcomes.insert(result.Outcome);
+    return outcomes;
+  }
+
   utils::EventLoop Loop;
   endpoints::Peers::Handler Handler;
   endpoints::ReportAck Ack;
@@ -259,6 +269,17 @@
   EXPECT_EQ(fixture.Starts.size(), 1u);
 }
 
+// Guards against a start by an earlier process of the agent that the worker
+// carries out late: this process knows of it from the leader only.
+TEST(WorkerAgent, EarlierStartThatTheLeaderNamesIsStoppedAtOnce) {
+  AgentFixture fixture;
+  fixture.Ack.EarlierStarts = {{{"j.0.0.7", 2, 9000}, {"life", 0}}};
+  fixture.Loop.advance(absl::Milliseconds(600));
+  EXPECT_GE(fixture.takeStopsOf({"j.0.0.7", 2}), 1u);
+  fixture.Loop.advance(absl::Seconds(2));
+  EXPECT_EQ(fixture.takeStopsOf({"j.0.0.7", 2}), 0u);
+}
+
 // Guards against a further attempt of a start after the cordon has become known
 // here.
 TEST(WorkerAgent, UnansweredStartIsNotRetriedOnceItsDomainIsCordoned) {
@@ -271,8 +292,9 @@
   const size_t attempts = fixture.Starts.size();
   fixture.Loop.advance(absl::Seconds(5));
   EXPECT_EQ(fixture.Starts.size(), attempts);
-  EXPECT_EQ(fixture.results().back().Outcome,
-            endpoints::OrderOutcome::Unconfirmed);
+  EXPECT_EQ(
+      fixture.reportedOutcomes(),
+      std::set<endpoints::OrderOutcome>{endpoints::OrderOutcome::Unconfirmed});
 }
 
 // Guards against a start after the bound of a cordon that the leader cannot
--- a/tests/auto/cluster/tst_latestarts.cpp
+++ b/tests/auto/cluster/tst_latestarts.cpp
@@ -201,6 +201,21 @@
   });
 }
 
+// Guards against a task that starts again after its end: the agent that knew of
+// the unanswered attempt is lost together with its worker, and the next one is
+// not told.
+TEST_P(LateStart, OfADoneRunDoesNotStartAfterItsAgentIsLost) {
+  forEachSeed([this] {
+    submitWithLateStarts(500);
+    restartWorkers();
+    for (int n = 0; n < Workers - 1; ++n)
+      Cluster->killAgent(n);
+    for (int n = 0; n < Workers - 1; ++n)
+      Cluster->startAgent(n);
+    expectRunsOnce();
+  });
+}
+
 // Guards against a worker that runs more than its capacity: a late start that
 // nobody expects takes the capacity that was given to waiting tasks.
 TEST_P(LateStart, DoesNotExceedTheCapacityGivenToWaitingTasks) {
