The first try of a caller's call waits for a slow store

Cause: the first try is given up after 300 ms, a slow store answers after 376 ms, so each call pays the timeout, a pause and a second try.

Now the first try waits for 1.5 times the longest of the last six answers, between the 300 ms as before and the 700 ms of any later try. Ruled out: a longer first try for all, which costs callers of a store that lost one answer. The stand-in gives up calls that take longer than their timeout, as the adapter does.

Cluster.JobIsAcceptedByTheFirstTryWhileTheStoreIsSlow fails without it.

--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -118,6 +118,7 @@
   Service = std::make_unique<jobs::JobService>(
       Loop, StoreClient, *View, *Config, servicePolicy,
       [this] { return Health.failingSince(); },
+      [this] { return Health.recentLatency(); },
       [this] {
         return Cordons->current().containsAll(Settings.SiteFailureDomains);
       },
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -21,11 +21,12 @@
                        JobView &view, operators::ConfigFollower &config,
                        JobServicePolicy policy,
                        StoreFailingSince storeFailingSince,
-                       IsSiteCordoned isSiteCordoned, Forward forward,
-                       AskLeader askLeader, OnWritten onWritten,
-                       OnDecision onDecision)
+                       StoreLatency storeLatency, IsSiteCordoned isSiteCordoned,
+                       Forward forward, AskLeader askLeader,
+                       OnWritten onWritten, OnDecision onDecision)
     : Loop(loop), StoreClient(store), View(view), Config(config),
       Policy(policy), FailingSince(std::move(storeFailingSince)),
+      RecentLatency(std::move(storeLatency)),
       CheckSiteCordoned(std::move(isSiteCordoned)),
       ForwardToEntry(std::move(forward)), QueryLeader(std::move(askLeader)),
       NotifyLeader(std::move(onWritten)),
@@ -142,11 +143,18 @@
   return call->ReceivedAt + totalTime * Policy.MaxStoreTimeShare - Loop.now();
 }
 
+long JobService::firstTryTimeoutMs() const {
+  const long forLatency =
+      absl::ToInt64Milliseconds(RecentLatency() * Policy.MinLatenciesPerTry);
+  return std::clamp(forLatency, Policy.FirstTryTimeoutMs,
+                    Policy.MaxTryTimeoutMs);
+}
+
 long JobService::nextTryTimeoutMs(const CallPtr &call) const {
   const bool isFirstTry = call->Tries++ == 0;
   const auto left = absl::ToInt64Milliseconds(storeTimeLeft(call));
   return std::clamp<long>(left, Policy.MinTryTimeoutMs,
-                          isFirstTry ? Policy.FirstTryTimeoutMs
+                          isFirstTry ? firstTryTimeoutMs()
                                      : Policy.MaxTryTimeoutMs);
 }
 
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -48,6 +48,9 @@
   /// healthy store usually answers much faster, and if only the answer was
   /// lost, repeating the call shows its outcome.
   long FirstTryTimeoutMs = 300;
+  /// The first try waits for at least this many times the recent latency of the
+  /// store: a slow store would answer each first try too late.
+  double MinLatenciesPerTry = 1.5;
   long MinTryTimeoutMs = 50;
   long MaxTryTimeoutMs = 700;
   /// Bounds of the delay after which callers are asked to retry, which is the
@@ -90,6 +93,8 @@
   /// Returns the time since which calls to the store have been failing, or the
   /// infinite future if they are not.
   using StoreFailingSince = std::function<absl::Time()>;
+  /// Returns the longest time that the store recently took for an answer.
+  using StoreLatency = std::function<absl::Duration()>;
   /// Returns whether the operator evacuates all failure domains of the site.
   using IsSiteCordoned = std::function<bool()>;
   /// Forwards a call to another entry. Returns false if no other entry can be
@@ -103,8 +108,9 @@
   JobService(utils::EventLoop &loop, const platform::Store &store,
              JobView &view, operators::ConfigFollower &config,
              JobServicePolicy policy, StoreFailingSince storeFailingSince,
-             IsSiteCordoned isSiteCordoned, Forward forward,
-             AskLeader askLeader, OnWritten onWritten, OnDecision onDecision);
+             StoreLatency storeLatency, IsSiteCordoned isSiteCordoned,
+             Forward forward, AskLeader askLeader, OnWritten onWritten,
+             OnDecision onDecision);
   ~JobService();
   JobService(const JobService &) = delete;
   JobService &operator=(const JobService &) = delete;
@@ -157,6 +163,7 @@
   absl::Duration storeTimeLeft(const CallPtr &call) const;
   /// Counts a try and returns the timeout of its store call.
   long nextTryTimeoutMs(const CallPtr &call) const;
+  long firstTryTimeoutMs() const;
   /// Calls to the store succeed, or have been failing for less than
   /// StoreFailureGrace.
   bool isStoreUsable() const;
@@ -213,6 +220,7 @@
   operators::ConfigFollower &Config;
   const JobServicePolicy Policy;
   const StoreFailingSince FailingSince;
+  const StoreLatency RecentLatency;
   const IsSiteCordoned CheckSiteCordoned;
   const Forward ForwardToEntry;
   const AskLeader QueryLeader;
--- a/src/libs/jobs/jobservice_access.cpp
+++ b/src/libs/jobs/jobservice_access.cpp
@@ -72,7 +72,7 @@
       finish(call, CallResult::NotDone,
              "the configuration could not be confirmed; try another entry");
   };
-  Config.confirm(onConfirmed, Policy.FirstTryTimeoutMs);
+  Config.confirm(onConfirmed, firstTryTimeoutMs());
 }
 
 bool JobService::isAccessAllowed(const CallPtr &call,
--- a/src/libs/platform/storehealth.cpp
+++ b/src/libs/platform/storehealth.cpp
@@ -2,12 +2,38 @@
 
 #include "utils/eventloop.h"
 
+#include <algorithm>
+
 namespace oriolebay::platform {
 
+namespace {
+
+/// Number of answered calls that recentLatency() covers: about those of the
+/// last two seconds at an entry without callers.
+constexpr size_t MaxLatencies = 6;
+
+bool isFailure(StoreStatus status) {
+  return status == StoreStatus::Refused || status == StoreStatus::Unknown;
+}
+
+} // namespace
+
+absl::Duration StoreHealth::recentLatency() const {
+  const auto longest = std::max_element(Latencies.begin(), Latencies.end());
+  return longest == Latencies.end() ? absl::ZeroDuration() : *longest;
+}
+
+void StoreHealth::recordLatency(StoreStatus status, absl::Duration took) {
+  if (isFailure(status))
+    return;
+  Latencies.push_back(took);
+  if (Latencies.size() > MaxLatencies)
+    Latencies.pop_front();
+}
+
 void StoreHealth::recordStatus(StoreStatus status, const std::string &why) {
   ++Calls;
-  const bool failed =
-      status == StoreStatus::Refused || status == StoreStatus::Unknown;
+  const bool failed = isFailure(status);
   if (failed)
     ++Failures;
   const bool wasFailing = FailingSince != absl::InfiniteFuture();
@@ -26,6 +52,7 @@
       return;
     if (NotifyCall)
       NotifyCall(call, reply.Status, Loop.now() - sent);
+    recordLatency(reply.Status, Loop.now() - sent);
     recordStatus(reply.Status, reply.Why);
     done(reply);
   };
--- a/src/libs/platform/storehealth.h
+++ b/src/libs/platform/storehealth.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -44,6 +45,9 @@
   /// call, or infinite future if there is none. An answer that the key or lease
   /// does not exist, or that a condition does not hold, is not a failure.
   absl::Time failingSince() const { return FailingSince; }
+  /// Returns the longest time that one of the latest answered calls took; zero
+  /// if none was answered.
+  absl::Duration recentLatency() const;
   /// Number of recorded calls, and number of those that failed.
   int64_t calls() const { return Calls; }
   int64_t failures() const { return Failures; }
@@ -52,6 +56,7 @@
   template <class T>
   OnStoreReply<T> recordingReply(const char *call, OnStoreReply<T> done);
   void recordStatus(StoreStatus status, const std::string &why);
+  void recordLatency(StoreStatus status, absl::Duration took);
 
   const utils::EventLoop &Loop;
   const OnChange NotifyChange;
@@ -60,6 +65,8 @@
   absl::Time FailingSince = absl::InfiniteFuture();
   int64_t Calls = 0;
   int64_t Failures = 0;
+  /// Durations of the latest answered calls, the newest last.
+  std::deque<absl::Duration> Latencies;
 };
 
 } // namespace oriolebay::platform
--- a/tests/auto/cluster/memorystore.cpp
+++ b/tests/auto/cluster/memorystore.cpp
@@ -202,9 +202,10 @@
     timeOut();
     return;
   }
-  Loop.runAfter(f.Delay / 2, [this, client, txn, done, timeOut] {
+  const bool isAnswerLate = f.Delay > timeout;
+  Loop.runAfter(f.Delay / 2, [this, client, txn, done, timeOut, isAnswerLate] {
     const auto reply = applyTxn(txn);
-    if (chance(FaultsByClient[client].LostAnswerShare))
+    if (isAnswerLate || chance(FaultsByClient[client].LostAnswerShare))
       timeOut();
     else
       answer(client, done, reply);
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -440,6 +440,23 @@
   EXPECT_EQ(cluster->starts(), 0);
 }
 
+// Guards against callers of a slow store that wait for twice as long as it
+// takes: each first try was given up before its answer came.
+TEST(Cluster, JobIsAcceptedByTheFirstTryWhileTheStoreIsSlow) {
+  constexpr absl::Duration StoreDelay = absl::Milliseconds(380);
+  auto cluster = servingCluster();
+  for (int n = 0; n < 3; ++n)
+    cluster->store().faults(MemoryCluster::entryName(n)).Delay = StoreDelay;
+  cluster->runFor(absl::Seconds(3));
+  for (int n = 0; n < 3; ++n) {
+    auto call =
+        cluster->submit(n, "k1", job("j" + std::to_string(n), 1, 1, 500));
+    cluster->runFor(StoreDelay + absl::Milliseconds(20));
+    ASSERT_TRUE(call->Answer.has_value());
+    EXPECT_EQ(call->Answer->Result, jobs::CallResult::Ok);
+  }
+}
+
 // The store is the scarcest resource of a site: it takes a few hundred writes a
 // second for all. docs/CAPACITY.md is based on these figures.
 TEST(Cluster, JobTakesThreeStoreWritesAndIdlingNone) {
