Urgent work waits for others only if it is in time whatever its estimate is worth

Cause: the slack is computed from the job's estimate. Where estimates are off by up to 0.9, a job that is shorter than estimated has an earlier deadline than assumed.

Ways: trusted as before (trusted_estimates); slack at one (deployed) or two (doubted_estimates) standard deviations of what the queue's estimates turned out to be off. A new load, memory_bound: gangs whose tasks take half a worker's memory, estimates off by 0.9, each run failing with 0.05.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -59,6 +59,11 @@
   /// with many the site would stand idle.
   int MinReservations = 2;
   int WorkersPerReservation = 24;
+  /// A job may take less time than estimated, and its deadline with it. Work of
+  /// priority 0 waits for others only if it is in time even if its tasks are
+  /// shorter by this many standard deviations of what the estimates of its
+  /// queue turned out to be off. Zero: estimates are trusted.
+  double SlackDeviations = 1;
   /// Expected time from the request to stop a run to its end.
   absl::Duration StopDuration = absl::Milliseconds(400);
   /// Time after submission by which a job within its organisation's guarantee
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -82,6 +82,9 @@
     /// How long it can wait before its job misses its deadline. Among other
     /// work of priority 0, the unit with the least slack is placed first.
     absl::Duration Slack = absl::ZeroDuration();
+    /// The same if its tasks are shorter than estimated, so that its deadline
+    /// is earlier; see SchedulerPolicy::SlackDeviations.
+    absl::Duration CautiousSlack = absl::ZeroDuration();
     /// Number of its tasks that must run at the same time, from now or from
     /// the end of the slack, for its job to meet the deadline. The other tasks
     /// can follow on the same resources.
@@ -235,6 +238,8 @@
   bool isWorthStopping(const PlacementUnit &unit, const CapacityPlan &stopPlan,
                        const std::optional<CapacityPlan> &waitPlan) const;
   void computeUrgency(PlacementUnit &unit) const;
+  absl::Duration deadlineAtRisk(const Job &job,
+                                const JobDeadline &deadline) const;
   void computeRequiredConcurrency(PlacementUnit &unit, absl::Duration timeLeft,
                                   absl::Duration taskDuration) const;
   bool isInTimeWithoutStops(const PlacementUnit &unit,
--- a/src/libs/jobs/planner_capacity.cpp
+++ b/src/libs/jobs/planner_capacity.cpp
@@ -347,6 +347,18 @@
   unit.Slack = timeLeft - taskDuration;
   if (!spec.Gang && unit.Rank == 1)
     computeRequiredConcurrency(unit, timeLeft, taskDuration);
+  unit.CautiousSlack = unit.Slack - deadlineAtRisk(job, deadline);
+}
+
+// How much earlier the deadline of the job may be than computed, relative to
+// its work, because its tasks may be shorter than estimated.
+absl::Duration Planner::deadlineAtRisk(const Job &job,
+                                       const JobDeadline &deadline) const {
+  const double shorter =
+      1 - Scheduler.Estimates.shortfallFactor(job.Record.Spec.Queue,
+                                              Scheduler.Policy.SlackDeviations);
+  const double slackShare = std::max(0.0, job.Record.Stretch - 1);
+  return deadline.CriticalPath * (shorter * slackShare);
 }
 
 // A wide step can meet its deadline although its tasks run one after another:
@@ -412,7 +424,7 @@
     const PlacementUnit &unit,
     const std::optional<CapacityPlan> &waitPlan) const {
   return waitPlan && !isGuaranteeAtRisk(unit, waitPlan) &&
-         waitPlan->Wait * 2 <= unit.Slack;
+         waitPlan->Wait * 2 <= unit.CautiousSlack;
 }
 
 // Whether the stops of stopPlan are worthwhile for a unit whose job would miss
@@ -486,6 +498,7 @@
       {"tasks", static_cast<int64_t>(unit.Tasks.size())},
       {"needed", unit.RequiredConcurrency},
       {"slack_ms", absl::ToInt64Milliseconds(unit.Slack)},
+      {"cautious_slack_ms", absl::ToInt64Milliseconds(unit.CautiousSlack)},
       {"most_waste_core_s", static_cast<int64_t>(maxLostWork(unit))}};
   if (plan != nullptr) {
     inputs.push_back({"wait_ms", absl::ToInt64Milliseconds(plan->Wait)});
--- a/src/libs/jobs/progress.cpp
+++ b/src/libs/jobs/progress.cpp
@@ -88,6 +88,14 @@
   return it == Queues.end() ? estimate : estimate * std::exp(it->second.Mean);
 }
 
+double DurationEstimator::shortfallFactor(const std::string &queue,
+                                          double deviations) const {
+  auto it = Queues.find(queue);
+  if (it == Queues.end() || it->second.Count < Policy.MinEndsForEstimate)
+    return 1;
+  return std::exp(-deviations * it->second.deviation());
+}
+
 std::optional<absl::Duration>
 DurationEstimator::slowThreshold(const std::string &queue,
                                  absl::Duration estimate) const {
@@ -95,7 +103,7 @@
   if (it == Queues.end() || it->second.Count < Policy.MinEndsForEstimate)
     return std::nullopt;
   const LogErrors &errors = it->second;
-  const double deviation = std::sqrt(errors.SquareSum / (errors.Count - 1));
+  const double deviation = errors.deviation();
   if (deviation > Policy.MaxLogDeviation)
     return std::nullopt;
   const double margin =
--- a/src/libs/jobs/progress.h
+++ b/src/libs/jobs/progress.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <cmath>
 #include <deque>
 #include <map>
 #include <optional>
@@ -110,6 +111,10 @@
   /// Expected duration of a task with the given estimate.
   absl::Duration expectedDuration(const std::string &queue,
                                   absl::Duration estimate) const;
+  /// Factor by which tasks of the queue take less than expected at this many
+  /// standard deviations of the error of their estimates; 1 while too little is
+  /// known.
+  double shortfallFactor(const std::string &queue, double deviations) const;
 
 private:
   /// Statistics of the logarithm of the actual over the estimated duration.
@@ -117,6 +122,8 @@
     int Count = 0;
     double Mean = 0;
     double SquareSum = 0;
+
+    double deviation() const { return std::sqrt(SquareSum / (Count - 1)); }
   };
 
   const ProgressPolicy Policy;
--- a/tests/bench/jobsbench/main.cpp
+++ b/tests/bench/jobsbench/main.cpp
@@ -67,6 +67,10 @@
   using P = jobs::SchedulerPolicy;
   static const std::vector<NamedPolicy> all = {
       {"deployed", "the policy of the leading entry", [](P &) {}},
+      {"trusted_estimates", "slack as the estimates say it",
+       [](P &p) { p.SlackDeviations = 0; }},
+      {"doubted_estimates", "slack at two standard deviations",
+       [](P &p) { p.SlackDeviations = 2; }},
       {"no_headroom", "no capacity is kept free for urgent work",
        [](P &p) { p.Headroom = 0; }},
       {"half_headroom", "half of the usual headroom is kept free",
@@ -107,7 +111,7 @@
                                   "number of days simulated for each load")(
       "from", po::value<int>()->default_value(1),
       "first seed")("site", po::value<std::string>()->default_value(""),
-                    "only this site: brno, pennington or halls")(
+                    "only this site: brno, pennington, halls or memory_bound")(
       "load", po::value<double>()->default_value(0),
       "only this load, as a multiple of the usual load")(
       "policy", po::value<std::string>()->default_value("deployed"),
@@ -144,8 +148,8 @@
     return 2;
   }
   const int from = vm["from"].as<int>();
-  for (const bench::SiteLoad &site :
-       {bench::brno(), bench::pennington(), bench::halls()})
+  for (const bench::SiteLoad &site : {bench::brno(), bench::pennington(),
+                                      bench::halls(), bench::memoryBound()})
     for (double load : loads) {
       if (!onlySite.empty() && onlySite != site.Name)
         continue;
--- a/tests/bench/jobsbench/siteload.cpp
+++ b/tests/bench/jobsbench/siteload.cpp
@@ -544,6 +544,69 @@
   return s;
 }
 
+SiteLoad memoryBound() {
+  SiteLoad s;
+  s.Name = "memory_bound";
+  s.Worker = {32000, 65536, 8};
+  s.Racks = {10, 10, 1, 10, 10, 1, 10, 10};
+  s.Organisations = 10;
+  constexpr int64_t Rack = 80;
+  constexpr int64_t AnyWidth = 496;
+  JobKind verify;
+  verify.Name = "verify";
+  verify.Priority = 1;
+  verify.JobsPerSecond = 0.375;
+  verify.MeanWorkMs = 11000;
+  verify.MaxWorkMs = 11000;
+  verify.MeanWidth = 6.4;
+  verify.MaxWidth = 39;
+  verify.TaskResources = {13000, 34000, 0};
+  verify.Accelerators = {1, 2, 4, 8, 8};
+  verify.MaxGangAccelerators = AnyWidth;
+  verify.MaxSameRackAccelerators = Rack;
+  verify.FailShare = 0.05;
+  verify.Value = 3;
+  JobKind render;
+  render.Name = "render";
+  render.Priority = 0;
+  render.JobsPerSecond = 1.36;
+  render.MeanWorkMs = 2500;
+  render.WorkSpread = 0.5;
+  render.MaxWorkMs = 8000;
+  render.MeanWidth = 5.4;
+  render.MaxWidth = 32;
+  render.TaskResources = {3700, 5500, 0};
+  render.Accelerators = {1, 2, 4, 8, 8};
+  render.SameRackShare = 0.8;
+  render.MaxGangAccelerators = AnyWidth;
+  render.MaxSameRackAccelerators = Rack;
+  render.CheckpointShare = 0;
+  render.EstimateError = 0.9;
+  render.FailShare = 0.05;
+  render.Attempts = 3;
+  render.Stretch = 1.5;
+  render.TargetMs = 250;
+  render.Value = 4;
+  render.LateValueShare = 0.2;
+  JobKind check;
+  check.Name = "check";
+  check.Priority = 2;
+  check.JobsPerSecond = 0.182;
+  check.MeanWorkMs = 9500;
+  check.MeanWidth = 39;
+  check.MaxWidth = 230;
+  check.TaskResources = {2800, 7400, 0};
+  check.Accelerators = {1};
+  check.AllowsGangs = false;
+  check.SecondStepShare = 0.3;
+  check.EstimateError = 0.9;
+  check.FailShare = 0.05;
+  check.Attempts = 3;
+  check.TargetMs = 3000;
+  s.Kinds = {verify, render, check};
+  return s;
+}
+
 DayResult simulateDay(const SiteLoad &site, const jobs::SchedulerPolicy &policy,
                       uint64_t seed, const DayConditions &conditions) {
   return DaySimulation(site, policy, seed, conditions).simulate();
--- a/tests/bench/jobsbench/siteload.h
+++ b/tests/bench/jobsbench/siteload.h
@@ -94,6 +94,10 @@
 /// workers, wide batch gangs and steps of hundreds of tasks with one
 /// accelerator each.
 SiteLoad halls();
+/// A site of 62 workers whose gangs are short of memory rather than of
+/// accelerators: a task of the batch gangs takes half of a worker's memory,
+/// estimates are off by up to 0.9, and each run fails by itself with 0.05.
+SiteLoad memoryBound();
 
 /// The result of a simulated day.
 struct DayResult {
