A run that suddenly stops progressing is noticed within two polls

Cause: a run counted as stalled after 1.3 s, and a worker on which several runs hang kept vouching for itself for as long, by the last progress of the others.

Now a run that has progressed counts as stalled after two polls (0.9 s) without an increase, if at its own rate a tenth of it should have been done meanwhile; and only progress that is later than its own vouches for the worker. Slow runs, which would not have progressed by that much, and resumed ones without a rate are judged as before.

--- a/src/libs/jobs/progress.cpp
+++ b/src/libs/jobs/progress.cpp
@@ -26,11 +26,27 @@
 
 void ProgressTracker::forget(const RunId &run) { Runs.erase(run); }
 
+// Whether the run has stopped progressing from one poll to the next, although
+// it progressed fast until then.
+bool ProgressTracker::isSuddenlyStill(const TrackedRun &tracked) const {
+  if (tracked.Increases.size() < 2)
+    return false;
+  const Sample &first = tracked.Increases.front();
+  const Sample &last = tracked.Increases.back();
+  const absl::Duration still = tracked.LastReport - tracked.LastIncrease;
+  const double missing = (last.Percent - first.Percent) *
+                         absl::FDivDuration(still, last.At - first.At);
+  return still >= Policy.SuddenStallAfter &&
+         missing >= Policy.SuddenStallPercent;
+}
+
 bool ProgressTracker::isStalled(const RunId &run) const {
   auto it = Runs.find(run);
   if (it == Runs.end() || it->second.Percent >= 100)
     return false;
   const TrackedRun &tracked = it->second;
+  if (isSuddenlyStill(tracked))
+    return true;
   absl::Duration timeout = std::max(
       Policy.StalledAfter, tracked.Estimate * Policy.StalledEstimateShare);
   if (tracked.Resumed)
@@ -38,13 +54,19 @@
   return tracked.LastReport - tracked.LastIncrease >= timeout;
 }
 
-bool ProgressTracker::isWorkerProgressing(const WorkerIncarnation &worker,
+bool ProgressTracker::isWorkerProgressing(const RunId &run,
                                           absl::Time now) const {
+  auto it = Runs.find(run);
+  if (it == Runs.end())
+    return false;
+  const TrackedRun &own = it->second;
   return std::any_of(Runs.begin(), Runs.end(), [&](const auto &entry) {
     const TrackedRun &tracked = entry.second;
     // The first report of a run sets LastIncrease as well, but does not show
     // any progress.
-    return tracked.Worker == worker && tracked.Percent > tracked.FirstPercent &&
+    return tracked.Worker == own.Worker &&
+           tracked.Percent > tracked.FirstPercent &&
+           tracked.LastIncrease > own.LastIncrease &&
            now - tracked.LastIncrease < Policy.StalledAfter;
   });
 }
--- a/src/libs/jobs/progress.h
+++ b/src/libs/jobs/progress.h
@@ -21,6 +21,11 @@
   /// Share of the estimated duration that replaces StalledAfter for long tasks,
   /// where it is longer.
   double StalledEstimateShare = 0.05;
+  /// A run that has progressed is stalled earlier, after this time, if it
+  /// should have progressed by SuddenStallPercent since at its rate so far. The
+  /// time is that of two polls without an increase.
+  absl::Duration SuddenStallAfter = absl::Milliseconds(900);
+  double SuddenStallPercent = 10;
   /// Time to restore a checkpoint. The progress of a resumed run starts this
   /// much later.
   absl::Duration RestoreTime = absl::Milliseconds(600);
@@ -59,10 +64,9 @@
   /// long. Time in which it could not be reported does not count, because its
   /// agent may have been killed or cut off.
   bool isStalled(const RunId &run) const;
-  /// Whether the percentage of some run on the worker has increased within
-  /// StalledAfter.
-  bool isWorkerProgressing(const WorkerIncarnation &worker,
-                           absl::Time now) const;
+  /// Whether the percentage of another run on the same worker has increased
+  /// within StalledAfter, and after that of this run did for the last time.
+  bool isWorkerProgressing(const RunId &run, absl::Time now) const;
   /// Bounds on the duration of the whole run at its present rate. Percentages
   /// are whole numbers, so the bounds are wide early in a run. Returns nothing
   /// until progress has been reported for MinRateWindow, and from 100 percent
@@ -91,6 +95,8 @@
     std::deque<Sample> Increases;
   };
 
+  bool isSuddenlyStill(const TrackedRun &tracked) const;
+
   const ProgressPolicy Policy;
   std::map<RunId, TrackedRun> Runs;
 };
--- a/src/libs/jobs/runmonitor.cpp
+++ b/src/libs/jobs/runmonitor.cpp
@@ -91,8 +91,9 @@
 // another member, or have had the time to wait for the others and to stall.
 bool RunMonitor::isRunStalled(const Job &job, const TaskId &id,
                               const Task &task) const {
-  if (!Scheduler.Progress.isStalled({core::taskName(id), task.Progress.Run}) ||
-      Scheduler.Progress.isWorkerProgressing(task.Progress.Worker, Now))
+  const RunId run{core::taskName(id), task.Progress.Run};
+  if (!Scheduler.Progress.isStalled(run) ||
+      Scheduler.Progress.isWorkerProgressing(run, Now))
     return false;
   const Step &step = job.stepOf(id);
   const bool gang = job.specOf(id).Gang && step.size() > 1;
--- a/tests/auto/jobs/tst_jobscheduler.cpp
+++ b/tests/auto/jobs/tst_jobscheduler.cpp
@@ -783,6 +783,21 @@
 
 // Guards against runs that stay on a worker which is slower by a factor of six
 // for a while: urgent tasks of five seconds took 15 s.
+// Guards against urgent runs that stand still for longer than they can afford,
+// although they progressed from poll to poll before.
+TEST(JobScheduler, RunThatSuddenlyStopsProgressingIsNoticedWithinTwoPolls) {
+  SimSite site;
+  addRacks(site, 1);
+  site.submit(jobOf("j", step(1, {1000, 1000, 8}, 5000)), 0);
+  site.runFor(absl::Seconds(2));
+  const std::string worker = *site.workersOf("j").begin();
+  site.worker(worker).Hangs = true;
+  site.runFor(absl::Milliseconds(1600));
+  const std::multiset<std::string> workers = site.workersOf("j");
+  ASSERT_EQ(workers.size(), 1u);
+  EXPECT_NE(*workers.begin(), worker);
+}
+
 TEST(JobScheduler, RestartsTooSlowRunsElsewhere) {
   for (bool gang : {false, true}) {
     SimSite site;
