A restarted leader does not wait for the lease of its earlier process

Cause: a lease cannot tell an ended process from a silent one. The entry that has the address of the recorded leader can: that process has ended. It removes the key, on condition of its revision, and the election goes on as after any end of a lease: a new key, a new epoch, previous leaders asked to step down. Where the leader's host does not come back the lease decides as before.

--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -172,6 +172,23 @@
   if (mine)
     ConfirmedAt = LeaseConfirmedAt;
   setLeadership({event.Item.CreateRevision, event.Item.Value, mine});
+  if (!mine && event.Item.Value == Options.Entry.Address)
+    removeEarlierLeadership(event.Item);
+}
+
+void Election::removeEarlierLeadership(const KeyValue &leaderKey) {
+  if (Resigned)
+    return;
+  StoreTxn txn;
+  txn.Expected.push_back({Options.LeaderKey, leaderKey.ModRevision});
+  txn.Removes.push_back(Options.LeaderKey);
+  StoreClient.Transact(
+      std::move(txn),
+      guarded<StoreTxnReply>([this](const StoreReply<StoreTxnReply> &r) {
+        // If the key is not removed here, it is with the end of its lease.
+        if (!r.ok() && r.Status != StoreStatus::Conflict)
+          NotifyStoreError(r.Status, r.Why);
+      }));
 }
 
 void Election::onViewComplete() {
--- a/src/libs/platform/election.h
+++ b/src/libs/platform/election.h
@@ -84,6 +84,10 @@
   void handleLeaseLoss();
   void onLeaderKey(const StoreEvent &event);
   void onViewComplete();
+  /// Removes the leader's key if an earlier process at this entry's address
+  /// left it behind. That process has ended, as this one has its address, so
+  /// that nobody has to wait for the end of its lease.
+  void removeEarlierLeadership(const KeyValue &leaderKey);
   /// Returns whether this entry currently leaves the election to a larger
   /// entry. Starts the waiting time on the first call.
   bool mustDeferToLargerEntry();
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -357,6 +357,25 @@
 
 // Guards against small entries that leave leadership to large ones that no
 // longer run.
+// Guards against a site that waits for the lease of a leader which has ended:
+// after a loss of power all processes are back long before that lease lapses.
+TEST(Cluster, LeaderIsElectedAtOnceAfterAllProcessesHaveRestarted) {
+  auto cluster = servingCluster();
+  const int64_t epoch =
+      cluster->store().items().at(entry::JobLeaderKey).CreateRevision;
+  for (int n = 0; n < 3; ++n)
+    cluster->killEntry(n);
+  for (int n = 0; n < 3; ++n)
+    cluster->startEntry(n);
+  cluster->runFor(absl::Milliseconds(300));
+  const auto &items = cluster->store().items();
+  ASSERT_EQ(items.count(entry::JobLeaderKey), 1u);
+  EXPECT_GT(items.at(entry::JobLeaderKey).CreateRevision, epoch);
+  cluster->submit(0, "k1", job("j", 1, 1, 200));
+  EXPECT_TRUE(cluster->runUntilAllEnded(absl::Seconds(3)));
+  EXPECT_TRUE(hasNoViolations(*cluster));
+}
+
 TEST(Cluster, SmallEntryIsElectedWithoutLargeOnes) {
   MemoryCluster::Options options;
   options.FirstSmallEntry = 1;
