--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -41,7 +41,7 @@
 
 JobEntry::JobEntry(utils::EventLoop &loop, const platform::Store &store,
                    endpoints::Peers peers, settings::NodeSettings settings,
-                   OperatorKeys operatorKeys, EntryObservers observers)
+                   const OperatorKeys &operatorKeys, EntryObservers observers)
     : Loop(loop), Peers(std::move(peers)), Settings(std::move(settings)),
       Time(settings::deriveTiming(Settings)), Observers(std::move(observers)),
       Health(
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -66,7 +66,7 @@
 public:
   JobEntry(utils::EventLoop &loop, const platform::Store &store,
            endpoints::Peers peers, settings::NodeSettings settings,
-           OperatorKeys operatorKeys, EntryObservers observers = {});
+           const OperatorKeys &operatorKeys, EntryObservers observers = {});
   ~JobEntry();
   JobEntry(const JobEntry &) = delete;
   JobEntry &operator=(const JobEntry &) = delete;
