--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -112,7 +112,6 @@
   if (ok) {
     worker->ConsecutiveFailures = 0;
     worker->QuarantineDuration = absl::ZeroDuration();
-    ++worker->CompletedRuns;
     return false;
   }
   if (++worker->ConsecutiveFailures < Policy.FailuresBeforeQuarantine)
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -73,7 +73,6 @@
   int64_t SeenUpto = 0;
   /// Failures since the last completed run; see Fleet::recordRunOutcome().
   int ConsecutiveFailures = 0;
-  int CompletedRuns = 0;
   /// Duration of the latest quarantine; zero after a completed run.
   absl::Duration QuarantineDuration = absl::ZeroDuration();
   absl::Time QuarantinedUntil = absl::InfinitePast();
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -312,8 +312,6 @@
     /// Version of the latest progress that is known to be in the store.
     int64_t WrittenVersion = 0;
     JobState State = JobState::Queued;
-    /// State that a previous leader recorded. Later writes do not change it.
-    JobState WrittenState = JobState::Queued;
     std::map<int, std::vector<Step>> Occurrences;
     /// Time at which this leader first received the record. For jobs that a new
     /// leader reads from the store, it is later than the submission.
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -41,7 +41,6 @@
   job.Version = progress.Version;
   job.WrittenVersion = progress.Version;
   job.State = progress.State;
-  job.WrittenState = progress.State;
   for (const auto &[number, steps] : progress.Tasks) {
     std::vector<Step> &jobSteps = ensureOccurrence(job, number);
     for (size_t s = 0; s < std::min(steps.size(), jobSteps.size()); ++s)
