A cordon is not forgotten while a worker restarts

Found in review: an agent without a worker names no failure domain in its report, so the leader's answer says "not cordoned" about none, and the agent took that for its own domain. Until the next answer, a few milliseconds after the next incarnation's first report, it would have started an order. Now such answers say nothing about the cordon.

WorkerAgent.CordonHoldsWhileNoWorkerIsKnown fails without it.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -399,7 +399,9 @@
   Epoch = ack.Epoch;
   if (ack.GrantMs > 0)
     GrantEnd = std::max(GrantEnd, sent + absl::Milliseconds(ack.GrantMs));
-  if (Cordon.apply(ack, sent))
+  // A report without a worker names no failure domain, and its answer is about
+  // none.
+  if (!State.Life.empty() && Cordon.apply(ack, sent))
     logCordonChange();
   adoptEarlierStarts(ack.EarlierStarts);
   Speed = ack.Speed;
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -269,6 +269,18 @@
   EXPECT_EQ(fixture.Starts.size(), 1u);
 }
 
+// Guards against a cordon that is forgotten while the worker restarts.
+TEST(WorkerAgent, CordonHoldsWhileNoWorkerIsKnown) {
+  AgentFixture fixture;
+  fixture.Ack.Cordoned = true;
+  fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_TRUE(fixture.Agent->status().Cordoned);
+  fixture.Agent->onDeregister({"life", 1});
+  fixture.Ack.Cordoned = false;
+  fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_TRUE(fixture.Agent->status().Cordoned);
+}
+
 // Guards against a start by an earlier process of the agent that the worker
 // carries out late: this process knows of it from the leader only.
 TEST(WorkerAgent, EarlierStartThatTheLeaderNamesIsStoppedAtOnce) {
