Waits beside free workers: a table for leaders lost one after another

By the first hypothesis a new leader begins waits anew that its predecessors had nearly finished: 18 s for tasks of a worker that has not reported to it, 15 s for a start that had no answer.

RemovedHost: the host of a running task is removed for good, and one leader, or three in a row, are lost for good before they could count its tasks as lost. All tasks have to run within 14 s + 3 s after the last fault. UnansweredStart: a start gets no answer, its worker starts again under its id, and leaders change every 8 s; in one row the agent is replaced as well. The task has to run once the attempt can no longer be carried out, 15 s after it was sent, or within 5 s of the last loss of a leader.

--- /dev/null
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -0,0 +1,190 @@
+// Tests of jobs that wait although workers are free: the condition that keeps
+// their tasks from starting outlasts the fault that has set it.
+#include "memorycluster.h"
+
+#include <gtest/gtest.h>
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace oriolebay::cluster {
+namespace {
+
+constexpr int Entries = 6;
+constexpr int Workers = 6;
+/// Time from the last fault until every job with a ready step and enough free
+/// capacity runs: the site's bound on recovery and the longest wait after it.
+constexpr absl::Duration RunsAgainWithin = absl::Seconds(14 + 3);
+/// Time from the loss of a leader until the next one has been elected and knows
+/// its workers: a lease, an election and two reports.
+constexpr absl::Duration LeaderChangeTime = absl::Seconds(5);
+/// Time after which a test stops waiting for tasks that do not start.
+constexpr absl::Duration GivesUpAfter = absl::Seconds(60);
+/// Longer than any time that passes in a test.
+constexpr int64_t TaskMs = 120000;
+
+struct Loss {
+  const char *Name;
+  int Tasks;
+  bool Gang;
+  /// Times at which a leader is lost for good, in milliseconds since the first
+  /// fault.
+  std::vector<int> LeadersLostAtMs;
+  /// The agent beside the worker starts again at this time; negative if it
+  /// stays.
+  int AgentRestartsAtMs = -1;
+};
+
+void PrintTo(const Loss &c, std::ostream *out) { *out << c.Name; }
+
+std::string nameOf(const testing::TestParamInfo<Loss> &test) {
+  return test.param.Name;
+}
+
+class Wait : public testing::TestWithParam<Loss> {
+protected:
+  Wait() {
+    MemoryCluster::Options options;
+    options.Entries = Entries;
+    options.Workers = Workers;
+    Cluster = std::make_unique<MemoryCluster>(options);
+    Cluster->configure({"k"});
+    Cluster->runFor(absl::Seconds(4));
+  }
+
+  void submitJob() {
+    core::JobSpec spec = makeJob("j", GetParam().Tasks, 8, TaskMs);
+    spec.Steps.front().Gang = GetParam().Gang;
+    Cluster->submit(0, "k", spec);
+  }
+  std::string firstTask() const { return core::taskName({"j", 0, 0, 0}); }
+  bool isRunning(const std::string &task) const {
+    const auto &running = Cluster->sharedState().Running;
+    auto runs = running.find(task);
+    return runs != running.end() && !runs->second.empty();
+  }
+  bool areAllTasksRunning() const {
+    for (int n = 0; n < GetParam().Tasks; ++n)
+      if (!isRunning(core::taskName({"j", 0, 0, n})))
+        return false;
+    return true;
+  }
+  /// The worker that runs the task; -1 if none does.
+  int workerOf(const std::string &task) const {
+    if (!isRunning(task))
+      return -1;
+    const std::string id =
+        Cluster->sharedState().Running.at(task).begin()->first;
+    for (int n = 0; n < Workers; ++n)
+      if (Cluster->worker(n).incarnation() == id)
+        return n;
+    return -1;
+  }
+  void loseLeader() {
+    const int leader = Cluster->leader();
+    ASSERT_GE(leader, 0);
+    ASSERT_TRUE(Cluster->isEntryUp(leader));
+    Cluster->killEntry(leader);
+  }
+  void runUntil(absl::Time end) {
+    Cluster->runFor(end - Cluster->loop().now());
+  }
+  /// Loses the leaders of the case, which counts its times from start.
+  void loseLeaders(absl::Time start) {
+    for (int ms : GetParam().LeadersLostAtMs) {
+      runUntil(start + absl::Milliseconds(ms));
+      loseLeader();
+    }
+  }
+  /// Time from now until all tasks run.
+  absl::Duration timeUntilAllTasksRun() {
+    const absl::Time from = Cluster->loop().now();
+    while (!areAllTasksRunning() && Cluster->loop().now() - from < GivesUpAfter)
+      Cluster->runFor(absl::Milliseconds(50));
+    return Cluster->loop().now() - from;
+  }
+  void expectAllTasksRunWithin(absl::Duration limit) {
+    EXPECT_LE(timeUntilAllTasksRun(), limit) << Cluster->decisionsText("j");
+    const std::vector<std::string> found = Cluster->violations();
+    EXPECT_TRUE(found.empty()) << found.front();
+  }
+
+  std::unique_ptr<MemoryCluster> Cluster;
+};
+
+class RemovedHost : public Wait {};
+
+// Guards against a task that waits long after a new leader was elected for the
+// tasks of a worker that is removed for good and reported to none of the last
+// leaders.
+TEST_P(RemovedHost, TasksRunElsewhereSoon) {
+  submitJob();
+  Cluster->runFor(absl::Seconds(2));
+  ASSERT_TRUE(areAllTasksRunning());
+  const absl::Time start = Cluster->loop().now();
+  Cluster->removeHost(workerOf(firstTask()));
+  loseLeaders(start);
+  expectAllTasksRunWithin(RunsAgainWithin);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, RemovedHost,
+    testing::Values(
+        Loss{"alone", 1, false, {}}, Loss{"gang_alone", 3, true, {}},
+        Loss{"with_one_leader", 1, false, {550}},
+        Loss{"gang_with_one_leader", 3, true, {550}},
+        Loss{"with_three_leaders", 1, false, {550, 8550, 16550}},
+        Loss{"gang_with_three_leaders", 3, true, {550, 8550, 16550}}),
+    nameOf);
+
+class UnansweredStart : public Wait {};
+
+// Guards against a task whose unanswered start bars it anew under each leader,
+// long after the start can no longer be carried out.
+TEST_P(UnansweredStart, BarsItsTaskOnlyWhileItMayBeCarriedOut) {
+  for (int n = 0; n < Workers; ++n) {
+    Cluster->worker(n).LateOrderShare = 1;
+    Cluster->worker(n).MinLateDelay = absl::Seconds(12);
+  }
+  submitJob();
+  Cluster->runFor(absl::Milliseconds(100));
+  const absl::Time start = Cluster->loop().now();
+  std::vector<int> started;
+  for (int n = 0; n < Workers; ++n) {
+    Cluster->worker(n).LateOrderShare = 0;
+    if (Cluster->worker(n).startsSent() > 0)
+      started.push_back(n);
+  }
+  ASSERT_EQ(started.size(), static_cast<size_t>(GetParam().Tasks));
+  for (int n : started)
+    Cluster->worker(n).crashFor(absl::Milliseconds(200),
+                                MemoryWorker::RestartId::Same);
+  if (GetParam().AgentRestartsAtMs >= 0) {
+    runUntil(start + absl::Milliseconds(GetParam().AgentRestartsAtMs));
+    Cluster->killAgent(started.front());
+    Cluster->runFor(absl::Milliseconds(200));
+    Cluster->startAgent(started.front());
+  }
+  loseLeaders(start);
+  const absl::Time openUntil = start + endpoints::MaxOrderDelay;
+  runUntil(std::max(Cluster->loop().now(), openUntil));
+  expectAllTasksRunWithin(LeaderChangeTime);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, UnansweredStart,
+    testing::Values(
+        Loss{"without_a_change", 1, false, {}},
+        Loss{"with_one_leader", 1, false, {8000}},
+        Loss{"with_two_leaders", 1, false, {8000, 16000}},
+        Loss{"gang_with_two_leaders", 3, true, {8000, 16000}},
+        Loss{"agent_restarts", 1, false, {}, 3000},
+        Loss{"agent_restarts_with_two_leaders", 1, false, {8000, 16000}, 3000}),
+    nameOf);
+
+} // namespace
+} // namespace oriolebay::cluster
