--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -33,7 +33,7 @@
   absl::Duration Grant = absl::Milliseconds(5500);
   /// Maximum time without confirmation from the store during which the leader
   /// continues to grant.
-  absl::Duration GrantWithoutStore = absl::Seconds(12);
+  absl::Duration GrantWithoutStore = absl::Milliseconds(7500);
   /// Time without confirmation from the store after which another entry may
   /// have become leader.
   absl::Duration DoubtfulAfter = absl::Seconds(2);
--- a/src/libs/entry/previousleaders.h
+++ b/src/libs/entry/previousleaders.h
@@ -33,8 +33,8 @@
 /// is kept in the store, and each leader registers itself before it does
 /// anything else, so that the list is complete. A leader whose time limit has
 /// passed is removed from the list without its confirmation: its host may never
-/// answer again, and every later leader would wait for it too (18 s each time,
-/// for a task on a host that is lost as well). Owned by one event loop.
+/// answer again, and every later leader would wait for it too, each for the
+/// whole limit. Owned by one event loop.
 class PreviousLeaders {
 public:
   struct Options {
@@ -43,7 +43,7 @@
     LeaderTerm OwnTerm;
     /// Time after this leader's election by which no previous leader keeps any
     /// task alive, whether it answers or not.
-    absl::Duration TimeLimit = absl::Seconds(18);
+    absl::Duration TimeLimit = absl::Milliseconds(13500);
     absl::Duration RetryDelay = absl::Milliseconds(300);
     int PeerTimeoutMs = 400;
   };
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -33,7 +33,7 @@
   /// Time after the election by which all tasks have certainly ended at workers
   /// that never reported to this leader. Until then a previous leader may have
   /// kept them alive.
-  absl::Duration UnreportedLostAfter = absl::Seconds(18);
+  absl::Duration UnreportedLostAfter = absl::Milliseconds(13500);
   /// Factor by which a gang that is spread over several racks, or a task that
   /// runs outside the rack of its data, takes longer. The scheduler itself does
   /// not use it.
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -151,7 +151,7 @@
   t.ReportInterval = absl::Milliseconds(s.HeartbeatMs) / ReportsPerHeartbeat;
   t.UnresponsiveAfter = ReportsPerHeartbeat * t.ReportInterval;
   t.Grant = absl::Milliseconds(s.Bounds.HoldMaxMs) - t.ReportInterval;
-  t.GrantWithoutStore = 2 * absl::Milliseconds(s.Bounds.HoldMaxMs);
+  t.GrantWithoutStore = absl::Milliseconds(s.Bounds.HoldMaxMs) * 5 / 4;
   t.GrantExpiredAfter = t.Grant * WorkerClockFactor + MaxCallDelay;
   t.LeaderLease = std::max(absl::Milliseconds(s.Bounds.LeaseMs) * 2 / 3,
                            absl::Milliseconds(s.StoreMinLeaseMs));
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -94,8 +94,10 @@
   /// interval, so that each renewal can extend the lease by the whole grant.
   absl::Duration Grant;
   /// Maximum time for which the leader extends grants without access to the
-  /// store. It is twice the worker's limit (HoldMaxMs), which covers an outage
-  /// of the store and the time of its recovery.
+  /// store. It is 5/4 of the worker's limit (HoldMaxMs): tasks survive an
+  /// outage of 3/2 of that limit, because the last grant runs on after it. A
+  /// longer time would delay the tasks of a silent worker, because a new leader
+  /// has to wait until no earlier one can keep them alive any more.
   absl::Duration GrantWithoutStore;
   /// Time after which a grant has certainly ended. It allows for a worker's
   /// clock that is 2% slow and for a call that is still in flight.
