An agent that the leader does not answer sends no starts

Callers would see a task wait for 21 s after its host was replaced for good while a start there had no answer: 6 s until the worker counts as lost, then 15 s in which an attempt may be carried out that the agent might have sent at that very moment.

Cause: an agent went on sending attempts until its grant ended, so the leader had to count from there. The bounds of two conditions were added although both begin with the last report.

An agent now sends attempts only while a report of the last 1.5 s was answered, the time after which the leader counts its worker as unresponsive and gives it nothing new anyway. The leader counts the 15 s from the last report and that time: 16.5 s in all.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -397,6 +397,7 @@
              {{"leader", address}, {"epoch", ack.Epoch}});
   const bool newEpoch = ack.Epoch > Epoch;
   Epoch = ack.Epoch;
+  AnsweredReportAt = std::max(AnsweredReportAt, sent);
   if (ack.GrantMs > 0)
     GrantEnd = std::max(GrantEnd, sent + absl::Milliseconds(ack.GrantMs));
   // A report without a worker names no failure domain, and its answer is about
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -155,6 +155,9 @@
   /// starts that were sent to earlier ones. The leader does not count these as
   /// used capacity.
   bool mustDeferStarts() const;
+  /// Returns whether the leader has not answered a report for so long that it
+  /// counts the worker as unresponsive.
+  bool isLeaderSilent() const;
   /// Updates the open attempts with the outcome of an attempt, also if its
   /// incarnation has ended meanwhile.
   void recordAttemptOutcome(const Order &order, int attempt,
@@ -234,6 +237,8 @@
   /// Until when the leader lets this agent keep the worker's tasks alive.
   absl::Time GrantEnd = absl::InfinitePast();
   bool GrantEndLogged = false;
+  /// When the latest report that the leader has answered was sent.
+  absl::Time AnsweredReportAt = absl::InfinitePast();
   CordonView Cordon;
   int64_t StartsRefusedByCordon = 0;
   /// Number up to which the leader has recorded ends of this incarnation.
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -174,7 +174,8 @@
                 "the operator evacuates its failure domain");
     return;
   }
-  if (permission == CordonView::Permission::Unknown || mustDeferStarts()) {
+  if (permission == CordonView::Permission::Unknown || mustDeferStarts() ||
+      isLeaderSilent()) {
     retryStart(order);
     return;
   }
@@ -242,6 +243,12 @@
   });
 }
 
+// A leader that gets no reports waits until no attempt of this agent can be
+// carried out any more, counted from the last report.
+bool WorkerAgent::isLeaderSilent() const {
+  return Loop.now() - AnsweredReportAt > Time.UnresponsiveAfter;
+}
+
 void WorkerAgent::recordAttemptOutcome(const Order &order, int attempt,
                                        OpenAttempts::AttemptNumber number,
                                        const CallOutcome &outcome) {
--- a/src/libs/jobs/jobscheduler_incarnations.cpp
+++ b/src/libs/jobs/jobscheduler_incarnations.cpp
@@ -132,7 +132,11 @@
   if (task.RunPhase == Phase::Recording)
     return absl::InfinitePast();
   const std::string &agent = task.Progress.Agent;
-  absl::Time unknown = now + endpoints::MaxOrderDelay;
+  // An agent sends no attempt after its reports have gone unanswered for that
+  // long.
+  const absl::Time lastAttempt =
+      OpenStarts.lastReportAt(agent) + Policy.Fleet.UnresponsiveAfter;
+  absl::Time unknown = std::min(now, lastAttempt) + endpoints::MaxOrderDelay;
   if (task.RunPhase == Phase::Adopted)
     unknown = OpenStarts.unknownUntil(agent, task.FirstOrderAt, now)
                   .value_or(absl::InfinitePast());
--- a/src/libs/jobs/openstartregistry.cpp
+++ b/src/libs/jobs/openstartregistry.cpp
@@ -10,6 +10,7 @@
 void OpenStartRegistry::applyReport(const endpoints::WorkerReport &report,
                                     absl::Time now) {
   AgentStarts &agent = Agents[report.Agent];
+  agent.LastReportAt = now;
   agent.KnownSince = now - absl::Milliseconds(report.StartsKnownForMs);
   agent.OpenUntil.clear();
   for (const endpoints::OpenStart &start : report.OpenStarts)
@@ -17,6 +18,11 @@
         now + absl::Milliseconds(start.PossibleForMs);
 }
 
+absl::Time OpenStartRegistry::lastReportAt(const std::string &agent) const {
+  auto it = Agents.find(agent);
+  return it == Agents.end() ? absl::InfinitePast() : it->second.LastReportAt;
+}
+
 absl::Time OpenStartRegistry::listedUntil(const std::string &agent,
                                           const RunId &run) const {
   auto it = Agents.find(agent);
--- a/src/libs/jobs/openstartregistry.h
+++ b/src/libs/jobs/openstartregistry.h
@@ -21,6 +21,8 @@
   bool hasReported(const std::string &agent) const {
     return Agents.count(agent) != 0;
   }
+  /// Time of the latest report of the agent; infinite past if there is none.
+  absl::Time lastReportAt(const std::string &agent) const;
   /// Time until which an attempt to start the run may still be carried out, as
   /// the agent lists it; infinite past if it lists none.
   absl::Time listedUntil(const std::string &agent,
@@ -38,6 +40,7 @@
 
 private:
   struct AgentStarts {
+    absl::Time LastReportAt;
     /// The agent's process knows all starts that were sent since then.
     absl::Time KnownSince;
     std::map<endpoints::RunId, absl::Time> OpenUntil;
