A check that finds jobs which wait beside free workers

No check of the in-process cluster looked for a job that waits although workers are free: the scenarios only ask that each job ends within three minutes, so a wait of a minute passed them.

WaitWatcher sees the records in the store, what the workers really run and their capacity, and never the state of a scheduler.

--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -13,6 +13,7 @@
 const std::string CordonPrefix = "test/cordons/";
 constexpr absl::Duration HopDelay = absl::Milliseconds(1);
 constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
+constexpr absl::Duration WaitObservationInterval = absl::Milliseconds(50);
 } // namespace
 
 core::JobSpec makeJob(const std::string &id, int count, int64_t accelerators,
@@ -244,21 +245,30 @@
 
 void MemoryCluster::runFor(absl::Duration time) { Loop.advance(time); }
 
-std::optional<jobs::JobState>
-MemoryCluster::storedState(const std::string &job) const {
+std::optional<MemoryCluster::StoredJob>
+MemoryCluster::storedJob(const std::string &job) const {
   auto spec = Store.items().find(jobs::specKey(job));
   if (spec == Store.items().end())
     return std::nullopt;
   auto progress = Store.items().find(jobs::progressKey(job));
-  return utils::handle<std::optional<jobs::JobState>>(
-      [&]() -> utils::Result<std::optional<jobs::JobState>> {
+  return utils::handle<std::optional<StoredJob>>(
+      [&]() -> utils::Result<std::optional<StoredJob>> {
         BOOST_LEAF_AUTO(record, jobs::decodeRecord(spec->second.Value));
         if (progress == Store.items().end())
-          return std::make_optional(jobs::visibleStateOf(record, nullptr));
+          return std::make_optional(StoredJob{std::move(record), {}});
         BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress->second.Value));
-        return std::make_optional(jobs::visibleStateOf(record, &read));
+        return std::make_optional(
+            StoredJob{std::move(record), std::move(read)});
       },
-      [](const utils::Error &) { return std::optional<jobs::JobState>(); });
+      [](const utils::Error &) { return std::optional<StoredJob>(); });
+}
+
+std::optional<jobs::JobState>
+MemoryCluster::storedState(const std::string &job) const {
+  const std::optional<StoredJob> stored = storedJob(job);
+  if (!stored)
+    return std::nullopt;
+  return stored->state();
 }
 
 bool MemoryCluster::isFailureAllowed(const std::string &job) const {
@@ -370,8 +380,72 @@
   return text;
 }
 
+void MemoryCluster::watchWaits() {
+  Loop.runAfter(RecoveryTime, [this] { observeWaits(); });
+}
+
+void MemoryCluster::observeWaits() {
+  Waits.observe(workerRooms(), idleSteps(), Loop.now());
+  Loop.runAfter(WaitObservationInterval, [this] { observeWaits(); });
+}
+
+std::vector<WorkerRoom> MemoryCluster::workerRooms() const {
+  std::map<std::string, core::Resources> used;
+  for (const auto &[task, runs] : Shared.Running)
+    for (const auto &[incarnation, run] : runs)
+      used[incarnation] += stepOf(task).taskResources();
+  std::vector<WorkerRoom> rooms;
+  for (const auto &[n, host] : Workers) {
+    const MemoryWorker &worker = *host.FakeWorker;
+    if (worker.Down || !worker.isListening())
+      continue;
+    const bool isOpen = host.Agent != nullptr && !worker.state().Draining &&
+                        Shared.CordonedSince.count(worker.failureDomain()) == 0;
+    rooms.push_back({worker.state(), used[worker.incarnation()], isOpen});
+  }
+  return rooms;
+}
+
+std::vector<IdleStep> MemoryCluster::idleSteps() const {
+  std::set<std::string> runningJobs;
+  for (const auto &[task, runs] : Shared.Running) {
+    core::TaskId id;
+    if (!runs.empty() && core::parseTaskName(task, id))
+      runningJobs.insert(id.Job);
+  }
+  std::vector<IdleStep> steps;
+  for (const std::string &job : Accepted)
+    if (runningJobs.count(job) == 0)
+      addIdleSteps(job, steps);
+  return steps;
+}
+
+void MemoryCluster::addIdleSteps(const std::string &job,
+                                 std::vector<IdleStep> &steps) const {
+  const std::optional<StoredJob> stored = storedJob(job);
+  if (!stored || jobs::isFinal(stored->state()))
+    return;
+  const std::vector<core::StepSpec> &specs = stored->Record.Spec.Steps;
+  auto isDone = [&](int step) {
+    const auto recorded = stored->Progress.Tasks.find(0);
+    if (recorded == stored->Progress.Tasks.end())
+      return false;
+    const auto &tasks = recorded->second.at(static_cast<size_t>(step));
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const auto &task) { return task.Done; });
+  };
+  for (int step = 0; step < static_cast<int>(specs.size()); ++step) {
+    const core::StepSpec &spec = specs[static_cast<size_t>(step)];
+    if (!isDone(step) &&
+        std::all_of(spec.After.begin(), spec.After.end(), isDone))
+      steps.push_back(
+          {job + ".0." + std::to_string(step), stored->Record.Service, spec});
+  }
+}
+
 std::vector<std::string> MemoryCluster::violations() {
   std::vector<std::string> out = Shared.Violations;
+  out.insert(out.end(), Waits.found().begin(), Waits.found().end());
   for (const std::string &job : Accepted)
     if (!storedState(job))
       out.push_back("accepted job " + job + " is not in the store");
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -4,6 +4,7 @@
 #include "entry/jobentry.h"
 #include "memorystore.h"
 #include "memoryworker.h"
+#include "waitwatcher.h"
 
 #include <map>
 #include <memory>
@@ -104,6 +105,11 @@
   }
   /// The leaders' decisions about the job, one per line.
   std::string decisionsText(const std::string &job) const;
+  /// Time from the last fault until its effects on waiting jobs are over.
+  static constexpr absl::Duration RecoveryTime = absl::Seconds(14);
+  /// All faults are over. From RecoveryTime on, a job that waits beside free
+  /// workers violates an invariant; see WaitWatcher.
+  void watchWaits();
   /// Descriptions of the violated invariants; empty if there are none.
   std::vector<std::string> violations();
   const std::set<std::string> &acceptedJobs() const { return Accepted; }
@@ -123,6 +129,15 @@
   struct Entry {
     std::unique_ptr<entry::JobEntry> Process;
   };
+  /// What the store has of a job. A job without progress has that of a new one.
+  struct StoredJob {
+    jobs::JobRecord Record;
+    jobs::JobProgress Progress;
+
+    jobs::JobState state() const {
+      return jobs::visibleStateOf(Record, &Progress);
+    }
+  };
   struct WorkerHost {
     std::unique_ptr<MemoryWorker> FakeWorker;
     std::unique_ptr<agent::WorkerAgent> Agent;
@@ -135,6 +150,12 @@
   jobs::CallerAccess accessFor(const std::string &key) const;
   void sendHeartbeat(int worker);
   core::StepSpec stepOf(const std::string &task) const;
+  std::optional<StoredJob> storedJob(const std::string &job) const;
+  void observeWaits();
+  std::vector<WorkerRoom> workerRooms() const;
+  /// The ready steps of jobs that have nothing running.
+  std::vector<IdleStep> idleSteps() const;
+  void addIdleSteps(const std::string &job, std::vector<IdleStep> &steps) const;
 
   utils::EventLoop Loop;
   MemoryStore Store;
@@ -159,6 +180,7 @@
   std::map<std::string, core::JobSpec> Specs;
   std::vector<jobs::CallDecision> CallDecisions;
   std::vector<std::pair<absl::Time, jobs::Decision>> LeaderDecisions;
+  WaitWatcher Waits;
 };
 
 /// Returns a job of queue q1 with one step of count tasks, each of which takes
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -51,6 +51,7 @@
   /// Returns the heartbeat to pass to the agent beside the worker.
   endpoints::Heartbeat heartbeat();
   const std::string &incarnation() const { return State.Life.Id; }
+  const endpoints::WorkerState &state() const { return State; }
   const std::string &failureDomain() const { return State.FailureDomain; }
   /// Number of starts that its agent has sent.
   int startsSent() const { return StartsSent; }
