Random scenarios look for jobs that wait beside free workers

Random faults, crashes, late starts and cordons check after their last fault that no job waits beside free workers, in addition to what they check already.

--- a/tests/auto/cluster/tst_cordons.cpp
+++ b/tests/auto/cluster/tst_cordons.cpp
@@ -484,6 +484,7 @@
     MemoryCluster &cluster = scenario.cluster();
     for (int n = 0; n < DomainCount; ++n)
       cluster.liftCordon(MemoryCluster::domainName(n));
+    cluster.watchWaits();
     EXPECT_TRUE(cluster.runUntilAllEnded(EndLimit)) << "a job does not end";
     const std::vector<std::string> found = cluster.violations();
     EXPECT_TRUE(found.empty())
--- a/tests/auto/cluster/tst_latestarts.cpp
+++ b/tests/auto/cluster/tst_latestarts.cpp
@@ -451,6 +451,7 @@
     Cluster.runFor(absl::Seconds(15));
     for (int n = 0; n < WorkerCount; ++n)
       Cluster.worker(n).setCapacity({32000, 65536, 8});
+    Cluster.watchWaits();
     Cluster.runFor(AllLateOrdersDelivered);
   }
 
--- a/tests/auto/cluster/tst_randomfaults.cpp
+++ b/tests/auto/cluster/tst_randomfaults.cpp
@@ -157,6 +157,7 @@
   void healAll() {
     Cluster.runFor(absl::Seconds(10));
     startAll();
+    Cluster.watchWaits();
   }
 
   std::mt19937_64 Random;
--- a/tests/auto/cluster/tst_workercrashes.cpp
+++ b/tests/auto/cluster/tst_workercrashes.cpp
@@ -144,6 +144,7 @@
       restartEntry(n);
     for (int n = 0; n < Workers; ++n)
       Cluster.startAgent(n);
+    Cluster.watchWaits();
   }
 
   std::mt19937_64 Random;
