Workers in memory run the members of a gang together

Each member of a gang ran and ended by itself in the in-process cluster, so that no scenario met what a gang does when one of its members is missing, and jobs that crash their workers were no gangs there.

Members now make progress only while workers run all of them and none of them hangs. A member without the others ends as alone after 3 s, and the end of one ends the others: done if it is done, else broken. The random crashes let jobs that crash workers be gangs too, which their comment had ruled out.

--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -72,6 +72,8 @@
   for (const auto &[key, run] : Runs) {
     Shared.Running[key.first].erase({State.Life.Id, key.second});
     ++Shared.WorkersLostByTask[key.first];
+    if (run.Gang != nullptr)
+      --run.Gang->Members;
   }
   Runs.clear();
   Ended.clear();
@@ -206,6 +208,7 @@
   Shared.Running[key.first].insert({State.Life.Id, key.second});
   Run run;
   run.StartedAt = Loop.now();
+  joinGang(key, run);
   Runs[key] = run;
   return ok();
 }
@@ -349,8 +352,26 @@
   });
 }
 
+void MemoryWorker::joinGang(const Key &key, Run &run) {
+  const core::StepSpec spec = Shared.StepOf(key.first);
+  if (!spec.Gang)
+    return;
+  const std::string step = key.first.substr(0, key.first.rfind('.'));
+  run.Gang = &Shared.Gangs[{step, key.second}];
+  run.GangSize = spec.Count;
+  run.GangCompleteAt = Loop.now();
+  ++run.Gang->Members;
+}
+
 void MemoryWorker::endRun(const Key &key, RunEnd how) {
   const std::string saved = Runs.at(key).Saved;
+  if (GangRun *gang = Runs.at(key).Gang) {
+    --gang->Members;
+    if (gang->EndedAt == absl::InfiniteFuture()) {
+      gang->EndedAt = Loop.now();
+      gang->EndOfOthers = how == RunEnd::Done ? RunEnd::Done : RunEnd::Broken;
+    }
+  }
   Runs.erase(key);
   Shared.Running[key.first].erase({State.Life.Id, key.second});
   HighestRunByTask[key.first] =
@@ -374,24 +395,53 @@
   PendingPolls = std::move(remaining);
 }
 
+// A member that starts after the end of the others waits for them in vain.
+std::optional<RunEnd> MemoryWorker::endOfGangMember(Run &run) const {
+  if (run.StartedAt <= run.Gang->EndedAt && run.Gang->EndedAt <= Loop.now())
+    return run.Gang->EndOfOthers;
+  if (run.Gang->Members == run.GangSize)
+    run.GangCompleteAt = Loop.now();
+  if (Loop.now() - run.GangCompleteAt >= Shared.GangWait)
+    return RunEnd::Alone;
+  return std::nullopt;
+}
+
+bool MemoryWorker::makesProgress(const Run &run) const {
+  if (run.Gang == nullptr)
+    return !Hangs;
+  if (Hangs)
+    run.Gang->StandsStillUntil = Loop.now() + 2 * StepInterval;
+  return run.Gang->Members == run.GangSize &&
+         Loop.now() >= run.Gang->StandsStillUntil;
+}
+
+std::optional<RunEnd> MemoryWorker::endOf(const Key &key, Run &run,
+                                          bool lapsed) {
+  if (lapsed)
+    return RunEnd::Lapsed;
+  if (Loop.now() >= run.StopAt)
+    return RunEnd::Stopped;
+  if (FailsAll)
+    return RunEnd::Failed;
+  if (run.Gang != nullptr)
+    if (const std::optional<RunEnd> end = endOfGangMember(run))
+      return end;
+  if (!makesProgress(run))
+    return std::nullopt;
+  run.WorkDone += StepInterval;
+  if (run.WorkDone >= Shared.WorkTimeOf(key.first))
+    return RunEnd::Done;
+  return std::nullopt;
+}
+
 void MemoryWorker::step() {
   std::vector<std::pair<Key, RunEnd>> ends;
   const bool lapsed = clockMs() >= LeaseUntilMs;
   LapseCount += lapsed && !LeaseLapsed ? 1 : 0;
   LeaseLapsed = lapsed;
-  for (auto &[key, run] : Runs) {
-    if (lapsed) {
-      ends.emplace_back(key, RunEnd::Lapsed);
-    } else if (Loop.now() >= run.StopAt) {
-      ends.emplace_back(key, RunEnd::Stopped);
-    } else if (FailsAll) {
-      ends.emplace_back(key, RunEnd::Failed);
-    } else if (!Hangs) {
-      run.WorkDone += StepInterval;
-      if (run.WorkDone >= Shared.WorkTimeOf(key.first))
-        ends.emplace_back(key, RunEnd::Done);
-    }
-  }
+  for (auto &[key, run] : Runs)
+    if (const std::optional<RunEnd> how = endOf(key, run, lapsed))
+      ends.emplace_back(key, *how);
   for (const auto &[key, how] : ends)
     endRun(key, how);
   answerPolls();
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -14,6 +15,17 @@
 
 namespace oriolebay::cluster {
 
+/// A run of a gang over all workers.
+struct GangRun {
+  /// Number of members that workers run now.
+  int Members = 0;
+  /// A member makes no progress until this time, and so no member does.
+  absl::Time StandsStillUntil = absl::InfinitePast();
+  /// End of the first member that ended, which ends those that run then.
+  absl::Time EndedAt = absl::InfiniteFuture();
+  endpoints::RunEnd EndOfOthers = endpoints::RunEnd::Broken;
+};
+
 /// State that all workers of a cluster share: how tasks behave, and what has
 /// been observed.
 struct SharedWorkerState {
@@ -21,6 +33,10 @@
   std::function<absl::Duration(const std::string &task)> WorkTimeOf;
   /// Runs by task, over all workers that are up.
   std::map<std::string, std::set<std::pair<std::string, int64_t>>> Running;
+  /// Runs of gangs by step and number.
+  std::map<std::pair<std::string, int64_t>, GangRun> Gangs;
+  /// Time for which the members of a gang wait for each other.
+  absl::Duration GangWait = absl::Seconds(3);
   std::set<std::string> AcknowledgedDone;
   /// Returns whether the task crashes each worker that starts it.
   std::function<bool(const std::string &task)> CrashesWorker;
@@ -41,6 +57,8 @@
 /// One worker through its successive incarnations, on the loop's time. It
 /// executes orders under the rules of the platform's workers: leases on its own
 /// clock, fencing tokens, and ends that are listed until they are acknowledged.
+/// The members of a gang make progress only while workers run all of them, and
+/// end together.
 class MemoryWorker {
 public:
   MemoryWorker(utils::EventLoop &loop, SharedWorkerState &shared,
@@ -98,6 +116,12 @@
     absl::Duration WorkDone = absl::ZeroDuration();
     absl::Time StopAt = absl::InfiniteFuture();
     std::string Saved;
+    /// The run of its gang and the number of members that this has; null if it
+    /// belongs to none.
+    GangRun *Gang = nullptr;
+    int GangSize = 0;
+    /// Last time at which workers ran all members, or the start.
+    absl::Time GangCompleteAt;
   };
   using Key = std::pair<std::string, int64_t>;
 
@@ -123,6 +147,11 @@
                     const std::function<void(endpoints::CallOutcome)> &done);
   void extendLease(int64_t untilMs);
   void step();
+  void joinGang(const Key &key, Run &run);
+  /// How the run ends now; nothing if it goes on.
+  std::optional<endpoints::RunEnd> endOf(const Key &key, Run &run, bool lapsed);
+  std::optional<endpoints::RunEnd> endOfGangMember(Run &run) const;
+  bool makesProgress(const Run &run) const;
   void endRun(const Key &key, endpoints::RunEnd how);
   void answerPolls();
 
--- a/tests/auto/cluster/tst_workercrashes.cpp
+++ b/tests/auto/cluster/tst_workercrashes.cpp
@@ -70,9 +70,7 @@
     step.PerTask = {500 * randomInt(1, 8), 1000 * randomInt(1, 8),
                     1 << randomInt(0, 3)};
     step.EstimateMs = 100 * randomInt(5, 60);
-    // MemoryWorker lets each member of a gang end by itself, so crashing jobs
-    // are no gangs.
-    step.Gang = randomInt(0, 1) == 1 && kind != CrashingPrefix;
+    step.Gang = randomInt(0, 1) == 1;
     step.Checkpoints = randomInt(0, 1) == 1;
     spec.Steps.push_back(step);
     Cluster.submit(randomInt(0, Entries - 1), "k", spec);
