Waits beside free workers: a start that is waited for twice

The leader counts the worker as lost after 6 s. Only then it assumes that an attempt to start the task may have been sent until now, and bars the task for another 15 s, although an agent sends nothing without a grant and stops its attempts after about 3 s. The bar is StartBarredUntil, set by startOpenUntil() for an order of which no report has told.

A task that runs is placed first, so that the job's task goes to its worker, as that has the least free capacity.

--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -37,6 +37,11 @@
   /// The agent beside the worker starts again at this time; negative if it
   /// stays.
   int AgentRestartsAtMs = -1;
+  int64_t Accelerators = 8;
+
+  int lastLossMs() const {
+    return LeadersLostAtMs.empty() ? 0 : LeadersLostAtMs.back();
+  }
 };
 
 void PrintTo(const Loss &c, std::ostream *out) { *out << c.Name; }
@@ -57,7 +62,8 @@
   }
 
   void submitJob() {
-    core::JobSpec spec = makeJob("j", GetParam().Tasks, 8, TaskMs);
+    core::JobSpec spec =
+        makeJob("j", GetParam().Tasks, GetParam().Accelerators, TaskMs);
     spec.Steps.front().Gang = GetParam().Gang;
     Cluster->submit(0, "k", spec);
   }
@@ -141,6 +147,35 @@
         Loss{"gang_with_three_leaders", 3, true, {550, 8550, 16550}}),
     nameOf);
 
+class StartAtRemovedHost : public Wait {};
+
+// Guards against a task that waits for the loss of its worker and then, from
+// the beginning, for a start that its leader sent to an agent already gone.
+TEST_P(StartAtRemovedHost, IsNotWaitedForTwice) {
+  Cluster->submit(0, "k", makeJob("before", 1, 1, TaskMs));
+  Cluster->runFor(absl::Seconds(2));
+  const int removed = workerOf(core::taskName({"before", 0, 0, 0}));
+  ASSERT_GE(removed, 0);
+  const absl::Time start = Cluster->loop().now();
+  Cluster->removeHost(removed);
+  // Tasks are placed on the worker with the least free capacity, which is this
+  // one until its reports are missed.
+  submitJob();
+  Cluster->runFor(absl::Milliseconds(100));
+  ASSERT_FALSE(areAllTasksRunning());
+  loseLeaders(start);
+  expectAllTasksRunWithin(start + RunsAgainWithin +
+                          absl::Milliseconds(GetParam().lastLossMs()) -
+                          Cluster->loop().now());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, StartAtRemovedHost,
+    testing::Values(Loss{"alone", 1, false, {}, -1, 4},
+                    Loss{"gang", 3, true, {}, -1, 4},
+                    Loss{"with_one_leader", 1, false, {8000}, -1, 4}),
+    nameOf);
+
 class UnansweredStart : public Wait {};
 
 // Guards against a task whose unanswered start bars it anew under each leader,
