Waits beside free workers: racks, quarantines and failed tasks

Three more conditions keep tasks from starting beside free workers for longer than 14 s + 3 s.

RackGang, four racks of three workers, a gang that needs a whole rack: it waits while some rack could hold it if all its known workers were empty and usable (computeCanEverFitOneRack), however long that takes, with eight or more workers free. With a task of one accelerator in each rack it waits for as long as that runs (it has not started when the test ends, 79 s later), with a long-running one without end, and with one worker of each rack in quarantine for 30 s. With an unreachable worker in each rack it does not wait: the leader drops those every 6 s, and in that moment no rack can hold the gang.

SickSite: all five workers fail all tasks for 30 s. Their quarantines have grown to 60 s by then, so that a job accepted at the end waits 60 s on an idle site. Workers that hang do not show it.

FailedTask: a task has failed on three of five workers, which are free and sound again. It waits for the other two, which are full for two minutes, as they could hold it if they were empty (avoidFailedWorkers). It had not started 79 s after its last fault.

--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -221,5 +221,168 @@
         Loss{"agent_restarts_with_two_leaders", 1, false, {8000, 16000}, 3000}),
     nameOf);
 
+/// Checks that the job does not wait beside free workers once the faults that
+/// there were are over, which they are now.
+void expectNoWaits(MemoryCluster &cluster, const std::string &job) {
+  ASSERT_EQ(cluster.acceptedJobs().count(job), 1u);
+  cluster.watchWaits();
+  cluster.runFor(MemoryCluster::RecoveryTime + absl::Seconds(5));
+  const std::vector<std::string> found = cluster.violations();
+  if (found.empty())
+    return;
+  // The trace shows what ends the wait.
+  cluster.runFor(GivesUpAfter);
+  ADD_FAILURE() << found.front() << '\n' << cluster.decisionsText(job);
+}
+
+enum class Obstacle {
+  LongTask,
+  LongRunningTask,
+  UnreachableWorker,
+  QuarantinedWorker
+};
+
+struct ObstacleCase {
+  const char *Name;
+  Obstacle InEachRack;
+};
+
+void PrintTo(const ObstacleCase &c, std::ostream *out) { *out << c.Name; }
+
+/// A site of four racks with three workers each. In each rack, the first worker
+/// cannot be had for a gang that needs the whole rack.
+class RackGang : public testing::TestWithParam<ObstacleCase> {
+protected:
+  static constexpr int Racks = 4;
+  static constexpr int RackSize = 3;
+
+  RackGang() {
+    MemoryCluster::Options options;
+    options.Workers = Racks * RackSize;
+    options.WorkersPerRack = RackSize;
+    Cluster = std::make_unique<MemoryCluster>(options);
+    Cluster->configure({"k"});
+    Cluster->runFor(absl::Seconds(4));
+  }
+
+  void obstruct(int rack) {
+    MemoryWorker &worker = Cluster->worker(rack * RackSize);
+    switch (GetParam().InEachRack) {
+    case Obstacle::LongTask:
+      return submitToRack(rack, false);
+    case Obstacle::LongRunningTask:
+      return submitToRack(rack, true);
+    case Obstacle::UnreachableWorker:
+      worker.Down = true;
+      return;
+    case Obstacle::QuarantinedWorker:
+      worker.FailsAll = true;
+      return;
+    }
+  }
+  void submitToRack(int rack, bool longRunning) {
+    const std::string name = "r" + std::to_string(rack);
+    core::JobSpec spec = makeJob("in-" + name, 1, 1, TaskMs);
+    spec.Steps.front().NeedsLabel = name;
+    spec.Steps.front().LongRunning = longRunning;
+    Cluster->submit(0, "k", spec);
+  }
+  /// Gives the workers tasks, on which those that fail get into quarantine.
+  void submitShortJobs() {
+    for (int n = 0; n < 120; ++n) {
+      Cluster->submit(0, "k", makeJob("s" + std::to_string(n), 12, 8, 100));
+      Cluster->runFor(absl::Milliseconds(250));
+    }
+  }
+
+  std::unique_ptr<MemoryCluster> Cluster;
+};
+
+// Guards against a gang that waits for a whole rack although no rack can be had
+// and the rest of the site is free.
+TEST_P(RackGang, DoesNotWaitForARackThatCannotBeHad) {
+  for (int rack = 0; rack < Racks; ++rack)
+    obstruct(rack);
+  if (GetParam().InEachRack == Obstacle::QuarantinedWorker)
+    submitShortJobs();
+  else
+    Cluster->runFor(absl::Seconds(10));
+  core::JobSpec gang = makeJob("gang", RackSize, 8, 2000);
+  gang.Steps.front().Gang = true;
+  gang.Steps.front().SameRack = true;
+  Cluster->submit(0, "k", gang);
+  for (int n = 0; n < Racks * RackSize; ++n)
+    Cluster->worker(n).FailsAll = false;
+  Cluster->runFor(absl::Milliseconds(200));
+  expectNoWaits(*Cluster, "gang");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, RackGang,
+    testing::Values(
+        ObstacleCase{"long_tasks", Obstacle::LongTask},
+        ObstacleCase{"long_running_tasks", Obstacle::LongRunningTask},
+        ObstacleCase{"unreachable_workers", Obstacle::UnreachableWorker},
+        ObstacleCase{"quarantined_workers", Obstacle::QuarantinedWorker}),
+    [](const auto &test) { return std::string(test.param.Name); });
+
+/// A site of five workers of which some fail or hang for a while.
+class SickSite : public testing::TestWithParam<bool> {
+protected:
+  static constexpr int SiteSize = 5;
+
+  SickSite() {
+    MemoryCluster::Options options;
+    options.Workers = SiteSize;
+    Cluster = std::make_unique<MemoryCluster>(options);
+    Cluster->configure({"k"});
+    Cluster->runFor(absl::Seconds(4));
+  }
+  void setAllSick(bool sick) {
+    for (int n = 0; n < SiteSize; ++n)
+      (GetParam() ? Cluster->worker(n).Hangs : Cluster->worker(n).FailsAll) =
+          sick;
+  }
+  std::unique_ptr<MemoryCluster> Cluster;
+};
+
+// Guards against quarantines that grow while all workers are sick and then keep
+// all of them from being used long after they are sound again.
+TEST_P(SickSite, IsUsedSoonAfterAllWorkersWereSick) {
+  setAllSick(true);
+  for (int n = 0; n < 60; ++n) {
+    Cluster->submit(0, "k", makeJob("s" + std::to_string(n), 5, 8, 500));
+    Cluster->runFor(absl::Milliseconds(500));
+  }
+  setAllSick(false);
+  Cluster->submit(0, "k", makeJob("j", 1, 8, 500));
+  Cluster->runFor(absl::Milliseconds(200));
+  expectNoWaits(*Cluster, "j");
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, SickSite, testing::Bool(),
+                         [](const auto &test) {
+                           return test.param ? "hanging" : "failing";
+                         });
+
+// Guards against a task that waits for workers that are full for long, as it
+// has not failed there, beside free workers where it has failed.
+TEST(FailedTask, RunsWhereItHasFailedIfOnlyThatIsFree) {
+  MemoryCluster::Options options;
+  options.Workers = 5;
+  MemoryCluster cluster(options);
+  cluster.configure({"k"});
+  cluster.runFor(absl::Seconds(4));
+  cluster.submit(0, "k", makeJob("long", 2, 8, TaskMs));
+  cluster.runFor(absl::Seconds(2));
+  for (int n = 0; n < options.Workers; ++n)
+    cluster.worker(n).FailsAll = cluster.worker(n).startsSent() == 0;
+  cluster.submit(0, "k", makeJob("j", 1, 8, 500));
+  cluster.runFor(absl::Seconds(2));
+  for (int n = 0; n < options.Workers; ++n)
+    cluster.worker(n).FailsAll = false;
+  expectNoWaits(cluster, "j");
+}
+
 } // namespace
 } // namespace oriolebay::cluster
