Waits beside free workers: headroom that outlasts urgent work

The headroom for urgent work fits; the leader writes no line that would say so.

Urgent work is expected from its arrivals, whose squares decay with a time constant of 20 s, so that the expected demand halves in 28 s, and the headroom of up to an eighth of the workers stays for much longer where it is capped. In the test, 14 of 16 workers have a task of one accelerator, the two others are empty, and 20 wide urgent jobs have ended.

--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -384,5 +384,29 @@
   expectNoWaits(cluster, "j");
 }
 
+// Guards against batch work that waits for the last empty workers, which are
+// kept for urgent work long after the last urgent job.
+TEST(Headroom, DoesNotOutlastUrgentWork) {
+  constexpr int Size = 16;
+  MemoryCluster::Options options;
+  options.Workers = Size;
+  MemoryCluster cluster(options);
+  cluster.configure({"k"});
+  cluster.runFor(absl::Seconds(4));
+  for (int n = 0; n < 20; ++n) {
+    core::JobSpec urgent = makeJob("u" + std::to_string(n), Size, 4, 100);
+    urgent.Queue = "q0";
+    cluster.submit(0, "k", urgent);
+    cluster.runFor(absl::Milliseconds(300));
+  }
+  core::JobSpec small = makeJob("small", Size - 2, 1, TaskMs);
+  small.Steps.front().MaxPerWorker = 1;
+  cluster.submit(0, "k", small);
+  cluster.runFor(absl::Seconds(1));
+  cluster.submit(0, "k", makeJob("j", 1, 8, 500));
+  cluster.runFor(absl::Milliseconds(200));
+  expectNoWaits(cluster, "j");
+}
+
 } // namespace
 } // namespace oriolebay::cluster
