Waits beside free workers: workers reserved for a gang that waits long

A gang of 15 of 16 workers waits for one of two tasks that run for two minutes. The 14 idle workers are reserved for it from then on, and only what is expected to end before that may use them (ReservationStartsIn, reserveEarliestCapacity()). A task that is estimated to take longer waits on a site that is 12% in use; it had not started 79 s after it was accepted. That is a reservation as it is meant, without a bound on how long it may keep workers idle: whether it is a fault is a question of the rule. By the invariant it is one, so the test is listed.

--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -408,5 +408,25 @@
   expectNoWaits(cluster, "j");
 }
 
+// Guards against a task that waits while idle workers are reserved for a gang
+// that can start only in a long time.
+TEST(Reservation, DoesNotKeepWorkersIdleForLong) {
+  constexpr int Size = 16;
+  MemoryCluster::Options options;
+  options.Workers = Size;
+  MemoryCluster cluster(options);
+  cluster.configure({"k"});
+  cluster.runFor(absl::Seconds(4));
+  cluster.submit(0, "k", makeJob("long", 2, 8, TaskMs));
+  cluster.runFor(absl::Seconds(1));
+  core::JobSpec gang = makeJob("gang", Size - 1, 8, 500);
+  gang.Steps.front().Gang = true;
+  cluster.submit(0, "k", gang);
+  cluster.runFor(absl::Milliseconds(200));
+  cluster.submit(0, "k", makeJob("j", 1, 8, 2 * TaskMs));
+  cluster.runFor(absl::Milliseconds(200));
+  expectNoWaits(cluster, "j");
+}
+
 } // namespace
 } // namespace oriolebay::cluster
