--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -159,7 +159,9 @@
 // acknowledged end, and more than the worker's capacity.
 void MemoryWorker::checkStart(const Key &key) {
   const std::string started =
-      key.first + " run " + std::to_string(key.second) + " on " + State.Life.Id;
+      key.first + " run " + std::to_string(key.second) + " on " +
+      State.Life.Id + " at " +
+      absl::FormatTime("%M:%E3S", Loop.now(), absl::UTCTimeZone());
   if (Shared.AcknowledgedDone.count(key.first) != 0)
     Shared.Violations.push_back(started +
                                 " was started after its end was acknowledged");
