A job that has ended stays ended after its record is removed

runUntilAllEnded() looks at the store until all accepted jobs have ended.

It now remembers which jobs it has seen ended, and looks at all of them each time. A record that is removed before its job has ended is still none that has ended.

--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -282,12 +282,21 @@
 
 bool MemoryCluster::runUntilAllEnded(absl::Duration limit) {
   const absl::Time end = Loop.now() + limit;
-  auto finished = [this] {
-    return std::all_of(Accepted.begin(), Accepted.end(),
-                       [this](const std::string &job) {
-                         const auto state = storedState(job);
-                         return state && jobs::isFinal(*state);
-                       });
+  // The record of a job that has ended is removed after a while.
+  std::set<std::string> endedJobs;
+  auto hasEnded = [&](const std::string &job) {
+    if (endedJobs.count(job) != 0)
+      return true;
+    const auto state = storedState(job);
+    if (!state || !jobs::isFinal(*state))
+      return false;
+    endedJobs.insert(job);
+    return true;
+  };
+  // Looks at all jobs each time, so that none is removed unseen.
+  auto finished = [&] {
+    return std::count_if(Accepted.begin(), Accepted.end(), hasEnded) ==
+           static_cast<std::ptrdiff_t>(Accepted.size());
   };
   while (!finished() && Loop.now() < end)
     Loop.advance(absl::Milliseconds(50));
