Tests of gangs in the in-process cluster

A gang of which one member's host is removed ends as alone in the other members and starts again as a whole: six starts, no violation. A gang of which one member hangs is not done in the others either.

--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -740,6 +740,39 @@
   EXPECT_TRUE(hasNoViolations(*cluster));
 }
 
+// Guards against a gang that goes on without a member whose host is removed for
+// good: the others end as alone, and all start again.
+TEST(Cluster, GangStartsAgainAfterItHasLostAMember) {
+  auto cluster = servingCluster();
+  core::JobSpec spec = job("j", 3, 8, 5000);
+  spec.Steps.front().Gang = true;
+  cluster->submit(0, "k1", spec);
+  cluster->runFor(absl::Seconds(1));
+  ASSERT_EQ(cluster->starts(), 3);
+  cluster->removeHost(0);
+  EXPECT_TRUE(cluster->runUntilAllEnded(absl::Seconds(20)));
+  EXPECT_NE(cluster->decisionsText("j").find("alone"), std::string::npos);
+  EXPECT_EQ(cluster->starts(), 6);
+  EXPECT_TRUE(hasNoViolations(*cluster));
+}
+
+// Guards against members of a gang that are done at different times, or by
+// themselves while another one makes no progress.
+TEST(Cluster, GangMakesProgressAndEndsAsOne) {
+  auto cluster = servingCluster();
+  core::JobSpec spec = job("j", 3, 8, 1000);
+  spec.Steps.front().Gang = true;
+  cluster->worker(0).Hangs = true;
+  cluster->submit(0, "k1", spec);
+  cluster->runFor(absl::Milliseconds(1200));
+  for (const auto &[task, runs] : cluster->sharedState().Running)
+    EXPECT_EQ(runs.size(), 1u) << task;
+  EXPECT_EQ(cluster->starts(), 3);
+  cluster->worker(0).Hangs = false;
+  EXPECT_TRUE(cluster->runUntilAllEnded(absl::Seconds(10)));
+  EXPECT_TRUE(hasNoViolations(*cluster));
+}
+
 // The old leader is partitioned from the store and the new leader, but still
 // reaches one agent that the new leader does not reach. The task there may run
 // for as long as the old leader extends its lease; guards against a start
