--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -292,6 +292,17 @@
   EXPECT_EQ(fixture.takeStopsOf({"j.0.0.7", 2}), 0u);
 }
 
+// Guards against the same at a worker that reports no start time, which the
+// agent takes for the incarnation that may run the start.
+TEST(WorkerAgent, EarlierStartIsStoppedAtAWorkerWithoutStartTime) {
+  AgentFixture fixture;
+  fixture.restartWorker({"unborn", 0});
+  fixture.Loop.advance(absl::Seconds(1));
+  fixture.Ack.EarlierStarts = {{{"j.0.0.7", 2, 9000}, {"unborn", 0}}};
+  fixture.Loop.advance(absl::Milliseconds(600));
+  EXPECT_GE(fixture.takeStopsOf({"j.0.0.7", 2}), 1u);
+}
+
 // Guards against a further attempt of a start after the cordon has become known
 // here.
 TEST(WorkerAgent, UnansweredStartIsNotRetriedOnceItsDomainIsCordoned) {
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -200,7 +200,10 @@
   const std::string name = agentName(n);
   Workers[n].Agent = std::make_unique<agent::WorkerAgent>(
       Loop, Store.clientOf(name), peersOf(name), Workers[n].FakeWorker->calls(),
-      settingsOf(name), entry::EntryPrefix);
+      settingsOf(name), entry::EntryPrefix,
+      [this](const endpoints::OrderResult &result) {
+        OrderResults.push_back(result);
+      });
   Workers[n].Agent->start();
 }
 
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -102,6 +102,10 @@
   const std::vector<jobs::CallDecision> &callDecisions() const {
     return CallDecisions;
   }
+  /// The outcomes of the agents' orders, in order.
+  const std::vector<endpoints::OrderResult> &orderResults() const {
+    return OrderResults;
+  }
   /// The leaders' decisions about the job, one per line.
   std::string decisionsText(const std::string &job) const;
   /// Descriptions of the violated invariants; empty if there are none.
@@ -158,6 +162,7 @@
   std::set<std::string> Accepted;
   std::map<std::string, core::JobSpec> Specs;
   std::vector<jobs::CallDecision> CallDecisions;
+  std::vector<endpoints::OrderResult> OrderResults;
   std::vector<std::pair<absl::Time, jobs::Decision>> LeaderDecisions;
 };
 
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -43,6 +43,8 @@
 // The start time is given in time of day, which may step back between two
 // incarnations: it is off by up to 5 s either way.
 int64_t MemoryWorker::randomStartTimeMs() {
+  if (!ReportsStartTime)
+    return 0;
   const int64_t stepMs = std::uniform_int_distribution<>(-5000, 5000)(Random);
   return absl::ToUnixMillis(IncarnationStart) + 1000000 + stepMs;
 }
@@ -92,6 +94,11 @@
   State.Life.BornMs = randomStartTimeMs();
 }
 
+void MemoryWorker::hideStartTime() {
+  ReportsStartTime = false;
+  State.Life.BornMs = 0;
+}
+
 void MemoryWorker::setCapacity(core::Resources capacity) {
   PreviousCapacities.emplace_back(Loop.now(), State.Capacity);
   State.Capacity = capacity;
@@ -190,6 +197,8 @@
 
 CallOutcome MemoryWorker::start(const endpoints::StartCall &call) {
   const Key key{call.Order.Task, call.Order.Run};
+  if (RefusesStarts)
+    return {CallStatus::Busy, RefusalReason::None, clockMs(), "unhealthy"};
   if (call.Epoch < FencingToken)
     return refuse(RefusalReason::Fenced);
   FencingToken = call.Epoch;
@@ -318,6 +327,11 @@
     Loop.runAfter(OrderTimeout, [done] { done({}); });
     return;
   }
+  if (KeepAlivesLeft == 0) {
+    Loop.runAfter(PollTimeout, [done] { done({}); });
+    return;
+  }
+  --KeepAlivesLeft;
   if (isListening() && chance(LateKeepAliveShare)) {
     Loop.runAfter(randomLateDelay(), [this, call] {
       if (isListening() && call.Incarnation.Id == State.Life.Id)
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -5,6 +5,7 @@
 #include "utils/eventloop.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -64,6 +65,9 @@
   void crashFor(absl::Duration downtime, RestartId id = RestartId::New);
   bool isListening() const { return Loop.now() >= ListensFrom; }
   void drain(int64_t remainingMs);
+  /// From now on the worker reports no start time. It must not start again
+  /// under its id then.
+  void hideStartTime();
   /// Sets the capacity that the worker reports from now on. A smaller one is
   /// enforced only after a delay.
   void setCapacity(core::Resources capacity);
@@ -85,6 +89,11 @@
   double LostOrderAnswerShare = 0;
   bool FailsAll = false;
   bool Hangs = false;
+  /// Starts are refused as by an unhealthy worker, which does nothing.
+  bool RefusesStarts = false;
+  /// Number of keep-alive calls that are still answered. Those after them get
+  /// no answer and have no effect.
+  int KeepAlivesLeft = std::numeric_limits<int>::max();
   /// No call is answered.
   bool Down = false;
   /// Speed of the worker's clock relative to real time.
@@ -133,6 +142,7 @@
   int IncarnationCount = 0;
   int64_t HeartbeatSequence = 0;
   int StartsSent = 0;
+  bool ReportsStartTime = true;
   absl::Time IncarnationStart;
   absl::Time ClockStart;
   absl::Time ListensFrom = absl::InfinitePast();
--- a/tests/auto/jobs/tst_latestarts.cpp
+++ b/tests/auto/jobs/tst_latestarts.cpp
@@ -198,5 +198,64 @@
   EXPECT_GT(unexpected, 0);
 }
 
+/// A job takes the whole worker, and another one waits. The outcome of the
+/// first job's start is reported by an agent process that may not have sent it.
+class RefusedStartSite : public SimSite {
+public:
+  RefusedStartSite(endpoints::OrderOutcome outcome,
+                   absl::Duration startsKnownFor) {
+    addWorker("w0", "r0").DropsOrders = true;
+    runFor(absl::Milliseconds(600));
+    submit(jobOf("j", taskStep(1, 8, 1000)));
+    runFor(absl::Seconds(1));
+    submit(jobOf("next", taskStep(1, 8, 1000)), 0);
+    worker("w0").StartsKnownForMs = absl::ToInt64Milliseconds(startsKnownFor);
+    worker("w0").Results.push_back({"j.0.0.0", 1, outcome, "refused"});
+    runFor(absl::Milliseconds(600));
+  }
+  bool isPlaced(const std::string &job) const {
+    return std::any_of(Log.begin(), Log.end(), [&job](const Decision &d) {
+      return d.What == Decision::Kind::Placed && d.Job == job;
+    });
+  }
+};
+
+/// Outcomes with which an agent says that the run will not start.
+constexpr endpoints::OrderOutcome Refusals[] = {
+    endpoints::OrderOutcome::Refused, endpoints::OrderOutcome::Busy,
+    endpoints::OrderOutcome::NoCapacity};
+
+// Guards against a worker that runs more than its capacity: an earlier process
+// of the agent may have sent the refused start, and its capacity is given out.
+TEST(RefusedStart, OfAnEarlierAgentProcessKeepsItsCapacity) {
+  for (const endpoints::OrderOutcome outcome : Refusals) {
+    SCOPED_TRACE(endpoints::orderOutcomeName(outcome));
+    const RefusedStartSite site(outcome, absl::ZeroDuration());
+    EXPECT_FALSE(site.isPlaced("next"));
+  }
+}
+
+// Guards against capacity that stays idle although the worker has confirmed
+// that it will not start the run.
+TEST(RefusedStart, FreesItsCapacityOnceItsStopIsConfirmed) {
+  for (const endpoints::OrderOutcome outcome : Refusals) {
+    SCOPED_TRACE(endpoints::orderOutcomeName(outcome));
+    RefusedStartSite site(outcome, absl::ZeroDuration());
+    site.worker("w0").DropsOrders = false;
+    site.runFor(absl::Seconds(2));
+    EXPECT_EQ(site.state("next"), JobState::Completed);
+  }
+}
+
+// Guards against capacity that stays idle although no attempt to start the run
+// is open.
+TEST(RefusedStart, OfTheSameAgentProcessFreesItsCapacity) {
+  for (const endpoints::OrderOutcome outcome : Refusals) {
+    SCOPED_TRACE(endpoints::orderOutcomeName(outcome));
+    const RefusedStartSite site(outcome, endpoints::MaxOrderDelay);
+    EXPECT_TRUE(site.isPlaced("next"));
+  }
+}
+
 } // namespace
 } // namespace oriolebay::jobs
