--- a/tests/auto/cluster/tst_lostagents.cpp
+++ b/tests/auto/cluster/tst_lostagents.cpp
@@ -1,5 +1,5 @@
-// Tests of starts that workers carry out late, after the agent that sent them
-// was lost and another process of it has begun. The workers do not restart.
+// Tests of starts that workers carry out late, when the agent process that
+// knows of them was lost or cannot have them refused in time.
 #include "memorycluster.h"
 
 #include <gtest/gtest.h>
@@ -63,13 +63,13 @@
   }
   /// Submits a job that needs all workers. The first attempt of each start is
   /// late.
-  void submitWithLateStarts(const LostAgentCase &c) {
+  void submitWithLateStarts(const LostAgentCase &c, int64_t taskMs) {
     forEachWorker([&c](MemoryWorker &worker) {
       worker.LateOrderShare = 1;
       worker.MinLateDelay = absl::Milliseconds(c.LateByMs);
       worker.MaxLateDelay = worker.MinLateDelay;
     });
-    Cluster->submit(0, "k", makeJob("late", Workers, WholeWorker, 6000));
+    Cluster->submit(0, "k", makeJob("late", Workers, WholeWorker, taskMs));
     Cluster->runFor(absl::Milliseconds(100));
     forEachWorker([](MemoryWorker &worker) { worker.LateOrderShare = 0; });
     ASSERT_EQ(Cluster->acceptedJobs().count("late"), 1u);
@@ -132,7 +132,7 @@
     for (int seed = FirstSeed; seed <= LastSeed; ++seed) {
       SCOPED_TRACE(std::string(c.Name) + ", seed " + std::to_string(seed));
       makeCluster(c, seed);
-      submitWithLateStarts(c);
+      submitWithLateStarts(c, 6000);
       Cluster->submit(0, "k",
                       makeJob("waiting", 3 * Workers, WholeWorker, 5000));
       replaceAgents(c);
@@ -141,5 +141,51 @@
     }
 }
 
+/// A job is done. An attempt to start each of its runs is still open, and the
+/// workers restart under their ids.
+class DoneRuns : public LostAgents {
+protected:
+  void completeJob(int lateByMs) {
+    const LostAgentCase late{"", Refusal::BusyWorker, true, lateByMs};
+    makeCluster(late, FirstSeed);
+    submitWithLateStarts(late, 500);
+    Cluster->runFor(absl::Seconds(1));
+    ASSERT_EQ(Cluster->storedState("late"), jobs::JobState::Completed);
+  }
+  void restartWorkers() {
+    forEachWorker([](MemoryWorker &worker) {
+      worker.crashFor(Downtime, MemoryWorker::RestartId::Same);
+    });
+  }
+
+  static constexpr absl::Duration Downtime = absl::Milliseconds(100);
+};
+
+// Guards against a task that starts again after its end: the leader is lost
+// with the agents, so that nobody tells their next processes of its late start.
+TEST_F(DoneRuns, DoNotStartAgainWhileNoLeaderTellsTheNextProcess) {
+  completeJob(2000);
+  Cluster->killEntry(Cluster->leader());
+  for (int n = 0; n < Workers; ++n)
+    Cluster->killAgent(n);
+  restartWorkers();
+  for (int n = 0; n < Workers; ++n)
+    Cluster->startAgent(n);
+  Cluster->runFor(AllLateOrdersDelivered);
+  expectAllCompleted();
+}
+
+// Guards against a task that starts again after its end: the first stop of its
+// late start gets no answer, and the agent waits for that before the next.
+TEST_F(DoneRuns, DoNotStartAgainIfTheirFirstStopIsLate) {
+  completeJob(1450);
+  restartWorkers();
+  forEachWorker([](MemoryWorker &worker) { worker.LateOrderShare = 1; });
+  Cluster->runFor(2 * Downtime);
+  forEachWorker([](MemoryWorker &worker) { worker.LateOrderShare = 0; });
+  Cluster->runFor(AllLateOrdersDelivered);
+  expectAllCompleted();
+}
+
 } // namespace
 } // namespace oriolebay::cluster
