--- /dev/null
+++ b/src/libs/jobs/decision.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oriolebay::jobs {
+
+/// Why a step waits whose tasks would fit into the free capacity of cordoned
+/// workers, for the log.
+inline constexpr const char *WaitsForCordonReason =
+    "its capacity is in cordoned failure domains";
+
+/// A number that a decision was based on, for the log.
+struct DecisionInput {
+  const char *Name;
+  int64_t Value = 0;
+};
+
+/// A decision of the scheduler and what it was based on, for the log.
+struct Decision {
+  enum class Kind {
+    Placed,
+    Started,
+    StartRefused,
+    Stopping,
+    Ended,
+    RunResolved,
+    JobEnded,
+    WorkerJoined,
+    WorkerLost,
+    WorkerQuarantined,
+    RunStalledOrSlow,
+    RunEvacuated,
+    RunCrashedWorker,
+    SuspectCleared,
+    Waiting,
+    DeadlineSet,
+    CapacityPlanned,
+    StartBarred,
+    UnexpectedRun,
+  };
+  Kind What = Kind::Placed;
+  std::string Job;
+  std::string Task;
+  int64_t Run = 0;
+  std::string Worker;
+  std::string Why;
+  std::vector<DecisionInput> Inputs;
+  /// Inputs that are not numbers, by name.
+  std::map<std::string, std::string> Texts = {};
+
+  /// The value of the input called name, or zero if there is none.
+  int64_t input(std::string_view name) const {
+    for (const DecisionInput &i : Inputs)
+      if (i.Name == name)
+        return i.Value;
+    return 0;
+  }
+};
+
+} // namespace oriolebay::jobs
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/siteconfig.h"
+#include "decision.h"
 #include "fleet.h"
 #include "jobdeadline.h"
 #include "jobrecord.h"
@@ -101,59 +102,6 @@
   std::string Value;
 };
 
-/// Why a step waits whose tasks would fit into the free capacity of cordoned
-/// workers, for the log.
-inline constexpr const char *WaitsForCordonReason =
-    "its capacity is in cordoned failure domains";
-
-/// A number that a decision was based on, for the log.
-struct DecisionInput {
-  const char *Name;
-  int64_t Value = 0;
-};
-
-/// A decision of the scheduler and what it was based on, for the log.
-struct Decision {
-  enum class Kind {
-    Placed,
-    Started,
-    StartRefused,
-    Stopping,
-    Ended,
-    RunResolved,
-    JobEnded,
-    WorkerJoined,
-    WorkerLost,
-    WorkerQuarantined,
-    RunStalledOrSlow,
-    RunEvacuated,
-    RunCrashedWorker,
-    SuspectCleared,
-    Waiting,
-    DeadlineSet,
-    CapacityPlanned,
-    StartBarred,
-    UnexpectedRun,
-  };
-  Kind What = Kind::Placed;
-  std::string Job;
-  std::string Task;
-  int64_t Run = 0;
-  std::string Worker;
-  std::string Why;
-  std::vector<DecisionInput> Inputs;
-  /// Inputs that are not numbers, by name.
-  std::map<std::string, std::string> Texts = {};
-
-  /// The value of the input called name, or zero if there is none.
-  int64_t input(std::string_view name) const {
-    for (const DecisionInput &i : Inputs)
-      if (i.Name == name)
-        return i.Value;
-    return 0;
-  }
-};
-
 /// Decides which task runs on which worker, from the state in the store and the
 /// reports of the workers. It uses no threads, clock or sockets: callers pass
 /// the time of the boot clock, takeWrites() returns what has to be recorded,
