jobs: the log says why a step waits, since when and until when

An operator who looked at a job that waited beside free workers saw one line a job, with one of three texts that all mean "no capacity". Hypotheses about such a wait could not be told apart: a bar on starts, a worker that is not heard of, a rack that exists on paper only, a quarantine, a reservation and a full site look the same. Tasks that are assigned and do not run were not logged at all.

WaitReason names each condition under which the planner, the fleet or a task's own state starts nothing, found by reading every condition in them. The planner looks for the reason when a unit is blocked for the first time and in surveys; WaitSurvey looks once a second at the tasks that are held back by a condition of their own. Both only read what decides. step.waiting (212) gets the reason, since when the step waits and the reason holds, and when it ends at the latest; it comes again when the reason changes. step.waits_beside_free_workers (215) comes once a step has waited for ten seconds while less than half of its service is in use and its workers could hold it twice, with the workers that each condition takes out, and again when that time has doubled. A job gets at most one line in two seconds, lines of changed reasons become rarer, and one survey writes at most 20 lines of changed reasons and 9 of long waits. The three texts of why stay as they are, as the losses match one of them; it stood twice and is now one.

On a large site the search for reasons is spread over several surveys: at most 50,000 looks at a worker in one.

Fleet::isUsable() goes by conditionOf(), which has the same conditions in the same order.

--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -35,7 +35,9 @@
   return "";
 }
 
-std::string summaryOf(const StepSpec &step) {
+} // namespace
+
+std::string summary(const StepSpec &step) {
   const Resources &r = step.PerTask;
   std::string out =
       absl::StrCat(step.Count, "x", r.MilliCores, "m/", r.MemoryMb, "MB/",
@@ -65,12 +67,10 @@
   return out;
 }
 
-} // namespace
-
 std::string summary(const JobSpec &spec) {
   std::vector<std::string> steps;
   for (const StepSpec &step : spec.Steps)
-    steps.push_back(summaryOf(step));
+    steps.push_back(summary(step));
   std::string out = absl::StrJoin(steps, "; ");
   if (spec.Repeats > 0)
     absl::StrAppend(&out, "; ", spec.Repeats, " times each ", spec.IntervalMs,
--- a/src/libs/core/jobspec.h
+++ b/src/libs/core/jobspec.h
@@ -130,6 +130,8 @@
 /// accelerators), the estimate, and the properties and limits that restrict how
 /// and where the tasks run.
 std::string summary(const JobSpec &spec);
+/// Returns the part of the summary for one step.
+std::string summary(const StepSpec &step);
 
 /// Identifies one task of a job.
 struct TaskId {
--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -42,6 +42,8 @@
     return Event::SuspectCleared;
   case Kind::Waiting:
     return Event::StepWaiting;
+  case Kind::WaitsBesideFreeWorkers:
+    return Event::StepWaitsBesideFreeWorkers;
   case Kind::DeadlineSet:
     return Event::JobPromised;
   case Kind::CapacityPlanned:
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -45,6 +45,7 @@
       {Event::StepWaiting, "step.waiting"},
       {Event::JobPromised, "job.promised"},
       {Event::RoomPlanned, "room.planned"},
+      {Event::StepWaitsBesideFreeWorkers, "step.waits_beside_free_workers"},
       {Event::RunPlaced, "run.placed"},
       {Event::RunStarted, "run.started"},
       {Event::RunRefused, "run.refused"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -30,6 +30,7 @@
   StepWaiting = 212,
   JobPromised = 213,
   RoomPlanned = 214,
+  StepWaitsBesideFreeWorkers = 215,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
--- a/src/libs/jobs/decision.h
+++ b/src/libs/jobs/decision.h
@@ -8,11 +8,6 @@
 
 namespace oriolebay::jobs {
 
-/// Why a step waits whose tasks would fit into the free capacity of cordoned
-/// workers, for the log.
-inline constexpr const char *WaitsForCordonReason =
-    "its capacity is in cordoned failure domains";
-
 /// A number that a decision was based on, for the log.
 struct DecisionInput {
   const char *Name;
@@ -37,6 +32,8 @@
     RunCrashedWorker,
     SuspectCleared,
     Waiting,
+    /// A step has waited beside free workers for longer than expected.
+    WaitsBesideFreeWorkers,
     DeadlineSet,
     CapacityPlanned,
     StartBarred,
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <algorithm>
+#include <array>
 
 namespace oriolebay::jobs {
 
@@ -10,8 +11,42 @@
 /// recognise delayed reports.
 constexpr size_t MaxReportedEnds = 8;
 
+constexpr std::array AllConditions = {
+    WorkerCondition::Usable,    WorkerCondition::Draining,
+    WorkerCondition::Cordoned,  WorkerCondition::Unreachable,
+    WorkerCondition::LateStops, WorkerCondition::UnexpectedRuns,
+    WorkerCondition::Silent,    WorkerCondition::Quarantined};
+
 } // namespace
 
+const char *workerConditionName(WorkerCondition condition) {
+  switch (condition) {
+  case WorkerCondition::Usable:
+    return "usable_workers";
+  case WorkerCondition::Draining:
+    return "draining";
+  case WorkerCondition::Cordoned:
+    return "cordoned";
+  case WorkerCondition::Unreachable:
+    return "unreachable";
+  case WorkerCondition::LateStops:
+    return "late_stops";
+  case WorkerCondition::UnexpectedRuns:
+    return "unexpected_runs";
+  case WorkerCondition::Silent:
+    return "silent";
+  case WorkerCondition::Quarantined:
+    return "quarantined";
+  }
+  return "unknown";
+}
+
+bool WorkerView::hasLabel(const std::string &label) const {
+  const std::vector<std::string> &labels = State.Labels;
+  return label.empty() ||
+         std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 // An agent that has just started has not received a heartbeat of its worker
 // yet. Its report then says nothing about an incarnation that was known before.
 std::optional<endpoints::IncarnationEnd>
@@ -97,11 +132,39 @@
   return all;
 }
 
-bool Fleet::isUsable(const WorkerView &worker, absl::Time now) const {
-  return !worker.State.Draining && !isCordoned(worker) && worker.Reachable &&
-         worker.LateStops.empty() && worker.UnexpectedRuns.empty() &&
-         now - worker.LastReportAt < Policy.UnresponsiveAfter &&
-         now >= worker.QuarantinedUntil;
+WorkerCondition Fleet::conditionOf(const WorkerView &worker,
+                                   absl::Time now) const {
+  if (worker.State.Draining)
+    return WorkerCondition::Draining;
+  if (isCordoned(worker))
+    return WorkerCondition::Cordoned;
+  if (!worker.Reachable)
+    return WorkerCondition::Unreachable;
+  if (!worker.LateStops.empty())
+    return WorkerCondition::LateStops;
+  if (!worker.UnexpectedRuns.empty())
+    return WorkerCondition::UnexpectedRuns;
+  if (hasNotReported(worker, now))
+    return WorkerCondition::Silent;
+  return now < worker.QuarantinedUntil ? WorkerCondition::Quarantined
+                                       : WorkerCondition::Usable;
+}
+
+int64_t Fleet::countUsable(absl::Time now) const {
+  return std::count_if(Workers.begin(), Workers.end(), [&](const auto &entry) {
+    return isUsable(entry.second, now);
+  });
+}
+
+std::map<WorkerCondition, int64_t>
+Fleet::countConditions(const std::string &service, absl::Time now) const {
+  std::map<WorkerCondition, int64_t> counts;
+  for (const WorkerCondition condition : AllConditions)
+    counts[condition] = 0;
+  for (const auto &[incarnation, worker] : Workers)
+    if (worker.State.Service == service)
+      ++counts[conditionOf(worker, now)];
+  return counts;
 }
 
 bool Fleet::recordRunOutcome(const WorkerIncarnation &incarnation, bool ok,
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -36,6 +36,25 @@
   absl::Duration MaxQuarantine = absl::Seconds(60);
 };
 
+/// Whether a worker gets new tasks, and if it does not, the first reason.
+enum class WorkerCondition {
+  Usable,
+  Draining,
+  Cordoned,
+  /// Its agent cannot reach it.
+  Unreachable,
+  /// It has to refuse late starts first.
+  LateStops,
+  /// It lists runs that are not recorded for it.
+  UnexpectedRuns,
+  /// It has not reported for too long.
+  Silent,
+  Quarantined,
+};
+/// Returns the stable name of condition, for the log: the name of a number of
+/// workers.
+const char *workerConditionName(WorkerCondition condition);
+
 /// One incarnation of a worker as the leader sees it.
 struct WorkerView {
   endpoints::WorkerState State;
@@ -77,6 +96,8 @@
   absl::Duration QuarantineDuration = absl::ZeroDuration();
   absl::Time QuarantinedUntil = absl::InfinitePast();
 
+  /// Whether it has the label; true for an empty label.
+  bool hasLabel(const std::string &label) const;
   core::Resources freeResources() const {
     core::Resources r = State.Capacity;
     r -= Used;
@@ -123,7 +144,18 @@
   core::Resources capacityOf(const std::string &service) const;
 
   /// Whether new tasks may be placed on the worker.
-  bool isUsable(const WorkerView &worker, absl::Time now) const;
+  bool isUsable(const WorkerView &worker, absl::Time now) const {
+    return conditionOf(worker, now) == WorkerCondition::Usable;
+  }
+  WorkerCondition conditionOf(const WorkerView &worker, absl::Time now) const;
+  /// Whether nothing is known of what the worker does now.
+  bool isSilent(const WorkerView &worker, absl::Time now) const {
+    return !worker.Reachable || hasNotReported(worker, now);
+  }
+  int64_t countUsable(absl::Time now) const;
+  /// Number of workers of the service in each condition, zeros included.
+  std::map<WorkerCondition, int64_t> countConditions(const std::string &service,
+                                                     absl::Time now) const;
   /// Quarantines the worker, for longer each time. Returns false if it is
   /// already quarantined.
   bool quarantine(const WorkerIncarnation &incarnation, absl::Time now);
@@ -156,6 +188,10 @@
   void markEndRecorded(const WorkerIncarnation &incarnation, int64_t number);
 
 private:
+  bool hasNotReported(const WorkerView &worker, absl::Time now) const {
+    return now - worker.LastReportAt >= Policy.UnresponsiveAfter;
+  }
+
   const FleetPolicy Policy;
   core::Cordons Cordons;
   std::map<WorkerIncarnation, WorkerView> Workers;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -369,12 +369,15 @@
 }
 
 void JobScheduler::decide(absl::Time now) {
-  if (!PassNeeded || Config == nullptr)
+  if (Config == nullptr)
     return;
-  PassNeeded = false;
-  RetryOnTick = false;
-  ++PassCount;
-  Planner(*this, now).run();
+  if (PassNeeded) {
+    PassNeeded = false;
+    RetryOnTick = false;
+    ++PassCount;
+    Planner(*this, now).run();
+  }
+  surveyWaits(now);
 }
 
 std::map<std::string, endpoints::WorkerOrders> JobScheduler::takeOrders() {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -7,6 +7,7 @@
 #include "jobrecord.h"
 #include "openstartregistry.h"
 #include "progress.h"
+#include "stepwait.h"
 #include "urgentdemandestimator.h"
 #include "workerspeedestimator.h"
 
@@ -176,6 +177,8 @@
   int64_t passCount() const { return PassCount; }
   /// Number of jobs that have not ended, waiting jobs included.
   size_t unfinishedJobCount() const;
+  /// What waits on the site, as of the last second.
+  const WaitSummary &waitSummary() const { return WaitSurveys.Summary; }
   int64_t epoch() const { return Epoch; }
   const Fleet &fleet() const { return Workers; }
   /// The job's current progress, recorded or not, for tests.
@@ -184,6 +187,7 @@
 private:
   friend class Planner;
   friend class RunMonitor;
+  friend class WaitSurvey;
   /// State of a task's latest run as the leader knows it. It is not recorded.
   enum class Phase {
     Idle,
@@ -281,7 +285,7 @@
     std::vector<PendingEndAck> PendingEndAcks;
     /// At least one of the tasks is a suspect.
     bool HasSuspects = false;
-    bool WaitLogged = false;
+    JobWaits Waits;
     bool DeadlineLogged = false;
     /// The latest outcome of planning capacity for a waiting step, by
     /// occurrence and step. Logged when it changes.
@@ -445,6 +449,22 @@
   void assignRun(Job &job, const core::TaskId &id,
                  const WorkerIncarnation &incarnation, const std::string &saved,
                  int64_t run, int rank, absl::Time now);
+  bool isWaitSurveyDue(absl::Time now) const;
+  void surveyWaits(absl::Time now);
+  StepWait &findOrAddWait(Job &job, const core::TaskId &id, absl::Time now);
+  /// Records that a scheduling pass could not place tasks of a step.
+  void recordBlocked(Job &job, const core::TaskId &first,
+                     const WaitGroup &group, absl::Time now);
+  /// Logs the reason for which most of the tasks wait.
+  void logWait(Job &job, const core::TaskId &first, StepWait &wait,
+               const WaitGroup &group, absl::Time now);
+  static std::vector<DecisionInput>
+  waitInputs(const StepWait &wait, const WaitGroup &group, absl::Time now);
+  static std::map<std::string, std::string> waitTexts(const WaitGroup &group);
+  /// Time by which the tasks of the worker have ended if it never reports to
+  /// this leader. Returns nothing if it has reported or is not known.
+  std::optional<absl::Time>
+  unreportedTasksEndBy(const WorkerIncarnation &incarnation) const;
   /// Adds a decision for the log.
   void logDecision(Decision::Kind kind, const std::string &job,
                    const std::string &task = "", int64_t run = 0,
@@ -491,6 +511,7 @@
   /// that the next tick triggers a scheduling pass.
   bool RetryOnTick = false;
   int64_t PassCount = 0;
+  WaitSurveyState WaitSurveys;
   std::map<std::string, endpoints::WorkerOrders> Orders;
   std::vector<Decision> Decisions;
   std::vector<std::string> EndingJobs;
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -86,6 +86,7 @@
   collectUnits();
   for (PlacementUnit &unit : Units)
     placeUnit(unit);
+  Scheduler.WaitSurveys.BlockedUnits = BlockedUnitCount;
 }
 
 // Sets the rank of each job; see PlacementUnit::Rank. Jobs of priority 0 are
@@ -239,8 +240,12 @@
     return;
   }
   placeTasks(unit);
-  if (unit.RequiredConcurrency > 0 && !unit.Tasks.empty())
+  if (unit.Tasks.empty())
+    return;
+  if (unit.RequiredConcurrency > 0)
     handleBlockedUnit(unit);
+  else
+    recordWait(unit);
 }
 
 // Whether the worker is of the right service, has the required label and is not
@@ -475,37 +480,6 @@
     refreshRunningUnits(*unit.Owner, unit.Occurrence, unit.Step);
 }
 
-// Returns why unit has to wait: for the end of a cordon, if it would fit with
-// the free capacity of the cordoned workers, else for the end of other work.
-const char *Planner::waitReason(const PlacementUnit &unit) const {
-  const core::Resources each = unit.spec().taskResources();
-  const auto n = static_cast<int64_t>(unit.Tasks.size());
-  int64_t behindCordons = 0;
-  for (const auto &[incarnation, view] : Scheduler.Workers.workers())
-    if (Scheduler.Workers.isCordoned(view) && isEligible(view, unit))
-      behindCordons += each.countIn(view.freeResources(), n);
-  int64_t fitting = behindCordons;
-  for (size_t c = 0; c < Candidates.size(); ++c)
-    fitting += countFitting(c, unit, n);
-  if (behindCordons > 0 && fitting >= n)
-    return WaitsForCordonReason;
-  return unit.spec().Gang ? "no capacity for the whole gang" : "no capacity";
-}
-
-// Logs only the first wait of each job.
-void Planner::logWait(const PlacementUnit &unit) {
-  if (unit.Owner->WaitLogged)
-    return;
-  unit.Owner->WaitLogged = true;
-  Scheduler.logDecision(
-      Decision::Kind::Waiting, unit.Owner->Record.Spec.Id,
-      core::taskName(unit.taskId(unit.Tasks.front())), 0, "", waitReason(unit),
-      {{"rank", unit.Rank},
-       {"tasks", static_cast<int64_t>(unit.Tasks.size())},
-       {"accelerators_each", unit.spec().PerTask.Accelerators},
-       {"usable_workers", static_cast<int64_t>(Candidates.size())}});
-}
-
 // Obtains capacity for the tasks of unit that could not be placed. For work of
 // priority 0, others may be stopped; otherwise, or if that is not possible or
 // not worthwhile, reserves capacity that becomes free.
@@ -513,7 +487,7 @@
   // The unit may become startable without an event, for example when the
   // quarantine of a worker ends.
   Scheduler.RetryOnTick = true;
-  logWait(unit);
+  recordWait(unit);
   if (unit.Rank <= 1 && secureCapacity(unit))
     return;
   // Tasks that start one by one need capacity for the next one only.
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -184,8 +184,29 @@
   std::optional<size_t> findBestCandidate(const PlacementUnit &unit) const;
   void placeTasks(PlacementUnit &unit);
   void handleBlockedUnit(PlacementUnit &unit);
-  void logWait(const PlacementUnit &unit);
-  const char *waitReason(const PlacementUnit &unit) const;
+  /// A worker that gets no new tasks, and why.
+  struct UnusableWorker {
+    const WorkerView *View = nullptr;
+    WaitReason Reason = WaitReason::NoCapacity;
+  };
+  struct DomainFit;
+  /// Records that unit has to wait, and why.
+  void recordWait(const PlacementUnit &unit);
+  bool isReasonDue(const StepWait &wait) const;
+  WaitCause waitCause(const PlacementUnit &unit) const;
+  WaitCause rackCause(const PlacementUnit &unit,
+                      const std::vector<DomainFit> &fits) const;
+  static bool waitsForCordon(const PlacementUnit &unit,
+                             const std::vector<DomainFit> &fits);
+  absl::Time earliestEnd(WaitReason reason, const PlacementUnit &unit) const;
+  bool isPlacedByRack(const PlacementUnit &unit) const;
+  std::vector<DomainFit> domainFits(const PlacementUnit &unit) const;
+  void addCandidate(size_t candidateIndex, const PlacementUnit &unit,
+                    DomainFit &fit) const;
+  void addUnusableWorker(const UnusableWorker &worker,
+                         const PlacementUnit &unit, DomainFit &fit) const;
+  static int64_t maxTasksPerWorker(const PlacementUnit &unit);
+  const std::vector<UnusableWorker> &unusableWorkers() const;
   bool isLarge(const PlacementUnit &unit) const;
 
   bool isEligible(const WorkerView &worker, const PlacementUnit &unit) const;
@@ -275,6 +296,10 @@
   /// the rank of the unit that others are stopped for.
   std::optional<SortedUnits> CachedUnitsByEnd;
   std::map<int, SortedUnits> CachedStoppableUnits;
+  /// Computed when it is needed for the first time.
+  mutable std::optional<std::vector<UnusableWorker>> CachedUnusableWorkers;
+  /// Number of units that could not be placed.
+  size_t BlockedUnitCount = 0;
   /// Number of reservations made by reserveEarliestCapacity().
   int ReservationCount = 0;
 };
--- a/src/libs/losses/jobhistory.cpp
+++ b/src/libs/losses/jobhistory.cpp
@@ -1,5 +1,6 @@
 #include "jobhistory.h"
 
+#include "jobs/waitreason.h"
 #include "jobs/workerspeedestimator.h"
 #include "utils/jsonfields.h"
 
@@ -44,7 +45,7 @@
     else if (name == "job.promised")
       handleDeadlineSet(e);
     else if (name == "step.waiting" &&
-             textIn(e.Fields, "why") == CordonWaitReason)
+             textIn(e.Fields, "why") == jobs::WaitsForCordonReason)
       findOrAddJob(textIn(e.Fields, "job")).WaitedForCordon = true;
     else if (name == "job.ended")
       handleJobEnded(e, at);
--- a/src/libs/losses/jobhistory.h
+++ b/src/libs/losses/jobhistory.h
@@ -17,10 +17,6 @@
 /// job's id follows.
 inline const std::string CapacityStopPrefix = "makes room for job ";
 
-/// Reason of a wait for the end of a cordon.
-inline const std::string CordonWaitReason =
-    "its capacity is in cordoned failure domains";
-
 /// A period of time.
 struct Span {
   absl::Time From = absl::InfinitePast();
