metrics: waiting steps by reason, the longest wait beside free workers

No metric counted tasks that wait beside free workers, so that such a wait could not raise an alarm. Other entries export zeros, so that a former leader does not go on showing its last view.

--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -83,6 +83,8 @@
     else if (d.What == jobs::Decision::Kind::JobEnded)
       Metrics.recordJobEnded(d.Why, static_cast<int>(d.input("priority")),
                              absl::Milliseconds(d.input("took_ms")));
+    else if (d.What == jobs::Decision::Kind::WaitsBesideFreeWorkers)
+      Metrics.recordLongWaits(d.input("newly"));
   }
 
   // Updates the gauges before the metrics are read.
@@ -111,6 +113,19 @@
           static_cast<double>(s.ActiveJobs));
     m.set("workers", "Workers that report; only at the leader.",
           static_cast<double>(s.Workers));
+    // The counter is shown before the first such wait too.
+    m.recordLongWaits(0);
+    for (const jobs::WaitReason reason : jobs::allWaitReasons()) {
+      auto steps = s.Waits.Steps.find(reason);
+      m.set("waiting_steps", "Steps that wait, by reason; only at the leader.",
+            steps == s.Waits.Steps.end() ? 0
+                                         : static_cast<double>(steps->second),
+            {{"reason", jobs::waitReasonName(reason)}});
+    }
+    m.set("longest_wait_beside_free_workers_seconds",
+          "Longest time for which a step has waited while workers had the "
+          "capacity for it; only at the leader.",
+          absl::ToDoubleSeconds(s.Waits.LongestBesideFree));
     m.set("calls_open", "Calls that wait for their answer.",
           Callers.unanswered());
   }
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -194,6 +194,7 @@
   if (s.Leads) {
     s.ActiveJobs = Session->scheduler().unfinishedJobCount();
     s.Workers = Session->scheduler().fleet().workers().size();
+    s.Waits = Session->scheduler().waitSummary();
   }
   return s;
 }
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -45,6 +45,7 @@
   /// Counts of the leader; zero at other entries.
   size_t ActiveJobs = 0;
   size_t Workers = 0;
+  jobs::WaitSummary Waits;
 };
 
 /// Where the operator's decisions lie in the store.
--- a/src/libs/metrics/processmetrics.cpp
+++ b/src/libs/metrics/processmetrics.cpp
@@ -53,6 +53,9 @@
                            "From a job's acceptance to its end.")),
       Orders(counter(Registry, "oriolebay_orders_total",
                      "Orders to the worker by outcome.")),
+      LongWaits(counter(Registry, "oriolebay_long_waits_total",
+                        "Steps that waited beside free workers for longer "
+                        "than expected.")),
       Events(counter(Registry, "oriolebay_events_total",
                      "Events of docs/EVENTS.md, logged or left out.")),
       LinesLeftOut(counter(Registry, "oriolebay_log_lines_left_out_total",
@@ -91,13 +94,18 @@
   Orders.Add({{"outcome", outcome}}).Increment();
 }
 
+void ProcessMetrics::recordLongWaits(int64_t steps) {
+  LongWaits.Add({}).Increment(static_cast<double>(steps));
+}
+
 void ProcessMetrics::set(const std::string &gauge, const std::string &help,
-                         double value) {
+                         double value,
+                         const std::map<std::string, std::string> &labels) {
   prometheus::BuildGauge()
       .Name("oriolebay_" + gauge)
       .Help(help)
       .Register(Registry)
-      .Add({})
+      .Add(labels)
       .Set(value);
 }
 
--- a/src/libs/metrics/processmetrics.h
+++ b/src/libs/metrics/processmetrics.h
@@ -34,8 +34,13 @@
   /// Counts an order when its outcome is known to the agent.
   void recordOrderOutcome(const std::string &outcome);
 
+  /// Counts steps that have waited beside free workers for longer than
+  /// expected.
+  void recordLongWaits(int64_t steps);
+
   /// Sets a gauge, which is exported as "oriolebay_" followed by its name.
-  void set(const std::string &gauge, const std::string &help, double value);
+  void set(const std::string &gauge, const std::string &help, double value,
+           const std::map<std::string, std::string> &labels = {});
 
   /// Returns all metrics in the text format of Prometheus, including the event
   /// log's counters.
@@ -53,6 +58,7 @@
   prometheus::Family<prometheus::Histogram> &PlacementSeconds;
   prometheus::Family<prometheus::Histogram> &JobSeconds;
   prometheus::Family<prometheus::Counter> &Orders;
+  prometheus::Family<prometheus::Counter> &LongWaits;
   prometheus::Family<prometheus::Counter> &Events;
   prometheus::Family<prometheus::Counter> &LinesLeftOut;
 };
--- a/tests/auto/metrics/tst_metrics.cpp
+++ b/tests/auto/metrics/tst_metrics.cpp
@@ -68,6 +68,19 @@
        m.set("leader", "1 while this entry leads.", 0);
      },
      {"# TYPE oriolebay_leader gauge", "oriolebay_leader 0"}},
+    {"gauges_with_labels",
+     [](ProcessMetrics &m) {
+       m.set("waiting_steps", "Steps that wait.", 2, {{"reason", "reserved"}});
+       m.set("waiting_steps", "Steps that wait.", 1, {{"reason", "silent"}});
+     },
+     {R"(oriolebay_waiting_steps{reason="reserved"} 2)",
+      R"(oriolebay_waiting_steps{reason="silent"} 1)"}},
+    {"long_waits",
+     [](ProcessMetrics &m) {
+       m.recordLongWaits(1);
+       m.recordLongWaits(3);
+     },
+     {"oriolebay_long_waits_total 4"}},
     {"lines_left_out",
      [](ProcessMetrics &) {},
      {"oriolebay_log_lines_left_out_total 0"}},
