agent: a deferred start is logged, with its reason and its end

An agent defers a start while it does not know the cordons, while its worker has starts of an earlier incarnation to refuse, or while one of those still runs. The leader counts the run as ordered meanwhile, and no log told of it. order.deferred (426) comes once for an order and reason, order.deferral_ended (427) with how long the reason held and what came next: allowed, another reason, or why the start is not sent at all. mustDeferStarts() became deferralReason(), with the same conditions in the same order; no condition has changed.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -151,10 +151,14 @@
   void retryStart(const OrderPtr &order);
   /// Returns whether the worker's last list names the run as running.
   bool isListedAsRunning(const endpoints::RunId &run) const;
-  /// Returns whether the served incarnation may still carry out or still run
-  /// starts that were sent to earlier ones. The leader does not count these as
-  /// used capacity.
-  bool mustDeferStarts() const;
+  /// Returns why starts are deferred: the served incarnation may still carry
+  /// out or still run starts that were sent to earlier ones. The leader does
+  /// not count these as used capacity. Empty if no start has to be deferred.
+  std::string deferralReason() const;
+  /// Logs that the start is deferred, once for each reason.
+  void defer(Order &order, const std::string &why);
+  /// Logs how long the start was deferred, if it was, and what comes next.
+  void endDeferral(Order &order, const std::string &next) const;
   /// Updates the open attempts with the outcome of an attempt, also if its
   /// incarnation has ended meanwhile.
   void recordAttemptOutcome(const Order &order, int attempt,
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -6,6 +6,7 @@
 #include "utils/eventloop.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolebay::agent {
 
@@ -55,6 +56,9 @@
   /// Attempts of a start without an answer. The worker may have carried them
   /// out or may still do so.
   int UnansweredAttempts = 0;
+  /// Why the start is deferred, and since when; empty if it is not.
+  std::string DeferredFor;
+  absl::Time DeferredSince;
 
   bool isPossiblyDelivered() const { return UnansweredAttempts > 0; }
 };
@@ -145,11 +149,14 @@
 
 void WorkerAgent::startTask(const OrderPtr &order) {
   const RunId key{order->Start.Task, order->Start.Run};
-  if (!isInProgress(order))
+  if (!isInProgress(order)) {
+    endDeferral(*order, "not wanted any more");
     return;
+  }
   // A new leader has taken over and resolves this run from the worker's list.
   // A further attempt could start the run after that, without its knowledge.
   if (order->Epoch < Epoch) {
+    endDeferral(*order, "another leader has taken over");
     StartsInProgress.erase(key);
     return;
   }
@@ -174,10 +181,15 @@
                 "the operator evacuates its failure domain");
     return;
   }
-  if (permission == CordonView::Permission::Unknown || mustDeferStarts()) {
+  const std::string deferral = permission == CordonView::Permission::Unknown
+                                   ? "the cordons are not known"
+                                   : deferralReason();
+  if (!deferral.empty()) {
+    defer(*order, deferral);
     retryStart(order);
     return;
   }
+  endDeferral(*order, "allowed");
   // Each attempt that is not needed is one more that may be carried out late.
   if (isListedAsRunning(key)) {
     StartsInProgress.erase(key);
@@ -214,6 +226,7 @@
 void WorkerAgent::refuseStart(const OrderPtr &order, OrderOutcome outcome,
                               const std::string &why) {
   const RunId key{order->Start.Task, order->Start.Run};
+  endDeferral(*order, why);
   StartsInProgress.erase(key);
   completeOrder(
       key, order->isPossiblyDelivered() ? OrderOutcome::Unconfirmed : outcome,
@@ -222,8 +235,12 @@
 
 void WorkerAgent::retryStart(const OrderPtr &order) {
   Loop.runAfter(OrderRetryPause, [this, alive = Alive, order] {
-    if (*alive && order->Incarnation == State.Life)
+    if (!*alive)
+      return;
+    if (order->Incarnation == State.Life)
       startTask(order);
+    else
+      endDeferral(*order, "that incarnation has ended");
   });
 }
 
@@ -233,13 +250,44 @@
   });
 }
 
-bool WorkerAgent::mustDeferStarts() const {
-  if (!Attempts.pendingStops(State.Life, Loop.now()).empty() ||
-      LastAppliedKeepAlive < FirstKeepAliveAfterStop)
-    return true;
-  return std::any_of(Running.begin(), Running.end(), [this](const auto &r) {
-    return Attempts.isOpenElsewhere({r.Task, r.Run}, State.Life, Loop.now());
-  });
+std::string WorkerAgent::deferralReason() const {
+  if (!Attempts.pendingStops(State.Life, Loop.now()).empty())
+    return "the worker has to refuse earlier starts first";
+  if (LastAppliedKeepAlive < FirstKeepAliveAfterStop)
+    return "the worker has not listed its tasks since it refused earlier "
+           "starts";
+  const bool isEarlierStartListed =
+      std::any_of(Running.begin(), Running.end(), [this](const auto &r) {
+        return Attempts.isOpenElsewhere({r.Task, r.Run}, State.Life,
+                                        Loop.now());
+      });
+  return isEarlierStartListed ? "the worker runs an earlier start" : "";
+}
+
+void WorkerAgent::defer(Order &order, const std::string &why) {
+  if (order.DeferredFor == why)
+    return;
+  endDeferral(order, why);
+  order.DeferredFor = why;
+  order.DeferredSince = Loop.now();
+  logEvent(Event::OrderDeferred, {{"task", order.Start.Task},
+                                  {"run", order.Start.Run},
+                                  {"worker", order.Incarnation.Id},
+                                  {"born_ms", order.Incarnation.BornMs},
+                                  {"why", why}});
+}
+
+void WorkerAgent::endDeferral(Order &order, const std::string &next) const {
+  if (order.DeferredFor.empty())
+    return;
+  const absl::Duration deferred = Loop.now() - order.DeferredSince;
+  logEvent(Event::OrderDeferralEnded,
+           {{"task", order.Start.Task},
+            {"run", order.Start.Run},
+            {"worker", order.Incarnation.Id},
+            {"why", std::exchange(order.DeferredFor, "")},
+            {"next", next},
+            {"deferred_ms", absl::ToInt64Milliseconds(deferred)}});
 }
 
 void WorkerAgent::recordAttemptOutcome(const Order &order, int attempt,
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -62,6 +62,8 @@
       {Event::OrderUnanswered, "order.unanswered"},
       {Event::RunStartBarred, "run.start_barred"},
       {Event::RunUnexpected, "run.unexpected"},
+      {Event::OrderDeferred, "order.deferred"},
+      {Event::OrderDeferralEnded, "order.deferral_ended"},
       {Event::StoreLost, "store.lost"},
       {Event::StoreRegained, "store.regained"},
       {Event::ConfigAccepted, "config.accepted"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -67,6 +67,8 @@
   OrderUnanswered = 423,
   RunStartBarred = 424,
   RunUnexpected = 425,
+  OrderDeferred = 426,
+  OrderDeferralEnded = 427,
 
   ProfileAccepted = 500,
   ProfileRefusedStale = 501,
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -1,13 +1,19 @@
 #include "agent/workeragent.h"
 
+#include "eventlog/eventlog.h"
+#include "eventlog/timeline.h"
 #include "platform/election.h"
 #include "utils/eventloop.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <set>
+#include <string>
+#include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace oriolebay::agent {
 namespace {
@@ -699,5 +705,139 @@
   EXPECT_TRUE(fixture.Starts.front().FreshConnection);
 }
 
+/// A start that is deferred, and the log lines about it.
+struct DeferralCase {
+  const char *Name;
+  std::function<void(AgentFixture &)> Play;
+  struct Line {
+    const char *Why;
+    /// Empty for the begin of a deferral.
+    const char *Next;
+    int64_t MinMs;
+    int64_t MaxMs;
+  };
+  std::vector<Line> Lines;
+};
+
+void PrintTo(const DeferralCase &c, std::ostream *out) { *out << c.Name; }
+
+/// Begins a start without an answer, restarts the worker under its id and
+/// orders the start of another task there.
+void orderStartAfterRestart(AgentFixture &fixture) {
+  fixture.StartOutcome = {};
+  fixture.StartDurationMs = 250;
+  fixture.sendOrders(AgentFixture::makeStart(5, 1));
+  fixture.Loop.advance(absl::Milliseconds(300));
+  fixture.StartOutcome = AgentFixture::okOutcome();
+  fixture.StartDurationMs = 1;
+  fixture.StopOutcome = {};
+  fixture.restartWorker({"life", 2});
+  fixture.Loop.advance(absl::Milliseconds(100));
+  endpoints::WorkerOrders orders{5, {"life", 2}, {}, {}};
+  orders.Starts.push_back({"k.0.0.0", 1, "text", "", ""});
+  fixture.sendOrders(orders);
+}
+
+class DeferredStart : public testing::TestWithParam<DeferralCase> {};
+
+// Guards against a run that counts as ordered and is not sent, of which no log
+// tells.
+TEST_P(DeferredStart, IsLoggedOncePerReasonAndWhenItEnds) {
+  const std::string path =
+      testing::TempDir() + "oriolebay-deferrals-" + std::to_string(::getpid());
+  ::unlink(path.c_str());
+  const bool ready = utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_CHECK(eventlog::initEventLog("agent", path));
+        return true;
+      },
+      [](const utils::Error &) { return false; });
+  ASSERT_TRUE(ready);
+  AgentFixture fixture;
+  GetParam().Play(fixture);
+  eventlog::closeEventLog();
+  const auto lines = eventlog::select(eventlog::readEvents({path}).Events,
+                                      {"", "", "", "order.defer", {}, {}});
+  ::unlink(path.c_str());
+  ASSERT_EQ(lines.size(), GetParam().Lines.size());
+  for (size_t i = 0; i < lines.size(); ++i) {
+    const nlohmann::json &fields = lines[i].Fields;
+    const DeferralCase::Line &expected = GetParam().Lines[i];
+    EXPECT_EQ(fields.at("why"), expected.Why);
+    EXPECT_EQ(fields.value("next", ""), expected.Next);
+    EXPECT_GE(fields.value("deferred_ms", int64_t{0}), expected.MinMs);
+    EXPECT_LE(fields.value("deferred_ms", int64_t{0}), expected.MaxMs);
+    EXPECT_EQ(fields.at("name"),
+              *expected.Next == 0 ? "order.deferred" : "order.deferral_ended");
+  }
+}
+
+const char *const NoCordons = "the cordons are not known";
+const char *const NotRefused = "the worker has to refuse earlier starts first";
+const char *const StillRuns = "the worker runs an earlier start";
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, DeferredStart,
+    testing::Values(
+        DeferralCase{"not_deferred",
+                     [](AgentFixture &fixture) {
+                       fixture.sendOrders(AgentFixture::makeStart(5, 1));
+                       fixture.Loop.advance(absl::Seconds(1));
+                     },
+                     {}},
+        DeferralCase{
+            "cordons_unknown",
+            [](AgentFixture &fixture) {
+              fixture.Ack.CordonAgeMs = 6000;
+              fixture.Loop.advance(absl::Seconds(6));
+              fixture.sendOrders(AgentFixture::makeStart(5, 1));
+              fixture.Loop.advance(absl::Seconds(2));
+              fixture.Ack.CordonAgeMs = 100;
+              fixture.Loop.advance(absl::Seconds(1));
+            },
+            {{NoCordons, "", 0, 0}, {NoCordons, "allowed", 2000, 3000}}},
+        DeferralCase{
+            "earlier_starts_to_be_refused",
+            [](AgentFixture &fixture) {
+              orderStartAfterRestart(fixture);
+              fixture.Loop.advance(absl::Seconds(1));
+              fixture.StopOutcome = AgentFixture::okOutcome();
+              fixture.Loop.advance(absl::Seconds(1));
+            },
+            {{NotRefused, "", 0, 0}, {NotRefused, "allowed", 1000, 1500}}},
+        DeferralCase{"earlier_start_runs",
+                     [](AgentFixture &fixture) {
+                       orderStartAfterRestart(fixture);
+                       fixture.Running.push_back({"j.0.0.0", 1, "", 0});
+                       fixture.StopOutcome = AgentFixture::okOutcome();
+                       fixture.Loop.advance(absl::Seconds(1));
+                       fixture.Running.clear();
+                       fixture.Loop.advance(absl::Milliseconds(1200));
+                     },
+                     {{NotRefused, "", 0, 0},
+                      {NotRefused, StillRuns, 0, 200},
+                      {StillRuns, "", 0, 0},
+                      {StillRuns, "allowed", 900, 2200}}},
+        DeferralCase{"grant_ends",
+                     [](AgentFixture &fixture) {
+                       orderStartAfterRestart(fixture);
+                       fixture.Ack = {};
+                       fixture.Loop.advance(absl::Seconds(7));
+                     },
+                     {{NotRefused, "", 0, 0},
+                      {NotRefused, NoCordons, 2500, 3600},
+                      {NoCordons, "", 0, 0},
+                      {NoCordons, "no grant to keep it alive", 1000, 2500}}},
+        DeferralCase{"worker_restarts_again",
+                     [](AgentFixture &fixture) {
+                       orderStartAfterRestart(fixture);
+                       fixture.Loop.advance(absl::Seconds(1));
+                       fixture.restartWorker({"life", 3});
+                       fixture.Loop.advance(absl::Seconds(1));
+                     },
+                     {{NotRefused, "", 0, 0},
+                      {NotRefused, "that incarnation has ended", 1000, 1200}}}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 } // namespace
 } // namespace oriolebay::agent
