losses: waiting time by the reason that the leader logged

The losses put all waits down to capacity, a rack, a cordon or stops, by what the step asks for. Beside that, the time is now split by the reasons of step.waiting and step.waits_beside_free_workers: for each job, each group and the site, as "waits by reason" and wait_s_by_reason. Time without a reason counts as not_logged. A lost or broken run counts from the first reason logged in its time, as a leader may learn of its end long after it. Causes, their names, the critical path and all totals are as they were; a job counts as waiting for a cordon if any of its lines says so, of which there was one a job before.

--- a/src/libs/losses/attribution.cpp
+++ b/src/libs/losses/attribution.cpp
@@ -119,6 +119,7 @@
   Account account;
   account.Job = job.Id;
   account.Path = criticalPath(job, site);
+  account.Waits = waitsByReason(job, account.Path);
   account.Due = dueAfter(job, site);
   if (job.Ended)
     account.Took = job.EndShown.value_or(*job.Ended) - job.FirstCall;
--- a/src/libs/losses/attribution.h
+++ b/src/libs/losses/attribution.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,8 @@
   absl::Duration Took = absl::ZeroDuration();
   absl::Duration Due = absl::ZeroDuration();
   std::vector<Segment> Path;
+  /// See waitsByReason().
+  std::map<std::string, absl::Duration> Waits = {};
 
   absl::Duration lateness() const {
     return std::max(Took - Due, absl::ZeroDuration());
@@ -110,6 +113,14 @@
   bool operator==(const Account &) const = default;
 };
 
+/// Returns the time on the path for which the job waited by the reason that the
+/// leader logged for it, and as NotLogged the rest of the time in which it
+/// waited for capacity, a rack, a cordon, stops, its own tasks or a start. A
+/// run that was lost counts from the first reason that was logged for it.
+std::map<std::string, absl::Duration>
+waitsByReason(const JobHistory &job, const std::vector<Segment> &path);
+inline constexpr const char *NotLogged = "not_logged";
+
 Account accountOf(const JobHistory &job, const SiteHistory &site);
 
 /// Discarded work of one run.
--- a/src/libs/losses/jobhistory.cpp
+++ b/src/libs/losses/jobhistory.cpp
@@ -44,9 +44,8 @@
       handleCallAnswered(e, at);
     else if (name == "job.promised")
       handleDeadlineSet(e);
-    else if (name == "step.waiting" &&
-             textIn(e.Fields, "why") == jobs::WaitsForCordonReason)
-      findOrAddJob(textIn(e.Fields, "job")).WaitedForCordon = true;
+    else if (name == "step.waiting" || name == "step.waits_beside_free_workers")
+      handleWait(e, at);
     else if (name == "job.ended")
       handleJobEnded(e, at);
     else if (absl::StartsWith(name, "run."))
@@ -189,6 +188,18 @@
     j.Gang.push_back(absl::StrContains(step, " gang"));
   }
 
+  void handleWait(const LoggedEvent &e, absl::Time at) {
+    const std::string id = textIn(e.Fields, "job");
+    if (id.empty())
+      return;
+    JobHistory &j = findOrAddJob(id);
+    j.WaitedForCordon |= textIn(e.Fields, "why") == jobs::WaitsForCordonReason;
+    const std::string reason = textIn(e.Fields, "reason");
+    const auto held = absl::Milliseconds(numberIn(e.Fields, "reason_ms"));
+    if (!reason.empty())
+      j.Waits.push_back({at, at - held, reason});
+  }
+
   void handleJobEnded(const LoggedEvent &e, absl::Time at) {
     JobHistory &j = findOrAddJob(textIn(e.Fields, "job"));
     j.Ended = at;
--- a/src/libs/losses/jobhistory.h
+++ b/src/libs/losses/jobhistory.h
@@ -52,6 +52,16 @@
   auto operator<=>(const RunHistory &) const = default;
 };
 
+/// A logged reason for which a step of a job waited.
+struct WaitLine {
+  absl::Time At;
+  /// Since when the reason held.
+  absl::Time Since;
+  std::string Reason;
+
+  auto operator<=>(const WaitLine &) const = default;
+};
+
 /// History of one job from its first call.
 struct JobHistory {
   std::string Id;
@@ -92,6 +102,8 @@
   std::vector<absl::Time> StopsForJob;
   /// It waited for capacity in cordoned failure domains.
   bool WaitedForCordon = false;
+  /// In the order of time.
+  std::vector<WaitLine> Waits;
 
   bool operator==(const JobHistory &) const = default;
 };
--- a/src/libs/losses/lossreport.cpp
+++ b/src/libs/losses/lossreport.cpp
@@ -45,6 +45,8 @@
 
 void addToGroup(const Account &account, Group &group) {
   ++group.Jobs[account.Result];
+  for (const auto &[reason, time] : account.Waits)
+    group.WaitsByReason[reason] += time;
   if (account.Result == Outcome::Late || account.Result == Outcome::Worthless)
     distributeLateness(account, group);
 }
@@ -82,6 +84,25 @@
                            100 * absl::FDivDuration(lateness, all.lateness()));
 }
 
+void printWaits(const Group &all, std::ostream &out) {
+  std::vector<std::pair<absl::Duration, std::string>> waits;
+  for (const auto &[reason, time] : all.WaitsByReason)
+    waits.emplace_back(time, reason);
+  if (waits.empty())
+    return;
+  std::sort(waits.rbegin(), waits.rend());
+  out << "\nwaits by reason, s\n";
+  for (const auto &[time, reason] : waits)
+    out << absl::StrFormat("  %-24s %8.2f\n", reason, seconds(time));
+}
+
+nlohmann::json waitsJson(const std::map<std::string, absl::Duration> &waits) {
+  nlohmann::json out = nlohmann::json::object();
+  for (const auto &[reason, time] : waits)
+    out[reason] = toRoundedSeconds(time);
+  return out;
+}
+
 /// Returns the critical path as "CAUSE=SECONDS CAUSE=SECONDS ...".
 std::string pathText(const Account &account) {
   std::string out;
@@ -101,6 +122,7 @@
   return {{"jobs", jobs},
           {"late_s", toRoundedSeconds(g.lateness())},
           {"late_s_by_cause", causes},
+          {"wait_s_by_reason", waitsJson(g.WaitsByReason)},
           {"wasted_core_s", g.DiscardedCoreSeconds}};
 }
 
@@ -176,6 +198,7 @@
   printGroups("domain", losses.ByDomain, out);
   printGroups("from second", losses.ByWindow, out);
   printCauses(losses.All, out);
+  printWaits(losses.All, out);
   out << "\nthrown away, core-seconds\n";
   for (const auto &[why, coreSeconds] : losses.DiscardedWorkByReason)
     out << absl::StrFormat("  %-50s %8.0f\n", why, coreSeconds);
@@ -211,6 +234,7 @@
                     {"main_cause", causeName(a.mainCause())},
                     {"call_result", job.CallResult},
                     {"call_why", job.CallReason},
+                    {"wait_s_by_reason", waitsJson(a.Waits)},
                     {"path", path}});
   }
   return {{"all", groupJson(losses.All)},
--- a/src/libs/losses/lossreport.h
+++ b/src/libs/losses/lossreport.h
@@ -18,6 +18,8 @@
   /// time other than its work.
   std::map<Cause, absl::Duration> LatenessByCause;
   double DiscardedCoreSeconds = 0;
+  /// Time for which jobs waited, by the logged reason; see waitsByReason().
+  std::map<std::string, absl::Duration> WaitsByReason;
 
   /// Returns the number of jobs whose callers were entitled to a result.
   int owed() const;
--- a/tests/auto/losses/tst_losses.cpp
+++ b/tests/auto/losses/tst_losses.cpp
@@ -250,6 +250,70 @@
 INSTANTIATE_TEST_SUITE_P(Losses, Paths, ::testing::ValuesIn(pathCases()),
                          [](const auto &info) { return info.param.Name; });
 
+struct WaitsCase {
+  const char *Name;
+  std::string Log;
+  /// The reasons by name with their milliseconds.
+  std::string Waits;
+};
+
+void PrintTo(const WaitsCase &c, std::ostream *out) { *out << c.Name; }
+
+class WaitsByReason : public ::testing::TestWithParam<WaitsCase> {};
+
+// Guards against waits that the losses put down to capacity although the
+// leader knew of another reason.
+TEST_P(WaitsByReason, AreThoseThatTheLeaderLogged) {
+  const SiteHistory site = historyIn(GetParam().Log);
+  std::ostringstream out;
+  const Account account = accountOf(site.Jobs.at("j"), site);
+  for (const auto &[reason, time] : account.Waits)
+    out << reason << '=' << absl::ToInt64Milliseconds(time) << ' ';
+  EXPECT_EQ(out.str(), GetParam().Waits);
+  const Losses losses = lossesOf(site);
+  EXPECT_EQ(losses.All.WaitsByReason, account.Waits);
+}
+
+std::string waitEvent(int64_t atMs, const std::string &reason, int reasonMs,
+                      const std::string &name = "step.waiting") {
+  return eventLine(atMs, name,
+                   "\"job\":\"j\",\"task\":\"j.0.0.0\",\"reason\":\"" + reason +
+                       "\",\"reason_ms\":" + std::to_string(reasonMs));
+}
+
+/// The job's only run, from its placement to its end.
+std::string runEvents(int64_t placedAtMs) {
+  return runEvent(placedAtMs, "placed", "j.0.0.0", 2) +
+         runEvent(placedAtMs + 50, "started", "j.0.0.0", 2) +
+         runEvent(placedAtMs + 2050, "ended", "j.0.0.0", 2, "done") +
+         jobEndedEvent(placedAtMs + 2050, "j");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Losses, WaitsByReason,
+    ::testing::Values(
+        WaitsCase{"not_logged", AcceptedJob + runEvents(1110),
+                  "not_logged=150 "},
+        WaitsCase{"one_reason",
+                  AcceptedJob + waitEvent(1010, "no_capacity", 0) +
+                      runEvents(3010),
+                  "no_capacity=2000 not_logged=50 "},
+        WaitsCase{"reason_changes",
+                  AcceptedJob + waitEvent(1020, "reserved", 0) +
+                      waitEvent(4020, "rack_unusable", 1000) +
+                      waitEvent(13020, "rack_unusable", 10000,
+                                "step.waits_beside_free_workers") +
+                      runEvents(14010),
+                  "not_logged=60 rack_unusable=10990 reserved=2000 "},
+        WaitsCase{"run_was_lost",
+                  AcceptedJob + runEvent(1020, "placed", "j.0.0.0", 1) +
+                      runEvent(1030, "started", "j.0.0.0", 1) +
+                      waitEvent(5000, "unreported_worker", 1000) +
+                      runEvent(22030, "settled", "j.0.0.0", 1) +
+                      runEvents(22030),
+                  "not_logged=70 unreported_worker=18030 "}),
+    [](const auto &info) { return info.param.Name; });
+
 // Guards against a late gang whose slow worker is not identified as the cause.
 // Two of three workers have normal speed; the third takes about a third longer,
 // so a gang that includes it is late.
