jobs: looking for the reason of a wait costs less

The eligibility of each worker was computed twice, with the job's service looked up each time, and usable workers were counted for every line.

The service is looked up once a unit, a site without racks needs no index, usable workers are counted once, and one survey looks at 20,000 workers at most instead of 50,000.

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -150,12 +150,6 @@
                                        : WorkerCondition::Usable;
 }
 
-int64_t Fleet::countUsable(absl::Time now) const {
-  return std::count_if(Workers.begin(), Workers.end(), [&](const auto &entry) {
-    return isUsable(entry.second, now);
-  });
-}
-
 std::map<WorkerCondition, int64_t>
 Fleet::countConditions(const std::string &service, absl::Time now) const {
   std::map<WorkerCondition, int64_t> counts;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -152,7 +152,6 @@
   bool isSilent(const WorkerView &worker, absl::Time now) const {
     return !worker.Reachable || hasNotReported(worker, now);
   }
-  int64_t countUsable(absl::Time now) const;
   /// Number of workers of the service in each condition, zeros included.
   std::map<WorkerCondition, int64_t> countConditions(const std::string &service,
                                                      absl::Time now) const;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -454,10 +454,11 @@
   StepWait &findOrAddWait(Job &job, const core::TaskId &id, absl::Time now);
   /// Records that a scheduling pass could not place tasks of a step.
   void recordBlocked(Job &job, const core::TaskId &first,
-                     const WaitGroup &group, absl::Time now);
+                     const WaitGroup &group, int64_t usableWorkers,
+                     absl::Time now);
   /// Logs the reason for which most of the tasks wait.
   void logWait(Job &job, const core::TaskId &first, StepWait &wait,
-               const WaitGroup &group, absl::Time now);
+               const WaitGroup &group, int64_t usableWorkers, absl::Time now);
   static std::vector<DecisionInput>
   waitInputs(const StepWait &wait, const WaitGroup &group, absl::Time now);
   static std::map<std::string, std::string> waitTexts(const WaitGroup &group);
--- a/src/libs/jobs/jobscheduler_waits.cpp
+++ b/src/libs/jobs/jobscheduler_waits.cpp
@@ -38,7 +38,8 @@
 }
 
 void JobScheduler::recordBlocked(Job &job, const TaskId &first,
-                                 const WaitGroup &group, absl::Time now) {
+                                 const WaitGroup &group, int64_t usableWorkers,
+                                 absl::Time now) {
   StepWait &wait = findOrAddWait(job, first, now);
   if (wait.BlockedPass != PassCount)
     wait.Blocked.clear();
@@ -46,7 +47,7 @@
   addToGroup(wait.Blocked, group.Cause, group.Tasks);
   wait.ReasonSince.emplace(group.Cause.Reason, now);
   if (!wait.IsLogged && job.Waits.mayLogReason(now))
-    logWait(job, first, wait, group, now);
+    logWait(job, first, wait, group, usableWorkers, now);
 }
 
 std::vector<DecisionInput> JobScheduler::waitInputs(const StepWait &wait,
@@ -74,7 +75,8 @@
 }
 
 void JobScheduler::logWait(Job &job, const TaskId &first, StepWait &wait,
-                           const WaitGroup &group, absl::Time now) {
+                           const WaitGroup &group, int64_t usableWorkers,
+                           absl::Time now) {
   const core::StepSpec &spec = job.specOf(first);
   wait.IsLogged = true;
   wait.LoggedReason = group.Cause.Reason;
@@ -83,7 +85,7 @@
       {"rank", job.Rank},
       {"tasks", group.Tasks},
       {"accelerators_each", spec.PerTask.Accelerators},
-      {"usable_workers", Workers.countUsable(now)}};
+      {"usable_workers", usableWorkers}};
   for (const DecisionInput &input : waitInputs(wait, group, now))
     inputs.push_back(input);
   logDecision(Decision::Kind::Waiting, first.Job, core::taskName(first), 0,
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -206,6 +206,7 @@
   void addUnusableWorker(const UnusableWorker &worker,
                          const PlacementUnit &unit, DomainFit &fit) const;
   static int64_t maxTasksPerWorker(const PlacementUnit &unit);
+  static bool avoids(const PlacementUnit &unit, const WorkerView &view);
   const std::vector<UnusableWorker> &unusableWorkers() const;
   bool isLarge(const PlacementUnit &unit) const;
 
--- a/src/libs/jobs/planner_waits.cpp
+++ b/src/libs/jobs/planner_waits.cpp
@@ -11,7 +11,7 @@
 
 /// Bound on the workers that are looked at for reasons in one survey. Larger
 /// sites spread the waiting units over several surveys.
-constexpr size_t MaxWorkerVisits = 50'000;
+constexpr size_t MaxWorkerVisits = 20'000;
 
 /// Reasons that name one thing that keeps a unit off workers that have free
 /// capacity, in the order in which they are looked for.
@@ -101,7 +101,8 @@
     return;
   Scheduler.recordBlocked(
       *unit.Owner, unit.taskId(unit.Tasks.front()),
-      {waitCause(unit), static_cast<int64_t>(unit.Tasks.size())}, Now);
+      {waitCause(unit), static_cast<int64_t>(unit.Tasks.size())},
+      static_cast<int64_t>(Candidates.size()), Now);
 }
 
 bool Planner::isReasonDue(const StepWait &wait) const {
@@ -137,31 +138,39 @@
 }
 
 // The fits of the domains that unit can be placed in: each rack, or the site.
+// Workers without the service or the label do not count.
 std::vector<Planner::DomainFit>
 Planner::domainFits(const PlacementUnit &unit) const {
   const bool byRack = isPlacedByRack(unit);
-  PlacementUnit avoidingNothing = unit;
-  avoidingNothing.AvoidWorkers.clear();
-  avoidingNothing.AvoidHosts.clear();
+  const std::string &service = Scheduler.serviceOf(*unit.Owner);
+  const std::string &label = unit.spec().NeedsLabel;
   std::vector<DomainFit> fits;
   std::map<std::string_view, size_t> indexOf;
-  const auto fitOf = [&](const WorkerView &view) -> DomainFit & {
-    const std::string_view rack =
-        byRack ? std::string_view(view.State.Rack) : std::string_view();
+  const auto fitOf = [&](const WorkerView &view) -> DomainFit * {
+    if (view.State.Service != service || !view.hasLabel(label))
+      return nullptr;
+    if (!byRack && !fits.empty())
+      return &fits.front();
+    const std::string_view rack = byRack ? view.State.Rack : std::string_view();
     auto [it, added] = indexOf.emplace(rack, fits.size());
     if (added)
       fits.push_back({rack});
-    return fits[it->second];
+    return &fits[it->second];
   };
   for (size_t c = 0; c < Candidates.size(); ++c)
-    if (isEligible(*Candidates[c].View, avoidingNothing))
-      addCandidate(c, unit, fitOf(*Candidates[c].View));
+    if (DomainFit *fit = fitOf(*Candidates[c].View))
+      addCandidate(c, unit, *fit);
   for (const UnusableWorker &worker : unusableWorkers())
-    if (isEligible(*worker.View, avoidingNothing))
-      addUnusableWorker(worker, unit, fitOf(*worker.View));
+    if (DomainFit *fit = fitOf(*worker.View))
+      addUnusableWorker(worker, unit, *fit);
   return fits;
 }
 
+bool Planner::avoids(const PlacementUnit &unit, const WorkerView &view) {
+  return unit.AvoidWorkers.count(view.State.Life) != 0 ||
+         unit.AvoidHosts.count(view.Agent) != 0;
+}
+
 int64_t Planner::maxTasksPerWorker(const PlacementUnit &unit) {
   const auto tasks = static_cast<int64_t>(unit.Tasks.size());
   const int64_t limit = unit.spec().MaxPerWorker;
@@ -181,7 +190,7 @@
   };
   ++fit.Workers;
   fit.KnownIfEmpty += ifEmpty;
-  if (!isEligible(*candidate.View, unit)) {
+  if (avoids(unit, *candidate.View)) {
     behind(WaitReason::Avoids) += free;
     fit.AllUsableBy = absl::InfiniteFuture();
     return;
@@ -206,7 +215,7 @@
   const int64_t maxTasks = maxTasksPerWorker(unit);
   ++fit.Workers;
   fit.KnownIfEmpty += each.countIn(worker.View->State.Capacity, maxTasks);
-  if (!isEligible(*worker.View, unit)) {
+  if (avoids(unit, *worker.View)) {
     fit.AllUsableBy = absl::InfiniteFuture();
     return;
   }
--- a/src/libs/jobs/waitsurvey.cpp
+++ b/src/libs/jobs/waitsurvey.cpp
@@ -46,6 +46,7 @@
     service.Workers.push_back(&view);
     service.Total += view.State.Capacity;
     service.Used += view.Used;
+    UsableWorkers += Scheduler.Workers.isUsable(view, Now) ? 1 : 0;
     if (Scheduler.Workers.isSilent(view, Now))
       SilentWorkers.emplace(incarnation, view.LostAt);
     for (const RunId &run : view.UnexpectedRuns)
@@ -237,7 +238,8 @@
       continue;
     if (++lines > MaxReasonLines)
       return;
-    Scheduler.logWait(*step.Owner, step.First, wait, step.Main, Now);
+    Scheduler.logWait(*step.Owner, step.First, wait, step.Main, UsableWorkers,
+                      Now);
   }
 }
 
--- a/src/libs/jobs/waitsurvey.h
+++ b/src/libs/jobs/waitsurvey.h
@@ -85,6 +85,8 @@
   JobScheduler &Scheduler;
   const absl::Time Now;
   std::map<std::string, ServiceCapacity> Services;
+  /// Number of usable workers of all services.
+  int64_t UsableWorkers = 0;
   /// Incarnations that are unreachable or silent, with the time by which their
   /// tasks have ended.
   std::map<WorkerIncarnation, absl::Time> SilentWorkers;
