--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -151,10 +151,15 @@
   void retryStart(const OrderPtr &order);
   /// Returns whether the worker's last list names the run as running.
   bool isListedAsRunning(const endpoints::RunId &run) const;
-  /// Returns whether the served incarnation may still carry out or still run
-  /// starts that were sent to earlier ones. The leader does not count these as
-  /// used capacity.
-  bool mustDeferStarts() const;
+  /// Returns why starts are deferred: the served incarnation may still carry
+  /// out or still run starts that were sent to earlier ones, which the leader
+  /// does not count as used capacity, or the leader does not answer. Empty if
+  /// no start has to be deferred.
+  std::string deferralReason() const;
+  /// Logs that the start is deferred, once for each reason.
+  void defer(Order &order, const std::string &why);
+  /// Logs how long the start was deferred, if it was, and what comes next.
+  void endDeferral(Order &order, const std::string &next) const;
   /// Returns whether the leader has not answered a report for so long that it
   /// counts the worker as unresponsive.
   bool isLeaderSilent() const;
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -30,6 +30,7 @@
   StepWaiting = 212,
   JobPromised = 213,
   RoomPlanned = 214,
+  StepWaitsBesideFreeWorkers = 215,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
@@ -66,6 +67,8 @@
   OrderUnanswered = 423,
   RunStartBarred = 424,
   RunUnexpected = 425,
+  OrderDeferred = 426,
+  OrderDeferralEnded = 427,
 
   ProfileAccepted = 500,
   ProfileRefusedStale = 501,
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "core/siteconfig.h"
+#include "decision.h"
 #include "fleet.h"
 #include "jobdeadline.h"
 #include "jobrecord.h"
 #include "openstartregistry.h"
 #include "progress.h"
 #include "silentagent.h"
+#include "stepwait.h"
 #include "urgentdemandestimator.h"
 #include "workerspeedestimator.h"
 
@@ -102,59 +104,6 @@
   std::string Value;
 };
 
-/// Why a step waits whose tasks would fit into the free capacity of cordoned
-/// workers, for the log.
-inline constexpr const char *WaitsForCordonReason =
-    "its capacity is in cordoned failure domains";
-
-/// A number that a decision was based on, for the log.
-struct DecisionInput {
-  const char *Name;
-  int64_t Value = 0;
-};
-
-/// A decision of the scheduler and what it was based on, for the log.
-struct Decision {
-  enum class Kind {
-    Placed,
-    Started,
-    StartRefused,
-    Stopping,
-    Ended,
-    RunResolved,
-    JobEnded,
-    WorkerJoined,
-    WorkerLost,
-    WorkerQuarantined,
-    RunStalledOrSlow,
-    RunEvacuated,
-    RunCrashedWorker,
-    SuspectCleared,
-    Waiting,
-    DeadlineSet,
-    CapacityPlanned,
-    StartBarred,
-    UnexpectedRun,
-  };
-  Kind What = Kind::Placed;
-  std::string Job;
-  std::string Task;
-  int64_t Run = 0;
-  std::string Worker;
-  std::string Why;
-  std::vector<DecisionInput> Inputs;
-  /// Inputs that are not numbers, by name.
-  std::map<std::string, std::string> Texts = {};
-
-  /// The value of the input called name, or zero if there is none.
-  int64_t input(std::string_view name) const {
-    for (const DecisionInput &i : Inputs)
-      if (i.Name == name)
-        return i.Value;
-    return 0;
-  }
-};
-
 /// Decides which task runs on which worker, from the state in the store and the
 /// reports of the workers. It uses no threads, clock or sockets: callers pass
 /// the time of the boot clock, takeWrites() returns what has to be recorded,
@@ -235,6 +184,8 @@
   int64_t passCount() const { return PassCount; }
   /// Number of jobs that have not ended, waiting jobs included.
   size_t unfinishedJobCount() const;
+  /// What waits on the site, as of the last second.
+  const WaitSummary &waitSummary() const { return WaitSurveys.Summary; }
   int64_t epoch() const { return Epoch; }
   const Fleet &fleet() const { return Workers; }
   /// The job's current progress, recorded or not, for tests.
@@ -243,6 +194,7 @@
 private:
   friend class Planner;
   friend class RunMonitor;
+  friend class WaitSurvey;
   /// State of a task's latest run as the leader knows it. It is not recorded.
   enum class Phase {
     Idle,
@@ -355,7 +307,7 @@
     std::vector<PendingEndAck> PendingEndAcks;
     /// At least one of the tasks is a suspect.
     bool HasSuspects = false;
-    bool WaitLogged = false;
+    JobWaits Waits;
     bool DeadlineLogged = false;
     /// The latest outcome of planning capacity for a waiting step, by
     /// occurrence and step. Logged when it changes.
@@ -532,6 +484,23 @@
   void assignRun(Job &job, const core::TaskId &id,
                  const WorkerIncarnation &incarnation, const std::string &saved,
                  int64_t run, int rank, absl::Time now);
+  bool isWaitSurveyDue(absl::Time now) const;
+  void surveyWaits(absl::Time now);
+  StepWait &findOrAddWait(Job &job, const core::TaskId &id, absl::Time now);
+  /// Records that a scheduling pass could not place tasks of a step.
+  void recordBlocked(Job &job, const core::TaskId &first,
+                     const WaitGroup &group, int64_t usableWorkers,
+                     absl::Time now);
+  /// Logs the reason for which most of the tasks wait.
+  void logWait(Job &job, const core::TaskId &first, StepWait &wait,
+               const WaitGroup &group, int64_t usableWorkers, absl::Time now);
+  static std::vector<DecisionInput>
+  waitInputs(const StepWait &wait, const WaitGroup &group, absl::Time now);
+  static std::map<std::string, std::string> waitTexts(const WaitGroup &group);
+  /// Time by which the tasks of the worker have ended if it never reports to
+  /// this leader. Returns nothing if it has reported or is not known.
+  std::optional<absl::Time>
+  unreportedTasksEndBy(const WorkerIncarnation &incarnation) const;
   /// Adds a decision for the log.
   void logDecision(Decision::Kind kind, const std::string &job,
                    const std::string &task = "", int64_t run = 0,
@@ -582,6 +551,7 @@
   /// that the next tick triggers a scheduling pass.
   bool RetryOnTick = false;
   int64_t PassCount = 0;
+  WaitSurveyState WaitSurveys;
   std::map<std::string, endpoints::WorkerOrders> Orders;
   std::vector<Decision> Decisions;
   std::vector<std::string> EndingJobs;
