No preference keeps a step waiting beside free workers for long

Cause: each of these is a preference, worth a wait while the site is busy or until the preferred capacity can be had, and none had an end of its own. Whether a rack could hold a gang was asked of workers as if they were empty and usable; whether other workers could hold a failed task, too; quarantines double whoever else is in one. The class: a condition without a bound.

The survey of waits knows since when nothing of a step runs beside free workers (its capacity twice over, under half of the service's in use). After 5 s (MaxPreferenceWait) the step takes any capacity that it fits into: across racks, where it failed, left empty or reserved; if that is not enough, as many quarantines end as it takes, those that end first before the others, and the next failure of such a worker counts as before. Logged: step.preferences_given_up, worker.used_again. On a busy site nothing changes.

The survey counted twice all waiting tasks of a step that start one by one as the capacity that it needs; it is twice one of them now, as the rule has it.

Weighed: a prediction of when the rack will be free (it is an estimate, and a workers' quarantine or silence has none), a cap on the share of workers in quarantine (leaves the other four), each preference with a limit of its own (five limits that add up).

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -44,6 +44,10 @@
     return Event::StepWaiting;
   case Kind::WaitsBesideFreeWorkers:
     return Event::StepWaitsBesideFreeWorkers;
+  case Kind::PreferencesGivenUp:
+    return Event::StepPreferencesGivenUp;
+  case Kind::QuarantineEnded:
+    return Event::WorkerUsedAgain;
   case Kind::DeadlineSet:
     return Event::JobPromised;
   case Kind::CapacityPlanned:
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -46,6 +46,8 @@
       {Event::JobPromised, "job.promised"},
       {Event::RoomPlanned, "room.planned"},
       {Event::StepWaitsBesideFreeWorkers, "step.waits_beside_free_workers"},
+      {Event::StepPreferencesGivenUp, "step.preferences_given_up"},
+      {Event::WorkerUsedAgain, "worker.used_again"},
       {Event::RunPlaced, "run.placed"},
       {Event::RunStarted, "run.started"},
       {Event::RunRefused, "run.refused"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -31,6 +31,7 @@
   JobPromised = 213,
   RoomPlanned = 214,
   StepWaitsBesideFreeWorkers = 215,
+  StepPreferencesGivenUp = 216,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
@@ -44,6 +45,7 @@
   WorkerReachable = 310,
   WorkerCapacityChanged = 311,
   WorkerHeartbeatIgnored = 312,
+  WorkerUsedAgain = 313,
 
   TaskReserved = 400,
   TaskStarted = 401,
--- a/src/libs/jobs/decision.h
+++ b/src/libs/jobs/decision.h
@@ -34,6 +34,8 @@
     Waiting,
     /// A step has waited beside free workers for longer than expected.
     WaitsBesideFreeWorkers,
+    PreferencesGivenUp,
+    QuarantineEnded,
     DeadlineSet,
     CapacityPlanned,
     StartBarred,
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -188,6 +188,13 @@
   return true;
 }
 
+void Fleet::endQuarantine(const WorkerIncarnation &incarnation,
+                          absl::Time now) {
+  WorkerView *worker = find(incarnation);
+  if (worker != nullptr)
+    worker->QuarantinedUntil = std::min(worker->QuarantinedUntil, now);
+}
+
 void Fleet::allocate(const WorkerIncarnation &incarnation, const RunId &run,
                      const core::Resources &resources) {
   WorkerView *worker = find(incarnation);
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -158,6 +158,8 @@
   /// Quarantines the worker, for longer each time. Returns false if it is
   /// already quarantined.
   bool quarantine(const WorkerIncarnation &incarnation, absl::Time now);
+  /// Ends the worker's quarantine. The next one is longer all the same.
+  void endQuarantine(const WorkerIncarnation &incarnation, absl::Time now);
   /// Counts the end of a run, to quarantine workers that fail the tasks started
   /// on them. With ok false, the run failed or the unhealthy worker did not
   /// start it. Returns true if the worker is quarantined from now on.
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -72,6 +72,9 @@
   /// Time after submission by which a job within its organisation's guarantee
   /// gets its capacity, however much work that discards.
   absl::Duration ReclaimAfter = absl::Milliseconds(1500);
+  /// Time beside free workers after which a step of which nothing runs takes
+  /// any capacity that it fits into.
+  absl::Duration MaxPreferenceWait = absl::Seconds(5);
   /// Time to stop a run and to start it on another worker, and how often a task
   /// may be moved because it is too slow.
   absl::Duration MoveCost = absl::Milliseconds(800);
@@ -422,6 +425,9 @@
                          const WorkerIncarnation &incarnation,
                          const std::string &agent, absl::Time now);
   void resendLateStops(absl::Time now);
+  /// Ends the worker's quarantine for a job that finds no other worker.
+  void endQuarantine(const WorkerIncarnation &incarnation,
+                     const std::string &jobId, absl::Time now);
   void recordCrash(Job &job, const core::TaskId &id, Task &task);
   void clearSuspectIfOutlived(Job &job, const core::TaskId &id, Task &task);
   bool hasCrashedTooOften(const Task &task) const;
--- a/src/libs/jobs/jobscheduler_waits.cpp
+++ b/src/libs/jobs/jobscheduler_waits.cpp
@@ -1,5 +1,5 @@
 // Steps whose turn has come and whose tasks do not run: since when, why, and
-// what is logged of it. Nothing here changes what is decided.
+// what is logged of it.
 #include "jobscheduler.h"
 
 #include "waitsurvey.h"
@@ -102,4 +102,15 @@
   return tasksEndedBy(it->second);
 }
 
+void JobScheduler::endQuarantine(const WorkerIncarnation &incarnation,
+                                 const std::string &jobId, absl::Time now) {
+  const WorkerView &worker = *Workers.find(incarnation);
+  logDecision(
+      Decision::Kind::QuarantineEnded, jobId, "", 0, incarnation.Id,
+      "a job finds no other worker",
+      {{"left_ms", absl::ToInt64Milliseconds(worker.QuarantinedUntil - now)}});
+  Workers.endQuarantine(incarnation, now);
+  PassNeeded = true;
+}
+
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -71,7 +71,7 @@
 
 bool Planner::leavesHeadroom(const PlacementUnit &unit,
                              const Placement &placement) const {
-  if (unit.Rank <= 1)
+  if (mayUseHeadroom(unit))
     return true;
   const std::set<size_t> used(placement.begin(), placement.end());
   const auto empty = std::count_if(used.begin(), used.end(), [this](size_t c) {
@@ -233,21 +233,29 @@
 }
 
 void Planner::placeUnit(PlacementUnit &unit) {
-  computeTaskLimits(unit);
-  if (unit.spec().Gang) {
-    if (!placeGang(unit))
-      handleBlockedUnit(unit);
+  if (placeWherePossible(unit))
     return;
+  if (mustGiveUpPreferences(unit)) {
+    giveUpPreferences(unit);
+    if (placeWherePossible(unit))
+      return;
+    endQuarantines(unit);
   }
-  placeTasks(unit);
-  if (unit.Tasks.empty())
-    return;
-  if (unit.RequiredConcurrency > 0)
+  if (unit.spec().Gang || unit.RequiredConcurrency > 0)
     handleBlockedUnit(unit);
   else
     recordWait(unit);
 }
 
+// Returns whether all tasks of unit were started.
+bool Planner::placeWherePossible(PlacementUnit &unit) {
+  computeTaskLimits(unit);
+  if (unit.spec().Gang)
+    return placeGang(unit);
+  placeTasks(unit);
+  return unit.Tasks.empty();
+}
+
 // Whether the worker is of the right service, has the required label and is not
 // one that unit avoids.
 bool Planner::isEligible(const WorkerView &view,
@@ -283,7 +291,8 @@
                          const PlacementUnit &unit) const {
   const bool endsBefore = absl::Milliseconds(unit.spec().EstimateMs) <
                           candidate.ReservationStartsIn;
-  return endsBefore ? candidate.Free : candidate.Unreserved;
+  return endsBefore || unit.HasGivenUpPreferences ? candidate.Free
+                                                  : candidate.Unreserved;
 }
 
 int Planner::countTasksOnWorker(const PlacementUnit &unit,
@@ -309,8 +318,10 @@
 // The domains that a gang can be placed in: each rack, or the whole site.
 const std::vector<Planner::TopologyDomain> &
 Planner::domainsFor(const PlacementUnit &unit) const {
-  return unit.spec().SameRack && canEverFitOneRack(unit) ? RackDomains
-                                                         : SiteDomain;
+  return unit.spec().SameRack && !unit.HasGivenUpPreferences &&
+                 canEverFitOneRack(unit)
+             ? RackDomains
+             : SiteDomain;
 }
 
 bool Planner::canEverFitOneRack(const PlacementUnit &unit) const {
@@ -443,7 +454,8 @@
   for (size_t c = 0; c < Candidates.size(); ++c) {
     const Candidate &candidate = Candidates[c];
     if (countFitting(c, unit, 1) == 0 ||
-        (unit.Rank > 1 && EmptyBeyondHeadroom <= 0 && isEmpty(candidate)))
+        (!mayUseHeadroom(unit) && EmptyBeyondHeadroom <= 0 &&
+         isEmpty(candidate)))
       continue;
     const bool awayFromData =
         !spec.DataRack.empty() && candidate.View->State.Rack != spec.DataRack;
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -26,6 +26,11 @@
 /// arrival. All tasks of a gang start together. A gang that requests one rack
 /// waits for a rack, because it runs several times as long when it is spread;
 /// it is spread only if no rack could hold it even when empty.
+///
+/// A rack, workers other than those where a task has failed, workers out of
+/// quarantine, headroom for urgent work and reservations are preferences: none
+/// keeps a unit waiting beside free workers for longer than
+/// SchedulerPolicy::MaxPreferenceWait.
 class Planner {
 public:
   Planner(JobScheduler &scheduler, absl::Time now);
@@ -93,6 +98,9 @@
     /// of free resources; 0 where none may be placed. Filled in when the unit
     /// is placed.
     std::vector<int64_t> TaskLimits = {};
+    /// It has waited beside free workers for so long that it takes any capacity
+    /// that it fits into; see Planner.
+    bool HasGivenUpPreferences = false;
     /// Whether an empty rack could hold all of it; computed on first use.
     mutable std::optional<bool> CanEverFitOneRack = std::nullopt;
 
@@ -173,6 +181,15 @@
   int64_t taskCapacityIfEmpty(const PlacementUnit &unit) const;
   void rankJobs();
   void placeUnit(PlacementUnit &unit);
+  bool placeWherePossible(PlacementUnit &unit);
+  bool mustGiveUpPreferences(const PlacementUnit &unit) const;
+  void giveUpPreferences(PlacementUnit &unit);
+  /// Ends as many quarantines as it takes to hold the tasks of unit.
+  void endQuarantines(const PlacementUnit &unit);
+  /// Whether unit may use the workers that are left empty for urgent work.
+  static bool mayUseHeadroom(const PlacementUnit &unit) {
+    return unit.Rank <= 1 || unit.HasGivenUpPreferences;
+  }
   bool placeGang(PlacementUnit &unit);
   int headroomWorkers() const;
   bool isEmpty(const Candidate &candidate) const {
--- /dev/null
+++ b/src/libs/jobs/planner_preferences.cpp
@@ -0,0 +1,62 @@
+// Preferences that a unit gives up when it has waited beside free workers for
+// too long. Each of them is worth a wait while the site is busy, or for the
+// time until the capacity that it prefers can be had; none of them has an end
+// of its own.
+#include "planner.h"
+
+#include <algorithm>
+
+namespace oriolebay::jobs {
+
+bool Planner::mustGiveUpPreferences(const PlacementUnit &unit) const {
+  const auto &steps = unit.Owner->Waits.Steps;
+  auto wait = steps.find({unit.Occurrence, unit.Step});
+  return wait != steps.end() && Now - wait->second.IdleBesideFreeSince >=
+                                    Scheduler.Policy.MaxPreferenceWait;
+}
+
+// What it avoids is not empty space but workers where its tasks may fail once
+// more, which is still better than not to run.
+void Planner::giveUpPreferences(PlacementUnit &unit) {
+  unit.HasGivenUpPreferences = true;
+  unit.AvoidWorkers.clear();
+  unit.AvoidHosts.clear();
+  StepWait &wait = unit.Owner->Waits.Steps.at({unit.Occurrence, unit.Step});
+  if (std::exchange(wait.PreferencesGivenUp, true))
+    return;
+  Scheduler.logDecision(
+      Decision::Kind::PreferencesGivenUp, unit.Owner->Record.Spec.Id,
+      core::taskName(unit.taskId(unit.Tasks.front())), 0, "",
+      waitReasonText(wait.LoggedReason, unit.spec().Gang),
+      {{"rank", unit.Rank},
+       {"tasks", static_cast<int64_t>(unit.Tasks.size())},
+       {"waits_ms", absl::ToInt64Milliseconds(Now - wait.Since)},
+       {"beside_free_ms",
+        absl::ToInt64Milliseconds(Now - wait.IdleBesideFreeSince)}});
+}
+
+// The workers whose quarantines end first come first. The workers keep the
+// duration of their latest quarantine, so that one that is still unhealthy is
+// quarantined for longer the next time.
+void Planner::endQuarantines(const PlacementUnit &unit) {
+  const core::Resources each = unit.spec().taskResources();
+  auto missing = static_cast<int64_t>(unit.Tasks.size());
+  for (size_t c = 0; c < Candidates.size(); ++c)
+    missing -= countFitting(c, unit, missing);
+  std::vector<std::pair<absl::Time, WorkerIncarnation>> quarantined;
+  for (const auto &[incarnation, view] : Scheduler.Workers.workers())
+    if (Scheduler.Workers.conditionOf(view, Now) ==
+            WorkerCondition::Quarantined &&
+        isEligible(view, unit))
+      quarantined.emplace_back(view.QuarantinedUntil, incarnation);
+  std::sort(quarantined.begin(), quarantined.end());
+  for (const auto &[until, incarnation] : quarantined) {
+    if (missing <= 0)
+      return;
+    missing -= each.countIn(
+        Scheduler.Workers.find(incarnation)->freeResources(), missing);
+    Scheduler.endQuarantine(incarnation, unit.Owner->Record.Spec.Id, Now);
+  }
+}
+
+} // namespace oriolebay::jobs
--- a/src/libs/jobs/stepwait.h
+++ b/src/libs/jobs/stepwait.h
@@ -30,6 +30,10 @@
   /// Since when the step has waited beside free workers; infinite future if it
   /// does not.
   absl::Time BesideFreeSince = absl::InfiniteFuture();
+  /// The same while in addition none of its tasks runs.
+  absl::Time IdleBesideFreeSince = absl::InfiniteFuture();
+  /// It takes any capacity that it fits into.
+  bool PreferencesGivenUp = false;
   /// It has been counted as waiting for longer than MaxExpectedWait.
   bool IsCounted = false;
   /// Time beside free workers after which the next line is due.
--- a/src/libs/jobs/waitsurvey.cpp
+++ b/src/libs/jobs/waitsurvey.cpp
@@ -197,11 +197,16 @@
   StepWait &wait = *step.Wait;
   if (!isBesideFreeWorkers(step)) {
     wait.BesideFreeSince = absl::InfiniteFuture();
+    wait.IdleBesideFreeSince = absl::InfiniteFuture();
+    wait.PreferencesGivenUp = false;
     wait.IsCounted = false;
     wait.NextLineAfter = MaxExpectedWait;
     return;
   }
   wait.BesideFreeSince = std::min(wait.BesideFreeSince, Now);
+  wait.IdleBesideFreeSince = step.Running > 0
+                                 ? absl::InfiniteFuture()
+                                 : std::min(wait.IdleBesideFreeSince, Now);
   absl::Duration &longest = Scheduler.WaitSurveys.Summary.LongestBesideFree;
   longest = std::max(longest, wait.besideFree(Now));
 }
@@ -211,7 +216,7 @@
   if (service == Services.end() || !service->second.isMostlyFree())
     return false;
   const core::StepSpec &spec = step.Owner->specOf(step.First);
-  const int64_t twice = step.Tasks * 2;
+  const int64_t twice = 2 * (spec.Gang ? step.Tasks : 1);
   const int64_t maxPerWorker =
       spec.MaxPerWorker > 0 ? spec.MaxPerWorker : twice;
   int64_t fitting = 0;
--- a/src/libs/jobs/waitsurvey.h
+++ b/src/libs/jobs/waitsurvey.h
@@ -75,7 +75,7 @@
   void updateReasons(StepWait &wait, const WaitGroups &groups) const;
   void updateBesideFree(const WaitingStep &step);
   /// Whether the service is mostly free and the free capacity of its workers,
-  /// usable or not, could hold the step's waiting tasks twice.
+  /// usable or not, could hold the gang, or one of the other tasks, twice.
   bool isBesideFreeWorkers(const WaitingStep &step) const;
 
   void logReasons();
