jobs: a leader that does not know its workers yet says so

Right after an election a step was logged as no_eligible_worker or exceeds_capacity, as if the site lacked the workers, because few or none had reported to the new leader. The reason is now fleet_unknown, which ends when the leader counts its fleet as known; a wait for a cordon is still called that. A step whose own running tasks leave time for the others is called so whatever else holds.

Test: a row of its own.

--- a/src/libs/jobs/planner_waits.cpp
+++ b/src/libs/jobs/planner_waits.cpp
@@ -240,6 +240,8 @@
 }
 
 WaitCause Planner::waitCause(const PlacementUnit &unit) const {
+  if (unit.RequiredConcurrency <= 0)
+    return {WaitReason::FollowsOwnTasks};
   const std::vector<DomainFit> fits = domainFits(unit);
   // The tasks of a gang start together, others one by one.
   const auto need =
@@ -249,16 +251,17 @@
       return tasks(fit) >= need;
     });
   };
-  if (fits.empty())
-    return {WaitReason::NoEligibleWorker};
-  if (unit.RequiredConcurrency <= 0)
-    return {WaitReason::FollowsOwnTasks};
+  const bool fitsUsable =
+      fitsAnywhere([](const DomainFit &f) { return f.UsableIfEmpty; });
   if (waitsForCordon(unit, fits))
     return {WaitReason::Cordoned};
+  if (!fitsUsable && !Scheduler.isFleetKnown(Now))
+    return {WaitReason::FleetUnknown,
+            Scheduler.ElectedAt + Scheduler.Policy.FleetDiscoveryTime};
+  if (fits.empty())
+    return {WaitReason::NoEligibleWorker};
   if (!fitsAnywhere([](const DomainFit &f) { return f.KnownIfEmpty; }))
     return {WaitReason::ExceedsCapacity};
-  const bool fitsUsable =
-      fitsAnywhere([](const DomainFit &f) { return f.UsableIfEmpty; });
   if (!fitsUsable && isPlacedByRack(unit))
     return rackCause(unit, fits);
   if (fitsAnywhere([](const DomainFit &f) { return f.Now; }))
--- a/src/libs/jobs/waitreason.cpp
+++ b/src/libs/jobs/waitreason.cpp
@@ -36,6 +36,8 @@
     return "gang_incomplete";
   case WaitReason::NotDecided:
     return "not_decided";
+  case WaitReason::FleetUnknown:
+    return "fleet_unknown";
   case WaitReason::NoEligibleWorker:
     return "no_eligible_worker";
   case WaitReason::ExceedsCapacity:
--- a/src/libs/jobs/waitreason.h
+++ b/src/libs/jobs/waitreason.h
@@ -37,6 +37,9 @@
   // Conditions that a scheduling pass found when it could not place the tasks.
   /// No scheduling pass has considered the tasks yet.
   NotDecided,
+  /// Not all workers have had time to report to this leader, and those that
+  /// have could not hold the tasks if they were empty.
+  FleetUnknown,
   /// No known worker has the service and the label.
   NoEligibleWorker,
   /// All known workers together could not hold the tasks if they were empty.
--- a/tests/auto/jobs/tst_waits.cpp
+++ b/tests/auto/jobs/tst_waits.cpp
@@ -34,7 +34,7 @@
 void addWorkers(SimSite &site, int count) {
   for (int n = 0; n < count; ++n)
     site.addWorker("w" + std::to_string(n), "r0");
-  site.runFor(absl::Milliseconds(600));
+  site.runFor(absl::Milliseconds(1100));
 }
 
 /// Lets the worker list a run of a job that is done, for as long as the test
@@ -212,6 +212,9 @@
          site.runFor(absl::Seconds(4));
        },
        WaitReason::GangIncomplete},
+      {"fleet_unknown",
+       [](SimSite &site) { site.submit(jobOf("j", taskStep(1, 8))); },
+       WaitReason::FleetUnknown, 1000, 1000},
       {"no_eligible_worker",
        [](SimSite &site) {
          addWorkers(site, 1);
