--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -75,12 +75,8 @@
     return absl::Milliseconds(stepOf(task).EstimateMs);
   };
   for (int n = 0; n < Setup.Workers; ++n) {
-    Workers[n].FakeWorker = std::make_unique<MemoryWorker>(
-        Loop, Shared, "w" + std::to_string(n),
-        domainName(n / Setup.WorkersPerDomain),
-        "r" + std::to_string(n / Setup.WorkersPerRack),
-        core::Resources{32000, 65536, 8},
-        Setup.Seed * 100 + static_cast<uint64_t>(n));
+    addWorker(n, domainName(n / Setup.WorkersPerDomain),
+              "r" + std::to_string(n / Setup.WorkersPerRack));
     startAgent(n);
     Loop.runAfter(absl::Milliseconds(10 * n), [this, n] { sendHeartbeat(n); });
   }
@@ -217,6 +213,29 @@
   Workers[n].FakeWorker->Down = true;
 }
 
+void MemoryCluster::addWorker(int n, const std::string &domain,
+                              const std::string &rack) {
+  Workers[n].FakeWorker = std::make_unique<MemoryWorker>(
+      Loop, Shared, "w" + std::to_string(n), domain, rack,
+      core::Resources{32000, 65536, 8},
+      Setup.Seed * 100 + static_cast<uint64_t>(n));
+}
+
+int MemoryCluster::addHostLike(int worker) {
+  const int n = workerCount();
+  const endpoints::WorkerState state = Workers.at(worker).FakeWorker->state();
+  addWorker(n, state.FailureDomain, state.Rack);
+  startAgent(n);
+  sendHeartbeat(n);
+  return n;
+}
+
+int MemoryCluster::addEntry() {
+  const auto n = static_cast<int>(Entries.size());
+  startEntry(n);
+  return n;
+}
+
 void MemoryCluster::setPartitioned(const std::string &process,
                                    bool partitioned) {
   if (partitioned)
@@ -237,7 +256,7 @@
   auto it = Store.items().find(entry::JobLeaderKey);
   if (it == Store.items().end())
     return -1;
-  for (int n = 0; n < Setup.Entries; ++n)
+  for (const auto &[n, entry] : Entries)
     if (it->second.Value == entryName(n))
       return n;
   return -1;
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -79,6 +79,11 @@
   /// Removes the agent and its worker for good.
   void removeHost(int worker);
   void startAgent(int worker);
+  /// Adds a worker in the failure domain and rack of another, with an agent.
+  /// Returns its number.
+  int addHostLike(int worker);
+  /// Adds an entry. Returns its number.
+  int addEntry();
   /// Blocks or restores all messages between process and every other process.
   /// Calls to the store are not affected.
   void setPartitioned(const std::string &process, bool partitioned);
@@ -95,6 +100,8 @@
   int leader() const;
   MemoryStore &store() { return Store; }
   MemoryWorker &worker(int n) { return *Workers.at(n).FakeWorker; }
+  /// Number of workers, those of removed hosts included.
+  int workerCount() const { return static_cast<int>(Workers.size()); }
   utils::EventLoop &loop() { return Loop; }
   static std::string entryName(int n) { return "entry-" + std::to_string(n); }
   static std::string agentName(int n) { return "agent-" + std::to_string(n); }
@@ -148,6 +155,7 @@
   std::shared_ptr<CallerCall> makeCall(const std::string &job,
                                        const std::string &key);
   jobs::CallerAccess accessFor(const std::string &key) const;
+  void addWorker(int n, const std::string &domain, const std::string &rack);
   void sendHeartbeat(int worker);
   core::StepSpec stepOf(const std::string &task) const;
   std::optional<StoredJob> storedJob(const std::string &job) const;
