Workers without a start time refuse what an earlier agent process has started

A worker ran more than its capacity (LIMIT) after its agent had been lost beside late orders: the next process did not have the earlier one's starts refused.

Cause: the leader says with the incarnation {id, 0} that no incarnation under the id may run the start. A worker that reports no start time is {id, 0} itself, so the agent took it for the one that may. One value had two meanings.

The message now says outright whether an incarnation without start time may run it.

--- a/src/libs/agent/openattempts.cpp
+++ b/src/libs/agent/openattempts.cpp
@@ -25,14 +25,17 @@
 void OpenAttempts::adopt(const endpoints::EarlierStart &earlier,
                          absl::Time now) {
   const RunId run{earlier.Start.Task, earlier.Start.Run};
-  for (const auto &[number, attempt] : Attempts)
-    if (attempt.Run == run && attempt.Incarnation == earlier.Life)
+  const bool mayRun = earlier.MayRun || earlier.Life.BornMs != 0;
+  for (auto &[number, attempt] : Attempts)
+    if (attempt.Run == run && attempt.Incarnation == earlier.Life) {
+      attempt.MayRun &= mayRun;
       return;
+    }
   const absl::Duration left =
       std::min(absl::Milliseconds(earlier.Start.PossibleForMs),
                endpoints::MaxOrderDelay);
   Attempts[++LastNumber] = {run, earlier.Life,
-                            now + left - endpoints::MaxOrderDelay};
+                            now + left - endpoints::MaxOrderDelay, mayRun};
 }
 
 void OpenAttempts::closeOtherIds(const std::string &id) {
@@ -82,7 +85,7 @@
                                    absl::Time now) const {
   return std::any_of(Attempts.begin(), Attempts.end(), [&](const auto &entry) {
     const Attempt &attempt = entry.second;
-    return attempt.Run == run && attempt.Incarnation != incarnation &&
+    return attempt.Run == run && attempt.mustBeRefusedBy(incarnation) &&
            attempt.isOpen(now);
   });
 }
@@ -92,7 +95,7 @@
                            absl::Time now) const {
   std::set<PendingStop> stops;
   for (const auto &[number, attempt] : Attempts)
-    if (attempt.isOpen(now) && attempt.Incarnation != incarnation &&
+    if (attempt.isOpen(now) && attempt.mustBeRefusedBy(incarnation) &&
         ConfirmedStops.count({attempt.Run, incarnation}) == 0)
       stops.insert({attempt.Run, attempt.Incarnation.Id});
   return {stops.begin(), stops.end()};
--- a/src/libs/agent/openattempts.h
+++ b/src/libs/agent/openattempts.h
@@ -49,8 +49,8 @@
   /// Returns the runs with an open attempt, with the time for which the latest
   /// one is open.
   std::vector<endpoints::OpenStart> openStarts(absl::Time now) const;
-  /// Returns whether the run has an open attempt that was sent to another
-  /// incarnation.
+  /// Returns whether the run has an open attempt that this incarnation must
+  /// refuse.
   bool isOpenElsewhere(const endpoints::RunId &run,
                        const endpoints::WorkerIncarnation &incarnation,
                        absl::Time now) const;
@@ -60,8 +60,9 @@
     std::string WorkerId;
     auto operator<=>(const PendingStop &) const = default;
   };
-  /// Returns the runs with an open attempt that was sent to another incarnation
-  /// than this one, and whose stop this incarnation has not confirmed.
+  /// Returns the runs with an open attempt that this incarnation must refuse,
+  /// as it was sent to another one or is over, and whose stop this incarnation
+  /// has not confirmed.
   std::vector<PendingStop>
   pendingStops(const endpoints::WorkerIncarnation &incarnation,
                absl::Time now) const;
@@ -71,7 +72,12 @@
     endpoints::RunId Run;
     endpoints::WorkerIncarnation Incarnation;
     absl::Time SentAt;
+    /// The incarnation may run it.
+    bool MayRun = true;
 
+    bool mustBeRefusedBy(const endpoints::WorkerIncarnation &other) const {
+      return !MayRun || Incarnation != other;
+    }
     bool isOpen(absl::Time now) const {
       return now - SentAt < endpoints::MaxOrderDelay;
     }
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -55,7 +55,18 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(IncarnationEnd, Life, Crashed, JustBegun,
                                    Witnessed, MayStillBegin)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OpenStart, Task, Run, PossibleForMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EarlierStart, Start, Life)
+
+void to_json(json &j, const EarlierStart &s) {
+  j = {{"Start", s.Start}, {"Life", s.Life}, {"MayRun", s.MayRun}};
+}
+
+// Entries of earlier versions tell by a start time of zero alone that no
+// incarnation may run the start.
+void from_json(const json &j, EarlierStart &s) {
+  j.at("Start").get_to(s.Start);
+  j.at("Life").get_to(s.Life);
+  s.MayRun = j.value("MayRun", true);
+}
 
 static void to_json(json &j, const WorkerReport &r) {
   j = {{"Agent", r.Agent},           {"AgentAddress", r.AgentAddress},
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -254,10 +254,12 @@
 
 /// An open start that an earlier process of the agent sent, as the leader knows
 /// it. Life: the incarnation that may run it; any other one under the same id
-/// must refuse it. Without a start time no incarnation may run it.
+/// must refuse it. Without a start time no incarnation may run it, unless
+/// MayRun says that this one does not report its start time.
 struct EarlierStart {
   OpenStart Start;
   WorkerIncarnation Life;
+  bool MayRun = false;
   auto operator<=>(const EarlierStart &) const = default;
 };
 
--- a/src/libs/jobs/jobscheduler_incarnations.cpp
+++ b/src/libs/jobs/jobscheduler_incarnations.cpp
@@ -232,7 +232,8 @@
                         task.Progress.Agent == start.Agent;
     endpoints::EarlierStart earlier{
         {core::taskName(id), start.Run},
-        mayRun ? task.Progress.Worker : WorkerIncarnation{start.WorkerId, 0}};
+        mayRun ? task.Progress.Worker : WorkerIncarnation{start.WorkerId, 0},
+        mayRun};
     LateStartsByAgent[start.Agent].push_back({std::move(earlier), bound});
   }
 }
