A refused start keeps its capacity while an earlier attempt may be carried out

Cause: a new agent process refuses the leader's repeated order ("no grant to keep it alive", or the worker is busy). It speaks for itself only; an earlier process may have sent attempts that got no answer. The leader knew that, and barred the task elsewhere, but took the refusal for the end of the run and gave its capacity out; then the worker carried out the old attempt. The class is that of starts that outlive restarts: a promise that rests on the memory of one process.

A run that is refused while an attempt may be open stays assigned, with its capacity, and is stopped, as one whose start was not confirmed. The wait is logged (run.refused with for_ms) and ends when the worker confirms the stop or lists the end, when it is lost, or at the latest when no attempt can be carried out any more and the worker does not list the run.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -262,6 +262,7 @@
   task.RunPhase = Phase::Recording;
   task.StartWriteVersion = job.Version + 1;
   task.StopRequested = false;
+  task.StartRefused = false;
   task.Percent = 0;
   task.StartObserved = false;
   task.ListedByWorker = false;
@@ -350,6 +351,7 @@
     forEachTask(job, [&](const TaskId &id, Task &task) {
       forgetLateStarts(job, task, now);
       indexLateStarts(id, task);
+      resolveRefusedStart(job, id, task, now);
       if (!task.isAssigned() || task.RunPhase == Phase::Recording)
         return;
       if (now - task.LastOrderAt < Policy.OrderResendInterval)
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -218,6 +218,9 @@
     TaskProgress Progress;
     Phase RunPhase = Phase::Idle;
     bool StopRequested = false;
+    /// The agent refused the start, but an earlier attempt to start the run may
+    /// still be carried out.
+    bool StartRefused = false;
     /// Version of the job's progress that records the start.
     int64_t StartWriteVersion = 0;
     /// Time at which this leader first received a report that the run has
@@ -424,6 +427,14 @@
   void resolveLateStarts(Job &job, const core::TaskId &id, Task &task,
                          const WorkerIncarnation &incarnation,
                          const std::string &agent, absl::Time now);
+  /// Keeps the refused run assigned and has it stopped, if an attempt to start
+  /// it may still be carried out. Returns false if none may.
+  bool keepRefusedStart(Job &job, const core::TaskId &id, Task &task,
+                        const std::string &why, absl::Time now);
+  /// Releases a run that was refused once no attempt to start it can be carried
+  /// out any more, even if its stop was never confirmed.
+  void resolveRefusedStart(Job &job, const core::TaskId &id, Task &task,
+                           absl::Time now);
   void resendLateStops(absl::Time now);
   /// Ends the worker's quarantine for a job that finds no other worker.
   void endQuarantine(const WorkerIncarnation &incarnation,
--- a/src/libs/jobs/jobscheduler_incarnations.cpp
+++ b/src/libs/jobs/jobscheduler_incarnations.cpp
@@ -263,6 +263,30 @@
   return starts;
 }
 
+bool JobScheduler::keepRefusedStart(Job &job, const TaskId &id, Task &task,
+                                    const std::string &why, absl::Time now) {
+  const absl::Time until = startOpenUntil(id, task, now);
+  if (until <= now)
+    return false;
+  setLateStart(job, task, currentStart(task), until, now);
+  if (!std::exchange(task.StartRefused, true))
+    logDecision(Decision::Kind::StartRefused, id.Job, core::taskName(id),
+                task.Progress.Run, task.Progress.Worker.Id,
+                why + "; an earlier attempt may still be carried out",
+                {{"for_ms", absl::ToInt64Milliseconds(until - now)}});
+  requestStop(id, task, "a refused start of it may still be carried out");
+  return true;
+}
+
+void JobScheduler::resolveRefusedStart(Job &job, const TaskId &id, Task &task,
+                                       absl::Time now) {
+  if (!task.StartRefused || !task.isAssigned() || task.ListedByWorker ||
+      startOpenUntil(id, task, now) > now)
+    return;
+  handleAbsentRun(job, id, task, "its refused start was not carried out", now);
+  checkJobEnd(job, now);
+}
+
 void JobScheduler::resendLateStops(absl::Time now) {
   for (const auto &[incarnation, runs] :
        Workers.takeLateStops(Policy.OrderResendInterval, now)) {
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -284,6 +284,7 @@
   task.Progress.Agent.clear();
   task.RunPhase = Phase::Idle;
   task.StopRequested = false;
+  task.StartRefused = false;
   job.Dirty = true;
 }
 
@@ -464,12 +465,14 @@
   case OrderOutcome::Absent:
     break;
   }
+  const bool isOver = result.Outcome == OrderOutcome::Gone ||
+                      result.Outcome == OrderOutcome::Absent;
   // Ignores a late refusal and the refusal of a repeated order. A run that was
   // seen running and is now absent has certainly ended, even if the worker does
   // not list its end.
-  if (task->RunPhase == Phase::Running &&
-      result.Outcome != OrderOutcome::Gone &&
-      result.Outcome != OrderOutcome::Absent)
+  if (task->RunPhase == Phase::Running && !isOver)
+    return;
+  if (!isOver && keepRefusedStart(job, id, *task, result.Detail, now))
     return;
   logDecision(Decision::Kind::StartRefused, id.Job, result.Task, result.Run,
               incarnation.Id, result.Detail);
