A task is not barred by a run that its worker refuses from now on

Cause: once a worker has listed an end or confirmed a stop, it refuses that run; only a later incarnation under its id could carry out an open attempt. Workers that report no start time do not use their ids again, which the agent and the rest of the scheduler go by already, but the bar did not ask.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -208,6 +208,13 @@
     Adopted,
     Running
   };
+  /// How it is known that a run is over.
+  enum class Settlement {
+    /// Its worker has listed the end or confirmed a stop, and refuses the run
+    /// from now on.
+    ByWorker,
+    Otherwise
+  };
   struct LateStartBound {
     absl::Time Until;
     /// When this leader first ordered the start; infinite past if an earlier
@@ -421,7 +428,7 @@
   /// Bars further starts of a task that leaves its worker while an attempt to
   /// start its run may still be carried out.
   void barLateStart(Job &job, const core::TaskId &id, Task &task,
-                    absl::Time now);
+                    Settlement settlement, absl::Time now);
   /// Has the late starts of the task stopped at a new incarnation beside the
   /// agent, or lifts the bar if that has another id.
   void resolveLateStarts(Job &job, const core::TaskId &id, Task &task,
@@ -471,13 +478,15 @@
   void handleRunEnd(Job &job, const core::TaskId &id, Task &task,
                     endpoints::RunEnd how, const std::string &saved,
                     const WorkerIncarnation &incarnation, absl::Time now);
-  void unassign(Job &job, const core::TaskId &id, Task &task, absl::Time now);
+  void unassign(Job &job, const core::TaskId &id, Task &task,
+                Settlement settlement, absl::Time now);
   void compareSpeedByProgress(const core::TaskId &id, Task &task);
   void compareSpeed(const Job &job, const core::TaskId &id, Task &task,
                     absl::Duration runDuration);
   void trackProgress(const core::TaskId &id, const Task &task, absl::Time now);
   void handleAbsentRun(Job &job, const core::TaskId &id, Task &task,
-                       const std::string &why, absl::Time now);
+                       const std::string &why, absl::Time now,
+                       Settlement settlement = Settlement::Otherwise);
   void handleGangMemberEnd(Job &job, const core::TaskId &id,
                            endpoints::RunEnd how);
   /// Requests the end of the task's run, unless that was done before or no
--- a/src/libs/jobs/jobscheduler_incarnations.cpp
+++ b/src/libs/jobs/jobscheduler_incarnations.cpp
@@ -194,9 +194,14 @@
   PassNeeded |= isForgotten && task.LateStartBounds.empty();
 }
 
+// Only a later incarnation could carry out a start that its worker refuses from
+// now on. Workers that do not report their start time do not reuse ids.
 void JobScheduler::barLateStart(Job &job, const TaskId &id, Task &task,
-                                absl::Time now) {
-  const absl::Time until = startOpenUntil(id, task, now);
+                                Settlement settlement, absl::Time now) {
+  const bool isRefused =
+      settlement == Settlement::ByWorker && task.Progress.Worker.BornMs == 0;
+  const absl::Time until =
+      isRefused ? absl::InfinitePast() : startOpenUntil(id, task, now);
   setLateStart(job, task, currentStart(task), until, now);
   if (until <= now)
     return;
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -210,7 +210,8 @@
         return;
       anyChanged = true;
       updateStartOpenUntil(job, id, task, now);
-      handleAbsentRun(job, id, task, "its worker does not list it", now);
+      handleAbsentRun(job, id, task, "its worker does not list it", now,
+                      Settlement::ByWorker);
     });
     if (anyChanged)
       checkJobEnd(job, now);
@@ -252,7 +253,7 @@
   Job &job = Jobs.at(id.Job);
   if (!isCounted) {
     if (isLatest)
-      unassign(job, id, *task, now);
+      unassign(job, id, *task, Settlement::ByWorker, now);
     acknowledgeEnd(job, incarnation, end.Number);
     return;
   }
@@ -277,8 +278,8 @@
 
 // Marks the task as not running on any worker, with no order pending.
 void JobScheduler::unassign(Job &job, const TaskId &id, Task &task,
-                            absl::Time now) {
-  barLateStart(job, id, task, now);
+                            Settlement settlement, absl::Time now) {
+  barLateStart(job, id, task, settlement, now);
   Progress.forget({core::taskName(id), task.Progress.Run});
   task.Progress.Worker = {};
   task.Progress.Agent.clear();
@@ -342,7 +343,7 @@
   // An earlier run that was presumed absent may turn out to have completed the
   // task. In that case the current run is stopped.
   if (task.Progress.Worker == incarnation)
-    unassign(job, id, task, now);
+    unassign(job, id, task, Settlement::ByWorker, now);
   else
     requestStop(id, task, "an earlier run has done the work");
   if (!saved.empty())
@@ -387,7 +388,8 @@
 // whose end is not known: releases its resources and unassigns the task, which
 // can then be started again. For a gang, the run is over for all members.
 void JobScheduler::handleAbsentRun(Job &job, const TaskId &id, Task &task,
-                                   const std::string &why, absl::Time now) {
+                                   const std::string &why, absl::Time now,
+                                   Settlement settlement) {
   if (std::exchange(task.CountCrashIfAbsent, false))
     recordCrash(job, id, task);
   logDecision(Decision::Kind::RunResolved, id.Job, core::taskName(id),
@@ -395,7 +397,7 @@
   Workers.release(task.Progress.Worker,
                   {core::taskName(id), task.Progress.Run});
   PassNeeded = true;
-  unassign(job, id, task, now);
+  unassign(job, id, task, settlement, now);
   if (job.specOf(id).Gang)
     handleGangMemberEnd(job, id, RunEnd::Broken);
 }
@@ -476,7 +478,10 @@
     return;
   logDecision(Decision::Kind::StartRefused, id.Job, result.Task, result.Run,
               incarnation.Id, result.Detail);
-  handleAbsentRun(job, id, *task, result.Detail, now);
+  handleAbsentRun(job, id, *task, result.Detail, now,
+                  result.Outcome == OrderOutcome::Absent
+                      ? Settlement::ByWorker
+                      : Settlement::Otherwise);
   checkJobEnd(job, now);
 }
 
