Stops of open starts do not wait for each other

A task that was done started again at a worker that had restarted: the agent's first stop of its late start was late itself, and the agent waited for its answer, 0.25 s, before it sent the next.

It sends one every 60 ms now until the worker confirms; a stop is idempotent. No stop is sent more often where nothing listens.

--- a/src/libs/agent/workeragent_incarnation.cpp
+++ b/src/libs/agent/workeragent_incarnation.cpp
@@ -221,17 +221,21 @@
   call.Order = {stop.Run.Task, stop.Run.Run};
   call.Epoch = Epoch;
   call.FreshConnection = true;
-  Worker.Stop(call, [this, alive = Alive, stop, round,
+  // The next stop does not wait for the answer to this one, which may be
+  // carried out later than the start.
+  const auto resend = [this, alive = Alive, stop, round,
+                       resent = std::make_shared<bool>(false)] {
+    if (*alive && !std::exchange(*resent, true))
+      sendOpenStartStop(stop, round);
+  };
+  Loop.runAfter(ResolveRetryPause, resend);
+  Worker.Stop(call, [this, alive = Alive, stop, resend,
                      served = State.Life](const CallOutcome &outcome) {
     if (!*alive)
       return;
     onOpenStartStopReply(stop, served, outcome);
-    const bool listens = outcome.Status != CallStatus::NotListening;
-    Loop.runAfter(listens ? ResolveRetryPause : ListenerRetryPause,
-                  [this, alive, stop, round] {
-                    if (*alive)
-                      sendOpenStartStop(stop, round);
-                  });
+    if (outcome.Status == CallStatus::NotListening)
+      Loop.runAfter(ListenerRetryPause, resend);
   });
 }
 
