Decisions do not depend on the addresses of jobs

The steps whose runs were stopped were refreshed in the order of the jobs' addresses, which decides between running units of equal cost. The order is that of the ids now.

--- a/src/libs/jobs/planner_capacity.cpp
+++ b/src/libs/jobs/planner_capacity.cpp
@@ -514,9 +514,11 @@
 void Planner::requestStops(const PlacementUnit &unit,
                            const CapacityPlan &stopPlan) {
   const std::string why = "makes room for job " + unit.Owner->Record.Spec.Id;
-  std::set<std::tuple<Job *, int, int>> steps;
+  // In the order of the jobs' ids, not of their addresses, so that the same
+  // inputs lead to the same decisions.
+  std::map<std::tuple<std::string, int, int>, Job *> steps;
   for (const RunningUnit *r : stopPlan.EndingUnits) {
-    steps.insert({r->Owner, r->Occurrence, r->Step});
+    steps[{r->Owner->Record.Spec.Id, r->Occurrence, r->Step}] = r->Owner;
     if (r->Index < 0) {
       Scheduler.stopStep(*r->Owner, r->Occurrence, r->Step, why);
       continue;
@@ -527,8 +529,8 @@
   }
   // This invalidates the running units that the plan refers to; they are not
   // used from here on.
-  for (const auto &[job, occurrence, step] : steps)
-    refreshRunningUnits(*job, occurrence, step);
+  for (const auto &[key, job] : steps)
+    refreshRunningUnits(*job, std::get<1>(key), std::get<2>(key));
 }
 
 // Maximum number of units that reserveEarliestCapacity() reserves capacity for
