jobs: the scheduler's and the planner's large files are split along their duties

Pure moves: orders (jobscheduler_orders), durations and speeds (jobscheduler_speeds), gangs (planner_gangs), urgency (planner_urgency), running units (planner_runningunits) and the policy (schedulerpolicy.h) have files of their own.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -10,8 +10,6 @@
 namespace oriolebay::jobs {
 
 using core::TaskId;
-using endpoints::OrderOutcome;
-using endpoints::RunEnd;
 
 JobScheduler::JobScheduler(SchedulerPolicy policy, int64_t epoch,
                            absl::Time electedAt)
@@ -200,56 +198,6 @@
   });
 }
 
-// Orders a recorded start, unless in the meantime its stop was requested or its
-// worker was lost, cordoned, started to drain, or reduced its capacity. Then
-// the run certainly never started if this would have been the first order; an
-// earlier order may still be carried out.
-void JobScheduler::orderStart(Job &job, const TaskId &id, Task &task,
-                              absl::Time now) {
-  const WorkerView *worker = Workers.find(task.Progress.Worker);
-  const bool isFirstOrder = task.RunPhase == Phase::Recording;
-  if (worker == nullptr || worker->State.Draining ||
-      Workers.isCordoned(*worker) || task.StopRequested) {
-    if (isFirstOrder)
-      handleAbsentRun(job, id, task,
-                      "not ordered: its stop was requested or its worker is "
-                      "draining, cordoned or lost",
-                      now);
-    else
-      requestStop(id, task, "no longer wanted there");
-    return;
-  }
-  if (isFirstOrder && !worker->Used.fitsIn(worker->State.Capacity)) {
-    handleAbsentRun(job, id, task,
-                    "not ordered: the capacity of its worker was reduced", now);
-    return;
-  }
-  if (isFirstOrder)
-    task.FirstOrderAt = now;
-  task.RunPhase = Phase::Ordered;
-  task.LastOrderAt = now;
-  task.StartedAt = absl::InfinitePast();
-  endpoints::WorkerOrders &orders = Orders[worker->AgentAddress];
-  orders.Life = task.Progress.Worker;
-  endpoints::StartOrder startOrder{core::taskName(id),
-                                   task.Progress.Run,
-                                   job.Record.Spec.Payload,
-                                   task.Progress.Saved,
-                                   "",
-                                   worker->State.Capacity};
-  orders.Starts.push_back(std::move(startOrder));
-}
-
-void JobScheduler::orderStop(const TaskId &id, Task &task, absl::Time now) {
-  const WorkerView *worker = Workers.find(task.Progress.Worker);
-  if (worker == nullptr)
-    return;
-  task.LastOrderAt = now;
-  endpoints::WorkerOrders &orders = Orders[worker->AgentAddress];
-  orders.Life = task.Progress.Worker;
-  orders.Stops.push_back({core::taskName(id), task.Progress.Run});
-}
-
 void JobScheduler::assignRun(Job &job, const TaskId &id,
                              const WorkerIncarnation &incarnation,
                              const std::string &saved, int64_t run, int rank,
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -7,6 +7,7 @@
 #include "jobrecord.h"
 #include "openstartregistry.h"
 #include "progress.h"
+#include "schedulerpolicy.h"
 #include "silentagent.h"
 #include "stepwait.h"
 #include "urgentdemandestimator.h"
@@ -26,76 +27,6 @@
 
 namespace oriolebay::jobs {
 
-/// Time limits, weights and bounds of the scheduler.
-struct SchedulerPolicy {
-  FleetPolicy Fleet;
-  ProgressPolicy Progress;
-  SpeedPolicy Speed;
-  /// Time without an answer after which an order is sent again.
-  absl::Duration OrderResendInterval = absl::Milliseconds(400);
-  /// Time after the election by which all tasks have certainly ended at workers
-  /// that never reported to this leader. Until then a previous leader may have
-  /// kept them alive.
-  absl::Duration UnreportedLostAfter = absl::Milliseconds(13500);
-  /// Factor by which a gang that is spread over several racks, or a task that
-  /// runs outside the rack of its data, takes longer. The scheduler itself does
-  /// not use it.
-  double RemoteFactor = 3.0;
-  /// How long callers can query a job after its end.
-  absl::Duration FinishedJobRetention = absl::Seconds(150);
-  /// Bound on the work that may be discarded so that a job of priority 0 beyond
-  /// its organisation's guarantee meets its deadline, in core-seconds (an
-  /// accelerator counts as eight cores). The bound is the constant
-  /// MaxLostWorkBase, which lets even the smallest jobs stop something, plus
-  /// the share MaxLostWorkShare of the job's own work. A late urgent answer is
-  /// worth little to its caller, which justifies stopping this much; the
-  /// stopped jobs may become late themselves.
-  double MaxLostWorkShare = 0.2;
-  double MaxLostWorkBase = 200;
-  /// Capacity that batch work leaves on empty workers, as a multiple of what
-  /// the urgent jobs that arrive within StopDuration are expected to request.
-  double Headroom = 1;
-  /// Number of waiting gangs, or other large units, that capacity is reserved
-  /// for at the same time because nothing is stopped for them: MinReservations
-  /// or, on a large site, one for every WorkersPerReservation workers,
-  /// whichever is more. With one reservation the next large gang would starve;
-  /// with many the site would stand idle.
-  int MinReservations = 2;
-  int WorkersPerReservation = 24;
-  /// A job may take less time than estimated, and its deadline with it. Work of
-  /// priority 0 waits for others only if it is in time even if its tasks are
-  /// shorter by this many standard deviations of what the estimates of its
-  /// queue turned out to be off. Zero: estimates are trusted.
-  double SlackDeviations = 1;
-  /// Expected time from the request to stop a run to its end.
-  absl::Duration StopDuration = absl::Milliseconds(400);
-  /// Time after submission by which a job within its organisation's guarantee
-  /// gets its capacity, however much work that discards.
-  absl::Duration ReclaimAfter = absl::Milliseconds(1500);
-  /// Time beside free workers after which a step of which nothing runs takes
-  /// any capacity that it fits into.
-  absl::Duration MaxPreferenceWait = absl::Seconds(5);
-  /// Time to stop a run and to start it on another worker, and how often a task
-  /// may be moved because it is too slow.
-  absl::Duration MoveCost = absl::Milliseconds(800);
-  int MaxMoves = 2;
-  /// Time after the election by which every live worker has reported to the
-  /// leader: two report periods. Deadlines of jobs depend on the capacity of
-  /// all workers.
-  absl::Duration FleetDiscoveryTime = absl::Seconds(1);
-  /// A job fails once workers on this many hosts, or this many workers in all,
-  /// have crashed right after the same task had started there. More crashes are
-  /// required on a single host, because the host itself may be the cause.
-  size_t CrashedHostsBeforeFailure = 2;
-  size_t CrashesBeforeFailure = 3;
-  /// Time after a worker crash during which suspect tasks avoid its host.
-  absl::Duration RecentCrashWindow = absl::Seconds(30);
-  /// How long the members of a gang wait for each other to start.
-  absl::Duration GangWait = absl::Milliseconds(3000);
-  /// The wall clock in milliseconds since 1970, for repeating jobs.
-  std::function<int64_t()> WallMs = [] { return int64_t{0}; };
-};
-
 /// A job's progress that has to be written to the store, on condition that the
 /// job's record and progress are still at the given revisions.
 struct ProgressWrite {
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -1,5 +1,5 @@
-// Reports of the agents: running tasks, ended runs, outcomes of orders, and
-// ended worker incarnations.
+// Reports of the agents: running tasks, ended runs, and ended worker
+// incarnations.
 #include "jobscheduler.h"
 
 #include <algorithm>
@@ -7,16 +7,8 @@
 namespace oriolebay::jobs {
 
 using core::TaskId;
-using endpoints::OrderOutcome;
 using endpoints::RunEnd;
 
-namespace {
-
-/// Progress from which on a run is compared with other tasks of its step.
-constexpr int SpeedComparisonMinPercent = 25;
-
-} // namespace
-
 int64_t JobScheduler::onReport(const endpoints::WorkerReport &report,
                                absl::Time now) {
   const WorkerIncarnation &incarnation = report.Worker.Life;
@@ -289,50 +281,6 @@
   job.Dirty = true;
 }
 
-// Learns from the duration of a completed run how far the queue's estimates are
-// off. Runs that resumed from a checkpoint or started under another leader are
-// left out.
-void JobScheduler::learnTaskDuration(const Job &job, const TaskId &id,
-                                     Task &task, absl::Time now) {
-  const core::StepSpec &spec = job.specOf(id);
-  if (task.StartedAt == absl::InfinitePast() || !task.StartObserved ||
-      !task.Progress.Saved.empty() || spec.LongRunning)
-    return;
-  task.RunDuration = now - task.StartedAt;
-  if (isRemote(job, id, task))
-    return;
-  compareSpeed(job, id, task, task.RunDuration);
-  Estimates.recordTaskDuration(
-      job.Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs),
-      task.RunDuration / slownessOf(task.Progress.Worker));
-}
-
-// Estimates the worker's speed from the progress of a run long before its end.
-// At 25 percent the reported progress, a whole number, is accurate to one part
-// in 25.
-void JobScheduler::compareSpeedByProgress(const TaskId &id, Task &task) {
-  if (task.Percent < SpeedComparisonMinPercent || task.Percent >= 100 ||
-      !task.StartObserved || !task.Progress.Saved.empty())
-    return;
-  const Job &job = Jobs.at(id.Job);
-  if (job.specOf(id).LongRunning || isRemote(job, id, task))
-    return;
-  compareSpeed(job, id, task,
-               (task.PercentReportedAt - task.StartedAt) *
-                   (100 / (task.Percent + 0.5)));
-}
-
-// Compares each run once. Members of a gang are left out: they wait for each
-// other, so that their durations do not show the speed of their workers.
-void JobScheduler::compareSpeed(const Job &job, const TaskId &id, Task &task,
-                                absl::Duration runDuration) {
-  const WorkerView *worker = Workers.find(task.Progress.Worker);
-  if (task.SpeedCompared || worker == nullptr || job.specOf(id).Gang)
-    return;
-  task.SpeedCompared = true;
-  Speeds.recordRunDuration(stepName(id), worker->Agent, runDuration);
-}
-
 void JobScheduler::handleRunEnd(Job &job, const TaskId &id, Task &task,
                                 RunEnd how, const std::string &saved,
                                 const WorkerIncarnation &incarnation,
@@ -402,87 +350,4 @@
     handleGangMemberEnd(job, id, RunEnd::Broken);
 }
 
-void JobScheduler::requestStop(const TaskId &id, Task &task,
-                               const std::string &why) {
-  if (task.StopRequested || !task.isAssigned())
-    return;
-  task.StopRequested = true;
-  logDecision(Decision::Kind::Stopping, id.Job, core::taskName(id),
-              task.Progress.Run, task.Progress.Worker.Id, why);
-  // A start that is not recorded yet has not been ordered. It is dropped when
-  // its write is confirmed. Any other stop counts as last sent in the infinite
-  // past, as the current time is not known here: the next tick repeats it.
-  if (task.RunPhase != Phase::Recording)
-    orderStop(id, task, absl::InfinitePast());
-}
-
-void JobScheduler::stopStep(Job &job, int number, int step,
-                            const std::string &why) {
-  Step &tasks = job.Occurrences.at(number)[static_cast<size_t>(step)];
-  for (size_t i = 0; i < tasks.size(); ++i)
-    requestStop({job.Record.Spec.Id, number, step, static_cast<int>(i)},
-                tasks[i], why);
-}
-
-void JobScheduler::handleOrderResult(const WorkerIncarnation &incarnation,
-                                     const endpoints::OrderResult &result,
-                                     absl::Time now) {
-  if (result.Outcome == OrderOutcome::Absent)
-    Workers.removeLateStop(incarnation, {result.Task, result.Run});
-  TaskId id;
-  Task *task = core::parseTaskName(result.Task, id) ? findTask(id) : nullptr;
-  if (task == nullptr || task->Progress.Run != result.Run ||
-      task->Progress.Worker != incarnation ||
-      task->RunPhase == Phase::Recording)
-    return;
-  Job &job = Jobs.at(id.Job);
-  if (result.Outcome != OrderOutcome::Unconfirmed)
-    updateStartOpenUntil(job, id, *task, now);
-  switch (result.Outcome) {
-  case OrderOutcome::Started:
-    if (task->RunPhase != Phase::Running) {
-      task->RunPhase = Phase::Running;
-      task->StartedAt = now;
-      task->StartObserved = true;
-      logDecision(Decision::Kind::Started, id.Job, result.Task, result.Run,
-                  incarnation.Id);
-    }
-    return;
-  case OrderOutcome::Unconfirmed:
-    requestStop(id, *task, "its start was not confirmed");
-    return;
-  case OrderOutcome::Fenced:
-    // Another leader has sent orders to this worker. This entry will learn of
-    // it from the store.
-    return;
-  case OrderOutcome::Busy:
-    if (Workers.recordRunOutcome(incarnation, false, now))
-      logDecision(Decision::Kind::WorkerQuarantined, id.Job, result.Task,
-                  result.Run, incarnation.Id, "refuses starts");
-    task->FailedOn.insert(incarnation);
-    break;
-  case OrderOutcome::Refused:
-  case OrderOutcome::NoCapacity:
-  case OrderOutcome::Gone:
-  case OrderOutcome::Absent:
-    break;
-  }
-  const bool isOver = result.Outcome == OrderOutcome::Gone ||
-                      result.Outcome == OrderOutcome::Absent;
-  // Ignores a late refusal and the refusal of a repeated order. A run that was
-  // seen running and is now absent has certainly ended, even if the worker does
-  // not list its end.
-  if (task->RunPhase == Phase::Running && !isOver)
-    return;
-  if (!isOver && keepRefusedStart(job, id, *task, result.Detail, now))
-    return;
-  logDecision(Decision::Kind::StartRefused, id.Job, result.Task, result.Run,
-              incarnation.Id, result.Detail);
-  handleAbsentRun(job, id, *task, result.Detail, now,
-                  result.Outcome == OrderOutcome::Absent
-                      ? Settlement::ByWorker
-                      : Settlement::Otherwise);
-  checkJobEnd(job, now);
-}
-
 } // namespace oriolebay::jobs
--- /dev/null
+++ b/src/libs/jobs/jobscheduler_speeds.cpp
@@ -0,0 +1,60 @@
+// What completed and running tasks tell about estimates and about the speed of
+// workers.
+#include "jobscheduler.h"
+
+namespace oriolebay::jobs {
+
+using core::TaskId;
+
+namespace {
+
+/// Progress from which on a run is compared with other tasks of its step.
+constexpr int SpeedComparisonMinPercent = 25;
+
+} // namespace
+
+// Learns from the duration of a completed run how far the queue's estimates are
+// off. Runs that resumed from a checkpoint or started under another leader are
+// left out.
+void JobScheduler::learnTaskDuration(const Job &job, const TaskId &id,
+                                     Task &task, absl::Time now) {
+  const core::StepSpec &spec = job.specOf(id);
+  if (task.StartedAt == absl::InfinitePast() || !task.StartObserved ||
+      !task.Progress.Saved.empty() || spec.LongRunning)
+    return;
+  task.RunDuration = now - task.StartedAt;
+  if (isRemote(job, id, task))
+    return;
+  compareSpeed(job, id, task, task.RunDuration);
+  Estimates.recordTaskDuration(
+      job.Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs),
+      task.RunDuration / slownessOf(task.Progress.Worker));
+}
+
+// Estimates the worker's speed from the progress of a run long before its end.
+// At 25 percent the reported progress, a whole number, is accurate to one part
+// in 25.
+void JobScheduler::compareSpeedByProgress(const TaskId &id, Task &task) {
+  if (task.Percent < SpeedComparisonMinPercent || task.Percent >= 100 ||
+      !task.StartObserved || !task.Progress.Saved.empty())
+    return;
+  const Job &job = Jobs.at(id.Job);
+  if (job.specOf(id).LongRunning || isRemote(job, id, task))
+    return;
+  compareSpeed(job, id, task,
+               (task.PercentReportedAt - task.StartedAt) *
+                   (100 / (task.Percent + 0.5)));
+}
+
+// Compares each run once. Members of a gang are left out: they wait for each
+// other, so that their durations do not show the speed of their workers.
+void JobScheduler::compareSpeed(const Job &job, const TaskId &id, Task &task,
+                                absl::Duration runDuration) {
+  const WorkerView *worker = Workers.find(task.Progress.Worker);
+  if (task.SpeedCompared || worker == nullptr || job.specOf(id).Gang)
+    return;
+  task.SpeedCompared = true;
+  Speeds.recordRunDuration(stepName(id), worker->Agent, runDuration);
+}
+
+} // namespace oriolebay::jobs
--- a/src/libs/jobs/planner_capacity.cpp
+++ b/src/libs/jobs/planner_capacity.cpp
@@ -3,8 +3,6 @@
 // which capacity is reserved.
 #include "planner.h"
 
-#include "runmonitor.h"
-
 #include <algorithm>
 #include <tuple>
 
@@ -12,12 +10,6 @@
 
 namespace {
 
-/// Expected time of a task that runs after another one on the same resources:
-/// the expected task duration times RoundMargin, because the tasks of a step
-/// differ and some workers are slower by 1.3 times, plus RoundOverhead for the
-/// time from the end of one task to the start of the next.
-constexpr double RoundMargin = 1.25;
-constexpr absl::Duration RoundOverhead = absl::Milliseconds(100);
 /// Number of cores that an accelerator counts as in lost work.
 constexpr double CoresPerAccelerator = 8;
 
@@ -54,128 +46,6 @@
   return lost * coreEquivalents(spec.PerTask);
 }
 
-// Adds the running tasks of a step, or its running gang, to RunningUnits.
-void Planner::addRunningUnits(Job &job, int occurrence, int step) {
-  const core::StepSpec &spec = job.Record.Spec.Steps[static_cast<size_t>(step)];
-  const JobScheduler::Step &tasks =
-      job.Occurrences.at(occurrence)[static_cast<size_t>(step)];
-  RunningUnit gang{&job, occurrence, step, -1, job.Rank};
-  ResourcesByCandidate freedByGang;
-  core::TaskId id{job.Record.Spec.Id, occurrence, step, 0};
-  for (size_t i = 0; i < tasks.size(); ++i) {
-    const Task &t = tasks[i];
-    if (!t.isAssigned())
-      continue;
-    id.Index = static_cast<int>(i);
-    const double lostWork = workLostByStop(spec, t);
-    const absl::Duration timeLeft =
-        t.StopRequested ? Scheduler.Policy.StopDuration
-                        : RunMonitor(Scheduler, Now).remainingTime(job, id, t);
-    auto candidate = CandidateOf.find(t.Progress.Worker);
-    if (spec.Gang) {
-      gang.LostWork += lostWork;
-      gang.TimeLeft = std::max(gang.TimeLeft, timeLeft);
-      gang.Stopping = gang.Stopping && t.StopRequested;
-      if (candidate != CandidateOf.end())
-        freedByGang[candidate->second] += spec.taskResources();
-    } else if (candidate != CandidateOf.end()) {
-      RunningUnits.push_back({&job,
-                              occurrence,
-                              step,
-                              id.Index,
-                              job.Rank,
-                              lostWork,
-                              timeLeft,
-                              t.StopRequested,
-                              {{candidate->second, spec.taskResources()}}});
-    }
-  }
-  if (freedByGang.empty())
-    return;
-  gang.FreedResources.assign(freedByGang.begin(), freedByGang.end());
-  RunningUnits.push_back(std::move(gang));
-}
-
-void Planner::collectRunningUnits() {
-  if (RunningUnitsCollected)
-    return;
-  RunningUnitsCollected = true;
-  for (auto &[id, job] : Scheduler.Jobs)
-    for (auto &[number, steps] : job.Occurrences)
-      for (size_t s = 0; s < steps.size(); ++s)
-        addRunningUnits(job, number, static_cast<int>(s));
-}
-
-// Updates RunningUnits after tasks of the step were started or asked to stop.
-void Planner::refreshRunningUnits(Job &job, int occurrence, int step) {
-  if (!RunningUnitsCollected)
-    return;
-  CachedUnitsByEnd.reset();
-  CachedStoppableUnits.clear();
-  RunningUnits.erase(std::remove_if(RunningUnits.begin(), RunningUnits.end(),
-                                    [&](const RunningUnit &r) {
-                                      return r.Owner == &job &&
-                                             r.Occurrence == occurrence &&
-                                             r.Step == step;
-                                    }),
-                     RunningUnits.end());
-  addRunningUnits(job, occurrence, step);
-}
-
-// Lists the running units by rack, each list in the order of all.
-Planner::SortedUnits Planner::indexByRack(RunningUnitList all) const {
-  SortedUnits sorted;
-  sorted.ByRack.resize(RackDomains.size());
-  for (const RunningUnit *r : all) {
-    for (const auto &[c, freed] : r->FreedResources) {
-      auto &ofRack =
-          sorted.ByRack[static_cast<size_t>(Candidates[c].RackIndex)];
-      if (ofRack.empty() || ofRack.back() != r)
-        ofRack.push_back(r);
-    }
-  }
-  sorted.All = std::move(all);
-  return sorted;
-}
-
-// Running work that can be stopped for unit: units that are already being
-// stopped and those that are less urgent than unit. Sorted by lost work, which
-// is 0 for units that are already being stopped; at equal lost work the least
-// urgent come first.
-const Planner::SortedUnits &Planner::stoppableUnits(const PlacementUnit &unit) {
-  collectRunningUnits();
-  auto cached = CachedStoppableUnits.find(unit.Rank);
-  if (cached != CachedStoppableUnits.end())
-    return cached->second;
-  RunningUnitList all;
-  for (const RunningUnit &r : RunningUnits)
-    if (r.Stopping || r.Rank > unit.Rank)
-      all.push_back(&r);
-  std::stable_sort(all.begin(), all.end(),
-                   [](const RunningUnit *a, const RunningUnit *b) {
-                     return std::make_pair(a->LostWork, -a->Rank) <
-                            std::make_pair(b->LostWork, -b->Rank);
-                   });
-  return CachedStoppableUnits.emplace(unit.Rank, indexByRack(std::move(all)))
-      .first->second;
-}
-
-// All running units, sorted by their expected end.
-const Planner::SortedUnits &Planner::unitsByEnd() {
-  collectRunningUnits();
-  if (CachedUnitsByEnd)
-    return *CachedUnitsByEnd;
-  RunningUnitList all;
-  for (const RunningUnit &r : RunningUnits)
-    all.push_back(&r);
-  std::stable_sort(all.begin(), all.end(),
-                   [](const RunningUnit *a, const RunningUnit *b) {
-                     return a->TimeLeft < b->TimeLeft;
-                   });
-  CachedUnitsByEnd = indexByRack(std::move(all));
-  return *CachedUnitsByEnd;
-}
-
 bool Planner::isUsableInDomain(size_t candidateIndex, const PlacementUnit &unit,
                                const TopologyDomain &domain) const {
   return unit.TaskLimits[candidateIndex] > 0 &&
@@ -323,76 +193,6 @@
   return findBestPlan(unit, unitsByEnd(), &CapacityPlan::Wait);
 }
 
-// Computes the slack of unit and how many of its tasks have to run at the same
-// time. Only units of priority 0 need the slack, because running work is
-// stopped for them; others use the capacity that is free.
-void Planner::computeUrgency(PlacementUnit &unit) const {
-  const Job &job = *unit.Owner;
-  const core::StepSpec &spec = unit.spec();
-  unit.RequiredConcurrency = static_cast<int>(unit.Tasks.size());
-  if (unit.Rank > 1)
-    return;
-  const auto &steps = job.Record.Spec.Steps;
-  const JobDeadline deadline = Scheduler.computeDeadline(job);
-  const auto criticalPaths =
-      criticalPathsFrom(steps, deadline.Waves, [&](const core::StepSpec &s) {
-        return Scheduler.taskTime(job, s);
-      });
-  const auto step = static_cast<size_t>(unit.Step);
-  const absl::Duration taskDuration = Scheduler.taskTime(job, spec);
-  const absl::Duration timeAfterStep =
-      criticalPaths[step] - taskDuration * deadline.Waves[step];
-  const absl::Duration timeLeft =
-      job.Arrived + deadline.RelativeDeadline - Now - timeAfterStep;
-  unit.Slack = timeLeft - taskDuration;
-  if (!spec.Gang && unit.Rank == 1)
-    computeRequiredConcurrency(unit, timeLeft, taskDuration);
-  unit.CautiousSlack = unit.Slack - deadlineAtRisk(job, deadline);
-}
-
-// How much earlier the deadline of the job may be than computed, relative to
-// its work, because its tasks may be shorter than estimated.
-absl::Duration Planner::deadlineAtRisk(const Job &job,
-                                       const JobDeadline &deadline) const {
-  const double shorter =
-      1 - Scheduler.Estimates.shortfallFactor(job.Record.Spec.Queue,
-                                              Scheduler.Policy.SlackDeviations);
-  const double slackShare = std::max(0.0, job.Record.Stretch - 1);
-  return deadline.CriticalPath * (shorter * slackShare);
-}
-
-// A wide step can meet its deadline although its tasks run one after another:
-// each running task, and each task that is started now, is followed by others
-// on the same resources until the time is up. Updates the slack accordingly.
-void Planner::computeRequiredConcurrency(PlacementUnit &unit,
-                                         absl::Duration timeLeft,
-                                         absl::Duration taskDuration) const {
-  const absl::Duration roundTime = taskDuration * RoundMargin + RoundOverhead;
-  const auto rounds = [roundTime](absl::Duration time) -> int64_t {
-    return time <= absl::ZeroDuration()
-               ? 0
-               : static_cast<int64_t>(absl::FDivDuration(time, roundTime));
-  };
-  const auto n = static_cast<int64_t>(unit.Tasks.size());
-  int64_t followUpTasks = 0;
-  const JobScheduler::Step &step = unit.step();
-  for (size_t i = 0; i < step.size(); ++i) {
-    if (!step[i].isAssigned())
-      continue;
-    followUpTasks +=
-        rounds(timeLeft - RunMonitor(Scheduler, Now)
-                              .remainingTime(*unit.Owner,
-                                             unit.taskId(static_cast<int>(i)),
-                                             step[i]));
-  }
-  const int64_t tasksPerSlot = std::max<int64_t>(1, rounds(timeLeft));
-  const int64_t uncoveredTasks = std::max<int64_t>(0, n - followUpTasks);
-  unit.RequiredConcurrency = static_cast<int>(
-      std::min(n, (uncoveredTasks + tasksPerSlot - 1) / tasksPerSlot));
-  unit.Slack =
-      timeLeft - (tasksPerSlot > 1 ? roundTime * tasksPerSlot : taskDuration);
-}
-
 // Maximum work of others, in core-seconds, that may be lost for unit: a fixed
 // allowance and a share of the work of unit, as an estimate of what its result
 // loses when it is late.
