A step that gave up preferences waits again before the next unhealthy worker

A job that found only unhealthy workers used up its attempts on them within moments, once it had waited beside free workers for 5 s, and failed for good.

A start ends the wait. Workers where a task failed, and those in quarantine, are taken after 5 s without a run only; what costs no attempt (racks, headroom, reservations) is given up after 1.5 s once no job has arrived for 10 s, because the free capacity has no other use then.

EndsWithOneAttemptAtATime fails without the first of these (20 attempts within 8 s).

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -221,6 +221,10 @@
   task.Progress.LateStarts.clear();
   task.LateStartBounds.clear();
   task.SpeedCompared = false;
+  // Another long wait has to pass before the step gives up preferences again.
+  if (auto wait = job.Waits.Steps.find({id.Occurrence, id.Step});
+      wait != job.Waits.Steps.end())
+    wait->second.resetIdle();
   if (job.State == JobState::Queued)
     job.State = JobState::Running;
   job.Dirty = true;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -480,6 +480,8 @@
   UrgentDemandEstimator UrgentDemand;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
+  /// When this leader last received the record of a new job.
+  absl::Time LastArrival = absl::InfinitePast();
   /// A worker incarnation that is named in a record and has not reported to
   /// this leader.
   struct UnreportedIncarnation {
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -15,6 +15,7 @@
     return;
   if (added) {
     job.Arrived = now;
+    LastArrival = now;
     // Jobs that a new leader reads from the store arrived over minutes, not all
     // at once, and do not predict how many will arrive.
     if (record.Priority == 0 && isFleetKnown(now) &&
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -239,7 +239,8 @@
     giveUpPreferences(unit);
     if (placeWherePossible(unit))
       return;
-    endQuarantines(unit);
+    if (mayTakeUnhealthyWorkers(unit))
+      endQuarantines(unit);
   }
   if (unit.spec().Gang || unit.RequiredConcurrency > 0)
     handleBlockedUnit(unit);
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -182,7 +182,13 @@
   void rankJobs();
   void placeUnit(PlacementUnit &unit);
   bool placeWherePossible(PlacementUnit &unit);
+  /// Time for which nothing of the unit's step has run beside free workers;
+  /// negative infinite if that is not so.
+  absl::Duration waitBesideFreeWorkers(const PlacementUnit &unit) const;
   bool mustGiveUpPreferences(const PlacementUnit &unit) const;
+  /// Whether unit may take workers where its tasks failed or that are in
+  /// quarantine.
+  bool mayTakeUnhealthyWorkers(const PlacementUnit &unit) const;
   void giveUpPreferences(PlacementUnit &unit);
   /// Ends as many quarantines as it takes to hold the tasks of unit.
   void endQuarantines(const PlacementUnit &unit);
--- a/src/libs/jobs/planner_preferences.cpp
+++ b/src/libs/jobs/planner_preferences.cpp
@@ -8,19 +8,30 @@
 
 namespace oriolebay::jobs {
 
-bool Planner::mustGiveUpPreferences(const PlacementUnit &unit) const {
+absl::Duration Planner::waitBesideFreeWorkers(const PlacementUnit &unit) const {
   const auto &steps = unit.Owner->Waits.Steps;
   auto wait = steps.find({unit.Occurrence, unit.Step});
-  return wait != steps.end() && Now - wait->second.IdleBesideFreeSince >=
-                                    Scheduler.Policy.MaxPreferenceWait;
+  return wait == steps.end() ? absl::ZeroDuration()
+                             : Now - wait->second.IdleBesideFreeSince;
+}
+
+bool Planner::mustGiveUpPreferences(const PlacementUnit &unit) const {
+  const SchedulerPolicy &policy = Scheduler.Policy;
+  const bool isQuiet = Now - Scheduler.LastArrival >= policy.QuietAfter;
+  return waitBesideFreeWorkers(unit) >=
+         (isQuiet ? policy.MaxQuietPreferenceWait : policy.MaxPreferenceWait);
+}
+
+bool Planner::mayTakeUnhealthyWorkers(const PlacementUnit &unit) const {
+  return waitBesideFreeWorkers(unit) >= Scheduler.Policy.MaxPreferenceWait;
 }
 
-// What it avoids is not empty space but workers where its tasks may fail once
-// more, which is still better than not to run.
 void Planner::giveUpPreferences(PlacementUnit &unit) {
   unit.HasGivenUpPreferences = true;
-  unit.AvoidWorkers.clear();
-  unit.AvoidHosts.clear();
+  if (mayTakeUnhealthyWorkers(unit)) {
+    unit.AvoidWorkers.clear();
+    unit.AvoidHosts.clear();
+  }
   StepWait &wait = unit.Owner->Waits.Steps.at({unit.Occurrence, unit.Step});
   if (std::exchange(wait.PreferencesGivenUp, true))
     return;
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -61,6 +61,10 @@
   /// Time beside free workers after which a step of which nothing runs takes
   /// any capacity that it fits into.
   absl::Duration MaxPreferenceWait = absl::Seconds(5);
+  /// The same once no job has arrived for QuietAfter, as the free capacity has
+  /// no other use then. Not for workers that may fail its tasks.
+  absl::Duration MaxQuietPreferenceWait = absl::Milliseconds(1500);
+  absl::Duration QuietAfter = absl::Seconds(10);
   /// Time to stop a run and to start it on another worker, and how often a task
   /// may be moved because it is too slow.
   absl::Duration MoveCost = absl::Milliseconds(800);
--- a/src/libs/jobs/stepwait.h
+++ b/src/libs/jobs/stepwait.h
@@ -39,6 +39,10 @@
   /// Time beside free workers after which the next line is due.
   absl::Duration NextLineAfter = MaxExpectedWait;
 
+  void resetIdle() {
+    IdleBesideFreeSince = absl::InfiniteFuture();
+    PreferencesGivenUp = false;
+  }
   /// Time for which it has waited beside free workers; zero if it does not.
   absl::Duration besideFree(absl::Time now) const {
     return BesideFreeSince == absl::InfiniteFuture() ? absl::ZeroDuration()
--- a/src/libs/jobs/waitsurvey.cpp
+++ b/src/libs/jobs/waitsurvey.cpp
@@ -197,8 +197,7 @@
   StepWait &wait = *step.Wait;
   if (!isBesideFreeWorkers(step)) {
     wait.BesideFreeSince = absl::InfiniteFuture();
-    wait.IdleBesideFreeSince = absl::InfiniteFuture();
-    wait.PreferencesGivenUp = false;
+    wait.resetIdle();
     wait.IsCounted = false;
     wait.NextLineAfter = MaxExpectedWait;
     return;
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -402,12 +402,16 @@
 
 std::string MemoryCluster::decisionsText(const std::string &job) const {
   std::string text;
+  const auto reasonOf = [](const jobs::Decision &d) {
+    auto reason = d.Texts.find("reason");
+    return reason == d.Texts.end() ? "" : " (" + reason->second + ")";
+  };
   for (const auto &[at, d] : LeaderDecisions)
     if (d.Job == job)
       text += absl::FormatTime("%M:%E3S ", at, absl::UTCTimeZone()) +
               std::to_string(static_cast<int>(d.What)) + " " + d.Task +
               " run " + std::to_string(d.Run) + " " + d.Worker + " " + d.Why +
-              "\n";
+              reasonOf(d) + "\n";
   return text;
 }
 
--- a/tests/auto/jobs/tst_waits.cpp
+++ b/tests/auto/jobs/tst_waits.cpp
@@ -522,5 +522,28 @@
     EXPECT_LE(lines, 10) << job;
 }
 
+// Guards against a job whose attempts are used up within moments on workers
+// that are known to be unhealthy, because it finds no others.
+TEST(WaitBesideFreeWorkers, EndsWithOneAttemptAtATime) {
+  SimSite site;
+  addWorkers(site, 2);
+  site.RunFails = [](const core::TaskId &, int64_t) { return true; };
+  site.WorkTime = [](const core::TaskId &, const core::StepSpec &) {
+    return absl::Milliseconds(10);
+  };
+  site.submit(jobOf("j", taskStep(1, 8)), 1, 20);
+  site.runFor(absl::Seconds(8));
+  const auto quarantines =
+      countLines(site, Decision::Kind::WorkerQuarantined, "j");
+  ASSERT_GT(quarantines, 2);
+  const int before = site.starts();
+  for (int n = 0; n < 8; ++n) {
+    const int startsBefore = site.starts();
+    site.runFor(absl::Seconds(4));
+    EXPECT_LE(site.starts() - startsBefore, 2);
+  }
+  EXPECT_GT(site.starts(), before);
+}
+
 } // namespace
 } // namespace oriolebay::jobs
