An entry does not serve by a configuration that had to be replaced by then

What callers saw: a key or queue that the operator had removed went on working, and an added one was unknown, at an entry that had lost the store, for up to 2.5 s after the change, where the site says that a change is in force after 2 s.

Cause: the age up to which a view of the configuration serves calls was derived from the bound on revoked keys alone (half of it, 2.5 s). Where the bound on changes is the smaller one, a view can be older than that bound allows. The class: a limit that follows from one bound where two hold.

Why it works: a view that serves calls was confirmed by the store within the smaller of the two bounds, so whatever was confirmed to the operator before that is in it. Sites whose bound on changes is 3 s keep 2.5 s.

--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -158,7 +158,8 @@
                            absl::Milliseconds(s.StoreMinLeaseMs));
   t.ConfirmInterval = absl::Milliseconds(s.Bounds.ConfigApplyMs) * 3 / 10;
   t.MaxViewAge = t.ConfirmInterval * 4 / 3;
-  t.MaxConfigAge = absl::Milliseconds(s.Bounds.RevokeMs) / 2;
+  t.MaxConfigAge = std::min(absl::Milliseconds(s.Bounds.RevokeMs) / 2,
+                            absl::Milliseconds(s.Bounds.ConfigApplyMs) * 5 / 6);
   t.NotReadyAfter = absl::Milliseconds(s.Bounds.ConfigApplyMs);
   t.ReclaimAfter =
       std::max(absl::Milliseconds(s.Bounds.ReclaimMs - s.Bounds.StopGraceMs) -
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -117,7 +117,8 @@
   /// not relied on either.
   absl::Duration MaxViewAge;
   /// Maximum age of a view of the configuration. Calls are not served with
-  /// older views.
+  /// older views. It is below both the time until a change has to be in force
+  /// (ConfigApplyMs) and that until a revoked key has to be refused (RevokeMs).
   absl::Duration MaxConfigAge;
   /// Maximum age of the view with which a process reports itself as ready.
   absl::Duration NotReadyAfter;
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -36,7 +36,7 @@
     organisations.push_back({o.Name, o.Keys, o.GuaranteedAccelerators});
   json queues = json::array();
   for (const auto &q : config.Queues)
-    queues.push_back({q.Name, q.Prefix, q.Priority, q.NeedsAdvice});
+    queues.push_back({q.Name, q.Prefix, q.Priority, q.NeedsAdvice, q.Service});
   return json{{"version", config.Version},
               {"organisations", organisations},
               {"queues", queues}}
@@ -60,7 +60,7 @@
     queue.Prefix = q[1];
     queue.Priority = q[2];
     queue.NeedsAdvice = q[3];
-    queue.Service = "service";
+    queue.Service = q[4];
     queue.Attempts = 4;
     config.Queues.push_back(queue);
   }
@@ -96,22 +96,36 @@
 
 void MemoryCluster::configureOrganisations(
     std::vector<core::OrganisationConfig> organisations) {
+  configureSite(std::move(organisations), usualQueues());
+}
+
+void MemoryCluster::configureSite(
+    std::vector<core::OrganisationConfig> organisations,
+    std::vector<core::QueueConfig> queues) {
   core::SiteConfig config;
   config.Version = ++ConfigVersion;
   config.Organisations = std::move(organisations);
+  config.Queues = std::move(queues);
+  Store.put(ConfigKey, encodeConfig(config));
+}
+
+core::QueueConfig makeQueue(const std::string &name) {
+  core::QueueConfig queue;
+  queue.Name = name;
+  queue.Prefix = "/" + name + "/";
+  queue.Service = "service";
+  return queue;
+}
+
+std::vector<core::QueueConfig> MemoryCluster::usualQueues() {
+  std::vector<core::QueueConfig> queues;
   for (int priority = 0; priority < 3; ++priority) {
-    core::QueueConfig q;
-    q.Name = "q" + std::to_string(priority);
-    q.Prefix = "/q" + std::to_string(priority) + "/";
-    q.Priority = priority;
-    config.Queues.push_back(q);
+    queues.push_back(makeQueue("q" + std::to_string(priority)));
+    queues.back().Priority = priority;
   }
-  core::QueueConfig advised;
-  advised.Name = "advised";
-  advised.Prefix = "/advised/";
-  advised.NeedsAdvice = true;
-  config.Queues.push_back(advised);
-  Store.put(ConfigKey, encodeConfig(config));
+  queues.push_back(makeQueue("advised"));
+  queues.back().NeedsAdvice = true;
+  return queues;
 }
 
 settings::NodeSettings
@@ -151,7 +165,8 @@
       handler->second(message, [this, process, to,
                                 finish](const endpoints::Message &reply) {
         if (canReach(process, to))
-          Loop.runAfter(HopDelay, [finish, reply] { finish(reply); });
+          Loop.runAfter(HopDelay + AnswerDelays[to],
+                        [finish, reply] { finish(reply); });
       });
     });
   };
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -41,6 +41,9 @@
   /// Writes a configuration with these organisations.
   void
   configureOrganisations(std::vector<core::OrganisationConfig> organisations);
+  /// Writes a configuration with these organisations and queues.
+  void configureSite(std::vector<core::OrganisationConfig> organisations,
+                     std::vector<core::QueueConfig> queues);
 
   void runFor(absl::Duration time);
   /// Runs until all accepted jobs have ended according to the store. Returns
@@ -72,6 +75,8 @@
   // Fault injection.
   void killEntry(int entry);
   void startEntry(int entry);
+  /// Has the entry stop as on SIGTERM. It goes on serving until it is killed.
+  void beginEntryStop(int entry) { Entries.at(entry).Process->beginStop(); }
   bool isEntryUp(int entry) const {
     return Entries.at(entry).Process != nullptr;
   }
@@ -97,6 +102,11 @@
   void holdMessages(const std::string &process, absl::Duration time) {
     HeldUntil[process] = Loop.now() + time;
   }
+  /// Sets how much later than usual the answers of process to other processes
+  /// arrive.
+  void delayAnswers(const std::string &process, absl::Duration time) {
+    AnswerDelays[process] = time;
+  }
   int leader() const;
   MemoryStore &store() { return Store; }
   MemoryWorker &worker(int n) { return *Workers.at(n).FakeWorker; }
@@ -166,6 +176,8 @@
 
   endpoints::Peers peersOf(const std::string &process);
   settings::NodeSettings settingsOf(const std::string &name) const;
+  /// The queues of a configuration that names none.
+  static std::vector<core::QueueConfig> usualQueues();
   std::shared_ptr<CallerCall> makeCall(const std::string &job,
                                        const std::string &key);
   jobs::CallerAccess accessFor(const std::string &key) const;
@@ -196,6 +208,7 @@
   }
 
   std::map<std::string, absl::Time> HeldUntil;
+  std::map<std::string, absl::Duration> AnswerDelays;
   std::set<std::string> Partitioned;
   std::set<std::pair<std::string, std::string>> PartitionedPairs;
   std::map<int, Entry> Entries;
@@ -214,6 +227,9 @@
 core::JobSpec makeJob(const std::string &id, int count, int64_t accelerators,
                       int64_t ms);
 
+/// Returns a queue of the cluster's only service, with its name as prefix.
+core::QueueConfig makeQueue(const std::string &name);
+
 /// Encodes a configuration in the format that the entries of a MemoryCluster
 /// read.
 std::string encodeConfig(const core::SiteConfig &config);
--- /dev/null
+++ b/tests/auto/cluster/tst_configchanges.cpp
@@ -0,0 +1,401 @@
+// Tests of what callers see of the configuration while it changes about once a
+// second and the entries are disturbed in several ways at once.
+#include "memorycluster.h"
+#include "seeds.h"
+#include "settings/nodesettings.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace oriolebay::cluster {
+namespace {
+
+using jobs::CallAnswer;
+using jobs::CallResult;
+
+/// Time after which a change of the configuration has to be in force at each
+/// entry that serves calls.
+const absl::Duration ApplyTime =
+    absl::Milliseconds(settings::SiteBounds().ConfigApplyMs);
+constexpr const char *LastingKey = "lasting";
+constexpr const char *LastingQueue = "lasting";
+/// The queue whose service is another one in each configuration.
+constexpr const char *MovingQueue = "moving";
+/// Configurations in a row that contain a key or queue.
+constexpr int64_t Lifespan = 2;
+
+std::string keyOf(int64_t number) { return "key" + std::to_string(number); }
+std::string queueOf(int64_t number) { return "queue" + std::to_string(number); }
+std::string serviceOf(int64_t number) {
+  return "service" + std::to_string(number);
+}
+
+/// Configurations are numbered from 1. The one with this number contains the
+/// keys and queues that were added by it and by the one before it.
+class ConfigSeries {
+public:
+  explicit ConfigSeries(MemoryCluster &cluster) : Cluster(cluster) {}
+
+  void writeNext() {
+    WrittenAt.push_back(Cluster.loop().now());
+    std::vector<core::OrganisationConfig> organisations{
+        {"lasting", {LastingKey}, 16}};
+    std::vector<core::QueueConfig> queues{makeQueue(LastingQueue),
+                                          makeQueue(MovingQueue)};
+    queues.back().Service = serviceOf(newest());
+    for (int64_t n = std::max<int64_t>(1, newest() - Lifespan + 1);
+         n <= newest(); ++n) {
+      organisations.push_back({"org" + std::to_string(n), {keyOf(n)}, 16});
+      queues.push_back(makeQueue(queueOf(n)));
+    }
+    Cluster.configureSite(std::move(organisations), std::move(queues));
+  }
+
+  int64_t newest() const { return static_cast<int64_t>(WrittenAt.size()); }
+  /// The newest configuration that was written at this time or before.
+  int64_t newestAt(absl::Time time) const {
+    return std::upper_bound(WrittenAt.begin(), WrittenAt.end(), time) -
+           WrittenAt.begin();
+  }
+
+private:
+  MemoryCluster &Cluster;
+  std::vector<absl::Time> WrittenAt;
+};
+
+/// The entries of a cluster. They lose the store, its updates and each other in
+/// all ways, answer late, and are killed, stopped and replaced, several of them
+/// at a time.
+class DisturbedEntries {
+public:
+  DisturbedEntries(MemoryCluster &cluster, int count, std::mt19937_64 &random)
+      : Cluster(cluster), Random(random), Live(static_cast<size_t>(count)) {
+    for (int n = 0; n < count; ++n)
+      Live[static_cast<size_t>(n)] = n;
+  }
+
+  int incarnation(int entry) const {
+    auto it = Incarnations.find(entry);
+    return it == Incarnations.end() ? 0 : it->second;
+  }
+  /// Half of the time one that was disturbed lately.
+  int pick() {
+    if (!Disturbed.empty() && randomInt(0, 1) == 0)
+      return Disturbed[static_cast<size_t>(
+          randomInt(0, static_cast<int>(Disturbed.size()) - 1))];
+    return Live[static_cast<size_t>(
+        randomInt(0, static_cast<int>(Live.size()) - 1))];
+  }
+
+  void disturb() {
+    const int entry = pick();
+    rememberDisturbed(entry);
+    const std::string name = MemoryCluster::entryName(entry);
+    MemoryStore::Faults &store = Cluster.store().faults(name);
+    switch (randomInt(0, 11)) {
+    case 0:
+      return set(store.Silent, true, false);
+    case 1:
+      return set(store.Refuses, true, false);
+    case 2:
+      return set(store.WatchesSilent, true, false);
+    case 3:
+      return set(store.Delay, absl::Milliseconds(randomInt(4, 1300)),
+                 MemoryStore::Faults().Delay);
+    case 4:
+      return set(store.LostAnswerShare, 0.5, 0.0);
+    case 5:
+      return set(store.LateWriteShare, 0.5, 0.0);
+    case 6:
+      Cluster.setPartitioned(name, true);
+      return healLater([this, name] { Cluster.setPartitioned(name, false); });
+    case 7:
+      Cluster.delayAnswers(name, absl::Milliseconds(randomInt(100, 1500)));
+      return healLater(
+          [this, name] { Cluster.delayAnswers(name, absl::ZeroDuration()); });
+    case 8:
+      return Cluster.holdMessages(name, randomTime());
+    case 9:
+      return Cluster.store().compact();
+    case 10:
+      return restart(entry);
+    default:
+      return replace(entry);
+    }
+  }
+
+private:
+  static constexpr size_t MaxDisturbed = 4;
+
+  int randomInt(int from, int to) {
+    return std::uniform_int_distribution<>(from, to)(Random);
+  }
+  absl::Duration randomTime() {
+    return absl::Milliseconds(randomInt(50, 5000));
+  }
+
+  void rememberDisturbed(int entry) {
+    Disturbed.push_back(entry);
+    if (Disturbed.size() > MaxDisturbed)
+      Disturbed.erase(Disturbed.begin());
+  }
+
+  template <class T> void set(T &fault, T value, T usual) {
+    fault = value;
+    healLater([&fault, usual] { fault = usual; });
+  }
+
+  void healLater(std::function<void()> heal) {
+    Cluster.loop().runAfter(randomTime(), std::move(heal));
+  }
+
+  void kill(int entry) {
+    Cluster.killEntry(entry);
+    ++Incarnations[entry];
+  }
+
+  // Half of the time the process is stopped first, as by SIGTERM.
+  void restart(int entry) {
+    if (!Cluster.isEntryUp(entry))
+      return;
+    const bool planned = randomInt(0, 1) == 0;
+    if (planned)
+      Cluster.beginEntryStop(entry);
+    const absl::Duration stopTime = absl::Milliseconds(planned ? 2400 : 0);
+    const int stopped = incarnation(entry);
+    Cluster.loop().runAfter(stopTime, [this, entry, stopped] {
+      if (incarnation(entry) != stopped)
+        return;
+      kill(entry);
+      healLater([this, entry] {
+        if (!Cluster.isEntryUp(entry) && isLive(entry))
+          Cluster.startEntry(entry);
+      });
+    });
+  }
+
+  // Another entry, with another address, takes the place of this one.
+  void replace(int entry) {
+    if (!Cluster.isEntryUp(entry))
+      return;
+    kill(entry);
+    std::replace(Live.begin(), Live.end(), entry, Cluster.addEntry());
+    Disturbed.erase(std::remove(Disturbed.begin(), Disturbed.end(), entry),
+                    Disturbed.end());
+  }
+
+  bool isLive(int entry) const {
+    return std::find(Live.begin(), Live.end(), entry) != Live.end();
+  }
+
+  MemoryCluster &Cluster;
+  std::mt19937_64 &Random;
+  std::vector<int> Live;
+  std::vector<int> Disturbed;
+  /// Number of kills, by entry.
+  std::map<int, int> Incarnations;
+};
+
+/// Which configurations allow an answer: those from First to Last, or all
+/// others.
+struct AllowedConfigs {
+  int64_t First = 0;
+  int64_t Last = 0;
+  bool Others = false;
+
+  /// The oldest of them that is not older than this one.
+  int64_t oldestFrom(int64_t number) const {
+    if (!Others)
+      return number <= Last ? std::max(number, First) : Never;
+    return number < First || number > Last ? number : Last + 1;
+  }
+
+  static constexpr int64_t Never = INT64_MAX;
+};
+
+/// What a call uses that only some configurations contain.
+enum class Uses { Key, Queue, Service };
+
+struct SentCall {
+  int Entry;
+  int Incarnation;
+  Uses What;
+  int64_t Number;
+  /// Configurations older than this one must not decide it.
+  int64_t OldestAllowed;
+  std::shared_ptr<MemoryCluster::CallerCall> Call;
+};
+
+class ConfigChanges {
+public:
+  ConfigChanges(int entries, int firstSmallEntry, uint64_t seed)
+      : Random(seed), Cluster(optionsOf(entries, firstSmallEntry, seed)),
+        Configs(Cluster), Entries(Cluster, entries, Random) {}
+
+  /// Returns the first call that an older configuration has decided than
+  /// callers may rely on, or an empty string.
+  std::string run() {
+    for (int n = 0; n < 3; ++n)
+      Configs.writeNext();
+    Cluster.runFor(absl::Seconds(4));
+    for (int tick = 0; tick < Ticks && Violation.empty(); ++tick) {
+      if (randomInt(1, 50) == 1)
+        Configs.writeNext();
+      if (randomInt(1, 15) == 1)
+        Entries.disturb();
+      sendCall();
+      Cluster.runFor(absl::Milliseconds(20));
+      checkAnswers();
+    }
+    return Violation;
+  }
+
+  int decidedCount() const { return DecidedCount; }
+
+private:
+  static constexpr int Ticks = 1000;
+
+  static MemoryCluster::Options optionsOf(int entries, int firstSmallEntry,
+                                          uint64_t seed) {
+    MemoryCluster::Options options{entries, 3, 3, seed};
+    options.FirstSmallEntry = firstSmallEntry;
+    return options;
+  }
+
+  int randomInt(int from, int to) {
+    return std::uniform_int_distribution<>(from, to)(Random);
+  }
+
+  void sendCall() {
+    const int entry = Entries.pick();
+    const int incarnation = Entries.incarnation(entry);
+    const auto uses = static_cast<Uses>(randomInt(0, 2));
+    const int64_t number =
+        std::max<int64_t>(1, Configs.newest() - randomInt(0, 3));
+    const int64_t oldestAllowed =
+        std::max(NewestShown[{entry, incarnation}],
+                 Configs.newestAt(Cluster.loop().now() - ApplyTime));
+    Calls.push_back({entry, incarnation, uses, number, oldestAllowed,
+                     makeCall(entry, uses, number)});
+  }
+
+  std::shared_ptr<MemoryCluster::CallerCall> makeCall(int entry, Uses uses,
+                                                      int64_t number) {
+    switch (uses) {
+    case Uses::Key:
+      return Cluster.countQueued(entry, keyOf(number), LastingQueue);
+    case Uses::Queue:
+      return Cluster.countQueued(entry, LastingKey, queueOf(number));
+    case Uses::Service:
+      break;
+    }
+    core::JobSpec job = makeJob("j" + std::to_string(++Jobs), 1, 1, 100);
+    job.Queue = MovingQueue;
+    return Cluster.submit(entry, LastingKey, std::move(job));
+  }
+
+  void checkAnswers() {
+    const auto first =
+        std::partition(Calls.begin(), Calls.end(),
+                       [](const SentCall &sent) { return !sent.Call->Answer; });
+    for (auto it = first; it != Calls.end(); ++it)
+      checkAnswer(*it);
+    Calls.erase(first, Calls.end());
+  }
+
+  void checkAnswer(const SentCall &sent) {
+    const std::optional<AllowedConfigs> allowed = configsThatAllow(sent);
+    if (!allowed)
+      return;
+    ++DecidedCount;
+    const int64_t decidedBy = allowed->oldestFrom(sent.OldestAllowed);
+    if (decidedBy > Configs.newest()) {
+      Violation =
+          MemoryCluster::entryName(sent.Entry) + " answered " +
+          jobs::callResultName(sent.Call->Answer->Result) +
+          " to a call with item " + std::to_string(sent.Number) + " (kind " +
+          std::to_string(static_cast<int>(sent.What)) +
+          "), though configuration " + std::to_string(sent.OldestAllowed) +
+          " or a newer one had to decide it: " + sent.Call->Answer->Detail;
+      return;
+    }
+    int64_t &shown = NewestShown[{sent.Entry, sent.Incarnation}];
+    shown = std::max(shown, decidedBy);
+  }
+
+  // Nothing if the answer tells nothing about the configuration.
+  std::optional<AllowedConfigs> configsThatAllow(const SentCall &sent) const {
+    const CallResult result = sent.Call->Answer->Result;
+    AllowedConfigs allowed{sent.Number, sent.Number + Lifespan - 1};
+    if (sent.What == Uses::Service) {
+      if (result != CallResult::Ok)
+        return std::nullopt;
+      allowed.First = allowed.Last = recordedNumber(sent.Call->Job);
+      return allowed;
+    }
+    if (result == CallResult::Ok)
+      return allowed;
+    allowed.Others = true;
+    if (result == CallResult::BadKey || result == CallResult::UnknownQueue)
+      return allowed;
+    return std::nullopt;
+  }
+
+  /// The number of the configuration whose service the job was stored with.
+  int64_t recordedNumber(const std::string &job) const {
+    const auto record = Cluster.storedRecord(job);
+    for (int64_t n = 1; record && n <= Configs.newest(); ++n)
+      if (record->Service == serviceOf(n))
+        return n;
+    return 0;
+  }
+
+  std::mt19937_64 Random;
+  MemoryCluster Cluster;
+  ConfigSeries Configs;
+  DisturbedEntries Entries;
+  int Jobs = 0;
+  int DecidedCount = 0;
+  /// The newest configuration that callers know to have decided a call, by
+  /// entry and its incarnation.
+  std::map<std::pair<int, int>, int64_t> NewestShown;
+  std::vector<SentCall> Calls;
+  std::string Violation;
+};
+
+struct SiteSize {
+  const char *Name;
+  int Entries;
+  int FirstSmallEntry;
+};
+
+void PrintTo(const SiteSize &c, std::ostream *out) { *out << c.Name; }
+
+class ConfigUnderDisturbance : public testing::TestWithParam<SiteSize> {};
+
+// Guards against an entry that returns to an older configuration, serves by one
+// that was replaced too long ago, or does not serve an added key or queue,
+// while several entries are disturbed at once.
+TEST_P(ConfigUnderDisturbance, NoCallIsDecidedByATooOldConfig) {
+  const auto [first, last] = seedsToRun(20);
+  int decidedCount = 0;
+  for (int seed = first; seed <= last; ++seed) {
+    ConfigChanges scenario(GetParam().Entries, GetParam().FirstSmallEntry,
+                           static_cast<uint64_t>(seed));
+    EXPECT_EQ(scenario.run(), "") << "seed " << seed;
+    decidedCount += scenario.decidedCount();
+  }
+  EXPECT_GT(decidedCount, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, ConfigUnderDisturbance,
+                         testing::Values(SiteSize{"ThreeEntries", 3, 3},
+                                         SiteSize{"ThirteenEntries", 13, 8}),
+                         [](const auto &info) { return info.param.Name; });
+
+} // namespace
+} // namespace oriolebay::cluster
--- a/tests/auto/settings/tst_nodesettings.cpp
+++ b/tests/auto/settings/tst_nodesettings.cpp
@@ -134,8 +134,9 @@
   // A view of the configuration that serves calls is confirmed again before it
   // is too old, also if one answer is lost. Views that are too old are
   // discarded in half of the time within which a revoked key has to be
-  // rejected.
+  // rejected, and before a change has to be in force.
   EXPECT_LE(2 * t.ConfirmInterval, t.MaxConfigAge);
+  EXPECT_LT(t.MaxConfigAge, absl::Milliseconds(siteBounds.ConfigApplyMs));
   EXPECT_LE(t.MaxConfigAge, absl::Milliseconds(siteBounds.RevokeMs) / 2);
   EXPECT_LE(t.ConfirmInterval * 3,
             absl::Milliseconds(siteBounds.ConfigApplyMs));
