A job does not wait for ever for a run that its worker has lost

What callers saw: a job that never ends. All other tasks of it are done, one counts as running, its worker has room and says nothing of it.

No one can tell the two apart. The run is in neither list of the worker from then on, and the leader waits for its end, which nobody will list. The class: a wait that rests on another process saying that something has ended, without an ending for the case that it never does.

Change: each report's list is compared with the runs that the leader counts there. A run that was confirmed or listed at least 2 s before the list was made and is not in it gets a stop, logged with its reason. The agent answers a stop of a run that the worker does not know with "absent", as it did before; open attempts, gangs and attempts to start are settled on that path as for any other stop. 2 s is over twice the longest time that an agent waits for a worker's answer (0.9 s), so answers that overtake each other stop nothing.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -386,6 +386,9 @@
   bool hasCrashedRecently(const std::string &agent, absl::Time now) const;
   void handleRunningTasks(const endpoints::WorkerReport &report,
                           absl::Time now);
+  /// Stops the runs of this leader that the worker has listed or confirmed, but
+  /// that its list from listedAt does not contain any more.
+  void stopVanishedRuns(const WorkerView &worker, absl::Time listedAt);
   /// Stops a run that the worker lists but that is not the latest one of its
   /// task, which is null if it is unknown.
   void stopUnexpectedRun(const WorkerView &worker,
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -162,6 +162,26 @@
     }
     clearSuspectIfOutlived(Jobs.at(id.Job), id, *task);
   }
+  if (report.Reachable)
+    stopVanishedRuns(worker, now - absl::Milliseconds(report.ListedMsAgo));
+}
+
+// A worker that neither lists a run that it had, nor its end, lists that end
+// never. The answer to a stop tells whether the run is really gone.
+void JobScheduler::stopVanishedRuns(const WorkerView &worker,
+                                    absl::Time listedAt) {
+  for (const auto &[run, resources] : worker.Allocations) {
+    TaskId id;
+    Task *task = core::parseTaskName(run.Task, id) ? findTask(id) : nullptr;
+    if (task == nullptr || task->Progress.Run != run.Run ||
+        task->Progress.Worker != worker.State.Life ||
+        task->RunPhase != Phase::Running)
+      continue;
+    const absl::Time lastKnownAt =
+        std::max(task->StartedAt, task->PercentReportedAt);
+    if (listedAt - lastKnownAt >= Policy.VanishedRunDelay)
+      requestStop(id, *task, "its worker lists it no longer");
+  }
 }
 
 // The run is not recorded, or its job was removed: it must be stopped.
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -70,7 +70,7 @@
   return {State, ++HeartbeatSequence, clockMs()};
 }
 
-void MemoryWorker::crash(RestartId id) {
+void MemoryWorker::loseRuns() {
   for (const auto &[key, run] : Runs) {
     Shared.Running[key.first].erase({State.Life.Id, key.second});
     ++Shared.WorkersLostByTask[key.first];
@@ -78,6 +78,10 @@
       --run.Gang->Members;
   }
   Runs.clear();
+}
+
+void MemoryWorker::crash(RestartId id) {
+  loseRuns();
   Ended.clear();
   HighestRunByTask.clear();
   // Open polls get no answer and run into their timeout.
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -82,6 +82,8 @@
   /// Ends the process. Nothing listens at the worker's address until it starts
   /// again after downtime as another incarnation.
   void crashFor(absl::Duration downtime, RestartId id = RestartId::New);
+  /// Ends all runs. None of the ends is ever listed.
+  void loseRuns();
   bool isListening() const { return Loop.now() >= ListensFrom; }
   void drain(int64_t remainingMs);
   /// From now on the worker reports no start time. It must not start again
--- a/tests/auto/cluster/tst_restarts.cpp
+++ b/tests/auto/cluster/tst_restarts.cpp
@@ -148,5 +148,43 @@
                     RestartCase{"later", 2500}),
     [](const auto &test) { return std::string(test.param.Name); });
 
+struct VanishedRunCase {
+  const char *Name;
+  bool IsGang;
+  /// Time from the start of the run until the worker has it no longer.
+  int AfterMs;
+};
+
+void PrintTo(const VanishedRunCase &c, std::ostream *out) { *out << c.Name; }
+
+class VanishedRun : public testing::TestWithParam<VanishedRunCase> {};
+
+// Guards against a job that never ends because one of its workers has lost a
+// run, and lists it neither as running nor as ended.
+TEST_P(VanishedRun, IsStartedAgain) {
+  MemoryCluster cluster({3, Workers, 3, 1});
+  cluster.configure({"k"});
+  cluster.runFor(absl::Seconds(4));
+  core::JobSpec spec = makeJob("j", Workers, 8, 3000);
+  spec.Steps.front().Gang = GetParam().IsGang;
+  cluster.submit(0, "k", spec);
+  while (cluster.starts() < Workers)
+    cluster.runFor(absl::Milliseconds(1));
+  cluster.runFor(absl::Milliseconds(GetParam().AfterMs));
+  cluster.worker(1).loseRuns();
+  EXPECT_TRUE(cluster.runUntilAllEnded(absl::Seconds(20)));
+  EXPECT_EQ(cluster.storedState("j"), jobs::JobState::Completed)
+      << cluster.decisionsText("j");
+  EXPECT_EQ(cluster.violations(), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, VanishedRun,
+    testing::Values(VanishedRunCase{"BeforeItIsListed", false, 5},
+                    VanishedRunCase{"AfterItIsListed", false, 1000},
+                    VanishedRunCase{"MemberOfAGangBeforeItIsListed", true, 5},
+                    VanishedRunCase{"MemberOfAGang", true, 1000}),
+    [](const auto &info) { return info.param.Name; });
+
 } // namespace
 } // namespace oriolebay::cluster
