A run is not blamed for a crash that its worker's calls date long after it

What callers saw: a job shown as failed though nothing in it had failed.

As nothing was heard of the worker after the start, the agent took the whole time until the crash for time in which the crash may have followed the start at once.

Change: a process that ends within the crash window (0.5 s) after the start makes a call fail within the longest time that a call takes (0.9 s) after that. If the first call that failed did so later than both together, the worker was alive after the window, and the run is not one that crashes workers.

Tried and not kept (a trial): crashes for which the start was never confirmed count only for the limit of crashes in all, not for that of hosts.

--- a/src/libs/agent/starttracker.cpp
+++ b/src/libs/agent/starttracker.cpp
@@ -6,6 +6,15 @@
 
 using endpoints::RunId;
 
+namespace {
+
+/// A call to a worker whose process has ended fails within this time, even if
+/// nothing tells that its connection is gone: the longest poll and the margin
+/// for its answer.
+constexpr absl::Duration MaxCallTime = absl::Milliseconds(900);
+
+} // namespace
+
 void StartTracker::recordSent(const RunId &run, absl::Time now) {
   Start &start = Starts.emplace(run, Start{now}).first->second;
   // An attempt that is sent to a worker that has stopped answering does not
@@ -65,7 +74,12 @@
   for (const auto &[run, start] : Starts) {
     const bool hasTimedOut =
         !start.Accepted && !start.Listed && start.TimedOutAt <= UnansweredSince;
-    const bool outlived = hasTimedOut || start.Ended;
+    // After a crash within the window a call would have failed by then.
+    const bool failedTooLate =
+        UnansweredSince != absl::InfiniteFuture() &&
+        UnansweredSince - start.FirstSent >=
+            endpoints::CrashDetectionWindow + MaxCallTime;
+    const bool outlived = hasTimedOut || start.Ended || failedTooLate;
     if (!outlived && start.FirstSent <= UnansweredSince &&
         LastSignOfLife - start.FirstSent < endpoints::CrashDetectionWindow)
       runs.push_back(run);
--- a/src/libs/agent/starttracker.h
+++ b/src/libs/agent/starttracker.h
@@ -42,8 +42,9 @@
   /// may have started, less than endpoints::CrashDetectionWindow before its
   /// last sign of life or after that. Runs that were sent after the first
   /// unanswered call are excluded, and so are those that the worker outlived:
-  /// it listed their end, or they were neither accepted nor listed and their
-  /// latest attempt had timed out by then.
+  /// it listed their end, they were neither accepted nor listed and their
+  /// latest attempt had timed out by then, or the first call that failed did so
+  /// later than any call after a crash that they caused.
   std::vector<endpoints::RunId> recentlyStartedRuns() const;
   /// Returns the runs that this incarnation never listed and that the next one
   /// under its id may have or still receive. If nothing listens at the worker's
