Test: done runs do not start again after their agent was replaced

The next process starts the task, it ends, its worker restarts under its id, and then the first start arrives.

--- a/tests/auto/cluster/tst_lostagents.cpp
+++ b/tests/auto/cluster/tst_lostagents.cpp
@@ -192,5 +192,48 @@
   expectAllCompleted();
 }
 
+struct ReplacedAgentCase {
+  const char *Name;
+  /// Time for which the next incarnation listens before the late start arrives.
+  int ListensForMs;
+};
+
+void PrintTo(const ReplacedAgentCase &c, std::ostream *out) { *out << c.Name; }
+
+class ReplacedAgents : public DoneRuns,
+                       public testing::WithParamInterface<ReplacedAgentCase> {};
+
+// Guards against a task that starts again after its end: its agent is replaced
+// between a start and its answer, the next process starts it, and after the end
+// its worker restarts before the first start arrives.
+TEST_P(ReplacedAgents, DoneRunsDoNotStartAgain) {
+  constexpr int LateByMs = 4000;
+  const LostAgentCase late{"", Refusal::BusyWorker, true, LateByMs};
+  makeCluster(late, FirstSeed);
+  const absl::Time submittedAt = Cluster->loop().now();
+  submitWithLateStarts(late, 500);
+  for (int n = 0; n < Workers; ++n) {
+    Cluster->killAgent(n);
+    Cluster->startAgent(n);
+  }
+  ASSERT_TRUE(Cluster->runUntilAllEnded(DoneLimit));
+  Cluster->runFor(EndsAcknowledged);
+  ASSERT_EQ(Cluster->storedState("late"), jobs::JobState::Completed);
+  const absl::Time listensAt =
+      submittedAt + absl::Milliseconds(LateByMs - GetParam().ListensForMs);
+  ASSERT_LT(Cluster->loop().now(), listensAt - Downtime);
+  Cluster->runFor(listensAt - Downtime - Cluster->loop().now());
+  restartWorkers();
+  Cluster->runFor(AllLateOrdersDelivered);
+  expectAllCompleted();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, ReplacedAgents,
+    testing::Values(ReplacedAgentCase{"AsTheWorkerListensAgain", 0},
+                    ReplacedAgentCase{"SoonAfterTheRestart", 50},
+                    ReplacedAgentCase{"LaterAfterTheRestart", 400}),
+    [](const auto &info) { return info.param.Name; });
+
 } // namespace
 } // namespace oriolebay::cluster
