agent: attempts, stops and reports of the worker's agent have files of their own

The order that is being carried out is declared in workeragentorder.h; stops, attempts without an answer (with the wait for the only one) and reports are moved as they were.

--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -1,6 +1,6 @@
 // Carries out the leader's orders: sends starts and stops to the worker until
 // each order has an outcome.
-#include "workeragent.h"
+#include "workeragentorder.h"
 
 #include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
@@ -29,12 +29,6 @@
 /// incarnation would run the task again, as it does not know that it is done.
 constexpr int MaxUnsentStartAttempts = 4;
 constexpr int MaxUnansweredStartAttempts = 10;
-/// Maximum number of attempts to stop a run.
-constexpr int MaxStopAttempts = 40;
-/// Pause before an order without an answer is sent again, on another
-/// connection. The worker on the same machine normally answers within
-/// milliseconds.
-constexpr absl::Duration OrderRetryPause = absl::Milliseconds(60);
 /// A call without an answer that took at least this long ran into its timeout.
 /// A shorter one broke with its connection.
 constexpr absl::Duration MinOrderTimeout = absl::Milliseconds(200);
@@ -46,37 +40,6 @@
 
 } // namespace
 
-/// An order that is being carried out.
-struct WorkerAgent::Order {
-  endpoints::StartOrder Start;
-  endpoints::StopOrder Stop;
-  endpoints::WorkerIncarnation Incarnation;
-  /// Epoch of the leader that gave the order. Every attempt carries this epoch,
-  /// never a newer one.
-  int64_t Epoch = 0;
-  int Attempts = 0;
-  /// Attempts of a start that certainly did nothing.
-  int UnsentAttempts = 0;
-  /// Attempts of a start without an answer. The worker may have carried them
-  /// out or may still do so.
-  int UnansweredAttempts = 0;
-  /// The latest attempt of a start, and the time on the worker's clock from
-  /// which that incarnation refuses it.
-  OpenAttempts::AttemptNumber LastAttempt = 0;
-  absl::Time FirstSentAt = absl::InfiniteFuture();
-  int64_t RefusedFromMs = 0;
-  /// Why the start is deferred, and since when; empty if it is not.
-  std::string DeferredFor;
-  absl::Time DeferredSince;
-
-  bool isPossiblyDelivered() const { return UnansweredAttempts > 0; }
-  /// Whether the run must not be sent again, because the attempt without an
-  /// answer would remain open when the run has ended.
-  bool awaitsItsOnlyAttempt() const {
-    return isPossiblyDelivered() && Incarnation.mayReuseId();
-  }
-};
-
 Message WorkerAgent::onMessage(const Message &message) {
   if (const auto *orders = std::get_if<endpoints::WorkerOrders>(&message))
     return onOrders(*orders);
@@ -270,39 +233,6 @@
       why);
 }
 
-void WorkerAgent::awaitOnlyAttempt(const OrderPtr &order) {
-  if (ListedClockMs >= order->RefusedFromMs) {
-    refuseStart(order, OrderOutcome::Refused, "its time limit has passed");
-    return;
-  }
-  defer(*order, "its attempt may still be carried out",
-        order->RefusedFromMs - ListedClockMs);
-  retryStart(order);
-}
-
-void WorkerAgent::completeListedStart(const OrderPtr &order) {
-  const RunId key{order->Start.Task, order->Start.Run};
-  endDeferral(*order, "the worker lists it");
-  StartsInProgress.erase(key);
-  // An earlier process may have sent the attempt that was carried out.
-  const bool isOnlyAttempt =
-      order->Attempts - order->UnsentAttempts == 1 &&
-      order->FirstSentAt - StartedAt >= endpoints::MaxOrderDelay;
-  if (isOnlyAttempt)
-    Attempts.close(order->LastAttempt);
-  completeOrder(key, OrderOutcome::Started, "the worker lists it");
-}
-
-void WorkerAgent::completeListedStarts() {
-  std::vector<OrderPtr> listed;
-  for (const auto &[run, order] : StartsInProgress)
-    if (order->isPossiblyDelivered() &&
-        (isListedAsRunning(run) || isListedAsEnded(run)))
-      listed.push_back(order);
-  for (const OrderPtr &order : listed)
-    completeListedStart(order);
-}
-
 void WorkerAgent::retryStart(const OrderPtr &order) {
   Loop.runAfter(OrderRetryPause, [this, alive = Alive, order] {
     if (!*alive)
@@ -314,18 +244,6 @@
   });
 }
 
-bool WorkerAgent::isListedAsRunning(const RunId &run) const {
-  return std::any_of(Running.begin(), Running.end(), [&run](const auto &r) {
-    return r.Task == run.Task && r.Run == run.Run;
-  });
-}
-
-bool WorkerAgent::isListedAsEnded(const RunId &run) const {
-  return std::any_of(Ended.begin(), Ended.end(), [&run](const auto &e) {
-    return e.Task == run.Task && e.Run == run.Run;
-  });
-}
-
 std::string WorkerAgent::deferralReason() const {
   if (!Attempts.pendingStops(State.Life, Loop.now()).empty())
     return "the worker has to refuse earlier starts first";
@@ -376,33 +294,6 @@
   return Loop.now() - AnsweredReportAt > Time.UnresponsiveAfter;
 }
 
-void WorkerAgent::recordAttemptOutcome(const Order &order, int attempt,
-                                       OpenAttempts::AttemptNumber number,
-                                       const CallOutcome &outcome) {
-  if (outcome.Status == CallStatus::NoAnswer) {
-    logUnansweredStart(order, attempt);
-    return;
-  }
-  // An attempt that was accepted after its incarnation had ended may have been
-  // carried out by the next one, which still has to stop the run.
-  if (outcome.Status == CallStatus::Ok && order.Incarnation != State.Life)
-    return;
-  Attempts.close(number);
-}
-
-void WorkerAgent::closeRefusedRun(const RunId &run) {
-  if (!State.Life.mayReuseId())
-    Attempts.closeRun(run);
-}
-
-void WorkerAgent::logUnansweredStart(const Order &order, int attempt) {
-  logEvent(Event::OrderUnanswered, {{"task", order.Start.Task},
-                                    {"run", order.Start.Run},
-                                    {"attempt", attempt},
-                                    {"worker", order.Incarnation.Id},
-                                    {"born_ms", order.Incarnation.BornMs}});
-}
-
 void WorkerAgent::onStartReply(const OrderPtr &order,
                                const CallOutcome &outcome) {
   const RunId key{order->Start.Task, order->Start.Run};
@@ -451,68 +342,4 @@
   retryStart(order);
 }
 
-void WorkerAgent::stopTask(const OrderPtr &order) {
-  if (order->Epoch < Epoch) {
-    StopsInProgress.erase({order->Stop.Task, order->Stop.Run});
-    return;
-  }
-  endpoints::StopCall call;
-  call.Incarnation = order->Incarnation;
-  call.Order = order->Stop;
-  call.Epoch = order->Epoch;
-  call.FreshConnection = order->Attempts > 0;
-  ++order->Attempts;
-  Worker.Stop(call, [this, alive = Alive, order](const CallOutcome &outcome) {
-    if (*alive && order->Incarnation == State.Life)
-      onStopReply(order, outcome);
-  });
-}
-
-void WorkerAgent::onStopReply(const OrderPtr &order,
-                              const CallOutcome &outcome) {
-  const RunId key{order->Stop.Task, order->Stop.Run};
-  recordWorkerClock(outcome.ClockMs);
-  if (outcome.Status == CallStatus::Ok) {
-    // From now on the run is either listed or can never start. The next poll
-    // shows which.
-    StopsInProgress.erase(key);
-    StartsInProgress.erase(key);
-    UnconfirmedStops[key] = KeepAlivesSent + 1;
-    sendKeepAlive(0);
-    return;
-  }
-  if (outcome.Status == CallStatus::OtherIncarnation ||
-      outcome.Status == CallStatus::Refused ||
-      order->Attempts >= MaxStopAttempts) {
-    StopsInProgress.erase(key);
-    if (outcome.Status == CallStatus::OtherIncarnation)
-      completeOrder(key, OrderOutcome::Gone, outcome.Detail);
-    return;
-  }
-  Loop.runAfter(OrderRetryPause, [this, alive = Alive, order] {
-    if (*alive && order->Incarnation == State.Life)
-      stopTask(order);
-  });
-}
-
-void WorkerAgent::resolveStops(uint64_t callNumber) {
-  std::set<RunId> listed;
-  for (const endpoints::RunningTask &r : Running)
-    listed.insert({r.Task, r.Run});
-  std::set<RunId> ended;
-  for (const endpoints::EndedTask &e : Ended)
-    ended.insert({e.Task, e.Run});
-  for (auto it = UnconfirmedStops.begin(); it != UnconfirmedStops.end();) {
-    const RunId key = it->first;
-    if (callNumber < it->second || listed.count(key) != 0) {
-      ++it;
-      continue;
-    }
-    it = UnconfirmedStops.erase(it);
-    closeRefusedRun(key);
-    if (ended.count(key) == 0)
-      completeOrder(key, OrderOutcome::Absent, "the worker does not know it");
-  }
-}
-
 } // namespace oriolebay::agent
