--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -166,8 +166,8 @@
     stopVanishedRuns(worker, now - absl::Milliseconds(report.ListedMsAgo));
 }
 
-// A worker that neither lists a run that it had, nor its end, lists that end
-// never. The answer to a stop tells whether the run is really gone.
+// A worker that has lost a run never lists its end. The answer to a stop tells
+// whether the run is really gone.
 void JobScheduler::stopVanishedRuns(const WorkerView &worker,
                                     absl::Time listedAt) {
   for (const auto &[run, resources] : worker.Allocations) {
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -19,9 +19,9 @@
   SpeedPolicy Speed;
   /// Time without an answer after which an order is sent again.
   absl::Duration OrderResendInterval = absl::Milliseconds(400);
-  /// Age difference from which a list of running tasks without a run is newer
-  /// than the one that contained it. Answers of a worker may overtake each
-  /// other by as much as its agent waits for one.
+  /// A run counts as lost by its worker if a list that was made this long after
+  /// the run was last confirmed does not contain it. Answers of a worker may
+  /// overtake each other by as much as its agent waits for one.
   absl::Duration VanishedRunDelay = absl::Seconds(2);
   /// Time after the election by which all tasks have certainly ended at workers
   /// that never reported to this leader. Until then a previous leader may have
--- a/tests/auto/cluster/tst_configchanges.cpp
+++ b/tests/auto/cluster/tst_configchanges.cpp
@@ -82,7 +82,7 @@
     auto it = Incarnations.find(entry);
     return it == Incarnations.end() ? 0 : it->second;
   }
-  /// Half of the time one that was disturbed lately.
+  /// Returns a random entry, half of the time one that was disturbed lately.
   int pick() {
     if (!Disturbed.empty() && randomInt(0, 1) == 0)
       return Disturbed[static_cast<size_t>(
@@ -130,6 +130,8 @@
 
 private:
   static constexpr size_t MaxDisturbed = 4;
+  /// Time from the request to stop until the process ends.
+  static constexpr absl::Duration StopTime = absl::Milliseconds(2400);
 
   int randomInt(int from, int to) {
     return std::uniform_int_distribution<>(from, to)(Random);
@@ -165,7 +167,7 @@
     const bool planned = randomInt(0, 1) == 0;
     if (planned)
       Cluster.beginEntryStop(entry);
-    const absl::Duration stopTime = absl::Milliseconds(planned ? 2400 : 0);
+    const absl::Duration stopTime = planned ? StopTime : absl::ZeroDuration();
     const int stopped = incarnation(entry);
     Cluster.loop().runAfter(stopTime, [this, entry, stopped] {
       if (incarnation(entry) != stopped)
@@ -230,14 +232,16 @@
   std::shared_ptr<MemoryCluster::CallerCall> Call;
 };
 
+/// The configuration changes about once a second, the entries are disturbed,
+/// and callers use keys, queues and services that come and go.
 class ConfigChanges {
 public:
   ConfigChanges(int entries, int firstSmallEntry, uint64_t seed)
       : Random(seed), Cluster(optionsOf(entries, firstSmallEntry, seed)),
         Configs(Cluster), Entries(Cluster, entries, Random) {}
 
-  /// Returns the first call that an older configuration has decided than
-  /// callers may rely on, or an empty string.
+  /// Returns a description of the first call that was decided by a
+  /// configuration older than callers may expect, or an empty string.
   std::string run() {
     for (int n = 0; n < 3; ++n)
       Configs.writeNext();
