tests: a test that waits for ever fails under its name

Which test was still running can't be told from the output: tests waited for conditions and for the ends of processes without a limit, and ctest had none either.

No check has changed.

--- a/tests/auto/endpoints/tst_channel.cpp
+++ b/tests/auto/endpoints/tst_channel.cpp
@@ -1,6 +1,6 @@
 #include "endpoints/channel.h"
+#include "waituntil.h"
 
-#include <absl/time/clock.h>
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
@@ -65,9 +65,9 @@
   EXPECT_FALSE(RequestChannel::call(channel, Release{1, "r"}, 200));
   peer = std::make_unique<ReplyServer>(address,
                                        [](const Message &) { return Ack{}; });
-  bool reached = false;
-  while (!reached)
-    reached = RequestChannel::call(channel, Release{1, "r"}, 500).has_value();
+  oriolebay::testwaits::waitUntil([&] {
+    return RequestChannel::call(channel, Release{1, "r"}, 500).has_value();
+  });
 }
 
 } // namespace
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -3,13 +3,14 @@
 #include "platform/kvclient.h"
 #include "platform/leaderelection.h"
 #include "testnames.h"
+#include "waituntil.h"
 
-#include <absl/time/clock.h>
 #include <gtest/gtest.h>
 
 using namespace oriolebay;
 using platform::KvClient;
 using platform::Leadership;
+using testwaits::waitUntil;
 
 namespace {
 
@@ -28,16 +29,15 @@
     Cluster->start();
     Kv = std::make_unique<KvClient>(Cluster->storeUrl(), CallTimeoutMs);
   }
-  void TearDown() override { Cluster->stopAll(); }
+  void TearDown() override {
+    for (const std::string &name : Cluster->stopAll())
+      ADD_FAILURE() << name << " did not end after SIGTERM";
+  }
 
   void injectFault(const std::string &body) const {
     http::HttpClient client(5000);
     client.call("POST", Cluster->storeUrl() + "/fault", body);
   }
-  static void waitUntil(const std::function<bool()> &condition) {
-    while (!condition())
-      absl::SleepFor(absl::Milliseconds(10));
-  }
 
   std::unique_ptr<bench::Launcher> Cluster;
   std::unique_ptr<KvClient> Kv;
--- a/tests/auto/system/systemfixture.h
+++ b/tests/auto/system/systemfixture.h
@@ -4,8 +4,8 @@
 #include "harness/launcher.h"
 #include "http/httpclient.h"
 #include "testnames.h"
+#include "waituntil.h"
 
-#include <absl/time/clock.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -18,6 +18,7 @@
 namespace oriolebay::testing_system {
 
 using nlohmann::json;
+using testwaits::waitUntil;
 
 inline const json Profile = {
     {"name", "site"},
@@ -98,12 +99,8 @@
       kill(Cluster->agentPid(i), SIGCONT);
     for (int i = 0; i < Cluster->entries(); ++i)
       kill(Cluster->entryPid(i), SIGCONT);
-    Cluster->stopAll();
-  }
-
-  static void waitUntil(const std::function<bool()> &condition) {
-    while (!condition())
-      absl::SleepFor(absl::Milliseconds(20));
+    for (const std::string &name : Cluster->stopAll())
+      ADD_FAILURE() << name << " did not end after SIGTERM";
   }
 
   json stats(int entry = 0) const {
--- a/tests/auto/system/tst_endtoend.cpp
+++ b/tests/auto/system/tst_endtoend.cpp
@@ -17,6 +17,7 @@
 using testing_system::singleMemberJob;
 using testing_system::submit;
 using testing_system::System;
+using testwaits::waitUntil;
 
 // Many callers submit at once: gangs and single tasks, some non-idempotent.
 // Each caller must get its own answer with every member's result. Each member
@@ -152,8 +153,7 @@
   auto answer = std::async(std::launch::async, [&] {
     return submit(Cluster->httpPort(), singleMemberJob("long", true, 1, 800));
   });
-  while (runCount("long#0") == 0)
-    absl::SleepFor(absl::Milliseconds(10));
+  waitUntil([&] { return runCount("long#0") > 0; });
   kill(Cluster->entryPid(0), SIGTERM);
   auto a = answer.get();
   EXPECT_EQ(a.Result, core::Outcome::Done) << a.Detail;
@@ -171,8 +171,7 @@
   second["power_cap_watts"] = 80000;
   Cluster->putProfile(first, version);
   EXPECT_THROW(Cluster->putProfile(second, version), std::runtime_error);
-  while (stats().value("profile_version", 0) == version)
-    absl::SleepFor(absl::Milliseconds(10));
+  waitUntil([&] { return stats().value("profile_version", 0) != version; });
   auto a = submit(Cluster->httpPort(), [] {
     auto j = singleMemberJob("over-second-cap", true);
     j.GangShape.PowerWattsPerMember = 85000;
--- a/tests/auto/system/tst_failures.cpp
+++ b/tests/auto/system/tst_failures.cpp
@@ -15,6 +15,7 @@
 using testing_system::singleMemberJob;
 using testing_system::submit;
 using testing_system::System;
+using testwaits::waitUntil;
 
 namespace {
 
--- a/tests/bench/harness/launcher.cpp
+++ b/tests/bench/harness/launcher.cpp
@@ -17,18 +17,23 @@
 
 namespace {
 constexpr int ReadyTimeoutMs = 15000;
+/// Longer than an entry waits for its callers before it ends.
+constexpr absl::Duration StopTimeout = absl::Minutes(2);
+constexpr absl::Duration EndCheckInterval = absl::Milliseconds(2);
 constexpr int WorkersPerRack = 3;
 
 void writeJson(const std::string &path, const nlohmann::json &j) {
   std::ofstream(path) << j.dump(2) << '\n';
 }
 
-void terminateAndWait(pid_t pid) {
-  if (pid <= 0)
-    return;
-  kill(pid, SIGTERM);
-  int status = 0;
-  waitpid(pid, &status, 0);
+/// Returns false if the process has not ended when the time limit has passed.
+bool waitForEnd(pid_t pid, absl::Time limit) {
+  while (waitpid(pid, nullptr, WNOHANG) == 0) {
+    if (absl::Now() > limit)
+      return false;
+    absl::SleepFor(EndCheckInterval);
+  }
+  return true;
 }
 } // namespace
 
@@ -196,18 +201,34 @@
     throw std::runtime_error("profile put failed; see profile-put.out");
 }
 
-void Launcher::stopAll() {
-  for (pid_t pid : AgentPids)
+std::vector<std::string> Launcher::stopAll() {
+  std::vector<std::string> killed;
+  auto awaitEnd = [&](pid_t pid, const std::string &name, absl::Time limit) {
+    if (waitForEnd(pid, limit))
+      return;
+    killed.push_back(name);
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+  };
+  auto terminate = [&](pid_t pid, const std::string &name) {
+    if (pid <= 0)
+      return;
     kill(pid, SIGTERM);
+    awaitEnd(pid, name, absl::Now() + StopTimeout);
+  };
   for (pid_t pid : AgentPids)
-    waitpid(pid, nullptr, 0);
+    kill(pid, SIGTERM);
+  const absl::Time limit = absl::Now() + StopTimeout;
+  for (size_t i = 0; i < AgentPids.size(); ++i)
+    awaitEnd(AgentPids[i], "agent-" + Spec.Workers[i].Id, limit);
   AgentPids.clear();
-  for (pid_t pid : EntryPids)
-    terminateAndWait(pid);
+  for (size_t i = 0; i < EntryPids.size(); ++i)
+    terminate(EntryPids[i], "entry-" + std::to_string(i));
   EntryPids.clear();
-  terminateAndWait(BackendPid);
-  terminateAndWait(StorePid);
+  terminate(BackendPid, "backend");
+  terminate(StorePid, "kv");
   BackendPid = StorePid = 0;
+  return killed;
 }
 
 std::vector<ProcessUsage> Launcher::usage() const {
--- a/tests/bench/harness/launcher.h
+++ b/tests/bench/harness/launcher.h
@@ -58,8 +58,9 @@
   /// Starts the agent of worker i again, on a new port.
   void restartAgent(size_t i);
   /// Ends all agents and entries gracefully with SIGTERM, then the stand-ins,
-  /// and waits for them.
-  void stopAll();
+  /// and waits for them. Kills the processes that have not ended StopTimeout
+  /// after their signal, and returns their names.
+  std::vector<std::string> stopAll();
 
   int httpPort(int entry = 0) const {
     return HttpPorts.at(static_cast<size_t>(entry));
