A new leader counts the time of earlier grants from the end of their lease

What callers saw: LOST.

Cause: the next leader counted from its own election how long an earlier one may grant without the store. The store had removed the earlier leader's key because its lease had not been renewed for the whole lease time; the time of the election, and that of an entry that defers to a larger one, came on top.

Now it counts from one lease time (with 2% for clocks) before the election, but never assumes that a leader ended earlier than its successor was elected: one that resigned or was killed may have granted until then. A lease that "runs from the arrival of the call" can end early only by its holder; in an outage of the store it pauses or runs out.

Evidence: RemovedHost.IsNotWaitedForLongerThanItsLastLeaderCouldGrant, bound 14 s (finish_s): 15.6 s in the two rows with one leader without the change, all rows pass with it.

--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -293,6 +293,11 @@
   options.Policy.Fleet.LostAfter = Time.GrantExpiredAfter;
   options.Policy.UnreportedLostAfter =
       Time.GrantWithoutStore + Time.GrantExpiredAfter;
+  // A previous leader that has ended may have granted until its end, whenever
+  // it was last confirmed.
+  options.Policy.PreviousUnconfirmedFor =
+      std::min(Loop.now() - Election->earlierLeadersConfirmedBy(),
+               Time.GrantWithoutStore);
   options.Policy.RemoteFactor = Settings.Bounds.RemoteFactor;
   options.Policy.GangWait = absl::Milliseconds(Settings.Bounds.GangWaitMs);
   options.Policy.Progress.RestoreTime =
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -14,7 +14,8 @@
 JobScheduler::JobScheduler(SchedulerPolicy policy, int64_t epoch,
                            absl::Time electedAt)
     : Policy(std::move(policy)), Epoch(epoch), ElectedAt(electedAt),
-      UnreportedLostAt(electedAt + Policy.UnreportedLostAfter),
+      UnreportedLostAt(electedAt - Policy.PreviousUnconfirmedFor +
+                       Policy.UnreportedLostAfter),
       Workers(Policy.Fleet), Progress(Policy.Progress),
       Estimates(Policy.Progress), Speeds(Policy.Speed) {}
 
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -23,10 +23,13 @@
   /// the run was last confirmed does not contain it. Answers of a worker may
   /// overtake each other by as much as its agent waits for one.
   absl::Duration VanishedRunDelay = absl::Seconds(2);
-  /// Time after the election by which all tasks have certainly ended at workers
-  /// that never reported to this leader. Until then a previous leader may have
-  /// kept them alive.
+  /// Time after the store last confirmed the previous leaders by which all
+  /// tasks have certainly ended at workers that never reported to this leader.
+  /// Until then a previous leader may have kept them alive.
   absl::Duration UnreportedLostAfter = absl::Milliseconds(13500);
+  /// How long before this leader's election the store had last confirmed a
+  /// previous leader, at least.
+  absl::Duration PreviousUnconfirmedFor = absl::ZeroDuration();
   /// Factor by which a gang that is spread over several racks, or a task that
   /// runs outside the rack of its data, takes longer. The scheduler itself does
   /// not use it.
--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -13,6 +13,8 @@
 /// entries detect the expiry of their lease with their next renewal, and then
 /// need a new lease from the store.
 constexpr double DeferralRenewals = 1.5;
+/// Factor by which the store's clock may be faster than this entry's.
+constexpr double StoreClockFactor = 1.02;
 
 } // namespace
 
@@ -89,6 +91,7 @@
     return;
   }
   Lease = reply.Value.Id;
+  GrantedTtl = absl::Milliseconds(reply.Value.TtlMs);
   LeaseConfirmedAt = sent;
   DeferUntil = absl::InfinitePast();
   registerEntry();
@@ -173,6 +176,10 @@
   const bool mine = Lease != 0 && event.Item.Lease == Lease && !Resigned;
   if (mine)
     ConfirmedAt = LeaseConfirmedAt;
+  // The store removes a leader's key once its lease has not been renewed for
+  // the whole lease time, unless the leader ends it by itself.
+  if (mine && event.Item.CreateRevision > KnownLeadership.Epoch)
+    EarlierLeadersConfirmedBy = Loop.now() - GrantedTtl / StoreClockFactor;
   setLeadership({event.Item.CreateRevision, event.Item.Value, mine});
   if (!mine && event.Item.Value == Options.Entry.Address)
     removeEarlierLeadership(event.Item);
--- a/src/libs/platform/election.h
+++ b/src/libs/platform/election.h
@@ -67,6 +67,12 @@
   /// Returns when the store last confirmed this entry's lease while it led: the
   /// time on the boot clock at which the confirmed call was sent.
   absl::Time confirmedAt() const { return ConfirmedAt; }
+  /// Returns a time after which the store has renewed no earlier leader's
+  /// lease. Known while this entry leads. It does not hold for leaders that
+  /// have ended or resigned: they did so before this entry's election.
+  absl::Time earlierLeadersConfirmedBy() const {
+    return EarlierLeadersConfirmedBy;
+  }
   /// Ends the lease and leaves the election. Calls done after the call to the
   /// store has ended, with or without success.
   void resign(std::function<void()> done);
@@ -108,8 +114,11 @@
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   PrefixFollower Follower;
   int64_t Lease = 0;
+  /// Duration of the lease as the store has set it.
+  absl::Duration GrantedTtl;
   absl::Time LeaseConfirmedAt = absl::InfinitePast();
   absl::Time ConfirmedAt = absl::InfinitePast();
+  absl::Time EarlierLeadersConfirmedBy = absl::InfinitePast();
   /// The leader's key has been read at least once.
   bool ViewComplete = false;
   /// The transaction that creates the leader's key is in progress.
--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -150,6 +150,19 @@
         Loss{"gang_with_three_leaders", 3, true, {550, 8550, 16550}}),
     nameOf);
 
+// Guards against a task of a removed worker that waits for longer than a
+// leader may go on without the store, because the next leader counts that time
+// from its own election and not from the end of the earlier one's lease.
+TEST_P(RemovedHost, IsNotWaitedForLongerThanItsLastLeaderCouldGrant) {
+  submitJob();
+  Cluster->runFor(absl::Seconds(2));
+  ASSERT_TRUE(areAllTasksRunning());
+  const absl::Time start = Cluster->loop().now();
+  Cluster->removeHost(workerOf(firstTask()));
+  loseLeaders(start);
+  expectAllTasksRunWithin(MemoryCluster::RecoveryTime);
+}
+
 class StartAtRemovedHost : public Wait {};
 
 // Guards against a task that waits for the loss of its worker and then, from
