A quiet site uses workers in quarantine for tasks that can spare an attempt

What callers saw: LOST.

Cause: quarantines double up to a minute. A step of which nothing runs ends them only after 5 s beside free workers, also on a site where no job has arrived for 10 s, because an attempt on a worker that is still sick may be wasted. The time begins anew whenever half of the site is in use for a moment, and the rule allows 3 s.

Now a step on a quiet site takes such workers when it gives up its other preferences, 1.5 s, provided that each of its tasks may fail once more without failing its job. So no job fails by it; a worker that is still sick is in quarantine for twice as long the next time, as before.

Evidence: QuietSite.UsesQuarantinedWorkersForTasksWithAttemptsToSpare fails without the change (the job starts after more than 3 s) and passes with it.

--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -186,6 +186,8 @@
   /// negative infinite if that is not so.
   absl::Duration waitBesideFreeWorkers(const PlacementUnit &unit) const;
   bool mustGiveUpPreferences(const PlacementUnit &unit) const;
+  /// Whether each task of the unit may fail once more without failing its job.
+  static bool canSpareAttempt(const PlacementUnit &unit);
   /// Whether unit may take workers where its tasks failed or that are in
   /// quarantine.
   bool mayTakeUnhealthyWorkers(const PlacementUnit &unit) const;
--- a/src/libs/jobs/planner_preferences.cpp
+++ b/src/libs/jobs/planner_preferences.cpp
@@ -22,8 +22,20 @@
          (isQuiet ? policy.MaxQuietPreferenceWait : policy.MaxPreferenceWait);
 }
 
+bool Planner::canSpareAttempt(const PlacementUnit &unit) {
+  if (unit.spec().LongRunning)
+    return true;
+  const Job &job = *unit.Owner;
+  const JobScheduler::Step &step = job.stepOf(unit.taskId(unit.Tasks.front()));
+  return std::all_of(unit.Tasks.begin(), unit.Tasks.end(), [&](int index) {
+    const Task &task = step[static_cast<size_t>(index)];
+    return task.Progress.Failed + 1 < job.Record.Attempts;
+  });
+}
+
 bool Planner::mayTakeUnhealthyWorkers(const PlacementUnit &unit) const {
-  return waitBesideFreeWorkers(unit) >= Scheduler.Policy.MaxPreferenceWait;
+  return waitBesideFreeWorkers(unit) >= Scheduler.Policy.MaxPreferenceWait ||
+         (mustGiveUpPreferences(unit) && canSpareAttempt(unit));
 }
 
 void Planner::giveUpPreferences(PlacementUnit &unit) {
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -69,7 +69,8 @@
   /// any capacity that it fits into.
   absl::Duration MaxPreferenceWait = absl::Seconds(5);
   /// The same once no job has arrived for QuietAfter, as the free capacity has
-  /// no other use then. Not for workers that may fail its tasks.
+  /// no other use then. Workers that may fail its tasks are taken only for
+  /// tasks that have an attempt to spare.
   absl::Duration MaxQuietPreferenceWait = absl::Milliseconds(1500);
   absl::Duration QuietAfter = absl::Seconds(10);
   /// Time to stop a run and to start it on another worker, and how often a task
--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -409,6 +409,48 @@
                            return test.param ? "hanging" : "failing";
                          });
 
+// Guards against a job that waits for workers in quarantine, although it has
+// attempts to spare and the rest of the site has become idle.
+TEST(QuietSite, UsesQuarantinedWorkersForTasksWithAttemptsToSpare) {
+  constexpr int Sick = 3;
+  constexpr int64_t MidMs = 15000;
+  /// Longest time for which a job may have nothing running beside free workers.
+  constexpr absl::Duration MaxIdle = absl::Seconds(3);
+  MemoryCluster::Options options;
+  options.Workers = 8;
+  options.WorkersPerRack = Sick;
+  MemoryCluster cluster(options);
+  cluster.configure({"k"});
+  cluster.runFor(absl::Seconds(4));
+  const auto inSickRack = [](core::JobSpec spec) {
+    spec.Steps.front().NeedsLabel = "r0";
+    return spec;
+  };
+  for (int n = 0; n < Sick; ++n)
+    cluster.worker(n).FailsAll = true;
+  for (int n = 0; n < 30; ++n) {
+    cluster.submit(0, "k",
+                   inSickRack(makeJob("s" + std::to_string(n), Sick, 8, 500)));
+    cluster.runFor(absl::Seconds(1));
+  }
+  ASSERT_TRUE(cluster.runUntilAllEnded(absl::Minutes(3)));
+  for (int n = 0; n < Sick; ++n)
+    cluster.worker(n).FailsAll = false;
+  // More than half of the site is in use until the second of these jobs ends.
+  cluster.submit(0, "k", makeJob("long", 3, 8, TaskMs));
+  cluster.submit(0, "k", makeJob("mid", 2, 8, MidMs));
+  cluster.submit(0, "k", inSickRack(makeJob("j", 1, 8, TaskMs)));
+  const auto isRunning = [&cluster] {
+    const auto &running = cluster.sharedState().Running;
+    auto runs = running.find(core::taskName({"j", 0, 0, 0}));
+    return runs != running.end() && !runs->second.empty();
+  };
+  cluster.runFor(absl::Milliseconds(MidMs) + absl::Seconds(1));
+  ASSERT_FALSE(isRunning());
+  cluster.runFor(MaxIdle);
+  EXPECT_TRUE(isRunning()) << cluster.decisionsText("j");
+}
+
 // Guards against a task that waits for workers that are full for long, as it
 // has not failed there, beside free workers where it has failed.
 TEST(FailedTask, RunsWhereItHasFailedIfOnlyThatIsFree) {
