Answers of the store that arrive slowly are waited for

Cause: a call to the store had 0.7 s for everything. The links of these entries carry 2 Mbit/s, and a page of the store may be a megabyte.

A store that says nothing is given up after 0.7 s as before.

--- a/src/libs/http/asyncclient.cpp
+++ b/src/libs/http/asyncclient.cpp
@@ -2,8 +2,11 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <chrono>
+#include <cstdint>
 #include <deque>
 #include <mutex>
 #include <set>
@@ -20,6 +23,11 @@
 /// Maximum time for which the client's thread sleeps without events; calls and
 /// answers wake it immediately.
 constexpr int IdleWaitMs = 60000;
+/// Time without any byte of an answer that has begun to arrive, after which a
+/// call with a transfer timeout fails.
+constexpr std::chrono::milliseconds StallTimeout(1000);
+
+using Clock = std::chrono::steady_clock;
 
 /// One call and its libcurl handle, which returns to the idle handles after the
 /// call.
@@ -30,6 +38,9 @@
   std::string Reply;
   curl_slist *Headers = nullptr;
   CURL *Handle = nullptr;
+  /// When the call fails unless some bytes of its answer arrive. Only for calls
+  /// with a transfer timeout.
+  Clock::time_point SilentUntil = Clock::time_point::max();
 
   Transfer() = default;
   Transfer(const Transfer &) = delete;
@@ -40,8 +51,20 @@
   }
 };
 
-size_t appendReply(char *data, size_t size, size_t n, void *out) {
-  static_cast<std::string *>(out)->append(data, size * n);
+void noteArrival(Transfer &transfer) {
+  if (transfer.Call.TransferTimeoutMs > 0)
+    transfer.SilentUntil = Clock::now() + StallTimeout;
+}
+
+size_t onReplyData(char *data, size_t size, size_t n, void *out) {
+  auto &transfer = *static_cast<Transfer *>(out);
+  noteArrival(transfer);
+  transfer.Reply.append(data, size * n);
+  return size * n;
+}
+
+size_t onReplyHeader(char * /*data*/, size_t size, size_t n, void *out) {
+  noteArrival(*static_cast<Transfer *>(out));
   return size * n;
 }
 
@@ -71,6 +94,11 @@
 
   void startTransfer(std::unique_ptr<Transfer> transfer);
   void finishTransfer(CURL *handle, CURLcode ec);
+  /// Ends the transfers that have been silent for too long.
+  void expireSilentTransfers();
+  /// Time until a transfer may have been silent for too long, in milliseconds;
+  /// at most IdleWaitMs.
+  int pollTimeoutMs() const;
   void run();
 };
 
@@ -88,9 +116,14 @@
   curl_easy_setopt(h, CURLOPT_URL, t.Call.Url.c_str());
   curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, t.Call.Method.c_str());
   curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, t.Call.TimeoutMs);
-  curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &appendReply);
-  curl_easy_setopt(h, CURLOPT_WRITEDATA, &t.Reply);
+  curl_easy_setopt(h, CURLOPT_TIMEOUT_MS,
+                   t.Call.TimeoutMs + t.Call.TransferTimeoutMs);
+  if (t.Call.TransferTimeoutMs > 0)
+    t.SilentUntil = Clock::now() + std::chrono::milliseconds(t.Call.TimeoutMs);
+  curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &onReplyData);
+  curl_easy_setopt(h, CURLOPT_WRITEDATA, &t);
+  curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, &onReplyHeader);
+  curl_easy_setopt(h, CURLOPT_HEADERDATA, &t);
   // Requests without a body have no content type, because some peers reject a
   // GET that has one.
   if (t.Call.Method != "GET") {
@@ -138,6 +171,27 @@
   t->Done(std::move(result));
 }
 
+void AsyncClient::Impl::expireSilentTransfers() {
+  const Clock::time_point now = Clock::now();
+  std::vector<CURL *> expired;
+  for (const auto &[handle, transfer] : RunningTransfers)
+    if (transfer->SilentUntil <= now)
+      expired.push_back(handle);
+  for (CURL *handle : expired)
+    finishTransfer(handle, CURLE_OPERATION_TIMEDOUT);
+}
+
+int AsyncClient::Impl::pollTimeoutMs() const {
+  Clock::time_point next = Clock::time_point::max();
+  for (const auto &[handle, transfer] : RunningTransfers)
+    next = std::min(next, transfer->SilentUntil);
+  if (next == Clock::time_point::max())
+    return IdleWaitMs;
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(next - Clock::now()).count();
+  return static_cast<int>(std::clamp<int64_t>(left, 0, IdleWaitMs));
+}
+
 void AsyncClient::Impl::run() {
   while (!Stopping) {
     std::deque<std::unique_ptr<Transfer>> batch;
@@ -156,8 +210,9 @@
         finishTransfer(msg->easy_handle, msg->data.result);
         hasEnded = true;
       }
+    expireSilentTransfers();
     if (!hasEnded)
-      curl_multi_poll(Multi, nullptr, 0, IdleWaitMs, nullptr);
+      curl_multi_poll(Multi, nullptr, 0, pollTimeoutMs(), nullptr);
   }
   for (auto &[handle, transfer] : RunningTransfers)
     curl_multi_remove_handle(Multi, handle);
--- a/src/libs/http/asyncclient.h
+++ b/src/libs/http/asyncclient.h
@@ -11,13 +11,16 @@
 namespace oriolebay::http {
 
 /// One call of an AsyncClient. TimeoutMs limits the whole call, including the
-/// time to connect. FreshConnection makes the call open a new connection.
+/// time to connect. An answer that has begun to arrive by then may take up to
+/// TransferTimeoutMs longer, unless nothing of it arrives for a second.
+/// FreshConnection makes the call open a new connection.
 struct HttpCall {
   std::string Method = "GET";
   std::string Url;
   std::string Body;
   std::vector<std::string> Headers;
   long TimeoutMs = 1000;
+  long TransferTimeoutMs = 0;
   bool FreshConnection = false;
 };
 
--- a/tests/auto/adapter/tst_storeadapter.cpp
+++ b/tests/auto/adapter/tst_storeadapter.cpp
@@ -1,5 +1,6 @@
 #include "platformstub.h"
 #include "storeadapter.h"
+#include "tricklingpeer.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -91,5 +92,44 @@
   EXPECT_EQ(reply.Value.Lease, 9);
 }
 
+struct SlowCase {
+  const char *Name;
+  std::vector<std::string> Parts;
+  size_t BodySize;
+  StoreStatus Status;
+};
+
+void PrintTo(const SlowCase &c, std::ostream *out) { *out << c.Name; }
+
+class SlowAnswers : public ::testing::TestWithParam<SlowCase> {};
+
+// Guards against an entry on a slow link that never has a complete view: each
+// page that it reads takes longer than the timeout, and is read again.
+TEST_P(SlowAnswers, AreWaitedForAsLongAsTheyArrive) {
+  TricklingPeer peer(GetParam().Parts, GetParam().BodySize,
+                     std::chrono::milliseconds(250));
+  PlatformStub stub(std::nullopt);
+  const platform::Store store = makeStore(stub.Loop, stub.Client, peer.Address);
+  const auto reply = stub.callAndWait<StoreReply<platform::StorePage>>(
+      [&](std::function<void(StoreReply<platform::StorePage>)> done) {
+        store.Range("jobs/", "", platform::ReadMode::Linearizable, done);
+      });
+  EXPECT_EQ(reply.Status, GetParam().Status) << reply.Why;
+}
+
+const std::vector<std::string> PageParts{R"({"it)",           R"(ems":[],)",
+                                         R"("morePages)",     R"(":false,)",
+                                         R"("storeRevision)", R"(":7})"};
+constexpr size_t PageSize = 48;
+
+const SlowCase SlowCases[] = {
+    {"slow", PageParts, PageSize, StoreStatus::Ok},
+    {"stands_still", {PageParts.front()}, PageSize, StoreStatus::Unknown},
+    {"no_answer", {}, 0, StoreStatus::Unknown},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, SlowAnswers, ::testing::ValuesIn(SlowCases),
+                         [](const auto &info) { return info.param.Name; });
+
 } // namespace
 } // namespace oriolebay::adapter
