A start that was ordered under an ended grant is refused

A task runs twice at a time, and a worker beyond its capacity.

Cause: an agent asked whether it has a grant when it sends a start, not whether it has had it since the start was ordered. One that stood still for 7 s got a new grant as soon as it went on, and tried a start again that its leader had given up with the grant before: placed 7.820, given up 13.849, run 2 starts 14.169, run 1 is started again at 15.064, 62 ms after its first attempt was found to be unanswered.

Now the agent notes the report with which its grant began, and refuses starts that were ordered before the leader had that report. Orders tell which report the leader had (LastReport), so that one that is held up on the way is refused as well; without it (a leader of an earlier version) the time of arrival counts.

Evidence: WorkerAgent.StartOfAnEndedGrantIsNotTriedAgain and ...StartThatWasOrderedUnderAnEndedGrantIsRefused fail without the check and pass with it.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -214,11 +214,14 @@
   void scheduleReport();
   void sendReport(const std::string &address,
                   const endpoints::WorkerReport &message);
-  /// Handles the answer to a report. sent is when the report was sent, from
-  /// which the grant counts; resultsEnd is the number after that of the last
-  /// result in the report.
+  /// Handles the answer to the report with this number. sent is when the report
+  /// was sent, from which the grant counts; resultsEnd is the number after that
+  /// of the last result in the report.
   void onReportAck(const std::string &address, const endpoints::ReportAck &ack,
-                   absl::Time sent, uint64_t resultsEnd);
+                   absl::Time sent, int64_t sequence, uint64_t resultsEnd);
+  /// Extends the grant from the time at which the report was sent, or begins a
+  /// new one if the earlier one had ended by then.
+  void extendGrant(absl::Time sent, int64_t sequence, absl::Duration grant);
   /// Takes over what the leader knows of starts by an earlier process of this
   /// agent, and has the worker refuse them.
   void adoptEarlierStarts(const std::vector<endpoints::EarlierStart> &starts);
@@ -263,6 +266,10 @@
   /// Until when the leader lets this agent keep the worker's tasks alive.
   absl::Time GrantEnd = absl::InfinitePast();
   bool GrantEndLogged = false;
+  /// Number of the report with which the current grant began. What the leader
+  /// ordered before it received that report it may have given up, because the
+  /// grant before had ended.
+  int64_t GrantedSinceReport = 0;
   /// When the latest report that the leader has answered was sent.
   absl::Time AnsweredReportAt = absl::InfinitePast();
   CordonView Cordon;
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -86,6 +86,7 @@
       order->Start = start;
       order->Incarnation = orders.Life;
       order->Epoch = orders.Epoch;
+      order->LastReport = std::min(orders.LastReport, LastSequence);
       StartsInProgress[key] = order;
       startTask(order);
     }
@@ -164,6 +165,11 @@
     refuseStart(order, OrderOutcome::Refused, "no grant to keep it alive");
     return;
   }
+  if (order->LastReport < GrantedSinceReport) {
+    refuseStart(order, OrderOutcome::Refused,
+                "the grant has ended since it was ordered");
+    return;
+  }
   const CordonView::Permission permission = Cordon.permission(Loop.now());
   if (permission == CordonView::Permission::Cordoned) {
     ++StartsRefusedByCordon;
--- a/src/libs/agent/workeragent_reports.cpp
+++ b/src/libs/agent/workeragent_reports.cpp
@@ -91,7 +91,7 @@
                              const endpoints::WorkerReport &message) {
   Peers.Call(address, message, ReportTimeoutMs,
              [this, alive = Alive, address, sent = Loop.now(),
-              incarnation = State.Life,
+              sequence = message.Sequence, incarnation = State.Life,
               resultsEnd = FirstResultNumber + Results.size()](
                  const std::optional<Message> &reply) {
                if (!*alive)
@@ -101,7 +101,7 @@
                if (ack == nullptr)
                  onReportUnanswered(address);
                else if (incarnation == State.Life)
-                 onReportAck(address, *ack, sent, resultsEnd);
+                 onReportAck(address, *ack, sent, sequence, resultsEnd);
              });
 }
 
@@ -164,7 +164,7 @@
 
 void WorkerAgent::onReportAck(const std::string &address,
                               const endpoints::ReportAck &ack, absl::Time sent,
-                              uint64_t resultsEnd) {
+                              int64_t sequence, uint64_t resultsEnd) {
   const bool knewLeader = Leader.knowsLeader();
   const std::string previousTarget = Leader.target();
   const bool leads = Leader.onAnswer(address, ack);
@@ -180,7 +180,7 @@
   Epoch = ack.Epoch;
   AnsweredReportAt = std::max(AnsweredReportAt, sent);
   if (ack.GrantMs > 0)
-    GrantEnd = std::max(GrantEnd, sent + absl::Milliseconds(ack.GrantMs));
+    extendGrant(sent, sequence, absl::Milliseconds(ack.GrantMs));
   // A report without a worker names no failure domain, and its answer is about
   // none.
   if (!State.Life.empty() && Cordon.apply(ack, sent))
@@ -205,6 +205,13 @@
     sendKeepAlive(0);
 }
 
+void WorkerAgent::extendGrant(absl::Time sent, int64_t sequence,
+                              absl::Duration grant) {
+  if (sent > GrantEnd)
+    GrantedSinceReport = sequence;
+  GrantEnd = std::max(GrantEnd, sent + grant);
+}
+
 void WorkerAgent::adoptEarlierStarts(
     const std::vector<endpoints::EarlierStart> &starts) {
   for (const endpoints::EarlierStart &earlier : starts)
--- a/src/libs/agent/workeragentorder.h
+++ b/src/libs/agent/workeragentorder.h
@@ -17,6 +17,8 @@
   /// Epoch of the leader that gave the order. Every attempt carries this epoch,
   /// never a newer one.
   int64_t Epoch = 0;
+  /// Number of this agent's latest report, at most, when the order was given.
+  int64_t LastReport = 0;
   int Attempts = 0;
   /// Attempts of a start that certainly did nothing.
   int UnsentAttempts = 0;
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -141,7 +141,23 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
                                    Ticket, DecidedOn)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopOrder, Task, Run)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerOrders, Epoch, Life, Starts, Stops)
+
+static void to_json(json &j, const WorkerOrders &o) {
+  j = {{"Epoch", o.Epoch},
+       {"Life", o.Life},
+       {"Starts", o.Starts},
+       {"Stops", o.Stops},
+       {"LastReport", o.LastReport}};
+}
+
+static void from_json(const json &j, WorkerOrders &o) {
+  j.at("Epoch").get_to(o.Epoch);
+  j.at("Life").get_to(o.Life);
+  j.at("Starts").get_to(o.Starts);
+  j.at("Stops").get_to(o.Stops);
+  o.LastReport = j.value("LastReport", WorkerOrders().LastReport);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobWritten, Key, Value, Revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StandDown, Epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedCall, Call, Host, Path, Key,
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -11,6 +11,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -367,11 +368,14 @@
 
 /// Leading entry to agent: orders for one incarnation of its worker. The agent
 /// acknowledges them immediately and sends the outcome of each in a report.
+/// LastReport is the number of the agent's latest report when the orders were
+/// given. A leader of an earlier version does not send it.
 struct WorkerOrders {
   int64_t Epoch = 0;
   WorkerIncarnation Life;
   std::vector<StartOrder> Starts;
   std::vector<StopOrder> Stops;
+  int64_t LastReport = std::numeric_limits<int64_t>::max();
   auto operator<=>(const WorkerOrders &) const = default;
 };
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -330,8 +330,11 @@
 }
 
 std::map<std::string, endpoints::WorkerOrders> JobScheduler::takeOrders() {
-  for (auto &[address, orders] : Orders)
+  for (auto &[address, orders] : Orders) {
     orders.Epoch = Epoch;
+    const WorkerView *worker = Workers.find(orders.Life);
+    orders.LastReport = worker == nullptr ? 0 : worker->Sequence;
+  }
   return std::exchange(Orders, {});
 }
 
--- a/src/libs/utils/eventloop.cpp
+++ b/src/libs/utils/eventloop.cpp
@@ -110,6 +110,10 @@
   ManualElapsed = end.time_since_epoch();
 }
 
+void EventLoop::suspend(absl::Duration duration) {
+  ManualElapsed += absl::ToChronoNanoseconds(duration);
+}
+
 void EventLoop::stop() {
   std::lock_guard<std::mutex> lock(Mu);
   Stopped = true;
--- a/src/libs/utils/eventloop.h
+++ b/src/libs/utils/eventloop.h
@@ -50,6 +50,10 @@
   /// Manual time only: runs the queued tasks and moves the time forward by
   /// duration, running each timer that becomes due at its time.
   void advance(absl::Duration duration);
+  /// Manual time only: moves the time forward by duration and runs nothing, as
+  /// if the process were suspended. What became due runs with the next
+  /// advance().
+  void suspend(absl::Duration duration);
 
 private:
   using Clock = std::chrono::steady_clock;
--- a/tests/auto/agent/tst_workeragent.cpp
+++ b/tests/auto/agent/tst_workeragent.cpp
@@ -427,6 +427,51 @@
   EXPECT_GT(fixture.Loop.now(), leaderLost);
 }
 
+// Guards against a task that runs twice: its agent was suspended until the
+// leader had started the task elsewhere, and then tried the start again under
+// the new grant.
+TEST(WorkerAgent, StartOfAnEndedGrantIsNotTriedAgain) {
+  AgentFixture fixture;
+  fixture.restartWorker({"other", 0});
+  fixture.Loop.advance(absl::Seconds(1));
+  fixture.StartOutcome = {CallStatus::NoAnswer, endpoints::RefusalReason::None,
+                          0, ""};
+  fixture.StartDurationMs = 400;
+  endpoints::WorkerOrders orders = AgentFixture::makeStart(5, 1);
+  orders.Life = {"other", 0};
+  fixture.sendOrders(orders);
+  fixture.Loop.advance(absl::Milliseconds(100));
+  ASSERT_EQ(fixture.Starts.size(), 1u);
+  fixture.Loop.suspend(absl::Seconds(7));
+  fixture.sendHeartbeat();
+  fixture.Loop.advance(absl::Seconds(3));
+  EXPECT_EQ(fixture.Starts.size(), 1u);
+  fixture.StartOutcome = AgentFixture::okOutcome();
+  orders.Starts.front().Run = 2;
+  fixture.sendOrders(orders);
+  fixture.Loop.advance(absl::Milliseconds(100));
+  EXPECT_EQ(fixture.Starts.size(), 2u);
+}
+
+// Guards against a task that runs twice: its start was held up on the way to
+// the agent until the leader had started the task elsewhere.
+TEST(WorkerAgent, StartThatWasOrderedUnderAnEndedGrantIsRefused) {
+  AgentFixture fixture;
+  endpoints::WorkerOrders orders = AgentFixture::makeStart(5, 1);
+  orders.LastReport = fixture.Reports.back().Sequence;
+  fixture.Loop.suspend(absl::Seconds(7));
+  fixture.sendHeartbeat();
+  fixture.Loop.advance(absl::Seconds(1));
+  fixture.sendOrders(orders);
+  fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_TRUE(fixture.Starts.empty());
+  orders.Starts.front().Run = 2;
+  orders.LastReport = fixture.Reports.back().Sequence;
+  fixture.sendOrders(orders);
+  fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_EQ(fixture.Starts.size(), 1u);
+}
+
 // Guards against a task end that is reported late. While an earlier end was not
 // yet acknowledged, the agent polled its worker only ten times a second, so a
 // second end was detected up to 100 ms late: capacity stayed idle, and callers
