Members of gangs show the speed of their workers; placement goes by it

Their runs took 0.5 to 1.1 times the estimate, or 1.5 to 2.4 times where a member was on a slow worker.

Cause: speeds were learned from tasks that run alone only, as the members of a gang end together, and nearly all work was gangs. Evidence: members' percentages, logged in a trial, grow at the speed of their own workers (22 to 23 a second on four workers, 9 on the fifth).

Change: progress of members is compared as that of other tasks is. While a worker is known to be too slow for the queue with the smallest stretch above 1, urgent work takes usual workers first and waits for them where it ends sooner that way; batch work that is in time on slow workers takes those first; run times and objectives are reckoned for the median and the average worker.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -100,7 +100,9 @@
   return jobs::computeDeadline(
       job.Record.Spec.Steps, Workers.capacityOf(serviceOf(job)),
       job.Record.Stretch, job.Record.TargetLatencyMs,
-      [&](const core::StepSpec &spec) { return taskTime(job, spec); });
+      [&](const core::StepSpec &spec) {
+        return taskTime(job, spec) * Uneven.averageSlowness();
+      });
 }
 
 // Logs the job's deadline once: when the fleet is known, or at the job's end.
@@ -324,6 +326,7 @@
     PassNeeded = false;
     RetryOnTick = false;
     ++PassCount;
+    updateUnevenSpeeds(now);
     Planner(*this, now).run();
   }
   surveyWaits(now);
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -10,6 +10,7 @@
 #include "schedulerpolicy.h"
 #include "silentagent.h"
 #include "stepwait.h"
+#include "unevenspeeds.h"
 #include "urgentdemandestimator.h"
 #include "workerspeedestimator.h"
 
@@ -406,6 +407,16 @@
   /// Factor by which work takes longer at the worker than at the median one; 1
   /// if unknown.
   double slownessOf(const WorkerIncarnation &incarnation) const;
+  /// The same for the run of a task, which in a gang is as slow as the slowest
+  /// member.
+  double slownessOfRun(const Job &job, const core::TaskId &id,
+                       const Task &task) const;
+  WorkerSpeed speedOfWorker(const WorkerView &worker) const {
+    return {Speeds.slowness(worker.Agent), Speeds.isKnown(worker.Agent)};
+  }
+  /// Finds out whether the speeds of the usable workers differ too much for the
+  /// queues' objectives.
+  void updateUnevenSpeeds(absl::Time now);
   void learnTaskDuration(const Job &job, const core::TaskId &id, Task &task,
                          absl::Time now);
   void acknowledgeEnd(Job &job, const WorkerIncarnation &incarnation,
@@ -418,7 +429,7 @@
   void unassign(Job &job, const core::TaskId &id, Task &task,
                 Settlement settlement, absl::Time now);
   void compareSpeedByProgress(const core::TaskId &id, Task &task);
-  void compareSpeed(const Job &job, const core::TaskId &id, Task &task,
+  void compareSpeed(const core::TaskId &id, Task &task,
                     absl::Duration runDuration);
   void trackProgress(const core::TaskId &id, const Task &task, absl::Time now);
   void handleAbsentRun(Job &job, const core::TaskId &id, Task &task,
@@ -483,6 +494,8 @@
   ProgressTracker Progress;
   DurationEstimator Estimates;
   WorkerSpeedEstimator Speeds;
+  /// As of the latest scheduling pass.
+  UnevenSpeeds Uneven;
   UrgentDemandEstimator UrgentDemand;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
--- a/src/libs/jobs/jobscheduler_speeds.cpp
+++ b/src/libs/jobs/jobscheduler_speeds.cpp
@@ -2,6 +2,9 @@
 // workers.
 #include "jobscheduler.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace oriolebay::jobs {
 
 using core::TaskId;
@@ -25,10 +28,13 @@
   task.RunDuration = now - task.StartedAt;
   if (isRemote(job, id, task))
     return;
-  compareSpeed(job, id, task, task.RunDuration);
-  Estimates.recordTaskDuration(
-      job.Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs),
-      task.RunDuration / slownessOf(task.Progress.Worker));
+  // Members of a gang end together, so that their durations do not show the
+  // speed of their workers; only their progress does.
+  if (!spec.Gang)
+    compareSpeed(id, task, task.RunDuration);
+  Estimates.recordTaskDuration(job.Record.Spec.Queue,
+                               absl::Milliseconds(spec.EstimateMs),
+                               task.RunDuration / slownessOfRun(job, id, task));
 }
 
 // Estimates the worker's speed from the progress of a run long before its end.
@@ -41,20 +47,41 @@
   const Job &job = Jobs.at(id.Job);
   if (job.specOf(id).LongRunning || isRemote(job, id, task))
     return;
-  compareSpeed(job, id, task,
+  compareSpeed(id, task,
                (task.PercentReportedAt - task.StartedAt) *
                    (100 / (task.Percent + 0.5)));
 }
 
-// Compares each run once. Members of a gang are left out: they wait for each
-// other, so that their durations do not show the speed of their workers.
-void JobScheduler::compareSpeed(const Job &job, const TaskId &id, Task &task,
+// Compares each run once.
+void JobScheduler::compareSpeed(const TaskId &id, Task &task,
                                 absl::Duration runDuration) {
   const WorkerView *worker = Workers.find(task.Progress.Worker);
-  if (task.SpeedCompared || worker == nullptr || job.specOf(id).Gang)
+  if (task.SpeedCompared || worker == nullptr)
     return;
   task.SpeedCompared = true;
   Speeds.recordRunDuration(stepName(id), worker->Agent, runDuration);
 }
 
+double JobScheduler::slownessOfRun(const Job &job, const TaskId &id,
+                                   const Task &task) const {
+  double slowest = slownessOf(task.Progress.Worker);
+  if (job.specOf(id).Gang)
+    for (const Task &member : job.stepOf(id))
+      if (member.Progress.Run == task.Progress.Run)
+        slowest = std::max(slowest, slownessOf(member.Progress.Worker));
+  return slowest;
+}
+
+void JobScheduler::updateUnevenSpeeds(absl::Time now) {
+  double tightestStretch = std::numeric_limits<double>::infinity();
+  for (const core::QueueConfig &queue : Config->Queues)
+    if (queue.Stretch > 1)
+      tightestStretch = std::min(tightestStretch, queue.Stretch);
+  std::vector<WorkerSpeed> speeds;
+  for (const auto &[incarnation, view] : Workers.workers())
+    if (Workers.isUsable(view, now))
+      speeds.push_back(speedOfWorker(view));
+  Uneven = UnevenSpeeds(speeds, tightestStretch);
+}
+
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -21,6 +21,7 @@
     if (Scheduler.Workers.isUsable(view, now))
       Candidates.push_back({&view, view.freeResources(), view.freeResources(),
                             absl::InfiniteDuration(),
+                            Scheduler.speedOfWorker(view),
                             Scheduler.Speeds.isSlow(view.Agent), -1,
                             view.ConsecutiveFailures > 0});
   }
@@ -233,6 +234,8 @@
 }
 
 void Planner::placeUnit(PlacementUnit &unit) {
+  if (isKeptOffSlowWorkers(unit) && placeOnUsualWorkers(unit))
+    return;
   if (placeWherePossible(unit))
     return;
   if (mustGiveUpPreferences(unit)) {
@@ -276,7 +279,9 @@
   unit.TaskLimits.assign(Candidates.size(), 0);
   for (size_t c = 0; c < Candidates.size(); ++c) {
     if (!isEligible(*Candidates[c].View, unit) ||
-        !canStartOn(Candidates[c], unit))
+        !canStartOn(Candidates[c], unit) ||
+        (unit.ExcludesSlowWorkers &&
+         Scheduler.Uneven.isSlow(Candidates[c].Speed)))
       continue;
     unit.TaskLimits[c] =
         maxPerWorker == 0
@@ -334,8 +339,8 @@
 Planner::findBestCandidate(const PlacementUnit &unit) const {
   const core::StepSpec &spec = unit.spec();
   // Smaller is better: crash risk, not in the rack of the data, latest run
-  // failed, slow, free accelerators, free cores.
-  using Score = std::tuple<int, bool, bool, bool, int64_t, int64_t>;
+  // failed, cost of its speed, free accelerators, free cores.
+  using Score = std::tuple<int, bool, bool, int, int64_t, int64_t>;
   std::optional<std::pair<Score, size_t>> best;
   for (size_t c = 0; c < Candidates.size(); ++c) {
     const Candidate &candidate = Candidates[c];
@@ -348,7 +353,7 @@
     const Score score{crashRisk(candidate, unit),
                       awayFromData,
                       prefersFastWorkers(unit) && candidate.LastRunFailed,
-                      prefersFastWorkers(unit) && candidate.Slow,
+                      speedCost(candidate, unit),
                       candidate.Free.Accelerators,
                       candidate.Free.MilliCores};
     if (!best || score < best->first)
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -51,6 +51,7 @@
     /// Time until the earliest reservation starts. Tasks that are expected to
     /// end before then may use the reserved part too (backfilling).
     absl::Duration ReservationStartsIn = absl::InfiniteDuration();
+    WorkerSpeed Speed = {};
     /// Tasks take longer there than on most workers.
     bool Slow = false;
     /// Index of its rack in RackDomains.
@@ -98,6 +99,10 @@
     /// of free resources; 0 where none may be placed. Filled in when the unit
     /// is placed.
     std::vector<int64_t> TaskLimits = {};
+    /// Which workers it should run on; SpeedDemand::Any unless speeds differ.
+    SpeedDemand Demand = SpeedDemand::Any;
+    /// It is placed on workers of usual speed only.
+    bool ExcludesSlowWorkers = false;
     /// It has waited beside free workers for so long that it takes any capacity
     /// that it fits into; see Planner.
     bool HasGivenUpPreferences = false;
@@ -247,10 +252,17 @@
                          const WorkerIncarnation &incarnation) const;
   const std::vector<TopologyDomain> &
   domainsFor(const PlacementUnit &unit) const;
-  bool prefersFastWorkers(const PlacementUnit &unit) const {
+  static bool prefersFastWorkers(const PlacementUnit &unit) {
     return unit.Rank <= 1;
   }
-  int64_t countOnSlowWorkers(const Placement &placement) const;
+  /// Cost of the candidate's speed for a task of unit; a lower cost is better.
+  int speedCost(const Candidate &candidate, const PlacementUnit &unit) const;
+  int64_t speedCost(const Placement &placement,
+                    const PlacementUnit &unit) const;
+  SpeedDemand speedDemand(const PlacementUnit &unit) const;
+  bool isKeptOffSlowWorkers(const PlacementUnit &unit) const;
+  bool placeOnUsualWorkers(PlacementUnit &unit);
+  bool waitForUsualWorkers(PlacementUnit &unit);
   std::optional<Placement> findPlacement(const PlacementUnit &unit,
                                          const TopologyDomain &domain) const;
   bool canEverFitOneRack(const PlacementUnit &unit) const;
--- a/src/libs/jobs/planner_gangs.cpp
+++ b/src/libs/jobs/planner_gangs.cpp
@@ -40,11 +40,6 @@
   return false;
 }
 
-int64_t Planner::countOnSlowWorkers(const Placement &placement) const {
-  return std::count_if(placement.begin(), placement.end(),
-                       [this](size_t c) { return Candidates[c].Slow; });
-}
-
 // Places all tasks in domain. Fills the workers with the fewest free
 // accelerators first, to keep large blocks of free capacity together; urgent
 // units prefer fast workers over that. Workers whose latest run failed come
@@ -54,16 +49,15 @@
 std::optional<Planner::Placement>
 Planner::findPlacement(const PlacementUnit &unit,
                        const TopologyDomain &domain) const {
-  std::vector<std::tuple<int, bool, bool, int64_t, size_t>> sorted;
+  std::vector<std::tuple<int, bool, int, int64_t, size_t>> sorted;
   for (size_t c : domain.Members)
     if (countFitting(c, unit, 1) > 0)
-      sorted.emplace_back(crashRisk(Candidates[c], unit),
-                          Candidates[c].LastRunFailed,
-                          prefersFastWorkers(unit) && Candidates[c].Slow,
-                          Candidates[c].Free.Accelerators, c);
+      sorted.emplace_back(
+          crashRisk(Candidates[c], unit), Candidates[c].LastRunFailed,
+          speedCost(Candidates[c], unit), Candidates[c].Free.Accelerators, c);
   std::sort(sorted.begin(), sorted.end());
   Placement placement;
-  for (const auto &[risk, lastRunFailed, slow, free, c] : sorted) {
+  for (const auto &[risk, lastRunFailed, cost, free, c] : sorted) {
     const auto unplacedTasks =
         static_cast<int64_t>(unit.Tasks.size() - placement.size());
     for (int64_t n = countFitting(c, unit, unplacedTasks); n > 0; --n)
@@ -76,15 +70,14 @@
 
 bool Planner::placeGang(PlacementUnit &unit) {
   std::optional<Placement> best;
-  // Smaller is better: tasks on slow workers, then free accelerators in the
-  // domain.
+  // Smaller is better: cost of the workers' speeds, then free accelerators in
+  // the domain.
   std::pair<int64_t, int64_t> bestScore;
   for (const auto &domain : domainsFor(unit)) {
     std::optional<Placement> placement = findPlacement(unit, domain);
     if (!placement)
       continue;
-    std::pair<int64_t, int64_t> score{
-        prefersFastWorkers(unit) ? countOnSlowWorkers(*placement) : 0, 0};
+    std::pair<int64_t, int64_t> score{speedCost(*placement, unit), 0};
     for (size_t c : domain.Members)
       score.second += Candidates[c].Free.Accelerators;
     if (!best || score < bestScore) {
--- a/src/libs/jobs/planner_urgency.cpp
+++ b/src/libs/jobs/planner_urgency.cpp
@@ -26,6 +26,7 @@
   const Job &job = *unit.Owner;
   const core::StepSpec &spec = unit.spec();
   unit.RequiredConcurrency = static_cast<int>(unit.Tasks.size());
+  unit.Demand = speedDemand(unit);
   if (unit.Rank > 1)
     return;
   const auto &steps = job.Record.Spec.Steps;
--- a/src/libs/jobs/planner_waits.cpp
+++ b/src/libs/jobs/planner_waits.cpp
@@ -16,11 +16,12 @@
 /// Reasons that name one thing that keeps a unit off workers that have free
 /// capacity, in the order in which they are looked for.
 constexpr std::array SingleConditions = {
-    WaitReason::Reserved,    WaitReason::SuspectIsolation,
-    WaitReason::Avoids,      WaitReason::MaxPerWorker,
-    WaitReason::Quarantined, WaitReason::UnexpectedRuns,
-    WaitReason::LateStops,   WaitReason::Unreachable,
-    WaitReason::Silent,      WaitReason::Draining};
+    WaitReason::Reserved,       WaitReason::SuspectIsolation,
+    WaitReason::SlowWorkers,    WaitReason::Avoids,
+    WaitReason::MaxPerWorker,   WaitReason::Quarantined,
+    WaitReason::UnexpectedRuns, WaitReason::LateStops,
+    WaitReason::Unreachable,    WaitReason::Silent,
+    WaitReason::Draining};
 
 WaitReason reasonOf(WorkerCondition condition) {
   switch (condition) {
@@ -201,6 +202,10 @@
     behind(WaitReason::SuspectIsolation) += free;
     return;
   }
+  if (unit.ExcludesSlowWorkers && Scheduler.Uneven.isSlow(candidate.Speed)) {
+    behind(WaitReason::SlowWorkers) += free;
+    return;
+  }
   const int64_t allowed = std::min(free, unit.TaskLimits[candidateIndex]);
   const int64_t now = countFitting(candidateIndex, unit, maxTasks);
   fit.Now += now;
--- a/src/libs/jobs/runmonitor.cpp
+++ b/src/libs/jobs/runmonitor.cpp
@@ -63,8 +63,9 @@
   const core::StepSpec &spec = job.specOf(id);
   if (spec.LongRunning)
     return absl::InfiniteDuration();
-  absl::Duration total = Scheduler.Estimates.expectedDuration(
-      job.Record.Spec.Queue, absl::Milliseconds(spec.EstimateMs));
+  absl::Duration total = Scheduler.taskTime(job, spec);
+  if (Scheduler.Uneven.matter())
+    total *= Scheduler.slownessOfRun(job, id, task);
   if (const auto bounds = Scheduler.Progress.durationBounds(
           {core::taskName(id), task.Progress.Run}))
     total = bounds->AtLeast;
--- a/src/libs/jobs/waitreason.cpp
+++ b/src/libs/jobs/waitreason.cpp
@@ -52,6 +52,8 @@
     return "reserved";
   case WaitReason::SuspectIsolation:
     return "suspect_isolation";
+  case WaitReason::SlowWorkers:
+    return "slow_workers";
   case WaitReason::Avoids:
     return "avoids";
   case WaitReason::MaxPerWorker:
--- a/src/libs/jobs/waitreason.h
+++ b/src/libs/jobs/waitreason.h
@@ -56,6 +56,9 @@
   /// Nothing starts beside a recent start of a suspect, and no suspect beside
   /// any recent start.
   SuspectIsolation,
+  /// The tasks fit only on slow workers, and end sooner if they wait for
+  /// others.
+  SlowWorkers,
   /// The tasks fit only where they failed or may have crashed a worker.
   Avoids,
   /// The tasks fit only where the step has as many tasks as it allows on one
--- a/src/libs/jobs/workerspeedestimator.cpp
+++ b/src/libs/jobs/workerspeedestimator.cpp
@@ -79,6 +79,13 @@
   return Median;
 }
 
+// Workers that others were compared with have learned something from that too,
+// although none of their own ends was counted.
+bool WorkerSpeedEstimator::isKnown(const std::string &worker) const {
+  auto it = Workers.find(worker);
+  return it != Workers.end() && (it->second.Ends > 0 || it->second.Log != 0);
+}
+
 double WorkerSpeedEstimator::slowness(const std::string &worker) const {
   auto it = Workers.find(worker);
   return it == Workers.end() ? 1 : std::exp(it->second.Log - medianLog());
--- a/src/libs/jobs/workerspeedestimator.h
+++ b/src/libs/jobs/workerspeedestimator.h
@@ -50,6 +50,8 @@
   /// How many times as long tasks take on the worker as on the median one of
   /// the known workers; 1 while too little is known.
   double slowness(const std::string &worker) const;
+  /// The worker has been compared with others.
+  bool isKnown(const std::string &worker) const;
   bool isSlow(const std::string &worker) const {
     return slowness(worker) >= Policy.SlowThreshold;
   }
