Speeds of workers: events, gauges, what a placement went by, tests of the load

What operators saw: nothing told which workers the leader takes for slow, nor at which expected speed a run was placed. A reported speed that is not a usable number is ignored by name.

--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -113,6 +113,12 @@
           static_cast<double>(s.ActiveJobs));
     m.set("workers", "Workers that report; only at the leader.",
           static_cast<double>(s.Workers));
+    m.set("workers_speed_known",
+          "Usable workers that were compared with others; only at the leader.",
+          s.Speeds.Known);
+    m.set("workers_slow",
+          "Usable workers that urgent work avoids as slow; only at the leader.",
+          s.Speeds.Slow);
     // The counter is shown before the first such wait too.
     m.recordLongWaits(0);
     for (const jobs::WaitReason reason : jobs::allWaitReasons()) {
--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -56,6 +56,10 @@
     return Event::RunStartBarred;
   case Kind::UnexpectedRun:
     return Event::RunUnexpected;
+  case Kind::SpeedLearned:
+    return Event::WorkerSpeedLearned;
+  case Kind::SpeedIgnored:
+    return Event::WorkerSpeedIgnored;
   }
   return Event::RunPlaced;
 }
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -195,6 +195,7 @@
     s.ActiveJobs = Session->scheduler().unfinishedJobCount();
     s.Workers = Session->scheduler().fleet().workers().size();
     s.Waits = Session->scheduler().waitSummary();
+    s.Speeds = Session->scheduler().speedSummary();
   }
   return s;
 }
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -46,6 +46,7 @@
   size_t ActiveJobs = 0;
   size_t Workers = 0;
   jobs::WaitSummary Waits;
+  jobs::SpeedSummary Speeds;
 };
 
 /// Where the operator's decisions lie in the store.
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -48,6 +48,8 @@
       {Event::StepWaitsBesideFreeWorkers, "step.waits_beside_free_workers"},
       {Event::StepPreferencesGivenUp, "step.preferences_given_up"},
       {Event::WorkerUsedAgain, "worker.used_again"},
+      {Event::WorkerSpeedLearned, "worker.speed_learned"},
+      {Event::WorkerSpeedIgnored, "worker.speed_ignored"},
       {Event::RunPlaced, "run.placed"},
       {Event::RunStarted, "run.started"},
       {Event::RunRefused, "run.refused"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -46,6 +46,8 @@
   WorkerCapacityChanged = 311,
   WorkerHeartbeatIgnored = 312,
   WorkerUsedAgain = 313,
+  WorkerSpeedLearned = 314,
+  WorkerSpeedIgnored = 315,
 
   TaskReserved = 400,
   TaskStarted = 401,
--- a/src/libs/jobs/decision.h
+++ b/src/libs/jobs/decision.h
@@ -40,6 +40,10 @@
     CapacityPlanned,
     StartBarred,
     UnexpectedRun,
+    /// A worker has turned out to be slow, or not to be slow any more.
+    SpeedLearned,
+    /// The speed that an agent reports for its worker is not usable.
+    SpeedIgnored,
   };
   Kind What = Kind::Placed;
   std::string Job;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -204,7 +204,7 @@
 void JobScheduler::assignRun(Job &job, const TaskId &id,
                              const WorkerIncarnation &incarnation,
                              const std::string &saved, int64_t run, int rank,
-                             absl::Time now) {
+                             SpeedDemand demand, absl::Time now) {
   Task &task = *findTask(id);
   task.Progress.Run = run;
   task.Progress.Worker = incarnation;
@@ -240,7 +240,10 @@
                {"worker_heard_ms_ago", lastReportAgeMs(incarnation, now)},
                {"accelerators_left",
                 Workers.find(incarnation)->freeResources().Accelerators},
-               {"config_version", Config->Version}});
+               {"config_version", Config->Version},
+               {"slowness_percent",
+                static_cast<int64_t>(slownessOf(incarnation) * 100)}});
+  Decisions.back().Texts = {{"speed_demand", speedDemandName(demand)}};
 }
 
 void JobScheduler::trackProgress(const TaskId &id, const Task &task,
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -121,6 +121,8 @@
   size_t unfinishedJobCount() const;
   /// What waits on the site, as of the last second.
   const WaitSummary &waitSummary() const { return WaitSurveys.Summary; }
+  /// What is known of the workers' speeds, as of the latest scheduling pass.
+  const SpeedSummary &speedSummary() const { return SpeedCounts; }
   int64_t epoch() const { return Epoch; }
   const Fleet &fleet() const { return Workers; }
   /// The job's current progress, recorded or not, for tests.
@@ -417,6 +419,10 @@
   /// Finds out whether the speeds of the usable workers differ too much for the
   /// queues' objectives.
   void updateUnevenSpeeds(absl::Time now);
+  /// Logs the workers that have turned out to be slow, or not to be any more.
+  void logSpeedChanges(const WorkerView &view);
+  /// Takes over the speed that an earlier leader has learned.
+  void adoptSpeed(const endpoints::WorkerReport &report, absl::Time now);
   void learnTaskDuration(const Job &job, const core::TaskId &id, Task &task,
                          absl::Time now);
   void acknowledgeEnd(Job &job, const WorkerIncarnation &incarnation,
@@ -457,7 +463,7 @@
   /// recorded.
   void assignRun(Job &job, const core::TaskId &id,
                  const WorkerIncarnation &incarnation, const std::string &saved,
-                 int64_t run, int rank, absl::Time now);
+                 int64_t run, int rank, SpeedDemand demand, absl::Time now);
   bool isWaitSurveyDue(absl::Time now) const;
   void surveyWaits(absl::Time now);
   StepWait &findOrAddWait(Job &job, const core::TaskId &id, absl::Time now);
@@ -496,6 +502,11 @@
   WorkerSpeedEstimator Speeds;
   /// As of the latest scheduling pass.
   UnevenSpeeds Uneven;
+  SpeedSummary SpeedCounts;
+  /// Agents whose workers were logged as slow, and those whose reported speeds
+  /// were ignored.
+  std::set<std::string> SlowAgents;
+  std::set<std::string> AgentsWithBadSpeed;
   UrgentDemandEstimator UrgentDemand;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -32,7 +32,7 @@
                          now);
   }
   endReplacedIncarnations(report, now);
-  Speeds.importSpeed(report.Agent, report.Speed);
+  adoptSpeed(report, now);
   if (incarnation.empty())
     return 0;
   if (known == nullptr)
--- a/src/libs/jobs/jobscheduler_speeds.cpp
+++ b/src/libs/jobs/jobscheduler_speeds.cpp
@@ -82,6 +82,42 @@
     if (Workers.isUsable(view, now))
       speeds.push_back(speedOfWorker(view));
   Uneven = UnevenSpeeds(speeds, tightestStretch);
+  SpeedCounts = {static_cast<int>(speeds.size())};
+  for (const WorkerSpeed &speed : speeds) {
+    SpeedCounts.Known += speed.Known ? 1 : 0;
+    SpeedCounts.Slow += Uneven.isSlow(speed) ? 1 : 0;
+  }
+  for (const auto &[incarnation, view] : Workers.workers())
+    if (Workers.isUsable(view, now))
+      logSpeedChanges(view);
+}
+
+void JobScheduler::logSpeedChanges(const WorkerView &view) {
+  const WorkerSpeed speed = speedOfWorker(view);
+  const bool isSlow = Uneven.isSlow(speed);
+  const bool changed = isSlow ? SlowAgents.insert(view.Agent).second
+                              : SlowAgents.erase(view.Agent) != 0;
+  if (!changed)
+    return;
+  logDecision(Decision::Kind::SpeedLearned, "", "", 0, view.State.Life.Id,
+              isSlow ? "slow" : "usual",
+              {{"slowness_percent", static_cast<int64_t>(speed.Slowness * 100)},
+               {"workers_known", SpeedCounts.Known},
+               {"workers_slow", SpeedCounts.Slow},
+               {"workers_usable", SpeedCounts.Usable}});
+}
+
+void JobScheduler::adoptSpeed(const endpoints::WorkerReport &report,
+                              absl::Time now) {
+  if (Speeds.importSpeed(report.Agent, report.Speed)) {
+    AgentsWithBadSpeed.erase(report.Agent);
+    return;
+  }
+  if (AgentsWithBadSpeed.insert(report.Agent).second)
+    logDecision(
+        Decision::Kind::SpeedIgnored, "", "", 0, report.Worker.Life.Id,
+        "the reported speed is not a usable number",
+        {{"elected_ms_ago", absl::ToInt64Milliseconds(now - ElectedAt)}});
 }
 
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -326,7 +326,7 @@
   Scheduler.assignRun(*unit.Owner, unit.taskId(index),
                       Candidates[candidateIndex].View->State.Life,
                       task.Progress.Saved, task.Progress.Run + 1, unit.Rank,
-                      Now);
+                      unit.Demand, Now);
   allocate(candidateIndex, unit.spec().taskResources());
   markRecentStart(candidateIndex, unit);
   if (unit.spec().MaxPerWorker > 0)
--- a/src/libs/jobs/planner_gangs.cpp
+++ b/src/libs/jobs/planner_gangs.cpp
@@ -108,7 +108,7 @@
   for (size_t n = 0; n < placement.size(); ++n) {
     Scheduler.assignRun(*unit.Owner, unit.taskId(unit.Tasks[n]),
                         Candidates[placement[n]].View->State.Life, saved,
-                        run + 1, unit.Rank, Now);
+                        run + 1, unit.Rank, unit.Demand, Now);
     allocate(placement[n], unit.spec().taskResources());
     markRecentStart(placement[n], unit);
   }
--- a/src/libs/jobs/unevenspeeds.cpp
+++ b/src/libs/jobs/unevenspeeds.cpp
@@ -12,6 +12,18 @@
 
 } // namespace
 
+const char *speedDemandName(SpeedDemand demand) {
+  switch (demand) {
+  case SpeedDemand::Any:
+    return "any";
+  case SpeedDemand::UsualFirst:
+    return "usual_first";
+  case SpeedDemand::SlowFirst:
+    return "slow_first";
+  }
+  return "unknown";
+}
+
 UnevenSpeeds::UnevenSpeeds(const std::vector<WorkerSpeed> &workers,
                            double tightestStretch) {
   for (const WorkerSpeed &worker : workers)
--- a/src/libs/jobs/unevenspeeds.h
+++ b/src/libs/jobs/unevenspeeds.h
@@ -16,6 +16,16 @@
   auto operator<=>(const WorkerSpeed &) const = default;
 };
 
+/// Number of usable workers, of those whose speed is known, and of the slow
+/// ones.
+struct SpeedSummary {
+  int Usable = 0;
+  int Known = 0;
+  int Slow = 0;
+
+  auto operator<=>(const SpeedSummary &) const = default;
+};
+
 /// Which workers a step should run on.
 enum class SpeedDemand {
   /// Any; the speeds of the workers differ too little, or the job has no time
@@ -28,6 +38,9 @@
   SlowFirst
 };
 
+/// Returns the stable name of demand, for the log.
+const char *speedDemandName(SpeedDemand demand);
+
 /// Decides what placement does about workers of different speeds. The pattern
 /// of load that it answers: part of the workers is so slow that urgent work
 /// misses its objective there although it starts at once, while batch work
--- a/src/libs/jobs/workerspeedestimator.cpp
+++ b/src/libs/jobs/workerspeedestimator.cpp
@@ -6,6 +6,14 @@
 
 namespace oriolebay::jobs {
 
+namespace {
+
+/// Maximum logarithm of a speed that is believed, in either direction: a factor
+/// of a hundred.
+constexpr double MaxLog = 4.6;
+
+} // namespace
+
 double WorkerSpeedEstimator::weightOfNextEnd(const Learned &worker) const {
   return 1 / (std::min(worker.Ends, Policy.MaxEnds) + Policy.PriorEnds + 1);
 }
@@ -46,13 +54,17 @@
     others.pop_front();
 }
 
-void WorkerSpeedEstimator::importSpeed(const std::string &worker,
+bool WorkerSpeedEstimator::importSpeed(const std::string &worker,
                                        const endpoints::LearnedSpeed &speed) {
+  if (!std::isfinite(speed.Log) || !std::isfinite(speed.Ends) ||
+      std::abs(speed.Log) > MaxLog || speed.Ends < 0)
+    return false;
   Learned &learnedWorker = Workers[worker];
   if (speed.Ends <= learnedWorker.Ends)
-    return;
+    return true;
   learnedWorker = speed;
   MedianKnown = false;
+  return true;
 }
 
 endpoints::LearnedSpeed
--- a/src/libs/jobs/workerspeedestimator.h
+++ b/src/libs/jobs/workerspeedestimator.h
@@ -40,8 +40,9 @@
   void recordRunDuration(const std::string &step, const std::string &worker,
                          absl::Duration duration);
   /// Takes over what an earlier leader has learned about a worker. Ignored if
-  /// this leader has seen at least as many ends there.
-  void importSpeed(const std::string &worker,
+  /// this leader has seen at least as many ends there. Returns false if the
+  /// values are not usable.
+  bool importSpeed(const std::string &worker,
                    const endpoints::LearnedSpeed &speed);
   endpoints::LearnedSpeed learnedSpeed(const std::string &worker) const;
   /// Discards the ends of a step of which no further task will end.
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -240,6 +240,16 @@
   return it != Gangs.end() && it->second.RunningMembers == stepOf(id).Count;
 }
 
+// A member that has done its work waits for the others.
+bool SimSite::isGangDone(const TaskId &id, int64_t run) const {
+  for (const auto &[incarnation, worker] : Workers)
+    for (const auto &[key, member] : worker.Runs)
+      if (gangKey(taskIdOf(key.Task), key.Run) == gangKey(id, run) &&
+          member.WorkDone < member.RequiredWork)
+        return false;
+  return true;
+}
+
 bool SimSite::isGangAcrossRacks(const TaskId &id, int64_t run) const {
   auto it = Gangs.find(gangKey(id, run));
   return it != Gangs.end() && it->second.Racks.size() > 1;
@@ -313,7 +323,10 @@
     if (!spec.DataRack.empty() && spec.DataRack != worker.State.Rack)
       rate /= Policy.RemoteFactor;
     run.WorkDone += absl::Milliseconds(StepMs) * rate;
-    if (run.WorkDone >= run.RequiredWork)
+    if (run.WorkDone < run.RequiredWork)
+      continue;
+    run.WorkDone = run.RequiredWork;
+    if (!spec.Gang || isGangDone(id, key.Run))
       ends.emplace_back(key, RunFails && RunFails(id, key.Run) ? RunEnd::Failed
                                                                : RunEnd::Done);
   }
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -192,6 +192,7 @@
   /// Records a violation if the task is done or another run of it exists.
   void checkTaskRunsOnce(const endpoints::StartOrder &order);
   bool isGangComplete(const core::TaskId &id, int64_t run) const;
+  bool isGangDone(const core::TaskId &id, int64_t run) const;
   bool isGangAcrossRacks(const core::TaskId &id, int64_t run) const;
   const core::StepSpec &stepOf(const core::TaskId &id) const;
 
