Speeds learned from gangs are kept apart from those of other steps

Members of gangs differ by more than tasks of other steps do, and the preference for fast workers acts from a difference of 1.12 times on. Ruled out: the new decisions themselves, which need a worker that is too slow for a queue.

Change: two estimators. Speeds is that of before and decides where speeds don't matter; SpeedsWithGangs decides whether they do, and from then on. Reports and answers carry both; messages of earlier versions without the second stay readable (test).

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -278,6 +278,7 @@
   int64_t SeenUpto = 0;
   /// Speed of the worker as the last leader reported it.
   endpoints::LearnedSpeed Speed;
+  endpoints::LearnedSpeed SpeedWithGangs;
 
   // The lists of the worker's last answer.
   std::vector<endpoints::RunningTask> Running;
--- a/src/libs/agent/workeragent_reports.cpp
+++ b/src/libs/agent/workeragent_reports.cpp
@@ -74,6 +74,7 @@
   if (ListsReceived)
     message.ListedMsAgo = absl::ToInt64Milliseconds(Loop.now() - ListedAt);
   message.Speed = Speed;
+  message.SpeedWithGangs = SpeedWithGangs;
   message.Running = Running;
   message.Ended = Ended;
   message.Results = Results;
@@ -187,6 +188,7 @@
     logCordonChange();
   adoptEarlierStarts(ack.EarlierStarts);
   Speed = ack.Speed;
+  SpeedWithGangs = ack.SpeedWithGangs;
   const bool moreEndsRecorded = ack.SeenUpto > SeenUpto;
   SeenUpto = std::max(SeenUpto, ack.SeenUpto);
   Ended.erase(std::remove_if(Ended.begin(), Ended.end(),
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -78,6 +78,7 @@
        {"Epoch", r.Epoch},
        {"ListedMsAgo", r.ListedMsAgo},
        {"Speed", r.Speed},
+       {"SpeedWithGangs", r.SpeedWithGangs},
        {"Running", r.Running},
        {"Ended", r.Ended},
        {"Results", r.Results},
@@ -86,9 +87,9 @@
        {"StateOutdated", r.StateOutdated}};
 }
 
-// Agents of earlier versions do not track open starts and the age of the state.
-// Their reports lack the last three fields and must remain readable during an
-// upgrade.
+// Agents of earlier versions do not track open starts, the age of the state and
+// the speed in gangs. Their reports lack these fields and must remain readable
+// during an upgrade.
 static void from_json(const json &j, WorkerReport &r) {
   j.at("Agent").get_to(r.Agent);
   j.at("AgentAddress").get_to(r.AgentAddress);
@@ -105,6 +106,7 @@
   r.OpenStarts = j.value("OpenStarts", std::vector<OpenStart>());
   r.StartsKnownForMs = j.value("StartsKnownForMs", int64_t{0});
   r.StateOutdated = j.value("StateOutdated", false);
+  r.SpeedWithGangs = j.value("SpeedWithGangs", LearnedSpeed());
 }
 
 static void to_json(json &j, const ReportAck &a) {
@@ -116,13 +118,14 @@
        {"GrantMs", a.GrantMs},
        {"SeenUpto", a.SeenUpto},
        {"Speed", a.Speed},
+       {"SpeedWithGangs", a.SpeedWithGangs},
        {"Cordoned", a.Cordoned},
        {"CordonAgeMs", a.CordonAgeMs},
        {"EarlierStarts", a.EarlierStarts}};
 }
 
-// Entries of earlier versions do not know cordons and earlier starts. Their
-// answers lack the last three fields and must remain readable during an
+// Entries of earlier versions do not know cordons, earlier starts and speeds in
+// gangs. Their answers lack these fields and must remain readable during an
 // upgrade.
 static void from_json(const json &j, ReportAck &a) {
   j.at("Epoch").get_to(a.Epoch);
@@ -133,6 +136,7 @@
   j.at("GrantMs").get_to(a.GrantMs);
   j.at("SeenUpto").get_to(a.SeenUpto);
   j.at("Speed").get_to(a.Speed);
+  a.SpeedWithGangs = j.value("SpeedWithGangs", LearnedSpeed());
   a.Cordoned = j.value("Cordoned", false);
   a.CordonAgeMs = j.value("CordonAgeMs", int64_t{-1});
   a.EarlierStarts = j.value("EarlierStarts", std::vector<EarlierStart>());
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -306,6 +306,8 @@
   /// Speed of the worker as the last leader reported it. The agents keep it so
   /// that it survives a change of leader.
   LearnedSpeed Speed;
+  /// The same, learned from gangs too.
+  LearnedSpeed SpeedWithGangs;
   std::vector<RunningTask> Running;
   std::vector<EndedTask> Ended;
   std::vector<OrderResult> Results;
@@ -340,6 +342,7 @@
   int64_t GrantMs = 0;
   int64_t SeenUpto = 0;
   LearnedSpeed Speed;
+  LearnedSpeed SpeedWithGangs;
   bool Cordoned = false;
   int64_t CordonAgeMs = -1;
   std::vector<EarlierStart> EarlierStarts;
--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -138,6 +138,7 @@
   ack.Epoch = Epoch;
   ack.SeenUpto = Scheduler.onReport(report, now);
   ack.Speed = Scheduler.speedOf(report.Agent);
+  ack.SpeedWithGangs = Scheduler.speedWithGangsOf(report.Agent);
   ack.EarlierStarts = Scheduler.earlierStarts(report, now);
   if (Cordons.isConfirmed()) {
     ack.Cordoned = Cordons.current().contains(report.Worker.FailureDomain);
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -17,7 +17,8 @@
       UnreportedLostAt(electedAt - Policy.PreviousUnconfirmedFor +
                        Policy.UnreportedLostAfter),
       Workers(Policy.Fleet), Progress(Policy.Progress),
-      Estimates(Policy.Progress), Speeds(Policy.Speed) {}
+      Estimates(Policy.Progress), Speeds(Policy.Speed),
+      SpeedsWithGangs(Policy.Speed) {}
 
 JobScheduler::~JobScheduler() = default;
 
@@ -35,7 +36,10 @@
 
 double JobScheduler::slownessOf(const WorkerIncarnation &incarnation) const {
   const WorkerView *worker = Workers.find(incarnation);
-  return worker == nullptr ? 1 : Speeds.slowness(worker->Agent);
+  if (worker == nullptr)
+    return 1;
+  return Uneven.matter() ? SpeedsWithGangs.slowness(worker->Agent)
+                         : Speeds.slowness(worker->Agent);
 }
 
 int64_t JobScheduler::lastReportAgeMs(const WorkerIncarnation &incarnation,
@@ -194,8 +198,10 @@
   if (!cause.empty())
     Decisions.back().Texts["cause"] = cause;
   forEachTask(job, [&](const TaskId &id, Task &task) {
-    if (id.Index == 0)
+    if (id.Index == 0) {
       Speeds.forget(stepName(id));
+      SpeedsWithGangs.forget(stepName(id));
+    }
     if (!task.Progress.Done)
       requestStop(id, task, absl::StrCat("job ", jobStateName(state)));
   });
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -77,6 +77,9 @@
   endpoints::LearnedSpeed speedOf(const std::string &agent) const {
     return Speeds.learnedSpeed(agent);
   }
+  endpoints::LearnedSpeed speedWithGangsOf(const std::string &agent) const {
+    return SpeedsWithGangs.learnedSpeed(agent);
+  }
 
   // Writes to the store.
   /// Returns the progress of all jobs that changed since their last write,
@@ -414,7 +417,8 @@
   double slownessOfRun(const Job &job, const core::TaskId &id,
                        const Task &task) const;
   WorkerSpeed speedOfWorker(const WorkerView &worker) const {
-    return {Speeds.slowness(worker.Agent), Speeds.isKnown(worker.Agent)};
+    return {SpeedsWithGangs.slowness(worker.Agent),
+            SpeedsWithGangs.isKnown(worker.Agent)};
   }
   /// Finds out whether the speeds of the usable workers differ too much for the
   /// queues' objectives.
@@ -500,6 +504,10 @@
   ProgressTracker Progress;
   DurationEstimator Estimates;
   WorkerSpeedEstimator Speeds;
+  /// Learns from the progress of gang members too. Members differ by more than
+  /// the tasks of other steps do, so that it tells large differences only,
+  /// which Uneven is about.
+  WorkerSpeedEstimator SpeedsWithGangs;
   /// As of the latest scheduling pass.
   UnevenSpeeds Uneven;
   SpeedSummary SpeedCounts;
--- a/src/libs/jobs/jobscheduler_speeds.cpp
+++ b/src/libs/jobs/jobscheduler_speeds.cpp
@@ -59,13 +59,15 @@
   if (task.SpeedCompared || worker == nullptr)
     return;
   task.SpeedCompared = true;
-  Speeds.recordRunDuration(stepName(id), worker->Agent, runDuration);
+  if (!Jobs.at(id.Job).specOf(id).Gang)
+    Speeds.recordRunDuration(stepName(id), worker->Agent, runDuration);
+  SpeedsWithGangs.recordRunDuration(stepName(id), worker->Agent, runDuration);
 }
 
 double JobScheduler::slownessOfRun(const Job &job, const TaskId &id,
                                    const Task &task) const {
   double slowest = slownessOf(task.Progress.Worker);
-  if (job.specOf(id).Gang)
+  if (job.specOf(id).Gang && Uneven.matter())
     for (const Task &member : job.stepOf(id))
       if (member.Progress.Run == task.Progress.Run)
         slowest = std::max(slowest, slownessOf(member.Progress.Worker));
@@ -109,7 +111,9 @@
 
 void JobScheduler::adoptSpeed(const endpoints::WorkerReport &report,
                               absl::Time now) {
-  if (Speeds.importSpeed(report.Agent, report.Speed)) {
+  const bool isUsable = Speeds.importSpeed(report.Agent, report.Speed);
+  if (SpeedsWithGangs.importSpeed(report.Agent, report.SpeedWithGangs) &&
+      isUsable) {
     AgentsWithBadSpeed.erase(report.Agent);
     return;
   }
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -53,13 +53,23 @@
             4,
             120,
             {0.25, 6},
+            {0.5, 8},
             {{"j.0.0.1", 2, "saved", 40}},
             {{9, "j.0.0.0", 1, RunEnd::Lapsed, "s"}},
             {{"j.0.0.2", 1, OrderOutcome::Busy, "503"}},
             {{"j.0.0.4", 3, 14000}},
             15000}),
-        Message(ReportAck{
-            4, true, "e1", 3, {"e1", "e2"}, 5500, 9, {0.25, 7}, true, 120}),
+        Message(ReportAck{4,
+                          true,
+                          "e1",
+                          3,
+                          {"e1", "e2"},
+                          5500,
+                          9,
+                          {0.25, 7},
+                          {0.5, 9},
+                          true,
+                          120}),
         Message(WorkerOrders{
             4,
             {"i-1", 7},
@@ -108,6 +118,21 @@
   EXPECT_EQ(decodeWithout(ack, {"Cordoned", "CordonAgeMs"}), Message(expected));
 }
 
+// Guards against a leader and agents that lose each other during an upgrade,
+// because one of them does not send speeds learned from gangs yet.
+TEST(Decode, MessagesOfEarlierVersionsTellNoSpeedInGangs) {
+  WorkerReport report;
+  report.Agent = "a1";
+  const WorkerReport expectedReport = report;
+  report.SpeedWithGangs = {0.5, 8};
+  EXPECT_EQ(decodeWithout(report, {"SpeedWithGangs"}), Message(expectedReport));
+  ReportAck ack;
+  ack.Epoch = 4;
+  const ReportAck expectedAck = ack;
+  ack.SpeedWithGangs = {0.5, 8};
+  EXPECT_EQ(decodeWithout(ack, {"SpeedWithGangs"}), Message(expectedAck));
+}
+
 // Guards against agents that refuse all starts during an upgrade, because the
 // orders of an earlier entry do not tell which report it had received.
 TEST(Decode, OrdersOfAnEarlierEntryNameNoReport) {
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -354,6 +354,7 @@
   r.EndedLives = worker.EndedLives;
   r.Epoch = worker.ObservedEpoch;
   r.Speed = worker.Speed;
+  r.SpeedWithGangs = worker.SpeedWithGangs;
   for (const auto &[key, run] : worker.Runs)
     r.Running.push_back(
         {key.Task, key.Run, runningCheckpoint(run, taskIdOf(key.Task)),
@@ -366,6 +367,7 @@
   worker.AcknowledgedUpto =
       std::max(worker.AcknowledgedUpto, Scheduler->onReport(r, Now));
   worker.Speed = Scheduler->speedOf(worker.Agent);
+  worker.SpeedWithGangs = Scheduler->speedWithGangsOf(worker.Agent);
   worker.Ended.erase(std::remove_if(worker.Ended.begin(), worker.Ended.end(),
                                     [&](const auto &e) {
                                       return e.Number <=
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -42,6 +42,7 @@
     std::vector<endpoints::OrderResult> Results;
     /// The speed of its worker that the leader last reported to the agent.
     endpoints::LearnedSpeed Speed;
+    endpoints::LearnedSpeed SpeedWithGangs;
     /// Factor by which work takes longer there than on a healthy worker.
     double Slowness = 1;
     /// Every run fails shortly after its start.
--- a/tests/auto/jobs/tst_unevenspeeds.cpp
+++ b/tests/auto/jobs/tst_unevenspeeds.cpp
@@ -133,7 +133,7 @@
 // not a usable number: it would spoil the comparison of all workers.
 TEST_P(BadSpeed, IsIgnoredByName) {
   SimSite site;
-  site.addWorker("w0", "r0").Speed = GetParam().Speed;
+  site.addWorker("w0", "r0").SpeedWithGangs = GetParam().Speed;
   site.addWorker("w1", "r0");
   site.runFor(absl::Seconds(2));
   EXPECT_EQ(std::count_if(site.Log.begin(), site.Log.end(),
@@ -263,7 +263,8 @@
 void forgetSpeeds(SimSite &site) {
   for (int r = 0; r < 4; ++r)
     for (int w = 0; w < 6; ++w)
-      site.worker("w" + std::to_string(r) + std::to_string(w)).Speed = {};
+      site.worker("w" + std::to_string(r) + std::to_string(w))
+          .SpeedWithGangs = {};
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -299,12 +300,12 @@
   site.configure(config);
   for (const char *id : {"w0", "w1", "w2", "w3"}) {
     SimSite::Worker &worker = site.addWorker(id, "r0");
-    worker.Speed = {id == std::string("w3") ? 0 : std::log(2.4), 12};
+    worker.SpeedWithGangs = {id == std::string("w3") ? 0 : std::log(2.4), 12};
     worker.Slowness = id == std::string("w3") ? 1 : 2.4;
   }
-  site.addWorker("w4", "r0").Speed = {0, 12};
-  site.addWorker("w5", "r0").Speed = {0, 12};
-  site.addWorker("w6", "r0").Speed = {0, 12};
+  site.addWorker("w4", "r0").SpeedWithGangs = {0, 12};
+  site.addWorker("w5", "r0").SpeedWithGangs = {0, 12};
+  site.addWorker("w6", "r0").SpeedWithGangs = {0, 12};
   site.runFor(absl::Milliseconds(1100));
   core::StepSpec step;
   step.Count = 6;
