Overdue work comes after all other work of its rank

What callers see: after a burst, urgent work that arrives later is late too. Cause: urgent work is placed by least slack, other work by arrival, so that a backlog of no use to its callers comes first.

Work within a guarantee keeps its place. A module of its own, waitingorder.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -109,6 +109,23 @@
       });
 }
 
+// Jobs that repeat or run on have no deadline of their own. The result is kept
+// for a while, because the capacity of the service is summed up for a deadline.
+bool JobScheduler::isOverdue(Job &job, absl::Time now) const {
+  const core::JobSpec &spec = job.Record.Spec;
+  const bool hasDeadline =
+      spec.Repeats == 0 &&
+      std::none_of(spec.Steps.begin(), spec.Steps.end(),
+                   [](const core::StepSpec &s) { return s.LongRunning; });
+  if (!Policy.OverdueLast || !hasDeadline)
+    return false;
+  if (now - job.OverdueCheckedAt >= Policy.OverdueCheckInterval) {
+    job.OverdueCheckedAt = now;
+    job.Overdue = now - job.Arrived > computeDeadline(job).WorthlessAfter;
+  }
+  return job.Overdue;
+}
+
 // Logs the job's deadline once: when the fleet is known, or at the job's end.
 void JobScheduler::logDeadline(Job &job) {
   if (job.DeadlineLogged)
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -261,6 +261,8 @@
     /// At least one of the tasks is a suspect.
     bool HasSuspects = false;
     JobWaits Waits;
+    bool Overdue = false;
+    absl::Time OverdueCheckedAt = absl::InfinitePast();
     bool DeadlineLogged = false;
     /// The latest outcome of planning capacity for a waiting step, by
     /// occurrence and step. Logged when it changes.
@@ -295,6 +297,8 @@
   /// queue's estimates.
   absl::Duration taskTime(const Job &job, const core::StepSpec &spec) const;
   JobDeadline computeDeadline(const Job &job) const;
+  /// Whether an answer is worth nearly nothing to the job's caller any more.
+  bool isOverdue(Job &job, absl::Time now) const;
   /// Enough time has passed since the election for every live worker to have
   /// reported.
   bool isFleetKnown(absl::Time now) const {
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -136,18 +136,13 @@
       }
     }
   }
-  for (PlacementUnit &unit : Units)
+  for (PlacementUnit &unit : Units) {
+    unit.Overdue = Scheduler.isOverdue(*unit.Owner, Now);
     computeUrgency(unit);
+  }
   std::sort(Units.begin(), Units.end(),
             [](const PlacementUnit &a, const PlacementUnit &b) {
-              if (a.Rank != b.Rank)
-                return a.Rank < b.Rank;
-              if (a.Rank == 1 && a.Slack != b.Slack)
-                return a.Slack < b.Slack;
-              return std::tie(a.Owner->Arrived, a.Owner->Record.Spec.Id,
-                              a.Occurrence, a.Step) <
-                     std::tie(b.Owner->Arrived, b.Owner->Record.Spec.Id,
-                              b.Occurrence, b.Step);
+              return startsBefore(a.key(), b.key());
             });
 }
 
@@ -391,7 +386,7 @@
   // quarantine of a worker ends.
   Scheduler.RetryOnTick = true;
   recordWait(unit);
-  if (unit.Rank <= 1 && secureCapacity(unit))
+  if (unit.mayStopOthers() && secureCapacity(unit))
     return;
   // Tasks that start one by one need capacity for the next one only.
   if (!unit.spec().Gang)
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobscheduler.h"
+#include "waitingorder.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -23,9 +24,10 @@
 ///
 /// Units are placed in this order: work of priority 0 within its
 /// organisation's guarantee, other work of priority 0, then by priority and
-/// arrival. All tasks of a gang start together. A gang that requests one rack
-/// waits for a rack, because it runs several times as long when it is spread;
-/// it is spread only if no rack could hold it even when empty.
+/// arrival, overdue work last (startsBefore()). All tasks of a gang start
+/// together. A gang that requests one rack waits for a rack, because it runs
+/// several times as long when it is spread; it is spread only if no rack could
+/// hold it even when empty.
 ///
 /// A rack, workers other than those where a task has failed, workers out of
 /// quarantine, headroom for urgent work and reservations are preferences: none
@@ -85,6 +87,8 @@
     /// Hosts (by agent) where its tasks may have crashed a worker. Empty when
     /// the other hosts could not hold it.
     std::set<std::string> AvoidHosts = {};
+    /// Its job's answer is worth nearly nothing any more; see startsBefore().
+    bool Overdue = false;
     /// How long it can wait before its job misses its deadline. Among other
     /// work of priority 0, the unit with the least slack is placed first.
     absl::Duration Slack = absl::ZeroDuration();
@@ -116,6 +120,12 @@
     core::TaskId taskId(int index) const {
       return {Owner->Record.Spec.Id, Occurrence, Step, index};
     }
+    WaitingUnitKey key() const {
+      return {Rank,       Overdue, Slack, Owner->Arrived, Owner->Record.Spec.Id,
+              Occurrence, Step};
+    }
+    /// Other work may be stopped for it.
+    bool mayStopOthers() const { return Rank == 0 || (Rank == 1 && !Overdue); }
   };
   /// The candidate for each task of a gang.
   using Placement = std::vector<size_t>;
--- a/src/libs/jobs/planner_speeds.cpp
+++ b/src/libs/jobs/planner_speeds.cpp
@@ -34,7 +34,8 @@
 }
 
 bool Planner::isKeptOffSlowWorkers(const PlacementUnit &unit) const {
-  return unit.Demand == SpeedDemand::UsualFirst && unit.spec().Gang;
+  return unit.Demand == SpeedDemand::UsualFirst && unit.spec().Gang &&
+         !unit.Overdue;
 }
 
 // Places a gang on workers of usual speed, or has it wait for them. A gang is
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -60,6 +60,11 @@
   /// shorter by this many standard deviations of what the estimates of its
   /// queue turned out to be off. Zero: estimates are trusted.
   double SlackDeviations = 1;
+  /// Work whose answer is worth nearly nothing any more comes after all other
+  /// work of its rank, and nothing is stopped for it.
+  bool OverdueLast = true;
+  /// Interval at which it is determined again whether a job is overdue.
+  absl::Duration OverdueCheckInterval = absl::Seconds(1);
   /// Expected time from the request to stop a run to its end.
   absl::Duration StopDuration = absl::Milliseconds(400);
   /// Time after submission by which a job within its organisation's guarantee
--- a/tests/bench/jobsbench/main.cpp
+++ b/tests/bench/jobsbench/main.cpp
@@ -71,6 +71,8 @@
        [](P &p) { p.SlackDeviations = 0; }},
       {"doubted_estimates", "slack at two standard deviations",
        [](P &p) { p.SlackDeviations = 2; }},
+      {"overdue_in_turn", "overdue work keeps its turn",
+       [](P &p) { p.OverdueLast = false; }},
       {"late_verdicts", "a run that stops progressing is not noticed earlier",
        [](P &p) { p.Progress.SuddenStallAfter = absl::InfiniteDuration(); }},
       {"no_headroom", "no capacity is kept free for urgent work",
