--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -18,7 +18,7 @@
                        Policy.UnreportedLostAfter),
       Workers(Policy.Fleet), Progress(Policy.Progress),
       Estimates(Policy.Progress), Speeds(Policy.Speed),
-      SpeedsWithGangs(Policy.Speed) {}
+      SpeedsWithGangs(Policy.SpeedWithGangs) {}
 
 JobScheduler::~JobScheduler() = default;
 
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -17,6 +17,9 @@
   FleetPolicy Fleet;
   ProgressPolicy Progress;
   SpeedPolicy Speed;
+  /// For speeds learned from gangs too, which tell large differences only: a
+  /// single comparison shows those.
+  SpeedPolicy SpeedWithGangs = {.PriorEnds = 1};
   /// Time without an answer after which an order is sent again.
   absl::Duration OrderResendInterval = absl::Milliseconds(400);
   /// A run counts as lost by its worker if a list that was made this long after
