tests: waits for workers of usual speed, one decision at a time

UnevenSite shows the whole load; these show each decision by itself, with known speeds: an urgent gang waits for usual workers that are about to become free (reason slow_workers), starts on slow ones where that ends sooner or where it could never fit elsewhere, and a batch gang that is in time there takes them. All four pass on the code as it is; they guard it and were not seen to fail.

--- a/tests/auto/jobs/tst_unevenspeeds.cpp
+++ b/tests/auto/jobs/tst_unevenspeeds.cpp
@@ -5,11 +5,14 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <functional>
 #include <limits>
 #include <ostream>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oriolebay::jobs {
@@ -286,35 +289,99 @@
                                    }}),
     [](const auto &info) { return std::string(info.param.Name); });
 
-// Guards against a wait for workers of usual speed that never ends: a gang that
-// only slow workers could hold has to start there at once.
-TEST(UnevenSpeedsAlone, GangStartsOnSlowWorkersWhereNoOthersCouldHoldIt) {
-  SimSite site;
+/// A site where w0 to w3 are known to be slow and w4 to w7 to be of usual
+/// speed. Each worker holds one task of an urgent gang.
+class KnownSpeeds : public testing::Test {
+protected:
+  KnownSpeeds() {
+    core::SiteConfig config;
+    config.Version = 2;
+    core::QueueConfig queue;
+    queue.Name = "q";
+    queue.Service = "service";
+    queue.Stretch = UrgentStretch;
+    queue.TargetLatencyMs = 250;
+    config.Queues.push_back(queue);
+    Site.configure(config);
+    for (int n = 0; n < 8; ++n)
+      addWorker("w" + std::to_string(n), n < 4 ? 2.4 : 1);
+    Site.runFor(absl::Milliseconds(1100));
+  }
+
+  void addWorker(const std::string &id, double slowness) {
+    SimSite::Worker &worker = Site.addWorker(id, "r0");
+    worker.SpeedWithGangs = {std::log(slowness), 12};
+    worker.Slowness = slowness;
+  }
+
+  void submitGang(const std::string &id, int members, int64_t estimateMs,
+                  int priority) {
+    core::StepSpec step;
+    step.Count = members;
+    step.PerTask = {1000, 1000, 8};
+    step.EstimateMs = estimateMs;
+    step.Gang = true;
+    Site.submit(jobOf(id, step), priority);
+  }
+
+  SimSite Site;
+};
+
+// Guards against an urgent gang that starts on slow workers although usual ones
+// are about to become free: it would end later.
+TEST_F(KnownSpeeds, UrgentGangWaitsForUsualWorkersWhereItEndsSooner) {
+  submitGang("first", 4, 1000, 0);
+  Site.runFor(absl::Milliseconds(500));
+  submitGang("second", 4, 2000, 0);
+  Site.runFor(absl::Milliseconds(100));
+  EXPECT_TRUE(Site.workersOf("second").empty());
+  EXPECT_EQ(std::count_if(Site.Log.begin(), Site.Log.end(),
+                          [](const Decision &d) {
+                            return d.What == Decision::Kind::Waiting &&
+                                   d.Texts.at("reason") ==
+                                       waitReasonName(WaitReason::SlowWorkers);
+                          }),
+            1);
+  ASSERT_TRUE(Site.runUntilAllEnded(absl::Seconds(10)));
+  EXPECT_LE(*Site.turnaroundTime("second"), absl::Milliseconds(3250));
+}
+
+// Guards against a wait for workers of usual speed that is longer than what it
+// gains: the usual workers are busy for a minute with urgent work.
+TEST_F(KnownSpeeds, UrgentGangStartsOnSlowWorkersWhereItEndsSooner) {
+  submitGang("first", 4, 60000, 0);
+  Site.runFor(absl::Milliseconds(500));
+  submitGang("second", 4, 2000, 0);
+  Site.runFor(absl::Milliseconds(100));
+  EXPECT_EQ(Site.workersOf("second"),
+            (std::multiset<std::string>{"w0", "w1", "w2", "w3"}));
+}
+
+// Guards against a gang that never starts because the usual workers could not
+// hold it even if they were empty.
+TEST_F(KnownSpeeds, GangThatNeedsSlowWorkersStartsAtOnce) {
+  submitGang("j", 6, 2000, 0);
+  Site.runFor(absl::Milliseconds(100));
+  EXPECT_EQ(Site.workersOf("j").size(), 6u);
+}
+
+// Guards against batch work that holds usual workers although it is in time on
+// slow ones.
+TEST_F(KnownSpeeds, BatchGangTakesSlowWorkersIfItIsInTimeThere) {
   core::SiteConfig config;
-  config.Version = 2;
-  core::QueueConfig queue;
-  queue.Name = "q";
-  queue.Service = "service";
-  queue.Stretch = UrgentStretch;
-  config.Queues.push_back(queue);
-  site.configure(config);
-  for (const char *id : {"w0", "w1", "w2", "w3"}) {
-    SimSite::Worker &worker = site.addWorker(id, "r0");
-    worker.SpeedWithGangs = {id == std::string("w3") ? 0 : std::log(2.4), 12};
-    worker.Slowness = id == std::string("w3") ? 1 : 2.4;
+  config.Version = 3;
+  for (const auto &[name, stretch] : {std::pair("q", 3.0), {"urgent", 1.5}}) {
+    core::QueueConfig queue;
+    queue.Name = name;
+    queue.Service = "service";
+    queue.Stretch = stretch;
+    config.Queues.push_back(queue);
   }
-  site.addWorker("w4", "r0").SpeedWithGangs = {0, 12};
-  site.addWorker("w5", "r0").SpeedWithGangs = {0, 12};
-  site.addWorker("w6", "r0").SpeedWithGangs = {0, 12};
-  site.runFor(absl::Milliseconds(1100));
-  core::StepSpec step;
-  step.Count = 6;
-  step.PerTask = {1000, 1000, 8};
-  step.EstimateMs = 2000;
-  step.Gang = true;
-  site.submit(jobOf("j", step), 0);
-  site.runFor(absl::Milliseconds(100));
-  EXPECT_EQ(site.workersOf("j").size(), 6u);
+  Site.configure(config);
+  submitGang("j", 4, 8000, 1);
+  Site.runFor(absl::Milliseconds(100));
+  EXPECT_EQ(Site.workersOf("j"),
+            (std::multiset<std::string>{"w0", "w1", "w2", "w3"}));
 }
 
 } // namespace
