Work within a guarantee waits for usual workers only as long as it may

What callers would see: a job within its organisation's guarantee is not begun 2 to 3 s after it was confirmed although slow workers are free, or the work of others is stopped at any cost for usual workers. Cause: the wait for workers of usual speed was bounded by what slow ones take longer, 11 s for a task of 8 s, and the allowance of stops for a guarantee at risk counted the slow workers as absent.

Change: at rank 0 the wait ends at ReclaimAfter, when the gang starts anywhere; while it could start on slow workers, no more work is stopped for it than for other urgent work.

Both tests failed before (a gang still waiting after 1.6 s; 4 tasks of 20 s' work stopped) and pass now.

--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -272,6 +272,7 @@
   SpeedDemand speedDemand(const PlacementUnit &unit) const;
   bool isKeptOffSlowWorkers(const PlacementUnit &unit) const;
   bool placeOnUsualWorkers(PlacementUnit &unit);
+  absl::Duration maxWaitForUsualWorkers(const PlacementUnit &unit) const;
   bool waitForUsualWorkers(PlacementUnit &unit);
   std::optional<Placement> findPlacement(const PlacementUnit &unit,
                                          const TopologyDomain &domain) const;
--- a/src/libs/jobs/planner_capacity.cpp
+++ b/src/libs/jobs/planner_capacity.cpp
@@ -230,11 +230,12 @@
 // Whether the stops of stopPlan are worthwhile for a unit whose job would miss
 // its deadline without them: they are meant to let the job meet its deadline,
 // which is not checked here, and must not lose more work than maxLostWork().
-// Any amount is acceptable if a guarantee would be violated otherwise.
+// Any amount is acceptable if a guarantee would be violated otherwise, which is
+// not so for a gang that could start on slow workers.
 bool Planner::isWorthStopping(
     const PlacementUnit &unit, const CapacityPlan &stopPlan,
     const std::optional<CapacityPlan> &waitPlan) const {
-  return isGuaranteeAtRisk(unit, waitPlan) ||
+  return (isGuaranteeAtRisk(unit, waitPlan) && !unit.ExcludesSlowWorkers) ||
          stopPlan.LostWork <= maxLostWork(unit);
 }
 
--- a/src/libs/jobs/planner_speeds.cpp
+++ b/src/libs/jobs/planner_speeds.cpp
@@ -48,14 +48,20 @@
   return false;
 }
 
-// The time for which the gang has waited already counts, so that a wait whose
-// end is put off again and again is given up.
+// The time since the job's arrival counts, so that a wait whose end is put off
+// again and again is given up. Work within a guarantee has to start within
+// ReclaimAfter wherever there is capacity.
+absl::Duration
+Planner::maxWaitForUsualWorkers(const PlacementUnit &unit) const {
+  absl::Duration maxWait = Scheduler.Uneven.maxWaitForUsual(
+      Scheduler.taskTime(*unit.Owner, unit.spec()));
+  if (unit.Rank == 0)
+    maxWait = std::min(maxWait, Scheduler.Policy.ReclaimAfter);
+  return unit.Owner->Arrived + maxWait - Now;
+}
+
 bool Planner::waitForUsualWorkers(PlacementUnit &unit) {
-  const absl::Duration waited = Now - unit.Owner->Arrived;
-  const absl::Duration maxWait =
-      Scheduler.Uneven.maxWaitForUsual(
-          Scheduler.taskTime(*unit.Owner, unit.spec())) -
-      waited;
+  const absl::Duration maxWait = maxWaitForUsualWorkers(unit);
   if (maxWait <= absl::ZeroDuration())
     return false;
   const std::optional<CapacityPlan> waitPlan = findWaitPlan(unit);
--- a/tests/auto/jobs/tst_unevenspeeds.cpp
+++ b/tests/auto/jobs/tst_unevenspeeds.cpp
@@ -302,6 +302,7 @@
     queue.Stretch = UrgentStretch;
     queue.TargetLatencyMs = 250;
     config.Queues.push_back(queue);
+    config.Organisations.push_back({"guaranteed", {}, 64});
     Site.configure(config);
     for (int n = 0; n < 8; ++n)
       addWorker("w" + std::to_string(n), n < 4 ? 2.4 : 1);
@@ -315,13 +316,13 @@
   }
 
   void submitGang(const std::string &id, int members, int64_t estimateMs,
-                  int priority) {
+                  int priority, const std::string &organisation = "org-a") {
     core::StepSpec step;
     step.Count = members;
     step.PerTask = {1000, 1000, 8};
     step.EstimateMs = estimateMs;
     step.Gang = true;
-    Site.submit(jobOf(id, step), priority);
+    Site.submit(jobOf(id, step, organisation), priority);
   }
 
   SimSite Site;
@@ -357,6 +358,32 @@
             (std::multiset<std::string>{"w0", "w1", "w2", "w3"}));
 }
 
+// Guards against work within a guarantee that waits for usual workers for
+// longer than it may wait at all, while slow ones are free.
+TEST_F(KnownSpeeds, GuaranteedGangStartsOnSlowWorkersInTime) {
+  submitGang("first", 4, 9000, 0, "guaranteed");
+  Site.runFor(absl::Milliseconds(500));
+  submitGang("second", 4, 20000, 0, "guaranteed");
+  Site.runFor(SchedulerPolicy().ReclaimAfter + absl::Milliseconds(100));
+  EXPECT_EQ(Site.workersOf("second"),
+            (std::multiset<std::string>{"w0", "w1", "w2", "w3"}));
+}
+
+// Guards against work of others that is lost without need: usual workers are
+// freed for work within a guarantee at any cost although slow ones are free.
+TEST_F(KnownSpeeds, GuaranteedGangStopsLittleForUsualWorkers) {
+  submitGang("on-slow", 4, 60000, 1);
+  submitGang("on-usual", 4, 60000, 1);
+  Site.runFor(absl::Seconds(20));
+  Site.cancel("on-slow");
+  Site.runFor(absl::Seconds(1));
+  const double lostBefore = Site.lostWork();
+  submitGang("j", 4, 500, 0, "guaranteed");
+  Site.runFor(absl::Seconds(3));
+  EXPECT_EQ(Site.lostWork(), lostBefore);
+  EXPECT_TRUE(Site.waitTime("j"));
+}
+
 // Guards against a gang that never starts because the usual workers could not
 // hold it even if they were empty.
 TEST_F(KnownSpeeds, GangThatNeedsSlowWorkersStartsAtOnce) {
