Logs tell which configuration a job was accepted by, and which forwarded calls nobody answered

The hypotheses could not be told apart from logs: a run's line named the leader's configuration but not the one by which another entry had accepted the job, a forwarded call whose answer did not come left no line at the entry that had forwarded it, and config.outdated did not say where the news came from.

Job records now hold the configuration that accepted or cancelled the job; nothing goes by it yet. No decision changes.

--- a/src/libs/entry/callforwarder.cpp
+++ b/src/libs/entry/callforwarder.cpp
@@ -1,11 +1,15 @@
 #include "callforwarder.h"
 
+#include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
 
 #include <algorithm>
 
 namespace oriolebay::entry {
 
+using eventlog::Event;
+using eventlog::logEvent;
+
 namespace {
 
 /// Time for one entry to answer. It covers a call that the store answers in a
@@ -18,6 +22,16 @@
 /// Maximum number of entries that are tried for one call.
 constexpr size_t MaxEntriesPerCall = 2;
 
+void logUnanswered(const endpoints::ForwardedCall &call,
+                   const std::string &entry, absl::Duration waited) {
+  logEvent(Event::CallUnanswered,
+           {{"call", call.Call},
+            {"job", call.Job},
+            {"entry", entry},
+            {"waited_ms", absl::ToInt64Milliseconds(waited)},
+            {"newest_revision", call.OldestRevision}});
+}
+
 } // namespace
 
 /// A call that is being forwarded.
@@ -72,9 +86,10 @@
   }
   const std::string address = pending->Candidates[pending->TriedCount++];
   pending->Call.TimeLeftMs = absl::ToInt64Milliseconds(left);
+  const absl::Time sentAt = Loop.now();
   Peers.Call(address, pending->Call, AnswerTimeoutMs,
-             [this, alive = Alive, pending,
-              address](const std::optional<endpoints::Message> &reply) {
+             [this, alive = Alive, pending, address,
+              sentAt](const std::optional<endpoints::Message> &reply) {
                if (!*alive)
                  return;
                const auto *answer =
@@ -84,6 +99,7 @@
                  pending->Callback(*answer, pending->TriedCount > 1);
                  return;
                }
+               logUnanswered(pending->Call, address, Loop.now() - sentAt);
                RetryTimes[address] = Loop.now() + EntryRetryDelay;
                tryNextEntry(pending);
              });
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -79,7 +79,10 @@
       [](const utils::Error &e) {
         logEvent(Event::ConfigRefused, {{"error", e.text()}});
       },
-      [this](const core::ConfigStamp &newer) { onConfigOutdated(newer); },
+      [this](const core::ConfigStamp &newer,
+             operators::ConfigNewsSource source) {
+        onConfigOutdated(newer, source);
+      },
       storeErrorLogger("configuration"));
   operators::CordonSource cordonSource;
   cordonSource.Prefix = operatorKeys.CordonPrefix;
@@ -249,13 +252,15 @@
       });
 }
 
-void JobEntry::onConfigOutdated(const core::ConfigStamp &newer) {
+void JobEntry::onConfigOutdated(const core::ConfigStamp &newer,
+                                operators::ConfigNewsSource source) {
   const core::ConfigStamp ownStamp = Config->stamp();
   logEvent(Event::ConfigOutdated,
            {{"version", ownStamp.Version},
             {"revision", ownStamp.Revision},
             {"newer_version", newer.Version},
             {"newer_revision", newer.Revision},
+            {"source", operators::configNewsSourceName(source)},
             {"config_age_ms", jobs::loggedAgeMs(Config->age(Loop.now()))}});
 }
 
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -100,7 +100,8 @@
   void onForwarded(const endpoints::ForwardedCall &call,
                    const endpoints::Peers::Respond &respond);
   void onConfig(const std::shared_ptr<const core::SiteConfig> &config);
-  void onConfigOutdated(const core::ConfigStamp &newer);
+  void onConfigOutdated(const core::ConfigStamp &newer,
+                        operators::ConfigNewsSource source);
   void onCordons(const core::Cordons &cordons);
   void onEntry(const platform::StoreEvent &event);
   void logStoreError(const char *what, platform::StoreStatus status,
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -47,6 +47,7 @@
       {Event::RoomPlanned, "room.planned"},
       {Event::StepWaitsBesideFreeWorkers, "step.waits_beside_free_workers"},
       {Event::StepPreferencesGivenUp, "step.preferences_given_up"},
+      {Event::CallUnanswered, "call.unanswered"},
       {Event::WorkerUsedAgain, "worker.used_again"},
       {Event::WorkerSpeedLearned, "worker.speed_learned"},
       {Event::WorkerSpeedIgnored, "worker.speed_ignored"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -32,6 +32,7 @@
   RoomPlanned = 214,
   StepWaitsBesideFreeWorkers = 215,
   StepPreferencesGivenUp = 216,
+  CallUnanswered = 217,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -221,6 +221,8 @@
             {"prio", r.Priority},      {"tries", r.Attempts},
             {"stretch", r.Stretch},    {"target", r.TargetLatencyMs},
             {"advice", r.NeedsAdvice}, {"cancelled", r.Cancelled}};
+  if (r.DecidedBy != core::ConfigStamp())
+    j["config"] = {r.DecidedBy.Revision, r.DecidedBy.Version};
   if (r.Spec.Repeats > 0)
     j["due"] = {r.Spec.Repeats, r.Spec.FirstDueMs, r.Spec.IntervalMs};
   return toCbor(j);
@@ -260,6 +262,9 @@
     j.at("target").get_to(r.TargetLatencyMs);
     j.at("advice").get_to(r.NeedsAdvice);
     j.at("cancelled").get_to(r.Cancelled);
+    if (j.contains("config"))
+      r.DecidedBy = {j["config"].at(0).get<int64_t>(),
+                     j["config"].at(1).get<int64_t>()};
     if (j.contains("due")) {
       r.Spec.Repeats = j["due"].at(0).get<int>();
       r.Spec.FirstDueMs = j["due"].at(1).get<int64_t>();
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/jobspec.h"
+#include "core/siteconfig.h"
 #include "endpoints/workerincarnation.h"
 #include "utils/error.h"
 
@@ -23,7 +24,9 @@
 
 /// The record that an entry writes when it accepts a job. It contains the job
 /// and the settings of its queue, so that the job can be completed after the
-/// queue was removed. Only Cancelled ever changes, and only to true.
+/// queue was removed. Only Cancelled ever changes, and only to true. DecidedBy
+/// is the newest configuration by which a call was accepted that has written
+/// the record; zeros if an earlier version of the product wrote it.
 struct JobRecord {
   core::JobSpec Spec;
   std::string Service;
@@ -33,6 +36,7 @@
   int64_t TargetLatencyMs = 0;
   bool NeedsAdvice = false;
   bool Cancelled = false;
+  core::ConfigStamp DecidedBy = {};
 
   auto operator<=>(const JobRecord &) const = default;
 };
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -264,6 +264,7 @@
                {"accelerators_left",
                 Workers.find(incarnation)->freeResources().Accelerators},
                {"config_version", Config->Version},
+               {"record_config_version", job.Record.DecidedBy.Version},
                {"slowness_percent",
                 static_cast<int64_t>(slownessOf(incarnation) * 100)}});
   Decisions.back().Texts = {{"speed_demand", speedDemandName(demand)}};
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -55,7 +55,8 @@
 }
 
 void JobService::serveForwarded(CallRequest request, Done done) {
-  Config.handleNewerConfig({request.OldestRevision, 0});
+  Config.handleNewerConfig({request.OldestRevision, 0},
+                           operators::ConfigNewsSource::ForwardedCall);
   const CallPtr call = newCall(std::move(request), std::move(done));
   call->FromOtherEntry = true;
   serve(call);
--- a/src/libs/jobs/jobservice_forwarding.cpp
+++ b/src/libs/jobs/jobservice_forwarding.cpp
@@ -41,7 +41,8 @@
                              bool outcomeUnknown) {
   call->OutcomeUnknown |= outcomeUnknown;
   if (answer)
-    Config.handleNewerConfig(answer->DecidedBy);
+    Config.handleNewerConfig(answer->DecidedBy,
+                             operators::ConfigNewsSource::ForwardedAnswer);
   if (answer && answer->Result != CallResult::NotDone &&
       isAnswerUsable(call, *answer)) {
     CallAnswer relayed = withReportedEnd(call, *answer);
--- a/src/libs/jobs/jobservice_state.cpp
+++ b/src/libs/jobs/jobservice_state.cpp
@@ -100,7 +100,8 @@
 void JobService::onLeaderAnswer(const CallPtr &call,
                                 const std::optional<CallAnswer> &answer) {
   if (answer)
-    Config.handleNewerConfig(answer->DecidedBy);
+    Config.handleNewerConfig(answer->DecidedBy,
+                             operators::ConfigNewsSource::ForwardedAnswer);
   const StoredJob *job = View.find(call->JobId);
   const bool hasEnded = job != nullptr && isFinal(visibleState(*job));
   if (hasEnded || !answer || answer->Result != CallResult::Ok) {
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -74,6 +74,7 @@
   record.Stretch = call->Queue.Stretch;
   record.TargetLatencyMs = call->Queue.TargetLatencyMs;
   record.NeedsAdvice = call->Queue.NeedsAdvice;
+  record.DecidedBy = call->CheckedConfig;
   // While no task can start anywhere, the transaction writes nothing and only
   // shows whether the job was accepted before.
   std::string value;
@@ -167,6 +168,7 @@
 void JobService::writeCancel(const CallPtr &call, JobRecord record,
                              int64_t revision) {
   record.Cancelled = true;
+  record.DecidedBy = std::max(record.DecidedBy, call->CheckedConfig);
   const std::string key = specKey(call->JobId);
   const std::string value = encode(record);
   platform::StoreTxn txn;
--- a/src/libs/operators/configfollower.cpp
+++ b/src/libs/operators/configfollower.cpp
@@ -10,6 +10,16 @@
 using platform::StoreStatus;
 using platform::StoreTxnReply;
 
+const char *configNewsSourceName(ConfigNewsSource source) {
+  switch (source) {
+  case ConfigNewsSource::ForwardedCall:
+    return "forwarded call";
+  case ConfigNewsSource::ForwardedAnswer:
+    return "answer of another entry";
+  }
+  return "unknown";
+}
+
 ConfigFollower::ConfigFollower(utils::EventLoop &loop,
                                const platform::Store &store,
                                ConfigSource source, OnConfig onConfig,
@@ -74,11 +84,12 @@
     ConfirmedAt = std::max(ConfirmedAt, sentAt);
 }
 
-void ConfigFollower::handleNewerConfig(const core::ConfigStamp &newer) {
+void ConfigFollower::handleNewerConfig(const core::ConfigStamp &newer,
+                                       ConfigNewsSource source) {
   if (newer.Revision <= newestKnownRevision())
     return;
   NewestKnownRevision = newer.Revision;
-  NotifyOutdated(newer);
+  NotifyOutdated(newer, source);
   confirm([](bool) {});
 }
 
--- a/src/libs/operators/configfollower.h
+++ b/src/libs/operators/configfollower.h
@@ -19,6 +19,11 @@
 
 namespace oriolebay::operators {
 
+/// Where an entry has learned from that a newer configuration exists.
+enum class ConfigNewsSource { ForwardedCall, ForwardedAnswer };
+/// The stable name of source, for logs.
+const char *configNewsSourceName(ConfigNewsSource source);
+
 /// Location of the operator's configuration in the store and how it is read.
 struct ConfigSource {
   std::string Key;
@@ -47,7 +52,8 @@
   using OnRefused = std::function<void(const utils::Error &)>;
   /// Called when a newer configuration than the one in force here is known to
   /// exist.
-  using OnOutdated = std::function<void(const core::ConfigStamp &newer)>;
+  using OnOutdated = std::function<void(const core::ConfigStamp &newer,
+                                        ConfigNewsSource source)>;
   using OnStoreError =
       std::function<void(platform::StoreStatus, const std::string &why)>;
 
@@ -73,7 +79,8 @@
   /// newer identifies. If it is newer than the one in force here, no call may
   /// be served with the latter any more, and the store is asked for the newest
   /// one.
-  void handleNewerConfig(const core::ConfigStamp &newer);
+  void handleNewerConfig(const core::ConfigStamp &newer,
+                         ConfigNewsSource source);
   /// Returns whether a newer configuration than the one in force here is known
   /// to exist.
   bool isOutdated() const { return Revision < NewestKnownRevision; }
