--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -280,6 +280,11 @@
   return -1;
 }
 
+int64_t MemoryCluster::leaderEpoch() const {
+  auto it = Store.items().find(entry::JobLeaderKey);
+  return it == Store.items().end() ? 0 : it->second.CreateRevision;
+}
+
 void MemoryCluster::runFor(absl::Duration time) { Loop.advance(time); }
 
 std::optional<MemoryCluster::StoredJob>
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -108,6 +108,8 @@
     AnswerDelays[process] = time;
   }
   int leader() const;
+  /// The epoch of the entry that leads; zero if none does.
+  int64_t leaderEpoch() const;
   MemoryStore &store() { return Store; }
   MemoryWorker &worker(int n) { return *Workers.at(n).FakeWorker; }
   /// Number of workers, those of removed hosts included.
@@ -136,6 +138,12 @@
   const std::set<std::string> &acceptedJobs() const { return Accepted; }
   int starts() const { return Shared.Starts; }
   const SharedWorkerState &sharedState() const { return Shared; }
+  /// Has each start of a run reported, with the epoch of the leader that
+  /// ordered it.
+  void observeStarts(
+      std::function<void(const std::string &task, int64_t epoch)> onStart) {
+    Shared.OnStart = std::move(onStart);
+  }
   /// Sets which tasks crash each worker that starts them.
   void setCrashingTasks(std::function<bool(const std::string &task)> crashes) {
     Shared.CrashesWorker = std::move(crashes);
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -220,6 +220,8 @@
     return refuse(RefusalReason::TooLate);
   checkStart(key);
   countStart(key.first);
+  if (Shared.OnStart)
+    Shared.OnStart(key.first, call.Epoch);
   Shared.Running[key.first].insert({State.Life.Id, key.second});
   Run run;
   run.StartedAt = Loop.now();
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -48,6 +48,9 @@
   std::map<std::string, int> StartsAfterThirdCrash;
   std::vector<std::string> Violations;
   int Starts = 0;
+  /// Called when a run of the task starts on the order of the leader with this
+  /// epoch. May be empty.
+  std::function<void(const std::string &task, int64_t epoch)> OnStart;
   /// The failure domains that the operator evacuates, each with the time since
   /// which the store has its cordon.
   std::map<std::string, absl::Time> CordonedSince;
--- a/tests/auto/cluster/tst_configchanges.cpp
+++ b/tests/auto/cluster/tst_configchanges.cpp
@@ -1,5 +1,5 @@
-// Tests of what callers see of the configuration while it changes about once a
-// second and the entries are disturbed in several ways at once.
+// Tests of what callers and workers see of the configuration while it changes
+// about once a second and the entries are disturbed in several ways at once.
 #include "memorycluster.h"
 #include "seeds.h"
 #include "settings/nodesettings.h"
@@ -7,8 +7,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace oriolebay::cluster {
@@ -21,6 +23,8 @@
 /// entry that serves calls.
 const absl::Duration ApplyTime =
     absl::Milliseconds(settings::SiteBounds().ConfigApplyMs);
+/// Time after the start of a job's task from which its effect counts as seen.
+constexpr absl::Duration SeenAfterStart = absl::Milliseconds(250);
 constexpr const char *LastingKey = "lasting";
 constexpr const char *LastingQueue = "lasting";
 /// The queue whose service is another one in each configuration.
@@ -219,8 +223,92 @@
   static constexpr int64_t Never = INT64_MAX;
 };
 
-/// What a call uses that only some configurations contain.
-enum class Uses { Key, Queue, Service };
+/// What a call uses that only some configurations contain. With Job, a job of
+/// such a queue is submitted.
+enum class Uses { Key, Queue, Service, Job };
+
+/// An entry during one incarnation.
+using EntryLife = std::pair<int, int>;
+
+/// The newest configuration that each entry is known to have used, with the
+/// time from which callers may rely on that.
+class ShownConfigs {
+public:
+  void add(const EntryLife &entry, int64_t number, absl::Time from) {
+    ByEntry[entry].push_back({from, number});
+  }
+  int64_t newestAt(const EntryLife &entry, absl::Time now) const {
+    int64_t newest = 0;
+    auto it = ByEntry.find(entry);
+    if (it == ByEntry.end())
+      return newest;
+    for (const auto &[from, number] : it->second)
+      if (from <= now)
+        newest = std::max(newest, number);
+    return newest;
+  }
+
+private:
+  std::map<EntryLife, std::vector<std::pair<absl::Time, int64_t>>> ByEntry;
+};
+
+/// Which entries have to do with the starts of jobs whose queues only some
+/// configurations contain: those that the job was sent to, and the one that led
+/// when it was started.
+class StartEffects {
+public:
+  StartEffects(MemoryCluster &cluster, ShownConfigs &shown)
+      : Cluster(cluster), Shown(shown) {
+    Cluster.observeStarts([this](const std::string &task, int64_t epoch) {
+      core::TaskId id;
+      if (core::parseTaskName(task, id) && Numbers.count(id.Job) > 0)
+        Starts.push_back({id.Job, epoch, Cluster.loop().now()});
+    });
+  }
+
+  void addCall(const std::string &job, int64_t number, const EntryLife &entry) {
+    Numbers[job] = number;
+    SentTo[job].insert(entry);
+  }
+
+  /// Must be called often enough to see each leader before its first start.
+  void update(const std::function<int(int)> &incarnationOf) {
+    const int leader = Cluster.leader();
+    if (leader >= 0)
+      Leaders[Cluster.leaderEpoch()] = {leader, incarnationOf(leader)};
+    for (const Start &start : Starts)
+      addEffect(start);
+    Count += Starts.size();
+    Starts.clear();
+  }
+
+  size_t count() const { return Count; }
+
+private:
+  struct Start {
+    std::string Job;
+    int64_t Epoch;
+    absl::Time At;
+  };
+
+  void addEffect(const Start &start) {
+    const int64_t number = Numbers.at(start.Job);
+    const absl::Time from = start.At + SeenAfterStart;
+    for (const EntryLife &entry : SentTo.at(start.Job))
+      Shown.add(entry, number, from);
+    auto it = Leaders.find(start.Epoch);
+    if (it != Leaders.end())
+      Shown.add(it->second, number, from);
+  }
+
+  MemoryCluster &Cluster;
+  ShownConfigs &Shown;
+  std::map<std::string, int64_t> Numbers;
+  std::map<std::string, std::set<EntryLife>> SentTo;
+  std::map<int64_t, EntryLife> Leaders;
+  std::vector<Start> Starts;
+  size_t Count = 0;
+};
 
 struct SentCall {
   int Entry;
@@ -236,9 +324,11 @@
 /// and callers use keys, queues and services that come and go.
 class ConfigChanges {
 public:
-  ConfigChanges(int entries, int firstSmallEntry, uint64_t seed)
+  ConfigChanges(int entries, int firstSmallEntry, bool runsJobs, uint64_t seed)
       : Random(seed), Cluster(optionsOf(entries, firstSmallEntry, seed)),
-        Configs(Cluster), Entries(Cluster, entries, Random) {}
+        Configs(Cluster), Entries(Cluster, entries, Random),
+        Effects(Cluster, Shown),
+        LastUse(static_cast<int>(runsJobs ? Uses::Job : Uses::Service)) {}
 
   /// Returns a description of the first call that was decided by a
   /// configuration older than callers may expect, or an empty string.
@@ -253,12 +343,14 @@
         Entries.disturb();
       sendCall();
       Cluster.runFor(absl::Milliseconds(20));
+      Effects.update([this](int entry) { return Entries.incarnation(entry); });
       checkAnswers();
     }
     return Violation;
   }
 
   int decidedCount() const { return DecidedCount; }
+  size_t startCount() const { return Effects.count(); }
 
 private:
   static constexpr int Ticks = 1000;
@@ -277,11 +369,19 @@
   void sendCall() {
     const int entry = Entries.pick();
     const int incarnation = Entries.incarnation(entry);
-    const auto uses = static_cast<Uses>(randomInt(0, 2));
+    const auto uses = static_cast<Uses>(randomInt(0, LastUse));
+    // A caller that got no answer sends its job again, at any entry.
+    const bool repeats =
+        uses == Uses::Job && StartedJobs > 0 && randomInt(0, 3) == 0;
     const int64_t number =
-        std::max<int64_t>(1, Configs.newest() - randomInt(0, 3));
+        repeats ? QueueNumber
+                : std::max<int64_t>(1, Configs.newest() - randomInt(0, 3));
+    if (uses == Uses::Job && !repeats) {
+      ++StartedJobs;
+      QueueNumber = number;
+    }
     const int64_t oldestAllowed =
-        std::max(NewestShown[{entry, incarnation}],
+        std::max(Shown.newestAt({entry, incarnation}, Cluster.loop().now()),
                  Configs.newestAt(Cluster.loop().now() - ApplyTime));
     Calls.push_back({entry, incarnation, uses, number, oldestAllowed,
                      makeCall(entry, uses, number)});
@@ -294,6 +394,8 @@
       return Cluster.countQueued(entry, keyOf(number), LastingQueue);
     case Uses::Queue:
       return Cluster.countQueued(entry, LastingKey, queueOf(number));
+    case Uses::Job:
+      return submitLastJob(entry);
     case Uses::Service:
       break;
     }
@@ -302,6 +404,14 @@
     return Cluster.submit(entry, LastingKey, std::move(job));
   }
 
+  std::shared_ptr<MemoryCluster::CallerCall> submitLastJob(int entry) {
+    const std::string id = "s" + std::to_string(StartedJobs);
+    core::JobSpec job = makeJob(id, 1, 1, 100);
+    job.Queue = queueOf(QueueNumber);
+    Effects.addCall(id, QueueNumber, {entry, Entries.incarnation(entry)});
+    return Cluster.submit(entry, LastingKey, std::move(job));
+  }
+
   void checkAnswers() {
     const auto first =
         std::partition(Calls.begin(), Calls.end(),
@@ -327,8 +437,7 @@
           " or a newer one had to decide it: " + sent.Call->Answer->Detail;
       return;
     }
-    int64_t &shown = NewestShown[{sent.Entry, sent.Incarnation}];
-    shown = std::max(shown, decidedBy);
+    Shown.add({sent.Entry, sent.Incarnation}, decidedBy, Cluster.loop().now());
   }
 
   // Nothing if the answer tells nothing about the configuration.
@@ -362,11 +471,14 @@
   MemoryCluster Cluster;
   ConfigSeries Configs;
   DisturbedEntries Entries;
+  ShownConfigs Shown;
+  StartEffects Effects;
+  const int LastUse;
   int Jobs = 0;
+  /// Jobs whose tasks can start, and the number of the last one's queue.
+  int StartedJobs = 0;
+  int64_t QueueNumber = 0;
   int DecidedCount = 0;
-  /// The newest configuration that callers know to have decided a call, by
-  /// entry and its incarnation.
-  std::map<std::pair<int, int>, int64_t> NewestShown;
   std::vector<SentCall> Calls;
   std::string Violation;
 };
@@ -375,31 +487,40 @@
   const char *Name;
   int Entries;
   int FirstSmallEntry;
+  /// Whether jobs run, so that workers see effects of configurations.
+  bool RunsJobs;
 };
 
 void PrintTo(const SiteSize &c, std::ostream *out) { *out << c.Name; }
 
 class ConfigUnderDisturbance : public testing::TestWithParam<SiteSize> {};
 
-// Guards against an entry that returns to an older configuration, serves by one
-// that was replaced too long ago, or does not serve an added key or queue,
-// while several entries are disturbed at once.
+// Guards against an entry that returns to an older configuration than callers
+// or workers have seen an effect of, serves by one that was replaced too long
+// ago, or does not serve an added key or queue, while several entries are
+// disturbed at once.
 TEST_P(ConfigUnderDisturbance, NoCallIsDecidedByATooOldConfig) {
   const auto [first, last] = seedsToRun(20);
   int decidedCount = 0;
+  size_t startCount = 0;
   for (int seed = first; seed <= last; ++seed) {
     ConfigChanges scenario(GetParam().Entries, GetParam().FirstSmallEntry,
-                           static_cast<uint64_t>(seed));
+                           GetParam().RunsJobs, static_cast<uint64_t>(seed));
     EXPECT_EQ(scenario.run(), "") << "seed " << seed;
     decidedCount += scenario.decidedCount();
+    startCount += scenario.startCount();
   }
   EXPECT_GT(decidedCount, 0);
+  EXPECT_EQ(startCount > 0, GetParam().RunsJobs);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, ConfigUnderDisturbance,
-                         testing::Values(SiteSize{"ThreeEntries", 3, 3},
-                                         SiteSize{"ThirteenEntries", 13, 8}),
-                         [](const auto &info) { return info.param.Name; });
+INSTANTIATE_TEST_SUITE_P(
+    Table, ConfigUnderDisturbance,
+    testing::Values(SiteSize{"ThreeEntries", 3, 3, false},
+                    SiteSize{"ThirteenEntries", 13, 8, false},
+                    SiteSize{"ThreeEntriesAndJobs", 3, 3, true},
+                    SiteSize{"ThirteenEntriesAndJobs", 13, 8, true}),
+    [](const auto &info) { return info.param.Name; });
 
 } // namespace
 } // namespace oriolebay::cluster
--- /dev/null
+++ b/tests/auto/cluster/tst_confignews.cpp
@@ -0,0 +1,146 @@
+// Tests of entries that learn of a newer configuration by its effects before
+// they have read it: jobs that others have accepted or cancelled by it.
+#include "memorycluster.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolebay::cluster {
+namespace {
+
+using jobs::CallResult;
+
+constexpr int Entries = 3;
+constexpr const char *LastingKey = "k2";
+constexpr const char *RemovedKey = "k1";
+constexpr const char *AddedKey = "k3";
+constexpr const char *LastingQueue = "q1";
+constexpr const char *AddedQueue = "added";
+/// Time after an effect from which no call may be decided by an older
+/// configuration.
+constexpr absl::Duration SeenAfter = absl::Milliseconds(260);
+constexpr absl::Duration CallLimit = absl::Seconds(3);
+
+/// A cluster whose configuration is replaced by one with another queue and key,
+/// and without a key that it had.
+class ChangingSite {
+public:
+  ChangingSite() : Cluster({Entries, 3, 3, 1}) {
+    Cluster.configureSite(
+        {{"lasting", {LastingKey}, 16}, {"removed", {RemovedKey}, 16}},
+        {makeQueue(LastingQueue)});
+    Cluster.observeStarts(
+        [this](const std::string &, int64_t) { HasStarted = true; });
+    Cluster.runFor(absl::Seconds(4));
+  }
+
+  MemoryCluster &cluster() { return Cluster; }
+  MemoryStore::Faults &storeFaults(int entry) {
+    return Cluster.store().faults(MemoryCluster::entryName(entry));
+  }
+  void changeConfig() {
+    Cluster.configureSite({{"lasting", {LastingKey, AddedKey}, 16}},
+                          {makeQueue(LastingQueue), makeQueue(AddedQueue)});
+    Cluster.runFor(absl::Milliseconds(20));
+  }
+  std::shared_ptr<MemoryCluster::CallerCall>
+  submit(int entry, const std::string &queue, const std::string &id = "job") {
+    core::JobSpec job = makeJob(id, 1, 1, 5000);
+    job.Queue = queue;
+    return Cluster.submit(entry, LastingKey, std::move(job));
+  }
+  /// Returns false if no task starts.
+  bool runUntilStarted() {
+    for (int ms = 0; !HasStarted && ms < 3000; ++ms)
+      Cluster.runFor(absl::Milliseconds(1));
+    return HasStarted;
+  }
+  CallResult resultOf(const std::shared_ptr<MemoryCluster::CallerCall> &call) {
+    const absl::Time end = Cluster.loop().now() + CallLimit;
+    while (!call->Answer && Cluster.loop().now() < end)
+      Cluster.runFor(absl::Milliseconds(1));
+    return call->Answer ? call->Answer->Result : CallResult::Open;
+  }
+  CallResult countWithRemovedKey(int entry) {
+    return resultOf(Cluster.countQueued(entry, RemovedKey, LastingQueue));
+  }
+
+private:
+  MemoryCluster Cluster;
+  bool HasStarted = false;
+};
+
+/// The time of the change after the cluster serves calls, to cover all phases
+/// of the interval at which a configuration is confirmed.
+class ConfigNews : public testing::TestWithParam<int> {
+protected:
+  void runToChange() {
+    Site.cluster().runFor(absl::Milliseconds(GetParam()));
+    Site.changeConfig();
+  }
+
+  ChangingSite Site;
+};
+
+// Guards against a leader that starts a job that another entry has accepted by
+// a newer configuration, and then serves callers by its own older one.
+TEST_P(ConfigNews, LeaderOfAJobThatANewerConfigAllowsUsesNoOlderOne) {
+  const int leader = Site.cluster().leader();
+  Site.storeFaults(leader).WatchesSilent = true;
+  runToChange();
+  Site.submit((leader + 1) % Entries, AddedQueue);
+  ASSERT_TRUE(Site.runUntilStarted());
+  Site.cluster().runFor(SeenAfter);
+  EXPECT_NE(Site.countWithRemovedKey(leader), CallResult::Ok);
+}
+
+// Guards against a leader that stops a job that was cancelled with a key that
+// only a newer configuration contains, and then serves callers by its own older
+// one.
+TEST_P(ConfigNews, LeaderOfAJobThatANewerConfigCancelsUsesNoOlderOne) {
+  const int leader = Site.cluster().leader();
+  const int other = (leader + 1) % Entries;
+  Site.submit(other, LastingQueue);
+  ASSERT_TRUE(Site.runUntilStarted());
+  Site.storeFaults(leader).WatchesSilent = true;
+  runToChange();
+  ASSERT_EQ(Site.resultOf(Site.cluster().cancel(other, AddedKey, "job")),
+            CallResult::Ok);
+  Site.cluster().runFor(SeenAfter);
+  EXPECT_NE(Site.countWithRemovedKey(leader), CallResult::Ok);
+}
+
+// Guards against an entry that tells a caller that another entry has accepted
+// its job, and then serves callers by an older configuration than that entry.
+TEST_P(ConfigNews, EntryThatConfirmsAnAcceptedJobUsesNoOlderConfig) {
+  const int leader = Site.cluster().leader();
+  const int behind = (leader + 1) % Entries;
+  Site.storeFaults(behind).WatchesSilent = true;
+  runToChange();
+  Site.submit((leader + 2) % Entries, LastingQueue);
+  ASSERT_TRUE(Site.runUntilStarted());
+  ASSERT_EQ(Site.resultOf(Site.submit(behind, LastingQueue)), CallResult::Ok);
+  Site.cluster().runFor(SeenAfter);
+  EXPECT_NE(Site.countWithRemovedKey(behind), CallResult::Ok);
+}
+
+// Guards against an entry that has forwarded a job to another one, which
+// accepts it by a newer configuration but answers too late to be heard, and
+// then serves callers by its own older configuration.
+TEST_P(ConfigNews, EntryThatHeardNoAnswerUsesNoOlderConfigThanTheOneAsked) {
+  const int isolated = (Site.cluster().leader() + 1) % Entries;
+  Site.storeFaults(isolated).Silent = true;
+  for (int n = 0; n < Entries; ++n)
+    if (n != isolated)
+      Site.cluster().delayAnswers(MemoryCluster::entryName(n),
+                                  absl::Milliseconds(1500));
+  runToChange();
+  Site.submit(isolated, AddedQueue);
+  ASSERT_TRUE(Site.runUntilStarted());
+  Site.cluster().runFor(SeenAfter);
+  EXPECT_NE(Site.countWithRemovedKey(isolated), CallResult::Ok);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, ConfigNews, testing::Range(0, 600, 40));
+
+} // namespace
+} // namespace oriolebay::cluster
