--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -94,10 +94,7 @@
       storeErrorLogger("cordons"));
   View = std::make_unique<jobs::JobView>(
       Loop, StoreClient, pacedFollow,
-      [this](const jobs::StoredJob &job) {
-        if (Session)
-          Session->onRecord(job);
-      },
+      [this](const jobs::StoredJob &job) { onRecord(job); },
       [this](const std::string &id) {
         if (Session)
           Session->onRemoved(id);
@@ -347,13 +344,14 @@
 }
 
 // Begins the session once this entry is registered in the list of leaders, the
-// jobs have been read since the election, and a configuration and the cordons
-// are available.
+// jobs have been read since the election, the cordons are available, and a
+// configuration that is not older than any that has decided about these jobs.
 void JobEntry::beginSession() {
   if (!Session || Session->isRunning() || !Session->isRegistered() ||
       !ViewReadSinceElection)
     return;
-  if (Config->current() != nullptr && Cordons->isConfirmed()) {
+  if (Config->current() != nullptr && !Config->isOutdated() &&
+      Cordons->isConfirmed()) {
     Session->begin(Config->current());
     return;
   }
@@ -368,6 +366,17 @@
   beginSession();
 }
 
+// A record was written while the configuration that decided it existed. A stamp
+// from a store that was replaced since may be newer than the record, and tells
+// nothing.
+void JobEntry::onRecord(const jobs::StoredJob &job) {
+  if (job.Record.DecidedBy.Revision < job.RecordRevision)
+    Config->handleNewerConfig(job.Record.DecidedBy,
+                              operators::ConfigNewsSource::JobRecord);
+  if (Session)
+    Session->onRecord(job);
+}
+
 // Notifies the leader of a job record that this entry has written.
 void JobEntry::onJobWritten(const platform::KeyValue &item) {
   if (Leader.Epoch == 0 || Leader.Mine)
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -92,6 +92,7 @@
   void beginSession();
   endpoints::Ack onStepDownRequest(const endpoints::StandDown &stepDown);
   void onJobWritten(const platform::KeyValue &item);
+  void onRecord(const jobs::StoredJob &job);
   std::vector<std::string> otherEntries() const;
   std::vector<std::string> entriesForAgent(const std::string &agent) const;
   bool askLeaderForState(const jobs::CallRequest &call,
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -153,6 +153,9 @@
   /// Checks queue and key, then calls next. With confirmed, the store has just
   /// confirmed the configuration, so that the call can be refused.
   void authorise(const CallPtr &call, bool confirmed, const Continuation &next);
+  /// Serves a call for which the configuration here is too old.
+  void useNewerConfig(const CallPtr &call, bool confirmed,
+                      const Continuation &next);
   /// Has the store confirm the configuration, then authorises the call.
   void confirmConfig(const CallPtr &call, const Continuation &next);
   /// Answers the call from result and the view.
--- a/src/libs/jobs/jobservice_access.cpp
+++ b/src/libs/jobs/jobservice_access.cpp
@@ -31,14 +31,7 @@
   call->CheckedConfig = Config.stamp();
   call->ConfigAge = Config.age(Loop.now());
   if (!isConfigUsable()) {
-    if (forward(call))
-      return;
-    if (!confirmed && Config.isOutdated() && isStoreUsable()) {
-      confirmConfig(call, next);
-      return;
-    }
-    finish(call, CallResult::NotDone,
-           "this entry has no fresh configuration; try another entry");
+    useNewerConfig(call, confirmed, next);
     return;
   }
   const core::QueueConfig *queue =
@@ -62,6 +55,24 @@
     finish(call, CallResult::BadKey, "unknown key; check the key in use");
 }
 
+// The call can only be decided by a newer configuration than this entry's: has
+// the store asked for it if that answers, else another entry.
+void JobService::useNewerConfig(const CallPtr &call, bool confirmed,
+                                const Continuation &next) {
+  if (!confirmed && isViewFresh()) {
+    confirmConfig(call, next);
+    return;
+  }
+  if (forward(call))
+    return;
+  if (!confirmed && Config.isOutdated() && isStoreUsable()) {
+    confirmConfig(call, next);
+    return;
+  }
+  finish(call, CallResult::NotDone,
+         "this entry has no fresh configuration; try another entry");
+}
+
 void JobService::confirmConfig(const CallPtr &call, const Continuation &next) {
   const auto onConfirmed = [this, alive = Alive, call, next](bool ok) {
     if (!*alive)
--- a/src/libs/operators/configfollower.cpp
+++ b/src/libs/operators/configfollower.cpp
@@ -16,6 +16,8 @@
     return "forwarded call";
   case ConfigNewsSource::ForwardedAnswer:
     return "answer of another entry";
+  case ConfigNewsSource::JobRecord:
+    return "job record";
   }
   return "unknown";
 }
@@ -89,7 +91,8 @@
   if (newer.Revision <= newestKnownRevision())
     return;
   NewestKnownRevision = newer.Revision;
-  NotifyOutdated(newer, source);
+  if (Current != nullptr)
+    NotifyOutdated(newer, source);
   confirm([](bool) {});
 }
 
--- a/src/libs/operators/configfollower.h
+++ b/src/libs/operators/configfollower.h
@@ -20,7 +20,7 @@
 namespace oriolebay::operators {
 
 /// Where an entry has learned from that a newer configuration exists.
-enum class ConfigNewsSource { ForwardedCall, ForwardedAnswer };
+enum class ConfigNewsSource { ForwardedCall, ForwardedAnswer, JobRecord };
 /// The stable name of source, for logs.
 const char *configNewsSourceName(ConfigNewsSource source);
 
@@ -75,10 +75,10 @@
   core::ConfigStamp stamp() const {
     return {Revision, Current != nullptr ? Current->Version : 0};
   }
-  /// Must be called when another entry is known to use the configuration that
-  /// newer identifies. If it is newer than the one in force here, no call may
-  /// be served with the latter any more, and the store is asked for the newest
-  /// one.
+  /// Must be called with the configuration that decided anything which this
+  /// entry is told or reads. If it is newer than the one in force here, no call
+  /// may be served with the latter any more, and the store is asked for the
+  /// newest one.
   void handleNewerConfig(const core::ConfigStamp &newer,
                          ConfigNewsSource source);
   /// Returns whether a newer configuration than the one in force here is known
