An entry that forwarded a write and heard no answer serves by newly confirmed configurations

What callers saw (in our tests; whether it is what was reported is not known): an entry whose store was silent forwarded a job of a queue that it did not know. Another entry accepted it by a newer configuration and answered later than 0.4 s, so that nobody heard it.

Cause: the stamp of an answer that is not heard raises nothing, though the call may have been carried out.

Change: UnansweredWrites keeps the forwarded submits and cancels without an answer. A call that comes later than config_rollback_ms (new setting, 250 ms) after one was sent is decided by a configuration that the store confirmed within that time, here or at the entry that it is forwarded to (MaxConfigAgeMs, new in ForwardedCall, missing in messages of earlier versions), until the call can no longer be carried out. Calls that are answered in time require nothing, nor does an entry that forwards nothing.

--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -164,8 +164,30 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobWritten, Key, Value, Revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StandDown, Epoch)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedCall, Call, Host, Path, Key,
-                                   TimeLeftMs, Job, Record, OldestRevision)
+static void to_json(json &j, const ForwardedCall &c) {
+  j = {{"Call", c.Call},
+       {"Host", c.Host},
+       {"Path", c.Path},
+       {"Key", c.Key},
+       {"TimeLeftMs", c.TimeLeftMs},
+       {"Job", c.Job},
+       {"Record", c.Record},
+       {"OldestRevision", c.OldestRevision},
+       {"MaxConfigAgeMs", c.MaxConfigAgeMs}};
+}
+
+static void from_json(const json &j, ForwardedCall &c) {
+  j.at("Call").get_to(c.Call);
+  j.at("Host").get_to(c.Host);
+  j.at("Path").get_to(c.Path);
+  j.at("Key").get_to(c.Key);
+  j.at("TimeLeftMs").get_to(c.TimeLeftMs);
+  j.at("Job").get_to(c.Job);
+  j.at("Record").get_to(c.Record);
+  j.at("OldestRevision").get_to(c.OldestRevision);
+  c.MaxConfigAgeMs = j.value("MaxConfigAgeMs", ForwardedCall().MaxConfigAgeMs);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedAnswer, Result, Detail,
                                    RetryAfterMs, State, Waiting, DecidedBy,
                                    Entry)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -405,6 +405,9 @@
   /// Store revision of the oldest configuration by which the call may be
   /// decided.
   int64_t OldestRevision = 0;
+  /// Maximum time since the store has confirmed that configuration, in
+  /// milliseconds; zero if only the receiver's own limit applies.
+  int64_t MaxConfigAgeMs = 0;
   auto operator<=>(const ForwardedCall &) const = default;
 };
 
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -112,6 +112,8 @@
       storeErrorLogger("jobs"));
   jobs::JobServicePolicy servicePolicy;
   servicePolicy.MaxConfigAge = Time.MaxConfigAge;
+  servicePolicy.MaxRollbackTime =
+      absl::Milliseconds(Settings.Bounds.ConfigRollbackMs);
   servicePolicy.MaxViewAge = Time.MaxViewAge;
   Forwarder = std::make_unique<CallForwarder>(
       Loop, Peers, [this] { return otherEntries(); });
--- a/src/libs/jobs/callcodec.cpp
+++ b/src/libs/jobs/callcodec.cpp
@@ -34,6 +34,9 @@
   m.TimeLeftMs = absl::ToInt64Milliseconds(call.Access.Deadline - now);
   m.Job = call.JobId;
   m.OldestRevision = call.OldestRevision;
+  if (call.MaxConfigAge != absl::InfiniteDuration())
+    m.MaxConfigAgeMs =
+        std::max<int64_t>(1, absl::ToInt64Milliseconds(call.MaxConfigAge));
   if (call.Name == "submit") {
     JobRecord record;
     record.Spec = call.Spec;
@@ -50,6 +53,8 @@
                  now + absl::Milliseconds(std::max<int64_t>(0, m.TimeLeftMs))};
   call.JobId = m.Job;
   call.OldestRevision = m.OldestRevision;
+  if (m.MaxConfigAgeMs > 0)
+    call.MaxConfigAge = absl::Milliseconds(m.MaxConfigAgeMs);
   if (m.Call == "submit") {
     BOOST_LEAF_AUTO(record, decodeRecord(m.Record));
     call.Spec = std::move(record.Spec);
--- a/src/libs/jobs/callcodec.h
+++ b/src/libs/jobs/callcodec.h
@@ -23,6 +23,8 @@
   /// checked against. An older one could contradict answers that callers have
   /// already received.
   int64_t OldestRevision = 0;
+  /// How long ago the store may have confirmed that configuration at most.
+  absl::Duration MaxConfigAge = absl::InfiniteDuration();
 
   bool operator==(const CallRequest &) const = default;
 };
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -25,7 +25,8 @@
                        Forward forward, AskLeader askLeader,
                        OnWritten onWritten, OnDecision onDecision)
     : Loop(loop), StoreClient(store), View(view), Config(config),
-      Policy(policy), FailingSince(std::move(storeFailingSince)),
+      Policy(policy), Unanswered(Policy.MaxRollbackTime),
+      FailingSince(std::move(storeFailingSince)),
       RecentLatency(std::move(storeLatency)),
       CheckSiteCordoned(std::move(isSiteCordoned)),
       ForwardToEntry(std::move(forward)), QueryLeader(std::move(askLeader)),
@@ -68,6 +69,7 @@
   call->Access = std::move(request.Access);
   call->JobId = std::move(request.JobId);
   call->Spec = std::move(request.Spec);
+  call->MaxConfigAge = request.MaxConfigAge;
   call->Answer = std::move(done);
   return call;
 }
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -4,6 +4,7 @@
 #include "callcodec.h"
 #include "jobview.h"
 #include "operators/configfollower.h"
+#include "unansweredwrites.h"
 
 #include <absl/time/time.h>
 
@@ -25,6 +26,12 @@
   /// Maximum age of the configuration view that calls are checked against. Keys
   /// may have been revoked since.
   absl::Duration MaxConfigAge = absl::Milliseconds(2500);
+  /// Time after an effect of a configuration from which calls may not be
+  /// decided by an older one.
+  absl::Duration MaxRollbackTime = absl::Milliseconds(250);
+  /// Time after its deadline until which a forwarded call may still be carried
+  /// out: an outage of the network holds it up for as long as it lasts.
+  absl::Duration MaxForwardDelay = endpoints::MaxOrderDelay;
   /// Time reserved for sending the answer to the caller before its deadline.
   absl::Duration AnswerMargin = absl::Milliseconds(150);
   /// Delay before a failed store call is repeated.
@@ -146,6 +153,9 @@
   bool forward(const CallPtr &call);
   void onForwarded(const CallPtr &call, const std::optional<CallAnswer> &answer,
                    bool outcomeUnknown);
+  /// Records that other entries may carry out the call from now on. Returns
+  /// nothing if it does not write.
+  std::optional<UnansweredWrites::Id> trackForwardedWrite(const CallPtr &call);
   bool isAnswerUsable(const CallPtr &call, const CallAnswer &answer) const;
   /// Logs the call and sends the answer, unless the call was answered before.
   void deliver(const CallPtr &call, CallAnswer answer);
@@ -170,7 +180,7 @@
   /// Calls to the store succeed, or have been failing for less than
   /// StoreFailureGrace.
   bool isStoreUsable() const;
-  bool isConfigUsable() const;
+  bool isConfigUsable(const CallPtr &call) const;
   /// The store answers, and its watches can be relied on; see MaxViewAge.
   bool isViewFresh() const;
   int64_t retryAfterMs() const;
@@ -222,6 +232,7 @@
   JobView &View;
   operators::ConfigFollower &Config;
   const JobServicePolicy Policy;
+  UnansweredWrites Unanswered;
   const StoreFailingSince FailingSince;
   const StoreLatency RecentLatency;
   const IsSiteCordoned CheckSiteCordoned;
--- a/src/libs/jobs/jobservice_access.cpp
+++ b/src/libs/jobs/jobservice_access.cpp
@@ -13,16 +13,23 @@
 void JobService::authoriseNewCall(const CallPtr &call,
                                   const Continuation &next) {
   call->ReceivedAt = Loop.now();
+  Unanswered.removeEndedBy(
+      std::max(Config.confirmedAt(), Loop.now() - Policy.MaxConfigAge));
+  call->OldestConfirmation =
+      std::max(Unanswered.oldestConfirmation(call->ReceivedAt),
+               call->ReceivedAt - call->MaxConfigAge);
   authorise(call, false, next);
 }
 
-// Whether calls can be checked against this entry's configuration. If a newer
-// one is known, this entry may have passed on an answer that was based on it,
-// or another entry that has done so may be asking. An answer based on the older
-// one would contradict that.
-bool JobService::isConfigUsable() const {
+// Whether the call can be checked against this entry's configuration. If a
+// newer one is known, this entry may have passed on an answer that was based on
+// it, or another entry that has done so may be asking. An answer based on the
+// older one would contradict that. The same holds if a newer one may have been
+// used for a call that was forwarded.
+bool JobService::isConfigUsable(const CallPtr &call) const {
   return Config.current() != nullptr && !Config.isOutdated() &&
-         Config.age(Loop.now()) <= Policy.MaxConfigAge;
+         Config.age(Loop.now()) <= Policy.MaxConfigAge &&
+         Config.confirmedAt() >= call->OldestConfirmation;
 }
 
 void JobService::authorise(const CallPtr &call, bool confirmed,
@@ -30,7 +37,7 @@
   call->Config = Config.current();
   call->CheckedConfig = Config.stamp();
   call->ConfigAge = Config.age(Loop.now());
-  if (!isConfigUsable()) {
+  if (!isConfigUsable(call)) {
     useNewerConfig(call, confirmed, next);
     return;
   }
@@ -65,7 +72,9 @@
   }
   if (forward(call))
     return;
-  if (!confirmed && Config.isOutdated() && isStoreUsable()) {
+  const bool needsNews =
+      Config.isOutdated() || Config.confirmedAt() < call->OldestConfirmation;
+  if (!confirmed && needsNews && isStoreUsable()) {
     confirmConfig(call, next);
     return;
   }
--- a/src/libs/jobs/jobservice_forwarding.cpp
+++ b/src/libs/jobs/jobservice_forwarding.cpp
@@ -3,24 +3,53 @@
 
 #include "jobservicecall.h"
 
+#include "utils/eventloop.h"
+
 namespace oriolebay::jobs {
 
+namespace {
+
+bool isWrite(const std::string &callName) {
+  return callName == "submit" || callName == "cancel";
+}
+
+} // namespace
+
 bool JobService::forward(const CallPtr &call) {
   if (call->FromOtherEntry || call->SentToOtherEntry)
     return false;
   call->SentToOtherEntry = true;
-  return ForwardToEntry(
+  const std::optional<UnansweredWrites::Id> write = trackForwardedWrite(call);
+  const bool isForwarded = ForwardToEntry(
       requestOf(call),
-      [this, alive = Alive, call](const std::optional<CallAnswer> &answer,
-                                  bool outcomeUnknown) {
-        if (*alive)
-          onForwarded(call, answer, outcomeUnknown);
+      [this, alive = Alive, call,
+       write](const std::optional<CallAnswer> &answer, bool outcomeUnknown) {
+        if (!*alive)
+          return;
+        if (write && !outcomeUnknown)
+          Unanswered.remove(*write);
+        onForwarded(call, answer, outcomeUnknown);
       });
+  if (write && !isForwarded)
+    Unanswered.remove(*write);
+  return isForwarded;
+}
+
+std::optional<UnansweredWrites::Id>
+JobService::trackForwardedWrite(const CallPtr &call) {
+  if (!isWrite(call->Name))
+    return std::nullopt;
+  return Unanswered.add(Loop.now(),
+                        call->Access.Deadline + Policy.MaxForwardDelay);
 }
 
 CallRequest JobService::requestOf(const CallPtr &call) const {
-  return {call->Name, call->Access, call->JobId, call->Spec,
-          Config.newestKnownRevision()};
+  return {call->Name,
+          call->Access,
+          call->JobId,
+          call->Spec,
+          Config.newestKnownRevision(),
+          Loop.now() - call->OldestConfirmation};
 }
 
 // Whether another entry's answer may be passed on to the caller. A write that
@@ -29,8 +58,7 @@
 // one.
 bool JobService::isAnswerUsable(const CallPtr &call,
                                 const CallAnswer &answer) const {
-  const bool isWrite = call->Name == "submit" || call->Name == "cancel";
-  return (isWrite && answer.Result == CallResult::Ok) ||
+  return (isWrite(call->Name) && answer.Result == CallResult::Ok) ||
          answer.DecidedBy.Revision >= Config.newestKnownRevision();
 }
 
--- a/src/libs/jobs/jobservicecall.h
+++ b/src/libs/jobs/jobservicecall.h
@@ -12,6 +12,11 @@
   std::string JobId;
   Done Answer;
   absl::Time ReceivedAt;
+  /// Limit of the request; see CallRequest.
+  absl::Duration MaxConfigAge = absl::InfiniteDuration();
+  /// The call may only be decided by a configuration that was confirmed at this
+  /// time or later.
+  absl::Time OldestConfirmation = absl::InfinitePast();
   /// The configuration that the call was checked against last.
   std::shared_ptr<const core::SiteConfig> Config;
   core::ConfigStamp CheckedConfig;
--- a/src/libs/operators/configfollower.h
+++ b/src/libs/operators/configfollower.h
@@ -96,6 +96,8 @@
   /// Returns the age of the view: the time since the sending of the last call
   /// whose answer showed that the configuration in force is the newest one.
   absl::Duration age(absl::Time now) const { return now - ConfirmedAt; }
+  /// Returns when that call was sent; the infinite past if there was none.
+  absl::Time confirmedAt() const { return ConfirmedAt; }
   /// Applies a value of the configuration's key that another store call, sent
   /// at sentAt, returned.
   void applyItem(const platform::KeyValue &item, absl::Time sentAt);
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -86,6 +86,7 @@
   BOOST_LEAF_CHECK(readMs(r, "stop_grace_ms", b.StopGraceMs));
   BOOST_LEAF_CHECK(readMs(r, "gang_wait_ms", b.GangWaitMs));
   BOOST_LEAF_CHECK(readMs(r, "config_apply_ms", b.ConfigApplyMs));
+  BOOST_LEAF_CHECK(readMs(r, "config_rollback_ms", b.ConfigRollbackMs));
   BOOST_LEAF_CHECK(readMs(r, "revoke_ms", b.RevokeMs));
   BOOST_LEAF_CHECK(readMs(r, "lease_ms", b.LeaseMs));
   BOOST_LEAF_CHECK(readMs(r, "restore_ms", b.RestoreMs));
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -31,6 +31,9 @@
   int TermGraceMs = 6000;
   /// Maximum time until a changed configuration is in force.
   int ConfigApplyMs = 2000;
+  /// Time after an effect of a changed configuration has been seen from which
+  /// an older one must not be used.
+  int ConfigRollbackMs = 250;
   /// Maximum time until an API key that was revoked is refused.
   int RevokeMs = 5000;
   /// Maximum time for which a process may still act in a role after another
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -79,7 +79,7 @@
         Message(JobWritten{"oriolebay/jobs/j/spec", "bytes", 12}),
         Message(StandDown{4}),
         Message(ForwardedCall{"submit", "h", "/p/j", "key", 1200, "j", "b",
-                              4711}),
+                              4711, 300}),
         Message(ForwardedAnswer{
             "ok", "", 0, "running", 3, {4711, 12}, "tcp://127.0.0.1:5"})),
     messageName);
@@ -142,6 +142,15 @@
   EXPECT_EQ(decodeWithout(orders, {"LastReport"}), Message(expected));
 }
 
+// Guards against entries that refuse each other's calls during an upgrade,
+// because an earlier one does not limit the age of the configuration.
+TEST(Decode, ForwardedCallOfAnEarlierEntryLimitsNoAge) {
+  ForwardedCall call{"state", "h", "/p/j", "key", 1200, "j", "", 4711};
+  const ForwardedCall expected = call;
+  call.MaxConfigAgeMs = 300;
+  EXPECT_EQ(decodeWithout(call, {"MaxConfigAgeMs"}), Message(expected));
+}
+
 // A message of another version, or a corrupted frame, must give a typed error
 // with which the reply thread answers, and must not crash the agent or the
 // entry.
