A leader that is behind runs a job on the service that the newer configuration named

A job that another entry has accepted by a newer configuration, in which its queue moved to another service, was started on the service of the leader's older one: the leader's own configuration decided whenever it had the queue at all. The newer of the two decides now.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -88,9 +88,12 @@
       std::min<int64_t>(spec.Repeats, elapsed / spec.IntervalMs + 1));
 }
 
+// The record may have been written by a newer configuration than the one here.
 const std::string &JobScheduler::serviceOf(const Job &job) const {
+  const bool isConfigCurrent =
+      Config != nullptr && Config->Version >= job.Record.DecidedBy.Version;
   const core::QueueConfig *queue =
-      Config == nullptr ? nullptr : Config->queue(job.Record.Spec.Queue);
+      isConfigCurrent ? Config->queue(job.Record.Spec.Queue) : nullptr;
   return queue != nullptr ? queue->Service : job.Record.Service;
 }
 
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -165,15 +165,21 @@
 }
 
 void SimSite::submit(core::JobSpec spec, int priority, int attempts) {
-  StoredJob &job = Jobs[spec.Id];
-  job.Record.Spec = std::move(spec);
-  job.Record.Service = "service";
-  job.Record.Priority = priority;
-  job.Record.Attempts = attempts;
-  if (const core::QueueConfig *queue = Config->queue(job.Record.Spec.Queue)) {
-    job.Record.Stretch = queue->Stretch;
-    job.Record.TargetLatencyMs = queue->TargetLatencyMs;
+  JobRecord record;
+  record.Spec = std::move(spec);
+  record.Service = "service";
+  record.Priority = priority;
+  record.Attempts = attempts;
+  if (const core::QueueConfig *queue = Config->queue(record.Spec.Queue)) {
+    record.Stretch = queue->Stretch;
+    record.TargetLatencyMs = queue->TargetLatencyMs;
   }
+  submitRecord(std::move(record));
+}
+
+void SimSite::submitRecord(JobRecord record) {
+  StoredJob &job = Jobs[record.Spec.Id];
+  job.Record = std::move(record);
   job.RecordRevision = ++Revision;
   job.SubmittedAt = Now;
   Scheduler->onRecord(job.Record, job.RecordRevision, Now);
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -88,6 +88,8 @@
   void configure(core::SiteConfig config);
   /// Submits a job, as an entry would store it.
   void submit(core::JobSpec spec, int priority = 1, int attempts = 4);
+  /// The same for a job with its record as an entry has written it.
+  void submitRecord(JobRecord record);
   void cancel(const std::string &jobId);
 
   /// Advances the clock in steps of StepMs.
