A newer configuration that the store returns beside an accepted job is taken

An entry that was behind answered the repeat of a job that had been accepted earlier, and threw the newer configuration away that the same answer of the store held. It then served the next call by its own older one. The configuration is applied first now, whatever else the answer tells.

--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -116,6 +116,9 @@
                    [this](const CallPtr &c) { storeJob(c); });
     return;
   }
+  if (const KeyValue *config =
+          findItem(reply.Value.Current, Config.condition().Key))
+    Config.applyItem(*config, sentAt);
   if (const KeyValue *existing = findItem(reply.Value.Current, key)) {
     // The id was submitted before, by this call or an earlier one. That is the
     // same job if it is of the same organisation.
@@ -129,9 +132,6 @@
     finish(call, CallResult::Ok);
     return;
   }
-  if (const KeyValue *config =
-          findItem(reply.Value.Current, Config.condition().Key))
-    Config.applyItem(*config, sentAt);
   // Without time left, retryStoreCall() only forwards the call or finishes it.
   if (isOutOfTime(call)) {
     retryStoreCall(call, StoreStatus::Refused, {});
--- a/tests/auto/cluster/tst_confignews.cpp
+++ b/tests/auto/cluster/tst_confignews.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace oriolebay::cluster {
 namespace {
 
@@ -42,17 +44,19 @@
                           {makeQueue(LastingQueue), makeQueue(AddedQueue)});
     Cluster.runFor(absl::Milliseconds(20));
   }
-  std::shared_ptr<MemoryCluster::CallerCall>
-  submit(int entry, const std::string &queue, const std::string &id = "job") {
-    core::JobSpec job = makeJob(id, 1, 1, 5000);
+  std::shared_ptr<MemoryCluster::CallerCall> submit(int entry,
+                                                    const std::string &queue) {
+    core::JobSpec job = makeJob(JobId, 1, 1, 5000);
     job.Queue = queue;
     return Cluster.submit(entry, LastingKey, std::move(job));
   }
+  std::shared_ptr<MemoryCluster::CallerCall> cancel(int entry,
+                                                    const std::string &key) {
+    return Cluster.cancel(entry, key, JobId);
+  }
   /// Returns false if no task starts.
   bool runUntilStarted() {
-    for (int ms = 0; !HasStarted && ms < 3000; ++ms)
-      Cluster.runFor(absl::Milliseconds(1));
-    return HasStarted;
+    return runUntil([this] { return HasStarted; });
   }
   CallResult resultOf(const std::shared_ptr<MemoryCluster::CallerCall> &call) {
     const absl::Time end = Cluster.loop().now() + CallLimit;
@@ -65,6 +69,14 @@
   }
 
 private:
+  static constexpr const char *JobId = "job";
+
+  bool runUntil(const std::function<bool()> &isDone) {
+    for (int ms = 0; !isDone() && ms < 3000; ++ms)
+      Cluster.runFor(absl::Milliseconds(1));
+    return isDone();
+  }
+
   MemoryCluster Cluster;
   bool HasStarted = false;
 };
@@ -103,8 +115,7 @@
   ASSERT_TRUE(Site.runUntilStarted());
   Site.storeFaults(leader).WatchesSilent = true;
   runToChange();
-  ASSERT_EQ(Site.resultOf(Site.cluster().cancel(other, AddedKey, "job")),
-            CallResult::Ok);
+  ASSERT_EQ(Site.resultOf(Site.cancel(other, AddedKey)), CallResult::Ok);
   Site.cluster().runFor(SeenAfter);
   EXPECT_NE(Site.countWithRemovedKey(leader), CallResult::Ok);
 }
@@ -123,6 +134,17 @@
   EXPECT_NE(Site.countWithRemovedKey(behind), CallResult::Ok);
 }
 
+// Guards against an entry that overlooks the newer configuration which the
+// store returns together with a job that was accepted before.
+TEST_P(ConfigNews, EntryThatConfirmsAnEarlierJobUsesTheConfigBesideIt) {
+  const int behind = (Site.cluster().leader() + 1) % Entries;
+  ASSERT_EQ(Site.resultOf(Site.submit(behind, LastingQueue)), CallResult::Ok);
+  Site.storeFaults(behind).WatchesSilent = true;
+  runToChange();
+  ASSERT_EQ(Site.resultOf(Site.submit(behind, LastingQueue)), CallResult::Ok);
+  EXPECT_NE(Site.countWithRemovedKey(behind), CallResult::Ok);
+}
+
 // Guards against an entry that has forwarded a job to another one, which
 // accepts it by a newer configuration but answers too late to be heard, and
 // then serves callers by its own older configuration.
