Records that a refused write of the leader returns are read as all others

A leader whose write of a job's progress was refused, because the job had been cancelled, took the record from the answer straight into its scheduler. That a newer configuration had decided the cancellation raised nothing, and the leader went on serving by its own older one.

The record goes through the view of the jobs now, as all records do: one place learns from them.

--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -331,6 +331,7 @@
         // recorded the end of a job would show the job as running.
         View->applyWrittenProgress(write.JobId, write.Progress, revision);
       },
+      [this](const platform::KeyValue &record) { View->applyItem(record); },
       [this] {
         logEvent(Event::LeaderLost, {{"why", "another entry leads"}});
         Loop.post([this, alive = Alive] {
--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -34,13 +34,14 @@
     const operators::CordonFollower &cordons, LeaderSessionOptions options,
     int64_t epoch, ConfirmationTime confirmed, OnDecision onDecision,
     OnStoreError onStoreError, OnEnding onEnding, OnRecorded onRecorded,
-    OnLeadershipLost onLeadershipLost)
+    OnRecordRead onRecordRead, OnLeadershipLost onLeadershipLost)
     : Loop(loop), StoreClient(store), Peers(peers), View(view),
       Cordons(cordons), Options(std::move(options)), Epoch(epoch),
       LastConfirmed(std::move(confirmed)),
       ReportDecision(std::move(onDecision)),
       ReportStoreError(std::move(onStoreError)),
       ReportEnding(std::move(onEnding)), ReportRecorded(std::move(onRecorded)),
+      ReportRecordRead(std::move(onRecordRead)),
       ReportLeadershipLost(std::move(onLeadershipLost)),
       Scheduler(Options.Policy, epoch, loop.now()) {}
 
@@ -294,10 +295,8 @@
                               progress->ModRevision, Loop.now());
         }
         Scheduler.onWriteFailed(progressWrite.JobId);
-        if (spec->ModRevision != progressWrite.RecordRevision) {
-          BOOST_LEAF_AUTO(record, jobs::decodeRecord(spec->Value));
-          Scheduler.onRecord(record, spec->ModRevision, Loop.now());
-        }
+        if (spec->ModRevision != progressWrite.RecordRevision)
+          ReportRecordRead(*spec);
         return true;
       },
       [&](const utils::Error &e) {
--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -62,6 +62,8 @@
   /// The progress of a job was recorded at the given revision of the store.
   using OnRecorded =
       std::function<void(const jobs::ProgressWrite &, int64_t revision)>;
+  /// The store returned a job's record that has changed.
+  using OnRecordRead = std::function<void(const platform::KeyValue &)>;
   /// Returns when the store last confirmed that this entry leads.
   using ConfirmationTime = std::function<absl::Time()>;
 
@@ -71,7 +73,8 @@
                 LeaderSessionOptions options, int64_t epoch,
                 ConfirmationTime confirmed, OnDecision onDecision,
                 OnStoreError onStoreError, OnEnding onEnding,
-                OnRecorded onRecorded, OnLeadershipLost onLeadershipLost);
+                OnRecorded onRecorded, OnRecordRead onRecordRead,
+                OnLeadershipLost onLeadershipLost);
   ~LeaderSession();
   LeaderSession(const LeaderSession &) = delete;
   LeaderSession &operator=(const LeaderSession &) = delete;
@@ -126,6 +129,7 @@
   const OnStoreError ReportStoreError;
   const OnEnding ReportEnding;
   const OnRecorded ReportRecorded;
+  const OnRecordRead ReportRecordRead;
   const OnLeadershipLost ReportLeadershipLost;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   jobs::JobScheduler Scheduler;
--- a/tests/auto/cluster/tst_confignews.cpp
+++ b/tests/auto/cluster/tst_confignews.cpp
@@ -50,6 +50,14 @@
     job.Queue = queue;
     return Cluster.submit(entry, LastingKey, std::move(job));
   }
+  /// Submits a job whose progress is written again when its first step ends.
+  std::shared_ptr<MemoryCluster::CallerCall> submitTwoSteps(int entry) {
+    core::JobSpec job = makeJob(JobId, 1, 1, 700);
+    job.Queue = LastingQueue;
+    job.Steps.push_back(job.Steps.front());
+    job.Steps.back().After = {0};
+    return Cluster.submit(entry, LastingKey, std::move(job));
+  }
   std::shared_ptr<MemoryCluster::CallerCall> cancel(int entry,
                                                     const std::string &key) {
     return Cluster.cancel(entry, key, JobId);
@@ -58,6 +66,13 @@
   bool runUntilStarted() {
     return runUntil([this] { return HasStarted; });
   }
+  /// Returns false if no leader decides that the job is cancelled.
+  bool runUntilCancelled() {
+    return runUntil([this] {
+      return Cluster.decisionsText(JobId).find("cancelled") !=
+             std::string::npos;
+    });
+  }
   CallResult resultOf(const std::shared_ptr<MemoryCluster::CallerCall> &call) {
     const absl::Time end = Cluster.loop().now() + CallLimit;
     while (!call->Answer && Cluster.loop().now() < end)
@@ -145,6 +160,23 @@
   EXPECT_NE(Site.countWithRemovedKey(behind), CallResult::Ok);
 }
 
+// Guards against a leader that learns from a refused write that a job was
+// cancelled with a key which only a newer configuration contains, and then
+// serves callers by its own older one.
+TEST_P(ConfigNews, LeaderWhoseWriteACancellationRefusedUsesNoOlderConfig) {
+  const int leader = Site.cluster().leader();
+  const int other = (leader + 1) % Entries;
+  Site.submitTwoSteps(other);
+  ASSERT_TRUE(Site.runUntilStarted());
+  Site.cluster().partitionPair(MemoryCluster::entryName(leader),
+                               MemoryCluster::entryName(other));
+  Site.storeFaults(leader).WatchesSilent = true;
+  runToChange();
+  ASSERT_EQ(Site.resultOf(Site.cancel(other, AddedKey)), CallResult::Ok);
+  ASSERT_TRUE(Site.runUntilCancelled());
+  EXPECT_NE(Site.countWithRemovedKey(leader), CallResult::Ok);
+}
+
 // Guards against an entry that has forwarded a job to another one, which
 // accepts it by a newer configuration but answers too late to be heard, and
 // then serves callers by its own older configuration.
