--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -98,6 +98,9 @@
     m.set("config_outdated",
           "1 while another entry is known to go by a newer configuration.",
           s.ConfigOutdated ? 1 : 0);
+    m.set("forwarded_writes_unanswered",
+          "Forwarded calls that another entry may carry out unheard.",
+          static_cast<double>(s.UnansweredWrites));
     m.set("cordoned_domains", "Failure domains that the operator evacuates.",
           static_cast<double>(s.CordonedDomains));
     if (s.Leads)
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -188,6 +188,7 @@
     s.ConfigOutdated = Config->isOutdated();
     s.ConfigAgeSeconds = absl::ToDoubleSeconds(Config->age(Loop.now()));
   }
+  s.UnansweredWrites = Service->unansweredWriteCount();
   s.CordonedDomains = Cordons->current().Domains.size();
   s.CordonAgeSeconds = absl::ToDoubleSeconds(Cordons->age(Loop.now()));
   s.Leads = Session != nullptr && Session->isRunning();
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -35,6 +35,8 @@
   double ConfigAgeSeconds = 0;
   /// Another entry is known to use a newer configuration.
   bool ConfigOutdated = false;
+  /// Forwarded calls that write and were not answered; see UnansweredWrites.
+  size_t UnansweredWrites = 0;
   /// Number of cordoned failure domains, and the age of that view; the age is
   /// infinite at entries that do not lead.
   size_t CordonedDomains = 0;
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -136,6 +136,9 @@
   void onEndRecorded(const std::string &jobId);
   /// The job's record was removed from the store.
   void onRecordRemoved(const std::string &jobId) { ReportedEnds.erase(jobId); }
+  /// Number of forwarded calls that write, have not been answered, and may
+  /// still be carried out.
+  size_t unansweredWriteCount() const { return Unanswered.count(); }
   /// Counts the queue's jobs that have not started.
   void queueLength(CallerAccess access, Done done);
 
