--- a/tests/auto/cluster/tst_configchanges.cpp
+++ b/tests/auto/cluster/tst_configchanges.cpp
@@ -492,7 +492,7 @@
 // ago, or does not serve an added key or queue, while several entries are
 // disturbed at once.
 TEST_P(ConfigUnderDisturbance, NoCallIsDecidedByATooOldConfig) {
-  const auto [first, last] = seedsToRun(20);
+  const auto [first, last] = seedsToRun(GetParam().RunsJobs ? 70 : 20);
   int decidedCount = 0;
   size_t startCount = 0;
   for (int seed = first; seed <= last; ++seed) {
