--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -91,6 +91,7 @@
   endpoints::Message onMessage(const endpoints::Message &message);
   void onLeadership(const platform::Leadership &leadership);
   void onViewComplete();
+  LeaderSessionOptions leaderOptions() const;
   void beginSession();
   endpoints::Ack onStepDownRequest(const endpoints::StandDown &stepDown);
   void onJobWritten(const platform::KeyValue &item);
--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -19,13 +19,6 @@
 constexpr size_t EntriesPerJob = 3;
 constexpr size_t JobsPerTxn = (platform::MaxTxnEntries - 1) / EntriesPerJob;
 
-const KeyValue *findItem(const std::vector<KeyValue> &items,
-                         const std::string &key) {
-  auto it = std::find_if(items.begin(), items.end(),
-                         [&](const KeyValue &i) { return i.Key == key; });
-  return it == items.end() ? nullptr : &*it;
-}
-
 } // namespace
 
 LeaderSession::LeaderSession(
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -16,13 +16,6 @@
 
 namespace {
 
-const KeyValue *findItem(const std::vector<KeyValue> &items,
-                         const std::string &key) {
-  auto it = std::find_if(items.begin(), items.end(),
-                         [&](const KeyValue &i) { return i.Key == key; });
-  return it == items.end() ? nullptr : &*it;
-}
-
 std::optional<JobRecord> tryDecodeRecord(const std::string &bytes) {
   return utils::handle<std::optional<JobRecord>>(
       [&]() -> utils::Result<std::optional<JobRecord>> {
--- a/src/libs/platform/store.cpp
+++ b/src/libs/platform/store.cpp
@@ -1,5 +1,7 @@
 #include "store.h"
 
+#include <algorithm>
+
 namespace oriolebay::platform {
 
 const char *storeStatusName(StoreStatus status) {
@@ -20,4 +22,11 @@
   return "unknown";
 }
 
+const KeyValue *findItem(const std::vector<KeyValue> &items,
+                         const std::string &key) {
+  auto it = std::find_if(items.begin(), items.end(),
+                         [&](const KeyValue &i) { return i.Key == key; });
+  return it == items.end() ? nullptr : &*it;
+}
+
 } // namespace oriolebay::platform
--- a/src/libs/platform/store.h
+++ b/src/libs/platform/store.h
@@ -65,6 +65,10 @@
   int64_t Revision = 0;
 };
 
+/// Returns the item with this key, or null.
+const KeyValue *findItem(const std::vector<KeyValue> &items,
+                         const std::string &key);
+
 /// Condition that the key was last changed at Revision; zero means that the key
 /// does not exist.
 struct StoreCondition {
