--- a/tests/auto/cluster/tst_configchanges.cpp
+++ b/tests/auto/cluster/tst_configchanges.cpp
@@ -228,7 +228,7 @@
 enum class Uses { Key, Queue, Service, Job };
 
 /// An entry during one incarnation.
-using EntryLife = std::pair<int, int>;
+using EntryIncarnation = std::pair<int, int>;
 
 /// Configurations whose effects workers have seen, as starts of jobs whose
 /// queues only some configurations contain. A start counts for the entry that
@@ -244,11 +244,12 @@
     });
   }
 
-  void addCall(const std::string &job, int64_t number, const EntryLife &entry) {
+  void addCall(const std::string &job, int64_t number,
+               const EntryIncarnation &entry) {
     Jobs[job].Number = number;
     Jobs[job].SentTo.insert(entry);
   }
-  void addConfirmation(const std::string &job, const EntryLife &entry) {
+  void addConfirmation(const std::string &job, const EntryIncarnation &entry) {
     Jobs[job].ConfirmedBy.insert(entry);
   }
   /// Must be called often enough to see each leader before its first start.
@@ -258,7 +259,7 @@
       Leaders[Cluster.leaderEpoch()] = {leader, incarnationOf(leader)};
   }
   /// The newest configuration that callers of the entry may rely on now.
-  int64_t newestAt(const EntryLife &entry) const {
+  int64_t newestAt(const EntryIncarnation &entry) const {
     int64_t newest = 0;
     for (const Start &start : Starts)
       if (start.At + SeenAfterStart <= Cluster.loop().now() &&
@@ -271,8 +272,8 @@
 private:
   struct Job {
     int64_t Number = 0;
-    std::set<EntryLife> SentTo;
-    std::set<EntryLife> ConfirmedBy;
+    std::set<EntryIncarnation> SentTo;
+    std::set<EntryIncarnation> ConfirmedBy;
   };
   struct Start {
     std::string Job;
@@ -280,7 +281,7 @@
     absl::Time At;
   };
 
-  bool isEffectOf(const Start &start, const EntryLife &entry) const {
+  bool isEffectOf(const Start &start, const EntryIncarnation &entry) const {
     auto leader = Leaders.find(start.Epoch);
     if (leader != Leaders.end() && leader->second == entry)
       return true;
@@ -292,7 +293,7 @@
 
   MemoryCluster &Cluster;
   std::map<std::string, Job> Jobs;
-  std::map<int64_t, EntryLife> Leaders;
+  std::map<int64_t, EntryIncarnation> Leaders;
   std::vector<Start> Starts;
 };
 
@@ -358,12 +359,12 @@
     const auto uses = static_cast<Uses>(randomInt(0, LastUse));
     // A caller that got no answer sends its job again, at any entry.
     const bool repeats =
-        uses == Uses::Job && StartedJobs > 0 && randomInt(0, 3) == 0;
+        uses == Uses::Job && SubmittedJobs > 0 && randomInt(0, 3) == 0;
     const int64_t number =
         repeats ? QueueNumber
                 : std::max<int64_t>(1, Configs.newest() - randomInt(0, 3));
     if (uses == Uses::Job && !repeats) {
-      ++StartedJobs;
+      ++SubmittedJobs;
       QueueNumber = number;
     }
     const int64_t oldestAllowed =
@@ -392,7 +393,7 @@
   }
 
   std::shared_ptr<MemoryCluster::CallerCall> submitLastJob(int entry) {
-    const std::string id = "s" + std::to_string(StartedJobs);
+    const std::string id = "s" + std::to_string(SubmittedJobs);
     core::JobSpec job = makeJob(id, 1, 1, 100);
     job.Queue = queueOf(QueueNumber);
     Effects.addCall(id, QueueNumber, {entry, Entries.incarnation(entry)});
@@ -464,13 +465,14 @@
   StartEffects Effects;
   const int LastUse;
   int Jobs = 0;
-  /// Jobs whose tasks can start, and the number of the last one's queue.
-  int StartedJobs = 0;
+  /// Number of jobs submitted with Uses::Job, and the number of the last one's
+  /// queue.
+  int SubmittedJobs = 0;
   int64_t QueueNumber = 0;
   int DecidedCount = 0;
   /// The newest configuration that callers know to have decided a call, by
   /// entry and its incarnation.
-  std::map<EntryLife, int64_t> NewestShown;
+  std::map<EntryIncarnation, int64_t> NewestShown;
   std::vector<SentCall> Calls;
   std::string Violation;
 };
