--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -3,10 +3,8 @@
 #include "decisionlog.h"
 #include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
-#include "utils/walltime.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace oriolebay::entry {
 
--- a/src/libs/entry/jobentry_messages.cpp
+++ b/src/libs/entry/jobentry_messages.cpp
@@ -1,7 +1,6 @@
 // Messages from and to the system's other processes.
 #include "jobentry.h"
 
-#include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
 
 #include <algorithm>
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -427,8 +427,8 @@
   /// Finds out whether the speeds of the usable workers differ too much for the
   /// queues' objectives.
   void updateUnevenSpeeds(absl::Time now);
-  /// Logs the workers that have turned out to be slow, or not to be any more.
-  void logSpeedChanges(const WorkerView &view);
+  /// Logs it if the worker has turned out to be slow, or not to be any more.
+  void logSpeedChange(const WorkerView &view, const WorkerSpeed &speed);
   /// Takes over the speed that an earlier leader has learned.
   void adoptSpeed(const endpoints::WorkerReport &report, absl::Time now);
   void learnTaskDuration(const Job &job, const core::TaskId &id, Task &task,
--- a/src/libs/jobs/jobscheduler_speeds.cpp
+++ b/src/libs/jobs/jobscheduler_speeds.cpp
@@ -79,23 +79,26 @@
   for (const core::QueueConfig &queue : Config->Queues)
     if (queue.Stretch > 1)
       tightestStretch = std::min(tightestStretch, queue.Stretch);
+  std::vector<const WorkerView *> usable;
   std::vector<WorkerSpeed> speeds;
-  for (const auto &[incarnation, view] : Workers.workers())
-    if (Workers.isUsable(view, now))
-      speeds.push_back(speedOfWorker(view));
+  for (const auto &[incarnation, view] : Workers.workers()) {
+    if (!Workers.isUsable(view, now))
+      continue;
+    usable.push_back(&view);
+    speeds.push_back(speedOfWorker(view));
+  }
   Uneven = UnevenSpeeds(speeds, tightestStretch);
   SpeedCounts = {static_cast<int>(speeds.size())};
   for (const WorkerSpeed &speed : speeds) {
     SpeedCounts.Known += speed.Known ? 1 : 0;
     SpeedCounts.Slow += Uneven.isSlow(speed) ? 1 : 0;
   }
-  for (const auto &[incarnation, view] : Workers.workers())
-    if (Workers.isUsable(view, now))
-      logSpeedChanges(view);
+  for (size_t i = 0; i < usable.size(); ++i)
+    logSpeedChange(*usable[i], speeds[i]);
 }
 
-void JobScheduler::logSpeedChanges(const WorkerView &view) {
-  const WorkerSpeed speed = speedOfWorker(view);
+void JobScheduler::logSpeedChange(const WorkerView &view,
+                                  const WorkerSpeed &speed) {
   const bool isSlow = Uneven.isSlow(speed);
   const bool changed = isSlow ? SlowAgents.insert(view.Agent).second
                               : SlowAgents.erase(view.Agent) != 0;
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -274,9 +274,7 @@
   unit.TaskLimits.assign(Candidates.size(), 0);
   for (size_t c = 0; c < Candidates.size(); ++c) {
     if (!isEligible(*Candidates[c].View, unit) ||
-        !canStartOn(Candidates[c], unit) ||
-        (unit.ExcludesSlowWorkers &&
-         Scheduler.Uneven.isSlow(Candidates[c].Speed)))
+        !canStartOn(Candidates[c], unit) || isTooSlowFor(Candidates[c], unit))
       continue;
     unit.TaskLimits[c] =
         maxPerWorker == 0
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -270,6 +270,8 @@
   int64_t speedCost(const Placement &placement,
                     const PlacementUnit &unit) const;
   SpeedDemand speedDemand(const PlacementUnit &unit) const;
+  bool isTooSlowFor(const Candidate &candidate,
+                    const PlacementUnit &unit) const;
   bool isKeptOffSlowWorkers(const PlacementUnit &unit) const;
   bool placeOnUsualWorkers(PlacementUnit &unit);
   absl::Duration maxWaitForUsualWorkers(const PlacementUnit &unit) const;
--- a/src/libs/jobs/planner_speeds.cpp
+++ b/src/libs/jobs/planner_speeds.cpp
@@ -33,6 +33,11 @@
                                       Scheduler.taskTime(job, unit.spec()));
 }
 
+bool Planner::isTooSlowFor(const Candidate &candidate,
+                           const PlacementUnit &unit) const {
+  return unit.ExcludesSlowWorkers && Scheduler.Uneven.isSlow(candidate.Speed);
+}
+
 bool Planner::isKeptOffSlowWorkers(const PlacementUnit &unit) const {
   return unit.Demand == SpeedDemand::UsualFirst && unit.spec().Gang &&
          !unit.Overdue;
--- a/src/libs/jobs/planner_waits.cpp
+++ b/src/libs/jobs/planner_waits.cpp
@@ -202,7 +202,7 @@
     behind(WaitReason::SuspectIsolation) += free;
     return;
   }
-  if (unit.ExcludesSlowWorkers && Scheduler.Uneven.isSlow(candidate.Speed)) {
+  if (isTooSlowFor(candidate, unit)) {
     behind(WaitReason::SlowWorkers) += free;
     return;
   }
--- a/src/libs/jobs/unansweredwrites.cpp
+++ b/src/libs/jobs/unansweredwrites.cpp
@@ -13,8 +13,8 @@
 void UnansweredWrites::remove(Id id) { Writes.erase(id); }
 
 void UnansweredWrites::removeEndedBy(absl::Time time) {
-  for (auto it = Writes.begin(); it != Writes.end();)
-    it = it->second.EndsAt <= time ? Writes.erase(it) : std::next(it);
+  std::erase_if(Writes,
+                [time](const auto &w) { return w.second.EndsAt <= time; });
 }
 
 absl::Time UnansweredWrites::oldestConfirmation(absl::Time receivedAt) const {
