tests: one makeQueue() for the simulated site

A queue with an objective was set up in the same six lines in four tests of the scheduler and in the site itself.

--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -33,16 +33,25 @@
   return spec;
 }
 
+core::QueueConfig makeQueue(const std::string &name, double stretch,
+                            int64_t targetMs) {
+  core::QueueConfig queue;
+  queue.Name = name;
+  queue.Service = "service";
+  queue.Stretch = stretch;
+  queue.TargetLatencyMs = targetMs;
+  return queue;
+}
+
 SimSite::SimSite(SchedulerPolicy policy) : Policy(std::move(policy)) {
   Policy.WallMs = [this] {
     return absl::ToInt64Milliseconds(Now - absl::UnixEpoch());
   };
   core::SiteConfig config;
   config.Version = 1;
-  core::QueueConfig queue;
-  queue.Name = "q";
-  queue.Service = "service";
-  config.Queues.push_back(queue);
+  const core::QueueConfig defaults;
+  config.Queues.push_back(
+      makeQueue("q", defaults.Stretch, defaults.TargetLatencyMs));
   Config = std::make_shared<const core::SiteConfig>(config);
   changeLeader();
 }
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -217,6 +217,10 @@
   std::vector<std::string> Violations;
 };
 
+/// Returns a queue of the workers' service whose jobs have this objective.
+core::QueueConfig makeQueue(const std::string &name, double stretch,
+                            int64_t targetMs);
+
 /// Returns a job with a single step.
 core::JobSpec jobOf(const std::string &id, core::StepSpec step,
                     const std::string &organisation = "org-a");
--- a/tests/auto/jobs/tst_estimates.cpp
+++ b/tests/auto/jobs/tst_estimates.cpp
@@ -42,14 +42,8 @@
   UrgentWork() : Site(policy()) {
     core::SiteConfig config;
     config.Version = 2;
-    for (const char *name : {"urgent", "batch"}) {
-      core::QueueConfig queue;
-      queue.Name = name;
-      queue.Service = "service";
-      queue.Stretch = 1.5;
-      queue.TargetLatencyMs = 250;
-      config.Queues.push_back(queue);
-    }
+    for (const char *name : {"urgent", "batch"})
+      config.Queues.push_back(makeQueue(name, 1.5, 250));
     Site.configure(config);
     Site.WorkTime = [](const core::TaskId &id, const core::StepSpec &step) {
       const bool isLonger = id.Job.rfind("longer", 0) == 0;
--- a/tests/auto/jobs/tst_unevenspeeds.cpp
+++ b/tests/auto/jobs/tst_unevenspeeds.cpp
@@ -187,17 +187,8 @@
   void configure() {
     core::SiteConfig config;
     config.Version = 2;
-    const auto addQueue = [&](const char *name, double stretch,
-                              int64_t targetMs) {
-      core::QueueConfig queue;
-      queue.Name = name;
-      queue.Service = "service";
-      queue.Stretch = stretch;
-      queue.TargetLatencyMs = targetMs;
-      config.Queues.push_back(queue);
-    };
-    addQueue("urgent", UrgentStretch, 250);
-    addQueue("batch", 3, 1000);
+    config.Queues = {makeQueue("urgent", UrgentStretch, 250),
+                     makeQueue("batch", 3, 1000)};
     Site.configure(config);
   }
 
@@ -296,12 +287,7 @@
   KnownSpeeds() {
     core::SiteConfig config;
     config.Version = 2;
-    core::QueueConfig queue;
-    queue.Name = "q";
-    queue.Service = "service";
-    queue.Stretch = UrgentStretch;
-    queue.TargetLatencyMs = 250;
-    config.Queues.push_back(queue);
+    config.Queues.push_back(makeQueue("q", UrgentStretch, 250));
     config.Organisations.push_back({"guaranteed", {}, 64});
     Site.configure(config);
     for (int n = 0; n < 8; ++n)
@@ -397,13 +383,7 @@
 TEST_F(KnownSpeeds, BatchGangTakesSlowWorkersIfItIsInTimeThere) {
   core::SiteConfig config;
   config.Version = 3;
-  for (const auto &[name, stretch] : {std::pair("q", 3.0), {"urgent", 1.5}}) {
-    core::QueueConfig queue;
-    queue.Name = name;
-    queue.Service = "service";
-    queue.Stretch = stretch;
-    config.Queues.push_back(queue);
-  }
+  config.Queues = {makeQueue("q", 3, 0), makeQueue("urgent", 1.5, 0)};
   Site.configure(config);
   submitGang("j", 4, 8000, 1);
   Site.runFor(absl::Milliseconds(100));
--- a/tests/auto/jobs/tst_waitingorder.cpp
+++ b/tests/auto/jobs/tst_waitingorder.cpp
@@ -83,12 +83,7 @@
   SimSite site;
   core::SiteConfig config;
   config.Version = 2;
-  core::QueueConfig queue;
-  queue.Name = "q";
-  queue.Service = "service";
-  queue.Stretch = 1.5;
-  queue.TargetLatencyMs = 250;
-  config.Queues.push_back(queue);
+  config.Queues.push_back(makeQueue("q", 1.5, 250));
   site.configure(config);
   for (int w = 0; w < Workers; ++w)
     site.addWorker("w" + std::to_string(w), "r0");
