--- a/tests/auto/cluster/tst_configchanges.cpp
+++ b/tests/auto/cluster/tst_configchanges.cpp
@@ -95,6 +95,12 @@
         randomInt(0, static_cast<int>(Live.size()) - 1))];
   }
 
+  void silenceWatches(int entry) {
+    rememberDisturbed(entry);
+    set(Cluster.store().faults(MemoryCluster::entryName(entry)).WatchesSilent,
+        true, false);
+  }
+
   void disturb() {
     const int entry = pick();
     rememberDisturbed(entry);
@@ -307,14 +313,29 @@
   std::shared_ptr<MemoryCluster::CallerCall> Call;
 };
 
+/// What happens besides calls and disturbances: jobs run, so that workers see
+/// effects of configurations, and leaders learn of changes only by confirming
+/// their configuration.
+enum class Extras { None, Jobs, JobsAndSilentWatchesOfLeaders };
+
+struct SiteCase {
+  const char *Name;
+  int Entries;
+  int FirstSmallEntry;
+  Extras Extra;
+
+  bool runsJobs() const { return Extra != Extras::None; }
+};
+
 /// The configuration changes about once a second, the entries are disturbed,
 /// and callers use keys, queues and services that come and go.
 class ConfigChanges {
 public:
-  ConfigChanges(int entries, int firstSmallEntry, bool runsJobs, uint64_t seed)
-      : Random(seed), Cluster(optionsOf(entries, firstSmallEntry, seed)),
-        Configs(Cluster), Entries(Cluster, entries, Random), Effects(Cluster),
-        LastUse(static_cast<int>(runsJobs ? Uses::Job : Uses::Service)) {}
+  ConfigChanges(const SiteCase &site, uint64_t seed)
+      : Site(site), Random(seed),
+        Cluster(optionsOf(site.Entries, site.FirstSmallEntry, seed)),
+        Configs(Cluster), Entries(Cluster, site.Entries, Random),
+        Effects(Cluster) {}
 
   /// Returns a description of the first call that was decided by a
   /// configuration older than callers may expect, or an empty string.
@@ -327,6 +348,9 @@
         Configs.writeNext();
       if (randomInt(1, 15) == 1)
         Entries.disturb();
+      if (leadersHearNothing() && randomInt(1, 40) == 1 &&
+          Cluster.leader() >= 0)
+        Entries.silenceWatches(Cluster.leader());
       sendCall();
       Cluster.runFor(absl::Milliseconds(20));
       Effects.observeLeader(
@@ -354,15 +378,20 @@
   }
 
   void sendCall() {
-    const int entry = Entries.pick();
+    int entry = Entries.pick();
+    const Uses lastUse = Site.runsJobs() ? Uses::Job : Uses::Service;
+    const auto uses =
+        static_cast<Uses>(randomInt(0, static_cast<int>(lastUse)));
+    while (leadersHearNothing() && uses == Uses::Job &&
+           entry == Cluster.leader())
+      entry = Entries.pick();
     const int incarnation = Entries.incarnation(entry);
-    const auto uses = static_cast<Uses>(randomInt(0, LastUse));
     // A caller that got no answer sends its job again, at any entry.
     const bool repeats =
         uses == Uses::Job && SubmittedJobs > 0 && randomInt(0, 3) == 0;
     const int64_t number =
         repeats ? QueueNumber
-                : std::max<int64_t>(1, Configs.newest() - randomInt(0, 3));
+                : std::max<int64_t>(1, Configs.newest() - randomAge(uses));
     if (uses == Uses::Job && !repeats) {
       ++SubmittedJobs;
       QueueNumber = number;
@@ -375,6 +404,20 @@
                      makeCall(entry, uses, number)});
   }
 
+  // Leaders learn of a change by confirming their configuration, or by jobs of
+  // other entries. So no call may make a leader ask the store, as a call does
+  // that uses an item which the entry does not know.
+  bool leadersHearNothing() const {
+    return Site.Extra == Extras::JobsAndSilentWatchesOfLeaders;
+  }
+
+  // How many configurations ago the item was added that a call uses.
+  int randomAge(Uses uses) {
+    if (!leadersHearNothing())
+      return randomInt(0, 3);
+    return uses == Uses::Job ? 0 : randomInt(1, 2);
+  }
+
   std::shared_ptr<MemoryCluster::CallerCall> makeCall(int entry, Uses uses,
                                                       int64_t number) {
     switch (uses) {
@@ -458,12 +501,12 @@
     return 0;
   }
 
+  const SiteCase Site;
   std::mt19937_64 Random;
   MemoryCluster Cluster;
   ConfigSeries Configs;
   DisturbedEntries Entries;
   StartEffects Effects;
-  const int LastUse;
   int Jobs = 0;
   /// Number of jobs submitted with Uses::Job, and the number of the last one's
   /// queue.
@@ -477,43 +520,38 @@
   std::string Violation;
 };
 
-struct SiteSize {
-  const char *Name;
-  int Entries;
-  int FirstSmallEntry;
-  /// Whether jobs run, so that workers see effects of configurations.
-  bool RunsJobs;
-};
-
-void PrintTo(const SiteSize &c, std::ostream *out) { *out << c.Name; }
+void PrintTo(const SiteCase &c, std::ostream *out) { *out << c.Name; }
 
-class ConfigUnderDisturbance : public testing::TestWithParam<SiteSize> {};
+class ConfigUnderDisturbance : public testing::TestWithParam<SiteCase> {};
 
 // Guards against an entry that returns to an older configuration than callers
 // or workers have seen an effect of, serves by one that was replaced too long
 // ago, or does not serve an added key or queue, while several entries are
 // disturbed at once.
 TEST_P(ConfigUnderDisturbance, NoCallIsDecidedByATooOldConfig) {
-  const auto [first, last] = seedsToRun(GetParam().RunsJobs ? 70 : 20);
+  const auto [first, last] = seedsToRun(GetParam().runsJobs() ? 70 : 20);
   int decidedCount = 0;
   size_t startCount = 0;
   for (int seed = first; seed <= last; ++seed) {
-    ConfigChanges scenario(GetParam().Entries, GetParam().FirstSmallEntry,
-                           GetParam().RunsJobs, static_cast<uint64_t>(seed));
+    ConfigChanges scenario(GetParam(), static_cast<uint64_t>(seed));
     EXPECT_EQ(scenario.run(), "") << "seed " << seed;
     decidedCount += scenario.decidedCount();
     startCount += scenario.startCount();
   }
   EXPECT_GT(decidedCount, 0);
-  EXPECT_EQ(startCount > 0, GetParam().RunsJobs);
+  EXPECT_EQ(startCount > 0, GetParam().runsJobs());
 }
 
 INSTANTIATE_TEST_SUITE_P(
     Table, ConfigUnderDisturbance,
-    testing::Values(SiteSize{"ThreeEntries", 3, 3, false},
-                    SiteSize{"ThirteenEntries", 13, 8, false},
-                    SiteSize{"ThreeEntriesAndJobs", 3, 3, true},
-                    SiteSize{"ThirteenEntriesAndJobs", 13, 8, true}),
+    testing::Values(SiteCase{"ThreeEntries", 3, 3, Extras::None},
+                    SiteCase{"ThirteenEntries", 13, 8, Extras::None},
+                    SiteCase{"ThreeEntriesAndJobs", 3, 3, Extras::Jobs},
+                    SiteCase{"ThirteenEntriesAndJobs", 13, 8, Extras::Jobs},
+                    SiteCase{"ThreeEntriesWhoseLeadersHearNothing", 3, 3,
+                             Extras::JobsAndSilentWatchesOfLeaders},
+                    SiteCase{"ThirteenEntriesWhoseLeadersHearNothing", 13, 8,
+                             Extras::JobsAndSilentWatchesOfLeaders}),
     [](const auto &info) { return info.param.Name; });
 
 } // namespace
