--- a/review/standins/net.h
+++ b/review/standins/net.h
@@ -153,7 +153,7 @@
 inline std::vector<int> freePorts(size_t count) {
   constexpr int First = 18000;
   constexpr int Count = 14000;
-  static int next = static_cast<int>(getpid() * 61 % Count);
+  static int next = static_cast<int>(getpid() % Count * 997LL % Count);
   std::vector<int> ports;
   for (int tries = 0; ports.size() < count; ++tries) {
     if (tries == Count)
