Documents of other processes are decoded in one place that never throws

An answer of the store or of a back end with a member of another type (a number for "kvs", a list for "output"), and a value nested 400,000 levels deep, threw on the thread that read it: in the recorder, the leader election or an agent's task thread that ends the process, and a deep document overflows the stack when it is copied.

Cause: each reader used the JSON library's own accessors, which throw for other types, and its parser, which accepts any depth; texts of its errors hold the bytes that could not be read, at any length. Each reader guarded what its author thought of.

--- a/src/app/common/processrunner.cpp
+++ b/src/app/common/processrunner.cpp
@@ -1,5 +1,7 @@
 #include "processrunner.h"
 
+#include "utils/jsontext.h"
+
 #include <absl/strings/str_cat.h>
 #include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
@@ -87,7 +89,7 @@
   const std::string tmp = path + ".tmp";
   {
     std::ofstream out(tmp);
-    out << text.dump() << '\n';
+    out << utils::toJsonText(text) << '\n';
   }
   std::rename(tmp.c_str(), path.c_str());
 }
--- a/src/app/entry/main.cpp
+++ b/src/app/entry/main.cpp
@@ -8,6 +8,7 @@
 #include "placement/placer.h"
 #include "platform/kvclient.h"
 #include "settings/settings.h"
+#include "utils/jsontext.h"
 
 #include <boost/program_options.hpp>
 
@@ -69,7 +70,7 @@
         if (verb == "put" && vm.count("file")) {
           BOOST_LEAF_AUTO(text,
                           settings::readFile(vm["file"].as<std::string>()));
-          auto j = nlohmann::json::parse(text, nullptr, false);
+          BOOST_LEAF_AUTO(j, utils::parseJson(text));
           core::Profile p;
           try {
             p = j.get<core::Profile>();
--- a/src/libs/callers/callerapi.cpp
+++ b/src/libs/callers/callerapi.cpp
@@ -1,6 +1,8 @@
 #include "callerapi.h"
 
 #include "core/codec.h"
+#include "utils/jsontext.h"
+#include "utils/text.h"
 
 namespace oriolebay::callers {
 
@@ -59,16 +61,17 @@
 
 http::HttpResponse CallerApi::submitJob(const std::string &body) {
   JobAnswer answer;
-  auto parsed = nlohmann::json::parse(body, nullptr, false);
+  const auto parsed = utils::parseJson(body);
   core::JobRequest job;
   std::string problem;
   try {
-    if (parsed.is_discarded())
+    if (!parsed)
       problem = "the body is not JSON";
     else
-      job = parsed.get<core::JobRequest>();
+      job = parsed->get<core::JobRequest>();
   } catch (const nlohmann::json::exception &e) {
-    problem = std::string("the request does not match the schema: ") + e.what();
+    problem =
+        "the request does not match the schema: " + utils::excerpt(e.what());
   }
   if (problem.empty())
     problem = validate(job);
@@ -79,7 +82,7 @@
   } else {
     answer = OnSubmit(job);
   }
-  http::HttpResponse response{statusOf(answer), nlohmann::json(answer).dump()};
+  http::HttpResponse response{statusOf(answer), utils::toJsonText(answer)};
   if (answer.RetryAfterMs > 0)
     response.Headers["Retry-After"] =
         std::to_string((answer.RetryAfterMs + 999) / 1000);
@@ -101,7 +104,7 @@
   if (request.Method == "DELETE" && request.Path.rfind(JobPath, 0) == 0)
     return cancelJob(request.Path.substr(JobPath.size()));
   if (request.Method == "GET" && request.Path == "/v1/stats")
-    return {200, OnStats().dump()};
+    return {200, utils::toJsonText(OnStats())};
   if (request.Method == "GET" && request.Path == "/healthz")
     return {200, "{\"ok\":true}"};
   return {404, "{\"error\":\"no such path; see docs/OPERATIONS.md\"}"};
--- a/src/libs/entry/previousleaders.cpp
+++ b/src/libs/entry/previousleaders.cpp
@@ -1,6 +1,8 @@
 #include "previousleaders.h"
 
+#include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
+#include "utils/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,17 +19,17 @@
   json list = json::array();
   for (const LeaderTerm &term : terms)
     list.push_back({term.Epoch, term.Address});
-  return list.dump();
+  return utils::toJsonText(list);
 }
 
 // Returns false if the list is unreadable. It must not count as empty then,
 // since the leaders in it may still keep tasks alive for the longest time that
 // a leader can continue. The caller reads it again later.
 bool decode(const std::string &value, std::vector<LeaderTerm> &terms) {
-  const json list = json::parse(value, nullptr, false);
-  if (!list.is_array())
+  const auto list = utils::parseJson(value);
+  if (!list || !list->is_array())
     return false;
-  for (const json &r : list) {
+  for (const json &r : *list) {
     if (!r.is_array() || r.size() != 2 || !r[0].is_number_integer() ||
         !r[1].is_string())
       return false;
@@ -72,7 +74,14 @@
     return;
   }
   std::vector<LeaderTerm> previousTerms;
-  if (!reply.ok() || !decode(reply.Value.Value, previousTerms)) {
+  const bool isReadable =
+      reply.ok() && decode(reply.Value.Value, previousTerms);
+  if (reply.ok() && !isReadable)
+    eventlog::logEvent(eventlog::Event::RecordRefused,
+                       {{"key", Params.Key},
+                        {"error", "not a list of leaders (remedy: remove the "
+                                  "key once no earlier entry runs)"}});
+  if (!isReadable) {
     scheduleRead();
     return;
   }
--- a/src/libs/entry/recorder.cpp
+++ b/src/libs/entry/recorder.cpp
@@ -2,6 +2,8 @@
 
 #include "core/codec.h"
 #include "platform/leaderelection.h"
+#include "utils/jsonfields.h"
+#include "utils/jsontext.h"
 #include "utils/steadyclock.h"
 
 #include <absl/strings/str_cat.h>
@@ -37,6 +39,29 @@
   return {platform::LeaderKey, Compare::Field::CreateRevision, epoch};
 }
 
+/// The record of a request with an idempotency key: the gang that runs it, and
+/// its answer once there is one.
+struct RequestRecord {
+  std::string Gang;
+  std::optional<JobAnswer> Answer;
+};
+
+// Any part of a record that is unreadable counts as missing.
+RequestRecord decodeRequestRecord(const std::string &value) {
+  RequestRecord record;
+  const auto j = utils::parseJson(value);
+  if (!j)
+    return record;
+  record.Gang = utils::textIn(*j, "gang");
+  try {
+    if (j->contains("answer"))
+      record.Answer = j->at("answer").get<JobAnswer>();
+  } catch (const json::exception &) {
+    record.Answer.reset();
+  }
+  return record;
+}
+
 json gangRecord(const scheduler::StartGang &start) {
   return {{"run", start.Run},
           {"gang", start.Request.GangId},
@@ -147,21 +172,19 @@
     keyRevision = 0;
     return out;
   }
-  const json record = json::parse(priorRecord->Value, nullptr, false);
-  const std::string holder =
-      record.is_object() ? record.value("gang", std::string()) : std::string();
-  if (record.is_object() && record.contains("answer")) {
-    out.Answer = record["answer"].get<JobAnswer>();
+  const RequestRecord record = decodeRequestRecord(priorRecord->Value);
+  if (record.Answer) {
+    out.Answer = *record.Answer;
     out.Answer.JobId = job.Id;
     return out;
   }
-  if (holder == request.Start.Request.GangId) {
+  if (record.Gang == request.Start.Request.GangId) {
     canRetry = true;
     keyRevision = priorRecord->ModRevision;
     return out;
   }
   out.What = RecordOutcome::Kind::KeyInUse;
-  out.Holder = holder;
+  out.Holder = record.Gang;
   out.HolderRevision = priorRecord->ModRevision;
   return out;
 }
@@ -171,13 +194,14 @@
   const core::JobRequest &job = start.Request.Job;
   int64_t keyRevision = request.PriorRevision;
   const std::vector<Write> writes = [&] {
-    std::vector<Write> out{{gangKey(start.Run), gangRecord(start).dump(), 0}};
+    std::vector<Write> out{
+        {gangKey(start.Run), utils::toJsonText(gangRecord(start)), 0}};
     // At-most-once execution: the idempotency key is written in the same
     // transaction, before anything is started, so that a second request with it
     // is refused.
     if (!job.Idempotent)
-      out.push_back(
-          {requestKey(job), json{{"gang", start.Request.GangId}}.dump(), 0});
+      out.push_back({requestKey(job),
+                     utils::toJsonText({{"gang", start.Request.GangId}}), 0});
     return out;
   }();
   for (int attempt = 0; attempt < WriteAttempts; ++attempt) {
@@ -218,7 +242,8 @@
     if (end.Job && end.Answer)
       writes.push_back(
           {requestKey(*end.Job),
-           json{{"gang", end.GangId}, {"answer", *end.Answer}}.dump(), 0});
+           utils::toJsonText({{"gang", end.GangId}, {"answer", *end.Answer}}),
+           0});
     std::vector<KeyValue> currentItems;
     if (write({leadsWithEpoch(end.Epoch)}, writes, currentItems) ==
         WriteResult::Unknown) {
@@ -235,13 +260,14 @@
   BOOST_LEAF_AUTO(kvs, Kv.list(GangPrefix));
   std::vector<scheduler::AdoptedRun> out;
   for (const KeyValue &kv : kvs) {
-    const json r = json::parse(kv.Value, nullptr, false);
+    const auto r = utils::parseJson(kv.Value);
     try {
-      out.push_back({r.at("run").get<std::string>(),
-                     {r.at("gang").get<std::string>(),
-                      r.at("job").get<core::JobRequest>()},
-                     r.at("workers").get<placement::Assignment>(),
-                     r.at("attempt").get<int>()});
+      const json record = r ? *r : json();
+      out.push_back({record.at("run").get<std::string>(),
+                     {record.at("gang").get<std::string>(),
+                      record.at("job").get<core::JobRequest>()},
+                     record.at("workers").get<placement::Assignment>(),
+                     record.at("attempt").get<int>()});
     } catch (const json::exception &) {
       return utils::fail(
           utils::ErrorKind::StoreBadReply,
--- a/src/libs/entry/silentagentrecord.cpp
+++ b/src/libs/entry/silentagentrecord.cpp
@@ -2,6 +2,7 @@
 
 #include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
+#include "utils/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -30,11 +31,12 @@
   json list = json::array();
   for (const SilentAgent &agent : agents)
     list.push_back({agent.Agent, absl::ToInt64Milliseconds(agent.SilentFor)});
-  return json{{"epoch", epoch}, {"agents", list}}.dump();
+  return utils::toJsonText({{"epoch", epoch}, {"agents", list}});
 }
 
 std::optional<DecodedRecord> decode(const std::string &value) {
-  const json j = json::parse(value, nullptr, false);
+  const auto parsed = utils::parseJson(value);
+  const json j = parsed ? *parsed : json();
   if (!j.is_object() || !j.contains("epoch") ||
       !j["epoch"].is_number_integer() || !j.contains("agents") ||
       !j["agents"].is_array())
--- a/src/libs/eventlog/timeline.cpp
+++ b/src/libs/eventlog/timeline.cpp
@@ -1,6 +1,7 @@
 #include "timeline.h"
 
 #include "utils/jsonfields.h"
+#include "utils/jsontext.h"
 
 #include <algorithm>
 #include <fstream>
@@ -75,9 +76,9 @@
 private:
   void addLine(const std::string &line) {
     const size_t start = line.find('{');
-    json fields = start == std::string::npos
-                      ? json()
-                      : json::parse(line.substr(start), nullptr, false);
+    auto parsed = utils::parseJson(
+        start == std::string::npos ? std::string() : line.substr(start));
+    json fields = parsed ? std::move(*parsed) : json();
     if (!fields.is_object() || !fields.contains("ts_us")) {
       ++Result.SkippedLines;
       return;
@@ -208,7 +209,7 @@
 
 void printJson(const std::vector<LoggedEvent> &events, std::ostream &out) {
   for (const LoggedEvent &e : events)
-    out << e.Fields.dump() << '\n';
+    out << utils::toJsonText(e.Fields) << '\n';
 }
 
 void printText(const std::vector<LoggedEvent> &events, std::ostream &out) {
@@ -219,7 +220,8 @@
     for (const auto &[key, value] : e.Fields.items())
       if (CommonFields.count(key) == 0)
         out << "  " << key << '='
-            << (value.is_string() ? value.get<std::string>() : value.dump());
+            << (value.is_string() ? value.get<std::string>()
+                                  : utils::toJsonText(value));
     out << '\n';
   }
 }
--- a/src/libs/operators/profilestore.cpp
+++ b/src/libs/operators/profilestore.cpp
@@ -1,6 +1,7 @@
 #include "profilestore.h"
 
 #include "core/codec.h"
+#include "utils/jsontext.h"
 
 #include <absl/time/clock.h>
 
@@ -16,10 +17,10 @@
 
 /// Returns the profile stored in kv, with Version set to the key's revision.
 utils::Result<core::Profile> parseProfile(const platform::KeyValue &kv) {
-  auto j = nlohmann::json::parse(kv.Value, nullptr, false);
+  const auto j = utils::parseJson(kv.Value);
   try {
-    if (!j.is_discarded()) {
-      auto profile = j.get<core::Profile>();
+    if (j) {
+      auto profile = j->get<core::Profile>();
       profile.Version = kv.ModRevision;
       return profile;
     }
@@ -52,8 +53,9 @@
                        "correct the profile file");
   nlohmann::json body = profile;
   body.erase("version");
-  BOOST_LEAF_AUTO(res, kv.compareAndSwap(ProfilePrefix + profile.Name,
-                                         body.dump(), expectedVersion));
+  BOOST_LEAF_AUTO(res,
+                  kv.compareAndSwap(ProfilePrefix + profile.Name,
+                                    utils::toJsonText(body), expectedVersion));
   if (!res.Succeeded) {
     int64_t current = res.Current ? res.Current->ModRevision : 0;
     return utils::fail(ErrorKind::StoreConflict,
--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -2,6 +2,7 @@
 
 #include "utils/eventloop.h"
 #include "utils/jsonfields.h"
+#include "utils/jsontext.h"
 
 #include <algorithm>
 
@@ -19,19 +20,18 @@
 } // namespace
 
 std::string encode(const EntryRecord &record) {
-  return nlohmann::json{{"address", record.Address},
-                        {"processor_share", record.ProcessorShare}}
-      .dump();
+  return utils::toJsonText({{"address", record.Address},
+                            {"processor_share", record.ProcessorShare}});
 }
 
 utils::Result<EntryRecord> decodeEntry(const std::string &value) {
-  const auto j = nlohmann::json::parse(value, nullptr, false);
-  if (!j.is_object() || !j.contains("processor_share") ||
-      !j["processor_share"].is_number() || utils::textIn(j, "address").empty())
+  BOOST_LEAF_AUTO(j, utils::parseJson(value));
+  const std::string address = utils::textIn(j, "address");
+  const auto share = j.find("processor_share");
+  if (address.empty() || share == j.end() || !share->is_number())
     return utils::fail(utils::ErrorKind::BadMessage, "not a valid entry record",
                        "run the same version of all entries and agents");
-  return EntryRecord{utils::textIn(j, "address"),
-                     j["processor_share"].get<double>()};
+  return EntryRecord{address, share->get<double>()};
 }
 
 Election::Election(utils::EventLoop &loop, const Store &store,
--- a/src/libs/platform/kvclient.cpp
+++ b/src/libs/platform/kvclient.cpp
@@ -1,12 +1,19 @@
 #include "kvclient.h"
 
+#include "utils/jsonfields.h"
+#include "utils/jsontext.h"
+
 #include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
 namespace oriolebay::platform {
 
 using nlohmann::json;
+using utils::containerIn;
 using utils::ErrorKind;
+using utils::flagIn;
+using utils::textIn;
 
 namespace {
 
@@ -19,20 +26,17 @@
 
 std::string decodeBase64(const json &j, const char *field) {
   std::string out;
-  if (j.contains(field))
-    absl::Base64Unescape(j.at(field).get<std::string>(), &out);
+  absl::Base64Unescape(textIn(j, field), &out);
   return out;
 }
 
 // etcd's gateway writes int64 as strings; the stand-in store of the tests may
 // write numbers.
 int64_t int64Field(const json &j, const char *field) {
-  if (!j.contains(field))
-    return 0;
-  const json &v = j.at(field);
-  if (v.is_string())
-    return std::stoll(v.get<std::string>());
-  return v.get<int64_t>();
+  int64_t out = 0;
+  if (absl::SimpleAtoi(textIn(j, field), &out))
+    return out;
+  return utils::numberIn(j, field);
 }
 
 KeyValue parseKeyValue(const json &j) {
@@ -73,7 +77,7 @@
     client = std::make_unique<http::HttpClient>(TimeoutMs);
   ++Calls;
   http::HttpResult res =
-      client->call("POST", BaseUrl + path, body.dump(), timeoutMs);
+      client->call("POST", BaseUrl + path, utils::toJsonText(body), timeoutMs);
   {
     absl::MutexLock lock(&Mu);
     IdleClients.push_back(std::move(client));
@@ -91,10 +95,10 @@
                        "store refused " + path + " with status " +
                            std::to_string(res.Status),
                        "check the store's address and version");
-  json reply = json::parse(res.Body, nullptr, false);
-  if (reply.is_discarded())
+  auto reply = utils::parseJson(res.Body);
+  if (!reply || !reply->is_object())
     return utils::fail(ErrorKind::StoreBadReply,
-                       "store answered " + path + " with invalid JSON",
+                       "store answered " + path + " with no JSON object",
                        "check that store_url names the key-value service");
   return reply;
 }
@@ -102,9 +106,10 @@
 utils::Result<std::optional<KeyValue>> KvClient::get(const std::string &key) {
   BOOST_LEAF_AUTO(reply,
                   post("/v3/kv/range", json{{"key", encodeBase64(key)}}));
-  if (!reply.contains("kvs") || reply["kvs"].empty())
+  const json &kvs = containerIn(reply, "kvs");
+  if (kvs.empty())
     return std::optional<KeyValue>();
-  return std::optional<KeyValue>(parseKeyValue(reply["kvs"][0]));
+  return std::optional<KeyValue>(parseKeyValue(kvs.front()));
 }
 
 utils::Result<std::vector<KeyValue>> KvClient::list(const std::string &prefix,
@@ -121,12 +126,11 @@
                          json{{"key", encodeBase64(startKey)},
                               {"range_end", encodeBase64(prefixEnd(prefix))},
                               {"limit", std::to_string(MaxKeysPerPage)}}));
-    if (first && revision != nullptr && reply.contains("header"))
-      *revision = int64Field(reply["header"], "revision");
-    if (reply.contains("kvs"))
-      for (const json &kv : reply["kvs"])
-        out.push_back(parseKeyValue(kv));
-    more = reply.value("more", false) && !out.empty();
+    if (first && revision != nullptr)
+      *revision = int64Field(containerIn(reply, "header"), "revision");
+    for (const json &kv : containerIn(reply, "kvs"))
+      out.push_back(parseKeyValue(kv));
+    more = flagIn(reply, "more") && !out.empty();
     if (more)
       startKey = out.back().Key + '\0';
   }
@@ -139,7 +143,7 @@
   if (lease != 0)
     body["lease"] = std::to_string(lease);
   BOOST_LEAF_AUTO(reply, post("/v3/kv/put", body));
-  return int64Field(reply.value("header", json::object()), "revision");
+  return int64Field(containerIn(reply, "header"), "revision");
 }
 
 utils::Result<TxnResult> KvClient::txn(const std::vector<Compare> &conditions,
@@ -172,13 +176,14 @@
                                                  {"success", success},
                                                  {"failure", failure}}));
   TxnResult out;
-  out.Succeeded = reply.value("succeeded", false);
-  out.Revision = int64Field(reply.value("header", json::object()), "revision");
-  if (!out.Succeeded && reply.contains("responses"))
-    for (const json &r : reply["responses"])
-      if (r.contains("response_range") && r["response_range"].contains("kvs"))
-        for (const json &kv : r["response_range"]["kvs"])
-          out.Current.push_back(parseKeyValue(kv));
+  out.Succeeded = flagIn(reply, "succeeded");
+  out.Revision = int64Field(containerIn(reply, "header"), "revision");
+  if (out.Succeeded)
+    return out;
+  for (const json &response : containerIn(reply, "responses"))
+    for (const json &kv :
+         containerIn(containerIn(response, "response_range"), "kvs"))
+      out.Current.push_back(parseKeyValue(kv));
   return out;
 }
 
@@ -210,8 +215,7 @@
 utils::Result<int64_t> KvClient::keepAlive(int64_t lease) {
   BOOST_LEAF_AUTO(
       reply, post("/v3/lease/keepalive", json{{"ID", std::to_string(lease)}}));
-  json result = reply.value("result", json::object());
-  int64_t ttl = int64Field(result, "TTL");
+  const int64_t ttl = int64Field(containerIn(reply, "result"), "TTL");
   if (ttl <= 0)
     return utils::fail(ErrorKind::NotFound,
                        "lease " + std::to_string(lease) + " has expired",
@@ -228,13 +232,11 @@
                  {"start_revision", std::to_string(fromRevision)},
                  {"timeout_ms", std::to_string(timeoutMs)}}}};
   BOOST_LEAF_AUTO(reply, post("/v3/watch", body, timeoutMs + TimeoutMs));
-  json result = reply.value("result", json::object());
+  const json &result = containerIn(reply, "result");
   WatchBatch batch;
-  batch.Revision =
-      int64Field(result.value("header", json::object()), "revision");
-  if (result.contains("events"))
-    for (const json &ev : result["events"])
-      batch.Changes.push_back(parseKeyValue(ev.value("kv", json::object())));
+  batch.Revision = int64Field(containerIn(result, "header"), "revision");
+  for (const json &event : containerIn(result, "events"))
+    batch.Changes.push_back(parseKeyValue(containerIn(event, "kv")));
   return batch;
 }
 
--- a/src/libs/settings/reader.h
+++ b/src/libs/settings/reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "utils/error.h"
+#include "utils/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -54,8 +55,8 @@
 };
 
 inline utils::Result<nlohmann::json> parseObject(const std::string &text) {
-  nlohmann::json j = nlohmann::json::parse(text, nullptr, false);
-  if (j.is_discarded() || !j.is_object())
+  auto j = utils::parseJson(text);
+  if (!j || !j->is_object())
     return utils::fail(utils::ErrorKind::BadSettings,
                        "settings are not a JSON object",
                        "write the settings as one JSON object");
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -1,5 +1,6 @@
 #include "harness/launcher.h"
 #include "http/httpclient.h"
+#include "http/httpserver.h"
 #include "platform/kvclient.h"
 #include "platform/leaderelection.h"
 #include "testnames.h"
@@ -172,4 +173,48 @@
   EXPECT_EQ(first.known().Address, second.known().Address);
 }
 
+struct OddAnswer {
+  const char *Name;
+  std::string Body;
+};
+
+void PrintTo(const OddAnswer &c, std::ostream *out) { *out << c.Name; }
+
+class OddAnswers : public testing::TestWithParam<OddAnswer> {};
+
+// Guards against answers of the store that end the thread that asked.
+TEST_P(OddAnswers, DoNotThrow) {
+  http::HttpServer server("127.0.0.1", 0, [](const http::HttpRequest &) {
+    return http::HttpResponse{200, GetParam().Body};
+  });
+  KvClient kv("http://127.0.0.1:" + std::to_string(server.port()),
+              CallTimeoutMs);
+  EXPECT_NO_THROW(kv.get("/k"));
+  EXPECT_NO_THROW(kv.list("/k"));
+  EXPECT_NO_THROW(kv.put("/k", "v"));
+  EXPECT_NO_THROW(kv.compareAndSwap("/k", "v", 1));
+  EXPECT_NO_THROW(kv.grantLease(1));
+  EXPECT_NO_THROW(kv.keepAlive(1));
+  EXPECT_NO_THROW(kv.watch("/k", 1, 10));
+}
+
+const OddAnswer OddStoreAnswers[] = {
+    {"number", "5"},
+    {"list", "[1]"},
+    {"byte_ff", "\xff"},
+    {"text_not_utf8", "{\"kvs\":\"\xff\"}"},
+    {"very_deep", std::string(400000, '[')},
+    {"lists_of_other_types",
+     R"({"kvs":5,"header":"x","responses":[7],"result":{"events":"x"}})"},
+    {"members_of_other_types",
+     R"({"kvs":[5],"header":{"revision":"x"},"succeeded":"no","more":1,
+         "responses":[{"response_range":{"kvs":[[]]}}],"ID":[1],
+         "result":{"TTL":"99999999999999999999","events":[{"kv":5}]}})"},
+    {"keys_of_other_types",
+     R"({"kvs":[{"key":5,"value":[],"mod_revision":"abc"}]})"},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, OddAnswers, testing::ValuesIn(OddStoreAnswers),
+                         [](const auto &info) { return info.param.Name; });
+
 } // namespace
