A process that an exception ends says which one, and at which message

What people on call saw: a process that is gone, exit status 2 and "unexpected failure (remedy: report it with the event log)", with nothing in the event log. In a storm of unreadable bodies an agent's last line was "no answer from tcp://...: Timed out", the text of another failure.

Cause: utils::handle() took every exception and dropped its type and text. The outermost call, around the event loop, did so with each exception of the process. Boost.LEAF attributes an exception without an error id to the latest error of the thread, so that the handler of an Error got the text of whichever error had been created last, also one that was long dealt with.

Change: handle() converts errors and lets exceptions pass. What a decoder has not turned into an Error means that the state of this process is wrong, and going on would be worse than an end: runWithSettings() ends the process, logs process.failed (108) with type, text and what was being handled, and exits with 1. The line on standard error follows the event log's last line in place of being mixed with it.

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -99,7 +99,10 @@
 int serveJobs(const std::string &path) {
   return app::runWithSettings(
       "agent", path,
-      [](const settings::NodeSettings &settings) { Process(settings).run(); });
+      [](const settings::NodeSettings &settings) -> std::function<void()> {
+        auto process = std::make_shared<Process>(settings);
+        return [process] { process->run(); };
+      });
 }
 
 } // namespace oriolebay::agent
--- a/src/app/common/settingsprocess.cpp
+++ b/src/app/common/settingsprocess.cpp
@@ -2,8 +2,10 @@
 
 #include "eventlog/eventlog.h"
 #include "settings/settings.h"
+#include "utils/activity.h"
 
 #include <iostream>
+#include <optional>
 #include <stdexcept>
 
 namespace oriolebay::app {
@@ -11,9 +13,44 @@
 using eventlog::Event;
 using eventlog::logEvent;
 
-int runWithSettings(
-    const std::string &role, const std::string &path,
-    const std::function<void(const settings::NodeSettings &)> &run) {
+namespace {
+
+constexpr int ExitFailed = 1;
+constexpr int ExitBadSettings = 2;
+
+utils::Result<std::function<void()>>
+startProcess(const StartProcess &start,
+             const settings::NodeSettings &settings) {
+  try {
+    return start(settings);
+  } catch (const std::runtime_error &e) {
+    return utils::fail(utils::ErrorKind::BadSettings, e.what(),
+                       "free the address or change it");
+  }
+}
+
+// Returns the exception that has ended the serving, if one has. The state of
+// the process is unknown then, so that it ends: its host starts it again from
+// what the store holds.
+std::optional<utils::Failure>
+serveUntilStop(const std::function<void()> &serve) {
+  try {
+    serve();
+    return std::nullopt;
+  } catch (...) {
+    const utils::Failure failure = utils::describeFailure();
+    logEvent(Event::ProcessFailed, {{"type", failure.Type},
+                                    {"error", failure.Text},
+                                    {"activity", failure.Activity},
+                                    {"subject", failure.Subject}});
+    return failure;
+  }
+}
+
+} // namespace
+
+int runWithSettings(const std::string &role, const std::string &path,
+                    const StartProcess &start) {
   return utils::handle<int>(
       [&]() -> utils::Result<int> {
         BOOST_LEAF_AUTO(text, settings::readFile(path));
@@ -22,18 +59,18 @@
         logEvent(
             Event::ProcessStarted,
             {{"role", role}, {"settings", path}, {"domain", s.FailureDomain}});
-        try {
-          run(s);
-        } catch (const std::runtime_error &e) {
-          return utils::fail(utils::ErrorKind::BadSettings, e.what(),
-                             "free the address or change it");
-        }
+        BOOST_LEAF_AUTO(serve, startProcess(start, s));
+        const std::optional<utils::Failure> failure = serveUntilStop(serve);
         eventlog::closeEventLog();
-        return 0;
+        if (!failure)
+          return 0;
+        std::cerr << "oriolebay-" + role + ": " + failure->text() +
+                         " (remedy: report it with the event log)\n";
+        return ExitFailed;
       },
       [&](const utils::Error &e) {
         std::cerr << "oriolebay-" << role << ": " << e.text() << '\n';
-        return 2;
+        return ExitBadSettings;
       });
 }
 
--- a/src/app/common/settingsprocess.h
+++ b/src/app/common/settingsprocess.h
@@ -7,12 +7,18 @@
 
 namespace oriolebay::app {
 
-/// Reads the settings at path, opens the event log and calls run, which serves
-/// until the process is to stop. Role is "agent" or "entry". Returns the
-/// process's exit status (2: the settings cannot be used; the error and its
-/// remedy are printed).
-int runWithSettings(
-    const std::string &role, const std::string &path,
-    const std::function<void(const settings::NodeSettings &)> &run);
+/// Builds the process that the settings describe and returns the function that
+/// serves until the process is to stop. Throws std::runtime_error if an address
+/// of the settings cannot be used.
+using StartProcess =
+    std::function<std::function<void()>(const settings::NodeSettings &)>;
+
+/// Reads the settings at path, opens the event log, starts the process and
+/// serves. Role is "agent" or "entry". Returns the process's exit status: 2 if
+/// the settings cannot be used, 1 if an exception ended the serving. Both are
+/// printed; an exception is also logged, with its type and what the process was
+/// working on.
+int runWithSettings(const std::string &role, const std::string &path,
+                    const StartProcess &start);
 
 } // namespace oriolebay::app
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -180,7 +180,10 @@
 int serveJobs(const std::string &path) {
   return app::runWithSettings(
       "entry", path,
-      [](const settings::NodeSettings &settings) { Process(settings).run(); });
+      [](const settings::NodeSettings &settings) -> std::function<void()> {
+        auto process = std::make_shared<Process>(settings);
+        return [process] { process->run(); };
+      });
 }
 
 } // namespace oriolebay::entry
--- a/src/libs/endpoints/asyncchannel.cpp
+++ b/src/libs/endpoints/asyncchannel.cpp
@@ -1,6 +1,7 @@
 #include "asyncchannel.h"
 
 #include "pendingcall.h"
+#include "utils/activity.h"
 #include "utils/eventloop.h"
 
 #include <map>
@@ -28,6 +29,7 @@
       return;
     Call call = std::move(it->second);
     Calls.erase(it);
+    const utils::ActivityScope activity("answer of a peer", Address);
     if (ec == 0) {
       call.OnDone(decode(reply));
       return;
--- a/src/libs/endpoints/asyncreplyserver.cpp
+++ b/src/libs/endpoints/asyncreplyserver.cpp
@@ -1,5 +1,6 @@
 #include "asyncreplyserver.h"
 
+#include "utils/activity.h"
 #include "utils/eventloop.h"
 
 #include <nng/nng.h>
@@ -87,6 +88,8 @@
     utils::handle<bool>(
         [&]() -> utils::Result<bool> {
           BOOST_LEAF_AUTO(request, decode(bytes));
+          const utils::ActivityScope activity("message of a peer",
+                                              messageName(request));
           Server.Serve(request, respond);
           return true;
         },
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -268,9 +268,13 @@
 
 } // namespace
 
+const char *messageName(const Message &message) {
+  return kinds()[message.index()].Name;
+}
+
 std::string encode(const Message &message) {
   json envelope = {
-      {"type", kinds()[message.index()].Name},
+      {"type", messageName(message)},
       {"body", std::visit([](const auto &m) { return json(m); }, message)}};
   std::vector<uint8_t> bytes = json::to_cbor(envelope);
   return std::string(bytes.begin(), bytes.end());
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -438,6 +438,9 @@
                  Answered, Cancel, Ack, WorkerReport, ReportAck, WorkerOrders,
                  JobWritten, StandDown, ForwardedCall, ForwardedAnswer>;
 
+/// Returns the stable name of the message's kind.
+const char *messageName(const Message &message);
+
 /// Returns message as CBOR bytes.
 std::string encode(const Message &message);
 /// Returns the message in bytes. Fails with ErrorKind::BadMessage if they do
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -85,6 +85,7 @@
       {Event::LogLinesLeftOut, "log.lines_left_out"},
       {Event::MetricsUnavailable, "metrics.unavailable"},
       {Event::SettingsReloaded, "settings.reloaded"},
+      {Event::ProcessFailed, "process.failed"},
       {Event::LeaderUnreachable, "leader.unreachable"},
       {Event::SilentAgentsRecorded, "leader.silent_agents"},
       {Event::DomainCordoned, "domain.cordoned"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -15,6 +15,7 @@
   SettingsReloaded = 105,
   LogLinesLeftOut = 106,
   MetricsUnavailable = 107,
+  ProcessFailed = 108,
 
   JobReceived = 200,
   JobPlaced = 201,
--- a/src/libs/utils/error.h
+++ b/src/libs/utils/error.h
@@ -3,6 +3,7 @@
 #include <boost/leaf.hpp>
 
 #include <string>
+#include <utility>
 
 namespace oriolebay::utils {
 
@@ -39,12 +40,21 @@
       Error{kind, std::move(message), std::move(remedy)});
 }
 
-/// Runs body and converts an Error to the value that onError returns. Any other
-/// failure is converted to a Transport error, so that each failure is handled.
+/// Runs body and converts an Error to the value that onError returns.
+/// Exceptions are not errors: they pass through, because an exception that a
+/// decoder has not turned into an Error means that the state of this process is
+/// wrong.
 template <class T, class Body, class OnError>
 T handle(Body &&body, OnError &&onError) {
-  return boost::leaf::try_handle_all(
-      std::forward<Body>(body), [&](const Error &e) -> T { return onError(e); },
+  boost::leaf::context<Error> context;
+  auto activation = boost::leaf::activate_context(context);
+  auto result = std::forward<Body>(body)();
+  if (result)
+    return std::move(result).value();
+  const boost::leaf::error_id id = result.error();
+  context.deactivate();
+  return context.template handle_error<T>(
+      id, [&](const Error &e) -> T { return onError(e); },
       [&]() -> T {
         return onError(Error{ErrorKind::Transport, "unexpected failure",
                              "report it with the event log"});
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -11,7 +11,7 @@
 
 class RoundTrip : public testing::TestWithParam<Message> {};
 
-std::string messageName(const testing::TestParamInfo<Message> &info) {
+std::string caseName(const testing::TestParamInfo<Message> &info) {
   static const char *const names[] = {
       "Announce", "TaskResult", "Reserve",        "Run",     "Release",
       "Stop",     "Submit",     "Answered",       "Cancel",  "Ack",
@@ -82,7 +82,7 @@
                               4711, 300}),
         Message(ForwardedAnswer{
             "ok", "", 0, "running", 3, {4711, 12}, "tcp://127.0.0.1:5"})),
-    messageName);
+    caseName);
 
 /// Decodes what an earlier version would have sent in place of message: the
 /// same without these fields.
