Requests that cannot be read get 400 and end no process

A liveness report with a byte that is not UTF-8 ended the agent, each time (six ends in six reports), and while it was away nobody kept the worker's tasks alive. A POST of a job with such a byte ended an entry, also without any key, so that anybody who reached the callers' port could end all entries with one byte.

Cause: the text of the parser's error holds the bytes that it could not read. The answer 400 was built from that text, and dump() throws for text that is not UTF-8, on the event loop, where nothing catches.

Change: the adapters decode a request to a value first, with parseJson(), and refuse it with 400 if that fails; the answer is encoded by toJsonText(), which does not throw, and repeats at most 200 bytes of what was sent. Only the decoding is guarded. What follows works on values, and an exception there is a fault of ours. Paths that are not UTF-8 get 400 as well; a key or host that is not UTF-8 names nothing in the configuration. Heartbeats that name no worker, or one of over 200 bytes, get 400 (an empty id was taken for the worker that the agent served before its first heartbeat). Numbers that the field cannot hold are refused in place of being cut to another value.

Each refusal has a line (109 message.refused: kind, request line, bytes, why) and with it a counter; a refused POST had none. Answers of the worker that are no JSON object are logged likewise.

The body is still decoded before the key is looked at: the key's check may need the store, the body would have to be kept until then, and decoding is bounded by the size and depth of the body.

Tests: rows of Heartbeats (four of seven new rows ended the test process or failed before: byte_ff, text_not_utf8, name_not_utf8, very_deep) and JobBodies (six of nine new rows failed before, texts of up to 100 KB or not UTF-8).

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -30,7 +30,8 @@
       : Settings(settings), Loop(LoopCapacity),
         Agent(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
               endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text()),
-              adapter::makeWorkerCalls(Loop, Client, Settings.Worker.text()),
+              adapter::makeWorkerCalls(Loop, Client, Settings.Worker.text(),
+                                       app::logRefusedMessage),
               Settings, EntryPrefix,
               [this](const endpoints::OrderResult &r) {
                 Metrics.recordOrderOutcome(
@@ -43,7 +44,8 @@
             },
             [this](const endpoints::WorkerIncarnation &incarnation) {
               Agent.onDeregister(incarnation);
-            }) {
+            },
+            app::logRefusedMessage) {
     if (Settings.Metrics.Port > 0)
       MetricsHttpServer = std::make_unique<metrics::MetricsServer>(
           Loop, Metrics, [this](metrics::ProcessMetrics &m) { refresh(m); },
--- a/src/app/common/settingsprocess.cpp
+++ b/src/app/common/settingsprocess.cpp
@@ -74,4 +74,11 @@
       });
 }
 
+void logRefusedMessage(const utils::RefusedMessage &message) {
+  logEvent(Event::MessageRefused, {{"kind", message.Kind},
+                                   {"subject", message.Subject},
+                                   {"bytes", message.Bytes},
+                                   {"why", message.Why}});
+}
+
 } // namespace oriolebay::app
--- a/src/app/common/settingsprocess.h
+++ b/src/app/common/settingsprocess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "settings/nodesettings.h"
+#include "utils/refusedmessage.h"
 
 #include <functional>
 #include <string>
@@ -21,4 +22,7 @@
 int runWithSettings(const std::string &role, const std::string &path,
                     const StartProcess &start);
 
+/// Logs a message of another process that could not be read.
+void logRefusedMessage(const utils::RefusedMessage &message);
+
 } // namespace oriolebay::app
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -40,7 +40,7 @@
               {adapter::ConfigKey, adapter::parseConfig, adapter::CordonPrefix},
               metricObservers()),
         Callers(Loop, Entry.jobService(), Settings.Callers.Host,
-                Settings.Callers.Port),
+                Settings.Callers.Port, app::logRefusedMessage),
         Ready(
             Loop, [this](std::string *why) { return Entry.ready(why); },
             Settings.Ready.Host, Settings.Ready.Port) {
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -86,6 +86,7 @@
       {Event::MetricsUnavailable, "metrics.unavailable"},
       {Event::SettingsReloaded, "settings.reloaded"},
       {Event::ProcessFailed, "process.failed"},
+      {Event::MessageRefused, "message.refused"},
       {Event::LeaderUnreachable, "leader.unreachable"},
       {Event::SilentAgentsRecorded, "leader.silent_agents"},
       {Event::DomainCordoned, "domain.cordoned"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -16,6 +16,7 @@
   LogLinesLeftOut = 106,
   MetricsUnavailable = 107,
   ProcessFailed = 108,
+  MessageRefused = 109,
 
   JobReceived = 200,
   JobPlaced = 201,
--- a/tests/auto/adapter/tst_calleradapter.cpp
+++ b/tests/auto/adapter/tst_calleradapter.cpp
@@ -1,5 +1,6 @@
 #include "calleradapter.h"
 #include "configadapter.h"
+#include "utils/text.h"
 
 #include <gtest/gtest.h>
 
@@ -18,6 +19,8 @@
 
 class JobBodies : public ::testing::TestWithParam<JobCase> {};
 
+// Guards against bodies that end the entry, and against answers that repeat
+// them at length.
 TEST_P(JobBodies, AreParsedOrRejectedWithARemedy) {
   const bool isAccepted = utils::handle<bool>(
       [&]() -> utils::Result<bool> {
@@ -28,6 +31,8 @@
       [](const utils::Error &e) {
         EXPECT_EQ(e.Kind, utils::ErrorKind::BadMessage);
         EXPECT_NE(e.text().find("remedy"), std::string::npos) << e.text();
+        EXPECT_LT(e.text().size(), 400u);
+        EXPECT_TRUE(utils::isUtf8(e.text())) << e.text();
         return false;
       });
   EXPECT_EQ(isAccepted, GetParam().IsValid);
@@ -46,6 +51,18 @@
     {"text", "<html>", false},
     {"empty", "", false},
     {"deep", std::string(2000, '['), false},
+    {"very_deep",
+     R"({"spec":)" + std::string(400000, '[') + std::string(400000, ']') + "}",
+     false},
+    {"byte_ff", "\xff", false},
+    {"text_not_utf8", "{\"spec\":\"\xff\",\"steps\":[{}]}", false},
+    {"name_not_utf8", "{\"\xff\":1,\"steps\":[{}]}", false},
+    {"name_very_long", R"({")" + std::string(100000, 'x') + R"(":1})", false},
+    {"text_never_ends", "\"" + std::string(100000, 'x'), false},
+    {"steps_no_list_of_objects", R"({"spec":"x","steps":[5]})", false},
+    {"count_beyond_int", R"({"spec":"x","steps":[{"count":4294967297}]})",
+     false},
+    {"estimate_huge", R"({"spec":"x","steps":[{"cpu":"1e300"}]})", false},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, JobBodies, ::testing::ValuesIn(JobCases),
--- a/tests/auto/adapter/tst_workeradapter.cpp
+++ b/tests/auto/adapter/tst_workeradapter.cpp
@@ -27,7 +27,8 @@
 
 CallOutcome sendStart(PlatformStub &stub, const endpoints::StartCall &call) {
   const endpoints::WorkerCalls calls =
-      makeWorkerCalls(stub.Loop, stub.Client, stub.Address);
+      makeWorkerCalls(stub.Loop, stub.Client, stub.Address,
+                      [](const utils::RefusedMessage &) {});
   return stub.callAndWait<CallOutcome>(
       [&](std::function<void(CallOutcome)> done) { calls.Start(call, done); });
 }
@@ -97,7 +98,8 @@
   PlatformStub stub(std::nullopt);
   VanishingPeer worker(R"({"clockMs":9,"running":[],"ended":[]})");
   const endpoints::WorkerCalls calls =
-      makeWorkerCalls(stub.Loop, stub.Client, worker.address());
+      makeWorkerCalls(stub.Loop, stub.Client, worker.address(),
+                      [](const utils::RefusedMessage &) {});
   const auto keepAliveReply = stub.callAndWait<endpoints::KeepAliveReply>(
       [&](std::function<void(endpoints::KeepAliveReply)> done) {
         calls.KeepAlive({{"life-1", 1000}, 0, 11, 3, 0}, done);
@@ -115,7 +117,8 @@
   PlatformStub stub(std::nullopt);
   VanishingPeer worker(R"({"clockMs":9,"running":[],"ended":[]})");
   const endpoints::WorkerCalls calls =
-      makeWorkerCalls(stub.Loop, stub.Client, worker.address());
+      makeWorkerCalls(stub.Loop, stub.Client, worker.address(),
+                      [](const utils::RefusedMessage &) {});
   endpoints::KeepAliveReply keepAliveReply;
   for (int n = 0; n < 2; ++n)
     keepAliveReply = stub.callAndWait<endpoints::KeepAliveReply>(
@@ -143,7 +146,8 @@
 TEST_P(KeepAliveAnswers, AreParsedCompletelyOrRejected) {
   PlatformStub stub(http::HttpResponse{200, GetParam().Body});
   const endpoints::WorkerCalls calls =
-      makeWorkerCalls(stub.Loop, stub.Client, stub.Address);
+      makeWorkerCalls(stub.Loop, stub.Client, stub.Address,
+                      [](const utils::RefusedMessage &) {});
   const auto reply = stub.callAndWait<endpoints::KeepAliveReply>(
       [&](std::function<void(endpoints::KeepAliveReply)> done) {
         calls.KeepAlive({{"life-1", 1000}, 0, 11, 3, 0}, done);
@@ -178,7 +182,8 @@
   PlatformStub stub(http::HttpResponse{
       200, R"({"clockMs":9,"born":1791000000000,"running":[],"ended":[]})"});
   const endpoints::WorkerCalls calls =
-      makeWorkerCalls(stub.Loop, stub.Client, stub.Address);
+      makeWorkerCalls(stub.Loop, stub.Client, stub.Address,
+                      [](const utils::RefusedMessage &) {});
   const auto reply = stub.callAndWait<endpoints::KeepAliveReply>(
       [&](std::function<void(endpoints::KeepAliveReply)> done) {
         calls.KeepAlive({{"life-1", 1000}, 0, 11, 3, 0}, done);
@@ -188,7 +193,7 @@
 
 struct HeartbeatCase {
   const char *Name;
-  const char *Body;
+  std::string Body;
   int Status;
 };
 
@@ -196,16 +201,20 @@
 
 class Heartbeats : public ::testing::TestWithParam<HeartbeatCase> {};
 
+// Guards against requests of another writer that end the agent, and with it all
+// tasks that it keeps alive.
 TEST_P(Heartbeats, AreAcceptedOrRejected) {
   PlatformStub stub(std::nullopt);
   std::optional<endpoints::Heartbeat> received;
+  std::vector<utils::RefusedMessage> refused;
   HeartbeatServer front(
       stub.Loop, "127.0.0.1", 0,
       [&received](const endpoints::Heartbeat &b) {
         received = b;
         return true;
       },
-      [](const endpoints::WorkerIncarnation &) {});
+      [](const endpoints::WorkerIncarnation &) {},
+      [&refused](const utils::RefusedMessage &m) { refused.push_back(m); });
   const http::HttpResult result = http::HttpClient(2000).call(
       "PUT",
       "http://127.0.0.1:" + std::to_string(front.port()) +
@@ -213,6 +222,8 @@
       GetParam().Body);
   EXPECT_EQ(result.Status, GetParam().Status);
   EXPECT_EQ(received.has_value(), GetParam().Status == 200);
+  EXPECT_EQ(refused.size(), GetParam().Status == 200 ? 0u : 1u);
+  EXPECT_LT(result.Body.size(), 400u);
   if (!received)
     return;
   EXPECT_EQ(received->Worker.Life,
@@ -234,6 +245,16 @@
     {"start_time_of_wrong_type", R"({"service":"s","born":"x"})", 400},
     {"wrong_type", R"({"service":"s","sequence":"x"})", 400},
     {"no_json", "<html>", 400},
+    {"empty", "", 400},
+    {"no_object", "[1]", 400},
+    {"byte_ff", "\xff", 400},
+    {"text_not_utf8", "{\"service\":\"\xff\xfe\"}", 400},
+    {"name_not_utf8", "{\"\xff\":1}", 400},
+    {"zero_byte", std::string(1, '\0'), 400},
+    {"very_deep",
+     R"({"service":"s","capacity":)" + std::string(400000, '[') +
+         std::string(400000, ']') + "}",
+     400},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, Heartbeats, ::testing::ValuesIn(HeartbeatCases),
@@ -259,7 +280,8 @@
       [](const endpoints::Heartbeat &) { return true; },
       [&deregistered](const endpoints::WorkerIncarnation &incarnation) {
         deregistered = incarnation;
-      });
+      },
+      [](const utils::RefusedMessage &) {});
   const http::HttpResult result = http::HttpClient(2000).call(
       "POST",
       "http://127.0.0.1:" + std::to_string(front.port()) +
