Messages of peers and stored values that cannot be read end no process

A message to the port that entries and agents have for each other, or a value that another writer stored under the prefix of the jobs, ended its receiver: nested 900,000 levels deep it overflows the stack; a record with 10^9 tasks, or one that waits for its 70,000th step, is taken over by the leader, which ends by it; orders, or a record, with a text that is not UTF-8 end the agent when it passes them to its worker.

Cause: CBOR was decoded by a recursive parser without a limit, texts in it were not checked (the parser of JSON checks them), and a stored record was trusted to be one that an entry had accepted. Exceptions of the handler of a message were answered as if the message had been unreadable, with half of its effect in place.

Change: messages and stored values are decoded by parseCbor(). The members that hold a record in its stored encoding may hold any bytes; all other texts are UTF-8, so that they can be encoded as JSON for workers and the store. The view of the jobs takes a record only if its job would be accepted and has the id of its key, and progress only with states, occurrences and numbers of tasks that a job can have; anything else is logged as record.refused and left alone. Only decoding is guarded: an exception of a handler ends the process with its cause, as before this there was no telling what had been done.

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -29,7 +29,8 @@
   Process(const settings::NodeSettings &settings)
       : Settings(settings), Loop(LoopCapacity),
         Agent(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
-              endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text()),
+              endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text(),
+                                      app::logRefusedMessage),
               adapter::makeWorkerCalls(Loop, Client, Settings.Worker.text(),
                                        app::logRefusedMessage),
               Settings, EntryPrefix,
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -35,7 +35,8 @@
   Process(const settings::NodeSettings &settings)
       : Settings(settings), Loop(LoopCapacity),
         Entry(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
-              endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text()),
+              endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text(),
+                                      app::logRefusedMessage),
               Settings,
               {adapter::ConfigKey, adapter::parseConfig, adapter::CordonPrefix},
               metricObservers()),
--- a/src/libs/endpoints/asyncchannel.cpp
+++ b/src/libs/endpoints/asyncchannel.cpp
@@ -5,12 +5,14 @@
 #include "utils/eventloop.h"
 
 #include <map>
+#include <optional>
 
 namespace oriolebay::endpoints {
 
 struct AsyncChannel::Impl {
   utils::EventLoop &Loop;
   const std::string Address;
+  const utils::OnRefusedMessage ReportRefused;
   std::shared_ptr<Internal::Socket> CurrentSocket;
   uint64_t NextCall = 0;
   struct Call {
@@ -19,8 +21,10 @@
   };
   std::map<uint64_t, Call> Calls;
 
-  Impl(utils::EventLoop &loop, std::string address)
+  Impl(utils::EventLoop &loop, std::string address,
+       utils::OnRefusedMessage onRefused)
       : Loop(loop), Address(std::move(address)),
+        ReportRefused(std::move(onRefused)),
         CurrentSocket(std::make_shared<Internal::Socket>(Address)) {}
 
   void finish(uint64_t id, int ec, const std::string &reply) {
@@ -31,7 +35,7 @@
     Calls.erase(it);
     const utils::ActivityScope activity("answer of a peer", Address);
     if (ec == 0) {
-      call.OnDone(decode(reply));
+      call.OnDone(decodeReply(reply));
       return;
     }
     if (CurrentSocket == call.Pending->socket())
@@ -41,10 +45,29 @@
                     "no answer from " + Address + ": " + nng_strerror(ec),
                     "check that the peer runs and is reachable"));
   }
+
+  utils::Result<Message> decodeReply(const std::string &reply) const {
+    std::optional<Message> message = utils::handle<std::optional<Message>>(
+        [&]() -> utils::Result<std::optional<Message>> {
+          BOOST_LEAF_AUTO(decoded, decode(reply));
+          return std::optional<Message>(std::move(decoded));
+        },
+        [&](const utils::Error &e) {
+          ReportRefused({"answer of a peer", Address, reply.size(), e.Message});
+          return std::optional<Message>();
+        });
+    if (message)
+      return std::move(*message);
+    return utils::fail(utils::ErrorKind::BadMessage,
+                       "unreadable answer from " + Address,
+                       "run the same version of entry and agent");
+  }
 };
 
-AsyncChannel::AsyncChannel(utils::EventLoop &loop, std::string address)
-    : D(std::make_shared<Impl>(loop, std::move(address))) {}
+AsyncChannel::AsyncChannel(utils::EventLoop &loop, std::string address,
+                           utils::OnRefusedMessage onRefused)
+    : D(std::make_shared<Impl>(loop, std::move(address),
+                               std::move(onRefused))) {}
 
 AsyncChannel::~AsyncChannel() = default;
 
--- a/src/libs/endpoints/asyncchannel.h
+++ b/src/libs/endpoints/asyncchannel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "messages.h"
+#include "utils/refusedmessage.h"
 
 #include <functional>
 #include <memory>
@@ -22,8 +23,10 @@
   using Done = std::function<void(utils::Result<Message>)>;
 
   /// Connects to address in the background, so that a peer that is not running
-  /// yet is reached as soon as it starts.
-  AsyncChannel(utils::EventLoop &loop, std::string address);
+  /// yet is reached as soon as it starts. Answers that cannot be decoded are
+  /// passed to onRefused; their calls fail with ErrorKind::BadMessage.
+  AsyncChannel(utils::EventLoop &loop, std::string address,
+               utils::OnRefusedMessage onRefused);
   /// Drops calls that have not ended; their Done is not called.
   ~AsyncChannel();
   AsyncChannel(const AsyncChannel &) = delete;
--- a/src/libs/endpoints/asyncreplyserver.cpp
+++ b/src/libs/endpoints/asyncreplyserver.cpp
@@ -7,6 +7,7 @@
 #include <nng/protocol/reqrep0/rep.h>
 
 #include <atomic>
+#include <optional>
 #include <stdexcept>
 #include <vector>
 
@@ -20,14 +21,16 @@
 
 struct AsyncReplyServer::Impl {
   utils::EventLoop &Loop;
-  Handler Serve;
+  const Handler Serve;
+  const utils::OnRefusedMessage ReportRefused;
   nng_socket Socket = NNG_SOCKET_INITIALIZER;
   std::string BoundAddress;
   std::atomic<bool> Closed{false};
   std::vector<std::unique_ptr<Exchange>> Exchanges;
 
-  Impl(utils::EventLoop &loop, Handler serve)
-      : Loop(loop), Serve(std::move(serve)) {}
+  Impl(utils::EventLoop &loop, Handler serve, utils::OnRefusedMessage onRefused)
+      : Loop(loop), Serve(std::move(serve)),
+        ReportRefused(std::move(onRefused)) {}
 };
 
 /// One nng context: receives a request, waits for its answer, sends the answer
@@ -85,17 +88,26 @@
       if (auto server = weak.lock())
         send(reply);
     };
-    utils::handle<bool>(
-        [&]() -> utils::Result<bool> {
+    const std::optional<Message> request = decodeOrRefuse(bytes, respond);
+    if (!request)
+      return;
+    const utils::ActivityScope activity("message of a peer",
+                                        messageName(*request));
+    Server.Serve(*request, respond);
+  }
+
+  std::optional<Message> decodeOrRefuse(const std::string &bytes,
+                                        const Respond &respond) {
+    return utils::handle<std::optional<Message>>(
+        [&]() -> utils::Result<std::optional<Message>> {
           BOOST_LEAF_AUTO(request, decode(bytes));
-          const utils::ActivityScope activity("message of a peer",
-                                              messageName(request));
-          Server.Serve(request, respond);
-          return true;
+          return std::optional<Message>(std::move(request));
         },
         [&](const utils::Error &e) {
+          Server.ReportRefused(
+              {"message of a peer", "", bytes.size(), e.Message});
           respond(Ack{false, e.text()});
-          return false;
+          return std::optional<Message>();
         });
   }
 
@@ -117,8 +129,10 @@
 };
 
 AsyncReplyServer::AsyncReplyServer(utils::EventLoop &loop,
-                                   const std::string &address, Handler handler)
-    : D(std::make_shared<Impl>(loop, std::move(handler))) {
+                                   const std::string &address, Handler handler,
+                                   utils::OnRefusedMessage onRefused)
+    : D(std::make_shared<Impl>(loop, std::move(handler),
+                               std::move(onRefused))) {
   if (nng_rep0_open(&D->Socket) != 0)
     throw std::runtime_error("cannot open an nng reply socket");
   nng_listener listener;
--- a/src/libs/endpoints/asyncreplyserver.h
+++ b/src/libs/endpoints/asyncreplyserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "messages.h"
+#include "utils/refusedmessage.h"
 
 #include <functional>
 #include <memory>
@@ -23,9 +24,9 @@
 
   /// Listens on address; port 0 selects a free port. Throws std::runtime_error
   /// if it cannot listen. Messages that cannot be decoded are answered with a
-  /// negative Ack and not passed to the handler.
+  /// negative Ack, passed to onRefused and not to the handler.
   AsyncReplyServer(utils::EventLoop &loop, const std::string &address,
-                   Handler handler);
+                   Handler handler, utils::OnRefusedMessage onRefused);
   ~AsyncReplyServer();
   AsyncReplyServer(const AsyncReplyServer &) = delete;
   AsyncReplyServer &operator=(const AsyncReplyServer &) = delete;
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -1,9 +1,12 @@
 #include "messages.h"
 
 #include "core/codec.h"
+#include "utils/jsontext.h"
+#include "utils/text.h"
 
 #include <array>
 #include <functional>
+#include <set>
 
 namespace oriolebay::endpoints {
 
@@ -281,8 +284,10 @@
 }
 
 utils::Result<Message> decode(const std::string &bytes) {
+  // The members that hold a record in its stored encoding.
+  static const std::set<std::string> recordMembers = {"Record", "Value"};
+  BOOST_LEAF_AUTO(envelope, utils::parseCbor(bytes, recordMembers));
   try {
-    json envelope = json::from_cbor(bytes);
     const auto type = envelope.at("type").get<std::string>();
     for (const MessageKind &kind : kinds())
       if (type == kind.Name)
@@ -290,7 +295,7 @@
     throw std::invalid_argument("unknown message type " + type);
   } catch (const std::exception &e) {
     return utils::fail(utils::ErrorKind::BadMessage,
-                       std::string("undecodable message: ") + e.what(),
+                       "undecodable message: " + utils::excerpt(e.what()),
                        "run the same version of entry and agent");
   }
 }
--- a/src/libs/endpoints/peers.h
+++ b/src/libs/endpoints/peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "messages.h"
+#include "utils/refusedmessage.h"
 
 #include <functional>
 #include <map>
@@ -36,8 +37,10 @@
 };
 
 /// Returns Peers that communicate over nng and TCP, listening on address
-/// ("tcp://IP:PORT"; port 0 selects a free port). Throws std::runtime_error if
-/// it cannot listen.
-Peers makeNngPeers(utils::EventLoop &loop, const std::string &address);
+/// ("tcp://IP:PORT"; port 0 selects a free port). Messages and answers that
+/// cannot be decoded are passed to onRefused. Throws std::runtime_error if it
+/// cannot listen.
+Peers makeNngPeers(utils::EventLoop &loop, const std::string &address,
+                   utils::OnRefusedMessage onRefused);
 
 } // namespace oriolebay::endpoints
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -1,9 +1,14 @@
 #include "jobrecord.h"
 
 #include "core/codec.h"
+#include "utils/jsonfields.h"
+#include "utils/jsontext.h"
+#include "utils/text.h"
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
+
 namespace oriolebay::core {
 
 // Steps are stored in the record of every job. Names are short, and only values
@@ -154,13 +159,39 @@
   return t;
 }
 
+JobState stateFromJson(const json &j) {
+  const int state = utils::checkedNumber<int>(j);
+  if (state < static_cast<int>(JobState::Queued) ||
+      state > static_cast<int>(JobState::Cancelled))
+    throw std::out_of_range("no state has this number");
+  return static_cast<JobState>(state);
+}
+
+// The tasks of one occurrence, by step.
+std::vector<std::vector<TaskProgress>>
+occurrenceFromJson(const json &j, const WorkerTable &workers) {
+  std::vector<std::vector<TaskProgress>> steps;
+  size_t count = 0;
+  for (const json &list : j) {
+    count += list.size();
+    if (steps.size() == core::MaxStepsPerJob ||
+        count > static_cast<size_t>(core::MaxTasksPerJob))
+      throw std::out_of_range("more tasks than a job may have");
+    auto &tasks = steps.emplace_back();
+    for (const json &t : list)
+      tasks.push_back(taskFromJson(t, workers));
+  }
+  return steps;
+}
+
 template <class T, class Decode>
 utils::Result<T> decodeCbor(const std::string &bytes, Decode decode) {
+  BOOST_LEAF_AUTO(j, utils::parseCbor(bytes));
   try {
-    return decode(json::from_cbor(bytes));
+    return decode(j);
   } catch (const std::exception &e) {
     return utils::fail(utils::ErrorKind::BadMessage,
-                       std::string("undecodable job record: ") + e.what(),
+                       "undecodable job record: " + utils::excerpt(e.what()),
                        "run the same version on all entries, or remove the "
                        "record");
   }
@@ -278,15 +309,13 @@
   return decodeCbor<JobProgress>(bytes, [](const json &j) {
     JobProgress p;
     j.at("v").get_to(p.Version);
-    p.State = static_cast<JobState>(j.at("state").get<int>());
+    p.State = stateFromJson(j.at("state"));
     const WorkerTable workers(j.at("places"));
     for (const json &entry : j.at("tasks")) {
-      auto &steps = p.Tasks[entry.at(0).get<int>()];
-      for (const json &list : entry.at(1)) {
-        auto &tasks = steps.emplace_back();
-        for (const json &t : list)
-          tasks.push_back(taskFromJson(t, workers));
-      }
+      const int occurrence = utils::checkedNumber<int>(entry.at(0));
+      if (occurrence < 0 || occurrence >= core::MaxRepeats)
+        throw std::out_of_range("no occurrence has this number");
+      p.Tasks[occurrence] = occurrenceFromJson(entry.at(1), workers);
     }
     return p;
   });
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -43,6 +43,8 @@
   job.WrittenVersion = progress.Version;
   job.State = progress.State;
   for (const auto &[number, steps] : progress.Tasks) {
+    if (number >= job.Record.Spec.occurrences())
+      continue;
     std::vector<Step> &jobSteps = ensureOccurrence(job, number);
     for (size_t s = 0; s < std::min(steps.size(), jobSteps.size()); ++s)
       for (size_t i = 0; i < std::min(steps[s].size(), jobSteps[s].size());
--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -4,6 +4,23 @@
 
 namespace oriolebay::jobs {
 
+namespace {
+
+// Another writer may have stored a job that no entry would have accepted.
+utils::Result<void> checkRecord(const JobRecord &record,
+                                const std::string &id) {
+  const std::string problem = record.Spec.Id == id
+                                  ? core::validate(record.Spec)
+                                  : "it belongs to another job";
+  if (problem.empty())
+    return {};
+  return utils::fail(utils::ErrorKind::BadMessage,
+                     "unusable job record: " + problem,
+                     "remove the record if no entry has written it");
+}
+
+} // namespace
+
 JobView::JobView(utils::EventLoop &loop, const platform::Store &store,
                  platform::FollowTiming timing, OnRecord onRecord,
                  OnRemoved onRemoved, OnEnded onEnded, OnComplete onComplete,
@@ -69,6 +86,7 @@
           return true;
         }
         BOOST_LEAF_AUTO(decoded, decodeRecord(event.Item.Value));
+        BOOST_LEAF_CHECK(checkRecord(decoded, id));
         StoredJob &job = Jobs[id];
         job.Record = std::move(decoded);
         job.RecordRevision = event.Item.ModRevision;
--- a/tests/auto/adapter/tst_calleradapter.cpp
+++ b/tests/auto/adapter/tst_calleradapter.cpp
@@ -132,6 +132,15 @@
      R"({"version":3,"routes":[],"tenants":[{"name":"o","apiKeys":"k"}]})",
      false},
     {"no_json", "<html>", false},
+    {"byte_ff", "\xff", false},
+    {"name_not_utf8", "{\"version\":3,\"routes\":[{\"name\":\"\xff\"}]}",
+     false},
+    {"route_is_no_object", R"({"version":3,"routes":[5]})", false},
+    {"version_is_no_number", R"({"version":"3","routes":[]})", false},
+    {"priority_beyond_int",
+     R"({"version":3,"routes":[{"name":"q","host":"h","prefix":"/p/",
+         "service":"s","priority":4294967296}]})",
+     false},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, Configs, ::testing::ValuesIn(ConfigCases),
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -1,4 +1,5 @@
 #include "endpoints/messages.h"
+#include "utils/text.h"
 
 #include <gtest/gtest.h>
 
@@ -164,4 +165,63 @@
   EXPECT_EQ(kind, utils::ErrorKind::BadMessage);
 }
 
+std::string cborOf(const nlohmann::json &document) {
+  const std::vector<uint8_t> bytes = nlohmann::json::to_cbor(document);
+  return {bytes.begin(), bytes.end()};
+}
+
+struct OddCase {
+  const char *Name;
+  std::string Bytes;
+};
+
+void PrintTo(const OddCase &c, std::ostream *out) { *out << c.Name; }
+
+class OddMessages : public testing::TestWithParam<OddCase> {};
+
+// Guards against messages that end the process that receives them.
+TEST_P(OddMessages, AreRefusedWithAShortReadableText) {
+  const std::string text = utils::handle<std::string>(
+      [&]() -> utils::Result<std::string> {
+        BOOST_LEAF_CHECK(decode(GetParam().Bytes));
+        return std::string();
+      },
+      [](const utils::Error &e) { return e.text(); });
+  EXPECT_FALSE(text.empty());
+  EXPECT_LT(text.size(), 400u);
+  EXPECT_TRUE(utils::isUtf8(text)) << text;
+}
+
+const OddCase OddCases[] = {
+    {"empty", ""},
+    {"byte_ff", "\xff"},
+    {"json", R"({"type":"ack","body":{}})"},
+    {"no_object", cborOf(5)},
+    {"no_type", cborOf({{"body", 1}})},
+    {"type_is_no_text", cborOf({{"type", 1}, {"body", 1}})},
+    {"unknown_type", cborOf({{"type", std::string(5000, 'x')}, {"body", 1}})},
+    {"body_of_another_type", cborOf({{"type", "ack"}, {"body", {1}}})},
+    {"very_deep", std::string(900000, '\x81') + '\x80'},
+    {"text_not_utf8", cborOf({{"type", "\xff"}, {"body", 1}})},
+    {"orders_not_utf8",
+     encode(WorkerOrders{4, {"i-1", 7}, {{"j.0.0.1", 2, "\xff"}}, {}})},
+    {"agent_not_utf8",
+     [] {
+       WorkerReport report;
+       report.Agent = "\xff";
+       return encode(report);
+     }()},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, OddMessages, testing::ValuesIn(OddCases),
+                         [](const auto &info) { return info.param.Name; });
+
+TEST(Decode, RecordsInMessagesMayHoldAnyBytes) {
+  const JobWritten written{"oriolebay/jobs/j/spec", "\xff\x80", 12};
+  EXPECT_EQ(decode(encode(written)).value(), Message(written));
+  ForwardedCall call;
+  call.Record = "\xff\x80";
+  EXPECT_EQ(decode(encode(call)).value(), Message(call));
+}
+
 } // namespace
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <ostream>
 
 namespace oriolebay::jobs {
@@ -43,5 +44,87 @@
   EXPECT_EQ(decodeRecord({bytes.begin(), bytes.end()}).value(), record);
 }
 
+std::string cborOf(const nlohmann::json &document) {
+  const std::vector<uint8_t> bytes = nlohmann::json::to_cbor(document);
+  return {bytes.begin(), bytes.end()};
+}
+
+// A stored progress with this member in place of its own.
+std::string progressWith(const char *member, const nlohmann::json &value) {
+  TaskProgress task;
+  task.Run = 1;
+  task.Worker = {"w", 1};
+  const JobProgress progress{3, JobState::Running, {{0, {{task}}}}};
+  nlohmann::json document = nlohmann::json::from_cbor(encode(progress));
+  document[member] = value;
+  return cborOf(document);
+}
+
+std::string recordWith(const char *member, const nlohmann::json &value) {
+  JobRecord record;
+  record.Spec.Id = "j";
+  nlohmann::json document = nlohmann::json::from_cbor(encode(record));
+  document[member] = value;
+  return cborOf(document);
+}
+
+struct OddCase {
+  const char *Name;
+  std::string Bytes;
+};
+
+void PrintTo(const OddCase &c, std::ostream *out) { *out << c.Name; }
+
+bool isRefused(const std::function<utils::Result<void>()> &decode) {
+  return utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_CHECK(decode());
+        return false;
+      },
+      [](const utils::Error &e) {
+        EXPECT_EQ(e.Kind, utils::ErrorKind::BadMessage);
+        EXPECT_LT(e.text().size(), 400u);
+        return true;
+      });
+}
+
+class OddValues : public testing::TestWithParam<OddCase> {};
+
+// Guards against values of another writer that end the entries that read them.
+TEST_P(OddValues, AreRefused) {
+  EXPECT_TRUE(isRefused([]() -> utils::Result<void> {
+    BOOST_LEAF_CHECK(decodeRecord(GetParam().Bytes));
+    return {};
+  }));
+  EXPECT_TRUE(isRefused([]() -> utils::Result<void> {
+    BOOST_LEAF_CHECK(decodeProgress(GetParam().Bytes));
+    return {};
+  }));
+}
+
+const OddCase OddValueCases[] = {
+    {"empty", ""},
+    {"byte_ff", "\xff"},
+    {"json", "{}"},
+    {"list", cborOf({1, 2})},
+    {"very_deep", std::string(900000, '\x81') + '\x80'},
+    {"text_not_utf8", recordWith("text", "\xff")},
+    {"steps_are_no_list", recordWith("steps", 5)},
+    {"state_beyond_the_last", progressWith("state", 5)},
+    {"state_negative", progressWith("state", -1)},
+    {"occurrence_negative",
+     progressWith("tasks", {{-1, nlohmann::json::array()}})},
+    {"occurrence_beyond_the_last",
+     progressWith("tasks", {{core::MaxRepeats, nlohmann::json::array()}})},
+    {"more_tasks_than_allowed",
+     progressWith(
+         "tasks",
+         {{0, {nlohmann::json(std::vector<int>(core::MaxTasksPerJob + 1))}}})},
+    {"places_are_no_list", progressWith("places", 5)},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, OddValues, testing::ValuesIn(OddValueCases),
+                         [](const auto &info) { return info.param.Name; });
+
 } // namespace
 } // namespace oriolebay::jobs
