Amounts that no job and no worker has are refused

What users would see, by reading the code: a job whose tasks need 2^62 thousandths of a core is placed four times on one worker, as the product wraps around to zero: on workers that start whatever they are told to, that is over their capacity. Due times and intervals near the limits of 64 bits overflow, and a job of 4,096 tasks that repeats 1,000 times has the leader keep four million tasks.

Cause: the fields of a job and of a heartbeat were bounded from below only.

Change: resources, times and intervals are at most 10^12, labels, racks and images at most 200 bytes, and a job has at most 65,536 tasks in all its occurrences; their recorded progress would not fit into the store's values of a megabyte much above that.

--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Largest time of an occurrence in milliseconds since 1970, some 30,000 years.
+constexpr int64_t MaxDueMs = 1'000 * MaxAmount;
+
 /// Returns how many times need fits into available, at most maxCount.
 int64_t countOf(int64_t need, int64_t available, int64_t maxCount) {
   // Most callers pass a maxCount of 1, which needs no division.
@@ -24,11 +27,19 @@
   if (step.Count < 1 || step.Count > MaxTasksPerJob)
     return where + ": the number of tasks must be from 1 to " +
            std::to_string(MaxTasksPerJob);
-  const Resources &r = step.PerTask;
-  if (r.MilliCores < 0 || r.MemoryMb < 0 || r.Accelerators < 0)
-    return where + ": cores, memory and accelerators cannot be negative";
+  if (!isPlausible(step.PerTask))
+    return where + ": cores, memory and accelerators must be from 0 to " +
+           std::to_string(MaxAmount);
   if (step.MaxPerWorker < 0 || step.EstimateMs < 0 || step.MaxUnavailable < 0)
     return where + ": limits and estimates cannot be negative";
+  if (step.EstimateMs > MaxAmount || step.TargetMs > MaxAmount)
+    return where + ": times must be at most " + std::to_string(MaxAmount) +
+           " ms";
+  for (const std::string *name :
+       {&step.NeedsLabel, &step.DataRack, &step.Image})
+    if (name->size() > MaxNameBytes)
+      return where + ": labels, racks and images have at most " +
+             std::to_string(MaxNameBytes) + " bytes";
   for (int after : step.After)
     if (after < 0 || after >= number)
       return where + ": it can only wait for earlier steps";
@@ -85,6 +96,12 @@
   return std::max<int64_t>(n, 0);
 }
 
+bool isPlausible(const Resources &r) {
+  const auto isInRange = [](int64_t n) { return n >= 0 && n <= MaxAmount; };
+  return isInRange(r.MilliCores) && isInRange(r.MemoryMb) &&
+         isInRange(r.Accelerators);
+}
+
 std::string validate(const JobSpec &spec) {
   if (spec.Id.empty())
     return "the job has no id; choose one";
@@ -101,6 +118,9 @@
            " times";
   if (spec.Repeats > 0 && spec.IntervalMs < 0)
     return "the interval cannot be negative";
+  if (spec.IntervalMs > MaxAmount || spec.FirstDueMs < -MaxDueMs ||
+      spec.FirstDueMs > MaxDueMs)
+    return "the times of the occurrences are out of range";
   int tasks = 0;
   for (size_t i = 0; i < spec.Steps.size(); ++i) {
     std::string problem = validateStep(spec.Steps[i], static_cast<int>(i));
@@ -111,6 +131,9 @@
   if (tasks > MaxTasksPerJob)
     return "the job has more than " + std::to_string(MaxTasksPerJob) +
            " tasks; split it";
+  if (int64_t{tasks} * spec.occurrences() > MaxTasksOfOccurrences)
+    return "the job has more than " + std::to_string(MaxTasksOfOccurrences) +
+           " tasks in all its occurrences; let it repeat less often";
   return "";
 }
 
--- a/src/libs/core/jobspec.h
+++ b/src/libs/core/jobspec.h
@@ -115,11 +115,21 @@
   auto operator<=>(const JobSpec &) const = default;
 };
 
+/// Largest amount of a resource, time in milliseconds or the like. Far more
+/// than any worker has, and small enough for sums over all tasks of a job.
+constexpr int64_t MaxAmount = 1'000'000'000'000;
+
+/// Returns whether all of r is from zero to MaxAmount.
+bool isPlausible(const Resources &r);
+
 /// Limits on one job, so that a single call cannot overload the system.
 constexpr int MaxStepsPerJob = 64;
 constexpr int MaxTasksPerJob = 4096;
 constexpr size_t MaxPayloadBytes = 4000;
+constexpr size_t MaxNameBytes = 200;
 constexpr int MaxRepeats = 1000;
+/// Tasks of all occurrences of a job. The leader keeps the state of each.
+constexpr int64_t MaxTasksOfOccurrences = 16 * MaxTasksPerJob;
 
 /// Returns why spec cannot be accepted and what to change; empty when it is
 /// valid.
--- a/tests/auto/adapter/tst_workeradapter.cpp
+++ b/tests/auto/adapter/tst_workeradapter.cpp
@@ -255,6 +255,10 @@
      R"({"service":"s","capacity":)" + std::string(400000, '[') +
          std::string(400000, ']') + "}",
      400},
+    {"capacity_out_of_range",
+     R"({"service":"s","capacity":{"cpu":9223372036854775807}})", 400},
+    {"capacity_negative", R"({"service":"s","capacity":{"cpu":-1}})", 400},
+    {"capacity_huge", R"({"service":"s","capacity":{"cpu":1e300}})", 400},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, Heartbeats, ::testing::ValuesIn(HeartbeatCases),
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <functional>
+#include <limits>
 #include <ostream>
 
 namespace oriolebay::jobs {
@@ -126,5 +127,80 @@
 INSTANTIATE_TEST_SUITE_P(Table, OddValues, testing::ValuesIn(OddValueCases),
                          [](const auto &info) { return info.param.Name; });
 
+struct SpecCase {
+  const char *Name;
+  std::function<void(core::JobSpec &)> Change;
+  bool IsValid;
+};
+
+void PrintTo(const SpecCase &c, std::ostream *out) { *out << c.Name; }
+
+class Specs : public testing::TestWithParam<SpecCase> {};
+
+// Guards against amounts whose sums overflow, so that a job appears to fit into
+// a worker that is far too small.
+TEST_P(Specs, AreValidOrRefusedWithAReason) {
+  core::JobSpec spec;
+  spec.Id = "j";
+  spec.Steps.resize(2);
+  GetParam().Change(spec);
+  EXPECT_EQ(core::validate(spec).empty(), GetParam().IsValid)
+      << core::validate(spec);
+}
+
+constexpr int64_t Largest = std::numeric_limits<int64_t>::max();
+constexpr int64_t Smallest = std::numeric_limits<int64_t>::min();
+
+const SpecCase SpecCases[] = {
+    {"plain", [](core::JobSpec &) {}, true},
+    {"largest_amount",
+     [](core::JobSpec &s) { s.Steps[0].PerTask.MilliCores = core::MaxAmount; },
+     true},
+    {"cores_out_of_range",
+     [](core::JobSpec &s) { s.Steps[0].PerTask.MilliCores = Largest / 2; },
+     false},
+    {"memory_out_of_range",
+     [](core::JobSpec &s) { s.Steps[1].PerTask.MemoryMb = Largest; }, false},
+    {"accelerators_out_of_range",
+     [](core::JobSpec &s) { s.Steps[1].PerTask.Accelerators = Largest; },
+     false},
+    {"estimate_out_of_range",
+     [](core::JobSpec &s) { s.Steps[0].EstimateMs = Largest; }, false},
+    {"target_out_of_range",
+     [](core::JobSpec &s) { s.Steps[0].TargetMs = Largest; }, false},
+    {"due_far_in_the_past",
+     [](core::JobSpec &s) {
+       s.Repeats = 2;
+       s.FirstDueMs = Smallest;
+     },
+     false},
+    {"interval_out_of_range",
+     [](core::JobSpec &s) {
+       s.Repeats = 2;
+       s.IntervalMs = Largest;
+     },
+     false},
+    {"as_many_tasks_as_allowed",
+     [](core::JobSpec &s) {
+       s.Steps[0].Count = core::MaxTasksPerJob - 1;
+       s.Repeats = 16;
+     },
+     true},
+    {"too_many_tasks_of_all_occurrences",
+     [](core::JobSpec &s) {
+       s.Steps[0].Count = core::MaxTasksPerJob - 1;
+       s.Repeats = 17;
+     },
+     false},
+    {"long_label",
+     [](core::JobSpec &s) {
+       s.Steps[0].NeedsLabel = std::string(core::MaxNameBytes + 1, 'x');
+     },
+     false},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, Specs, testing::ValuesIn(SpecCases),
+                         [](const auto &info) { return info.param.Name; });
+
 } // namespace
 } // namespace oriolebay::jobs
