A field of a log line has at most 16 KB

What people on call would see: a refused job of a megabyte fills the log with a line of several megabytes, its summary.

Cause: texts of callers went into log lines at any length; only the number of lines is bounded.

Change: longer texts are cut when the line is written; 16 KB hold the summary of the largest job.

Test: EventLog.LongFieldsAreCut, which failed before.

--- a/src/libs/eventlog/eventlog.cpp
+++ b/src/libs/eventlog/eventlog.cpp
@@ -1,6 +1,8 @@
 #include "eventlog.h"
 
 #include "utils/boottime.h"
+#include "utils/jsontext.h"
+#include "utils/text.h"
 #include "utils/walltime.h"
 
 #include <boost/log/core.hpp>
@@ -32,6 +34,9 @@
 /// busy process, or about half a megabyte.
 constexpr size_t MaxQueuedLines = 2000;
 
+/// Maximum length of a field of a line: the summary of a large job.
+constexpr size_t MaxFieldBytes = size_t{16} << 10;
+
 /// Maximum time for which a process that ends waits for its last lines to be
 /// written.
 constexpr std::chrono::milliseconds FlushTimeout{300};
@@ -107,6 +112,13 @@
   return log;
 }
 
+nlohmann::json boundedField(const nlohmann::json &value) {
+  const auto *text = value.get_ptr<const std::string *>();
+  if (text == nullptr || text->size() <= MaxFieldBytes)
+    return value;
+  return utils::excerpt(*text, MaxFieldBytes);
+}
+
 /// Queues one line with the common fields of all events and with fields.
 void write(Log &log, Event event, const nlohmann::json &fields) {
   nlohmann::json line = {
@@ -118,10 +130,8 @@
   };
   if (fields.is_object())
     for (const auto &[key, value] : fields.items())
-      line[key] = value;
-  // Data from callers may contain bytes that are not valid UTF-8.
-  BOOST_LOG(log.Source) << line.dump(-1, ' ', false,
-                                     nlohmann::json::error_handler_t::replace);
+      line[key] = boundedField(value);
+  BOOST_LOG(log.Source) << utils::toJsonText(line);
 }
 
 } // namespace
--- a/tests/auto/eventlog/tst_eventlog.cpp
+++ b/tests/auto/eventlog/tst_eventlog.cpp
@@ -52,6 +52,27 @@
   EXPECT_EQ(kind, utils::ErrorKind::BadSettings);
 }
 
+// Guards against a caller whose text fills the log.
+TEST(EventLog, LongFieldsAreCut) {
+  const std::string path =
+      ::testing::TempDir() + "oriolebay-log-" + std::to_string(::getpid());
+  const bool ready = utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_CHECK(initEventLog("p", path));
+        return true;
+      },
+      [](const utils::Error &) { return false; });
+  ASSERT_TRUE(ready);
+  logEvent(Event::CallAnswered, {{"asked", std::string(1000000, 'x')}});
+  closeEventLog();
+  std::ifstream in(path);
+  std::string line;
+  ASSERT_TRUE(std::getline(in, line));
+  EXPECT_NE(line.find("call.answered"), std::string::npos);
+  EXPECT_LT(line.size(), 20000u);
+  ::unlink(path.c_str());
+}
+
 // Guards against requests that block because the reader of the log has stopped
 // reading: lines must be left out and counted instead.
 TEST(EventLog, LinesAreLeftOutWhenTheReaderStopsReading) {
