--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -28,9 +28,10 @@
 public:
   Process(const settings::NodeSettings &settings)
       : Settings(settings), Loop(LoopCapacity),
+        Peers(endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text(),
+                                      app::logRefusedMessage)),
         Agent(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
-              endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text(),
-                                      app::logRefusedMessage),
+              Peers,
               adapter::makeWorkerCalls(Loop, Client, Settings.Worker.text(),
                                        app::logRefusedMessage),
               Settings, EntryPrefix,
@@ -54,6 +55,8 @@
   }
 
   void run() {
+    app::logListener("peers", Peers.Address);
+    app::logListener("control", Heartbeats.port());
     Loop.post([this] { Agent.start(); });
     app::SignalThread signals(
         [this] { Loop.post([this] { Agent.stop([this] { Loop.stop(); }); }); },
@@ -92,6 +95,7 @@
   utils::EventLoop Loop;
   http::AsyncClient Client;
   metrics::ProcessMetrics Metrics;
+  const endpoints::Peers Peers;
   WorkerAgent Agent;
   adapter::HeartbeatServer Heartbeats;
   std::unique_ptr<metrics::MetricsServer> MetricsHttpServer;
--- a/src/app/common/settingsprocess.cpp
+++ b/src/app/common/settingsprocess.cpp
@@ -74,6 +74,14 @@
       });
 }
 
+void logListener(const std::string &role, const std::string &address) {
+  logEvent(Event::ListenerBound, {{"role", role}, {"address", address}});
+}
+
+void logListener(const std::string &role, int port) {
+  logEvent(Event::ListenerBound, {{"role", role}, {"port", port}});
+}
+
 void logRefusedMessage(const utils::RefusedMessage &message) {
   logEvent(Event::MessageRefused, {{"kind", message.Kind},
                                    {"subject", message.Subject},
--- a/src/app/common/settingsprocess.h
+++ b/src/app/common/settingsprocess.h
@@ -22,6 +22,11 @@
 int runWithSettings(const std::string &role, const std::string &path,
                     const StartProcess &start);
 
+/// Logs an address at which the process listens, or its port; role says for
+/// whom.
+void logListener(const std::string &role, const std::string &address);
+void logListener(const std::string &role, int port);
+
 /// Logs a message of another process that could not be read.
 void logRefusedMessage(const utils::RefusedMessage &message);
 
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -34,10 +34,10 @@
 public:
   Process(const settings::NodeSettings &settings)
       : Settings(settings), Loop(LoopCapacity),
+        Peers(endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text(),
+                                      app::logRefusedMessage)),
         Entry(Loop, adapter::makeStore(Loop, Client, Settings.Store.text()),
-              endpoints::makeNngPeers(Loop, "tcp://" + Settings.Peers.text(),
-                                      app::logRefusedMessage),
-              Settings,
+              Peers, Settings,
               {adapter::ConfigKey, adapter::parseConfig, adapter::CordonPrefix},
               metricObservers()),
         Callers(Loop, Entry.jobService(), Settings.Callers.Host,
@@ -52,6 +52,9 @@
   }
 
   void run() {
+    app::logListener("peers", Peers.Address);
+    app::logListener("callers", Callers.port());
+    app::logListener("ready", Ready.port());
     Loop.post([this] { Entry.start(); });
     app::SignalThread signals(
         [this] { Loop.post([this] { stop(); }); },
@@ -169,6 +172,7 @@
   utils::EventLoop Loop;
   http::AsyncClient Client;
   metrics::ProcessMetrics Metrics;
+  const endpoints::Peers Peers;
   JobEntry Entry;
   adapter::CallerServer Callers;
   adapter::ReadinessServer Ready;
--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -86,12 +86,16 @@
 HttpRequest AsyncServer::Impl::makeRequest(Exchange &exchange, const char *url,
                                            const char *method) {
   HttpRequest request{method, url, std::move(exchange.Body)};
-  for (const std::string &name : Options.StoredHeaders) {
-    const char *value = MHD_lookup_connection_value(
-        exchange.Connection, MHD_HEADER_KIND, name.c_str());
-    if (value != nullptr)
-      request.Headers[name] = value;
-  }
+  const auto store = [&exchange](const std::vector<std::string> &names,
+                                 MHD_ValueKind kind,
+                                 std::map<std::string, std::string> &values) {
+    for (const std::string &name : names)
+      if (const char *value = MHD_lookup_connection_value(exchange.Connection,
+                                                          kind, name.c_str()))
+        values[name] = value;
+  };
+  store(Options.StoredHeaders, MHD_HEADER_KIND, request.Headers);
+  store(Options.StoredArguments, MHD_GET_ARGUMENT_KIND, request.Arguments);
   return request;
 }
 
--- a/src/libs/http/asyncserver.h
+++ b/src/libs/http/asyncserver.h
@@ -20,6 +20,8 @@
   size_t MaxBodyBytes = 1 << 20;
   /// Names of the request headers that are stored in HttpRequest::Headers.
   std::vector<std::string> StoredHeaders;
+  /// Names of the query's arguments that are stored in HttpRequest::Arguments.
+  std::vector<std::string> StoredArguments = {};
 };
 
 /// An HTTP/1.1 server based on libmicrohttpd, with one thread for all
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -7,13 +7,15 @@
 
 namespace oriolebay::http {
 
-/// One complete HTTP request. Headers contains the headers that the server is
-/// configured to store, under their configured names.
+/// One complete HTTP request. Headers and Arguments contain the headers and the
+/// arguments of the query that the server is configured to store, under their
+/// configured names.
 struct HttpRequest {
   std::string Method;
   std::string Path;
   std::string Body;
   std::map<std::string, std::string> Headers = {};
+  std::map<std::string, std::string> Arguments = {};
 
   /// Returns the value of a stored header; empty when the request does not have
   /// it.
@@ -21,6 +23,11 @@
     auto it = Headers.find(name);
     return it == Headers.end() ? std::string() : it->second;
   }
+  /// Does the same for an argument of the query.
+  std::string argument(const std::string &name) const {
+    auto it = Arguments.find(name);
+    return it == Arguments.end() ? std::string() : it->second;
+  }
 };
 
 /// The answer of a handler. Headers are added unchanged.
--- a/tests/bench/harness/launcher.cpp
+++ b/tests/bench/harness/launcher.cpp
@@ -1,40 +1,27 @@
 #include "launcher.h"
 
+#include "process.h"
+
 #include <absl/time/clock.h>
 
 #include <csignal>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char **environ;
-
 namespace oriolebay::bench {
 
 namespace {
 constexpr int ReadyTimeoutMs = 15000;
 /// Longer than an entry waits for its callers before it ends.
 constexpr absl::Duration StopTimeout = absl::Minutes(2);
-constexpr absl::Duration EndCheckInterval = absl::Milliseconds(2);
 constexpr int WorkersPerRack = 3;
 
 void writeJson(const std::string &path, const nlohmann::json &j) {
   std::ofstream(path) << j.dump(2) << '\n';
 }
-
-/// Returns false if the process has not ended when the time limit has passed.
-bool waitForEnd(pid_t pid, absl::Time limit) {
-  while (waitpid(pid, nullptr, WNOHANG) == 0) {
-    if (absl::Now() > limit)
-      return false;
-    absl::SleepFor(EndCheckInterval);
-  }
-  return true;
-}
 } // namespace
 
 std::vector<core::WorkerInfo> makeWorkers(int count, int failureDomains,
@@ -53,26 +40,6 @@
 
 Launcher::~Launcher() { stopAll(); }
 
-pid_t Launcher::spawn(const std::vector<std::string> &args,
-                      const std::string &out) {
-  std::vector<char *> argv;
-  for (const std::string &a : args)
-    argv.push_back(const_cast<char *>(a.c_str()));
-  argv.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, 1, out.c_str(),
-                                   O_WRONLY | O_CREAT | O_TRUNC, 0644);
-  posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  pid_t pid = 0;
-  int result =
-      posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  if (result != 0)
-    throw std::runtime_error("cannot start " + args[0]);
-  return pid;
-}
-
 nlohmann::json Launcher::waitReady(const std::string &path, pid_t pid) {
   const absl::Time deadline = absl::Now() + absl::Milliseconds(ReadyTimeoutMs);
   while (absl::Now() < deadline) {
@@ -106,14 +73,15 @@
         file.path().extension() == ".log")
       std::filesystem::remove(file.path());
   const std::string tests = Spec.BinDir + "/tests/standins/";
-  StorePid = spawn({tests + "oriolebay-kv-standin", "0", workDir + "/kv.ready"},
+  StorePid =
+      startProcess({tests + "oriolebay-kv-standin", "0", workDir + "/kv.ready"},
                    workDir + "/kv.out");
   StorePort = waitReady(workDir + "/kv.ready", StorePid)["port"];
-  BackendPid = spawn({tests + "oriolebay-backend-standin", Spec.Service, "0",
-                      std::to_string(Spec.BackendRunMs),
-                      std::to_string(Spec.BackendFailureRate),
-                      workDir + "/backend.ready"},
-                     workDir + "/backend.out");
+  BackendPid = startProcess({tests + "oriolebay-backend-standin", Spec.Service,
+                             "0", std::to_string(Spec.BackendRunMs),
+                             std::to_string(Spec.BackendFailureRate),
+                             workDir + "/backend.ready"},
+                            workDir + "/backend.out");
   BackendPort = waitReady(workDir + "/backend.ready", BackendPid)["port"];
   for (int i = 0; i < Spec.Entries; ++i) {
     pid_t pid = startEntry(i, 0, "tcp://127.0.0.1:0");
@@ -148,9 +116,9 @@
              {"leader_lease_s", Spec.LeaderLeaseS},
              {"starve_after_ms", Spec.StarveAfterMs},
              {"max_queue_wait_ms", Spec.MaxQueueWaitMs}});
-  return spawn({Spec.BinDir + "/src/app/oriolebay-entry", "serve", "--settings",
-                entryFile(i, ".json")},
-               entryFile(i, ".out"));
+  return startProcess({Spec.BinDir + "/src/app/oriolebay-entry", "serve",
+                       "--settings", entryFile(i, ".json")},
+                      entryFile(i, ".out"));
 }
 
 void Launcher::restartEntry(int i) {
@@ -173,10 +141,10 @@
                              {"heartbeat_ms", Spec.HeartbeatMs},
                              {"log_path", base + ".log"},
                              {"ready_file", base + ".ready"}});
-  return spawn({Spec.BinDir + "/src/app/oriolebay-agent", "serve", "--settings",
-                base + ".json", "--drain-ms",
-                std::to_string(Spec.AgentDrainMs)},
-               base + ".out");
+  return startProcess({Spec.BinDir + "/src/app/oriolebay-agent", "serve",
+                       "--settings", base + ".json", "--drain-ms",
+                       std::to_string(Spec.AgentDrainMs)},
+                      base + ".out");
 }
 
 void Launcher::restartAgent(size_t i) {
@@ -191,10 +159,10 @@
                           int64_t expectVersion) {
   const std::string path = Spec.WorkDir + "/profile.json";
   writeJson(path, profile);
-  pid_t pid = spawn({Spec.BinDir + "/src/app/oriolebay-entry", "profile", "put",
-                     "--store", storeUrl(), "--file", path, "--expect-version",
-                     std::to_string(expectVersion)},
-                    Spec.WorkDir + "/profile-put.out");
+  pid_t pid = startProcess({Spec.BinDir + "/src/app/oriolebay-entry", "profile",
+                            "put", "--store", storeUrl(), "--file", path,
+                            "--expect-version", std::to_string(expectVersion)},
+                           Spec.WorkDir + "/profile-put.out");
   int status = 0;
   waitpid(pid, &status, 0);
   if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
--- a/tests/bench/harness/launcher.h
+++ b/tests/bench/harness/launcher.h
@@ -79,7 +79,6 @@
   std::string entryFile(int i, const std::string &suffix) const;
   pid_t startEntry(int i, int httpPort, const std::string &listen);
   pid_t startAgent(const core::WorkerInfo &info);
-  pid_t spawn(const std::vector<std::string> &args, const std::string &out);
   nlohmann::json waitReady(const std::string &path, pid_t pid);
 
   LaunchSpec Spec;
