A job waits until a worker has begun one of its tasks

While six of seven workers were taken and the seventh answered starts with 503, three accepted jobs of which nothing had begun were counted as 0 waiting at each entry, for as long as one asked, also after the worker was well again, and each was shown as running.

Hypotheses, and what told them apart: (1) the view of the entry is old: no, the records in the store said running; (2) a refused start leaves its task assigned: no, run.refused (412) and run.settled (415) follow run.placed (410) within 3 ms; (3) the state is set when a task is placed, before its start is ordered, and nothing sets it back: yes, call.answered shows the state running with no run.started (411) of the job.

Cause: assignRun() set the job to running. Whatever kept the start from happening after that, the job stayed so: refused as busy, late, fenced or old, no answer and absent, an agent, worker or host lost in between, an order that the agent never got, a gang of which no member began.

Change: a job is running from the first sign that a worker has begun a task of it: the start was confirmed, or the worker lists a run of it, or the end of one, also one that is not its latest. It stays running when the task fails and waits again. There is no place to set it back at, so that no way in which a start does not happen can be forgotten. The count, the state that callers are shown and the records use the same field; nothing else reads whether a job is queued or running (order of work, retries, deadlines and early refusals go by tasks, ranks and ages).

Cost: the change is one more write of a job's progress. (Setting the state back at each refusal would need no write, but counts jobs as running for up to 15 s while a start without an answer may still be carried out.)

call.answered shows the count that was given.

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -107,6 +107,8 @@
   }
   if (d.Call == "state" && d.Answer.Result == jobs::CallResult::Ok)
     fields["state"] = jobs::jobStateName(d.Answer.State);
+  if (d.Call == "queue" && d.Answer.Result == jobs::CallResult::Ok)
+    fields["waiting"] = d.Answer.Waiting;
   logEvent(Event::CallAnswered, fields);
 }
 
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -74,6 +74,8 @@
   auto operator<=>(const TaskProgress &) const = default;
 };
 
+/// Queued: no worker is known to have begun a task of the job. Running: one has
+/// begun a task; the job stays so when the task fails and waits again.
 enum class JobState { Queued, Running, Completed, Failed, Cancelled };
 /// The stable name of state, for logs, metrics and messages.
 const char *jobStateName(JobState state);
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -254,8 +254,6 @@
   if (auto wait = job.Waits.Steps.find({id.Occurrence, id.Step});
       wait != job.Waits.Steps.end())
     wait->second.resetIdle();
-  if (job.State == JobState::Queued)
-    job.State = JobState::Running;
   job.Dirty = true;
   Workers.allocate(incarnation, {core::taskName(id), run},
                    job.specOf(id).taskResources());
@@ -273,6 +271,13 @@
   Decisions.back().Texts = {{"speed_demand", speedDemandName(demand)}};
 }
 
+void JobScheduler::noteBegun(Job &job, absl::Time now) {
+  if (job.State != JobState::Queued)
+    return;
+  job.State = JobState::Running;
+  job.RecordStateAt = now + Policy.RunningStateDelay;
+}
+
 void JobScheduler::trackProgress(const TaskId &id, const Task &task,
                                  absl::Time now) {
   const core::StepSpec &spec = Jobs.at(id.Job).specOf(id);
@@ -333,6 +338,7 @@
     if (!job.hasEnded() &&
         dueOccurrences(job) > static_cast<int>(job.Occurrences.size()))
       PassNeeded = true;
+    job.Dirty |= now >= job.RecordStateAt;
     forEachTask(job, [&](const TaskId &id, Task &task) {
       forgetLateStarts(job, task, now);
       indexLateStarts(id, task);
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -238,6 +238,8 @@
     int64_t Version = 0;
     /// Version of the latest progress that is known to be in the store.
     int64_t WrittenVersion = 0;
+    /// Running from the time at which it is known that a worker has begun a
+    /// task.
     JobState State = JobState::Queued;
     std::map<int, std::vector<Step>> Occurrences;
     /// Time at which this leader first received the record. For jobs that a new
@@ -248,6 +250,9 @@
     absl::Time FinishedAt = absl::InfiniteFuture();
     /// The progress has changed since the latest takeWrites().
     bool Dirty = false;
+    /// When the state has to be written at the latest, if only it has changed;
+    /// infinite if it has been written.
+    absl::Time RecordStateAt = absl::InfiniteFuture();
     /// A write of the progress is under way.
     bool Writing = false;
     /// The end of a run, to be acknowledged once progress of this version has
@@ -445,6 +450,8 @@
   void compareSpeedByProgress(const core::TaskId &id, Task &task);
   void compareSpeed(const core::TaskId &id, Task &task,
                     absl::Duration runDuration);
+  /// A worker is known to have begun a task of the job.
+  void noteBegun(Job &job, absl::Time now);
   void trackProgress(const core::TaskId &id, const Task &task, absl::Time now);
   void handleAbsentRun(Job &job, const core::TaskId &id, Task &task,
                        const std::string &why, absl::Time now,
--- a/src/libs/jobs/jobscheduler_orders.cpp
+++ b/src/libs/jobs/jobscheduler_orders.cpp
@@ -94,6 +94,7 @@
     updateStartOpenUntil(job, id, *task, now);
   switch (result.Outcome) {
   case OrderOutcome::Started:
+    noteBegun(job, now);
     if (task->RunPhase != Phase::Running) {
       task->RunPhase = Phase::Running;
       task->StartedAt = now;
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -107,6 +107,7 @@
     if (!job.Dirty || job.Writing)
       continue;
     job.Dirty = false;
+    job.RecordStateAt = absl::InfiniteFuture();
     job.Writing = true;
     ++job.Version;
     JobProgress progress = progressOf(job);
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -133,6 +133,8 @@
   for (const endpoints::RunningTask &running : report.Running) {
     TaskId id;
     Task *task = core::parseTaskName(running.Task, id) ? findTask(id) : nullptr;
+    if (task != nullptr)
+      noteBegun(Jobs.at(id.Job), now);
     if (task == nullptr || task->Progress.Run != running.Run ||
         task->Progress.Worker != report.Worker.Life) {
       if (!isOutdated)
@@ -265,6 +267,7 @@
     return;
   }
   Job &job = Jobs.at(id.Job);
+  noteBegun(job, now);
   if (!isCounted) {
     if (isLatest)
       unassign(job, id, *task, Settlement::ByWorker, now);
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -37,6 +37,10 @@
   /// runs outside the rack of its data, takes longer. The scheduler itself does
   /// not use it.
   double RemoteFactor = 3.0;
+  /// How long the record that a job has begun may wait for another write of its
+  /// progress, so that short jobs need no write of their own for it. All
+  /// entries show it within two seconds.
+  absl::Duration RunningStateDelay = absl::Milliseconds(500);
   /// How long callers can query a job after its end.
   absl::Duration FinishedJobRetention = absl::Seconds(150);
   /// Bound on the work that may be discarded so that a job of priority 0 beyond
