A lasting gang that ends done is started again

Cause: handleRunEnd() leaves ends of gangs to handleGangMemberEnd(), and only the former asked whether the tasks last. The latter marked all members as done, by which the job completed.

Change: a member's end done marks the members as done unless they last; the run is over for all of them then, as with any other end, and the gang starts again. Same path looked at: single tasks that last ask already (row IsDone, green before).

--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -338,16 +338,18 @@
 }
 
 // Applies the end of one member to the whole gang: if it is done, all members
-// are done; with any other end the run is over for all of them.
+// are done, unless they are to run on; with any other end the run is over for
+// all of them.
 void JobScheduler::handleGangMemberEnd(Job &job, const TaskId &id, RunEnd how) {
   std::vector<Step> &steps = ensureOccurrence(job, id.Occurrence);
   Step &step = steps[static_cast<size_t>(id.Step)];
   const int64_t run = step[static_cast<size_t>(id.Index)].Progress.Run;
+  const bool isLongRunning = job.specOf(id).LongRunning;
   for (size_t i = 0; i < step.size(); ++i) {
     Task &member = step[i];
     if (member.Progress.Run != run)
       continue;
-    if (how == RunEnd::Done)
+    if (how == RunEnd::Done && !isLongRunning)
       member.Progress.Done = true;
     else if (how == RunEnd::Failed)
       ++member.Progress.Failed;
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -287,9 +287,9 @@
     return;
   const TaskId id = taskIdOf(run.Task);
   absl::Duration savedTime = absl::ZeroDuration();
-  if (how == RunEnd::Done)
+  if (how == RunEnd::Done && !stepOf(id).LongRunning)
     DoneTasks.insert(run.Task);
-  else
+  if (how != RunEnd::Done)
     savedTime = savedWork(it->second, id, how == RunEnd::Stopped);
   if (how != RunEnd::Done)
     LostWork += absl::ToDoubleSeconds(it->second.WorkDone - savedTime) *
