A lasting task is started again where it has failed, if nowhere else

Cause: a task is kept off the workers where it has failed, as long as the others could hold it when empty. That protects the attempts of tasks that end: a worker that fails everything would use them up. Tasks that last have no attempts to lose, the others may be held for ever, and the way out, to give up preferences beside free workers, is only for steps of which nothing runs.

Change: lasting work that finds no place takes a worker where it has failed in the same pass. Others still come first.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -233,6 +233,8 @@
     return;
   if (placeWherePossible(unit))
     return;
+  if (unit.spec().LongRunning && placeOnAnyWorker(unit))
+    return;
   if (mustGiveUpPreferences(unit)) {
     giveUpPreferences(unit);
     if (placeWherePossible(unit))
@@ -246,6 +248,16 @@
     recordWait(unit);
 }
 
+// Tasks that run on have no attempts that an unhealthy worker could use up, and
+// the other workers may be held for ever by tasks of the same kind. Returns
+// whether all tasks of unit were started.
+bool Planner::placeOnAnyWorker(PlacementUnit &unit) {
+  if (unit.AvoidWorkers.empty())
+    return false;
+  unit.AvoidWorkers.clear();
+  return placeWherePossible(unit);
+}
+
 // Returns whether all tasks of unit were started.
 bool Planner::placeWherePossible(PlacementUnit &unit) {
   computeTaskLimits(unit);
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -197,6 +197,7 @@
   void rankJobs();
   void placeUnit(PlacementUnit &unit);
   bool placeWherePossible(PlacementUnit &unit);
+  bool placeOnAnyWorker(PlacementUnit &unit);
   /// Time for which nothing of the unit's step has run beside free workers;
   /// negative infinite if that is not so.
   absl::Duration waitBesideFreeWorkers(const PlacementUnit &unit) const;
--- a/tests/auto/jobs/tst_lastingtasks.cpp
+++ b/tests/auto/jobs/tst_lastingtasks.cpp
@@ -82,6 +82,9 @@
 INSTANTIATE_TEST_SUITE_P(
     Table, LastingTasks,
     testing::Values(
+        LastingCase{"FailsBesideItsSibling", lastingStep(2, WholeWorker)},
+        LastingCase{"FailsOnAFullSite", lastingStep(1, WholeWorker), 3, true, 1,
+                    absl::Seconds(2), 2},
         LastingCase{"IsDone", lastingStep(2, WholeWorker), 3, false, 3},
         LastingCase{"GangIsDone", lastingStep(2, 1, true), 2, false, 3},
         LastingCase{"GangFails", lastingStep(2, 1, true), 2, true, 6}),
