A lasting task waits four seconds at most for workers in quarantine

The only worker with a task's label, where the lasting task fails every three seconds, is quarantined for 4, 8, 16 and 32 s; the task does not run for that long beside room for it.

Cause: quarantines double with each failure in a row, and only an end `done` resets them, which lasting tasks don't have. To give up preferences is for steps of which nothing runs on a site that is mostly free.

Change: lasting work that finds no place four seconds after its latest run ends quarantines of workers that could hold it. The workers keep the length of their quarantine, so that other work stays away as before.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -198,6 +198,8 @@
     /// Time at which the worker listed Percent. An agent that cannot reach its
     /// worker does not advance it.
     absl::Time PercentReportedAt = absl::InfinitePast();
+    /// When the latest run was over, as far as this leader knows.
+    absl::Time IdleSince = absl::InfinitePast();
     /// The run's speed has been compared with other tasks of the same step.
     bool SpeedCompared = false;
     /// Duration of the run that completed the task.
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -301,6 +301,7 @@
   task.Progress.Worker = {};
   task.Progress.Agent.clear();
   task.RunPhase = Phase::Idle;
+  task.IdleSince = now;
   task.StopRequested = false;
   task.StartRefused = false;
   job.Dirty = true;
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -252,10 +252,26 @@
 // the other workers may be held for ever by tasks of the same kind. Returns
 // whether all tasks of unit were started.
 bool Planner::placeOnAnyWorker(PlacementUnit &unit) {
-  if (unit.AvoidWorkers.empty())
+  if (!unit.AvoidWorkers.empty()) {
+    unit.AvoidWorkers.clear();
+    if (placeWherePossible(unit))
+      return true;
+  }
+  if (quarantinedWorkers(unit).empty())
     return false;
-  unit.AvoidWorkers.clear();
-  return placeWherePossible(unit);
+  Scheduler.RetryOnTick = true;
+  if (idleTime(unit) >= Scheduler.Policy.MaxLongRunningWait)
+    endQuarantines(unit);
+  return false;
+}
+
+// Time since the latest run of a task of unit.
+absl::Duration Planner::idleTime(const PlacementUnit &unit) const {
+  const JobScheduler::Step &step = unit.step();
+  absl::Time since = Now;
+  for (int index : unit.Tasks)
+    since = std::min(since, step[static_cast<size_t>(index)].IdleSince);
+  return Now - std::max(since, unit.Owner->Arrived);
 }
 
 // Returns whether all tasks of unit were started.
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -198,6 +198,7 @@
   void placeUnit(PlacementUnit &unit);
   bool placeWherePossible(PlacementUnit &unit);
   bool placeOnAnyWorker(PlacementUnit &unit);
+  absl::Duration idleTime(const PlacementUnit &unit) const;
   /// Time for which nothing of the unit's step has run beside free workers;
   /// negative infinite if that is not so.
   absl::Duration waitBesideFreeWorkers(const PlacementUnit &unit) const;
@@ -208,6 +209,9 @@
   /// quarantine.
   bool mayTakeUnhealthyWorkers(const PlacementUnit &unit) const;
   void giveUpPreferences(PlacementUnit &unit);
+  /// The workers in quarantine that could hold tasks of unit.
+  std::vector<WorkerIncarnation>
+  quarantinedWorkers(const PlacementUnit &unit) const;
   /// Ends as many quarantines as it takes to hold the tasks of unit.
   void endQuarantines(const PlacementUnit &unit);
   /// Whether unit may use the workers that are left empty for urgent work.
--- a/src/libs/jobs/planner_preferences.cpp
+++ b/src/libs/jobs/planner_preferences.cpp
@@ -58,22 +58,30 @@
         absl::ToInt64Milliseconds(Now - wait.IdleBesideFreeSince)}});
 }
 
-// The workers whose quarantines end first come first. The workers keep the
-// duration of their latest quarantine, so that one that is still unhealthy is
-// quarantined for longer the next time.
+// The workers whose quarantines end first come first.
+std::vector<WorkerIncarnation>
+Planner::quarantinedWorkers(const PlacementUnit &unit) const {
+  std::vector<std::pair<absl::Time, WorkerIncarnation>> byEnd;
+  for (const auto &[incarnation, view] : Scheduler.Workers.workers())
+    if (Scheduler.Workers.conditionOf(view, Now) ==
+            WorkerCondition::Quarantined &&
+        isEligible(view, unit))
+      byEnd.emplace_back(view.QuarantinedUntil, incarnation);
+  std::sort(byEnd.begin(), byEnd.end());
+  std::vector<WorkerIncarnation> incarnations;
+  for (const auto &[until, incarnation] : byEnd)
+    incarnations.push_back(incarnation);
+  return incarnations;
+}
+
+// The workers keep the duration of their latest quarantine, so that one that is
+// still unhealthy is quarantined for longer the next time.
 void Planner::endQuarantines(const PlacementUnit &unit) {
   const core::Resources each = unit.spec().taskResources();
   auto missing = static_cast<int64_t>(unit.Tasks.size());
   for (size_t c = 0; c < Candidates.size(); ++c)
     missing -= countFitting(c, unit, missing);
-  std::vector<std::pair<absl::Time, WorkerIncarnation>> quarantined;
-  for (const auto &[incarnation, view] : Scheduler.Workers.workers())
-    if (Scheduler.Workers.conditionOf(view, Now) ==
-            WorkerCondition::Quarantined &&
-        isEligible(view, unit))
-      quarantined.emplace_back(view.QuarantinedUntil, incarnation);
-  std::sort(quarantined.begin(), quarantined.end());
-  for (const auto &[until, incarnation] : quarantined) {
+  for (const WorkerIncarnation &incarnation : quarantinedWorkers(unit)) {
     if (missing <= 0)
       return;
     missing -= each.countIn(
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -85,6 +85,9 @@
   /// tasks that have an attempt to spare.
   absl::Duration MaxQuietPreferenceWait = absl::Milliseconds(1500);
   absl::Duration QuietAfter = absl::Seconds(10);
+  /// Time for which a task that runs on waits for workers in quarantine after
+  /// its latest run.
+  absl::Duration MaxLongRunningWait = absl::Seconds(4);
   /// Time to stop a run and to start it on another worker, and how often a task
   /// may be moved because it is too slow.
   absl::Duration MoveCost = absl::Milliseconds(800);
--- a/tests/auto/jobs/tst_lastingtasks.cpp
+++ b/tests/auto/jobs/tst_lastingtasks.cpp
@@ -79,12 +79,22 @@
   EXPECT_TRUE(site.violations().empty());
 }
 
+core::StepSpec labelledStep() {
+  core::StepSpec step = lastingStep(1, 1);
+  step.NeedsLabel = "last";
+  return step;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Table, LastingTasks,
     testing::Values(
         LastingCase{"FailsBesideItsSibling", lastingStep(2, WholeWorker)},
+        LastingCase{"FailsOftenBesideItsSibling", lastingStep(2, WholeWorker),
+                    3, true, 8},
         LastingCase{"FailsOnAFullSite", lastingStep(1, WholeWorker), 3, true, 1,
                     absl::Seconds(2), 2},
+        LastingCase{"FailsOnItsOnlyWorker", labelledStep(), 3, true, 8,
+                    absl::Seconds(3), 2},
         LastingCase{"IsDone", lastingStep(2, WholeWorker), 3, false, 3},
         LastingCase{"GangIsDone", lastingStep(2, 1, true), 2, false, 3},
         LastingCase{"GangFails", lastingStep(2, 1, true), 2, true, 6}),
