--- a/src/libs/core/jobspec.h
+++ b/src/libs/core/jobspec.h
@@ -129,7 +129,7 @@
 constexpr size_t MaxNameBytes = 200;
 constexpr int MaxRepeats = 1000;
 /// Tasks of all occurrences of a job. The leader keeps the state of each.
-constexpr int64_t MaxTasksOfOccurrences = 16 * MaxTasksPerJob;
+constexpr int64_t MaxTasksOfOccurrences = int64_t{16} * MaxTasksPerJob;
 
 /// Returns why spec cannot be accepted and what to change; empty when it is
 /// valid.
--- a/src/libs/jobs/planner_preferences.cpp
+++ b/src/libs/jobs/planner_preferences.cpp
@@ -69,6 +69,7 @@
       byEnd.emplace_back(view.QuarantinedUntil, incarnation);
   std::sort(byEnd.begin(), byEnd.end());
   std::vector<WorkerIncarnation> incarnations;
+  incarnations.reserve(byEnd.size());
   for (const auto &[until, incarnation] : byEnd)
     incarnations.push_back(incarnation);
   return incarnations;
