--- a/src/libs/endpoints/peers.cpp
+++ b/src/libs/endpoints/peers.cpp
@@ -49,8 +49,8 @@
 } // namespace
 
 Peers makeNngPeers(utils::EventLoop &loop, const std::string &address,
-                   utils::OnRefusedMessage onRefused) {
-  auto impl = std::make_shared<NngPeers>(loop, address, std::move(onRefused));
+                   const utils::OnRefusedMessage &onRefused) {
+  auto impl = std::make_shared<NngPeers>(loop, address, onRefused);
   Peers peers;
   peers.Address = impl->address();
   peers.Call = [impl](const std::string &to, const Message &message,
--- a/src/libs/endpoints/peers.h
+++ b/src/libs/endpoints/peers.h
@@ -41,6 +41,6 @@
 /// cannot be decoded are passed to onRefused. Throws std::runtime_error if it
 /// cannot listen.
 Peers makeNngPeers(utils::EventLoop &loop, const std::string &address,
-                   utils::OnRefusedMessage onRefused);
+                   const utils::OnRefusedMessage &onRefused);
 
 } // namespace oriolebay::endpoints
