The next leader knows of agents that fell silent under the one before it

Two workers' hosts are lost for good and, 4.8 s later, the host of the leader.

Cause: what a leader knows of silence is lost with it. The record of silent agents in the store held only agents that had never reported to the leader, so that for one that had reported and then fell silent the next leader waited as for an agent of which nothing is known: the time that a leader may go on without the store, and the longest grant.

Change: agents that stop reporting are recorded after two seconds too, if their worker has received this leader's fencing token. No earlier leader can keep tasks alive beside it then, so that the wait is shorter by the time without the store as well. Agents in the record get no grant until the store has confirmed one without them, as before. While the store does not answer no agent is added. The record's form is the same.

--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -156,7 +156,10 @@
     if (!*alive)
       return;
     Scheduler.tick(Loop.now());
-    SilentAgents->update();
+    // Without the store, an agent that reports again would get no grant until
+    // the store has confirmed that it is out of the record.
+    if (Loop.now() - LastConfirmed() <= Options.DoubtfulAfter)
+      SilentAgents->update();
     removeExpiredJobs();
     runPass();
     scheduleTick();
--- a/src/libs/entry/silentagentrecord.h
+++ b/src/libs/entry/silentagentrecord.h
@@ -18,11 +18,11 @@
 
 namespace oriolebay::entry {
 
-/// The agents that have not reported to the leader, kept in the store. Tasks
+/// The agents that the leader does not hear from, kept in the store. Tasks
 /// beside such an agent start elsewhere only when no earlier leader can keep
 /// them alive any more, which a leader counts from its own election unless this
-/// record tells it that the agent was silent before. Without the record,
-/// leaders that are lost one after another delay those tasks without bound.
+/// record tells it that the agent was silent before. Without the record, each
+/// leader that is lost delays those tasks anew.
 ///
 /// The record is valid for the leader that follows its writer. An agent that is
 /// in it gets no grant before the store has confirmed a record without it.
@@ -43,7 +43,7 @@
     /// Pause after a call to the store that failed.
     absl::Duration RetryDelay = absl::Milliseconds(300);
   };
-  /// Returns the agents that have not reported to this leader.
+  /// Returns the agents that this leader does not hear from.
   using CurrentAgents = std::function<std::vector<jobs::SilentAgent>()>;
   using OnRead = std::function<void()>;
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -329,6 +329,7 @@
         "the worker was unresponsive until its tasks had certainly ended",
         nullptr, now);
   endUnreportedIncarnations(now);
+  forgetLostAgents(now);
   resendLateStops(now);
   LateStartsByAgent.clear();
   for (auto &entry : Jobs) {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -98,7 +98,8 @@
   /// before the first onProgress().
   void adoptSilentAgents(const std::vector<SilentAgent> &agents);
   /// The agents that have not reported to this leader although tasks are
-  /// recorded as running beside them or as possibly started there.
+  /// recorded as running beside them or as possibly started there, and those
+  /// that have stopped reporting to it.
   std::vector<SilentAgent> silentAgents(absl::Time now) const;
 
   /// Repeats orders without an answer, detects lost workers, stalled or slow
@@ -546,6 +547,10 @@
   /// How long each agent had been silent when this leader was elected.
   std::map<std::string, absl::Duration> SilentBeforeElection;
   absl::Duration silentBeforeElection(const std::string &agent) const;
+  /// Agents whose worker has seen this leader's fencing token, so that no
+  /// earlier leader keeps tasks alive beside them.
+  std::set<std::string> FencedAgents;
+  void forgetLostAgents(absl::Time now);
   /// A recorded late start, and until when it may be carried out.
   struct IndexedLateStart {
     endpoints::EarlierStart Start;
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -45,6 +45,8 @@
     worker->Fenced = true;
     resolveUnlistedRuns(report, now);
   }
+  if (worker->Fenced)
+    FencedAgents.insert(report.Agent);
   for (const endpoints::OrderResult &result : report.Results)
     handleOrderResult(incarnation, result, now);
   // Most reports only update the progress of runs. A scheduling pass after each
--- a/src/libs/jobs/jobscheduler_silentagents.cpp
+++ b/src/libs/jobs/jobscheduler_silentagents.cpp
@@ -42,7 +42,21 @@
   for (const std::string &name : names)
     if (!OpenStarts.hasReported(name))
       agents.push_back({name, now - ElectedAt + silentBeforeElection(name)});
+  for (const std::string &name : FencedAgents) {
+    const absl::Duration silentFor = now - OpenStarts.lastReportAt(name);
+    if (silentFor >= Policy.TellSilenceAfter)
+      agents.push_back({name, silentFor + Policy.UnreportedLostAfter -
+                                  Policy.Fleet.LostAfter});
+  }
   return agents;
 }
 
+// By then the ends of its tasks are recorded, and the next leader need not know
+// of the agent.
+void JobScheduler::forgetLostAgents(absl::Time now) {
+  std::erase_if(FencedAgents, [&](const std::string &agent) {
+    return now - OpenStarts.lastReportAt(agent) >= Policy.UnreportedLostAfter;
+  });
+}
+
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -33,6 +33,9 @@
   /// How long before this leader's election the store had last confirmed a
   /// previous leader, at least.
   absl::Duration PreviousUnconfirmedFor = absl::ZeroDuration();
+  /// Time without a report after which the next leader is to know that an agent
+  /// is silent. Agents that start again are back before that.
+  absl::Duration TellSilenceAfter = absl::Seconds(2);
   /// Factor by which a gang that is spread over several racks, or a task that
   /// runs outside the rack of its data, takes longer. The scheduler itself does
   /// not use it.
--- a/tests/auto/cluster/tst_silentagents.cpp
+++ b/tests/auto/cluster/tst_silentagents.cpp
@@ -1,3 +1,4 @@
+#include "memorycluster.h"
 #include "memorystore.h"
 
 #include "entry/silentagentrecord.h"
@@ -127,5 +128,69 @@
   EXPECT_EQ(Store.items().count(RecordKey), 0u);
 }
 
+constexpr int Workers = 6;
+
+struct Silence {
+  const char *Name;
+  /// Time for which the leader does not hear from the agent, in milliseconds.
+  int SilentMs;
+  /// Time for which it does again before it is cut off itself.
+  int HeardMs;
+};
+
+void PrintTo(const Silence &c, std::ostream *out) { *out << c.Name; }
+
+/// The only worker that runs a task; -1 if none does.
+int busyWorker(MemoryCluster &cluster) {
+  for (const auto &[task, runs] : cluster.sharedState().Running)
+    for (int n = 0; n < Workers && !runs.empty(); ++n)
+      if (cluster.worker(n).incarnation() == runs.begin()->first)
+        return n;
+  return -1;
+}
+
+class AgentThatComesBack : public testing::TestWithParam<Silence> {};
+
+// Guards against a task that runs twice: the leader has recorded that the agent
+// is silent, loses the store and hears from the agent again, which the next
+// leader cannot reach.
+TEST_P(AgentThatComesBack, ToACutOffLeaderRunsItsTasksOnce) {
+  MemoryCluster::Options options;
+  options.Workers = Workers;
+  MemoryCluster cluster(options);
+  cluster.configure({"k"});
+  cluster.runFor(absl::Seconds(4));
+  cluster.submit(0, "k", makeJob("j", 1, 8, 25000));
+  cluster.runFor(absl::Seconds(1));
+  const int old = cluster.leader();
+  ASSERT_GE(old, 0);
+  const int worker = busyWorker(cluster);
+  ASSERT_GE(worker, 0);
+  const std::string agent = MemoryCluster::agentName(worker);
+  cluster.setPartitioned(agent, true);
+  cluster.runFor(absl::Milliseconds(GetParam().SilentMs));
+  cluster.setPartitioned(agent, false);
+  cluster.runFor(absl::Milliseconds(GetParam().HeardMs));
+  cluster.store().faults(MemoryCluster::entryName(old)).Silent = true;
+  for (int n = 0; n < 3; ++n)
+    if (n != old) {
+      cluster.partitionPair(MemoryCluster::entryName(n), agent);
+      cluster.partitionPair(MemoryCluster::entryName(n),
+                            MemoryCluster::entryName(old));
+    }
+  EXPECT_TRUE(cluster.runUntilAllEnded(absl::Seconds(90)));
+  const std::vector<std::string> found = cluster.violations();
+  EXPECT_TRUE(found.empty()) << found.front();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, AgentThatComesBack,
+                         testing::Values(Silence{"after_2_s", 2300, 0},
+                                         Silence{"after_4_s", 4000, 0},
+                                         Silence{"after_5_s", 5000, 0},
+                                         Silence{"and_stays_a_moment", 4000,
+                                                 100},
+                                         Silence{"and_stays", 4000, 1500}),
+                         [](const auto &test) { return test.param.Name; });
+
 } // namespace
 } // namespace oriolebay::cluster
--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -163,6 +163,30 @@
   expectAllTasksRunWithin(MemoryCluster::RecoveryTime);
 }
 
+class RemovedHostThenLeader : public Wait {};
+
+// Guards against a task of a removed worker that waits from the beginning when
+// the leader that has counted the worker's silence is lost too.
+TEST_P(RemovedHostThenLeader, TasksRunElsewhereSoonAfterTheFirstLoss) {
+  submitJob();
+  Cluster->runFor(absl::Seconds(2));
+  ASSERT_TRUE(areAllTasksRunning());
+  const absl::Time start = Cluster->loop().now();
+  Cluster->removeHost(workerOf(firstTask()));
+  loseLeaders(start);
+  expectAllTasksRunWithin(start + RunsAgainWithin - Cluster->loop().now());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, RemovedHostThenLeader,
+    testing::Values(Loss{"soon", 1, false, {550}},
+                    Loss{"before_the_grant_ends", 1, false, {5000}},
+                    Loss{"gang_before_the_grant_ends", 3, true, {5000}},
+                    Loss{"two_leaders", 1, false, {3000, 8000}},
+                    Loss{"as_the_grant_ends", 1, false, {6200}},
+                    Loss{"gang_as_the_grant_ends", 3, true, {6200}}),
+    nameOf);
+
 class StartAtRemovedHost : public Wait {};
 
 // Guards against a task that waits for the loss of its worker and then, from
