Stored jobs are held to no limits that earlier versions did not have

What users would see: after an update to this version a job is unknown, and callers get 410, although an earlier version has accepted it: one with a label of over 200 bytes, or with more than 65,536 tasks in all its occurrences (100 tasks, repeated 1,000 times). Found by reading; not seen.

Cause: the view of the jobs takes a stored record only if validate() accepts it, and validate() has got limits of its own for new jobs.

Change: validateStored() checks what a leader could not work with: counts, steps that wait for later ones, amounts that overflow. validate() adds the limits on size for new jobs.

Test: SpecsOfEarlierVersions; its rows long_label and many_occurrences were refused by validate(), which the view called before.

--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace oriolebay::core {
@@ -35,17 +36,24 @@
   if (step.EstimateMs > MaxAmount || step.TargetMs > MaxAmount)
     return where + ": times must be at most " + std::to_string(MaxAmount) +
            " ms";
-  for (const std::string *name :
-       {&step.NeedsLabel, &step.DataRack, &step.Image})
-    if (name->size() > MaxNameBytes)
-      return where + ": labels, racks and images have at most " +
-             std::to_string(MaxNameBytes) + " bytes";
   for (int after : step.After)
     if (after < 0 || after >= number)
       return where + ": it can only wait for earlier steps";
   return "";
 }
 
+bool hasLongName(const StepSpec &step) {
+  return std::max({step.NeedsLabel.size(), step.DataRack.size(),
+                   step.Image.size()}) > MaxNameBytes;
+}
+
+int64_t taskCount(const JobSpec &spec) {
+  int64_t n = 0;
+  for (const StepSpec &step : spec.Steps)
+    n += step.Count;
+  return n;
+}
+
 } // namespace
 
 std::string summary(const StepSpec &step) {
@@ -102,7 +110,7 @@
          isInRange(r.Accelerators);
 }
 
-std::string validate(const JobSpec &spec) {
+std::string validateStored(const JobSpec &spec) {
   if (spec.Id.empty())
     return "the job has no id; choose one";
   if (spec.Steps.empty())
@@ -121,17 +129,25 @@
   if (spec.IntervalMs > MaxAmount || spec.FirstDueMs < -MaxDueMs ||
       spec.FirstDueMs > MaxDueMs)
     return "the times of the occurrences are out of range";
-  int tasks = 0;
   for (size_t i = 0; i < spec.Steps.size(); ++i) {
     std::string problem = validateStep(spec.Steps[i], static_cast<int>(i));
     if (!problem.empty())
       return problem;
-    tasks += spec.Steps[i].Count;
   }
-  if (tasks > MaxTasksPerJob)
+  if (taskCount(spec) > MaxTasksPerJob)
     return "the job has more than " + std::to_string(MaxTasksPerJob) +
            " tasks; split it";
-  if (int64_t{tasks} * spec.occurrences() > MaxTasksOfOccurrences)
+  return "";
+}
+
+std::string validate(const JobSpec &spec) {
+  std::string problem = validateStored(spec);
+  if (!problem.empty())
+    return problem;
+  if (std::any_of(spec.Steps.begin(), spec.Steps.end(), hasLongName))
+    return "labels, racks and images have at most " +
+           std::to_string(MaxNameBytes) + " bytes";
+  if (taskCount(spec) * spec.occurrences() > MaxTasksOfOccurrences)
     return "the job has more than " + std::to_string(MaxTasksOfOccurrences) +
            " tasks in all its occurrences; let it repeat less often";
   return "";
--- a/src/libs/core/jobspec.h
+++ b/src/libs/core/jobspec.h
@@ -135,6 +135,11 @@
 /// valid.
 std::string validate(const JobSpec &spec);
 
+/// Returns why a stored spec cannot be used; empty if it can. Does not apply
+/// the limits that earlier versions did not have, so that the jobs that they
+/// have accepted stay known.
+std::string validateStored(const JobSpec &spec);
+
 /// Returns a summary of spec that fits on one log line. It lists for each step
 /// the number of tasks, the resources of a task (thousandths of a core, MB,
 /// accelerators), the estimate, and the properties and limits that restrict how
--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -10,7 +10,7 @@
 utils::Result<void> checkRecord(const JobRecord &record,
                                 const std::string &id) {
   const std::string problem = record.Spec.Id == id
-                                  ? core::validate(record.Spec)
+                                  ? core::validateStored(record.Spec)
                                   : "it belongs to another job";
   if (problem.empty())
     return {};
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -199,6 +199,36 @@
      false},
 };
 
+class SpecsOfEarlierVersions : public testing::TestWithParam<SpecCase> {};
+
+// Guards against accepted jobs that are unknown after an update, as the new
+// version accepts no such jobs any more.
+TEST_P(SpecsOfEarlierVersions, StayUsable) {
+  core::JobSpec spec;
+  spec.Id = "j";
+  spec.Steps.resize(2);
+  GetParam().Change(spec);
+  EXPECT_EQ(core::validateStored(spec), "");
+  EXPECT_EQ(core::validate(spec).empty(), GetParam().IsValid);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, SpecsOfEarlierVersions,
+    testing::Values(SpecCase{"plain", [](core::JobSpec &) {}, true},
+                    SpecCase{"long_label",
+                             [](core::JobSpec &s) {
+                               s.Steps[0].NeedsLabel =
+                                   std::string(core::MaxNameBytes + 1, 'l');
+                             },
+                             false},
+                    SpecCase{"many_occurrences",
+                             [](core::JobSpec &s) {
+                               s.Steps[0].Count = 100;
+                               s.Repeats = core::MaxRepeats;
+                             },
+                             false}),
+    [](const auto &info) { return info.param.Name; });
+
 INSTANTIATE_TEST_SUITE_P(Table, Specs, testing::ValuesIn(SpecCases),
                          [](const auto &info) { return info.param.Name; });
 
