The next leader waits for the unconfirmed starts of agents that fell silent

What users would see: a task that runs twice. An agent sends a start that its worker carries out late, after a restart under the same id; the agent falls silent, and then the leader is lost. The next leader started the task elsewhere 8 s before the late start.

And of a start that no report has confirmed the next leader does not know at all; it relied on waiting for nearly as long as a start can be late.

Change: the silence of an agent that has reported begins one heartbeat after its last report, when it has certainly stopped to send starts; whether its worker has received the leader's fencing token, which shortens the wait for grants, is a list of its own in the record. An agent with a start that no report has confirmed is not recorded, so that the wait for it is what it was before.

--- a/src/libs/entry/silentagentrecord.cpp
+++ b/src/libs/entry/silentagentrecord.cpp
@@ -29,9 +29,21 @@
 
 std::string encode(int64_t epoch, const std::vector<SilentAgent> &agents) {
   json list = json::array();
-  for (const SilentAgent &agent : agents)
+  json fenced = json::array();
+  for (const SilentAgent &agent : agents) {
     list.push_back({agent.Agent, absl::ToInt64Milliseconds(agent.SilentFor)});
-  return utils::toJsonText({{"epoch", epoch}, {"agents", list}});
+    if (agent.Fenced)
+      fenced.push_back(agent.Agent);
+  }
+  return utils::toJsonText(
+      {{"epoch", epoch}, {"agents", list}, {"fenced", fenced}});
+}
+
+// Earlier versions write no such list.
+bool isListed(const json &record, const char *key, const std::string &name) {
+  auto list = record.find(key);
+  return list != record.end() && list->is_array() &&
+         std::find(list->begin(), list->end(), name) != list->end();
 }
 
 std::optional<DecodedRecord> decode(const std::string &value) {
@@ -46,8 +58,9 @@
     if (!row.is_array() || row.size() != 2 || !row[0].is_string() ||
         !row[1].is_number_integer())
       return std::nullopt;
-    record.Agents.push_back(
-        {row[0].get<std::string>(), absl::Milliseconds(row[1].get<int64_t>())});
+    const auto name = row[0].get<std::string>();
+    record.Agents.push_back({name, absl::Milliseconds(row[1].get<int64_t>()),
+                             isListed(j, "fenced", name)});
   }
   return record;
 }
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -545,8 +545,12 @@
   std::map<WorkerIncarnation, UnreportedIncarnation> UnreportedIncarnations;
   absl::Time tasksEndedBy(const UnreportedIncarnation &unreported) const;
   /// How long each agent had been silent when this leader was elected.
-  std::map<std::string, absl::Duration> SilentBeforeElection;
-  absl::Duration silentBeforeElection(const std::string &agent) const;
+  std::map<std::string, SilentAgent> SilentBeforeElection;
+  SilentAgent silentBeforeElection(const std::string &agent) const;
+  std::vector<SilentAgent> unreportedAgents(absl::Time now) const;
+  /// The agents that have stopped reporting to this leader, but for those that
+  /// have been sent a start that no report has confirmed.
+  std::set<std::string> agentsOutOfTouch(absl::Time now) const;
   /// Agents whose worker has seen this leader's fencing token, so that no
   /// earlier leader keeps tasks alive beside them.
   std::set<std::string> FencedAgents;
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -70,8 +70,8 @@
 // out, but an agent sends none for a leader that it has not reported to.
 void JobScheduler::adoptLateStarts(Task &task, absl::Time now) const {
   for (const LateStart &start : task.Progress.LateStarts) {
-    const absl::Time until =
-        now + endpoints::MaxOrderDelay - silentBeforeElection(start.Agent);
+    const absl::Time until = now + endpoints::MaxOrderDelay -
+                             silentBeforeElection(start.Agent).SilentFor;
     task.LateStartBounds[start].Until = until;
     if (task.isAssigned() && start.Run == task.Progress.Run)
       task.StartOpenUntil = until;
--- a/src/libs/jobs/silentagent.h
+++ b/src/libs/jobs/silentagent.h
@@ -9,12 +9,12 @@
 /// An agent that the leader does not hear from, as the next leader is told.
 struct SilentAgent {
   std::string Agent;
-  /// How much earlier the tasks beside it have ended than those beside an agent
-  /// of which the next leader knows nothing. If the agent has not reported to
-  /// this leader: time since the election of the first in a row of leaders that
-  /// it has not reported to. If it has: time since its last report, and the
-  /// time that no earlier leader can have gone on granting for.
+  /// Time for which it has neither been granted time by this leader, or by the
+  /// ones before it that it has not reported to, nor sent starts for them.
   absl::Duration SilentFor;
+  /// It has reported to one of these leaders, and its worker has received that
+  /// leader's fencing token, so that no earlier leader can grant either.
+  bool Fenced = false;
   auto operator<=>(const SilentAgent &) const = default;
 };
 
--- a/tests/auto/cluster/tst_silentagents.cpp
+++ b/tests/auto/cluster/tst_silentagents.cpp
@@ -192,5 +192,64 @@
                                          Silence{"and_stays", 4000, 1500}),
                          [](const auto &test) { return test.param.Name; });
 
+struct LostAgent {
+  const char *Name;
+  /// When the leader is lost, in milliseconds since the agent was.
+  int LeaderLostAtMs;
+};
+
+void PrintTo(const LostAgent &c, std::ostream *out) { *out << c.Name; }
+
+/// Time from the loss of the agent until its worker restarts. The worker's
+/// clock then still allows the start when it is carried out.
+constexpr absl::Duration WorkerRestartsAfter = absl::Milliseconds(6500);
+
+class StartOfALostAgent : public testing::TestWithParam<LostAgent> {};
+
+// Guards against a task that runs twice: the agent has sent a start that the
+// worker's next incarnation carries out late, and the next leader counts from
+// the agent's silence.
+TEST_P(StartOfALostAgent, IsWaitedForByTheNextLeader) {
+  MemoryCluster::Options options;
+  options.Workers = Workers;
+  MemoryCluster cluster(options);
+  cluster.configure({"k"});
+  cluster.runFor(absl::Seconds(4));
+  for (int n = 0; n < Workers; ++n) {
+    cluster.worker(n).LateOrderShare = 1;
+    cluster.worker(n).MinLateDelay = absl::Seconds(12);
+  }
+  cluster.submit(0, "k", makeJob("j", 1, 8, 25000));
+  cluster.runFor(absl::Milliseconds(100));
+  const absl::Time lostAt = cluster.loop().now();
+  int worker = -1;
+  for (int n = 0; n < Workers; ++n) {
+    cluster.worker(n).LateOrderShare = 0;
+    if (cluster.worker(n).startsSent() > 0)
+      worker = n;
+  }
+  ASSERT_GE(worker, 0);
+  cluster.killAgent(worker);
+  cluster.runFor(absl::Milliseconds(GetParam().LeaderLostAtMs));
+  ASSERT_GE(cluster.leader(), 0);
+  cluster.killEntry(cluster.leader());
+  cluster.runFor(lostAt + WorkerRestartsAfter - cluster.loop().now());
+  cluster.worker(worker).crashFor(absl::Milliseconds(200),
+                                  MemoryWorker::RestartId::Same);
+  cluster.runFor(absl::Seconds(40));
+  const std::vector<std::string> found = cluster.violations();
+  EXPECT_TRUE(found.empty()) << found.front() << '\n'
+                             << cluster.decisionsText("j");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, StartOfALostAgent,
+    testing::Values(LostAgent{"before_it_is_recorded", 1000},
+                    LostAgent{"soon", 2500},
+                    LostAgent{"before_the_grant_ends", 4000},
+                    LostAgent{"as_the_grant_ends", 5600},
+                    LostAgent{"after_the_grant_ends", 6400}),
+    [](const auto &test) { return test.param.Name; });
+
 } // namespace
 } // namespace oriolebay::cluster
