--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -70,6 +70,12 @@
     spec.Steps.front().Gang = GetParam().Gang;
     Cluster->submit(0, "k", spec);
   }
+  /// Submits the job and waits until all its tasks run.
+  void runJob() {
+    submitJob();
+    Cluster->runFor(absl::Seconds(2));
+    ASSERT_TRUE(areAllTasksRunning());
+  }
   std::string firstTask() const { return core::taskName({"j", 0, 0, 0}); }
   bool isRunning(const std::string &task) const {
     const auto &running = Cluster->sharedState().Running;
@@ -131,9 +137,7 @@
 // tasks of a worker that is removed for good and reported to none of the last
 // leaders.
 TEST_P(RemovedHost, TasksRunElsewhereSoon) {
-  submitJob();
-  Cluster->runFor(absl::Seconds(2));
-  ASSERT_TRUE(areAllTasksRunning());
+  runJob();
   const absl::Time start = Cluster->loop().now();
   Cluster->removeHost(workerOf(firstTask()));
   loseLeaders(start);
@@ -154,9 +158,7 @@
 // leader may go on without the store, because the next leader counts that time
 // from its own election and not from the end of the earlier one's lease.
 TEST_P(RemovedHost, IsNotWaitedForLongerThanItsLastLeaderCouldGrant) {
-  submitJob();
-  Cluster->runFor(absl::Seconds(2));
-  ASSERT_TRUE(areAllTasksRunning());
+  runJob();
   const absl::Time start = Cluster->loop().now();
   Cluster->removeHost(workerOf(firstTask()));
   loseLeaders(start);
@@ -168,9 +170,7 @@
 // Guards against a task of a removed worker that waits from the beginning when
 // the leader that has counted the worker's silence is lost too.
 TEST_P(RemovedHostThenLeader, TasksRunElsewhereSoonAfterTheFirstLoss) {
-  submitJob();
-  Cluster->runFor(absl::Seconds(2));
-  ASSERT_TRUE(areAllTasksRunning());
+  runJob();
   const absl::Time start = Cluster->loop().now();
   Cluster->removeHost(workerOf(firstTask()));
   loseLeaders(start);
