tests: a job that does not run ends the tests of RemovedHost at once

A fatal failure ends only the function that it is in, so that a test would have failed but gone on with a worker that does not exist. ASSERT_NO_FATAL_FAILURE restores that the test ends there.

--- a/tests/auto/cluster/tst_waits.cpp
+++ b/tests/auto/cluster/tst_waits.cpp
@@ -137,7 +137,7 @@
 // tasks of a worker that is removed for good and reported to none of the last
 // leaders.
 TEST_P(RemovedHost, TasksRunElsewhereSoon) {
-  runJob();
+  ASSERT_NO_FATAL_FAILURE(runJob());
   const absl::Time start = Cluster->loop().now();
   Cluster->removeHost(workerOf(firstTask()));
   loseLeaders(start);
@@ -158,7 +158,7 @@
 // leader may go on without the store, because the next leader counts that time
 // from its own election and not from the end of the earlier one's lease.
 TEST_P(RemovedHost, IsNotWaitedForLongerThanItsLastLeaderCouldGrant) {
-  runJob();
+  ASSERT_NO_FATAL_FAILURE(runJob());
   const absl::Time start = Cluster->loop().now();
   Cluster->removeHost(workerOf(firstTask()));
   loseLeaders(start);
@@ -170,7 +170,7 @@
 // Guards against a task of a removed worker that waits from the beginning when
 // the leader that has counted the worker's silence is lost too.
 TEST_P(RemovedHostThenLeader, TasksRunElsewhereSoonAfterTheFirstLoss) {
-  runJob();
+  ASSERT_NO_FATAL_FAILURE(runJob());
   const absl::Time start = Cluster->loop().now();
   Cluster->removeHost(workerOf(firstTask()));
   loseLeaders(start);
