Log of a call tells the writes that were sent for it

The line call.answered did not tell how many writes an entry had sent to the store for the call, nor whether all of them were answered, so that a refusal of a job that was never written read like one of a job that may be stored.

call.answered has writes and writes_unanswered now. It distinguishes the hypotheses 1 (one write, reported as refused, none unanswered) and 2 (a write without an answer, and a refusal after it). No decision changes.

Test: Cluster.LogOfASubmittedJobCountsItsWritesWithoutAnswer.

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -99,6 +99,10 @@
     fields["asked"] = d.Asked;
     fields["priority"] = d.Priority;
   }
+  if (d.WritesSent > 0) {
+    fields["writes"] = d.WritesSent;
+    fields["writes_unanswered"] = d.WritesUnanswered;
+  }
   if (!d.Answer.Detail.empty())
     fields["why"] = d.Answer.Detail;
   if (!d.Answer.ServedBy.empty()) {
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -73,6 +73,10 @@
   /// age at that time.
   int64_t ConfigVersion = 0;
   int64_t ConfigAgeMs = 0;
+  /// Number of writes that this entry sent to the store for the call, and of
+  /// those that got no answer.
+  int WritesSent = 0;
+  int WritesUnanswered = 0;
   CallAnswer Answer;
   int64_t TookMs = 0;
 };
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -111,7 +111,7 @@
                   call->Queue.Priority, call->Organisation,
                   call->Name == "submit" ? core::summary(call->Spec) : "",
                   call->CheckedConfig.Version, loggedAgeMs(call->ConfigAge),
-                  answer,
+                  call->WritesSent, call->WritesUnanswered, answer,
                   absl::ToInt64Milliseconds(Loop.now() - call->ReceivedAt)});
   call->Answer(std::move(answer));
 }
@@ -166,8 +166,10 @@
 // may have taken effect.
 void JobService::retryStoreCall(const CallPtr &call, StoreStatus status,
                                 const Continuation &next) {
-  if (status == StoreStatus::Unknown)
+  if (status == StoreStatus::Unknown) {
     call->OutcomeUnknown = true;
+    ++call->WritesUnanswered;
+  }
   if (forward(call))
     return;
   const absl::Duration retryLimit = call->FromOtherEntry
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -80,6 +80,7 @@
     txn.Puts.push_back({specKey(call->JobId), value, 0});
   txn.TimeoutMs = nextTryTimeoutMs(call);
   const absl::Time sentAt = Loop.now();
+  ++call->WritesSent;
   StoreClient.Transact(std::move(txn),
                        [this, alive = Alive, call, sentAt,
                         value](const StoreReply<StoreTxnReply> &reply) {
@@ -167,6 +168,7 @@
   platform::StoreTxn txn;
   txn.Expected.push_back({key, revision});
   txn.Puts.push_back({key, value, 0});
+  ++call->WritesSent;
   StoreClient.Transact(
       std::move(txn), [this, alive = Alive, call, key,
                        value](const StoreReply<StoreTxnReply> &reply) {
--- a/src/libs/jobs/jobservicecall.h
+++ b/src/libs/jobs/jobservicecall.h
@@ -26,6 +26,10 @@
   /// A write was sent whose outcome is unknown, or another entry may have
   /// carried out the call.
   bool OutcomeUnknown = false;
+  /// Writes that this entry sent to the store for the call, and those that got
+  /// no answer.
+  int WritesSent = 0;
+  int WritesUnanswered = 0;
   /// The call was forwarded by another entry, or to one.
   bool FromOtherEntry = false;
   bool SentToOtherEntry = false;
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -312,6 +312,29 @@
   EXPECT_GT(line.Answer.DecidedBy.Revision, 0);
 }
 
+// The line of a submitted job tells writes that may be stored apart from writes
+// that the store refused.
+TEST(Cluster, LogOfASubmittedJobCountsItsWritesWithoutAnswer) {
+  MemoryCluster cluster({1, 1, 1, 1});
+  cluster.configure({"k1"});
+  cluster.runFor(absl::Seconds(4));
+  auto &faults = cluster.store().faults(MemoryCluster::entryName(0));
+  faults.LostAnswerShare = 1;
+  cluster.submit(0, "k1", job("lost", 1, 1, 200));
+  cluster.runFor(absl::Milliseconds(100));
+  faults.LostAnswerShare = 0;
+  cluster.runFor(absl::Seconds(2));
+  faults.Refuses = true;
+  cluster.submit(0, "k1", job("refused", 1, 1, 200));
+  cluster.runFor(absl::Seconds(2));
+  const auto &lines = cluster.callDecisions();
+  ASSERT_EQ(lines.size(), 2);
+  EXPECT_EQ(lines[0].WritesSent, 2);
+  EXPECT_EQ(lines[0].WritesUnanswered, 1);
+  EXPECT_GE(lines[1].WritesSent, 1);
+  EXPECT_EQ(lines[1].WritesUnanswered, 0);
+}
+
 // Guards against a caller with a new key that waits for a silent store as long
 // as a store call may take, although another entry could serve it.
 TEST(Cluster, ForwardsNewKeySoonWhenTheStoreIsSilent) {
