A call is not refused while a write of it may be stored

Callers saw: a job is refused (401, 404, 400, 503) at each try, and runs.

Cause: JobService asked for OutcomeUnknown at two places out of many. After a write of a submitted job without an answer, authorise(), useNewerConfig(), confirmConfig(), storeJob() and another entry's refusal ended the call with the last thing that was learned. The same for a cancellation.

Change: CallWrites holds the writes that were sent for a call, each open from its sending until it is known to be done or impossible. All answers leave through deliver(), where a refusal becomes open while a write is. A refusal that may be true is made true where that can be: a write depends on the revision of the configuration by which the job was accepted, so that under a newer one the store shows, in one call, whether the job is stored (200 then) or never will be (the refusal stands). Calls between entries name the open write, and answers tell whether it is settled; entries of earlier versions tell neither, and their refusal is withheld while a write is open.

Why not a guard at each place: there are twelve of them, and each new one would have to remember it. Reads keep their answers.

Seen in logs: call.refusal_withheld (218), with a counter like each event.

--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -176,7 +176,9 @@
        {"Job", c.Job},
        {"Record", c.Record},
        {"OldestRevision", c.OldestRevision},
-       {"MaxConfigAgeMs", c.MaxConfigAgeMs}};
+       {"MaxConfigAgeMs", c.MaxConfigAgeMs},
+       {"OpenRevision", c.OpenRevision},
+       {"OpenOrganisation", c.OpenOrganisation}};
 }
 
 static void from_json(const json &j, ForwardedCall &c) {
@@ -189,11 +191,28 @@
   j.at("Record").get_to(c.Record);
   j.at("OldestRevision").get_to(c.OldestRevision);
   c.MaxConfigAgeMs = j.value("MaxConfigAgeMs", ForwardedCall().MaxConfigAgeMs);
+  c.OpenRevision = j.value("OpenRevision", ForwardedCall().OpenRevision);
+  c.OpenOrganisation =
+      j.value("OpenOrganisation", ForwardedCall().OpenOrganisation);
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForwardedAnswer, Result, Detail,
-                                   RetryAfterMs, State, Waiting, DecidedBy,
-                                   Entry)
+static void to_json(json &j, const ForwardedAnswer &a) {
+  j = {{"Result", a.Result},   {"Detail", a.Detail},
+       {"State", a.State},     {"RetryAfterMs", a.RetryAfterMs},
+       {"Waiting", a.Waiting}, {"DecidedBy", a.DecidedBy},
+       {"Entry", a.Entry},     {"Settled", a.Settled}};
+}
+
+static void from_json(const json &j, ForwardedAnswer &a) {
+  j.at("Result").get_to(a.Result);
+  j.at("Detail").get_to(a.Detail);
+  j.at("RetryAfterMs").get_to(a.RetryAfterMs);
+  j.at("State").get_to(a.State);
+  j.at("Waiting").get_to(a.Waiting);
+  j.at("DecidedBy").get_to(a.DecidedBy);
+  j.at("Entry").get_to(a.Entry);
+  a.Settled = j.value("Settled", ForwardedAnswer().Settled);
+}
 
 const char *runEndName(RunEnd end) {
   switch (end) {
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -408,6 +408,11 @@
   /// Maximum time since the store has confirmed that configuration, in
   /// milliseconds; zero if only the receiver's own limit applies.
   int64_t MaxConfigAgeMs = 0;
+  /// A write that the sender has sent for the call and that may be stored: the
+  /// newest revision of the configuration that it depends on, zero if there is
+  /// none, and the organisation of the job.
+  int64_t OpenRevision = 0;
+  std::string OpenOrganisation = {};
   auto operator<=>(const ForwardedCall &) const = default;
 };
 
@@ -422,6 +427,10 @@
   core::ConfigStamp DecidedBy;
   /// The address of the entry that answers.
   std::string Entry;
+  /// No write of the call can be carried out any more without the answer
+  /// telling of it, those that the call named included. Not set by entries of
+  /// earlier versions.
+  bool Settled = false;
   auto operator<=>(const ForwardedAnswer &) const = default;
 };
 
--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -85,7 +85,20 @@
   logEvent(eventFor(d.What), fields);
 }
 
+static void logWithheldRefusal(const jobs::CallDecision &d) {
+  if (!d.WithheldRefusal)
+    return;
+  logEvent(Event::CallRefusalWithheld,
+           {{"call", d.Call},
+            {"job", d.Job},
+            {"refusal", jobs::callResultName(*d.WithheldRefusal)},
+            {"writes", d.WritesSent},
+            {"writes_unanswered", d.WritesUnanswered},
+            {"why", d.Answer.Detail}});
+}
+
 void logCall(const jobs::CallDecision &d) {
+  logWithheldRefusal(d);
   nlohmann::json fields = {{"call", d.Call},
                            {"queue", d.Queue},
                            {"organisation", d.Organisation},
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -48,6 +48,7 @@
       {Event::StepWaitsBesideFreeWorkers, "step.waits_beside_free_workers"},
       {Event::StepPreferencesGivenUp, "step.preferences_given_up"},
       {Event::CallUnanswered, "call.unanswered"},
+      {Event::CallRefusalWithheld, "call.refusal_withheld"},
       {Event::WorkerUsedAgain, "worker.used_again"},
       {Event::WorkerSpeedLearned, "worker.speed_learned"},
       {Event::WorkerSpeedIgnored, "worker.speed_ignored"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -35,6 +35,7 @@
   StepWaitsBesideFreeWorkers = 215,
   StepPreferencesGivenUp = 216,
   CallUnanswered = 217,
+  CallRefusalWithheld = 218,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -6,6 +6,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace oriolebay::jobs {
@@ -49,6 +50,9 @@
   int64_t RetryAfterMs = 0;
   JobState State = JobState::Queued;
   int Waiting = 0;
+  /// No write of the call can be carried out any more without the answering
+  /// entry knowing of it. Not set by entries of earlier versions.
+  bool Settled = false;
   /// The configuration that the answer is based on; zeros if there was none.
   core::ConfigStamp DecidedBy;
   /// The address of the entry that answered, if it was another one.
@@ -77,6 +81,9 @@
   /// those that got no answer.
   int WritesSent = 0;
   int WritesUnanswered = 0;
+  /// The refusal in whose place the answer is Open, because a write of the call
+  /// may be stored.
+  std::optional<CallResult> WithheldRefusal;
   CallAnswer Answer;
   int64_t TookMs = 0;
 };
--- a/src/libs/jobs/callcodec.cpp
+++ b/src/libs/jobs/callcodec.cpp
@@ -37,6 +37,8 @@
   if (call.MaxConfigAge != absl::InfiniteDuration())
     m.MaxConfigAgeMs =
         std::max<int64_t>(1, absl::ToInt64Milliseconds(call.MaxConfigAge));
+  m.OpenRevision = call.OpenRevision;
+  m.OpenOrganisation = call.OpenOrganisation;
   if (call.Name == "submit") {
     JobRecord record;
     record.Spec = call.Spec;
@@ -55,6 +57,8 @@
   call.OldestRevision = m.OldestRevision;
   if (m.MaxConfigAgeMs > 0)
     call.MaxConfigAge = absl::Milliseconds(m.MaxConfigAgeMs);
+  call.OpenRevision = m.OpenRevision;
+  call.OpenOrganisation = m.OpenOrganisation;
   if (m.Call == "submit") {
     BOOST_LEAF_AUTO(record, decodeRecord(m.Record));
     call.Spec = std::move(record.Spec);
@@ -69,7 +73,8 @@
           jobStateName(answer.State),
           answer.Waiting,
           answer.DecidedBy,
-          answer.ServedBy};
+          answer.ServedBy,
+          answer.Settled};
 }
 
 CallAnswer toAnswer(const endpoints::ForwardedAnswer &m) {
@@ -80,6 +85,7 @@
   answer.Waiting = m.Waiting;
   answer.DecidedBy = m.DecidedBy;
   answer.ServedBy = m.Entry;
+  answer.Settled = m.Settled;
   const auto *result = findByName(Results, m.Result, callResultName);
   const auto *state = findByName(States, m.State, jobStateName);
   if (result == Results.end() || state == States.end())
--- a/src/libs/jobs/callcodec.h
+++ b/src/libs/jobs/callcodec.h
@@ -25,6 +25,11 @@
   int64_t OldestRevision = 0;
   /// How long ago the store may have confirmed that configuration at most.
   absl::Duration MaxConfigAge = absl::InfiniteDuration();
+  /// A write of the call that may be stored: the newest revision of the
+  /// configuration that it depends on (see CallWrites), zero if there is none,
+  /// and the organisation of the job.
+  int64_t OpenRevision = 0;
+  std::string OpenOrganisation = {};
 
   bool operator==(const CallRequest &) const = default;
 };
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -70,6 +70,10 @@
   call->JobId = std::move(request.JobId);
   call->Spec = std::move(request.Spec);
   call->MaxConfigAge = request.MaxConfigAge;
+  if (request.OpenRevision != 0) {
+    call->Writes.adopt(request.OpenRevision);
+    call->WritingOrganisation = std::move(request.OpenOrganisation);
+  }
   call->Answer = std::move(done);
   return call;
 }
@@ -87,6 +91,8 @@
 
 void JobService::finish(const CallPtr &call, CallResult result,
                         std::string detail) {
+  if (isRefusal(result) && settleWrites(call))
+    return;
   CallAnswer answer;
   answer.Result = result;
   answer.Detail = std::move(detail);
@@ -107,11 +113,21 @@
   if (call->Finished)
     return;
   call->Finished = true;
+  answer.Settled = !call->Writes.isOpen();
+  std::optional<CallResult> withheld;
+  if (isRefusal(answer.Result) && call->Writes.isOpen()) {
+    withheld = answer.Result;
+    answer.Result = CallResult::Open;
+    answer.Detail =
+        "a write may be stored; ask again with the same id: " + answer.Detail;
+    answer.RetryAfterMs = retryAfterMs();
+  }
   ReportDecision({call->Name, call->JobId, call->Queue.Name,
                   call->Queue.Priority, call->Organisation,
                   call->Name == "submit" ? core::summary(call->Spec) : "",
                   call->CheckedConfig.Version, loggedAgeMs(call->ConfigAge),
-                  call->WritesSent, call->WritesUnanswered, answer,
+                  call->Writes.sentCount(), call->Writes.unansweredCount(),
+                  withheld, answer,
                   absl::ToInt64Milliseconds(Loop.now() - call->ReceivedAt)});
   call->Answer(std::move(answer));
 }
@@ -164,22 +180,17 @@
 // Handles a failed store call: tries to forward the call, else repeats the
 // store call while there is time. After that the caller learns whether the call
 // may have taken effect.
-void JobService::retryStoreCall(const CallPtr &call, StoreStatus status,
-                                const Continuation &next) {
-  if (status == StoreStatus::Unknown) {
-    call->OutcomeUnknown = true;
-    ++call->WritesUnanswered;
-  }
+void JobService::retryStoreCall(const CallPtr &call, const Continuation &next) {
   if (forward(call))
     return;
   const absl::Duration retryLimit = call->FromOtherEntry
                                         ? Policy.MaxForwardedRefusedTime
                                         : Policy.MaxRefusedTime;
-  const bool canRetry = call->OutcomeUnknown
+  const bool canRetry = call->Writes.isOpen()
                             ? storeTimeLeft(call) > absl::ZeroDuration()
                             : Loop.now() - call->ReceivedAt < retryLimit;
   if (isOutOfTime(call) || !canRetry) {
-    if (call->OutcomeUnknown)
+    if (call->Writes.isOpen())
       finish(call, CallResult::Open,
              "the store did not confirm in time; ask again with the same id");
     else
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -79,7 +79,7 @@
 };
 
 /// Receives the answer of another entry, or nothing if none answered. With
-/// outcomeUnknown, an entry may have carried out the call nevertheless.
+/// outcomeUnknown, an entry that did not answer may have carried out the call.
 using OnForwarded =
     std::function<void(const std::optional<CallAnswer> &, bool outcomeUnknown)>;
 
@@ -161,7 +161,17 @@
   std::optional<UnansweredWrites::Id> trackForwardedWrite(const CallPtr &call);
   bool isAnswerUsable(const CallPtr &call, const CallAnswer &answer) const;
   /// Logs the call and sends the answer, unless the call was answered before.
+  /// All answers pass here. A refusal becomes Open while it may be untrue.
   void deliver(const CallPtr &call, CallAnswer answer);
+  /// A write of the call is sent, which can only be done while the
+  /// configuration has this revision.
+  void recordWrite(const CallPtr &call, int64_t configRevision);
+  /// Has the store show what became of the call's open writes, and then serves
+  /// the call again. Returns false if nothing can be learned that way.
+  bool settleWrites(const CallPtr &call);
+  /// Learns whether the call's job is stored while the configuration is the one
+  /// known here.
+  void checkNotStored(const CallPtr &call);
   void authoriseNewCall(const CallPtr &call, const Continuation &next);
   /// Checks queue and key, then calls next. With confirmed, the store has just
   /// confirmed the configuration, so that the call can be refused.
@@ -187,8 +197,7 @@
   /// The store answers, and its watches can be relied on; see MaxViewAge.
   bool isViewFresh() const;
   int64_t retryAfterMs() const;
-  void retryStoreCall(const CallPtr &call, platform::StoreStatus status,
-                      const Continuation &next);
+  void retryStoreCall(const CallPtr &call, const Continuation &next);
   /// Answers a submit call: checks the job, then stores it or forwards the
   /// call.
   void validateAndStore(const CallPtr &call);
@@ -197,6 +206,15 @@
   onStoreJobReply(const CallPtr &call,
                   const platform::StoreReply<platform::StoreTxnReply> &reply,
                   absl::Time sentAt, const std::string &value);
+  platform::StoreTxn newJobTxn(const CallPtr &call) const;
+  /// Answers a submit call whose id the store has.
+  void finishWithStoredJob(const CallPtr &call,
+                           const platform::KeyValue &existing);
+  /// The store has the call's job, or a newer configuration than the one that
+  /// the call was checked against.
+  void onSubmitConflict(const CallPtr &call,
+                        const std::vector<platform::KeyValue> &current,
+                        absl::Time sentAt);
   /// Updates the view with a job's key as it is in the store now, and notifies
   /// the leader of it.
   void publishWrite(const platform::KeyValue &item);
--- a/src/libs/jobs/jobservice_forwarding.cpp
+++ b/src/libs/jobs/jobservice_forwarding.cpp
@@ -49,7 +49,9 @@
           call->JobId,
           call->Spec,
           Config.newestKnownRevision(),
-          Loop.now() - call->OldestConfirmation};
+          Loop.now() - call->OldestConfirmation,
+          call->Writes.openRevision(),
+          call->WritingOrganisation.value_or("")};
 }
 
 // Whether another entry's answer may be passed on to the caller. A write that
@@ -62,24 +64,28 @@
          answer.DecidedBy.Revision >= Config.newestKnownRevision();
 }
 
-// Answers NotDone only if nothing can still be carried out, neither an earlier
-// write of this entry nor a call to an entry that did not answer.
 void JobService::onForwarded(const CallPtr &call,
                              const std::optional<CallAnswer> &answer,
                              bool outcomeUnknown) {
-  call->OutcomeUnknown |= outcomeUnknown;
+  if (answer && answer->Settled)
+    call->Writes.settle();
+  if (outcomeUnknown && isWrite(call->Name))
+    call->Writes.recordUnansweredForward();
   if (answer)
     Config.handleNewerConfig(answer->DecidedBy,
                              operators::ConfigNewsSource::ForwardedAnswer);
   if (answer && answer->Result != CallResult::NotDone &&
       isAnswerUsable(call, *answer)) {
+    if (isRefusal(answer->Result) && settleWrites(call))
+      return;
     CallAnswer relayed = withReportedEnd(call, *answer);
     if (relayed.Detail.empty())
       relayed.Detail = "served by another entry";
     deliver(call, std::move(relayed));
     return;
   }
-  finish(call, call->OutcomeUnknown ? CallResult::Open : CallResult::NotDone,
+  const bool isUnansweredRead = outcomeUnknown && !isWrite(call->Name);
+  finish(call, isUnansweredRead ? CallResult::Open : CallResult::NotDone,
          answer ? "no entry reaches the store"
                 : "the store is not available here, nor any other entry");
 }
--- a/src/libs/jobs/jobservice_state.cpp
+++ b/src/libs/jobs/jobservice_state.cpp
@@ -34,11 +34,12 @@
                     if (!*alive)
                       return;
                     if (reply.Status == StoreStatus::NotFound) {
+                      call->Writes.settle();
                       finish(call, CallResult::UnknownJob, "no such job");
                       return;
                     }
                     if (!reply.ok()) {
-                      retryStoreCall(call, StoreStatus::Refused, retry);
+                      retryStoreCall(call, retry);
                       return;
                     }
                     View.applyItem(reply.Value);
@@ -53,8 +54,7 @@
         if (!*alive)
           return;
         if (!reply.ok() && reply.Status != StoreStatus::NotFound) {
-          retryStoreCall(call, StoreStatus::Refused,
-                         [this](const CallPtr &c) { fetchProgress(c); });
+          retryStoreCall(call, [this](const CallPtr &c) { fetchProgress(c); });
           return;
         }
         if (reply.ok())
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -71,16 +71,15 @@
   // While no task can start anywhere, the transaction writes nothing and only
   // shows whether the job was accepted before.
   std::string value;
-  if (!CheckSiteCordoned() || call->OutcomeUnknown)
+  if (!CheckSiteCordoned() || call->Writes.isOpen())
     value = encode(record);
-  platform::StoreTxn txn;
-  txn.Expected.push_back({specKey(call->JobId), 0});
-  txn.Expected.push_back(Config.condition());
-  if (!value.empty())
+  platform::StoreTxn txn = newJobTxn(call);
+  if (!value.empty()) {
     txn.Puts.push_back({specKey(call->JobId), value, 0});
-  txn.TimeoutMs = nextTryTimeoutMs(call);
+    recordWrite(call, Config.condition().Revision);
+    call->WritingOrganisation = call->Organisation;
+  }
   const absl::Time sentAt = Loop.now();
-  ++call->WritesSent;
   StoreClient.Transact(std::move(txn),
                        [this, alive = Alive, call, sentAt,
                         value](const StoreReply<StoreTxnReply> &reply) {
@@ -89,51 +88,77 @@
                        });
 }
 
+// Returns a transaction without writes on the conditions of a new job: its key
+// does not exist, and the configuration is the one known here.
+platform::StoreTxn JobService::newJobTxn(const CallPtr &call) const {
+  platform::StoreTxn txn;
+  txn.Expected.push_back({specKey(call->JobId), 0});
+  txn.Expected.push_back(Config.condition());
+  txn.TimeoutMs = nextTryTimeoutMs(call);
+  return txn;
+}
+
 void JobService::onStoreJobReply(const CallPtr &call,
                                  const StoreReply<StoreTxnReply> &reply,
                                  absl::Time sentAt, const std::string &value) {
-  const std::string key = specKey(call->JobId);
+  call->Writes.recordOutcome(reply.Status);
   if (reply.ok() && value.empty()) {
     finish(call, CallResult::NotDone,
            "the operator evacuates all failure domains; nothing was done");
     return;
   }
   if (reply.ok()) {
-    const KeyValue item{key, value, reply.Value.Revision, reply.Value.Revision,
-                        0};
+    const KeyValue item{specKey(call->JobId), value, reply.Value.Revision,
+                        reply.Value.Revision, 0};
     publishWrite(item);
     finish(call, CallResult::Ok);
     return;
   }
-  if (reply.Status != StoreStatus::Conflict) {
-    retryStoreCall(call, reply.Status,
-                   [this](const CallPtr &c) { storeJob(c); });
-    return;
-  }
-  if (const KeyValue *config =
-          findItem(reply.Value.Current, Config.condition().Key))
+  if (reply.Status == StoreStatus::Conflict)
+    onSubmitConflict(call, reply.Value.Current, sentAt);
+  else
+    retryStoreCall(call, [this](const CallPtr &c) { storeJob(c); });
+}
+
+void JobService::onSubmitConflict(const CallPtr &call,
+                                  const std::vector<KeyValue> &current,
+                                  absl::Time sentAt) {
+  const std::string configKey = Config.condition().Key;
+  const KeyValue *config = findItem(current, configKey);
+  if (config != nullptr)
     Config.applyItem(*config, sentAt);
-  if (const KeyValue *existing = findItem(reply.Value.Current, key)) {
-    // The id was submitted before, by this call or an earlier one. That is the
-    // same job if it is of the same organisation.
-    const std::optional<JobRecord> record = tryDecodeRecord(existing->Value);
-    View.applyItem(*existing);
-    if (record && record->Spec.Organisation != call->Organisation) {
-      finish(call, CallResult::IdTaken, "another job has this id");
-      return;
-    }
-    NotifyLeader(*existing);
-    finish(call, CallResult::Ok);
+  if (const KeyValue *existing = findItem(current, specKey(call->JobId))) {
+    finishWithStoredJob(call, *existing);
     return;
   }
+  if (config != nullptr)
+    call->Writes.recordNothingStored(config->ModRevision);
   // Without time left, retryStoreCall() only forwards the call or finishes it.
   if (isOutOfTime(call)) {
-    retryStoreCall(call, StoreStatus::Refused, {});
+    retryStoreCall(call, {});
     return;
   }
   authorise(call, true, [this](const CallPtr &c) { storeJob(c); });
 }
 
+// The id was submitted before, by this call or an earlier one. That is the same
+// job if it is of the same organisation. No write can replace it.
+void JobService::finishWithStoredJob(const CallPtr &call,
+                                     const KeyValue &existing) {
+  const std::optional<JobRecord> record = tryDecodeRecord(existing.Value);
+  View.applyItem(existing);
+  call->Writes.settle();
+  const bool isOwn = !record ||
+                     record->Spec.Organisation == call->Organisation ||
+                     record->Spec.Organisation == call->WritingOrganisation;
+  if (!isOwn) {
+    finish(call, CallResult::IdTaken, "another job has this id");
+    return;
+  }
+  NotifyLeader(existing);
+  finish(call, CallResult::Ok);
+}
+
 void JobService::publishWrite(const KeyValue &item) {
   View.applyItem(item);
   NotifyLeader(item);
@@ -168,12 +193,13 @@
   platform::StoreTxn txn;
   txn.Expected.push_back({key, revision});
   txn.Puts.push_back({key, value, 0});
-  ++call->WritesSent;
+  recordWrite(call, CallWrites::NoConfig);
   StoreClient.Transact(
       std::move(txn), [this, alive = Alive, call, key,
                        value](const StoreReply<StoreTxnReply> &reply) {
         if (!*alive)
           return;
+        call->Writes.recordOutcome(reply.Status);
         if (reply.ok()) {
           const KeyValue item{key, value, 0, reply.Value.Revision, 0};
           publishWrite(item);
@@ -181,12 +207,13 @@
           return;
         }
         if (reply.Status != StoreStatus::Conflict) {
-          retryStoreCall(call, reply.Status,
+          retryStoreCall(call,
                          [this](const CallPtr &c) { findJobToCancel(c); });
           return;
         }
         // The record has changed: it was cancelled by another call, or by this
-        // one with the store's answer lost.
+        // one with the store's answer lost. No write can replace it any more.
+        call->Writes.settle();
         if (const KeyValue *current = findItem(reply.Value.Current, key)) {
           publishWrite(*current);
           findJobToCancel(call);
--- a/src/libs/jobs/jobservicecall.h
+++ b/src/libs/jobs/jobservicecall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callwrites.h"
 #include "jobservice.h"
 
 namespace oriolebay::jobs {
@@ -23,13 +24,11 @@
   absl::Duration ConfigAge = absl::InfiniteDuration();
   core::QueueConfig Queue;
   std::string Organisation;
-  /// A write was sent whose outcome is unknown, or another entry may have
-  /// carried out the call.
-  bool OutcomeUnknown = false;
-  /// Writes that this entry sent to the store for the call, and those that got
-  /// no answer.
-  int WritesSent = 0;
-  int WritesUnanswered = 0;
+  CallWrites Writes;
+  /// The organisation whose job the writes store; nothing if there are none.
+  std::optional<std::string> WritingOrganisation;
+  /// The store was asked what became of the open writes.
+  bool SettlingBegun = false;
   /// The call was forwarded by another entry, or to one.
   bool FromOtherEntry = false;
   bool SentToOtherEntry = false;
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -80,9 +80,9 @@
         Message(JobWritten{"oriolebay/jobs/j/spec", "bytes", 12}),
         Message(StandDown{4}),
         Message(ForwardedCall{"submit", "h", "/p/j", "key", 1200, "j", "b",
-                              4711, 300}),
+                              4711, 300, 4700, "org"}),
         Message(ForwardedAnswer{
-            "ok", "", 0, "running", 3, {4711, 12}, "tcp://127.0.0.1:5"})),
+            "ok", "", 0, "running", 3, {4711, 12}, "tcp://127.0.0.1:5", true})),
     caseName);
 
 /// Decodes what an earlier version would have sent in place of message: the
@@ -152,6 +152,21 @@
   EXPECT_EQ(decodeWithout(call, {"MaxConfigAgeMs"}), Message(expected));
 }
 
+// Guards against entries that refuse each other's calls during an upgrade, and
+// against a refusal by an earlier one that knows nothing of open writes.
+TEST(Decode, CallsAndAnswersOfAnEarlierEntryTellNothingOfOpenWrites) {
+  ForwardedCall call{"submit", "h", "/p/j", "key", 1200, "j", "b", 4711, 300};
+  const ForwardedCall expectedCall = call;
+  call.OpenRevision = 4700;
+  call.OpenOrganisation = "org";
+  EXPECT_EQ(decodeWithout(call, {"OpenRevision", "OpenOrganisation"}),
+            Message(expectedCall));
+  ForwardedAnswer answer{"bad_key", "", 0, "queued", 0, {4711, 12}, "tcp://e"};
+  const ForwardedAnswer expectedAnswer = answer;
+  answer.Settled = true;
+  EXPECT_EQ(decodeWithout(answer, {"Settled"}), Message(expectedAnswer));
+}
+
 // A message of another version, or a corrupted frame, must give a typed error
 // with which the reply thread answers, and must not crash the agent or the
 // entry.
