An entry does not say that a job never runs which it may have stored

Callers saw: a job's first try is answered 504 or not at all, a later one at the same entry 503, which says that the job never runs, and the job runs.

Cause: what a call may have stored was known to that call alone. A later call for the same job was refused by what it did itself.

Change: OpenJobs holds, for each write or forwarded call of a submitted job, how long it may still be done; it is dropped when its outcome is known. 'Not done' becomes open while one of the job's writes is held, or the entry's view has the job. Other refusals stay: 401 and 404 say nothing of earlier calls, and must not be taken back by an older configuration.

--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -114,8 +114,10 @@
     return;
   call->Finished = true;
   answer.Settled = !call->Writes.isOpen();
+  if (answer.Settled && call->OpenJob)
+    JobsPossiblyStored.remove(*call->OpenJob);
   std::optional<CallResult> withheld;
-  if (isRefusal(answer.Result) && call->Writes.isOpen()) {
+  if (isRefusal(answer.Result) && mayBeStored(call, answer.Result)) {
     withheld = answer.Result;
     answer.Result = CallResult::Open;
     answer.Detail =
@@ -132,6 +134,15 @@
   call->Answer(std::move(answer));
 }
 
+bool JobService::mayBeStored(const CallPtr &call, CallResult refusal) {
+  if (call->Writes.isOpen())
+    return true;
+  if (call->Name != "submit" || refusal != CallResult::NotDone)
+    return false;
+  return View.find(call->JobId) != nullptr ||
+         JobsPossiblyStored.contains(call->JobId, Loop.now());
+}
+
 void JobService::answerQueueLength(const CallPtr &call) {
   if (View.isComplete())
     finish(call, CallResult::Ok);
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -3,6 +3,7 @@
 #include "callanswer.h"
 #include "callcodec.h"
 #include "jobview.h"
+#include "openjobs.h"
 #include "operators/configfollower.h"
 #include "unansweredwrites.h"
 
@@ -163,9 +164,15 @@
   /// Logs the call and sends the answer, unless the call was answered before.
   /// All answers pass here. A refusal becomes Open while it may be untrue.
   void deliver(const CallPtr &call, CallAnswer answer);
+  /// Returns whether a refusal of the call may be untrue: a write of it may be
+  /// stored. NotDone also promises that the job never runs, whichever call has
+  /// submitted it.
+  bool mayBeStored(const CallPtr &call, CallResult refusal);
   /// A write of the call is sent, which can only be done while the
   /// configuration has this revision.
   void recordWrite(const CallPtr &call, int64_t configRevision);
+  /// From now on the call's job may be stored without this entry's knowledge.
+  void recordJobPossiblyStored(const CallPtr &call);
   /// Has the store show what became of the call's open writes, and then serves
   /// the call again. Returns false if nothing can be learned that way.
   bool settleWrites(const CallPtr &call);
@@ -254,6 +261,7 @@
   operators::ConfigFollower &Config;
   const JobServicePolicy Policy;
   UnansweredWrites Unanswered;
+  OpenJobs JobsPossiblyStored;
   const StoreFailingSince FailingSince;
   const StoreLatency RecentLatency;
   const IsSiteCordoned CheckSiteCordoned;
--- a/src/libs/jobs/jobservice_forwarding.cpp
+++ b/src/libs/jobs/jobservice_forwarding.cpp
@@ -32,6 +32,8 @@
       });
   if (write && !isForwarded)
     Unanswered.remove(*write);
+  if (isForwarded)
+    recordJobPossiblyStored(call);
   return isForwarded;
 }
 
--- a/src/libs/jobs/jobservice_openwrites.cpp
+++ b/src/libs/jobs/jobservice_openwrites.cpp
@@ -13,6 +13,13 @@
 
 void JobService::recordWrite(const CallPtr &call, int64_t configRevision) {
   call->Writes.recordSent(configRevision);
+  recordJobPossiblyStored(call);
+}
+
+void JobService::recordJobPossiblyStored(const CallPtr &call) {
+  if (call->Name == "submit" && !call->OpenJob)
+    call->OpenJob = JobsPossiblyStored.add(call->JobId,
+                                           Loop.now() + Policy.MaxForwardDelay);
 }
 
 // A write that depends on an older configuration than the one known here can be
--- a/src/libs/jobs/jobservicecall.h
+++ b/src/libs/jobs/jobservicecall.h
@@ -27,6 +27,8 @@
   CallWrites Writes;
   /// The organisation whose job the writes store; nothing if there are none.
   std::optional<std::string> WritingOrganisation;
+  /// The call's entry among the jobs that may be stored, if it has one.
+  std::optional<OpenJobs::Id> OpenJob;
   /// The store was asked what became of the open writes.
   bool SettlingBegun = false;
   /// The call was forwarded by another entry, or to one.
--- a/tests/auto/jobs/tst_callwrites.cpp
+++ b/tests/auto/jobs/tst_callwrites.cpp
@@ -1,4 +1,5 @@
 #include "jobs/callwrites.h"
+#include "jobs/openjobs.h"
 
 #include <gtest/gtest.h>
 
@@ -106,5 +107,22 @@
   EXPECT_FALSE(writes.canBeSettledBy(NewConfig));
 }
 
+// Guards against a later call that is told that its job never runs, while the
+// write of an earlier one may be stored.
+TEST(OpenJobs, AreKnownUntilTheLastWriteIsSettledOrHasEnded) {
+  const absl::Time now = absl::FromUnixSeconds(100);
+  OpenJobs jobs;
+  const OpenJobs::Id first = jobs.add("a", now + absl::Seconds(1));
+  jobs.add("a", now + absl::Seconds(2));
+  jobs.add("b", now + absl::Seconds(3));
+  jobs.remove(first);
+  EXPECT_TRUE(jobs.contains("a", now));
+  EXPECT_FALSE(jobs.contains("c", now));
+  EXPECT_FALSE(jobs.contains("a", now + absl::Seconds(2)));
+  EXPECT_TRUE(jobs.contains("b", now + absl::Seconds(2)));
+  jobs.remove(first);
+  EXPECT_TRUE(jobs.contains("b", now + absl::Seconds(2)));
+}
+
 } // namespace
 } // namespace oriolebay::jobs
