Requests that the HTTP library sends again are counted and logged

Nothing in logs and metrics showed that a request was sent twice: the answer to the second copy looked like the only one.

AsyncClient counts the copies of a request of which bytes were sent (RequestCopies, by CURLOPT_PREREQFUNCTION and CURLINFO_REQUEST_SIZE) and reports a repeated one to a hook. A repeat is also reported where the second copy got no connection. No decision changes.

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -93,7 +93,7 @@
 
   const settings::NodeSettings Settings;
   utils::EventLoop Loop;
-  http::AsyncClient Client;
+  http::AsyncClient Client{app::logRepeatedRequest};
   metrics::ProcessMetrics Metrics;
   const endpoints::Peers Peers;
   WorkerAgent Agent;
--- a/src/app/common/settingsprocess.cpp
+++ b/src/app/common/settingsprocess.cpp
@@ -89,4 +89,13 @@
                                    {"why", message.Why}});
 }
 
+void logRepeatedRequest(const http::RepeatedRequest &request) {
+  logEvent(Event::RequestRepeated, {{"method", request.Method},
+                                    {"host", request.Host},
+                                    {"path", request.Path},
+                                    {"copies", request.Copies},
+                                    {"status", request.Status},
+                                    {"error", request.Error}});
+}
+
 } // namespace oriolebay::app
--- a/src/app/common/settingsprocess.h
+++ b/src/app/common/settingsprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/asyncclient.h"
 #include "settings/nodesettings.h"
 #include "utils/refusedmessage.h"
 
@@ -30,4 +31,7 @@
 /// Logs a message of another process that could not be read.
 void logRefusedMessage(const utils::RefusedMessage &message);
 
+/// Logs a request that the HTTP library has sent again by itself.
+void logRepeatedRequest(const http::RepeatedRequest &request);
+
 } // namespace oriolebay::app
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -88,6 +88,7 @@
       {Event::SettingsReloaded, "settings.reloaded"},
       {Event::ProcessFailed, "process.failed"},
       {Event::MessageRefused, "message.refused"},
+      {Event::RequestRepeated, "request.repeated"},
       {Event::LeaderUnreachable, "leader.unreachable"},
       {Event::SilentAgentsRecorded, "leader.silent_agents"},
       {Event::DomainCordoned, "domain.cordoned"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -17,6 +17,7 @@
   MetricsUnavailable = 107,
   ProcessFailed = 108,
   MessageRefused = 109,
+  RequestRepeated = 110,
 
   JobReceived = 200,
   JobPlaced = 201,
--- a/src/libs/http/asyncclient.cpp
+++ b/src/libs/http/asyncclient.cpp
@@ -1,5 +1,7 @@
 #include "asyncclient.h"
 
+#include "requestcopies.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -38,6 +40,7 @@
   std::string Reply;
   curl_slist *Headers = nullptr;
   CURL *Handle = nullptr;
+  RequestCopies Copies;
   /// When the call fails unless some bytes of its answer arrive. Only for calls
   /// with a transfer timeout.
   Clock::time_point SilentUntil = Clock::time_point::max();
@@ -78,9 +81,18 @@
                                                         : end - begin - 2);
 }
 
+// Returns the path of a URL such as "http://host:port/path?query".
+std::string pathOf(const std::string &url) {
+  const size_t begin = url.find('/', url.find("//") + 2);
+  if (begin == std::string::npos)
+    return "/";
+  return url.substr(begin, url.find('?', begin) - begin);
+}
+
 } // namespace
 
 struct AsyncClient::Impl {
+  OnRepeatedRequest ReportRepeated;
   CURLM *Multi = nullptr;
   std::atomic<bool> Stopping{false};
   std::mutex Mu;
@@ -94,6 +106,10 @@
 
   void startTransfer(std::unique_ptr<Transfer> transfer);
   void finishTransfer(CURL *handle, CURLcode ec);
+  /// Reports the request if it was sent again, or if that failed because no
+  /// new connection was possible.
+  void reportIfRepeated(Transfer &transfer, const HttpResult &result,
+                        CURLcode ec) const;
   /// Ends the transfers that have been silent for too long.
   void expireSilentTransfers();
   /// Time until a transfer may have been silent for too long, in milliseconds;
@@ -140,6 +156,7 @@
   curl_easy_setopt(h, CURLOPT_HTTPHEADER, t.Headers);
   if (t.Call.FreshConnection || HostsNeedingNewConnection.erase(t.Host) > 0)
     curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
+  t.Copies.observe(h);
   curl_multi_add_handle(Multi, h);
   RunningTransfers.emplace(h, std::move(transfer));
 }
@@ -155,9 +172,7 @@
     result.Status = static_cast<int>(status);
     result.Body = std::move(t->Reply);
   } else {
-    long sentBytes = 0;
-    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
-    result.Sent = sentBytes > 0;
+    result.Sent = t->Copies.sent() > 0;
     long osError = 0;
     curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &osError);
     result.Refused = ec == CURLE_COULDNT_CONNECT && osError == ECONNREFUSED;
@@ -165,12 +180,26 @@
     if (ec == CURLE_OPERATION_TIMEDOUT)
       HostsNeedingNewConnection.insert(t->Host);
   }
+  reportIfRepeated(*t, result, ec);
   curl_multi_remove_handle(Multi, handle);
   IdleHandles.push_back(handle);
   t->Handle = nullptr;
   t->Done(std::move(result));
 }
 
+void AsyncClient::Impl::reportIfRepeated(Transfer &transfer,
+                                         const HttpResult &result,
+                                         CURLcode ec) const {
+  const int copies = transfer.Copies.sent();
+  const bool repeated =
+      copies > 1 || (copies == 1 && ec == CURLE_COULDNT_CONNECT);
+  if (!repeated || !ReportRepeated)
+    return;
+  ReportRepeated({transfer.Call.Method, transfer.Host,
+                  pathOf(transfer.Call.Url), copies, result.Status,
+                  result.Error});
+}
+
 void AsyncClient::Impl::expireSilentTransfers() {
   const Clock::time_point now = Clock::now();
   std::vector<CURL *> expired;
@@ -221,7 +250,9 @@
     curl_easy_cleanup(handle);
 }
 
-AsyncClient::AsyncClient() : D(std::make_unique<Impl>()) {
+AsyncClient::AsyncClient(OnRepeatedRequest onRepeated)
+    : D(std::make_unique<Impl>()) {
+  D->ReportRepeated = std::move(onRepeated);
   static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
   (void)initialised;
   D->Multi = curl_multi_init();
--- a/src/libs/http/asyncclient.h
+++ b/src/libs/http/asyncclient.h
@@ -2,6 +2,7 @@
 
 #include "httpclient.h"
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,6 +25,24 @@
   bool FreshConnection = false;
 };
 
+/// A request that libcurl has sent again by itself, or has tried to, because a
+/// reused connection ended before a byte of the answer. Copies counts those of
+/// which at least one byte was sent. Status and Error are the result of the
+/// call, as in HttpResult.
+struct RepeatedRequest {
+  std::string Method;
+  std::string Host;
+  /// Path of the URL, without its query.
+  std::string Path;
+  int Copies = 0;
+  int Status = 0;
+  std::string Error;
+
+  auto operator<=>(const RepeatedRequest &) const = default;
+};
+
+using OnRepeatedRequest = std::function<void(const RepeatedRequest &)>;
+
 /// An HTTP client whose calls run concurrently on one thread (libcurl's multi
 /// interface), with connections kept alive between calls. After a call that
 /// timed out, the next call to the same host opens a new connection: a network
@@ -33,7 +52,9 @@
 public:
   using Done = std::function<void(HttpResult)>;
 
-  AsyncClient();
+  /// onRepeated is called on the client's thread, before the Done of the call,
+  /// and must return quickly.
+  explicit AsyncClient(OnRepeatedRequest onRepeated = nullptr);
   /// Drops calls that have not ended; their Done is not called.
   ~AsyncClient();
   AsyncClient(const AsyncClient &) = delete;
