--- a/tests/auto/endpoints/tst_backendclient.cpp
+++ b/tests/auto/endpoints/tst_backendclient.cpp
@@ -1,3 +1,4 @@
+#include "closingpeer.h"
 #include "endpoints/backendclient.h"
 #include "http/httpserver.h"
 
@@ -47,5 +48,50 @@
 INSTANTIATE_TEST_SUITE_P(Table, BackendAnswers, testing::ValuesIn(OddAnswers),
                          [](const auto &info) { return info.param.Name; });
 
+using testpeers::CloseKind;
+using testpeers::CloseMoment;
+using testpeers::ClosingPeer;
+using testpeers::PeerAnswer;
+
+/// TimesRead: how often the back end reads the request for the task whole.
+struct ClosedCase {
+  const char *Name;
+  CloseMoment Moment;
+  CloseKind Kind;
+  TaskEnd End;
+  int TimesRead;
+};
+
+void PrintTo(const ClosedCase &c, std::ostream *out) { *out << c.Name; }
+
+class BackendConnections : public testing::TestWithParam<ClosedCase> {};
+
+// Guards against a task that its back end runs twice, because the HTTP library
+// sends the request again when its connection ends.
+TEST_P(BackendConnections, EndWithoutASecondRun) {
+  const ClosedCase &c = GetParam();
+  ClosingPeer peer(c.Moment, c.Kind, "{}", PeerAnswer{200, R"({"ok":true})"});
+  BackendClient client("http://" + peer.address(), "e1", 60000);
+  client.renewLeases(1000);
+  if (c.Moment == CloseMoment::WhileIdle)
+    peer.waitUntilCallerIsDisconnected();
+  EXPECT_EQ(client.run({}, 1000).End, c.End);
+  EXPECT_EQ(peer.timesRead("/run"), c.TimesRead);
+}
+
+const ClosedCase ClosedCases[] = {
+    {"idle_fin", CloseMoment::WhileIdle, CloseKind::Fin, TaskEnd::Done, 1},
+    {"idle_reset", CloseMoment::WhileIdle, CloseKind::Reset, TaskEnd::Done, 1},
+    {"read_fin", CloseMoment::AfterRequest, CloseKind::Fin, TaskEnd::Failed, 1},
+    {"read_reset", CloseMoment::AfterRequest, CloseKind::Reset, TaskEnd::Failed,
+     1},
+    {"status_line_fin", CloseMoment::InStatusLine, CloseKind::Fin,
+     TaskEnd::Failed, 1},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, BackendConnections,
+                         testing::ValuesIn(ClosedCases),
+                         [](const auto &info) { return info.param.Name; });
+
 } // namespace
 } // namespace oriolebay::endpoints
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -1,3 +1,4 @@
+#include "closingpeer.h"
 #include "harness/launcher.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr long CallTimeoutMs = 300;
+/// Timeout that no call of a test reaches.
+constexpr long AmpleTimeoutMs = 60000;
 
 // Starts the stand-ins without entries and agents; the tests use only the store
 // stand-in.
@@ -90,6 +93,38 @@
       return testnames::testNameFrom(info.param.Description);
     });
 
+class StoreConnections : public testing::TestWithParam<testpeers::CloseKind> {};
+
+// Guards against a write that is carried out and reported as a conflict with
+// itself, because the HTTP library sends it again when its connection ends.
+TEST_P(StoreConnections, EndWithoutASecondCopyOfAWrite) {
+  testpeers::ClosingPeer peer(
+      testpeers::CloseMoment::AfterRequest, GetParam(), "{}",
+      testpeers::PeerAnswer{200, R"({"succeeded":false})"});
+  KvClient kv("http://" + peer.address(), AmpleTimeoutMs);
+  ASSERT_TRUE(kv.get("/k"));
+  const auto outcome = utils::handle<std::string>(
+      [&]() -> utils::Result<std::string> {
+        BOOST_LEAF_AUTO(res, kv.compareAndSwap("/k", "v", 0));
+        return std::string(res.Succeeded ? "written" : "conflict");
+      },
+      [](const utils::Error &e) {
+        return e.Kind == utils::ErrorKind::StoreUnavailable ? "unknown"
+                                                            : "other";
+      });
+  EXPECT_EQ(outcome, "unknown");
+  EXPECT_EQ(peer.timesRead("/v3/kv/txn"), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, StoreConnections,
+                         testing::Values(testpeers::CloseKind::Fin,
+                                         testpeers::CloseKind::Reset),
+                         [](const auto &info) {
+                           return info.param == testpeers::CloseKind::Fin
+                                      ? "fin"
+                                      : "reset";
+                         });
+
 // Guards against a new leader that starts gangs again which a previous leader
 // has started: it reads more gang records than one reply of the store may
 // contain, and must get all of them.
