A request to the store or a worker is sent at most once

What callers saw: a job was turned away with 503, "nothing was done", and ran.

Cause: when a reused connection ends before a byte of the answer, libcurl sends the request again by itself. The store had carried out the first copy of the transaction; its 503 to the second one, or a refused connection, was reported as the outcome of the call. Likewise a stop that a worker had carried out and then answered with 503 or 409, and leases that were granted twice.

Why this holds: libcurl calls a function of ours before it sends each copy. That function ends the transfer if a byte of an earlier copy was sent, so that the second one never reaches the peer; the outcome of the call is unknown, as after any lost answer. If nothing was sent (the connection was found closed), the request goes out on a new connection as before. No connection is opened that was not opened before.

The event request.repeated tells of requests that were not sent again, too.

--- a/src/app/common/settingsprocess.h
+++ b/src/app/common/settingsprocess.h
@@ -31,7 +31,7 @@
 /// Logs a message of another process that could not be read.
 void logRefusedMessage(const utils::RefusedMessage &message);
 
-/// Logs a request that the HTTP library has sent again by itself.
+/// Logs a request whose connection ended before an answer.
 void logRepeatedRequest(const http::RepeatedRequest &request);
 
 } // namespace oriolebay::app
--- a/src/libs/http/asyncclient.cpp
+++ b/src/libs/http/asyncclient.cpp
@@ -40,12 +40,15 @@
   std::string Reply;
   curl_slist *Headers = nullptr;
   CURL *Handle = nullptr;
-  RequestCopies Copies;
   /// When the call fails unless some bytes of its answer arrive. Only for calls
   /// with a transfer timeout.
   Clock::time_point SilentUntil = Clock::time_point::max();
+  RequestCopies Copies;
 
-  Transfer() = default;
+  explicit Transfer(HttpCall call)
+      : Call(std::move(call)),
+        Copies(Call.Repeatable ? RequestCopies::Limit::None
+                               : RequestCopies::Limit::One) {}
   Transfer(const Transfer &) = delete;
   Transfer &operator=(const Transfer &) = delete;
   ~Transfer() {
@@ -106,8 +109,8 @@
 
   void startTransfer(std::unique_ptr<Transfer> transfer);
   void finishTransfer(CURL *handle, CURLcode ec);
-  /// Reports the request if it was sent again, or if that failed because no
-  /// new connection was possible.
+  /// Reports the request if its connection ended before an answer, so that it
+  /// was sent again, or would have been.
   void reportIfRepeated(Transfer &transfer, const HttpResult &result,
                         CURLcode ec) const;
   /// Ends the transfers that have been silent for too long.
@@ -171,12 +174,13 @@
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     result.Status = static_cast<int>(status);
     result.Body = std::move(t->Reply);
+    result.Repeated = t->Copies.sent() > 1;
   } else {
     result.Sent = t->Copies.sent() > 0;
     long osError = 0;
     curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &osError);
     result.Refused = ec == CURLE_COULDNT_CONNECT && osError == ECONNREFUSED;
-    result.Error = curl_easy_strerror(ec);
+    result.Error = t->Copies.errorText(ec);
     if (ec == CURLE_OPERATION_TIMEDOUT)
       HostsNeedingNewConnection.insert(t->Host);
   }
@@ -191,9 +195,9 @@
                                          const HttpResult &result,
                                          CURLcode ec) const {
   const int copies = transfer.Copies.sent();
-  const bool repeated =
-      copies > 1 || (copies == 1 && ec == CURLE_COULDNT_CONNECT);
-  if (!repeated || !ReportRepeated)
+  const bool isWithheld = copies == 1 && (ec == CURLE_ABORTED_BY_CALLBACK ||
+                                          ec == CURLE_COULDNT_CONNECT);
+  if (!ReportRepeated || (copies <= 1 && !isWithheld))
     return;
   ReportRepeated({transfer.Call.Method, transfer.Host,
                   pathOf(transfer.Call.Url), copies, result.Status,
@@ -268,8 +272,7 @@
 }
 
 void AsyncClient::call(HttpCall call, Done done) {
-  auto transfer = std::make_unique<Transfer>();
-  transfer->Call = std::move(call);
+  auto transfer = std::make_unique<Transfer>(std::move(call));
   transfer->Done = std::move(done);
   {
     std::lock_guard<std::mutex> lock(D->Mu);
--- a/src/libs/http/asyncclient.h
+++ b/src/libs/http/asyncclient.h
@@ -14,7 +14,10 @@
 /// One call of an AsyncClient. TimeoutMs limits the whole call, including the
 /// time to connect. An answer that has begun to arrive by then may take up to
 /// TransferTimeoutMs longer, unless nothing of it arrives for a second.
-/// FreshConnection makes the call open a new connection.
+/// FreshConnection makes the call open a new connection. If a reused connection
+/// ends before an answer, a Repeatable request is sent again on another one;
+/// any other request is sent at most once. Only requests that have the same
+/// effect when they are carried out twice, also late, may be Repeatable.
 struct HttpCall {
   std::string Method = "GET";
   std::string Url;
@@ -23,12 +26,13 @@
   long TimeoutMs = 1000;
   long TransferTimeoutMs = 0;
   bool FreshConnection = false;
+  bool Repeatable = false;
 };
 
-/// A request that libcurl has sent again by itself, or has tried to, because a
-/// reused connection ended before a byte of the answer. Copies counts those of
-/// which at least one byte was sent. Status and Error are the result of the
-/// call, as in HttpResult.
+/// A request whose reused connection ended before a byte of the answer. Copies
+/// counts those of which at least one byte was sent; 1 means that the request
+/// was not sent again, because it is not repeatable or no new connection was
+/// possible. Status and Error are the result of the call, as in HttpResult.
 struct RepeatedRequest {
   std::string Method;
   std::string Host;
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -18,6 +18,9 @@
   bool Sent = true;
   /// The connection was refused: no process listens at the address.
   bool Refused = false;
+  /// The answer is that to a second copy of a repeatable request. An earlier
+  /// copy may have been carried out, also if this one was refused.
+  bool Repeated = false;
 
   bool hasAnswer() const { return Status != 0; }
 };
--- a/src/libs/http/requestcopies.cpp
+++ b/src/libs/http/requestcopies.cpp
@@ -17,11 +17,21 @@
   return Sent;
 }
 
+std::string RequestCopies::errorText(CURLcode ec) {
+  const bool copyWithheld =
+      ec == CURLE_ABORTED_BY_CALLBACK ||
+      (ec == CURLE_COULDNT_CONNECT && CopyLimit == Limit::One && sent() > 0);
+  return copyWithheld ? "the connection ended before an answer"
+                      : curl_easy_strerror(ec);
+}
+
 int RequestCopies::onBeforeCopy(void *copies, char * /*peerIp*/,
                                 char * /*localIp*/, int /*peerPort*/,
                                 int /*localPort*/) {
-  static_cast<RequestCopies *>(copies)->sent();
-  return CURL_PREREQFUNC_OK;
+  auto &self = *static_cast<RequestCopies *>(copies);
+  const bool isRepeat = self.sent() > 0;
+  return isRepeat && self.CopyLimit == Limit::One ? CURL_PREREQFUNC_ABORT
+                                                  : CURL_PREREQFUNC_OK;
 }
 
 } // namespace oriolebay::http
--- a/tests/auto/http/tst_asyncclient.cpp
+++ b/tests/auto/http/tst_asyncclient.cpp
@@ -14,12 +14,13 @@
 using testpeers::ClosingPeer;
 using testpeers::PeerAnswer;
 
-HttpCall makeCall(const std::string &method, const std::string &url) {
+HttpCall makeCall(const std::string &url, bool repeatable) {
   HttpCall call;
-  call.Method = method;
+  call.Method = "POST";
   call.Url = url;
-  call.Body = method == "GET" ? "" : R"({"a":1})";
+  call.Body = R"({"a":1})";
   call.TimeoutMs = 60000;
+  call.Repeatable = repeatable;
   return call;
 }
 
@@ -34,6 +35,7 @@
 
 struct RepeatCase {
   const char *Name;
+  bool Repeatable;
   CloseMoment Moment;
   std::optional<PeerAnswer> Later;
   /// Copies of the report; 0 if there must be none.
@@ -46,8 +48,8 @@
 class RepeatedRequests
     : public testing::TestWithParam<std::tuple<RepeatCase, CloseKind>> {};
 
-// Guards against requests that are sent twice without a trace in logs and
-// metrics.
+// Guards against requests that are sent twice, or whose outcome is unknown
+// because they were not, without a trace in logs and metrics.
 TEST_P(RepeatedRequests, AreReportedOnce) {
   const auto &[c, kind] = GetParam();
   ClosingPeer peer(c.Moment, kind, "{}", c.Later);
@@ -55,31 +57,46 @@
   AsyncClient client(
       [&reported](const RepeatedRequest &r) { reported.push_back(r); });
   const std::string url = "http://" + peer.address();
-  ASSERT_EQ(callAndWait(client, makeCall("GET", url + "/first")).Status, 200);
+  ASSERT_EQ(callAndWait(client, makeCall(url + "/first", false)).Status, 200);
   if (c.Moment == CloseMoment::WhileIdle)
     peer.waitUntilCallerIsDisconnected();
   const HttpResult result =
-      callAndWait(client, makeCall("GET", url + "/second?key=k"));
+      callAndWait(client, makeCall(url + "/second?key=k", c.Repeatable));
   EXPECT_EQ(result.Status, c.Status) << result.Error;
+  EXPECT_EQ(result.Repeated, c.Copies > 1);
   if (c.Copies == 0) {
     EXPECT_TRUE(reported.empty());
     return;
   }
   ASSERT_EQ(reported.size(), 1u);
-  EXPECT_EQ(reported[0], (RepeatedRequest{"GET", peer.address(), "/second",
+  EXPECT_EQ(reported[0], (RepeatedRequest{"POST", peer.address(), "/second",
                                           c.Copies, c.Status, result.Error}));
 }
 
 const RepeatCase RepeatCases[] = {
-    {"idle", CloseMoment::WhileIdle, PeerAnswer{503}, 0, 503},
-    {"idle_and_nothing_listens", CloseMoment::WhileIdle, std::nullopt, 0, 0},
-    {"half_of_request", CloseMoment::AfterHalfOfRequest, PeerAnswer{503}, 2,
-     503},
-    {"request", CloseMoment::AfterRequest, PeerAnswer{503}, 2, 503},
-    {"request_and_nothing_listens", CloseMoment::AfterRequest, std::nullopt, 1,
+    {"idle", true, CloseMoment::WhileIdle, PeerAnswer{503}, 0, 503},
+    {"idle_and_nothing_listens", true, CloseMoment::WhileIdle, std::nullopt, 0,
+     0},
+    {"half_of_request", true, CloseMoment::AfterHalfOfRequest, PeerAnswer{503},
+     2, 503},
+    {"request", true, CloseMoment::AfterRequest, PeerAnswer{503}, 2, 503},
+    {"request_and_nothing_listens", true, CloseMoment::AfterRequest,
+     std::nullopt, 1, 0},
+    {"status_line", true, CloseMoment::InStatusLine, PeerAnswer{200}, 2, 200},
+    {"body_of_answer", true, CloseMoment::InBodyOfAnswer, PeerAnswer{200}, 0,
      0},
-    {"status_line", CloseMoment::InStatusLine, PeerAnswer{200}, 2, 200},
-    {"body_of_answer", CloseMoment::InBodyOfAnswer, PeerAnswer{200}, 0, 0},
+    {"at_most_once_idle", false, CloseMoment::WhileIdle, PeerAnswer{503}, 0,
+     503},
+    {"at_most_once_half_of_request", false, CloseMoment::AfterHalfOfRequest,
+     PeerAnswer{503}, 1, 0},
+    {"at_most_once_request", false, CloseMoment::AfterRequest, PeerAnswer{503},
+     1, 0},
+    {"at_most_once_and_nothing_listens", false, CloseMoment::AfterRequest,
+     std::nullopt, 1, 0},
+    {"at_most_once_status_line", false, CloseMoment::InStatusLine,
+     PeerAnswer{200}, 1, 0},
+    {"at_most_once_body_of_answer", false, CloseMoment::InBodyOfAnswer,
+     PeerAnswer{200}, 0, 0},
 };
 
 std::string
