agent: a copy of a start that is known already is logged

An order that came a second time left no line of its own, and neither did an attempt that was sent and has no answer yet.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -200,6 +200,11 @@
   static void logOutcome(const endpoints::RunId &run,
                          endpoints::OrderOutcome outcome,
                          const std::string &detail);
+  /// Logs that a start was ordered that this process has received before.
+  void logRepeatedStart(const endpoints::RunId &run, int64_t epoch) const;
+  /// Returns what became of the earlier copies of a start; empty if this
+  /// process has received none.
+  std::string earlierCopyOf(const endpoints::RunId &run) const;
   /// Logs that an order for another incarnation than the served one is dropped.
   static void logOrderForOtherIncarnation(const endpoints::RunId &run);
   /// Remembers, logs and reports the outcome of an order.
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -73,6 +73,7 @@
   }
   for (const endpoints::StartOrder &start : orders.Starts) {
     const RunId key{start.Task, start.Run};
+    logRepeatedStart(key, orders.Epoch);
     auto known = CompletedOrders.find(key);
     if (otherIncarnation) {
       logOrderForOtherIncarnation(key);
@@ -103,6 +104,26 @@
             {"why", detail}});
 }
 
+void WorkerAgent::logRepeatedStart(const RunId &run, int64_t epoch) const {
+  const std::string known = earlierCopyOf(run);
+  if (!known.empty())
+    logEvent(Event::OrderRepeated, {{"task", run.Task},
+                                    {"run", run.Run},
+                                    {"worker", State.Life.Id},
+                                    {"epoch", epoch},
+                                    {"known", known}});
+}
+
+std::string WorkerAgent::earlierCopyOf(const RunId &run) const {
+  if (StopsInProgress.count(run) != 0 || UnconfirmedStops.count(run) != 0)
+    return "stopping";
+  auto completed = CompletedOrders.find(run);
+  if (completed != CompletedOrders.end())
+    return endpoints::orderOutcomeName(completed->second.Outcome);
+  auto start = StartsInProgress.find(run);
+  return start == StartsInProgress.end() ? "" : start->second->progressName();
+}
+
 // Such an order gets no result: a result names no incarnation, and the one of
 // the next report may run what was ordered for an earlier one. The leader
 // learns from the report itself that the other incarnation has ended.
--- a/src/libs/agent/workeragentorder.h
+++ b/src/libs/agent/workeragentorder.h
@@ -34,6 +34,12 @@
   std::string DeferredFor;
   absl::Time DeferredSince;
 
+  /// How far a start has come, for the log.
+  const char *progressName() const {
+    if (Attempts > UnsentAttempts)
+      return "sent";
+    return DeferredFor.empty() ? "unsent" : "deferred";
+  }
   bool isPossiblyDelivered() const { return UnansweredAttempts > 0; }
   /// Whether the run must not be sent again, because the attempt without an
   /// answer would remain open when the run has ended.
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -70,6 +70,7 @@
       {Event::RunUnexpected, "run.unexpected"},
       {Event::OrderDeferred, "order.deferred"},
       {Event::OrderDeferralEnded, "order.deferral_ended"},
+      {Event::OrderRepeated, "order.repeated"},
       {Event::StoreLost, "store.lost"},
       {Event::StoreRegained, "store.regained"},
       {Event::ConfigAccepted, "config.accepted"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -78,6 +78,7 @@
   RunUnexpected = 425,
   OrderDeferred = 426,
   OrderDeferralEnded = 427,
+  OrderRepeated = 428,
 
   ProfileAccepted = 500,
   ProfileRefusedStale = 501,
