agent: one place decides whether a start goes on, also at a draining worker

The agent had deferred three starts, as the leader did not answer; the worker began to drain; the leader repeated the orders, which were refused ("the worker is draining"), and started the tasks elsewhere; when it answered again, the deferred first copies were sent.

Cause: the branch of onOrders() for a draining worker completed the order without regard to the copy of it that was in progress, while startTask(), which every attempt passes, did not ask whether the worker drains. The outcome of one copy was given as that of the run. The same for a copy that had been sent and had no answer yet.

Now a further copy changes nothing while the first one is in progress, and only startTask() decides. It refuses at a draining worker, also a deferred start, through refuseStart(), which reports a run that was possibly delivered as unconfirmed: the leader then stops it before it starts the task elsewhere. An attempt whose answer is on its way is reported by that answer.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -83,6 +83,12 @@
 
   endpoints::Message onMessage(const endpoints::Message &message);
   endpoints::Ack onOrders(const endpoints::WorkerOrders &orders);
+  /// Begins to carry out a stop, unless that is in progress.
+  void onStopOrder(const endpoints::WorkerOrders &orders,
+                   const endpoints::StopOrder &stop);
+  /// Begins to carry out a start, or repeats its outcome if it is completed.
+  void onStartOrder(const endpoints::WorkerOrders &orders,
+                    const endpoints::StartOrder &start);
 
   /// Returns whether the outcome comes from another incarnation than the called
   /// one.
@@ -138,7 +144,8 @@
   int64_t keepAliveUntilMs() const;
 
   /// Sends the next attempt of a start. Completes the order without an attempt
-  /// if the run must not start any more.
+  /// if the run must not start any more. No other function decides that, as an
+  /// outcome has to hold for all copies of the order.
   void startTask(const OrderPtr &order);
   /// Completes the start without a further attempt, as its run must not start.
   void refuseStart(const OrderPtr &order, endpoints::OrderOutcome outcome,
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -58,43 +58,55 @@
                                   {"starts", orders.Starts.size()},
                                   {"stops", orders.Stops.size()}});
   const bool otherIncarnation = orders.Life != State.Life;
-  for (const endpoints::StopOrder &stop : orders.Stops) {
-    const RunId key{stop.Task, stop.Run};
+  for (const endpoints::StopOrder &stop : orders.Stops)
     if (otherIncarnation)
-      logOrderForOtherIncarnation(key);
-    else if (StopsInProgress.count(key) == 0) {
-      auto order = std::make_shared<Order>();
-      order->Stop = stop;
-      order->Incarnation = orders.Life;
-      order->Epoch = orders.Epoch;
-      StopsInProgress[key] = order;
-      stopTask(order);
-    }
-  }
-  for (const endpoints::StartOrder &start : orders.Starts) {
-    const RunId key{start.Task, start.Run};
-    logRepeatedStart(key, orders.Epoch);
-    auto known = CompletedOrders.find(key);
-    if (otherIncarnation) {
-      logOrderForOtherIncarnation(key);
-    } else if (known != CompletedOrders.end()) {
-      Results.push_back(known->second);
-      reportSoon();
-    } else if (State.Draining) {
-      completeOrder(key, OrderOutcome::Refused, "the worker is draining");
-    } else if (StartsInProgress.count(key) == 0) {
-      auto order = std::make_shared<Order>();
-      order->Start = start;
-      order->Incarnation = orders.Life;
-      order->Epoch = orders.Epoch;
-      order->LastReport = std::min(orders.LastReport, LastSequence);
-      StartsInProgress[key] = order;
-      startTask(order);
-    }
-  }
+      logOrderForOtherIncarnation({stop.Task, stop.Run});
+    else
+      onStopOrder(orders, stop);
+  for (const endpoints::StartOrder &start : orders.Starts)
+    if (otherIncarnation)
+      logOrderForOtherIncarnation({start.Task, start.Run});
+    else
+      onStartOrder(orders, start);
   return {true, "", Epoch};
 }
 
+void WorkerAgent::onStopOrder(const endpoints::WorkerOrders &orders,
+                              const endpoints::StopOrder &stop) {
+  const RunId key{stop.Task, stop.Run};
+  if (StopsInProgress.count(key) != 0)
+    return;
+  auto order = std::make_shared<Order>();
+  order->Stop = stop;
+  order->Incarnation = orders.Life;
+  order->Epoch = orders.Epoch;
+  StopsInProgress[key] = order;
+  stopTask(order);
+}
+
+// A further copy of a start changes nothing: the first one is carried out, or
+// completed, for all of them. Only startTask() decides whether a run starts.
+void WorkerAgent::onStartOrder(const endpoints::WorkerOrders &orders,
+                               const endpoints::StartOrder &start) {
+  const RunId key{start.Task, start.Run};
+  logRepeatedStart(key, orders.Epoch);
+  auto completed = CompletedOrders.find(key);
+  if (completed != CompletedOrders.end()) {
+    Results.push_back(completed->second);
+    reportSoon();
+    return;
+  }
+  if (StartsInProgress.count(key) != 0)
+    return;
+  auto order = std::make_shared<Order>();
+  order->Start = start;
+  order->Incarnation = orders.Life;
+  order->Epoch = orders.Epoch;
+  order->LastReport = std::min(orders.LastReport, LastSequence);
+  StartsInProgress[key] = order;
+  startTask(order);
+}
+
 void WorkerAgent::logOutcome(const RunId &run, OrderOutcome outcome,
                              const std::string &detail) {
   logEvent(Event::OrderCarriedOut,
@@ -169,6 +181,10 @@
     StartsInProgress.erase(key);
     return;
   }
+  if (State.Draining) {
+    refuseStart(order, OrderOutcome::Refused, "the worker is draining");
+    return;
+  }
   // Workers do not refuse tasks that exceed their capacity.
   if (isStateOutdated()) {
     refuseStart(order, OrderOutcome::Refused, "its state is outdated");
--- /dev/null
+++ b/tests/auto/agent/tst_repeatedorders.cpp
@@ -0,0 +1,138 @@
+// Tests of orders of which the agent gets several copies: the leader repeats
+// them, and the network may hold up a copy.
+#include "agentfixture.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace oriolebay::agent {
+namespace {
+
+using endpoints::CallOutcome;
+using endpoints::CallStatus;
+using endpoints::OrderOutcome;
+
+const std::string TestTask = "j.0.0.0";
+
+CallOutcome outcomeOf(CallStatus status) {
+  CallOutcome outcome;
+  outcome.Status = status;
+  return outcome;
+}
+
+/// Has the leader fall silent, so that starts are deferred.
+void silenceLeader(AgentFixture &fixture) {
+  fixture.AnswersReports = false;
+  fixture.Loop.advance(absl::Seconds(2));
+}
+
+/// The first copy of a start is not over when the worker begins to drain.
+struct OpenCopyCase {
+  const char *Name;
+  /// Start time of the worker; a worker without one never reuses its id.
+  int64_t BornMs;
+  /// Brings about what happens to the first copy.
+  std::function<void(AgentFixture &)> Before;
+  /// Ends the reason for which a start is not sent.
+  std::function<void(AgentFixture &)> After;
+  OrderOutcome Reported;
+};
+
+void PrintTo(const OpenCopyCase &c, std::ostream *out) { *out << c.Name; }
+
+class OpenCopy : public testing::TestWithParam<OpenCopyCase> {
+protected:
+  OpenCopy() {
+    const endpoints::WorkerIncarnation worker{"life", GetParam().BornMs};
+    Fixture.restartWorker(worker);
+    Fixture.Loop.advance(absl::Seconds(1));
+    Orders = AgentFixture::makeStart(5, 1);
+    Orders.Life = worker;
+    GetParam().Before(Fixture);
+    Fixture.sendOrders(Orders);
+    Fixture.Loop.advance(absl::Milliseconds(100));
+    Attempts = Fixture.Starts.size();
+    Fixture.NextHeartbeat.Worker.Draining = true;
+    Fixture.sendHeartbeat();
+  }
+  void expectOneOutcome() {
+    GetParam().After(Fixture);
+    Fixture.Loop.advance(absl::Seconds(4));
+    EXPECT_EQ(Fixture.Starts.size(), Attempts);
+    EXPECT_EQ(Fixture.reportedOutcomes(),
+              std::set<OrderOutcome>{GetParam().Reported});
+  }
+
+  AgentFixture Fixture;
+  endpoints::WorkerOrders Orders;
+  size_t Attempts = 0;
+};
+
+// Guards against a task that runs twice: the second copy is refused, the first
+// one starts the run, and the leader has started the task elsewhere meanwhile.
+TEST_P(OpenCopy, IsNotStartedOnceAnotherIsRefused) {
+  Fixture.sendOrders(Orders);
+  expectOneOutcome();
+}
+
+// Guards against a start at a worker that is about to leave, of an order that
+// came before the worker began to drain.
+TEST_P(OpenCopy, IsNotSentToADrainingWorker) { expectOneOutcome(); }
+
+void noChange(AgentFixture &) {}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, OpenCopy,
+    testing::Values(
+        OpenCopyCase{"DeferredAsTheLeaderIsSilent", 1, silenceLeader,
+                     [](AgentFixture &f) { f.AnswersReports = true; },
+                     OrderOutcome::Refused},
+        OpenCopyCase{"DeferredAsTheCordonsAreUnknown", 1,
+                     [](AgentFixture &f) {
+                       f.Ack.CordonAgeMs = 6000;
+                       f.Loop.advance(absl::Seconds(6));
+                     },
+                     [](AgentFixture &f) { f.Ack.CordonAgeMs = 0; },
+                     OrderOutcome::Refused},
+        OpenCopyCase{"SentAndAcceptedLater", 1,
+                     [](AgentFixture &f) { f.StartDurationMs = 250; }, noChange,
+                     OrderOutcome::Started},
+        OpenCopyCase{"SentAndRefusedLater", 1,
+                     [](AgentFixture &f) {
+                       f.StartDurationMs = 250;
+                       f.StartOutcome = outcomeOf(CallStatus::Busy);
+                     },
+                     noChange, OrderOutcome::Busy},
+        OpenCopyCase{"SentWithoutAnswer", 0,
+                     [](AgentFixture &f) {
+                       f.StartDurationMs = 250;
+                       f.StartOutcome = outcomeOf(CallStatus::NoAnswer);
+                     },
+                     noChange, OrderOutcome::Unconfirmed},
+        OpenCopyCase{"RepeatedWithoutAnswer", 0,
+                     [](AgentFixture &f) {
+                       f.StartDurationMs = 10;
+                       f.StartOutcome = outcomeOf(CallStatus::NoAnswer);
+                     },
+                     noChange, OrderOutcome::Unconfirmed},
+        OpenCopyCase{"WaitsForItsOnlyAttempt", 1,
+                     [](AgentFixture &f) {
+                       f.StartDurationMs = 10;
+                       f.StartOutcome = outcomeOf(CallStatus::NoAnswer);
+                     },
+                     noChange, OrderOutcome::Unconfirmed},
+        OpenCopyCase{
+            "NotListening", 1,
+            [](AgentFixture &f) {
+              f.StartDurationMs = 10;
+              f.StartOutcome = outcomeOf(CallStatus::NotListening);
+            },
+            [](AgentFixture &f) { f.StartOutcome = AgentFixture::okOutcome(); },
+            OrderOutcome::Refused}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
+} // namespace
+} // namespace oriolebay::agent
