agent: no start is sent once the stop of its run is ordered

Seen in tests: the leader orders the stop of a run (its job is cancelled, its start was not confirmed) while the start is deferred, not delivered yet or without an answer. Until the worker confirmed the stop, the agent went on sending the start, so that a task of a cancelled job could begin, and each attempt was one more that may be carried out late. A copy of the start that came between the confirmed stop and the worker's list was taken for a new order and sent; its refusal ("old") was then reported as that of a run that the worker may still be stopping.

Cause: start and stop of one run were in progress side by side and knew nothing of each other until the stop was confirmed.

A stop now abandons the run's start when it is ordered, and a start that comes while the stop is not settled has no effect: the stop alone tells what became of the run (ended, or absent).

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -83,10 +83,13 @@
 
   endpoints::Message onMessage(const endpoints::Message &message);
   endpoints::Ack onOrders(const endpoints::WorkerOrders &orders);
-  /// Begins to carry out a stop, unless that is in progress.
+  /// Begins to carry out a stop, unless that is in progress. No attempt to
+  /// start the run is sent after that.
   void onStopOrder(const endpoints::WorkerOrders &orders,
                    const endpoints::StopOrder &stop);
   /// Begins to carry out a start, or repeats its outcome if it is completed.
+  /// Has no effect while the run's stop is in progress, whose outcome tells
+  /// what became of the run.
   void onStartOrder(const endpoints::WorkerOrders &orders,
                     const endpoints::StartOrder &start);
 
@@ -150,6 +153,11 @@
   /// Completes the start without a further attempt, as its run must not start.
   void refuseStart(const OrderPtr &order, endpoints::OrderOutcome outcome,
                    const std::string &why);
+  /// Sends no further attempt to start the run. Its stop tells what becomes of
+  /// an attempt that was sent.
+  void abandonStart(const endpoints::RunId &run);
+  /// Returns whether the run's stop was ordered and is not settled yet.
+  bool isStopping(const endpoints::RunId &run) const;
   void logCordonChange() const;
   /// Returns whether the start is still being carried out, that is, neither
   /// completed nor abandoned.
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -76,6 +76,7 @@
   const RunId key{stop.Task, stop.Run};
   if (StopsInProgress.count(key) != 0)
     return;
+  abandonStart(key);
   auto order = std::make_shared<Order>();
   order->Stop = stop;
   order->Incarnation = orders.Life;
@@ -84,12 +85,26 @@
   stopTask(order);
 }
 
+void WorkerAgent::abandonStart(const RunId &run) {
+  auto start = StartsInProgress.find(run);
+  if (start == StartsInProgress.end())
+    return;
+  endDeferral(*start->second, "its stop was ordered");
+  StartsInProgress.erase(start);
+}
+
+bool WorkerAgent::isStopping(const RunId &run) const {
+  return StopsInProgress.count(run) != 0 || UnconfirmedStops.count(run) != 0;
+}
+
 // A further copy of a start changes nothing: the first one is carried out, or
 // completed, for all of them. Only startTask() decides whether a run starts.
 void WorkerAgent::onStartOrder(const endpoints::WorkerOrders &orders,
                                const endpoints::StartOrder &start) {
   const RunId key{start.Task, start.Run};
   logRepeatedStart(key, orders.Epoch);
+  if (isStopping(key))
+    return;
   auto completed = CompletedOrders.find(key);
   if (completed != CompletedOrders.end()) {
     Results.push_back(completed->second);
@@ -127,7 +142,7 @@
 }
 
 std::string WorkerAgent::earlierCopyOf(const RunId &run) const {
-  if (StopsInProgress.count(run) != 0 || UnconfirmedStops.count(run) != 0)
+  if (isStopping(run))
     return "stopping";
   auto completed = CompletedOrders.find(run);
   if (completed != CompletedOrders.end())
--- a/src/libs/agent/workeragent_stops.cpp
+++ b/src/libs/agent/workeragent_stops.cpp
@@ -45,7 +45,6 @@
     // From now on the run is either listed or can never start. The next poll
     // shows which.
     StopsInProgress.erase(key);
-    StartsInProgress.erase(key);
     UnconfirmedStops[key] = KeepAlivesSent + 1;
     sendKeepAlive(0);
     return;
--- a/tests/auto/agent/tst_repeatedorders.cpp
+++ b/tests/auto/agent/tst_repeatedorders.cpp
@@ -1,5 +1,5 @@
-// Tests of orders of which the agent gets several copies: the leader repeats
-// them, and the network may hold up a copy.
+// Tests of orders of which the agent gets several copies, or a start and a
+// stop: the leader repeats them, and the network may hold up a copy.
 #include "agentfixture.h"
 
 #include <gtest/gtest.h>
@@ -134,5 +134,75 @@
             OrderOutcome::Refused}),
     [](const auto &info) { return std::string(info.param.Name); });
 
+/// A run whose stop is ordered while its start is in progress.
+struct StoppedStartCase {
+  const char *Name;
+  std::function<void(AgentFixture &)> Play;
+  /// Attempts to start the run that were sent before the stop was ordered.
+  size_t Attempts;
+};
+
+void PrintTo(const StoppedStartCase &c, std::ostream *out) { *out << c.Name; }
+
+endpoints::WorkerOrders makeStop() {
+  return {5, {"life", 1}, {}, {{TestTask, 1}}};
+}
+
+class StoppedStart : public testing::TestWithParam<StoppedStartCase> {};
+
+// Guards against a task of a cancelled job that starts, and against attempts
+// that stay open, although the run's stop was ordered before they were sent.
+TEST_P(StoppedStart, IsNotSentAgain) {
+  AgentFixture fixture;
+  GetParam().Play(fixture);
+  fixture.StopOutcome = AgentFixture::okOutcome();
+  fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_EQ(fixture.Starts.size(), GetParam().Attempts);
+  EXPECT_EQ(fixture.reportedOutcomes(),
+            std::set<OrderOutcome>{OrderOutcome::Absent});
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, StoppedStart,
+    testing::Values(
+        StoppedStartCase{"Deferred",
+                         [](AgentFixture &f) {
+                           silenceLeader(f);
+                           f.sendOrders(AgentFixture::makeStart(5, 1));
+                           f.StopOutcome = outcomeOf(CallStatus::NoAnswer);
+                           f.sendOrders(makeStop());
+                           f.AnswersReports = true;
+                           f.Loop.advance(absl::Seconds(1));
+                         },
+                         0},
+        StoppedStartCase{"NotListening",
+                         [](AgentFixture &f) {
+                           f.StartOutcome = outcomeOf(CallStatus::NotListening);
+                           f.StopOutcome = f.StartOutcome;
+                           f.sendOrders(AgentFixture::makeStart(5, 1));
+                           f.Loop.advance(absl::Milliseconds(10));
+                           f.sendOrders(makeStop());
+                           f.Loop.advance(absl::Milliseconds(100));
+                         },
+                         1},
+        StoppedStartCase{"OrderedWithItsStop",
+                         [](AgentFixture &f) {
+                           endpoints::WorkerOrders orders = makeStop();
+                           orders.Starts = AgentFixture::makeStart(5, 1).Starts;
+                           f.sendOrders(orders);
+                         },
+                         0},
+        StoppedStartCase{"RepeatedAfterItsStop",
+                         [](AgentFixture &f) {
+                           f.StartDurationMs = 250;
+                           f.sendOrders(AgentFixture::makeStart(5, 1));
+                           f.Loop.advance(absl::Milliseconds(10));
+                           f.sendOrders(makeStop());
+                           f.Loop.advance(absl::Milliseconds(1));
+                           f.sendOrders(AgentFixture::makeStart(5, 1));
+                         },
+                         1}),
+    [](const auto &info) { return std::string(info.param.Name); });
+
 } // namespace
 } // namespace oriolebay::agent
