agent: orders from before a worker counted as ended are void

Found by reading, shown by a test: a worker whose connections are refused for about half a second counts as ended; the agent forgets what it has refused or carried out there, and the leader starts the tasks elsewhere. When the same process of the worker answers again, a copy of an earlier order that the network held up names an incarnation that is served, is not known any more, and was carried out: the task runs twice until the leader has the run stopped.

Cause: an order names the incarnation, and the agent took the same incarnation for the same service of it. Each order also tells the agent's latest report that the leader had, which now has to be one since the incarnation counted as ended. Other orders are dropped without an outcome, like those for another incarnation: if the leader has not heard of that end it repeats them.

Red before, green now: RepeatedOrder.OfAnIncarnationThatCountedAsEndedIsNotCarriedOut.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -269,6 +269,9 @@
 
   /// The worker incarnation that is served; Life is empty if none is known.
   endpoints::WorkerState State;
+  /// Number of the first report since the served incarnation counted as ended;
+  /// zero if it never did. The leader may have given up what it ordered before.
+  int64_t FirstReportOfIncarnation = 0;
   int64_t LastHeartbeatSequence = 0;
   absl::Time LastHeartbeatAt;
   /// The latest incarnations that have ended, the newest last.
--- a/src/libs/agent/workeragent_incarnation.cpp
+++ b/src/libs/agent/workeragent_incarnation.cpp
@@ -122,6 +122,8 @@
 void WorkerAgent::beginIncarnation(const Heartbeat &heartbeat) {
   if (!State.Life.empty())
     endIncarnation("a new incarnation answers", EndReason::Superseded);
+  FirstReportOfIncarnation =
+      hasEnded(heartbeat.Worker.Life) ? LastSequence + 1 : 0;
   removeIncarnationEnd(heartbeat.Worker.Life);
   State = heartbeat.Worker;
   LastHeartbeatSequence = heartbeat.Sequence;
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -57,7 +57,8 @@
                                   {"epoch", orders.Epoch},
                                   {"starts", orders.Starts.size()},
                                   {"stops", orders.Stops.size()}});
-  const bool otherIncarnation = orders.Life != State.Life;
+  const bool otherIncarnation =
+      orders.Life != State.Life || orders.LastReport < FirstReportOfIncarnation;
   for (const endpoints::StopOrder &stop : orders.Stops)
     if (otherIncarnation)
       logOrderForOtherIncarnation({stop.Task, stop.Run});
--- a/tests/auto/agent/tst_repeatedorders.cpp
+++ b/tests/auto/agent/tst_repeatedorders.cpp
@@ -204,5 +204,29 @@
                          1}),
     [](const auto &info) { return std::string(info.param.Name); });
 
+// Guards against a task that runs twice: its worker counted as ended for a
+// moment, so that the leader started the task elsewhere, and a copy of the
+// order arrives when the same process of the worker answers again.
+TEST(RepeatedOrder, OfAnIncarnationThatCountedAsEndedIsNotCarriedOut) {
+  AgentFixture fixture;
+  endpoints::WorkerOrders orders = AgentFixture::makeStart(5, 1);
+  orders.LastReport = fixture.Reports.back().Sequence;
+  fixture.KeepAliveOutcome = outcomeOf(CallStatus::NotListening);
+  fixture.Loop.advance(absl::Milliseconds(1500));
+  ASSERT_FALSE(fixture.Reports.back().EndedLives.empty());
+  fixture.KeepAliveOutcome = AgentFixture::okOutcome();
+  fixture.sendHeartbeat();
+  fixture.Loop.advance(absl::Seconds(1));
+  ASSERT_TRUE(fixture.Agent->status().Reachable);
+  fixture.sendOrders(orders);
+  fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_TRUE(fixture.Starts.empty());
+  EXPECT_TRUE(fixture.allResults().empty());
+  orders.LastReport = fixture.Reports.back().Sequence;
+  fixture.sendOrders(orders);
+  fixture.Loop.advance(absl::Seconds(1));
+  EXPECT_EQ(fixture.Starts.size(), 1u);
+}
+
 } // namespace
 } // namespace oriolebay::agent
