jobs: orders for two incarnations of a worker are kept apart

Found by reading, shown by a test: a start that is recorded waits for the leader's next pass to be sent. If a report of the end of its worker's incarnation is handled before that, and leads to an order for the next incarnation beside the same agent (the stop of a run that may begin there), both went into one message, which named the next one. So that incarnation was told to start a run that the leader had settled with the earlier one, and whose task it starts elsewhere: two runs at once.

Cause: waiting orders were kept by the agent's address, and the last one set the incarnation for all. They are kept by address and incarnation now, and one function (ordersFor) adds to them.

Red before, green now: Orders.NameTheIncarnationThatEachWasGivenFor.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -369,13 +369,15 @@
   surveyWaits(now);
 }
 
-std::map<std::string, endpoints::WorkerOrders> JobScheduler::takeOrders() {
-  for (auto &[address, orders] : Orders) {
+std::vector<AddressedOrders> JobScheduler::takeOrders() {
+  std::vector<AddressedOrders> taken;
+  for (auto &[receiver, orders] : std::exchange(Orders, {})) {
     orders.Epoch = Epoch;
     const WorkerView *worker = Workers.find(orders.Life);
     orders.LastReport = worker == nullptr ? 0 : worker->Sequence;
+    taken.push_back({receiver.first, std::move(orders)});
   }
-  return std::exchange(Orders, {});
+  return taken;
 }
 
 std::vector<Decision> JobScheduler::takeDecisions() {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -39,6 +39,12 @@
   std::string Value;
 };
 
+/// Orders that are to be sent to this address.
+struct AddressedOrders {
+  std::string Address;
+  endpoints::WorkerOrders Orders;
+};
+
 /// Decides which task runs on which worker, from the state in the store and the
 /// reports of the workers. It uses no threads, clock or sockets: callers pass
 /// the time of the boot clock, takeWrites() returns what has to be recorded,
@@ -109,8 +115,9 @@
   /// nothing before the first onConfig().
   void decide(absl::Time now);
 
-  /// Returns the orders to send, by agent address, and clears them.
-  std::map<std::string, endpoints::WorkerOrders> takeOrders();
+  /// Returns the orders to send, those for one worker incarnation in one
+  /// message, and clears them.
+  std::vector<AddressedOrders> takeOrders();
   std::vector<Decision> takeDecisions();
   /// Returns the jobs that completed or failed since the last call; their ends
   /// are being recorded.
@@ -475,6 +482,8 @@
   /// that are not done. The cause is logged if there is one.
   void endJob(Job &job, JobState state, absl::Time now,
               const std::string &cause = "");
+  /// Returns the orders that wait to be sent for the worker's incarnation.
+  endpoints::WorkerOrders &ordersFor(const WorkerView &worker);
   void orderStart(Job &job, const core::TaskId &id, Task &task, absl::Time now);
   void orderStop(const core::TaskId &id, Task &task, absl::Time now);
   /// Assigns the task's next run to the worker. The start is ordered once it is
@@ -571,7 +580,9 @@
   bool RetryOnTick = false;
   int64_t PassCount = 0;
   WaitSurveyState WaitSurveys;
-  std::map<std::string, endpoints::WorkerOrders> Orders;
+  /// Orders to be sent, by the agent's address and the worker incarnation.
+  std::map<std::pair<std::string, WorkerIncarnation>, endpoints::WorkerOrders>
+      Orders;
   std::vector<Decision> Decisions;
   std::vector<std::string> EndingJobs;
 };
--- a/src/libs/jobs/jobscheduler_incarnations.cpp
+++ b/src/libs/jobs/jobscheduler_incarnations.cpp
@@ -296,9 +296,7 @@
 void JobScheduler::resendLateStops(absl::Time now) {
   for (const auto &[incarnation, runs] :
        Workers.takeLateStops(Policy.OrderResendInterval, now)) {
-    endpoints::WorkerOrders &orders =
-        Orders[Workers.find(incarnation)->AgentAddress];
-    orders.Life = incarnation;
+    endpoints::WorkerOrders &orders = ordersFor(*Workers.find(incarnation));
     for (const RunId &run : runs)
       orders.Stops.push_back({run.Task, run.Run});
   }
--- a/src/libs/jobs/jobscheduler_orders.cpp
+++ b/src/libs/jobs/jobscheduler_orders.cpp
@@ -6,6 +6,15 @@
 using core::TaskId;
 using endpoints::OrderOutcome;
 
+// Orders for two incarnations beside one agent may wait to be sent, if the end
+// of the earlier one is reported in between.
+endpoints::WorkerOrders &JobScheduler::ordersFor(const WorkerView &worker) {
+  endpoints::WorkerOrders &orders =
+      Orders[{worker.AgentAddress, worker.State.Life}];
+  orders.Life = worker.State.Life;
+  return orders;
+}
+
 // Orders a recorded start, unless in the meantime its stop was requested or its
 // worker was lost, cordoned, started to drain, or reduced its capacity. Then
 // the run certainly never started if this would have been the first order; an
@@ -35,15 +44,13 @@
   task.RunPhase = Phase::Ordered;
   task.LastOrderAt = now;
   task.StartedAt = absl::InfinitePast();
-  endpoints::WorkerOrders &orders = Orders[worker->AgentAddress];
-  orders.Life = task.Progress.Worker;
   endpoints::StartOrder startOrder{core::taskName(id),
                                    task.Progress.Run,
                                    job.Record.Spec.Payload,
                                    task.Progress.Saved,
                                    "",
                                    worker->State.Capacity};
-  orders.Starts.push_back(std::move(startOrder));
+  ordersFor(*worker).Starts.push_back(std::move(startOrder));
 }
 
 void JobScheduler::orderStop(const TaskId &id, Task &task, absl::Time now) {
@@ -51,9 +58,7 @@
   if (worker == nullptr)
     return;
   task.LastOrderAt = now;
-  endpoints::WorkerOrders &orders = Orders[worker->AgentAddress];
-  orders.Life = task.Progress.Worker;
-  orders.Stops.push_back({core::taskName(id), task.Progress.Run});
+  ordersFor(*worker).Stops.push_back({core::taskName(id), task.Progress.Run});
 }
 
 void JobScheduler::requestStop(const TaskId &id, Task &task,
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -192,9 +192,7 @@
 void JobScheduler::stopUnexpectedRun(const WorkerView &worker,
                                      const endpoints::RunningTask &running,
                                      const Task *task) {
-  endpoints::WorkerOrders &orders = Orders[worker.AgentAddress];
-  orders.Life = worker.State.Life;
-  orders.Stops.push_back({running.Task, running.Run});
+  ordersFor(worker).Stops.push_back({running.Task, running.Run});
   TaskId id;
   core::parseTaskName(running.Task, id);
   logDecision(Decision::Kind::UnexpectedRun, id.Job, running.Task, running.Run,
