Late removal of an ended job spares a new job of the same id

What callers would see: a job is accepted and vanishes. An earlier job of the same id had ended and was due for removal. The leader's removal got no answer, its second one was done, the id was accepted anew, and the first removal was carried out seconds later: it had no condition but the leader's key, and took the new job's record with it.

The removal expects each record and progress at the revision of the job that has ended, as writes of progress do. A conflict is resolved for each job: gone, cancelled after its end, or submitted anew; a leader that has been replaced learns that from it too.

--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -18,6 +18,10 @@
 /// The leader's key is one more condition.
 constexpr size_t EntriesPerJob = 3;
 constexpr size_t JobsPerTxn = (platform::MaxTxnEntries - 1) / EntriesPerJob;
+/// The removal of a job needs two conditions and removes two keys.
+constexpr size_t EntriesPerRemoval = 4;
+constexpr size_t RemovalsPerTxn =
+    (platform::MaxTxnEntries - 1) / EntriesPerRemoval;
 
 } // namespace
 
@@ -259,10 +263,14 @@
   }
 }
 
+bool LeaderSession::isLeaderIn(const std::vector<KeyValue> &current) const {
+  const KeyValue *leader = findItem(current, Options.LeaderKey);
+  return leader != nullptr && leader->ModRevision == Epoch;
+}
+
 void LeaderSession::onConflict(const std::vector<ProgressWrite> &batch,
                                const std::vector<KeyValue> &current) {
-  const KeyValue *leader = findItem(current, Options.LeaderKey);
-  if (leader == nullptr || leader->ModRevision != Epoch) {
+  if (!isLeaderIn(current)) {
     ReportLeadershipLost();
     return;
   }
@@ -282,40 +290,47 @@
     Scheduler.onRecordRemoved(progressWrite.JobId);
     return;
   }
+  if (progress != nullptr &&
+      progress->ModRevision != progressWrite.ProgressRevision)
+    adoptProgress(progressWrite.JobId, *progress);
+  Scheduler.onWriteFailed(progressWrite.JobId);
+  if (spec->ModRevision != progressWrite.RecordRevision)
+    ReportRecordRead(*spec);
+}
+
+void LeaderSession::adoptProgress(const std::string &jobId,
+                                  const KeyValue &progress) {
   utils::handle<bool>(
       [&]() -> utils::Result<bool> {
-        if (progress != nullptr &&
-            progress->ModRevision != progressWrite.ProgressRevision) {
-          BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress->Value));
-          Scheduler.onWritten(progressWrite.JobId, read.Version,
-                              progress->ModRevision, Loop.now());
-        }
-        Scheduler.onWriteFailed(progressWrite.JobId);
-        if (spec->ModRevision != progressWrite.RecordRevision)
-          ReportRecordRead(*spec);
+        BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress.Value));
+        Scheduler.onWritten(jobId, read.Version, progress.ModRevision,
+                            Loop.now());
         return true;
       },
       [&](const utils::Error &e) {
         ReportStoreError(StoreStatus::Conflict, e.text());
-        Scheduler.onWriteFailed(progressWrite.JobId);
         return false;
       });
 }
 
 // Removes finished jobs from the store after callers have had time to read
-// their result.
+// their result. The conditions keep a removal that is carried out late from
+// removing a job that was accepted under the same id in the meantime.
 void LeaderSession::removeExpiredJobs() {
   if (RemovalPending)
     return;
-  std::vector<std::string> expired = Scheduler.takeExpiredJobs(Loop.now());
+  std::vector<jobs::ExpiredJob> expired = Scheduler.takeExpiredJobs(Loop.now());
   if (expired.empty())
     return;
-  expired.resize(std::min(expired.size(), JobsPerTxn));
+  expired.resize(std::min(expired.size(), RemovalsPerTxn));
   platform::StoreTxn txn;
   txn.Expected.push_back({Options.LeaderKey, Epoch});
-  for (const std::string &id : expired) {
-    txn.Removes.push_back(jobs::specKey(id));
-    txn.Removes.push_back(jobs::progressKey(id));
+  for (const jobs::ExpiredJob &job : expired) {
+    txn.Expected.push_back({jobs::specKey(job.JobId), job.RecordRevision});
+    txn.Expected.push_back(
+        {jobs::progressKey(job.JobId), job.ProgressRevision});
+    txn.Removes.push_back(jobs::specKey(job.JobId));
+    txn.Removes.push_back(jobs::progressKey(job.JobId));
   }
   RemovalPending = true;
   StoreClient.Transact(
@@ -324,13 +339,40 @@
         if (!*alive)
           return;
         RemovalPending = false;
-        if (!reply.ok()) {
-          ReportStoreError(reply.Status, reply.Why);
-          return;
-        }
-        for (const std::string &id : expired)
-          Scheduler.onRecordRemoved(id);
+        onRemovalReply(expired, reply);
       });
 }
 
+void LeaderSession::onRemovalReply(const std::vector<jobs::ExpiredJob> &expired,
+                                   const StoreReply<StoreTxnReply> &reply) {
+  if (reply.ok()) {
+    for (const jobs::ExpiredJob &job : expired)
+      Scheduler.onRecordRemoved(job.JobId);
+  } else if (reply.Status != StoreStatus::Conflict) {
+    ReportStoreError(reply.Status, reply.Why);
+  } else if (!isLeaderIn(reply.Value.Current)) {
+    ReportLeadershipLost();
+  } else {
+    for (const jobs::ExpiredJob &job : expired)
+      resolveConflict(job, reply.Value.Current);
+  }
+}
+
+// Resolves the conflict for one job that was to be removed: an earlier removal
+// took effect although its answer was lost, the job was cancelled after its
+// end, or another one has been accepted under its id.
+void LeaderSession::resolveConflict(const jobs::ExpiredJob &expired,
+                                    const std::vector<KeyValue> &current) {
+  const KeyValue *spec = findItem(current, jobs::specKey(expired.JobId));
+  const KeyValue *progress =
+      findItem(current, jobs::progressKey(expired.JobId));
+  if (spec == nullptr)
+    Scheduler.onRecordRemoved(expired.JobId);
+  else if (spec->ModRevision != expired.RecordRevision)
+    ReportRecordRead(*spec);
+  else if (progress != nullptr &&
+           progress->ModRevision != expired.ProgressRevision)
+    adoptProgress(expired.JobId, *progress);
+}
+
 } // namespace oriolebay::entry
--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -115,7 +115,20 @@
                   const std::vector<platform::KeyValue> &current);
   void resolveConflict(const jobs::ProgressWrite &progressWrite,
                        const std::vector<platform::KeyValue> &current);
+  /// Takes over the progress of a job that is at another revision than this
+  /// leader expected: its earlier write took effect although the answer was
+  /// lost.
+  void adoptProgress(const std::string &jobId,
+                     const platform::KeyValue &progress);
   void removeExpiredJobs();
+  void
+  onRemovalReply(const std::vector<jobs::ExpiredJob> &expired,
+                 const platform::StoreReply<platform::StoreTxnReply> &reply);
+  void resolveConflict(const jobs::ExpiredJob &expired,
+                       const std::vector<platform::KeyValue> &current);
+  /// Returns whether this entry leads according to the items that the store
+  /// returned with a conflict.
+  bool isLeaderIn(const std::vector<platform::KeyValue> &current) const;
 
   utils::EventLoop &Loop;
   const platform::Store &StoreClient;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -45,6 +45,14 @@
   endpoints::WorkerOrders Orders;
 };
 
+/// A job whose keys can be removed from the store, on condition that they are
+/// still at the given revisions.
+struct ExpiredJob {
+  std::string JobId;
+  int64_t RecordRevision = 0;
+  int64_t ProgressRevision = 0;
+};
+
 /// Decides which task runs on which worker, from the state in the store and the
 /// reports of the workers. It uses no threads, clock or sockets: callers pass
 /// the time of the boot clock, takeWrites() returns what has to be recorded,
@@ -124,7 +132,7 @@
   std::vector<std::string> takeEndingJobs();
   /// Returns the jobs that can be removed from the store: they ended more than
   /// FinishedJobRetention ago and have no task on any worker.
-  std::vector<std::string> takeExpiredJobs(absl::Time now);
+  std::vector<ExpiredJob> takeExpiredJobs(absl::Time now);
 
   /// Number of scheduling passes so far.
   int64_t passCount() const { return PassCount; }
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -148,8 +148,8 @@
   it->second.Dirty = true;
 }
 
-std::vector<std::string> JobScheduler::takeExpiredJobs(absl::Time now) {
-  std::vector<std::string> expired;
+std::vector<ExpiredJob> JobScheduler::takeExpiredJobs(absl::Time now) {
+  std::vector<ExpiredJob> expired;
   for (auto &[id, job] : Jobs) {
     bool isRemovable = isFinal(job.State) && !job.Dirty && !job.Writing &&
                        now - job.FinishedAt > Policy.FinishedJobRetention;
@@ -157,7 +157,7 @@
       isRemovable = isRemovable && !task.isAssigned();
     });
     if (isRemovable)
-      expired.push_back(id);
+      expired.push_back({id, job.RecordRevision, job.ProgressRevision});
   }
   return expired;
 }
