Job view: a new record under the id of a removed job is a new job

What callers would see: a job is accepted, shown as completed at once, and never runs. The leader's removal of an earlier job of that id was carried out with its answer lost, and its watch delivered nothing; the new record came by the message of the entry that accepted it. The view and the scheduler took it for a change of the ended job, and the leader removed it as expired.

A record is changed by a cancellation only. Another record under a known id is therefore that of a new job: the view reports the earlier one as removed first and drops its progress. The same holds for an entry whose watch delivers the removal and the new record as one change.

--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -68,6 +68,21 @@
     Ended(jobId);
 }
 
+// A record is only changed by a cancellation. Any other record under a known id
+// is that of a new job, and the removal of the earlier one was not seen.
+void JobView::applyRecord(const std::string &jobId, JobRecord record,
+                          int64_t revision) {
+  StoredJob &job = Jobs[jobId];
+  if (job.RecordRevision > 0 && !record.Cancelled) {
+    Removed(jobId);
+    if (job.ProgressRevision < revision)
+      job = {};
+  }
+  job.Record = std::move(record);
+  job.RecordRevision = revision;
+  RecordChanged(job);
+}
+
 void JobView::onChange(const platform::StoreEvent &event) {
   std::string id;
   bool progress = false;
@@ -87,10 +102,7 @@
         }
         BOOST_LEAF_AUTO(decoded, decodeRecord(event.Item.Value));
         BOOST_LEAF_CHECK(checkRecord(decoded, id));
-        StoredJob &job = Jobs[id];
-        job.Record = std::move(decoded);
-        job.RecordRevision = event.Item.ModRevision;
-        RecordChanged(job);
+        applyRecord(id, std::move(decoded), event.Item.ModRevision);
         return true;
       },
       [&](const utils::Error &e) {
--- a/src/libs/jobs/jobview.h
+++ b/src/libs/jobs/jobview.h
@@ -68,6 +68,8 @@
 
 private:
   void onChange(const platform::StoreEvent &event);
+  void applyRecord(const std::string &jobId, JobRecord record,
+                   int64_t revision);
   void applyProgress(const std::string &jobId, JobProgress progress,
                      int64_t revision);
 
--- a/tests/auto/cluster/tst_expiredjobs.cpp
+++ b/tests/auto/cluster/tst_expiredjobs.cpp
@@ -61,6 +61,12 @@
     return call->Answer ? call->Answer->Result : CallResult::Open;
   }
 
+  JobState reportedState() {
+    auto call = Cluster.state((Cluster.leader() + 1) % 3, Key, JobId);
+    Cluster.runFor(absl::Seconds(1));
+    return call->Answer ? call->Answer->State : JobState::Failed;
+  }
+
 private:
   MemoryCluster Cluster;
 };
@@ -84,6 +90,23 @@
   EXPECT_EQ(site.cluster().storedState(JobId), JobState::Completed);
 }
 
+// Guards against an accepted job that never runs: the leader has not learned
+// that the ended job of the same id was removed, and takes the new one for it.
+TEST_P(ExpiredJob, RunsAnewIfTheAnswerToItsRemovalWasLost) {
+  SiteWithEndedJob site(static_cast<uint64_t>(GetParam()));
+  const int startsBefore = site.cluster().starts();
+  site.leaderFaults().LostAnswerShare = 1;
+  site.leaderFaults().WatchesSilent = true;
+  site.runUntilRemoved();
+  ASSERT_EQ(site.submit(SecondWorkMs), CallResult::Ok);
+  site.leaderFaults().LostAnswerShare = 0;
+  site.leaderFaults().WatchesSilent = false;
+  EXPECT_FALSE(isFinal(site.reportedState()));
+  site.cluster().runFor(LateWriteLimit);
+  ASSERT_TRUE(site.isStored());
+  EXPECT_EQ(site.cluster().starts(), startsBefore + 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ExpiredJob, testing::Range(1, 6),
                          testing::PrintToStringParamName());
 
