Gang that ran is not answered "not run" if only its restart is refused

What callers would see: "not run" for a gang of which members have worked. A run of it had failed or had been stopped for a guarantee, the power cap or a lost worker; the gang was placed again, and the record of that start was not confirmed by the store, or too many starts waited for it. Waiting gangs were answered "stopped, then: ..." in this case, those with a start under way not.

Both ways use answerOf() now, which knows that the gang has run.

Test: RestartedGang.IsNotAnsweredAsNotRunIfItsStartIsAborted, red before.

--- a/src/libs/scheduler/gangscheduler.h
+++ b/src/libs/scheduler/gangscheduler.h
@@ -121,7 +121,9 @@
   /// No member of run was started, because worker refused or did not answer;
   /// worker is empty if the start could not be sent at all.
   void onStartRefused(const RunId &run, const std::string &worker);
-  /// No member of run was started; its caller is sent the given answer.
+  /// No member of run was started; its caller is sent the given answer. An
+  /// earlier run of the gang may have been started; then the gang is not
+  /// answered "not run".
   void onStartAborted(const RunId &run, core::JobAnswer answer);
   /// Some members may have started and others not, so the run must be stopped.
   void onStartUnconfirmed(const RunId &run, absl::Time now);
@@ -195,6 +197,10 @@
   tryPlace(PendingGang &gang, absl::Time now,
            const std::set<std::string> &drainedWorkers);
   void refusePending(PendingGang &gang, const placement::Refusal &refusal);
+  /// Returns the answer for a gang of which the latest run, if any, was not
+  /// started: the given one, or a failure if the gang has run before.
+  static core::JobAnswer answerOf(const PendingGang &gang,
+                                  core::JobAnswer answer);
   void startRun(const RunId &run);
   void beginStop(const RunId &run, StopCause cause, const std::string &detail,
                  absl::Time now);
--- a/src/libs/scheduler/gangscheduler_queue.cpp
+++ b/src/libs/scheduler/gangscheduler_queue.cpp
@@ -144,17 +144,21 @@
 // to the calling function.
 void GangScheduler::refusePending(PendingGang &gang,
                                   const placement::Refusal &refusal) {
-  // A gang that ran and was stopped has run in part, so it must not be answered
-  // "not run".
-  const core::JobRequest &job = gang.Request.Job;
-  JobAnswer answer{job.Id,
-                   gang.HasRun ? Outcome::Failed : Outcome::NotRun,
-                   gang.HasRun ? NotRunReason::None : refusal.Reason,
-                   gang.HasRun ? "stopped, then: " + refusal.Detail
-                               : refusal.Detail,
-                   refusal.RetryAfterMs,
-                   {}};
-  Actions.push_back(AnswerCaller{gang.Request, std::move(answer)});
+  JobAnswer answer = core::notRun(gang.Request.Job.Id, refusal.Reason,
+                                  refusal.Detail, refusal.RetryAfterMs);
+  Actions.push_back(
+      AnswerCaller{gang.Request, answerOf(gang, std::move(answer))});
+}
+
+// A gang that ran and was stopped has run in part, so it must not be answered
+// "not run".
+JobAnswer GangScheduler::answerOf(const PendingGang &gang, JobAnswer answer) {
+  if (!gang.HasRun || answer.Result != Outcome::NotRun)
+    return answer;
+  answer.Result = Outcome::Failed;
+  answer.Reason = NotRunReason::None;
+  answer.Detail = "stopped, then: " + answer.Detail;
+  return answer;
 }
 
 } // namespace oriolebay::scheduler
--- a/src/libs/scheduler/gangscheduler_runs.cpp
+++ b/src/libs/scheduler/gangscheduler_runs.cpp
@@ -43,8 +43,10 @@
   auto it = Runs.find(run);
   if (it == Runs.end())
     return;
+  const PendingGang &gang = it->second.Gang;
   if (!it->second.Answered)
-    Actions.push_back(AnswerCaller{it->second.Gang.Request, std::move(answer)});
+    Actions.push_back(
+        AnswerCaller{gang.Request, answerOf(gang, std::move(answer))});
   releaseRun(run);
 }
 
--- a/tests/auto/scheduler/tst_gangscheduler.cpp
+++ b/tests/auto/scheduler/tst_gangscheduler.cpp
@@ -322,6 +322,59 @@
     EXPECT_TRUE(site.isRunning(gang)) << gang;
 }
 
+// A scheduler with two workers and one idempotent gang that has run, failed
+// and been placed again.
+class RestartedGang : public testing::Test {
+protected:
+  RestartedGang()
+      : Sched(placement::ClusterState(placement::placePacked, 500),
+              SiteSimulation::policy(), "t", Now) {
+    Sched.onProfile(makeProfile());
+    for (const char *id : {"w0", "w1"})
+      Sched.onAnnounce(
+          {{id, "fd0", "r0", WorkerAccelerators, ""}, 1, false, 0, {}}, false,
+          Now);
+    Sched.submit({"g", makeJob("big", {1, 1, 100})}, Now);
+    const scheduler::StartGang first = takeStart();
+    Sched.onTaskResult({first.Run, 0, first.Workers.front(),
+                        endpoints::TaskEnd::Failed, "", ""},
+                       Now);
+    Restart = takeStart();
+  }
+
+  // Returns the last start that the scheduler wants, and keeps the answers.
+  scheduler::StartGang takeStart() {
+    Sched.tick(Now);
+    scheduler::StartGang start;
+    for (const scheduler::Action &action : Sched.takeActions()) {
+      if (const auto *s = std::get_if<scheduler::StartGang>(&action))
+        start = *s;
+      if (const auto *a = std::get_if<scheduler::AnswerCaller>(&action))
+        Answers.push_back(a->Answer);
+    }
+    return start;
+  }
+
+  absl::Time Now = absl::UnixEpoch();
+  GangScheduler Sched;
+  scheduler::StartGang Restart;
+  std::vector<core::JobAnswer> Answers;
+};
+
+// Guards against the answer "not run" to a gang that has run in part, because
+// only its second start was refused.
+TEST_F(RestartedGang, IsNotAnsweredAsNotRunIfItsStartIsAborted) {
+  ASSERT_FALSE(Restart.Run.empty());
+  Sched.onStartAborted(Restart.Run,
+                       core::notRun("job", core::NotRunReason::StoreUnavailable,
+                                    "nothing was started", 500));
+  takeStart();
+  ASSERT_EQ(Answers.size(), 1u);
+  EXPECT_EQ(Answers.front().Result, Outcome::Failed);
+  EXPECT_EQ(Answers.front().Reason, core::NotRunReason::None);
+  EXPECT_EQ(Answers.front().RetryAfterMs, 500);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     BothPlacers, RandomEvents,
     testing::Values(RandomCase{"packed_1", 1, placement::placePacked},
