Submitter: "not run" holds for all leaders that may have had the gang

What callers would see: "not run" for a gang that has run. Leader A accepted the gang, or its answer to the submission was lost; it ran there, and its end was recorded while the answer was lost with A. The entry submitted the gang to leader B, which knows nothing of that run, found no room and answered "not run"; this was passed on. The same with a late answer of A after B has started the gang.

The submitter keeps the epochs that may have accepted the gang. With more than one, "not run" becomes "failed", with Retry-After and the text that the request may have run, as when the entry itself has to stop. A leader that refused the submission does not count. Price: a gang that only waited while the leader changed, and is then refused, is answered "failed" too; the leader's data do not tell the two apart.

Test: SubmittedGang.IsAnsweredForAllLeadersThatMayHaveRunIt/BothAccept, red before; the rows with one leader hold that its refusal is passed on.

--- a/src/libs/entry/submitter.cpp
+++ b/src/libs/entry/submitter.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <set>
+
 namespace oriolebay::entry {
 
 using core::JobAnswer;
@@ -14,6 +16,18 @@
 namespace {
 constexpr int LeaderCallTimeoutMs = 1000;
 const absl::Duration RetryPeriod = absl::Milliseconds(50);
+
+// A leader knows only its own runs and those whose records it found, not a run
+// that had ended under an earlier leader.
+JobAnswer possiblyRun(const JobAnswer &refusal) {
+  return {refusal.JobId,
+          Outcome::Failed,
+          NotRunReason::None,
+          "the request may have run under an earlier leader, then: " +
+              refusal.Detail,
+          refusal.RetryAfterMs,
+          {}};
+}
 } // namespace
 
 Submitter::Submitter(const std::string &name, int64_t startTime,
@@ -88,9 +102,9 @@
   const std::string id = absl::StrCat(GangIdPrefix, NextGangNumber++);
   auto waiter = std::make_shared<Waiter>();
   const absl::Time arrived = steadyNow();
-  // Once a leader may have accepted the gang, only a leader knows its state.
-  // From then on this entry must not answer "not run".
-  bool possiblyAccepted = false;
+  // The leaders that may have accepted the gang. Once there is one, only a
+  // leader knows the gang's state, and this entry must not answer "not run".
+  std::set<int64_t> acceptingEpochs;
   int64_t acceptedEpoch = 0;
   Mu.Lock();
   Waiters[id] = waiter;
@@ -101,13 +115,14 @@
       const Delivery delivery =
           sendToLeader(endpoints::Submit{id, job, ReplyTo}, leader);
       Mu.Lock();
-      possiblyAccepted = possiblyAccepted || delivery != Delivery::NotAccepted;
+      if (delivery != Delivery::NotAccepted)
+        acceptingEpochs.insert(leader.Epoch);
       if (delivery == Delivery::Accepted)
         acceptedEpoch = leader.Epoch;
     }
     if (waiter->Answered)
       break;
-    if (!possiblyAccepted &&
+    if (acceptingEpochs.empty() &&
         (Stopping || steadyNow() - arrived > NoLeaderTimeout)) {
       waiter->Answer = core::notRun(
           job.Id,
@@ -117,7 +132,7 @@
           RetryAfterMs);
       break;
     }
-    if (possiblyAccepted && Stopping) {
+    if (!acceptingEpochs.empty() && Stopping) {
       waiter->Answer = {job.Id,
                         Outcome::Failed,
                         NotRunReason::None,
@@ -137,7 +152,9 @@
   JobAnswer answer = waiter->Answer;
   Waiters.erase(id);
   Mu.Unlock();
-  return answer;
+  const bool isRefusalOfOneLeader =
+      answer.Result == Outcome::NotRun && acceptingEpochs.size() > 1;
+  return isRefusalOfOneLeader ? possiblyRun(answer) : answer;
 }
 
 } // namespace oriolebay::entry
--- a/src/libs/entry/submitter.h
+++ b/src/libs/entry/submitter.h
@@ -32,7 +32,8 @@
 
   /// Blocks the caller's thread until its gang has been answered. If no leader
   /// can have accepted the gang by the end of noLeaderTimeout, it is answered
-  /// "not run".
+  /// "not run". A leader's "not run" is passed on only if no other leader may
+  /// have accepted the gang; else it is answered as failed.
   core::JobAnswer submit(const core::JobRequest &job);
   /// Passes a cancellation to the leader. Returns false if it was not accepted.
   bool cancel(const endpoints::Cancel &cancel);
