Request with an idempotency key does not run again while its end is unwritten

What callers would see: a non-idempotent request runs twice. Its first run had ended and was answered; the write of that end waited, in an outage of the store or behind starts, which are written first. A second request with the key found a record without an answer. The leader looked for its holder among the gangs that it has and the last 4096 answers, of which refusals in an outage are most, did not find it, concluded that the holder never ran, and replaced the record.

The recorder looks among the ends that it has yet to write first. All ends pass through its queue before a later start does.

Test: RecorderAtStore.RequestIsAnsweredByAnEndThatIsNotWrittenYet, red before (the key is reported as held). That the answers of 4096 other gangs push the holder out is by reading, no run shows it.

--- a/src/libs/entry/recorder.cpp
+++ b/src/libs/entry/recorder.cpp
@@ -173,8 +173,10 @@
     return out;
   }
   const RequestRecord record = decodeRequestRecord(priorRecord->Value);
-  if (record.Answer) {
-    out.Answer = *record.Answer;
+  const JobAnswer *answer =
+      record.Answer ? &*record.Answer : pendingAnswer(record.Gang);
+  if (answer != nullptr) {
+    out.Answer = *answer;
     out.Answer.JobId = job.Id;
     return out;
   }
@@ -235,6 +237,15 @@
        "", 0});
 }
 
+// The store shows the gang as unfinished until its end is written, and the
+// scheduler no longer knows it.
+const JobAnswer *Recorder::pendingAnswer(const std::string &gangId) const {
+  for (const DeleteRecord &end : PendingEnds)
+    if (end.Answer && end.GangId == gangId)
+      return &*end.Answer;
+  return nullptr;
+}
+
 void Recorder::writeEnds() {
   while (!PendingEnds.empty() && steadyNow() >= StoreDownUntil) {
     const DeleteRecord &end = PendingEnds.front();
--- a/src/libs/entry/recorder.h
+++ b/src/libs/entry/recorder.h
@@ -87,6 +87,8 @@
   explainConflict(const RecordStart &request,
                   const std::vector<platform::KeyValue> &currentItems,
                   bool &canRetry, int64_t &keyRevision);
+  /// Returns the answer of a gang whose end is not written yet, or null.
+  const core::JobAnswer *pendingAnswer(const std::string &gangId) const;
   void writeEnds();
   core::JobAnswer refusal(const RecordStart &request,
                           const std::string &detail) const;
