End of an adopted run answers its request only if its gang holds the key

What callers would see: a non-idempotent request that was done reads "failed" when it is asked for again. The start of a first gang had got no answer from the store three times, its caller was told that it did not run, and a second gang took the key and was done. One of the three writes was carried out late: the next leader adopted a run that nobody started, gave it up as lost, and wrote its answer over that of the second gang, without a condition on the key.

The write of an end expects the key at the revision at which the leader recorded the start. On a conflict the holder decides: the same gang, then with the new revision; another one, then only the run's record is deleted. No call more in the usual case, one for an adopted run.

Test: EndOfAnAdoptedRun.AnswersOnlyItsOwnRequest/OfAnotherGang, red before.

--- a/src/libs/entry/entryservice.h
+++ b/src/libs/entry/entryservice.h
@@ -17,7 +17,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <thread>
 #include <variant>
 
@@ -102,8 +101,9 @@
   /// meantime, if any.
   std::map<scheduler::RunId, std::optional<scheduler::StopGang>>
       RunsBeingRecorded;
-  /// Runs whose record is in the store.
-  std::set<scheduler::RunId> RecordedRuns;
+  /// Runs whose record is in the store, and the revision at which this leader
+  /// wrote it; zero if an earlier one did.
+  std::map<scheduler::RunId, int64_t> RecordedRuns;
   /// The address of the entry that waits for the answer of each gang, by gang
   /// id.
   std::map<std::string, std::string> ReplyAddresses;
--- a/src/libs/entry/entryservice_leadership.cpp
+++ b/src/libs/entry/entryservice_leadership.cpp
@@ -57,7 +57,7 @@
   for (const scheduler::AdoptedRun &run : runs) {
     logEvent(Event::GangAdopted,
              {{"run", run.Run}, {"job", run.Request.Job.Id}});
-    RecordedRuns.insert(run.Run);
+    RecordedRuns[run.Run] = 0;
     Scheduler->adopt(
         run, now,
         absl::Milliseconds(Settings.OutageHoldMs + Settings.TaskLeaseMs) +
--- a/src/libs/entry/entryservice_runs.cpp
+++ b/src/libs/entry/entryservice_runs.cpp
@@ -86,7 +86,7 @@
     break;
   }
   RunsBeingRecorded.erase(start.Run);
-  RecordedRuns.insert(start.Run);
+  RecordedRuns[start.Run] = outcome.Revision;
   if (requestedStop) {
     // The run was stopped before any message was sent, so every member ends as
     // stopped.
@@ -140,10 +140,12 @@
 void EntryService::perform(const scheduler::DeleteRunRecord &deletion) {
   // A run without a record may have been refused because another gang holds its
   // idempotency key. The record of that gang must not be overwritten.
-  if (RecordedRuns.erase(deletion.Run) == 0)
+  auto recorded = RecordedRuns.extract(deletion.Run);
+  if (!recorded)
     return;
-  DeleteRecord end{LeadingEpoch, deletion.Run, std::nullopt,
-                   deletion.Request.GangId, std::nullopt};
+  DeleteRecord end{LeadingEpoch, deletion.Run,
+                   std::nullopt, deletion.Request.GangId,
+                   std::nullopt, recorded.mapped()};
   auto it = RecentAnswers.find(deletion.Request.GangId);
   if (!deletion.Request.Job.Idempotent && it != RecentAnswers.end() &&
       it->second.Result != Outcome::NotRun) {
--- a/src/libs/entry/recorder.cpp
+++ b/src/libs/entry/recorder.cpp
@@ -8,6 +8,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace oriolebay::entry {
 
 using core::JobAnswer;
@@ -62,6 +64,21 @@
   return record;
 }
 
+bool leads(int64_t epoch, const std::vector<KeyValue> &current) {
+  return std::any_of(current.begin(), current.end(), [&](const KeyValue &kv) {
+    return kv.Key == platform::LeaderKey && kv.CreateRevision == epoch;
+  });
+}
+
+// Returns the record of the request among the items of a condition, or null.
+const KeyValue *requestItem(const std::vector<KeyValue> &current) {
+  auto it =
+      std::find_if(current.begin(), current.end(), [](const KeyValue &kv) {
+        return kv.Key != platform::LeaderKey;
+      });
+  return it == current.end() ? nullptr : &*it;
+}
+
 json gangRecord(const scheduler::StartGang &start) {
   return {{"run", start.Run},
           {"gang", start.Request.GangId},
@@ -118,22 +135,21 @@
   writeEnds();
 }
 
-// Writes one transaction. On a conflict, currentItems receives the items that
-// the conditions refer to.
-Recorder::WriteResult Recorder::write(const std::vector<Compare> &conditions,
-                                      const std::vector<Write> &writes,
-                                      std::vector<KeyValue> &currentItems) {
+// Writes one transaction.
+Recorder::WriteReply Recorder::write(const std::vector<Compare> &conditions,
+                                     const std::vector<Write> &writes) {
   if (steadyNow() < StoreDownUntil)
-    return WriteResult::Unknown;
-  return utils::handle<WriteResult>(
-      [&]() -> utils::Result<WriteResult> {
+    return {};
+  return utils::handle<WriteReply>(
+      [&]() -> utils::Result<WriteReply> {
         BOOST_LEAF_AUTO(reply, Kv.txn(conditions, writes));
-        currentItems = reply.Current;
-        return reply.Succeeded ? WriteResult::Done : WriteResult::Conflict;
+        return WriteReply{reply.Succeeded ? WriteResult::Done
+                                          : WriteResult::Conflict,
+                          reply.Revision, reply.Current};
       },
       [&](const utils::Error &e) {
         ReportError(e);
-        return WriteResult::Unknown;
+        return WriteReply{};
       });
 }
 
@@ -156,16 +172,9 @@
                           bool &canRetry, int64_t &keyRevision) {
   RecordOutcome out{RecordOutcome::Kind::LeadershipLost, request, {}, "", 0};
   const core::JobRequest &job = request.Start.Request.Job;
-  bool leading = false;
-  const KeyValue *priorRecord = nullptr;
-  for (const KeyValue &kv : currentItems) {
-    if (kv.Key == platform::LeaderKey)
-      leading = kv.CreateRevision == request.Epoch;
-    else
-      priorRecord = &kv;
-  }
-  if (!leading)
+  if (!leads(request.Epoch, currentItems))
     return out;
+  const KeyValue *priorRecord = requestItem(currentItems);
   out.What = RecordOutcome::Kind::Refused;
   canRetry = priorRecord == nullptr;
   if (priorRecord == nullptr) {
@@ -211,16 +220,15 @@
     if (!job.Idempotent)
       conditions.push_back(
           {requestKey(job), Compare::Field::ModRevision, keyRevision});
-    std::vector<KeyValue> currentItems;
-    const WriteResult result = write(conditions, writes, currentItems);
-    if (result == WriteResult::Done)
+    const WriteReply reply = write(conditions, writes);
+    if (reply.Result == WriteResult::Done)
       return DeliverOutcome(
-          {RecordOutcome::Kind::Recorded, request, {}, "", 0});
-    if (result == WriteResult::Unknown)
+          {RecordOutcome::Kind::Recorded, request, {}, "", 0, reply.Revision});
+    if (reply.Result == WriteResult::Unknown)
       continue;
     bool canRetry = false;
     RecordOutcome out =
-        explainConflict(request, currentItems, canRetry, keyRevision);
+        explainConflict(request, reply.Current, canRetry, keyRevision);
     if (!canRetry)
       return DeliverOutcome(std::move(out));
   }
@@ -248,25 +256,50 @@
 
 void Recorder::writeEnds() {
   while (!PendingEnds.empty() && steadyNow() >= StoreDownUntil) {
-    const DeleteRecord &end = PendingEnds.front();
+    if (writeEnd(PendingEnds.front()) == WriteResult::Unknown) {
+      StoreDownUntil = steadyNow() + StoreDownTime;
+      return;
+    }
+    // A conflict means that another entry leads. It has adopted the run and
+    // resolves it.
+    PendingEnds.pop_front();
+  }
+}
+
+Recorder::WriteResult Recorder::writeEnd(DeleteRecord &end) {
+  while (true) {
+    std::vector<Compare> conditions{leadsWithEpoch(end.Epoch)};
     std::vector<Write> writes{{gangKey(end.Run), std::nullopt, 0}};
-    if (end.Job && end.Answer)
+    if (end.Job && end.Answer) {
+      conditions.push_back(
+          {requestKey(*end.Job), Compare::Field::ModRevision, end.KeyRevision});
       writes.push_back(
           {requestKey(*end.Job),
            utils::toJsonText({{"gang", end.GangId}, {"answer", *end.Answer}}),
            0});
-    std::vector<KeyValue> currentItems;
-    if (write({leadsWithEpoch(end.Epoch)}, writes, currentItems) ==
-        WriteResult::Unknown) {
-      StoreDownUntil = steadyNow() + StoreDownTime;
-      return;
     }
-    // A refusal means that another entry leads. It has adopted the run and
-    // resolves it.
-    PendingEnds.pop_front();
+    const WriteReply reply = write(conditions, writes);
+    if (reply.Result != WriteResult::Conflict ||
+        !adjustToConflict(end, reply.Current))
+      return reply.Result;
   }
 }
 
+// Returns false if another entry leads. Otherwise the at-most-once record has
+// another revision than expected. If another gang holds it, this one counted as
+// not run: its start was recorded late, after its caller had been answered.
+bool Recorder::adjustToConflict(DeleteRecord &end,
+                                const std::vector<KeyValue> &current) {
+  if (!leads(end.Epoch, current))
+    return false;
+  const KeyValue *record = requestItem(current);
+  end.KeyRevision = record == nullptr ? 0 : record->ModRevision;
+  if (record != nullptr &&
+      decodeRequestRecord(record->Value).Gang != end.GangId)
+    end.Answer.reset();
+  return true;
+}
+
 utils::Result<std::vector<scheduler::AdoptedRun>> Recorder::loadUnendedRuns() {
   BOOST_LEAF_AUTO(kvs, Kv.list(GangPrefix));
   std::vector<scheduler::AdoptedRun> out;
--- a/src/libs/entry/recorder.h
+++ b/src/libs/entry/recorder.h
@@ -25,13 +25,15 @@
 };
 /// The deletion of the record of a run that ended or will not start. If the run
 /// is of a non-idempotent request that ran, Job and Answer are set and complete
-/// its at-most-once record.
+/// its at-most-once record, unless another gang holds that by now.
 struct DeleteRecord {
   int64_t Epoch = 0;
   scheduler::RunId Run;
   std::optional<core::JobRequest> Job;
   std::string GangId;
   std::optional<core::JobAnswer> Answer;
+  /// The latest known revision of the at-most-once record, zero for none.
+  int64_t KeyRevision = 0;
 };
 
 /// The result of a RecordStart. Recorded: the store has the run under this
@@ -47,6 +49,8 @@
   /// record.
   std::string Holder;
   int64_t HolderRevision = 0;
+  /// Recorded: the store's revision at which it was.
+  int64_t Revision = 0;
 };
 
 /// Keeps in the platform's store the data that must outlive a leader: which
@@ -77,12 +81,18 @@
   /// write may have taken effect, or no call was made because the store counts
   /// as down.
   enum class WriteResult { Done, Conflict, Unknown };
+  /// Revision is that of a write that is done. After a conflict, Current has
+  /// the items that the conditions refer to.
+  struct WriteReply {
+    WriteResult Result = WriteResult::Unknown;
+    int64_t Revision = 0;
+    std::vector<platform::KeyValue> Current;
+  };
 
   void processRequests();
   void writeStart(const RecordStart &request);
-  WriteResult write(const std::vector<platform::Compare> &conditions,
-                    const std::vector<platform::Write> &writes,
-                    std::vector<platform::KeyValue> &currentItems);
+  WriteReply write(const std::vector<platform::Compare> &conditions,
+                   const std::vector<platform::Write> &writes);
   RecordOutcome
   explainConflict(const RecordStart &request,
                   const std::vector<platform::KeyValue> &currentItems,
@@ -90,6 +100,9 @@
   /// Returns the answer of a gang whose end is not written yet, or null.
   const core::JobAnswer *pendingAnswer(const std::string &gangId) const;
   void writeEnds();
+  WriteResult writeEnd(DeleteRecord &end);
+  static bool adjustToConflict(DeleteRecord &end,
+                               const std::vector<platform::KeyValue> &current);
   core::JobAnswer refusal(const RecordStart &request,
                           const std::string &detail) const;
 
--- a/tests/auto/entry/tst_recorder.cpp
+++ b/tests/auto/entry/tst_recorder.cpp
@@ -1,3 +1,4 @@
+#include "core/codec.h"
 #include "entry/recorder.h"
 #include "harness/launcher.h"
 #include "platform/leaderelection.h"
@@ -7,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <absl/synchronization/mutex.h>
+#include <nlohmann/json.hpp>
 
 #include <functional>
 #include <vector>
@@ -16,10 +18,13 @@
 
 using core::JobAnswer;
 using core::Outcome;
+using nlohmann::json;
 
 constexpr long CallTimeoutMs = 5000;
 constexpr size_t QueueCapacity = 16;
 constexpr int64_t RetryAfterMs = 500;
+constexpr const char *RequestKey = "/oriolebay/requests/org/key";
+constexpr const char *GangKey = "/oriolebay/gangs/gang-1/1";
 
 core::JobRequest makeRequest() {
   core::JobRequest job;
@@ -93,6 +98,19 @@
     return {Epoch, gang + "/1", makeRequest(), gang, makeAnswer(result)};
   }
 
+  json storedRequest() {
+    auto item = Kv->get(RequestKey);
+    return item && *item ? json::parse((*item)->Value) : json();
+  }
+
+  // Waits until the recorder has written all that it was given so far.
+  void awaitEnds() {
+    testwaits::waitUntil([this] {
+      auto item = Kv->get(GangKey);
+      return item && !*item;
+    });
+  }
+
   std::unique_ptr<bench::Launcher> Cluster;
   std::unique_ptr<platform::KvClient> Kv;
   int64_t Epoch = 0;
@@ -116,5 +134,46 @@
   EXPECT_EQ(outcomes[1].Answer.Result, Outcome::Done);
 }
 
+struct HolderCase {
+  const char *Name;
+  /// The stored record of the request when the run of gang-1 ends as failed.
+  json Stored;
+  /// The gang and the outcome that are stored afterwards.
+  std::string Gang;
+  Outcome Result;
+};
+
+void PrintTo(const HolderCase &c, std::ostream *out) { *out << c.Name; }
+
+class EndOfAnAdoptedRun : public RecorderAtStore,
+                          public testing::WithParamInterface<HolderCase> {};
+
+// Guards against the answer of a request that is replaced by that of a gang
+// which never ran: the record of its start was written late.
+TEST_P(EndOfAnAdoptedRun, AnswersOnlyItsOwnRequest) {
+  ASSERT_TRUE(Kv->put(GangKey, "{}"));
+  if (!GetParam().Stored.is_null()) {
+    ASSERT_TRUE(Kv->put(RequestKey, GetParam().Stored.dump()));
+  }
+  Runs->recordEnd(endOf("gang-1", Outcome::Failed));
+  awaitEnds();
+  const json stored = storedRequest();
+  EXPECT_EQ(stored.at("gang"), GetParam().Gang);
+  EXPECT_EQ(stored.at("answer").get<JobAnswer>().Result, GetParam().Result);
+}
+
+const HolderCase HolderCases[] = {
+    {"Own", {{"gang", "gang-1"}}, "gang-1", Outcome::Failed},
+    {"Missing", {}, "gang-1", Outcome::Failed},
+    {"OfAnotherGang",
+     {{"gang", "gang-2"}, {"answer", makeAnswer(Outcome::Done)}},
+     "gang-2",
+     Outcome::Done},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, EndOfAnAdoptedRun,
+                         testing::ValuesIn(HolderCases),
+                         [](const auto &info) { return info.param.Name; });
+
 } // namespace
 } // namespace oriolebay::entry
