--- a/tests/auto/system/jobssite.cpp
+++ b/tests/auto/system/jobssite.cpp
@@ -2,6 +2,7 @@
 
 #include "harness/process.h"
 #include "http/asyncclient.h"
+#include "jobs/jobrecord.h"
 #include "waituntil.h"
 
 #include <absl/synchronization/notification.h>
@@ -21,17 +22,24 @@
 constexpr long CallTimeoutMs = 5000;
 const std::string ProgramFolder = std::string(ORIOLEBAY_BUILD_DIR) + "/src/app";
 
-const json Config = {
-    {"version", 1},
-    {"routes",
-     {{{"name", "q"},
-       {"host", "h"},
-       {"prefix", "/q/"},
-       {"service", "s"},
-       {"priority", 1},
-       {"attempts", 4}}}},
-    {"tenants",
-     {{{"name", "o"}, {"apiKeys", {"key"}}, {"guaranteed", {{"gpu", 4}}}}}}};
+const std::string ConfigKey = "op/config";
+
+json configOf(const SiteConfig &config, int version) {
+  json routes = json::array();
+  for (const std::string &queue : config.Queues)
+    routes.push_back({{"name", queue},
+                      {"host", "h"},
+                      {"prefix", "/" + queue + "/"},
+                      {"service", "s"},
+                      {"priority", 1},
+                      {"attempts", 4}});
+  return {{"version", version},
+          {"routes", routes},
+          {"tenants",
+           {{{"name", "o"},
+             {"apiKeys", config.Keys},
+             {"guaranteed", {{"gpu", 4}}}}}}};
+}
 
 std::string jobText() {
   return json{{"spec", "x"}, {"steps", {{{"cpu", 1000}, {"estimateMs", 150}}}}}
@@ -69,15 +77,36 @@
               {"Host: h", "Authorization: Bearer " + key});
 }
 
+std::string createdFolder(const std::string &path) {
+  std::filesystem::create_directories(path);
+  return path;
+}
+
 } // namespace
 
 JobsProcess::JobsProcess(const std::string &program, const std::string &workDir,
                          const json &settings)
-    : Name(settings.at("name")), LogPath(workDir + "/" + Name + ".log") {
-  const std::string file = workDir + "/" + Name + ".json";
-  std::ofstream(file) << settings.dump(2);
-  Pid = bench::startProcess(
-      {ProgramFolder + "/" + program, "jobs", "--settings", file}, LogPath);
+    : Name(settings.at("name")), Program(ProgramFolder + "/" + program),
+      PathStem(workDir + "/" + Name) {
+  std::ofstream(PathStem + ".json") << settings.dump(2);
+  start();
+}
+
+void JobsProcess::start() {
+  ++Starts;
+  LogPath = PathStem + "." + std::to_string(Starts) + ".log";
+  Pid = bench::startProcess({Program, "jobs", "--settings", PathStem + ".json"},
+                            LogPath);
+}
+
+void JobsProcess::restart() {
+  Ports.clear();
+  start();
+}
+
+void JobsProcess::signal(int number) {
+  if (isRunning())
+    kill(Pid, number);
 }
 
 JobsProcess::~JobsProcess() {
@@ -126,14 +155,14 @@
 }
 
 JobsSite::JobsSite(const std::string &workDir, Options options)
-    : WorkDir(workDir), Random(options.Seed), Store(Loop, options.Seed) {
-  std::filesystem::create_directories(WorkDir);
-  Store.put("op/config", Config.dump());
+    : WorkDir(workDir), Runs(createdFolder(workDir) + "/runs.log"),
+      Random(options.Seed), Store(Loop, options.Seed) {
+  Store.put(ConfigKey, configOf({}, ++ConfigVersion).dump());
   Platform = std::make_unique<StoreServer>(
       Loop, Store, [this](std::string body) { return changeAnswer(body); });
   for (int n = 0; n < options.Workers; ++n)
     Workers.push_back(std::make_unique<WorkerServer>(
-        Loop, "w" + std::to_string(n), "r0",
+        Loop, Runs, "w" + std::to_string(n), "r0",
         [this](std::string body) { return changeAnswer(body); }));
   LoopThread = std::thread([this] { Loop.run(); });
   for (int n = 0; n < options.Entries; ++n)
@@ -145,15 +174,27 @@
 JobsSite::~JobsSite() {
   Entries.clear();
   Agents.clear();
+  Proxies.clear();
   Loop.stop();
   LoopThread.join();
 }
 
-json JobsSite::settings(const std::string &name) const {
+int JobsSite::addProxy(const std::string &process, int serverPort,
+                       FaultHook &hook) {
+  Proxies.push_back(std::make_unique<FaultyProxy>(
+      serverPort, [process, &hook](const ProxyRequest &request) {
+        std::lock_guard<std::mutex> lock(hook.Mu);
+        return hook.Decide ? hook.Decide(process, request) : ProxyFault::None;
+      }));
+  return Proxies.back()->port();
+}
+
+json JobsSite::settings(const std::string &name) {
+  const int storePort = addProxy(name, Platform->port(), StoreFaults);
   return {{"name", name},
           {"failure_domain", "d0"},
           {"peers_listen", "127.0.0.1:0"},
-          {"store_address", "127.0.0.1:" + std::to_string(Platform->port())},
+          {"store_address", "127.0.0.1:" + std::to_string(storePort)},
           {"heartbeat_ms", 300},
           {"bounds", json::object()}};
 }
@@ -168,15 +209,21 @@
 }
 
 void JobsSite::addWorker(int n) {
-  WorkerServer &worker = *Workers.at(static_cast<size_t>(n));
-  json values = settings("agent-" + std::to_string(n));
+  const auto index = static_cast<size_t>(n);
+  const std::string name = "agent-" + std::to_string(n);
+  const int workerPort =
+      addProxy(name, Workers.at(index)->port(), WorkerFaults);
+  json values = settings(name);
   values["control_listen"] = "127.0.0.1:0";
-  values["worker_address"] = worker.address();
+  values["worker_address"] = "127.0.0.1:" + std::to_string(workerPort);
   Agents.push_back(
       std::make_unique<JobsProcess>("oriolebay-agent", WorkDir, values));
-  JobsProcess &agent = *Agents.back();
-  waitUntil([&agent] { return agent.port("control") != 0; });
-  worker.beginHeartbeats(agent.port("control"));
+  waitUntil([&] { return Agents.back()->port("control") != 0; });
+  connectWorker(index);
+}
+
+void JobsSite::connectWorker(size_t agent) {
+  Workers.at(agent)->sendHeartbeatsTo(Agents.at(agent)->port("control"));
 }
 
 std::string JobsSite::changeAnswer(std::string body) {
@@ -188,22 +235,41 @@
   return body;
 }
 
-void JobsSite::setChangedAnswers(double share) {
+void JobsSite::runOnLoop(const std::function<void()> &task) {
   absl::Notification done;
   Loop.post([&] {
-    ChangedAnswers = share;
+    task();
     done.Notify();
   });
   done.WaitForNotification();
 }
 
+void JobsSite::setChangedAnswers(double share) {
+  runOnLoop([&] { ChangedAnswers = share; });
+}
+
 void JobsSite::put(const std::string &key, const std::string &value) {
-  absl::Notification done;
-  Loop.post([&] {
-    Store.put(key, value);
-    done.Notify();
-  });
-  done.WaitForNotification();
+  runOnLoop([&] { Store.put(key, value); });
+}
+
+void JobsSite::setConfig(const SiteConfig &config) {
+  put(ConfigKey, configOf(config, ++ConfigVersion).dump());
+}
+
+bool JobsSite::isStored(const std::string &jobId) {
+  bool isThere = false;
+  runOnLoop([&] { isThere = Store.items().count(jobs::specKey(jobId)) > 0; });
+  return isThere;
+}
+
+void JobsSite::setStoreFaults(DecideFault decide) {
+  std::lock_guard<std::mutex> lock(StoreFaults.Mu);
+  StoreFaults.Decide = std::move(decide);
+}
+
+void JobsSite::setWorkerFaults(DecideFault decide) {
+  std::lock_guard<std::mutex> lock(WorkerFaults.Mu);
+  WorkerFaults.Decide = std::move(decide);
 }
 
 int JobsSite::call(size_t entry, const std::string &method,
--- a/tests/auto/system/jobssite.h
+++ b/tests/auto/system/jobssite.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "cluster/memorystore.h"
+#include "faultyproxy.h"
 #include "http/httpserver.h"
+#include "runlog.h"
 #include "storeserver.h"
 #include "utils/eventloop.h"
 #include "workerserver.h"
@@ -11,6 +13,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <random>
 #include <string>
 #include <sys/types.h>
@@ -32,24 +35,42 @@
   JobsProcess &operator=(const JobsProcess &) = delete;
 
   const std::string &name() const { return Name; }
-  /// Whether the process runs; else it has ended by itself.
+  /// Whether the process runs; else it has ended by itself, or by a signal.
   bool isRunning();
+  /// Sends a signal to the process if it runs.
+  void signal(int number);
+  /// Starts the program again after its process has ended, with a log of its
+  /// own.
+  void restart();
   /// The port that the process has logged for this role; zero before it has.
   int port(const std::string &role);
-  /// Everything that the process has logged.
+  /// Everything that the process has logged since it was last started.
   std::string log() const;
   /// Number of logged events with this name.
   int eventCount(const std::string &event) const;
 
 private:
+  void start();
+
   const std::string Name;
-  const std::string LogPath;
+  const std::string Program;
+  const std::string PathStem;
+  int Starts = 0;
+  std::string LogPath;
   std::map<std::string, int> Ports;
   pid_t Pid = 0;
 };
 
+/// What the operator's configuration contains. All keys are those of one
+/// organisation, and all queues are served by the workers.
+struct SiteConfig {
+  std::vector<std::string> Keys = {"key"};
+  std::vector<std::string> Queues = {"q"};
+};
+
 /// Entries and agents as processes, with a store and workers in the process of
-/// the test, which all listen on loopback.
+/// the test, which all listen on loopback. Each process reaches the store, and
+/// each agent its worker, through a proxy of its own.
 class JobsSite {
 public:
   struct Options {
@@ -57,6 +78,11 @@
     int Workers = 2;
     uint64_t Seed = 1;
   };
+  /// Decides what becomes of a request of the process with this name. Called on
+  /// the threads of the proxies.
+  using DecideFault = std::function<ProxyFault(const std::string &process,
+                                               const ProxyRequest &request)>;
+
   JobsSite(const std::string &workDir, Options options);
   ~JobsSite();
   JobsSite(const JobsSite &) = delete;
@@ -77,6 +103,17 @@
                       const std::string &path, const std::string &body);
   /// Submits a job of one task at an entry and waits until it is completed.
   void completeJob(size_t entry, const std::string &id);
+  /// Set the faults of calls to the store and to the workers.
+  void setStoreFaults(DecideFault decide);
+  void setWorkerFaults(DecideFault decide);
+  /// Writes the next version of the configuration. Returns when it is stored.
+  void setConfig(const SiteConfig &config);
+  /// Whether the store has the record of a job.
+  bool isStored(const std::string &jobId);
+  /// Has the worker beside an agent that was started again send its heartbeats
+  /// there.
+  void connectWorker(size_t agent);
+  const RunLog &runs() const { return Runs; }
   /// Writes a value to the store as another writer.
   void put(const std::string &key, const std::string &value);
   /// Sets the share of answers of the store and of the workers in which bytes
@@ -89,12 +126,25 @@
   std::vector<std::unique_ptr<JobsProcess>> Agents;
 
 private:
-  nlohmann::json settings(const std::string &name) const;
+  /// A hook that can be changed at any time.
+  struct FaultHook {
+    std::mutex Mu;
+    DecideFault Decide;
+  };
+
+  /// Runs task on the loop and waits until it has run.
+  void runOnLoop(const std::function<void()> &task);
+  /// Returns the port of a new proxy between the process and a server.
+  int addProxy(const std::string &process, int serverPort, FaultHook &hook);
+  nlohmann::json settings(const std::string &name);
   std::string changeAnswer(std::string body);
   void addEntry(int n);
   void addWorker(int n);
 
   const std::string WorkDir;
+  RunLog Runs;
+  FaultHook StoreFaults;
+  FaultHook WorkerFaults;
   utils::EventLoop Loop{4096};
   // Used on the loop only, as the store and the workers are.
   std::mt19937_64 Random;
@@ -103,6 +153,8 @@
   cluster::MemoryStore Store;
   std::unique_ptr<StoreServer> Platform;
   std::vector<std::unique_ptr<WorkerServer>> Workers;
+  std::vector<std::unique_ptr<FaultyProxy>> Proxies;
+  int ConfigVersion = 0;
   std::thread LoopThread;
 };
 
