--- a/tests/auto/endpoints/closingpeer.h
+++ b/tests/auto/endpoints/closingreplypeer.h
@@ -13,16 +13,16 @@
 
 namespace oriolebay::endpoints {
 
-/// How a ClosingPeer ends a connection.
+/// How a ClosingReplyPeer ends a connection.
 enum class ConnectionEnd { Fin, Reset };
 
 /// A replying peer of nng's req/rep protocol on loopback that answers all
 /// requests but one with the same reply. That one it reads, ends the connection
 /// without an answer, and listens on.
-class ClosingPeer {
+class ClosingReplyPeer {
 public:
   /// The request with this number, counted from one, is not answered.
-  ClosingPeer(ConnectionEnd end, int droppedRequest, std::string reply)
+  ClosingReplyPeer(ConnectionEnd end, int droppedRequest, std::string reply)
       : End(end), DroppedRequest(droppedRequest), Reply(std::move(reply)),
         Listener(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in addr{};
@@ -35,15 +35,15 @@
     Address = "tcp://127.0.0.1:" + std::to_string(ntohs(addr.sin_port));
     Thread = std::thread([this] { serve(); });
   }
-  ~ClosingPeer() {
+  ~ClosingReplyPeer() {
     Stopping = true;
     shutdown(Listener, SHUT_RDWR);
     shutdown(Connection, SHUT_RDWR);
     Thread.join();
     close(Listener);
   }
-  ClosingPeer(const ClosingPeer &) = delete;
-  ClosingPeer &operator=(const ClosingPeer &) = delete;
+  ClosingReplyPeer(const ClosingReplyPeer &) = delete;
+  ClosingReplyPeer &operator=(const ClosingReplyPeer &) = delete;
 
   const std::string &address() const { return Address; }
   /// Number of requests that were read completely.
--- a/tests/auto/endpoints/tst_brokenconnections.cpp
+++ b/tests/auto/endpoints/tst_brokenconnections.cpp
@@ -1,5 +1,5 @@
 // Tests that a request is sent once, however its connection ends.
-#include "closingpeer.h"
+#include "closingreplypeer.h"
 #include "endpoints/asyncchannel.h"
 #include "endpoints/channel.h"
 #include "utils/eventloop.h"
@@ -33,7 +33,7 @@
 // the call, while the first copy may have been carried out.
 TEST_P(BrokenConnection, DoesNotRepeatTheRequest) {
   const int dropped = GetParam().AnsweredBefore + 1;
-  ClosingPeer peer(GetParam().End, dropped, Refusal);
+  ClosingReplyPeer peer(GetParam().End, dropped, Refusal);
   auto channel = std::make_shared<RequestChannel>(peer.address());
   for (int call = 1; call < dropped; ++call)
     ASSERT_TRUE(RequestChannel::call(channel, Request, CallTimeoutMs));
@@ -44,7 +44,7 @@
 // Guards against the same in processes with an event loop.
 TEST_P(BrokenConnection, DoesNotRepeatTheRequestOfALoop) {
   const int dropped = GetParam().AnsweredBefore + 1;
-  ClosingPeer peer(GetParam().End, dropped, Refusal);
+  ClosingReplyPeer peer(GetParam().End, dropped, Refusal);
   utils::EventLoop loop(QueueCapacity);
   AsyncChannel channel(loop, peer.address(), [](const auto &) {});
   std::vector<bool> answered;
