The blocking HTTP client sends a request at most once

What callers saw, by reading and in the tests: a task that its back end runs twice though it was started once, against "a non-idempotent request runs at most once"; a compare-and-swap, of a profile too, that is reported as a conflict although it was stored.

Cause: libcurl sends a request again by itself when a reused connection ends before a byte of the answer, as for AsyncClient. BackendClient and KvClient keep their connections between calls.

Why this holds: RequestCopies ends the transfer before a second copy is sent. Only GET is sent again, which changes nothing. A call of which nothing was sent goes out on a new connection as before. A run without an answer was reported as failed before, a write without one as unknown; both stay so.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "httpclient.h"
 
+#include "requestcopies.h"
+
 #include <curl/curl.h>
 
 namespace oriolebay::http {
@@ -47,13 +49,18 @@
     curl_easy_setopt(h, CURLOPT_POSTFIELDS, body.data());
     curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
   }
+  RequestCopies copies(method == "GET" ? RequestCopies::Limit::None
+                                       : RequestCopies::Limit::One);
+  copies.observe(h);
   CURLcode ec = curl_easy_perform(h);
   if (ec == CURLE_OK) {
     long status = 0;
     curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
     result.Status = static_cast<int>(status);
+    result.Repeated = copies.sent() > 1;
   } else {
-    result.Error = curl_easy_strerror(ec);
+    result.Error = copies.errorText(ec);
+    result.Sent = copies.sent() > 0;
     result.Body.clear();
   }
   curl_slist_free_all(headers);
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -35,7 +35,9 @@
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  /// Sends body to url with method ("GET", "POST", "PUT").
+  /// Sends body to url with method ("GET", "POST", "PUT"). If the reused
+  /// connection ends before an answer, a GET is sent again on another one; any
+  /// other request is sent at most once.
   HttpResult call(const std::string &method, const std::string &url,
                   const std::string &body, long timeoutMs = 0);
 
--- a/src/libs/http/requestcopies.h
+++ b/src/libs/http/requestcopies.h
@@ -23,8 +23,8 @@
   RequestCopies(const RequestCopies &) = delete;
   RequestCopies &operator=(const RequestCopies &) = delete;
 
-  /// Counts and limits the copies that handle sends from now on. handle must
-  /// not be used after this object has gone.
+  /// Counts and limits the copies that handle sends from now on. handle must be
+  /// reset before it is used for another request.
   void observe(CURL *handle);
 
   /// Returns the number of copies of which at least one byte was sent.
