Call that no other entry can have read is refused, not left open

What callers saw: 504 from an entry that the store turns away while the other entries are down. The call was certainly not carried out, and 503 with Retry-After is true; callers of jobs that must not run twice can't send them elsewhere after a 504. A call counted as possibly executed as soon as an entry had been tried, whether or not a connection had taken it, also if that entry had answered that it had stopped.

The end of a call to a peer is a PeerReply now: the answer, or none, and whether the request was not sent. nng ends a send when a connection takes the request, and withdraws a request whose send fails, so this errs on the side of "sent": what was passed to a connection that then breaks, or to a partition, counts as possibly executed. The forwarder leaves a call open only if an entry may have read it; a negative Ack is given by those that have stopped or can't read the message. call.unanswered tells it (possibly_executed).

--- a/src/libs/agent/workeragent_reports.cpp
+++ b/src/libs/agent/workeragent_reports.cpp
@@ -93,12 +93,11 @@
   Peers.Call(address, message, ReportTimeoutMs,
              [this, alive = Alive, address, sent = Loop.now(),
               sequence = message.Sequence, incarnation = State.Life,
-              resultsEnd = FirstResultNumber + Results.size()](
-                 const std::optional<Message> &reply) {
+              resultsEnd = FirstResultNumber +
+                           Results.size()](const endpoints::PeerReply &reply) {
                if (!*alive)
                  return;
-               const auto *ack =
-                   reply ? std::get_if<endpoints::ReportAck>(&*reply) : nullptr;
+               const auto *ack = reply.get<endpoints::ReportAck>();
                if (ack == nullptr)
                  onReportUnanswered(address);
                else if (incarnation == State.Life)
--- a/src/libs/endpoints/asyncchannel.cpp
+++ b/src/libs/endpoints/asyncchannel.cpp
@@ -27,27 +27,24 @@
         ReportRefused(std::move(onRefused)),
         CurrentSocket(std::make_shared<Internal::Socket>(Address)) {}
 
-  void finish(uint64_t id, int ec, const std::string &reply) {
+  void finish(uint64_t id, const Internal::CallOutcome &outcome) {
     auto it = Calls.find(id);
     if (it == Calls.end())
       return;
     Call call = std::move(it->second);
     Calls.erase(it);
     const utils::ActivityScope activity("answer of a peer", Address);
-    if (ec == 0) {
-      call.OnDone(decodeReply(reply));
+    if (outcome.ok()) {
+      call.OnDone({decodeReply(outcome.Reply)});
       return;
     }
     if (CurrentSocket == call.Pending->socket())
       CurrentSocket = std::make_shared<Internal::Socket>(Address);
-    call.OnDone(
-        utils::fail(utils::ErrorKind::Transport,
-                    "no answer from " + Address + ": " + nng_strerror(ec),
-                    "check that the peer runs and is reachable"));
+    call.OnDone({std::nullopt, !outcome.Sent});
   }
 
-  utils::Result<Message> decodeReply(const std::string &reply) const {
-    std::optional<Message> message = utils::handle<std::optional<Message>>(
+  std::optional<Message> decodeReply(const std::string &reply) const {
+    return utils::handle<std::optional<Message>>(
         [&]() -> utils::Result<std::optional<Message>> {
           BOOST_LEAF_AUTO(decoded, decode(reply));
           return std::optional<Message>(std::move(decoded));
@@ -56,11 +53,6 @@
           ReportRefused({"answer of a peer", Address, reply.size(), e.Message});
           return std::optional<Message>();
         });
-    if (message)
-      return std::move(*message);
-    return utils::fail(utils::ErrorKind::BadMessage,
-                       "unreadable answer from " + Address,
-                       "run the same version of entry and agent");
   }
 };
 
@@ -81,10 +73,10 @@
   D->Calls[id].Pending = std::make_unique<Internal::PendingCall>(
       D->CurrentSocket, message, timeoutMs,
       [weak = std::weak_ptr<Impl>(D), &loop = D->Loop,
-       id](int ec, const std::string &reply) {
-        loop.post([weak, id, ec, reply] {
+       id](const Internal::CallOutcome &outcome) {
+        loop.post([weak, id, outcome] {
           if (auto impl = weak.lock())
-            impl->finish(id, ec, reply);
+            impl->finish(id, outcome);
         });
       });
 }
--- a/src/libs/endpoints/asyncchannel.h
+++ b/src/libs/endpoints/asyncchannel.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "messages.h"
+#include "peerreply.h"
 #include "utils/refusedmessage.h"
 
 #include <functional>
@@ -20,11 +20,11 @@
 /// event loop.
 class AsyncChannel {
 public:
-  using Done = std::function<void(utils::Result<Message>)>;
+  using Done = std::function<void(const PeerReply &)>;
 
   /// Connects to address in the background, so that a peer that is not running
   /// yet is reached as soon as it starts. Answers that cannot be decoded are
-  /// passed to onRefused; their calls fail with ErrorKind::BadMessage.
+  /// passed to onRefused; their calls end without an answer.
   AsyncChannel(utils::EventLoop &loop, std::string address,
                utils::OnRefusedMessage onRefused);
   /// Drops calls that have not ended; their Done is not called.
@@ -32,8 +32,8 @@
   AsyncChannel(const AsyncChannel &) = delete;
   AsyncChannel &operator=(const AsyncChannel &) = delete;
 
-  /// Sends message. Fails with ErrorKind::Transport if no answer arrives within
-  /// timeoutMs; the peer may have processed the message nevertheless.
+  /// Sends message and waits for the answer. A message that no connection has
+  /// taken within timeoutMs is not sent any more.
   void call(const Message &message, int timeoutMs, Done done);
   const std::string &address() const;
 
--- a/src/libs/endpoints/channel.cpp
+++ b/src/libs/endpoints/channel.cpp
@@ -36,15 +36,15 @@
              const OnReply &onReply) {
   absl::Mutex mu;
   size_t unanswered = channels.size();
-  std::vector<std::pair<int, std::string>> outcomes(channels.size());
+  std::vector<Internal::CallOutcome> outcomes(channels.size());
   std::deque<size_t> ended;
   std::vector<std::unique_ptr<Internal::PendingCall>> calls;
   for (size_t i = 0; i < channels.size(); ++i)
     calls.push_back(std::make_unique<Internal::PendingCall>(
         channels[i]->socket(), messages[i], timeoutMs,
-        [&, i](int ec, const std::string &reply) {
+        [&, i](const Internal::CallOutcome &outcome) {
           absl::MutexLock lock(&mu);
-          outcomes[i] = {ec, reply};
+          outcomes[i] = outcome;
           ended.push_back(i);
         }));
   while (unanswered > 0) {
@@ -56,15 +56,15 @@
       ended.pop_front();
     }
     --unanswered;
-    const auto &[ec, reply] = outcomes[i];
-    if (ec != 0) {
+    const Internal::CallOutcome &outcome = outcomes[i];
+    if (!outcome.ok()) {
       channels[i]->replaceSocket(calls[i]->socket());
       onReply(i, utils::fail(utils::ErrorKind::Transport,
                              "no answer from " + channels[i]->address() + ": " +
-                                 nng_strerror(ec),
+                                 nng_strerror(outcome.Error),
                              "check that the peer runs and is reachable"));
     } else {
-      onReply(i, decode(reply));
+      onReply(i, decode(outcome.Reply));
     }
   }
 }
--- a/src/libs/endpoints/peers.cpp
+++ b/src/libs/endpoints/peers.cpp
@@ -27,13 +27,7 @@
     auto &channel = Channels[address];
     if (channel == nullptr)
       channel = std::make_unique<AsyncChannel>(Loop, address, ReportRefused);
-    channel->call(message, timeoutMs,
-                  [done](const utils::Result<Message> &reply) {
-                    if (reply)
-                      done(*reply);
-                    else
-                      done(std::nullopt);
-                  });
+    channel->call(message, timeoutMs, done);
   }
 
   std::string address() const { return Server.address(); }
--- a/src/libs/endpoints/peers.h
+++ b/src/libs/endpoints/peers.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "messages.h"
+#include "peerreply.h"
 #include "utils/refusedmessage.h"
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace oriolebay::utils {
@@ -18,9 +18,7 @@
 /// Communication of a process with the other processes of the system, by
 /// requests with one answer each. All callbacks run on the owner's event loop.
 struct Peers {
-  /// Receives the answer, or nothing if none arrived in time; the peer may have
-  /// processed the request nevertheless.
-  using Done = std::function<void(const std::optional<Message> &)>;
+  using Done = std::function<void(const PeerReply &)>;
   /// Sends the answer to a request, either from within the handler or later.
   using Respond = std::function<void(const Message &)>;
   using Handler = std::function<void(const Message &, const Respond &)>;
--- a/src/libs/endpoints/pendingcall.h
+++ b/src/libs/endpoints/pendingcall.h
@@ -35,12 +35,21 @@
   static constexpr int ReconnectMaxMs = 1000;
 };
 
+/// How a call ended: with the reply, or with an nng error number. Without Sent,
+/// no connection has taken the request, and none will.
+struct CallOutcome {
+  int Error = 0;
+  bool Sent = false;
+  std::string Reply = {};
+
+  bool ok() const { return Error == 0; }
+};
+
 /// One request on its own nng context. It sends, receives and reports its
 /// outcome on nng's threads, so that no thread of this process waits for it.
 class PendingCall {
 public:
-  /// Receives zero and the reply, or an nng error number.
-  using Done = std::function<void(int ec, const std::string &reply)>;
+  using Done = std::function<void(const CallOutcome &)>;
 
   PendingCall(std::shared_ptr<Socket> socket, const Message &message,
               int timeoutMs, Done done)
@@ -69,14 +78,16 @@
     static_cast<PendingCall *>(self)->advance();
   }
 
-  /// Handles the end of the send, and then the end of the receive.
+  /// Handles the end of the send, and then the end of the receive. nng ends a
+  /// send once a connection has taken the request, and withdraws the request
+  /// if the send fails.
   void advance() {
     const int ec = nng_aio_result(Aio);
     if (!RequestSent) {
       if (ec != 0) {
         nng_msg_free(nng_aio_get_msg(Aio));
         nng_aio_set_msg(Aio, nullptr);
-        return OnDone(ec, "");
+        return OnDone({ec, false});
       }
       RequestSent = true;
       nng_ctx_recv(Ctx, Aio);
@@ -89,7 +100,7 @@
                    nng_msg_len(msg));
       nng_msg_free(msg);
     }
-    OnDone(ec, reply);
+    OnDone({ec, true, std::move(reply)});
   }
 
   std::shared_ptr<Socket> RequestSocket;
--- a/src/libs/entry/callforwarder.cpp
+++ b/src/libs/entry/callforwarder.cpp
@@ -22,14 +22,24 @@
 /// Maximum number of entries that are tried for one call.
 constexpr size_t MaxEntriesPerCall = 2;
 
+// An entry that refuses the message has not executed the call: it has stopped,
+// or it cannot read the message.
+bool isPossiblyExecuted(const endpoints::PeerReply &reply) {
+  const auto *ack = reply.get<endpoints::Ack>();
+  const bool isRefused = ack != nullptr && !ack->Ok;
+  return !reply.NotSent && !isRefused;
+}
+
 void logUnanswered(const endpoints::ForwardedCall &call,
-                   const std::string &entry, absl::Duration waited) {
+                   const std::string &entry, absl::Duration waited,
+                   const endpoints::PeerReply &reply) {
   logEvent(Event::CallUnanswered,
            {{"call", call.Call},
             {"job", call.Job},
             {"entry", entry},
             {"waited_ms", absl::ToInt64Milliseconds(waited)},
-            {"newest_revision", call.OldestRevision}});
+            {"newest_revision", call.OldestRevision},
+            {"possibly_executed", isPossiblyExecuted(reply)}});
 }
 
 } // namespace
@@ -41,6 +51,8 @@
   absl::Time Deadline;
   std::vector<std::string> Candidates;
   size_t TriedCount = 0;
+  /// An entry may have executed the call although it has not answered it.
+  bool PossiblyExecuted = false;
 };
 
 CallForwarder::CallForwarder(utils::EventLoop &loop,
@@ -81,7 +93,7 @@
   const absl::Duration left = pending->Deadline - Loop.now();
   if (pending->TriedCount == pending->Candidates.size() ||
       left <= absl::ZeroDuration()) {
-    pending->Callback(std::nullopt, pending->TriedCount > 0);
+    pending->Callback(std::nullopt, pending->PossiblyExecuted);
     return;
   }
   const std::string address = pending->Candidates[pending->TriedCount++];
@@ -89,17 +101,17 @@
   const absl::Time sentAt = Loop.now();
   Peers.Call(address, pending->Call, AnswerTimeoutMs,
              [this, alive = Alive, pending, address,
-              sentAt](const std::optional<endpoints::Message> &reply) {
+              sentAt](const endpoints::PeerReply &reply) {
                if (!*alive)
                  return;
-               const auto *answer =
-                   reply ? std::get_if<endpoints::ForwardedAnswer>(&*reply)
-                         : nullptr;
+               const auto *answer = reply.get<endpoints::ForwardedAnswer>();
                if (answer != nullptr) {
-                 pending->Callback(*answer, pending->TriedCount > 1);
+                 pending->Callback(*answer, pending->PossiblyExecuted);
                  return;
                }
-               logUnanswered(pending->Call, address, Loop.now() - sentAt);
+               pending->PossiblyExecuted |= isPossiblyExecuted(reply);
+               logUnanswered(pending->Call, address, Loop.now() - sentAt,
+                             reply);
                RetryTimes[address] = Loop.now() + EntryRetryDelay;
                tryNextEntry(pending);
              });
--- a/src/libs/entry/jobentry_messages.cpp
+++ b/src/libs/entry/jobentry_messages.cpp
@@ -32,7 +32,7 @@
   // If this message is lost, the leader learns of the job from its watch.
   Peers.Call(Leader.Address,
              endpoints::JobWritten{item.Key, item.Value, item.ModRevision},
-             PeerTimeoutMs, [](const std::optional<Message> &) {});
+             PeerTimeoutMs, [](const endpoints::PeerReply &) {});
 }
 
 // The leader comes first: if the store serves any entry, it serves the leader.
@@ -63,20 +63,19 @@
                                  const jobs::OnLeaderAnswer &done) {
   if (Leader.Epoch == 0 || Leader.Mine || Loop.now() < LeaderRetryTime)
     return false;
-  Peers.Call(
-      Leader.Address, jobs::toMessage(call, Loop.now()), LeaderAnswerTimeoutMs,
-      [this, alive = Alive, done](const std::optional<Message> &reply) {
-        if (!*alive)
-          return;
-        if (!reply)
-          LeaderRetryTime = Loop.now() + LeaderRetryDelay;
-        const auto *answer =
-            reply ? std::get_if<endpoints::ForwardedAnswer>(&*reply) : nullptr;
-        if (answer != nullptr)
-          done(jobs::toAnswer(*answer));
-        else
-          done(std::nullopt);
-      });
+  Peers.Call(Leader.Address, jobs::toMessage(call, Loop.now()),
+             LeaderAnswerTimeoutMs,
+             [this, alive = Alive, done](const endpoints::PeerReply &reply) {
+               if (!*alive)
+                 return;
+               if (!reply.Answer)
+                 LeaderRetryTime = Loop.now() + LeaderRetryDelay;
+               const auto *answer = reply.get<endpoints::ForwardedAnswer>();
+               if (answer != nullptr)
+                 done(jobs::toAnswer(*answer));
+               else
+                 done(std::nullopt);
+             });
   return true;
 }
 
--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -206,7 +206,7 @@
   // The scheduler sends orders again that were not answered in time.
   for (const auto &[address, orders] : Scheduler.takeOrders())
     Peers.Call(address, orders, Options.AgentTimeoutMs,
-               [](const std::optional<endpoints::Message> &) {});
+               [](const endpoints::PeerReply &) {});
 }
 
 void LeaderSession::writeProgress() {
--- a/src/libs/entry/previousleaders.cpp
+++ b/src/libs/entry/previousleaders.cpp
@@ -154,12 +154,10 @@
   }
   Peers.Call(term.Address, endpoints::StandDown{Params.OwnTerm.Epoch},
              Params.PeerTimeoutMs,
-             [this, alive = Alive,
-              term](const std::optional<endpoints::Message> &reply) {
+             [this, alive = Alive, term](const endpoints::PeerReply &reply) {
                if (!*alive)
                  return;
-               const auto *ack =
-                   reply ? std::get_if<endpoints::Ack>(&*reply) : nullptr;
+               const auto *ack = reply.get<endpoints::Ack>();
                if (ack != nullptr && ack->Ok) {
                  onSteppedDown(term);
                  return;
--- a/tests/auto/agent/agentfixture.h
+++ b/tests/auto/agent/agentfixture.h
@@ -28,9 +28,9 @@
       Reports.push_back(std::get<endpoints::WorkerReport>(m));
       if (AnswersReports)
         Loop.runAfter(absl::Milliseconds(1),
-                      [this, done] { done(endpoints::Message(Ack)); });
+                      [this, done] { done({endpoints::Message(Ack)}); });
       else
-        Loop.runAfter(absl::Milliseconds(400), [done] { done(std::nullopt); });
+        Loop.runAfter(absl::Milliseconds(400), [done] { done({}); });
     };
     endpoints::WorkerCalls worker;
     worker.Start = [this](const endpoints::StartCall &c, const auto &done) {
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -149,13 +149,17 @@
                    int timeoutMs, const endpoints::Peers::Done &done) {
     auto finished = std::make_shared<bool>(false);
     auto finish = [this, finished, process, generation,
-                   done](const std::optional<endpoints::Message> &reply) {
+                   done](const endpoints::PeerReply &reply) {
       if (!std::exchange(*finished, true) && Generation[process] == generation)
         done(reply);
     };
-    Loop.runAfter(absl::Milliseconds(timeoutMs),
-                  [finish] { finish(std::nullopt); });
-    if (!canReach(process, to))
+    // A process that has ended listens no more. What a partition holds up may
+    // have been sent.
+    const bool isSent = Handlers.count(to) != 0;
+    Loop.runAfter(absl::Milliseconds(timeoutMs), [finish, isSent] {
+      finish({std::nullopt, !isSent});
+    });
+    if (!isSent || !canReach(process, to))
       return;
     const absl::Time arrivesAt = std::max(Loop.now() + HopDelay, HeldUntil[to]);
     Loop.runAfter(arrivesAt - Loop.now(), [this, to, message, process, finish] {
@@ -166,7 +170,7 @@
                                 finish](const endpoints::Message &reply) {
         if (canReach(process, to))
           Loop.runAfter(HopDelay + AnswerDelays[to],
-                        [finish, reply] { finish(reply); });
+                        [finish, reply] { finish({reply}); });
       });
     });
   };
--- a/tests/auto/endpoints/tst_brokenconnections.cpp
+++ b/tests/auto/endpoints/tst_brokenconnections.cpp
@@ -1,20 +1,31 @@
-// Tests that a request is sent once, however its connection ends.
+// Tests what a channel tells of a request that gets no answer, and that no
+// request is sent twice or late.
 #include "closingreplypeer.h"
 #include "endpoints/asyncchannel.h"
 #include "endpoints/channel.h"
+#include "unresponsivepeer.h"
 #include "utils/eventloop.h"
 
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <future>
+#include <memory>
 #include <vector>
 
 namespace oriolebay::endpoints {
 namespace {
 
-constexpr int CallTimeoutMs = 1000;
+constexpr int CallTimeoutMs = 60000;
+/// For calls that are not answered.
+constexpr int ShortTimeoutMs = 200;
 constexpr size_t QueueCapacity = 16;
 
+const Message Request = Release{1, "r"};
+const Message Refusal = Ack{false, "refused"};
+const PeerReply NotSent{std::nullopt, true};
+const PeerReply PossiblyProcessed{std::nullopt, false};
+
 struct EndCase {
   const char *Name;
   ConnectionEnd End;
@@ -24,16 +35,13 @@
 
 void PrintTo(const EndCase &c, std::ostream *out) { *out << c.Name; }
 
-const Message Request = Release{1, "r"};
-const std::string Refusal = encode(Ack{false, "refused"});
-
 class BrokenConnection : public testing::TestWithParam<EndCase> {};
 
 // Guards against an answer to a second copy that is taken for the outcome of
 // the call, while the first copy may have been carried out.
 TEST_P(BrokenConnection, DoesNotRepeatTheRequest) {
   const int dropped = GetParam().AnsweredBefore + 1;
-  ClosingReplyPeer peer(GetParam().End, dropped, Refusal);
+  ClosingReplyPeer peer(GetParam().End, dropped, encode(Refusal));
   auto channel = std::make_shared<RequestChannel>(peer.address());
   for (int call = 1; call < dropped; ++call)
     ASSERT_TRUE(RequestChannel::call(channel, Request, CallTimeoutMs));
@@ -41,28 +49,29 @@
   EXPECT_EQ(peer.requests(), dropped);
 }
 
-// Guards against the same in processes with an event loop.
+// Guards against the same in processes with an event loop, and against a
+// request that a peer has read and that is reported as not sent.
 TEST_P(BrokenConnection, DoesNotRepeatTheRequestOfALoop) {
   const int dropped = GetParam().AnsweredBefore + 1;
-  ClosingReplyPeer peer(GetParam().End, dropped, Refusal);
+  ClosingReplyPeer peer(GetParam().End, dropped, encode(Refusal));
   utils::EventLoop loop(QueueCapacity);
   AsyncChannel channel(loop, peer.address(), [](const auto &) {});
-  std::vector<bool> answered;
+  std::vector<PeerReply> replies;
   std::function<void()> callNext = [&] {
-    channel.call(Request, CallTimeoutMs,
-                 [&](const utils::Result<Message> &reply) {
-                   answered.push_back(reply.has_value());
-                   if (static_cast<int>(answered.size()) == dropped)
-                     loop.stop();
-                   else
-                     callNext();
-                 });
+    channel.call(Request, CallTimeoutMs, [&](const PeerReply &reply) {
+      replies.push_back(reply);
+      if (static_cast<int>(replies.size()) == dropped)
+        loop.stop();
+      else
+        callNext();
+    });
   };
   callNext();
   loop.run();
-  std::vector<bool> expected(static_cast<size_t>(dropped), true);
-  expected.back() = false;
-  EXPECT_EQ(answered, expected);
+  std::vector<PeerReply> expected(static_cast<size_t>(dropped),
+                                  PeerReply{Refusal});
+  expected.back() = PossiblyProcessed;
+  EXPECT_EQ(replies, expected);
   EXPECT_EQ(peer.requests(), dropped);
 }
 
@@ -74,5 +83,70 @@
                     EndCase{"LaterCallReset", ConnectionEnd::Reset, 2}),
     [](const auto &info) { return info.param.Name; });
 
+// Guards against an open answer for a call that no peer can have received.
+TEST(UnsentRequest, IsReportedIfThePeerTakesNoConnection) {
+  UnresponsivePeer peer;
+  utils::EventLoop loop(QueueCapacity);
+  AsyncChannel channel(loop, peer.address(), [](const auto &) {});
+  PeerReply ended;
+  channel.call(Request, ShortTimeoutMs, [&](const PeerReply &reply) {
+    ended = reply;
+    loop.stop();
+  });
+  loop.run();
+  EXPECT_EQ(ended, NotSent);
+}
+
+// Guards against a request that is carried out after it was reported as not
+// sent: the peer listens again while its connection is still wanted.
+TEST(UnsentRequest, IsNotSentLater) {
+  auto peer = std::make_unique<ReplyServer>(
+      "tcp://127.0.0.1:0", [](const Message &) { return Ack{}; });
+  const std::string address = peer->address();
+  peer.reset();
+  utils::EventLoop loop(QueueCapacity);
+  AsyncChannel channel(loop, address, [](const auto &) {});
+  PeerReply unsent;
+  PeerReply answered;
+  channel.call(Request, ShortTimeoutMs, [&](const PeerReply &reply) {
+    unsent = reply;
+    peer = std::make_unique<ReplyServer>(address,
+                                         [](const Message &) { return Ack{}; });
+  });
+  channel.call(Request, CallTimeoutMs, [&](const PeerReply &reply) {
+    answered = reply;
+    loop.stop();
+  });
+  loop.run();
+  EXPECT_EQ(unsent, NotSent);
+  EXPECT_EQ(answered, PeerReply{Ack{}});
+  EXPECT_EQ(peer->messages(), 1);
+}
+
+// Guards against a refusal of a call that a silent peer has read.
+TEST(SilentPeer, MayHaveProcessedTheRequest) {
+  std::promise<void> released;
+  int handled = 0;
+  ReplyServer peer("tcp://127.0.0.1:0",
+                   [&, end = released.get_future().share()](const Message &) {
+                     if (++handled > 1)
+                       end.wait();
+                     return Ack{};
+                   });
+  utils::EventLoop loop(QueueCapacity);
+  AsyncChannel channel(loop, peer.address(), [](const auto &) {});
+  PeerReply unanswered{Refusal};
+  channel.call(Request, CallTimeoutMs, [&](const PeerReply &connected) {
+    EXPECT_EQ(connected, PeerReply{Ack{}});
+    channel.call(Request, ShortTimeoutMs, [&](const PeerReply &reply) {
+      unanswered = reply;
+      loop.stop();
+    });
+  });
+  loop.run();
+  EXPECT_EQ(unanswered, PossiblyProcessed);
+  released.set_value();
+}
+
 } // namespace
 } // namespace oriolebay::endpoints
--- a/tests/auto/endpoints/tst_channel.cpp
+++ b/tests/auto/endpoints/tst_channel.cpp
@@ -1,39 +1,13 @@
 #include "endpoints/channel.h"
+#include "unresponsivepeer.h"
 #include "waituntil.h"
 
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 using namespace oriolebay::endpoints;
 
 namespace {
 
-// A peer whose socket accepts connections but that never answers.
-class UnresponsivePeer {
-public:
-  UnresponsivePeer() : Fd(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in addr{};
-    addr.sin_family = AF_INET;
-    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(Fd, reinterpret_cast<sockaddr *>(&addr), sizeof addr);
-    listen(Fd, 8);
-    socklen_t n = sizeof addr;
-    getsockname(Fd, reinterpret_cast<sockaddr *>(&addr), &n);
-    Port = ntohs(addr.sin_port);
-  }
-  ~UnresponsivePeer() { close(Fd); }
-  std::string address() const {
-    return "tcp://127.0.0.1:" + std::to_string(Port);
-  }
-
-private:
-  int Fd;
-  int Port = 0;
-};
-
 // One of two peers accepts connections and never answers. The call to it must
 // end with a typed error, and the answer of the other peer must not be delayed
 // until then.
