The blocking HTTP client does not ask before it sends a large request

Cause: with a body of more than a megabyte libcurl asks by "Expect: 100-continue", waits up to a second for the answer, and sends the request again by itself after a 417. With a request that is sent at most once the latter would be reported as a connection that ended. AsyncClient has switched this off already; HttpClient had not.

Evidence: HttpClient.LargeRequestIsSentWithoutAskingFirst was red before: the server received "100-continue".

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -44,6 +44,9 @@
   curl_easy_setopt(h, CURLOPT_WRITEDATA, &result.Body);
   curl_slist *headers =
       curl_slist_append(nullptr, "Content-Type: application/json");
+  // Disables "100 Continue", for which curl would wait up to a second with
+  // large bodies, and would send the request again after a refusal of it.
+  headers = curl_slist_append(headers, "Expect:");
   curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
   if (method != "GET") {
     curl_easy_setopt(h, CURLOPT_POSTFIELDS, body.data());
--- a/tests/auto/http/tst_httpclient.cpp
+++ b/tests/auto/http/tst_httpclient.cpp
@@ -1,8 +1,11 @@
 #include "closingpeer.h"
+#include "http/asyncserver.h"
 #include "http/httpclient.h"
 
 #include <gtest/gtest.h>
 
+#include <future>
+
 namespace oriolebay::http {
 namespace {
 
@@ -71,5 +74,27 @@
                                                           CloseKind::Reset)),
                          nameOf);
 
+// Guards against a large request that waits a second for a "100 Continue", and
+// that libcurl sends again by itself when the peer answers with 417.
+TEST(HttpClient, LargeRequestIsSentWithoutAskingFirst) {
+  constexpr size_t LargeBytes = 2 << 20;
+  AsyncServerOptions options;
+  options.MaxBodyBytes = LargeBytes;
+  options.StoredHeaders = {"Expect"};
+  std::promise<HttpRequest> received;
+  AsyncServer server(options, [&received](const HttpRequest &request,
+                                          const AsyncServer::Respond &respond) {
+    received.set_value(request);
+    respond({200, "{}"});
+  });
+  const HttpResult result = HttpClient(60000).call(
+      "POST", "http://127.0.0.1:" + std::to_string(server.port()) + "/large",
+      std::string(LargeBytes, 'x'));
+  ASSERT_EQ(result.Status, 200) << result.Error;
+  const HttpRequest request = received.get_future().get();
+  EXPECT_EQ(request.Body.size(), LargeBytes);
+  EXPECT_EQ(request.header("Expect"), "");
+}
+
 } // namespace
 } // namespace oriolebay::http
