A server that stops does not refuse what it is carrying out

What callers may see: an entry that stops, or that an exception ends, answers a call that is under way with 503 "stopping; try another entry", which says that the job never runs. Its write may be stored.

Cause: AsyncServer::stop() gave that answer to every request without one, also to those that the handler had got.

Why this holds: whether a request was handed over is decided under the server's mutex, together with its answer. One that was gets 504, the outcome is unknown; one that was not, so that it never will be, keeps its 503.

--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -24,8 +24,8 @@
   MHD_Connection *Connection = nullptr;
   std::string Body;
   bool TooLarge = false;
-  bool IsHandedOver = false;
   // Guarded by the server's mutex.
+  bool IsHandedOver = false;
   bool Suspended = false;
   std::optional<HttpResponse> Answer;
 };
@@ -46,6 +46,12 @@
   HttpRequest makeRequest(Exchange &exchange, const char *url,
                           const char *method);
   void answer(const std::shared_ptr<Exchange> &exchange, HttpResponse response);
+  /// Like answer(); the caller holds Mu.
+  void answerLocked(const std::shared_ptr<Exchange> &exchange,
+                    HttpResponse response);
+  void answerAtStop(const std::shared_ptr<Exchange> &exchange);
+  /// Returns whether the request is now to be given to the handler.
+  bool beginHandover(Exchange &exchange);
   MHD_Result send(MHD_Connection *connection, const HttpResponse &response);
 };
 
@@ -102,6 +108,11 @@
 void AsyncServer::Impl::answer(const ExchangePtr &exchange,
                                HttpResponse response) {
   std::lock_guard<std::mutex> lock(Mu);
+  answerLocked(exchange, std::move(response));
+}
+
+void AsyncServer::Impl::answerLocked(const ExchangePtr &exchange,
+                                     HttpResponse response) {
   if (exchange->Answer || OpenExchanges.count(exchange) == 0)
     return;
   exchange->Answer = std::move(response);
@@ -111,6 +122,23 @@
   }
 }
 
+bool AsyncServer::Impl::beginHandover(Exchange &exchange) {
+  std::lock_guard<std::mutex> lock(Mu);
+  if (exchange.IsHandedOver || exchange.Answer)
+    return false;
+  exchange.IsHandedOver = true;
+  return true;
+}
+
+// The handler may have carried out a request that was handed over.
+void AsyncServer::Impl::answerAtStop(const ExchangePtr &exchange) {
+  std::lock_guard<std::mutex> lock(Mu);
+  if (exchange->IsHandedOver)
+    answerLocked(exchange, {504, R"({"error":"stopping; ask again"})"});
+  else
+    answerLocked(exchange, {503, R"({"error":"stopping; try another entry"})"});
+}
+
 MHD_Result AsyncServer::Impl::send(MHD_Connection *connection,
                                    const HttpResponse &response) {
   MHD_Response *reply = MHD_create_response_from_buffer(
@@ -160,8 +188,7 @@
     return server->send(
         connection,
         {413, R"({"error":"the body is too large; send a smaller one"})"});
-  if (!exchange->IsHandedOver) {
-    exchange->IsHandedOver = true;
+  if (server->beginHandover(*exchange)) {
     auto responder = std::make_shared<Responder>(server, exchange);
     server->Serve(
         server->makeRequest(*exchange, url, method),
@@ -241,7 +268,7 @@
     openExchanges = D->OpenExchanges;
   }
   for (const ExchangePtr &exchange : openExchanges)
-    D->answer(exchange, {503, R"({"error":"stopping; try another entry"})"});
+    D->answerAtStop(exchange);
   MHD_stop_daemon(D->Daemon);
 }
 
--- a/src/libs/http/asyncserver.h
+++ b/src/libs/http/asyncserver.h
@@ -48,7 +48,8 @@
   void closeAfterAnswers();
   /// Returns the number of requests whose answer has not been sent completely.
   int unanswered() const;
-  /// Answers pending requests with 503 and then closes all connections.
+  /// Answers pending requests and then closes all connections: with 504 if the
+  /// handler has got them, with 503 if they have not arrived completely.
   void stop();
 
   struct Impl;
