tests: the cluster withdraws a call to an ended process at its timeout

The cluster reported each call to an ended process as not sent, also if the process was started again within the call's timeout and got the call. A call to a process out of reach counts as sent, whether or not the process has ended.

--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -153,19 +153,23 @@
       if (!std::exchange(*finished, true) && Generation[process] == generation)
         done(reply);
     };
-    // A process that has ended listens no more. What a partition holds up may
-    // have been sent.
-    const bool isSent = Handlers.count(to) != 0;
-    Loop.runAfter(absl::Milliseconds(timeoutMs), [finish, isSent] {
-      finish({std::nullopt, !isSent});
+    // A process that has ended listens no more, and a call to it is withdrawn
+    // at its timeout. What a partition holds up has been sent.
+    auto sent = std::make_shared<bool>(Handlers.count(to) != 0 ||
+                                       !canReach(process, to));
+    Loop.runAfter(absl::Milliseconds(timeoutMs), [finish, sent] {
+      finish({std::nullopt, !*sent});
     });
-    if (!isSent || !canReach(process, to))
+    if (!canReach(process, to))
       return;
     const absl::Time arrivesAt = std::max(Loop.now() + HopDelay, HeldUntil[to]);
-    Loop.runAfter(arrivesAt - Loop.now(), [this, to, message, process, finish] {
+    Loop.runAfter(arrivesAt - Loop.now(), [this, to, message, process, finish,
+                                           finished, sent] {
       auto handler = Handlers.find(to);
-      if (handler == Handlers.end() || !canReach(process, to))
+      const bool isWithdrawn = *finished && !*sent;
+      if (handler == Handlers.end() || !canReach(process, to) || isWithdrawn)
         return;
+      *sent = true;
       handler->second(message, [this, process, to,
                                 finish](const endpoints::Message &reply) {
         if (canReach(process, to))
