Gang that its leader cannot have received does not wait for ever

What callers would see: no answer. The entry's leader was gone and the store down, so that no other one was elected. The submission to the old leader was never sent, but a call without an answer counted as possibly accepted, and from then on only a leader may answer.

The blocking channel tells by PeerReply, as the one of an event loop, whether a message was sent. One that was not does not count as accepted, and the gang is answered "not run" after max_queue_wait_ms as without a leader.

Test: Submitter.RefusesAGangThatItsLeaderCannotHaveReceived, red before (no answer within the two minutes that the test waits).

--- a/src/libs/agent/agentservice.cpp
+++ b/src/libs/agent/agentservice.cpp
@@ -94,8 +94,8 @@
   }
   endpoints::callAll(
       entries, messages, std::min(EntryCallTimeoutMs, Settings.HeartbeatMs),
-      [&](size_t i, const utils::Result<endpoints::Message> &reply) {
-        const Ack *ack = reply ? std::get_if<Ack>(&*reply) : nullptr;
+      [&](size_t i, const endpoints::PeerReply &reply) {
+        const Ack *ack = reply.get<Ack>();
         if (ack != nullptr)
           handleAck(*ack, entries[i], sent);
         else
@@ -294,10 +294,10 @@
         leader = Leader;
       }
       if (leader != nullptr) {
-        auto reply = endpoints::RequestChannel::call(leader, *result,
-                                                     EntryCallTimeoutMs);
+        const endpoints::PeerReply reply = endpoints::RequestChannel::call(
+            leader, *result, EntryCallTimeoutMs);
         ++SentMessages;
-        const Ack *ack = reply ? std::get_if<Ack>(&*reply) : nullptr;
+        const Ack *ack = reply.get<Ack>();
         acknowledged = ack != nullptr && ack->Ok;
       }
       if (!acknowledged &&
--- a/src/libs/endpoints/channel.cpp
+++ b/src/libs/endpoints/channel.cpp
@@ -10,6 +10,21 @@
 
 namespace oriolebay::endpoints {
 
+namespace {
+
+PeerReply replyOf(const Internal::CallOutcome &outcome) {
+  if (!outcome.ok())
+    return {std::nullopt, !outcome.Sent};
+  return utils::handle<PeerReply>(
+      [&]() -> utils::Result<PeerReply> {
+        BOOST_LEAF_AUTO(answer, decode(outcome.Reply));
+        return PeerReply{std::move(answer)};
+      },
+      [](const utils::Error &) { return PeerReply{}; });
+}
+
+} // namespace
+
 RequestChannel::RequestChannel(std::string address)
     : Address(std::move(address)),
       CurrentSocket(std::make_shared<Internal::Socket>(Address)) {}
@@ -57,27 +72,18 @@
     }
     --unanswered;
     const Internal::CallOutcome &outcome = outcomes[i];
-    if (!outcome.ok()) {
+    if (!outcome.ok())
       channels[i]->replaceSocket(calls[i]->socket());
-      onReply(i, utils::fail(utils::ErrorKind::Transport,
-                             "no answer from " + channels[i]->address() + ": " +
-                                 nng_strerror(outcome.Error),
-                             "check that the peer runs and is reachable"));
-    } else {
-      onReply(i, decode(outcome.Reply));
-    }
+    onReply(i, replyOf(outcome));
   }
 }
 
-utils::Result<Message>
-RequestChannel::call(const std::shared_ptr<RequestChannel> &channel,
-                     const Message &message, int timeoutMs) {
-  std::optional<utils::Result<Message>> out;
+PeerReply RequestChannel::call(const std::shared_ptr<RequestChannel> &channel,
+                               const Message &message, int timeoutMs) {
+  PeerReply out;
   callAll({channel}, {message}, timeoutMs,
-          [&](size_t, utils::Result<Message> reply) {
-            out.emplace(std::move(reply));
-          });
-  return std::move(*out);
+          [&](size_t, const PeerReply &reply) { out = reply; });
+  return out;
 }
 
 ReplyServer::ReplyServer(const std::string &address, Handler handler)
--- a/src/libs/endpoints/channel.h
+++ b/src/libs/endpoints/channel.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "messages.h"
-#include "utils/error.h"
+#include "peerreply.h"
 
 #include <absl/synchronization/mutex.h>
 #include <nng/nng.h>
@@ -21,8 +21,8 @@
 
 class RequestChannel;
 
-/// Receives the answer of the channel with this index, or the error.
-using OnReply = std::function<void(size_t index, utils::Result<Message>)>;
+/// Receives how the call on the channel with this index ended.
+using OnReply = std::function<void(size_t index, const PeerReply &)>;
 
 /// Sends messages[i] on channels[i], all concurrently, and passes each answer
 /// to onReply as it arrives, on the caller's thread, until all have arrived or
@@ -44,12 +44,10 @@
   RequestChannel(const RequestChannel &) = delete;
   RequestChannel &operator=(const RequestChannel &) = delete;
 
-  /// Sends message on channel and waits up to timeoutMs for the answer. Fails
-  /// with ErrorKind::Transport if none arrives; the peer may have processed the
-  /// message nevertheless.
-  static utils::Result<Message>
-  call(const std::shared_ptr<RequestChannel> &channel, const Message &message,
-       int timeoutMs);
+  /// Sends message on channel and waits up to timeoutMs for the answer. An
+  /// answer that cannot be decoded counts as none.
+  static PeerReply call(const std::shared_ptr<RequestChannel> &channel,
+                        const Message &message, int timeoutMs);
 
   const std::string &address() const { return Address; }
 
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -90,10 +90,8 @@
     messages.push_back(messageFor(memberNumbers));
   }
   endpoints::callAll(channels, messages, AgentCallTimeoutMs,
-                     [&](size_t i, const utils::Result<Message> &reply) {
-                       const auto *ack =
-                           reply ? std::get_if<endpoints::Ack>(&*reply)
-                                 : nullptr;
+                     [&](size_t i, const endpoints::PeerReply &reply) {
+                       const auto *ack = reply.get<endpoints::Ack>();
                        if (ack == nullptr)
                          failed[workers[i]] = "its agent did not answer";
                        else if (!ack->Ok)
--- a/src/libs/entry/entryservice_answers.cpp
+++ b/src/libs/entry/entryservice_answers.cpp
@@ -74,7 +74,7 @@
     for (int i = 0; i < ReplyAttempts && !acknowledged && !Stopping; ++i)
       acknowledged = endpoints::RequestChannel::call(channel, reply->Answer,
                                                      EntryCallTimeoutMs)
-                         .has_value();
+                         .Answer.has_value();
     // An entry that does not answer after all attempts has died, and its
     // callers' connections with it.
     if (!acknowledged)
--- a/src/libs/entry/submitter.cpp
+++ b/src/libs/entry/submitter.cpp
@@ -90,11 +90,13 @@
   }
   if (channel == nullptr)
     return Delivery::NotAccepted;
-  auto reply =
+  const endpoints::PeerReply reply =
       endpoints::RequestChannel::call(channel, message, LeaderCallTimeoutMs);
-  if (!reply)
+  if (reply.NotSent)
+    return Delivery::NotAccepted;
+  if (!reply.Answer)
     return Delivery::Unknown;
-  const auto *ack = std::get_if<endpoints::Ack>(&*reply);
+  const auto *ack = reply.get<endpoints::Ack>();
   return ack != nullptr && ack->Ok ? Delivery::Accepted : Delivery::NotAccepted;
 }
 
--- a/src/libs/entry/submitter.h
+++ b/src/libs/entry/submitter.h
@@ -53,8 +53,8 @@
     bool Answered = false;
     core::JobAnswer Answer;
   };
-  /// NotAccepted: the leader refused the message, or there was no leader to
-  /// send it to. Unknown: the leader did not answer and may have accepted it.
+  /// NotAccepted: the leader refused the message, or it could not be sent to
+  /// one. Unknown: the leader did not answer and may have accepted it.
   enum class Delivery { Accepted, NotAccepted, Unknown };
 
   Delivery sendToLeader(const endpoints::Message &message,
--- a/tests/auto/endpoints/tst_brokenconnections.cpp
+++ b/tests/auto/endpoints/tst_brokenconnections.cpp
@@ -44,8 +44,10 @@
   ClosingReplyPeer peer(GetParam().End, dropped, encode(Refusal));
   auto channel = std::make_shared<RequestChannel>(peer.address());
   for (int call = 1; call < dropped; ++call)
-    ASSERT_TRUE(RequestChannel::call(channel, Request, CallTimeoutMs));
-  EXPECT_FALSE(RequestChannel::call(channel, Request, CallTimeoutMs));
+    ASSERT_EQ(RequestChannel::call(channel, Request, CallTimeoutMs),
+              PeerReply{Refusal});
+  EXPECT_EQ(RequestChannel::call(channel, Request, CallTimeoutMs),
+            PossiblyProcessed);
   EXPECT_EQ(peer.requests(), dropped);
 }
 
--- a/tests/auto/endpoints/tst_channel.cpp
+++ b/tests/auto/endpoints/tst_channel.cpp
@@ -20,9 +20,9 @@
   callAll({std::make_shared<RequestChannel>(unresponsive.address()),
            std::make_shared<RequestChannel>(live.address())},
           {Release{1, "r"}, Release{1, "r"}}, 500,
-          [&](size_t i, const oriolebay::utils::Result<Message> &reply) {
+          [&](size_t i, const PeerReply &reply) {
             order.push_back(i);
-            EXPECT_EQ(reply.has_value(), i == 1);
+            EXPECT_EQ(reply.Answer.has_value(), i == 1);
           });
   EXPECT_EQ(order, (std::vector<size_t>{1, 0}));
 }
@@ -34,13 +34,14 @@
       "tcp://127.0.0.1:0", [](const Message &) { return Ack{}; });
   const std::string address = peer->address();
   auto channel = std::make_shared<RequestChannel>(address);
-  EXPECT_TRUE(RequestChannel::call(channel, Release{1, "r"}, 5000));
+  EXPECT_TRUE(RequestChannel::call(channel, Release{1, "r"}, 5000).Answer);
   peer.reset();
-  EXPECT_FALSE(RequestChannel::call(channel, Release{1, "r"}, 200));
+  EXPECT_FALSE(RequestChannel::call(channel, Release{1, "r"}, 200).Answer);
   peer = std::make_unique<ReplyServer>(address,
                                        [](const Message &) { return Ack{}; });
   oriolebay::testwaits::waitUntil([&] {
-    return RequestChannel::call(channel, Release{1, "r"}, 500).has_value();
+    return RequestChannel::call(channel, Release{1, "r"}, 500)
+        .Answer.has_value();
   });
 }
 
--- a/tests/auto/entry/tst_submitter.cpp
+++ b/tests/auto/entry/tst_submitter.cpp
@@ -1,3 +1,4 @@
+#include "endpoints/unresponsivepeer.h"
 #include "entry/submitter.h"
 #include "waituntil.h"
 
@@ -5,6 +6,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include <chrono>
 #include <future>
 #include <optional>
 #include <vector>
@@ -100,5 +102,40 @@
 INSTANTIATE_TEST_SUITE_P(Table, SubmittedGang, testing::ValuesIn(LeadersCases),
                          [](const auto &info) { return info.param.Name; });
 
+/// Ends the submissions of a submitter when a test leaves its scope.
+class ShutDownAtExit {
+public:
+  explicit ShutDownAtExit(Submitter &callers) : Callers(callers) {}
+  ~ShutDownAtExit() { Callers.shutDown(); }
+  ShutDownAtExit(const ShutDownAtExit &) = delete;
+  ShutDownAtExit &operator=(const ShutDownAtExit &) = delete;
+
+private:
+  Submitter &Callers;
+};
+
+// Guards against a caller that waits without end for a gang that its leader
+// cannot have received: that leader is gone, and no other is elected.
+TEST(Submitter, RefusesAGangThatItsLeaderCannotHaveReceived) {
+  endpoints::UnresponsivePeer leader;
+  Submitter callers("entry", 1, "tcp://127.0.0.1:1", absl::ZeroDuration(),
+                    RetryAfterMs,
+                    [](const endpoints::Message &) { return false; });
+  callers.onLeadership({1, leader.address(), false});
+  auto answer = std::async(std::launch::async, [&] {
+    core::JobRequest job;
+    job.Id = "job";
+    return callers.submit(job);
+  });
+  const ShutDownAtExit shutDown(callers);
+  testwaits::waitUntil([&] {
+    return answer.wait_for(std::chrono::seconds(0)) ==
+           std::future_status::ready;
+  });
+  const core::JobAnswer received = answer.get();
+  EXPECT_EQ(received.Result, Outcome::NotRun);
+  EXPECT_EQ(received.Reason, NotRunReason::StoreUnavailable);
+}
+
 } // namespace
 } // namespace oriolebay::entry
