Cancellation of a gang that the leader did not answer is open, not refused

What callers saw: 503 "no entry leads at present", also if the leader had read the cancellation and only its answer was lost: the gang stops all the same. A caller that takes 503 for "nothing was done" believes its gang alive.

The outcome of the delivery reaches the caller: 202, 503 if no leader has it, 504 if the leader did not answer and may have accepted it.

Tests: Cancellation.IsOpenIfTheLeaderDidNotAnswer, red before (503), and Submitter.LeavesACancellationOpenThatALeaderDidNotAnswer (the outcome that was dropped before).

--- a/src/libs/callers/callerapi.cpp
+++ b/src/libs/callers/callerapi.cpp
@@ -93,9 +93,15 @@
   const size_t slash = path.find('/');
   if (slash == std::string::npos || slash == 0 || slash + 1 == path.size())
     return {400, R"({"error":"cancel a job as /v1/jobs/ORGANISATION/ID"})"};
-  if (!OnCancel(path.substr(0, slash), path.substr(slash + 1)))
-    return {503, R"({"error":"no entry leads at present; try again"})"};
-  return {202, R"({"accepted":true})"};
+  switch (OnCancel(path.substr(0, slash), path.substr(slash + 1))) {
+  case CancelResult::Accepted:
+    return {202, R"({"accepted":true})"};
+  case CancelResult::Unknown:
+    return {504, R"({"error":"the leader did not answer; try again"})"};
+  case CancelResult::NotAccepted:
+    break;
+  }
+  return {503, R"({"error":"no entry leads at present; try again"})"};
 }
 
 http::HttpResponse CallerApi::serve(const http::HttpRequest &request) {
--- a/src/libs/callers/callerapi.h
+++ b/src/libs/callers/callerapi.h
@@ -21,10 +21,12 @@
 class CallerApi {
 public:
   using Submit = std::function<core::JobAnswer(const core::JobRequest &)>;
-  /// Cancels an organisation's jobs with the given id. Returns false when no
-  /// leader could be reached.
-  using Cancel = std::function<bool(const std::string &organisation,
-                                    const std::string &jobId)>;
+  /// What became of a cancellation. NotAccepted: no leader has it. Unknown: the
+  /// leader did not answer and may have accepted it.
+  enum class CancelResult { Accepted, NotAccepted, Unknown };
+  /// Cancels an organisation's jobs with the given id.
+  using Cancel = std::function<CancelResult(const std::string &organisation,
+                                            const std::string &jobId)>;
   using Stats = std::function<nlohmann::json()>;
 
   /// Listens on host:port (port 0 picks a free one) for up to maxConnections
--- a/src/libs/entry/entryservice.cpp
+++ b/src/libs/entry/entryservice.cpp
@@ -33,6 +33,19 @@
 // Accelerators of a whole worker at current sites. Fragmentation is computed
 // for members of this width, or of the widest waiting gang if that is wider.
 constexpr int ReferenceWidth = 8;
+
+callers::CallerApi::CancelResult cancelResultOf(Submitter::Delivery delivery) {
+  using callers::CallerApi;
+  switch (delivery) {
+  case Submitter::Delivery::Accepted:
+    return CallerApi::CancelResult::Accepted;
+  case Submitter::Delivery::NotAccepted:
+    return CallerApi::CancelResult::NotAccepted;
+  case Submitter::Delivery::Unknown:
+    break;
+  }
+  return CallerApi::CancelResult::Unknown;
+}
 } // namespace
 
 EntryService::EntryService(settings::EntrySettings settings,
@@ -69,7 +82,7 @@
       Settings.HttpHost, Settings.HttpPort, Settings.MaxCallers,
       [this](const core::JobRequest &j) { return submit(j); },
       [this](const std::string &organisation, const std::string &jobId) {
-        return Callers->cancel({organisation, jobId});
+        return cancelResultOf(Callers->cancel({organisation, jobId}));
       },
       [this] { return stats(); });
   logEvent(Event::ListenerBound, {{"role", "callers"}, {"port", Api->port()}});
--- a/src/libs/entry/submitter.cpp
+++ b/src/libs/entry/submitter.cpp
@@ -68,13 +68,13 @@
   Changed.SignalAll();
 }
 
-bool Submitter::cancel(const endpoints::Cancel &cancel) {
+Submitter::Delivery Submitter::cancel(const endpoints::Cancel &cancel) {
   platform::Leadership leader;
   {
     absl::MutexLock lock(&Mu);
     leader = Leader;
   }
-  return sendToLeader(cancel, leader) == Delivery::Accepted;
+  return sendToLeader(cancel, leader);
 }
 
 Submitter::Delivery
--- a/src/libs/entry/submitter.h
+++ b/src/libs/entry/submitter.h
@@ -35,8 +35,13 @@
   /// "not run". A leader's "not run" is passed on only if no other leader may
   /// have accepted the gang; else it is answered as failed.
   core::JobAnswer submit(const core::JobRequest &job);
-  /// Passes a cancellation to the leader. Returns false if it was not accepted.
-  bool cancel(const endpoints::Cancel &cancel);
+  /// How the delivery of a message to the leader ended. NotAccepted: the leader
+  /// refused the message, or it could not be sent to one. Unknown: the leader
+  /// did not answer and may have accepted it.
+  enum class Delivery { Accepted, NotAccepted, Unknown };
+
+  /// Passes a cancellation to the leader.
+  Delivery cancel(const endpoints::Cancel &cancel);
   /// Handles the answer of a gang, sent by the leader. Answers of gangs for
   /// which no caller waits are discarded.
   void handleAnswer(const endpoints::Answered &answered);
@@ -53,10 +58,6 @@
     bool Answered = false;
     core::JobAnswer Answer;
   };
-  /// NotAccepted: the leader refused the message, or it could not be sent to
-  /// one. Unknown: the leader did not answer and may have accepted it.
-  enum class Delivery { Accepted, NotAccepted, Unknown };
-
   Delivery sendToLeader(const endpoints::Message &message,
                         const platform::Leadership &leader);
 
--- a/tests/auto/callers/tst_callerapi.cpp
+++ b/tests/auto/callers/tst_callerapi.cpp
@@ -51,7 +51,10 @@
         ++submissions;
         return c.Answer;
       },
-      [&](const std::string &, const std::string &) { return c.HasLeader; },
+      [&](const std::string &, const std::string &) {
+        return c.HasLeader ? CallerApi::CancelResult::Accepted
+                           : CallerApi::CancelResult::NotAccepted;
+      },
       [] { return json::object(); });
   http::HttpClient client(5000);
   auto res = client.call(
@@ -146,4 +149,22 @@
       return testnames::testNameFrom(info.param.Description);
     });
 
+// Guards against a cancellation that reads as refused although the leader may
+// have accepted it.
+TEST(Cancellation, IsOpenIfTheLeaderDidNotAnswer) {
+  CallerApi api(
+      "127.0.0.1", 0, 8, [](const core::JobRequest &) { return JobAnswer(); },
+      [](const std::string &, const std::string &) {
+        return CallerApi::CancelResult::Unknown;
+      },
+      [] { return json::object(); });
+  http::HttpClient client(5000);
+  const auto res =
+      client.call("DELETE",
+                  "http://127.0.0.1:" + std::to_string(api.port()) +
+                      "/v1/jobs/stores-east/j",
+                  "");
+  EXPECT_EQ(res.Status, 504) << res.Body;
+}
+
 } // namespace
--- a/tests/auto/entry/tst_submitter.cpp
+++ b/tests/auto/entry/tst_submitter.cpp
@@ -137,5 +137,24 @@
   EXPECT_EQ(received.Reason, NotRunReason::StoreUnavailable);
 }
 
+// Guards against a cancellation that reads as refused although the leader has
+// read it.
+TEST(Submitter, LeavesACancellationOpenThatALeaderDidNotAnswer) {
+  std::promise<void> released;
+  endpoints::ReplyServer leader(
+      "tcp://127.0.0.1:0",
+      [end = released.get_future().share()](const endpoints::Message &) {
+        end.wait();
+        return endpoints::Ack{};
+      });
+  Submitter callers("entry", 1, "tcp://127.0.0.1:1", NoLeaderTimeout,
+                    RetryAfterMs,
+                    [](const endpoints::Message &) { return false; });
+  EXPECT_EQ(callers.cancel({"org", "job"}), Submitter::Delivery::NotAccepted);
+  callers.onLeadership({1, leader.address(), false});
+  EXPECT_EQ(callers.cancel({"org", "job"}), Submitter::Delivery::Unknown);
+  released.set_value();
+}
+
 } // namespace
 } // namespace oriolebay::entry
