tests: refusals beside an open write that the change leaves

Found by a review of the change by somebody who had not seen the work. Green: OpenWriteOfTheForwardingEntryIsRememberedForLaterCalls.

--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -36,7 +36,8 @@
     organisations.push_back({o.Name, o.Keys, o.GuaranteedAccelerators});
   json queues = json::array();
   for (const auto &q : config.Queues)
-    queues.push_back({q.Name, q.Prefix, q.Priority, q.NeedsAdvice, q.Service});
+    queues.push_back(
+        {q.Name, q.Prefix, q.Priority, q.NeedsAdvice, q.Service, q.Public});
   return json{{"version", config.Version},
               {"organisations", organisations},
               {"queues", queues}}
@@ -61,6 +62,7 @@
     queue.Priority = q[2];
     queue.NeedsAdvice = q[3];
     queue.Service = q[4];
+    queue.Public = q[5];
     queue.Attempts = 4;
     config.Queues.push_back(queue);
   }
@@ -370,7 +372,7 @@
 }
 
 jobs::CallerAccess MemoryCluster::accessFor(const std::string &key) const {
-  return {"host", "", key, Loop.now() + absl::Seconds(3)};
+  return {"host", "", key, Loop.now() + CallerPatience};
 }
 
 std::shared_ptr<MemoryCluster::CallerCall>
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -57,6 +57,8 @@
     absl::Time SentAt;
     std::optional<jobs::CallAnswer> Answer;
   };
+  /// Sets how long callers wait for an answer from now on.
+  void setCallerPatience(absl::Duration time) { CallerPatience = time; }
   std::shared_ptr<CallerCall> submit(int entry, const std::string &key,
                                      core::JobSpec spec);
   std::shared_ptr<CallerCall> cancel(int entry, const std::string &key,
@@ -215,6 +217,7 @@
            PartitionedPairs.count({from, to}) == 0;
   }
 
+  absl::Duration CallerPatience = absl::Seconds(3);
   std::map<std::string, absl::Time> HeldUntil;
   std::map<std::string, absl::Duration> AnswerDelays;
   std::set<std::string> Partitioned;
--- a/tests/auto/cluster/tst_refusals.cpp
+++ b/tests/auto/cluster/tst_refusals.cpp
@@ -18,6 +18,8 @@
 constexpr const char *JobId = "job";
 /// Time for a caller's answer. Callers wait for three seconds.
 constexpr absl::Duration CallLimit = absl::Seconds(3);
+/// Time for which an entry waits for the answer to a forwarded call.
+constexpr int64_t SenderWaitMs = 400;
 /// Time after which a write that got no answer is not carried out any more.
 constexpr absl::Duration LateWriteLimit = absl::Seconds(7);
 
@@ -45,6 +47,20 @@
 
   void revokeKey() { writeConfig({LastingKey}, true); }
   void dropQueue() { writeConfig({LastingKey, RevokedKey}, false); }
+  /// Has the queue take jobs with any key and with none.
+  void openQueue() {
+    writeConfig({LastingKey, RevokedKey}, true, /*needsAdvice=*/false,
+                /*isPublic=*/true);
+    Cluster.runFor(absl::Seconds(2));
+  }
+  void revokeKeyOfOpenQueue() {
+    writeConfig({LastingKey}, true, /*needsAdvice=*/false, /*isPublic=*/true);
+  }
+  /// Moves the key to another organisation.
+  void moveKey() {
+    Cluster.configureSite({{"org-of-k1", {LastingKey, RevokedKey}, 16}},
+                          {makeQueue(LastingQueue), makeQueue(DroppedQueue)});
+  }
   void requireAdvice() {
     writeConfig({LastingKey, RevokedKey}, true, /*needsAdvice=*/true);
   }
@@ -56,6 +72,14 @@
   }
   std::shared_ptr<MemoryCluster::CallerCall> submit() { return submit(Entry); }
 
+  /// Has the entries' views of the jobs lag behind the store, as they do for a
+  /// while after each change.
+  void delayViews() {
+    core::JobSpec job = makeJob("other", 1, 1, 100);
+    job.Queue = LastingQueue;
+    Cluster.submit(otherEntry(), LastingKey, std::move(job));
+    Cluster.runFor(absl::Milliseconds(30));
+  }
   /// Submits the job with its first write carried out and not answered.
   std::shared_ptr<MemoryCluster::CallerCall> submitWithLostAnswer() {
     storeFaults().LostAnswerShare = 1;
@@ -75,7 +99,7 @@
 
 private:
   void writeConfig(const std::vector<std::string> &keys, bool hasQueue,
-                   bool needsAdvice = false) {
+                   bool needsAdvice = false, bool isPublic = false) {
     std::vector<core::OrganisationConfig> organisations;
     for (const std::string &key : keys)
       organisations.push_back({"org-of-" + key, {key}, 16});
@@ -83,6 +107,7 @@
     if (hasQueue) {
       queues.push_back(makeQueue(DroppedQueue));
       queues.back().NeedsAdvice = needsAdvice;
+      queues.back().Public = isPublic;
     }
     Cluster.configureSite(std::move(organisations), std::move(queues));
   }
@@ -155,6 +180,128 @@
 INSTANTIATE_TEST_SUITE_P(Table, StoredJob, testing::ValuesIn(RefusalCases),
                          [](const auto &info) { return info.param.Name; });
 
+class JobOfAnotherOrganisation : public testing::TestWithParam<int> {};
+
+// Guards against a 409 for the caller's own job: the answer to its write was
+// lost, and the call was written again for another organisation, or for none,
+// as the key was revoked or moved in between.
+TEST_P(JobOfAnotherOrganisation, IsNotTakenForOneAfterTheKeyWasRevoked) {
+  RefusingSite site(GetParam());
+  site.openQueue();
+  auto call = site.submitWithLostAnswer();
+  ASSERT_TRUE(site.isStored());
+  site.revokeKeyOfOpenQueue();
+  const CallResult result = site.resultOf(call);
+  EXPECT_FALSE(isRefusal(result)) << jobs::callResultName(result);
+}
+
+TEST_P(JobOfAnotherOrganisation, IsNotTakenForOneAfterTheKeyWasMoved) {
+  RefusingSite site(GetParam());
+  auto call = site.submitWithLostAnswer();
+  ASSERT_TRUE(site.isStored());
+  site.moveKey();
+  const CallResult result = site.resultOf(call);
+  EXPECT_FALSE(isRefusal(result)) << jobs::callResultName(result);
+}
+
+INSTANTIATE_TEST_SUITE_P(Entries, JobOfAnotherOrganisation,
+                         testing::Values(1, 3),
+                         testing::PrintToStringParamName());
+
+// Guards against a 503 for a job that another entry has stored: that entry's
+// answer is open, and is not passed on since it is based on an older
+// configuration than the newest one known here.
+TEST(Refusals, OpenAnswerByAnOlderConfigurationIsNotARefusal) {
+  RefusingSite site(3);
+  MemoryStore::Faults &leader = site.storeFaults(site.otherEntry());
+  site.cluster().setCallerPatience(absl::Milliseconds(800));
+  site.delayViews();
+  site.storeFaults().Refuses = true;
+  leader.LostAnswerShare = 1;
+  auto call = site.submit();
+  site.cluster().runFor(absl::Milliseconds(20));
+  ASSERT_TRUE(site.isStored());
+  leader.LostAnswerShare = 0;
+  leader.Refuses = true;
+  leader.WatchesSilent = true;
+  site.storeFaults().Refuses = false;
+  site.revokeKey();
+  const CallResult result = site.resultOf(call);
+  EXPECT_FALSE(isRefusal(result)) << jobs::callResultName(result);
+}
+
+// Guards against a 503 for a job that another entry has stored: that entry's
+// answer was open and was passed on, and the caller asks again here.
+TEST(Refusals, OpenAnswerOfAnotherEntryIsRememberedForLaterCalls) {
+  RefusingSite site(3);
+  MemoryStore::Faults &leader = site.storeFaults(site.otherEntry());
+  site.cluster().setCallerPatience(absl::Milliseconds(800));
+  site.delayViews();
+  site.storeFaults().Refuses = true;
+  leader.LostAnswerShare = 1;
+  auto first = site.submit();
+  site.cluster().runFor(absl::Milliseconds(20));
+  ASSERT_TRUE(site.isStored());
+  for (int n = 0; n < 3; ++n)
+    site.storeFaults(n).Refuses = true;
+  const CallResult firstResult = site.resultOf(first);
+  ASSERT_EQ(firstResult, CallResult::Open);
+  site.cluster().killEntry(site.otherEntry());
+  auto second = site.submit();
+  const CallResult result = site.resultOf(second);
+  EXPECT_FALSE(isRefusal(result)) << jobs::callResultName(result);
+}
+
+// Guards against a 503 for a job that is stored seconds later, by an entry that
+// was told of the open write when the first call was forwarded to it.
+TEST(Refusals, OpenWriteOfTheForwardingEntryIsRememberedForLaterCalls) {
+  RefusingSite site(3);
+  site.storeFaults().LateWriteShare = 1;
+  auto first = site.submit();
+  site.cluster().runFor(absl::Milliseconds(50));
+  for (int n = 0; n < 3; ++n)
+    site.storeFaults(n).Refuses = true;
+  ASSERT_EQ(site.resultOf(first), CallResult::Open);
+  site.cluster().killEntry(site.entry());
+  auto second = site.submit(site.otherEntry());
+  const CallResult result = site.resultOf(second);
+  site.cluster().runFor(LateWriteLimit);
+  ASSERT_TRUE(site.isStored());
+  EXPECT_FALSE(isRefusal(result)) << jobs::callResultName(result);
+}
+
+// Guards against a caller who is told that its job does not exist, while a
+// write of it is open that the store carries out seconds later.
+TEST(Refusals, CancellationOfAJobThatMayBeStoredIsNotRefused) {
+  RefusingSite site(1);
+  site.storeFaults().LateWriteShare = 1;
+  auto first = site.submit();
+  ASSERT_EQ(site.resultOf(first), CallResult::Open);
+  site.storeFaults().LateWriteShare = 0;
+  const bool isStoredYet = site.isStored();
+  auto cancel = site.cluster().cancel(site.entry(), RevokedKey, JobId);
+  const CallResult result = site.resultOf(cancel);
+  site.cluster().runFor(LateWriteLimit);
+  ASSERT_FALSE(isStoredYet);
+  ASSERT_TRUE(site.isStored());
+  EXPECT_FALSE(isRefusal(result)) << jobs::callResultName(result);
+}
+
+// Guards against an entry that is given up, and against a refusal that stays
+// open, because a forwarded call is tried for longer than its sender waits.
+TEST(Refusals, ForwardedCallWithAnOpenWriteIsAnsweredWhileItsSenderWaits) {
+  RefusingSite site(3);
+  auto call = site.submitWithLostAnswer();
+  ASSERT_TRUE(site.isStored());
+  for (int n = 0; n < 3; ++n)
+    site.storeFaults(n).Refuses = true;
+  site.resultOf(call);
+  site.cluster().runFor(CallLimit);
+  for (const jobs::CallDecision &decision : site.cluster().callDecisions())
+    if (decision.Answer.ServedBy.empty() && decision.WritesUnanswered == 0)
+      EXPECT_LT(decision.TookMs, SenderWaitMs) << decision.Answer.Detail;
+}
+
 // Guards against callers who lose their job to caution: a write that is known
 // not to be stored leaves the refusal as it is.
 TEST(Refusals, WriteThatComesTooLateLeavesARefusalTrue) {
