Refusals beside an open write, found by a review of the fix

A call that was authorised again wrote the job for another organisation, or for none, and forgot the first one. It keeps all organisations that it has written for, also in forwarded calls. - 503 for a job that another entry may have stored. Its open answer was dropped as based on an older configuration. An open answer to a call that writes counts as an unanswered forward. - 504, then 503 for it at the same entry: by the same line, the entry forgot that it had passed on an open answer. - 504, then 410 for a cancellation, and the job is stored later. 410 is withheld too while a write of the job may be stored. - An entry that was told of an open write tried for 1.1 s, while its sender waits for 0.4 s and then leaves it out for a second.

By argument: OpenJobs holds a call until its deadline and the time for late writes, not from the first write on; ended calls are dropped also if nobody is refused; an entry that has adopted an open write remembers it; a stored job settles all other writes.

Such a call is tried until 0.4 of its time is over now, as one with an open write of its own is tried at the store; and if the view shows that the job is stored, the caller is told so at once.

LaterCallForAJobThatMayBeStoredIsNotRefused has a silent watch now, as the view would show the job.

--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -178,7 +178,7 @@
        {"OldestRevision", c.OldestRevision},
        {"MaxConfigAgeMs", c.MaxConfigAgeMs},
        {"OpenRevision", c.OpenRevision},
-       {"OpenOrganisation", c.OpenOrganisation}};
+       {"OpenOrganisations", c.OpenOrganisations}};
 }
 
 static void from_json(const json &j, ForwardedCall &c) {
@@ -192,8 +192,8 @@
   j.at("OldestRevision").get_to(c.OldestRevision);
   c.MaxConfigAgeMs = j.value("MaxConfigAgeMs", ForwardedCall().MaxConfigAgeMs);
   c.OpenRevision = j.value("OpenRevision", ForwardedCall().OpenRevision);
-  c.OpenOrganisation =
-      j.value("OpenOrganisation", ForwardedCall().OpenOrganisation);
+  c.OpenOrganisations =
+      j.value("OpenOrganisations", ForwardedCall().OpenOrganisations);
 }
 
 static void to_json(json &j, const ForwardedAnswer &a) {
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -408,11 +408,11 @@
   /// Maximum time since the store has confirmed that configuration, in
   /// milliseconds; zero if only the receiver's own limit applies.
   int64_t MaxConfigAgeMs = 0;
-  /// A write that the sender has sent for the call and that may be stored: the
-  /// newest revision of the configuration that it depends on, zero if there is
-  /// none, and the organisation of the job.
+  /// Writes that the sender has sent for the call and that may be stored: the
+  /// newest revision of the configuration that they depend on, zero if there
+  /// are none, and the organisations as whose job they store it.
   int64_t OpenRevision = 0;
-  std::string OpenOrganisation = {};
+  std::vector<std::string> OpenOrganisations = {};
   auto operator<=>(const ForwardedCall &) const = default;
 };
 
--- a/src/libs/jobs/callcodec.cpp
+++ b/src/libs/jobs/callcodec.cpp
@@ -38,7 +38,7 @@
     m.MaxConfigAgeMs =
         std::max<int64_t>(1, absl::ToInt64Milliseconds(call.MaxConfigAge));
   m.OpenRevision = call.OpenRevision;
-  m.OpenOrganisation = call.OpenOrganisation;
+  m.OpenOrganisations = call.OpenOrganisations;
   if (call.Name == "submit") {
     JobRecord record;
     record.Spec = call.Spec;
@@ -58,7 +58,7 @@
   if (m.MaxConfigAgeMs > 0)
     call.MaxConfigAge = absl::Milliseconds(m.MaxConfigAgeMs);
   call.OpenRevision = m.OpenRevision;
-  call.OpenOrganisation = m.OpenOrganisation;
+  call.OpenOrganisations = m.OpenOrganisations;
   if (m.Call == "submit") {
     BOOST_LEAF_AUTO(record, decodeRecord(m.Record));
     call.Spec = std::move(record.Spec);
--- a/src/libs/jobs/callcodec.h
+++ b/src/libs/jobs/callcodec.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace oriolebay::jobs {
 
@@ -25,11 +26,11 @@
   int64_t OldestRevision = 0;
   /// How long ago the store may have confirmed that configuration at most.
   absl::Duration MaxConfigAge = absl::InfiniteDuration();
-  /// A write of the call that may be stored: the newest revision of the
-  /// configuration that it depends on (see CallWrites), zero if there is none,
-  /// and the organisation of the job.
+  /// Writes of the call that may be stored: the newest revision of the
+  /// configuration that they depend on (see CallWrites), zero if there are
+  /// none, and the organisations as whose job they store it.
   int64_t OpenRevision = 0;
-  std::string OpenOrganisation = {};
+  std::vector<std::string> OpenOrganisations = {};
 
   bool operator==(const CallRequest &) const = default;
 };
--- a/src/libs/jobs/callwrites.h
+++ b/src/libs/jobs/callwrites.h
@@ -27,8 +27,8 @@
   /// Another entry that was asked for the call did not answer, and may carry it
   /// out.
   void recordUnansweredForward() { OpenRevision = NoConfig; }
-  /// An entry that forwards the call has an open write, which depends on this
-  /// revision; zero if it has none.
+  /// The entry that forwards the call has an open write, which depends on this
+  /// revision. Called before any write of this entry.
   void adopt(int64_t openRevision) { OpenRevision = openRevision; }
   /// Nothing of the call was stored while the configuration had this revision.
   /// Writes that depend on an earlier one cannot be done any more.
@@ -47,9 +47,11 @@
   int unansweredCount() const { return UnansweredCount; }
 
 private:
-  /// What the write that has not been answered yet, and the open ones before
-  /// it, depend on; zero if there is none.
+  /// The revision that the write without an outcome so far depends on; zero if
+  /// there is none.
   int64_t PendingRevision = 0;
+  /// The newest revision that a write without an answer depends on; zero if
+  /// there is none.
   int64_t OpenRevision = 0;
   int SentCount = 0;
   int UnansweredCount = 0;
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -60,6 +60,8 @@
                            operators::ConfigNewsSource::ForwardedCall);
   const CallPtr call = newCall(std::move(request), std::move(done));
   call->FromOtherEntry = true;
+  if (call->Writes.isOpen())
+    recordJobPossiblyStored(call);
   serve(call);
 }
 
@@ -72,26 +74,35 @@
   call->MaxConfigAge = request.MaxConfigAge;
   if (request.OpenRevision != 0) {
     call->Writes.adopt(request.OpenRevision);
-    call->WritingOrganisation = std::move(request.OpenOrganisation);
+    call->WritingOrganisations.insert(request.OpenOrganisations.begin(),
+                                      request.OpenOrganisations.end());
   }
   call->Answer = std::move(done);
   return call;
 }
 
 void JobService::serve(const CallPtr &call) {
+  authoriseNewCall(call, [this](const CallPtr &c) { carryOut(c); });
+}
+
+void JobService::carryOut(const CallPtr &call) {
   if (call->Name == "submit")
-    authoriseNewCall(call, [this](const CallPtr &c) { validateAndStore(c); });
+    validateAndStore(call);
   else if (call->Name == "state")
-    authoriseNewCall(call, [this](const CallPtr &c) { showState(c); });
+    showState(call);
   else if (call->Name == "cancel")
-    authoriseNewCall(call, [this](const CallPtr &c) { findJobToCancel(c); });
+    findJobToCancel(call);
   else
-    authoriseNewCall(call, [this](const CallPtr &c) { answerQueueLength(c); });
+    answerQueueLength(call);
 }
 
 void JobService::finish(const CallPtr &call, CallResult result,
                         std::string detail) {
-  if (isRefusal(result) && settleWrites(call))
+  if (result != CallResult::Ok && isKnownToBeStored(call, result)) {
+    result = CallResult::Ok;
+    detail = "its record is known here";
+  }
+  if (isRefusal(result) && (beginSettling(call) || serveAgain(call, result)))
     return;
   CallAnswer answer;
   answer.Result = result;
@@ -134,15 +145,55 @@
   call->Answer(std::move(answer));
 }
 
+// NotDone promises that the job never runs, and UnknownJob that there is
+// nothing to cancel, whichever call has submitted the job.
 bool JobService::mayBeStored(const CallPtr &call, CallResult refusal) {
   if (call->Writes.isOpen())
     return true;
-  if (call->Name != "submit" || refusal != CallResult::NotDone)
-    return false;
-  return View.find(call->JobId) != nullptr ||
+  if (call->Name == "submit" && refusal == CallResult::NotDone)
+    return View.find(call->JobId) != nullptr ||
+           JobsPossiblyStored.contains(call->JobId, Loop.now());
+  return call->Name == "cancel" && refusal == CallResult::UnknownJob &&
          JobsPossiblyStored.contains(call->JobId, Loop.now());
 }
 
+bool JobService::isWrittenBy(const CallPtr &call, const JobRecord &record) {
+  return call->WritingOrganisations.count(record.Spec.Organisation) > 0;
+}
+
+bool JobService::isOwnJob(const CallPtr &call, const JobRecord &record) {
+  return isWrittenBy(call, record) ||
+         (call->IsAuthorised && record.Spec.Organisation == call->Organisation);
+}
+
+// The job of an earlier call is the same job. It contradicts NotDone and Open,
+// but no refusal by a newer configuration.
+bool JobService::isKnownToBeStored(const CallPtr &call,
+                                   CallResult result) const {
+  const StoredJob *job = View.find(call->JobId);
+  if (call->Name != "submit" || job == nullptr)
+    return false;
+  const bool isRefusedByConfig =
+      result != CallResult::NotDone && result != CallResult::Open;
+  return isRefusedByConfig ? isWrittenBy(call, job->Record)
+                           : isOwnJob(call, job->Record);
+}
+
+// An earlier call has left the outcome open, and so would this one. A caller
+// that is told so at once asks again at once, and uses up its tries. A call
+// that has sent a write itself is answered, as another entry may be able to
+// tell.
+bool JobService::serveAgain(const CallPtr &call, CallResult refusal) {
+  if (refusal != CallResult::NotDone || call->FromOtherEntry ||
+      call->Writes.isOpen() || !mayBeStored(call, refusal) || !canRetry(call))
+    return false;
+  Loop.runAfter(Policy.RetryDelay, [this, alive = Alive, call] {
+    if (*alive)
+      authorise(call, false, [this](const CallPtr &c) { carryOut(c); });
+  });
+  return true;
+}
+
 void JobService::answerQueueLength(const CallPtr &call) {
   if (View.isComplete())
     finish(call, CallResult::Ok);
@@ -188,19 +239,26 @@
                                      : Policy.MaxTryTimeoutMs);
 }
 
+// A call whose outcome is open is tried for longer: nothing better can be told
+// to its caller. Another entry waits only for a short time for the answer.
+bool JobService::canRetry(const CallPtr &call) {
+  if (isOutOfTime(call))
+    return false;
+  const absl::Duration elapsed = Loop.now() - call->ReceivedAt;
+  if (call->FromOtherEntry)
+    return elapsed < Policy.MaxForwardedRefusedTime;
+  if (mayBeStored(call, CallResult::NotDone))
+    return storeTimeLeft(call) > absl::ZeroDuration();
+  return elapsed < Policy.MaxRefusedTime;
+}
+
 // Handles a failed store call: tries to forward the call, else repeats the
 // store call while there is time. After that the caller learns whether the call
 // may have taken effect.
 void JobService::retryStoreCall(const CallPtr &call, const Continuation &next) {
   if (forward(call))
     return;
-  const absl::Duration retryLimit = call->FromOtherEntry
-                                        ? Policy.MaxForwardedRefusedTime
-                                        : Policy.MaxRefusedTime;
-  const bool canRetry = call->Writes.isOpen()
-                            ? storeTimeLeft(call) > absl::ZeroDuration()
-                            : Loop.now() - call->ReceivedAt < retryLimit;
-  if (isOutOfTime(call) || !canRetry) {
+  if (!canRetry(call)) {
     if (call->Writes.isOpen())
       finish(call, CallResult::Open,
              "the store did not confirm in time; ask again with the same id");
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -150,32 +150,49 @@
 
   static CallPtr newCall(CallRequest request, Done done);
   CallRequest requestOf(const CallPtr &call) const;
-  /// Authorises the call and carries out the step that belongs to its name.
   void serve(const CallPtr &call);
+  /// Begins what the call's name stands for.
+  void carryOut(const CallPtr &call);
   /// Forwards the call unless it came from another entry or was forwarded
   /// before. Returns false if it was not forwarded.
   bool forward(const CallPtr &call);
   void onForwarded(const CallPtr &call, const std::optional<CallAnswer> &answer,
                    bool outcomeUnknown);
+  /// Records what the end of a forwarded call tells of its writes.
+  static void recordForwardedWrites(const CallPtr &call,
+                                    const std::optional<CallAnswer> &answer,
+                                    bool outcomeUnknown);
+  /// Passes on the answer of another entry, unless more is known here.
+  void relay(const CallPtr &call, const CallAnswer &answer);
   /// Records that other entries may carry out the call from now on. Returns
   /// nothing if it does not write.
   std::optional<UnansweredWrites::Id> trackForwardedWrite(const CallPtr &call);
   bool isAnswerUsable(const CallPtr &call, const CallAnswer &answer) const;
   /// Logs the call and sends the answer, unless the call was answered before.
-  /// All answers pass here. A refusal becomes Open while it may be untrue.
+  /// All answers to calls pass here. A refusal becomes Open while it may be
+  /// untrue.
   void deliver(const CallPtr &call, CallAnswer answer);
-  /// Returns whether a refusal of the call may be untrue: a write of it may be
-  /// stored. NotDone also promises that the job never runs, whichever call has
-  /// submitted it.
+  /// Returns whether a refusal of the call may be untrue: a write of it, or of
+  /// an earlier call for the job, may be stored.
   bool mayBeStored(const CallPtr &call, CallResult refusal);
+  /// Returns whether the view shows that the submitted job is stored, so that
+  /// the caller should be told so in place of result.
+  bool isKnownToBeStored(const CallPtr &call, CallResult result) const;
+  /// The record is one that a write of the call may have stored.
+  static bool isWrittenBy(const CallPtr &call, const JobRecord &record);
+  /// The record is of the organisation that submits the call.
+  static bool isOwnJob(const CallPtr &call, const JobRecord &record);
+  /// Serves a call that would be refused once more, after a delay, if the
+  /// refusal may be untrue and there is time. Returns false if not.
+  bool serveAgain(const CallPtr &call, CallResult refusal);
   /// A write of the call is sent, which can only be done while the
   /// configuration has this revision.
   void recordWrite(const CallPtr &call, int64_t configRevision);
   /// From now on the call's job may be stored without this entry's knowledge.
   void recordJobPossiblyStored(const CallPtr &call);
-  /// Has the store show what became of the call's open writes, and then serves
-  /// the call again. Returns false if nothing can be learned that way.
-  bool settleWrites(const CallPtr &call);
+  /// Asks the store what became of the call's open writes, and then serves the
+  /// call again. Returns false if nothing can be learned that way.
+  bool beginSettling(const CallPtr &call);
   /// Learns whether the call's job is stored while the configuration is the one
   /// known here.
   void checkNotStored(const CallPtr &call);
@@ -204,6 +221,8 @@
   /// The store answers, and its watches can be relied on; see MaxViewAge.
   bool isViewFresh() const;
   int64_t retryAfterMs() const;
+  /// There is time to try the call once more.
+  bool canRetry(const CallPtr &call);
   void retryStoreCall(const CallPtr &call, const Continuation &next);
   /// Answers a submit call: checks the job, then stores it or forwards the
   /// call.
--- a/src/libs/jobs/jobservice_access.cpp
+++ b/src/libs/jobs/jobservice_access.cpp
@@ -37,6 +37,7 @@
   call->Config = Config.current();
   call->CheckedConfig = Config.stamp();
   call->ConfigAge = Config.age(Loop.now());
+  call->IsAuthorised = false;
   if (!isConfigUsable(call)) {
     useNewerConfig(call, confirmed, next);
     return;
@@ -47,6 +48,7 @@
   if (queue != nullptr && (queue->Public || owner != nullptr)) {
     call->Queue = *queue;
     call->Organisation = owner != nullptr ? owner->Name : "";
+    call->IsAuthorised = true;
     next(call);
     return;
   }
--- a/src/libs/jobs/jobservice_forwarding.cpp
+++ b/src/libs/jobs/jobservice_forwarding.cpp
@@ -46,14 +46,15 @@
 }
 
 CallRequest JobService::requestOf(const CallPtr &call) const {
-  return {call->Name,
-          call->Access,
-          call->JobId,
-          call->Spec,
-          Config.newestKnownRevision(),
-          Loop.now() - call->OldestConfirmation,
-          call->Writes.openRevision(),
-          call->WritingOrganisation.value_or("")};
+  return {
+      call->Name,
+      call->Access,
+      call->JobId,
+      call->Spec,
+      Config.newestKnownRevision(),
+      Loop.now() - call->OldestConfirmation,
+      call->Writes.openRevision(),
+      {call->WritingOrganisations.begin(), call->WritingOrganisations.end()}};
 }
 
 // Whether another entry's answer may be passed on to the caller. A write that
@@ -69,21 +70,13 @@
 void JobService::onForwarded(const CallPtr &call,
                              const std::optional<CallAnswer> &answer,
                              bool outcomeUnknown) {
-  if (answer && answer->Settled)
-    call->Writes.settle();
-  if (outcomeUnknown && isWrite(call->Name))
-    call->Writes.recordUnansweredForward();
+  recordForwardedWrites(call, answer, outcomeUnknown);
   if (answer)
     Config.handleNewerConfig(answer->DecidedBy,
                              operators::ConfigNewsSource::ForwardedAnswer);
   if (answer && answer->Result != CallResult::NotDone &&
       isAnswerUsable(call, *answer)) {
-    if (isRefusal(answer->Result) && settleWrites(call))
-      return;
-    CallAnswer relayed = withReportedEnd(call, *answer);
-    if (relayed.Detail.empty())
-      relayed.Detail = "served by another entry";
-    deliver(call, std::move(relayed));
+    relay(call, *answer);
     return;
   }
   const bool isUnansweredRead = outcomeUnknown && !isWrite(call->Name);
@@ -92,4 +85,30 @@
                 : "the store is not available here, nor any other entry");
 }
 
+void JobService::recordForwardedWrites(const CallPtr &call,
+                                       const std::optional<CallAnswer> &answer,
+                                       bool outcomeUnknown) {
+  if (answer && answer->Settled)
+    call->Writes.settle();
+  // An open answer holds for earlier calls for the job, too, although the other
+  // entry has settled this one.
+  const bool isLeftOpen = answer && answer->Result == CallResult::Open;
+  if ((outcomeUnknown || isLeftOpen) && isWrite(call->Name))
+    call->Writes.recordUnansweredForward();
+}
+
+void JobService::relay(const CallPtr &call, const CallAnswer &answer) {
+  if (answer.Result != CallResult::Ok &&
+      isKnownToBeStored(call, answer.Result)) {
+    finish(call, CallResult::Ok, "its record is known here");
+    return;
+  }
+  if (isRefusal(answer.Result) && beginSettling(call))
+    return;
+  CallAnswer relayed = withReportedEnd(call, answer);
+  if (relayed.Detail.empty())
+    relayed.Detail = "served by another entry";
+  deliver(call, std::move(relayed));
+}
+
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/jobservice_openwrites.cpp
+++ b/src/libs/jobs/jobservice_openwrites.cpp
@@ -18,13 +18,14 @@
 
 void JobService::recordJobPossiblyStored(const CallPtr &call) {
   if (call->Name == "submit" && !call->OpenJob)
-    call->OpenJob = JobsPossiblyStored.add(call->JobId,
-                                           Loop.now() + Policy.MaxForwardDelay);
+    call->OpenJob = JobsPossiblyStored.add(
+        call->JobId, call->Access.Deadline + Policy.MaxForwardDelay,
+        Loop.now());
 }
 
 // A write that depends on an older configuration than the one known here can be
 // settled: if the job is not stored now, it never will be.
-bool JobService::settleWrites(const CallPtr &call) {
+bool JobService::beginSettling(const CallPtr &call) {
   if (!call->Writes.isOpen() || call->SettlingBegun || isOutOfTime(call) ||
       !call->Writes.canBeSettledBy(Config.stamp().Revision))
     return false;
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -77,7 +77,7 @@
   if (!value.empty()) {
     txn.Puts.push_back({specKey(call->JobId), value, 0});
     recordWrite(call, Config.condition().Revision);
-    call->WritingOrganisation = call->Organisation;
+    call->WritingOrganisations.insert(call->Organisation);
   }
   const absl::Time sentAt = Loop.now();
   StoreClient.Transact(std::move(txn),
@@ -101,13 +101,15 @@
 void JobService::onStoreJobReply(const CallPtr &call,
                                  const StoreReply<StoreTxnReply> &reply,
                                  absl::Time sentAt, const std::string &value) {
-  call->Writes.recordOutcome(reply.Status);
+  if (!value.empty())
+    call->Writes.recordOutcome(reply.Status);
   if (reply.ok() && value.empty()) {
     finish(call, CallResult::NotDone,
            "the operator evacuates all failure domains; nothing was done");
     return;
   }
   if (reply.ok()) {
+    call->Writes.settle();
     const KeyValue item{specKey(call->JobId), value, reply.Value.Revision,
                         reply.Value.Revision, 0};
     publishWrite(item);
@@ -148,10 +150,7 @@
   const std::optional<JobRecord> record = tryDecodeRecord(existing.Value);
   View.applyItem(existing);
   call->Writes.settle();
-  const bool isOwn = !record ||
-                     record->Spec.Organisation == call->Organisation ||
-                     record->Spec.Organisation == call->WritingOrganisation;
-  if (!isOwn) {
+  if (record && !isOwnJob(call, *record)) {
     finish(call, CallResult::IdTaken, "another job has this id");
     return;
   }
--- a/src/libs/jobs/jobservicecall.h
+++ b/src/libs/jobs/jobservicecall.h
@@ -3,6 +3,10 @@
 #include "callwrites.h"
 #include "jobservice.h"
 
+#include <optional>
+#include <set>
+#include <string>
+
 namespace oriolebay::jobs {
 
 /// A caller's call that is being served.
@@ -24,9 +28,12 @@
   absl::Duration ConfigAge = absl::InfiniteDuration();
   core::QueueConfig Queue;
   std::string Organisation;
+  /// Queue and key were found in that configuration.
+  bool IsAuthorised = false;
   CallWrites Writes;
-  /// The organisation whose job the writes store; nothing if there are none.
-  std::optional<std::string> WritingOrganisation;
+  /// The organisations as whose job the writes store it. There are several if
+  /// the key or the queue has changed hands between two writes.
+  std::set<std::string> WritingOrganisations;
   /// The call's entry among the jobs that may be stored, if it has one.
   std::optional<OpenJobs::Id> OpenJob;
   /// The store was asked what became of the open writes.
--- a/src/libs/jobs/openjobs.h
+++ b/src/libs/jobs/openjobs.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace oriolebay::jobs {
 
@@ -16,25 +18,29 @@
 public:
   using Id = int64_t;
 
-  /// Adds a write of the job that may be stored, or may still be done until
-  /// this time, which must not be earlier than that of any write before.
-  Id add(const std::string &job, absl::Time until);
-  /// The outcome of that write is known.
+  /// Adds a call whose writes of the job can be done until this time. Drops the
+  /// calls whose time is over at now.
+  Id add(const std::string &job, absl::Time until, absl::Time now);
+  /// The outcome of that call is known.
   void remove(Id id);
-  /// Returns whether a write of the job may be stored. Drops those that have
-  /// ended by now.
+  /// Returns whether the job may be stored. Drops the calls whose time is over
+  /// at now.
   bool contains(const std::string &job, absl::Time now);
+  /// Number of calls.
+  size_t count() const { return Calls.size(); }
 
 private:
-  struct Write {
+  struct Call {
     std::string Job;
     absl::Time Until;
   };
 
+  void removeEnded(absl::Time now);
+
   Id LastId = 0;
-  /// In the order of their ends.
-  std::map<Id, Write> Writes;
-  std::map<std::string, int> WritesOfJob;
+  std::map<Id, Call> Calls;
+  std::set<std::pair<absl::Time, Id>> Ends;
+  std::map<std::string, int> CallsOfJob;
 };
 
 } // namespace oriolebay::jobs
--- a/tests/auto/cluster/tst_randomrefusals.cpp
+++ b/tests/auto/cluster/tst_randomrefusals.cpp
@@ -21,6 +21,9 @@
 struct SiteCase {
   const char *Name;
   int Entries;
+  /// Some queues are public, keys move between organisations, and some callers
+  /// wait for less than a second.
+  bool IsVaried = false;
 };
 
 void PrintTo(const SiteCase &c, std::ostream *out) { *out << c.Name; }
@@ -44,7 +47,8 @@
 class RefusalDay {
 public:
   RefusalDay(const SiteCase &site, uint64_t seed)
-      : Random(seed), Cluster({site.Entries, 3, 3, seed}),
+      : IsVaried(site.IsVaried), Random(seed),
+        Cluster({site.Entries, 3, 3, seed}),
         Entries(Cluster, site.Entries, Random) {}
 
   /// Returns a description of the first untrue refusal; empty if there is none.
@@ -102,9 +106,21 @@
       if (randomInt(0, 1) == 0)
         queues.push_back(makeQueue(queueOf(n)));
     }
+    if (IsVaried)
+      vary(organisations, queues);
     Cluster.configureSite(std::move(organisations), std::move(queues));
   }
 
+  // A third of the queues is public. Each organisation has one key more, which
+  // may be another one's.
+  void vary(std::vector<core::OrganisationConfig> &organisations,
+            std::vector<core::QueueConfig> &queues) {
+    for (core::QueueConfig &queue : queues)
+      queue.Public = randomInt(0, 2) == 0;
+    for (core::OrganisationConfig &organisation : organisations)
+      organisation.Keys.push_back(keyOf(randomInt(0, KeyCount - 1)));
+  }
+
   void submitNewJob() {
     SubmittedJob job;
     job.Id = "j" + std::to_string(Jobs.size());
@@ -116,6 +132,8 @@
 
   void submitAgain(SubmittedJob &job) {
     const int entry = Entries.pick();
+    if (IsVaried)
+      Cluster.setCallerPatience(absl::Milliseconds(randomInt(400, 3000)));
     core::JobSpec spec = makeJob(job.Id, 1, 1, 100);
     spec.Queue = job.Queue;
     job.Entries.insert({entry, Entries.incarnation(entry)});
@@ -166,6 +184,7 @@
                    call->Answer->Detail + ")";
   }
 
+  const bool IsVaried;
   std::mt19937_64 Random;
   MemoryCluster Cluster;
   DisturbedEntries Entries;
@@ -192,11 +211,13 @@
   EXPECT_GT(withheldCount, 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, RefusalsUnderDisturbance,
-                         testing::Values(SiteCase{"OneEntry", 1},
-                                         SiteCase{"ThreeEntries", 3},
-                                         SiteCase{"ThirteenEntries", 13}),
-                         [](const auto &info) { return info.param.Name; });
+INSTANTIATE_TEST_SUITE_P(
+    Table, RefusalsUnderDisturbance,
+    testing::Values(SiteCase{"OneEntry", 1}, SiteCase{"ThreeEntries", 3},
+                    SiteCase{"ThirteenEntries", 13},
+                    SiteCase{"VariedOneEntry", 1, true},
+                    SiteCase{"VariedThreeEntries", 3, true}),
+    [](const auto &info) { return info.param.Name; });
 
 } // namespace
 } // namespace oriolebay::cluster
--- a/tests/auto/cluster/tst_refusals.cpp
+++ b/tests/auto/cluster/tst_refusals.cpp
@@ -298,8 +298,9 @@
   site.resultOf(call);
   site.cluster().runFor(CallLimit);
   for (const jobs::CallDecision &decision : site.cluster().callDecisions())
-    if (decision.Answer.ServedBy.empty() && decision.WritesUnanswered == 0)
+    if (decision.Answer.ServedBy.empty() && decision.WritesUnanswered == 0) {
       EXPECT_LT(decision.TookMs, SenderWaitMs) << decision.Answer.Detail;
+    }
 }
 
 // Guards against callers who lose their job to caution: a write that is known
@@ -328,6 +329,7 @@
 // for the same job at the same entry may be stored.
 TEST(Refusals, LaterCallForAJobThatMayBeStoredIsNotRefused) {
   RefusingSite site(1);
+  site.storeFaults().WatchesSilent = true;
   auto first = site.submitWithLostAnswer();
   site.storeFaults().Refuses = true;
   EXPECT_EQ(site.resultOf(first), CallResult::Open);
@@ -335,6 +337,16 @@
   EXPECT_EQ(site.resultOf(second), CallResult::Open);
 }
 
+// Guards against a caller who sends its job again for nothing: the entry's view
+// shows that it is stored.
+TEST(Refusals, JobThatTheViewShowsIsAcceptedWithoutTheStore) {
+  RefusingSite site(1);
+  auto first = site.submitWithLostAnswer();
+  site.storeFaults().Refuses = true;
+  EXPECT_EQ(site.resultOf(first), CallResult::Ok);
+  EXPECT_EQ(site.resultOf(site.submit()), CallResult::Ok);
+}
+
 // Guards against a caller who believes that its job runs on: the cancellation
 // is stored, its answer was lost, and the call was refused for another reason.
 TEST(Refusals, StoredCancellationIsNotRefusedForALaterReason) {
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -79,8 +79,17 @@
             4711}),
         Message(JobWritten{"oriolebay/jobs/j/spec", "bytes", 12}),
         Message(StandDown{4}),
-        Message(ForwardedCall{"submit", "h", "/p/j", "key", 1200, "j", "b",
-                              4711, 300, 4700, "org"}),
+        Message(ForwardedCall{"submit",
+                              "h",
+                              "/p/j",
+                              "key",
+                              1200,
+                              "j",
+                              "b",
+                              4711,
+                              300,
+                              4700,
+                              {"org"}}),
         Message(ForwardedAnswer{
             "ok", "", 0, "running", 3, {4711, 12}, "tcp://127.0.0.1:5", true})),
     caseName);
@@ -158,8 +167,8 @@
   ForwardedCall call{"submit", "h", "/p/j", "key", 1200, "j", "b", 4711, 300};
   const ForwardedCall expectedCall = call;
   call.OpenRevision = 4700;
-  call.OpenOrganisation = "org";
-  EXPECT_EQ(decodeWithout(call, {"OpenRevision", "OpenOrganisation"}),
+  call.OpenOrganisations = {"org"};
+  EXPECT_EQ(decodeWithout(call, {"OpenRevision", "OpenOrganisations"}),
             Message(expectedCall));
   ForwardedAnswer answer{"bad_key", "", 0, "queued", 0, {4711, 12}, "tcp://e"};
   const ForwardedAnswer expectedAnswer = answer;
--- a/tests/auto/jobs/tst_callwrites.cpp
+++ b/tests/auto/jobs/tst_callwrites.cpp
@@ -109,12 +109,12 @@
 
 // Guards against a later call that is told that its job never runs, while the
 // write of an earlier one may be stored.
-TEST(OpenJobs, AreKnownUntilTheLastWriteIsSettledOrHasEnded) {
+TEST(OpenJobs, AreKnownUntilTheLastCallIsSettledOrItsTimeIsOver) {
   const absl::Time now = absl::FromUnixSeconds(100);
   OpenJobs jobs;
-  const OpenJobs::Id first = jobs.add("a", now + absl::Seconds(1));
-  jobs.add("a", now + absl::Seconds(2));
-  jobs.add("b", now + absl::Seconds(3));
+  const OpenJobs::Id first = jobs.add("a", now + absl::Seconds(4), now);
+  jobs.add("a", now + absl::Seconds(2), now);
+  jobs.add("b", now + absl::Seconds(3), now);
   jobs.remove(first);
   EXPECT_TRUE(jobs.contains("a", now));
   EXPECT_FALSE(jobs.contains("c", now));
@@ -124,5 +124,16 @@
   EXPECT_TRUE(jobs.contains("b", now + absl::Seconds(2)));
 }
 
+// Guards against memory that grows with each call at an entry that refuses
+// nothing.
+TEST(OpenJobs, AreDroppedWhenTheirTimeIsOverThoughNobodyAsks) {
+  const absl::Time now = absl::FromUnixSeconds(100);
+  OpenJobs jobs;
+  for (int n = 0; n < 100; ++n)
+    jobs.add(std::to_string(n), now + absl::Seconds(n + 1),
+             now + absl::Seconds(n));
+  EXPECT_EQ(jobs.count(), 1U);
+}
+
 } // namespace
 } // namespace oriolebay::jobs
