An answer that ends within its head is no answer

Callers saw, in a storm of faults on the real programs: 50 accepted jobs stay queued for two minutes and none runs.

Cause: libcurl reports an answer whose connection ends within the head as complete, with its status and an empty body. The store's adapter took the missing revision for zero, so that an entry led with epoch 0, and a missing lease for lease 0, so that it never campaigned.

Change: both clients look for the end of the head (AnswerHead). Without it the outcome is unknown, as after any lost answer.

--- a/src/libs/http/asyncclient.cpp
+++ b/src/libs/http/asyncclient.cpp
@@ -1,5 +1,6 @@
 #include "asyncclient.h"
 
+#include "answerhead.h"
 #include "requestcopies.h"
 
 #include <curl/curl.h>
@@ -37,6 +38,7 @@
   HttpCall Call;
   AsyncClient::Done Done;
   std::string Host;
+  AnswerHead Head;
   std::string Reply;
   curl_slist *Headers = nullptr;
   CURL *Handle = nullptr;
@@ -69,8 +71,10 @@
   return size * n;
 }
 
-size_t onReplyHeader(char * /*data*/, size_t size, size_t n, void *out) {
-  noteArrival(*static_cast<Transfer *>(out));
+size_t onReplyHeader(char *data, size_t size, size_t n, void *out) {
+  auto &transfer = *static_cast<Transfer *>(out);
+  noteArrival(transfer);
+  transfer.Head.addLine({data, size * n});
   return size * n;
 }
 
@@ -169,7 +173,7 @@
   std::unique_ptr<Transfer> t = std::move(it->second);
   RunningTransfers.erase(it);
   HttpResult result;
-  if (ec == CURLE_OK) {
+  if (ec == CURLE_OK && t->Head.isComplete()) {
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     result.Status = static_cast<int>(status);
@@ -180,7 +184,8 @@
     long osError = 0;
     curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &osError);
     result.Refused = ec == CURLE_COULDNT_CONNECT && osError == ECONNREFUSED;
-    result.Error = t->Copies.errorText(ec);
+    result.Error =
+        ec == CURLE_OK ? AnswerHead::CutOffText : t->Copies.errorText(ec);
     if (ec == CURLE_OPERATION_TIMEDOUT)
       HostsNeedingNewConnection.insert(t->Host);
   }
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "httpclient.h"
 
+#include "answerhead.h"
 #include "requestcopies.h"
 
 #include <curl/curl.h>
@@ -16,6 +17,11 @@
   static_cast<std::string *>(out)->append(data, size * n);
   return size * n;
 }
+
+size_t addHeadLine(char *data, size_t size, size_t n, void *out) {
+  static_cast<AnswerHead *>(out)->addLine({data, size * n});
+  return size * n;
+}
 } // namespace
 
 HttpClient::HttpClient(long timeoutMs) : D(std::make_unique<Impl>()) {
@@ -42,6 +48,9 @@
                    timeoutMs > 0 ? timeoutMs : D->TimeoutMs);
   curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &appendBody);
   curl_easy_setopt(h, CURLOPT_WRITEDATA, &result.Body);
+  AnswerHead head;
+  curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, &addHeadLine);
+  curl_easy_setopt(h, CURLOPT_HEADERDATA, &head);
   curl_slist *headers =
       curl_slist_append(nullptr, "Content-Type: application/json");
   // Disables "100 Continue", for which curl would wait up to a second with
@@ -56,13 +65,14 @@
                                        : RequestCopies::Limit::One);
   copies.observe(h);
   CURLcode ec = curl_easy_perform(h);
-  if (ec == CURLE_OK) {
+  if (ec == CURLE_OK && head.isComplete()) {
     long status = 0;
     curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
     result.Status = static_cast<int>(status);
     result.Repeated = copies.sent() > 1;
   } else {
-    result.Error = copies.errorText(ec);
+    result.Error =
+        ec == CURLE_OK ? AnswerHead::CutOffText : copies.errorText(ec);
     result.Sent = copies.sent() > 0;
     result.Body.clear();
   }
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -23,6 +23,8 @@
   bool Repeated = false;
 
   bool hasAnswer() const { return Status != 0; }
+  /// The peer has refused the request as one that it cannot carry out (4xx).
+  bool isClientError() const { return Status >= 400 && Status < 500; }
 };
 
 /// A blocking HTTP client based on libcurl that keeps one connection alive. It
--- a/tests/auto/closingpeer.h
+++ b/tests/auto/closingpeer.h
@@ -28,6 +28,7 @@
   AfterHalfOfRequest,
   AfterRequest,
   InStatusLine,
+  InHeadOfAnswer,
   InBodyOfAnswer,
 };
 
@@ -191,6 +192,8 @@
     }
     if (Moment == CloseMoment::InStatusLine)
       sendText(c, text.substr(0, 6));
+    if (Moment == CloseMoment::InHeadOfAnswer)
+      sendText(c, text.substr(0, text.find("Content-Length")));
     if (Moment == CloseMoment::InBodyOfAnswer)
       sendText(c, text.substr(0, text.size() - 1));
     end(c);
--- a/tests/auto/http/tst_asyncclient.cpp
+++ b/tests/auto/http/tst_asyncclient.cpp
@@ -83,6 +83,8 @@
     {"request_and_nothing_listens", true, CloseMoment::AfterRequest,
      std::nullopt, 1, 0},
     {"status_line", true, CloseMoment::InStatusLine, PeerAnswer{200}, 2, 200},
+    {"head_of_answer", true, CloseMoment::InHeadOfAnswer, PeerAnswer{200}, 0,
+     0},
     {"body_of_answer", true, CloseMoment::InBodyOfAnswer, PeerAnswer{200}, 0,
      0},
     {"at_most_once_idle", false, CloseMoment::WhileIdle, PeerAnswer{503}, 0,
--- a/tests/auto/http/tst_httpclient.cpp
+++ b/tests/auto/http/tst_httpclient.cpp
@@ -57,6 +57,8 @@
      0, 1},
     {"post_status_line", "POST", CloseMoment::InStatusLine, PeerAnswer{200}, 0,
      1},
+    {"post_head", "POST", CloseMoment::InHeadOfAnswer, PeerAnswer{200}, 0, 1},
+    {"get_head", "GET", CloseMoment::InHeadOfAnswer, PeerAnswer{200}, 0, 1},
     {"post_answer", "POST", CloseMoment::InBodyOfAnswer, PeerAnswer{200}, 0, 1},
     {"put_read", "PUT", CloseMoment::AfterRequest, PeerAnswer{200}, 0, 1},
     {"delete_read", "DELETE", CloseMoment::AfterRequest, PeerAnswer{200}, 0, 1},
