Only a status 4xx or 503 says that nothing was done

By reading, in the review of the change: the adapters took each status below 500 that has no meaning on the platform's pages, 202 or 302 too, for a refusal. A call that was answered so may be carried out. It is unknown now, at the store and at workers.

Tests: rows accepted and moved of StoreAnswers, moved of StartAnswers, red before.

--- a/tests/auto/adapter/tst_storeadapter.cpp
+++ b/tests/auto/adapter/tst_storeadapter.cpp
@@ -46,6 +46,8 @@
     {"too_many_calls", http::HttpResponse{429, "{}"}, StoreStatus::Refused},
     {"unavailable", http::HttpResponse{503, "{}"}, StoreStatus::Refused},
     {"bad_request", http::HttpResponse{400, "{}"}, StoreStatus::Refused},
+    {"accepted", http::HttpResponse{202, "{}"}, StoreStatus::Unknown},
+    {"moved", http::HttpResponse{302, "{}"}, StoreStatus::Unknown},
     {"server_error", http::HttpResponse{500, "{}"}, StoreStatus::Unknown},
     {"bad_gateway", http::HttpResponse{502, "{}"}, StoreStatus::Unknown},
     {"no_json", http::HttpResponse{200, "<html>"}, StoreStatus::Unknown},
--- a/tests/auto/adapter/tst_workeradapter.cpp
+++ b/tests/auto/adapter/tst_workeradapter.cpp
@@ -71,6 +71,7 @@
     {"other_incarnation", http::HttpResponse{421, "{}"},
      CallStatus::OtherIncarnation},
     {"busy", http::HttpResponse{503, "{}"}, CallStatus::Busy},
+    {"moved", http::HttpResponse{302, "{}"}, CallStatus::NoAnswer},
     {"server_error", http::HttpResponse{500, "{}"}, CallStatus::NoAnswer},
     {"no_json", http::HttpResponse{200, "<html>"}, CallStatus::Ok},
     {"clock_of_wrong_type", http::HttpResponse{200, R"({"clockMs":"x"})"},
