Job view: a record's creation tells a new job from a changed one

By reading, in the review of the change: a record that is read under a known id counted as that of a new job unless it was cancelled. A new job that was cancelled before the view saw it kept the end of the earlier one, and a record that somebody rewrites by hand would have dropped a running job. Where the store tells when a record was created, that decides; another entry's message does not tell it.

--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -68,18 +68,33 @@
     Ended(jobId);
 }
 
-// A record is only changed by a cancellation. Any other record under a known id
-// is that of a new job, and the removal of the earlier one was not seen.
+namespace {
+
+/// Returns whether the item with this record is that of another job than the
+/// one known under its id, whose removal was not seen. A record is only changed
+/// by a cancellation. The time of its creation is not known if it was sent by
+/// another entry.
+bool isNewJob(const StoredJob &known, const JobRecord &record,
+              const platform::KeyValue &item) {
+  if (known.RecordRevision == 0)
+    return false;
+  if (item.CreateRevision > 0)
+    return item.CreateRevision > known.RecordRevision;
+  return !record.Cancelled;
+}
+
+} // namespace
+
 void JobView::applyRecord(const std::string &jobId, JobRecord record,
-                          int64_t revision) {
+                          const platform::KeyValue &item) {
   StoredJob &job = Jobs[jobId];
-  if (job.RecordRevision > 0 && !record.Cancelled) {
+  if (isNewJob(job, record, item)) {
     Removed(jobId);
-    if (job.ProgressRevision < revision)
+    if (job.ProgressRevision < item.ModRevision)
       job = {};
   }
   job.Record = std::move(record);
-  job.RecordRevision = revision;
+  job.RecordRevision = item.ModRevision;
   RecordChanged(job);
 }
 
@@ -102,7 +117,7 @@
         }
         BOOST_LEAF_AUTO(decoded, decodeRecord(event.Item.Value));
         BOOST_LEAF_CHECK(checkRecord(decoded, id));
-        applyRecord(id, std::move(decoded), event.Item.ModRevision);
+        applyRecord(id, std::move(decoded), event.Item);
         return true;
       },
       [&](const utils::Error &e) {
--- a/src/libs/jobs/jobview.h
+++ b/src/libs/jobs/jobview.h
@@ -69,7 +69,7 @@
 private:
   void onChange(const platform::StoreEvent &event);
   void applyRecord(const std::string &jobId, JobRecord record,
-                   int64_t revision);
+                   const platform::KeyValue &item);
   void applyProgress(const std::string &jobId, JobProgress progress,
                      int64_t revision);
 
