One ended job that cannot be removed does not hold up the others

A job whose progress was removed, or cannot be decoded, made each transaction fail that it was part of, and it was part of each, so that the store would fill. Such a job is left out from then on.

Test: ExpiredJobs.AreRemovedBesideOneWithoutProgress.

--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -298,9 +298,9 @@
     ReportRecordRead(*spec);
 }
 
-void LeaderSession::adoptProgress(const std::string &jobId,
+bool LeaderSession::adoptProgress(const std::string &jobId,
                                   const KeyValue &progress) {
-  utils::handle<bool>(
+  return utils::handle<bool>(
       [&]() -> utils::Result<bool> {
         BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress.Value));
         Scheduler.onWritten(jobId, read.Version, progress.ModRevision,
@@ -320,6 +320,9 @@
   if (RemovalPending)
     return;
   std::vector<jobs::ExpiredJob> expired = Scheduler.takeExpiredJobs(Loop.now());
+  std::erase_if(expired, [this](const jobs::ExpiredJob &job) {
+    return UnremovableJobs.count(job.JobId) > 0;
+  });
   if (expired.empty())
     return;
   expired.resize(std::min(expired.size(), RemovalsPerTxn));
@@ -366,13 +369,16 @@
   const KeyValue *spec = findItem(current, jobs::specKey(expired.JobId));
   const KeyValue *progress =
       findItem(current, jobs::progressKey(expired.JobId));
+  const int64_t progressRevision =
+      progress == nullptr ? 0 : progress->ModRevision;
   if (spec == nullptr)
     Scheduler.onRecordRemoved(expired.JobId);
   else if (spec->ModRevision != expired.RecordRevision)
     ReportRecordRead(*spec);
-  else if (progress != nullptr &&
-           progress->ModRevision != expired.ProgressRevision)
-    adoptProgress(expired.JobId, *progress);
+  else if (progressRevision == expired.ProgressRevision)
+    return;
+  else if (progress == nullptr || !adoptProgress(expired.JobId, *progress))
+    UnremovableJobs.insert(expired.JobId);
 }
 
 } // namespace oriolebay::entry
--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -117,8 +118,8 @@
                        const std::vector<platform::KeyValue> &current);
   /// Takes over the progress of a job that is at another revision than this
   /// leader expected: its earlier write took effect although the answer was
-  /// lost.
-  void adoptProgress(const std::string &jobId,
+  /// lost. Returns false if it cannot be decoded.
+  bool adoptProgress(const std::string &jobId,
                      const platform::KeyValue &progress);
   void removeExpiredJobs();
   void
@@ -155,6 +156,9 @@
   bool PassPosted = false;
   DecisionPacer Pacer{Options.DecisionRestFactor};
   bool RemovalPending = false;
+  /// Ended jobs whose progress was removed or replaced by somebody else. They
+  /// would hold up the removal of the others.
+  std::set<std::string> UnremovableJobs;
   /// After a failed write no other is attempted before this time.
   absl::Time WritesPausedUntil = absl::InfinitePast();
 };
--- a/tests/auto/cluster/tst_expiredjobs.cpp
+++ b/tests/auto/cluster/tst_expiredjobs.cpp
@@ -107,6 +107,20 @@
   EXPECT_EQ(site.cluster().starts(), startsBefore + 1);
 }
 
+// Guards against ended jobs that fill the store, because the progress of one of
+// them was removed by somebody else and their removal is refused with it.
+TEST(ExpiredJobs, AreRemovedBesideOneWithoutProgress) {
+  constexpr const char *OtherJob = "other";
+  SiteWithEndedJob site(1);
+  MemoryCluster &cluster = site.cluster();
+  cluster.submit(cluster.leader(), Key, makeJob(OtherJob, 1, 1, FirstWorkMs));
+  cluster.runFor(absl::Milliseconds(100));
+  cluster.store().erase(jobs::progressKey(JobId));
+  cluster.runFor(StoredTime + RemovalLimit);
+  EXPECT_TRUE(site.isStored());
+  EXPECT_FALSE(cluster.storedState(OtherJob).has_value());
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ExpiredJob, testing::Range(1, 6),
                          testing::PrintToStringParamName());
 
