A call is not kept waiting by its own settled writes

Callers saw: 1.2 s instead of some milliseconds until a 503, where no entry can serve. The call that was forwarded, or written and refused, counted itself among the calls that may have stored its job.

A call whose writes are settled leaves OpenJobs before it is asked. A call that may have written itself is answered at once, as before (IsolatedEntryRefusesAtOnce).

--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -125,8 +125,7 @@
     return;
   call->Finished = true;
   answer.Settled = !call->Writes.isOpen();
-  if (answer.Settled && call->OpenJob)
-    JobsPossiblyStored.remove(*call->OpenJob);
+  forgetIfSettled(call);
   std::optional<CallResult> withheld;
   if (isRefusal(answer.Result) && mayBeStored(call, answer.Result)) {
     withheld = answer.Result;
@@ -148,6 +147,7 @@
 // NotDone promises that the job never runs, and UnknownJob that there is
 // nothing to cancel, whichever call has submitted the job.
 bool JobService::mayBeStored(const CallPtr &call, CallResult refusal) {
+  forgetIfSettled(call);
   if (call->Writes.isOpen())
     return true;
   if (call->Name == "submit" && refusal == CallResult::NotDone)
@@ -179,13 +179,16 @@
                            : isOwnJob(call, job->Record);
 }
 
-// An earlier call has left the outcome open, and so would this one. A caller
-// that is told so at once asks again at once, and uses up its tries. A call
-// that has sent a write itself is answered, as another entry may be able to
-// tell.
-bool JobService::serveAgain(const CallPtr &call, CallResult refusal) {
-  if (refusal != CallResult::NotDone || call->FromOtherEntry ||
-      call->Writes.isOpen() || !mayBeStored(call, refusal) || !canRetry(call))
+// An earlier call has left the outcome open, here or at another entry, and so
+// would this one. A caller that is told so at once asks again at once, and uses
+// up its tries. A call that may itself have written is answered: another entry
+// may be able to tell what became of it.
+bool JobService::serveAgain(const CallPtr &call, CallResult result) {
+  if (result == CallResult::NotDone && !call->Writes.isOpen() &&
+      mayBeStored(call, result))
+    call->AwaitsEarlierCall = true;
+  if (!call->AwaitsEarlierCall || call->FromOtherEntry ||
+      call->Writes.sentCount() > 0 || !canRetry(call))
     return false;
   Loop.runAfter(Policy.RetryDelay, [this, alive = Alive, call] {
     if (*alive)
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -182,14 +182,16 @@
   static bool isWrittenBy(const CallPtr &call, const JobRecord &record);
   /// The record is of the organisation that submits the call.
   static bool isOwnJob(const CallPtr &call, const JobRecord &record);
-  /// Serves a call that would be refused once more, after a delay, if the
-  /// refusal may be untrue and there is time. Returns false if not.
-  bool serveAgain(const CallPtr &call, CallResult refusal);
+  /// Serves a call that would end with result once more, after a delay, if its
+  /// outcome is open and there is time. Returns false if not.
+  bool serveAgain(const CallPtr &call, CallResult result);
   /// A write of the call is sent, which can only be done while the
   /// configuration has this revision.
   void recordWrite(const CallPtr &call, int64_t configRevision);
   /// From now on the call's job may be stored without this entry's knowledge.
   void recordJobPossiblyStored(const CallPtr &call);
+  /// Once no write of the call is open, later calls need not know of it.
+  void forgetIfSettled(const CallPtr &call);
   /// Asks the store what became of the call's open writes, and then serves the
   /// call again. Returns false if nothing can be learned that way.
   bool beginSettling(const CallPtr &call);
--- a/src/libs/jobs/jobservice_forwarding.cpp
+++ b/src/libs/jobs/jobservice_forwarding.cpp
@@ -105,6 +105,12 @@
   }
   if (isRefusal(answer.Result) && beginSettling(call))
     return;
+  // The other entry has settled this call, but not an earlier one.
+  if (answer.Result == CallResult::Open && answer.Settled) {
+    call->AwaitsEarlierCall = true;
+    if (serveAgain(call, answer.Result))
+      return;
+  }
   CallAnswer relayed = withReportedEnd(call, answer);
   if (relayed.Detail.empty())
     relayed.Detail = "served by another entry";
--- a/src/libs/jobs/jobservice_openwrites.cpp
+++ b/src/libs/jobs/jobservice_openwrites.cpp
@@ -23,6 +23,13 @@
         Loop.now());
 }
 
+void JobService::forgetIfSettled(const CallPtr &call) {
+  if (call->Writes.isOpen() || !call->OpenJob)
+    return;
+  JobsPossiblyStored.remove(*call->OpenJob);
+  call->OpenJob.reset();
+}
+
 // A write that depends on an older configuration than the one known here can be
 // settled: if the job is not stored now, it never will be.
 bool JobService::beginSettling(const CallPtr &call) {
--- a/src/libs/jobs/jobservicecall.h
+++ b/src/libs/jobs/jobservicecall.h
@@ -36,6 +36,9 @@
   std::set<std::string> WritingOrganisations;
   /// The call's entry among the jobs that may be stored, if it has one.
   std::optional<OpenJobs::Id> OpenJob;
+  /// An earlier call for the job, whose outcome is open, keeps this one from
+  /// being refused.
+  bool AwaitsEarlierCall = false;
   /// The store was asked what became of the open writes.
   bool SettlingBegun = false;
   /// The call was forwarded by another entry, or to one.
