Log of a call: whether a newer configuration was known, and what decided the job's record

call.answered names the configuration that the call was checked against at the entry that answers.

No decision changes: the line is built in a function of its own, decisionOf().

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -106,8 +106,12 @@
                            {"config_age_ms", d.ConfigAgeMs},
                            {"result", jobs::callResultName(d.Answer.Result)},
                            {"took_ms", d.TookMs}};
+  if (d.ConfigOutdated)
+    fields["config_outdated"] = true;
   if (!d.Job.empty())
     fields["job"] = d.Job;
+  if (d.RecordConfigVersion > 0)
+    fields["record_config_version"] = d.RecordConfigVersion;
   if (!d.Asked.empty()) {
     fields["asked"] = d.Asked;
     fields["priority"] = d.Priority;
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -77,6 +77,11 @@
   /// age at that time.
   int64_t ConfigVersion = 0;
   int64_t ConfigAgeMs = 0;
+  /// A newer configuration was known to exist when the call was answered.
+  bool ConfigOutdated = false;
+  /// The version of the configuration that decided the record of the call's
+  /// job, as it is known here; zero if it is not known.
+  int64_t RecordConfigVersion = 0;
   /// Number of writes that this entry sent to the store for the call, and of
   /// those that got no answer.
   int WritesSent = 0;
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -134,16 +134,34 @@
         "a write may be stored; ask again with the same id: " + answer.Detail;
     answer.RetryAfterMs = retryAfterMs();
   }
-  ReportDecision({call->Name, call->JobId, call->Queue.Name,
-                  call->Queue.Priority, call->Organisation,
-                  call->Name == "submit" ? core::summary(call->Spec) : "",
-                  call->CheckedConfig.Version, loggedAgeMs(call->ConfigAge),
-                  call->Writes.sentCount(), call->Writes.unansweredCount(),
-                  withheld, answer,
-                  absl::ToInt64Milliseconds(Loop.now() - call->ReceivedAt)});
+  ReportDecision(decisionOf(call, withheld, answer));
   call->Answer(std::move(answer));
 }
 
+CallDecision JobService::decisionOf(const CallPtr &call,
+                                    std::optional<CallResult> withheld,
+                                    const CallAnswer &answer) const {
+  CallDecision decision;
+  decision.Call = call->Name;
+  decision.Job = call->JobId;
+  decision.Queue = call->Queue.Name;
+  decision.Priority = call->Queue.Priority;
+  decision.Organisation = call->Organisation;
+  if (call->Name == "submit")
+    decision.Asked = core::summary(call->Spec);
+  decision.ConfigVersion = call->CheckedConfig.Version;
+  decision.ConfigAgeMs = loggedAgeMs(call->ConfigAge);
+  decision.ConfigOutdated = Config.isOutdated();
+  if (const StoredJob *job = View.find(call->JobId))
+    decision.RecordConfigVersion = job->Record.DecidedBy.Version;
+  decision.WritesSent = call->Writes.sentCount();
+  decision.WritesUnanswered = call->Writes.unansweredCount();
+  decision.WithheldRefusal = withheld;
+  decision.Answer = answer;
+  decision.TookMs = absl::ToInt64Milliseconds(Loop.now() - call->ReceivedAt);
+  return decision;
+}
+
 // NotDone promises that the job never runs, and UnknownJob that there is
 // nothing to cancel, whichever call has submitted the job.
 bool JobService::mayBeStored(const CallPtr &call, CallResult refusal) {
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -172,6 +172,10 @@
   /// All answers to calls pass here. A refusal becomes Open while it may be
   /// untrue.
   void deliver(const CallPtr &call, CallAnswer answer);
+  /// Returns what the log tells of the call and its answer.
+  CallDecision decisionOf(const CallPtr &call,
+                          std::optional<CallResult> withheld,
+                          const CallAnswer &answer) const;
   /// Returns whether a refusal of the call may be untrue: a write of it, or of
   /// an earlier call for the job, may be stored.
   bool mayBeStored(const CallPtr &call, CallResult refusal);
