--- a/tests/auto/cluster/tst_confignews.cpp
+++ b/tests/auto/cluster/tst_confignews.cpp
@@ -62,6 +62,9 @@
                                                     const std::string &key) {
     return Cluster.cancel(entry, key, JobId);
   }
+  std::shared_ptr<MemoryCluster::CallerCall> state(int entry) {
+    return Cluster.state(entry, LastingKey, JobId);
+  }
   /// Returns false if no task starts.
   bool runUntilStarted() {
     return runUntil([this] { return HasStarted; });
@@ -194,7 +197,91 @@
   EXPECT_NE(Site.countWithRemovedKey(isolated), CallResult::Ok);
 }
 
+/// A job or its cancellation that one entry has accepted by a newer
+/// configuration, and a caller who is told of it by an entry without the store.
+/// That entry asks the leader, which has not heard of the change either.
+class ConfigNewsOfAnswers : public ConfigNews {
+protected:
+  ConfigNewsOfAnswers()
+      : Leader(Site.cluster().leader()), Isolated((Leader + 1) % Entries),
+        Newer((Leader + 2) % Entries) {}
+
+  /// The configuration changes, and neither the leader nor the isolated entry
+  /// hears of it. From then on the store refuses the latter's calls.
+  void runToChangeBehindOthers() {
+    Site.storeFaults(Leader).WatchesSilent = true;
+    Site.storeFaults(Isolated).WatchesSilent = true;
+    runToChange();
+    Site.storeFaults(Isolated).Refuses = true;
+  }
+  /// The leader does not hear of what the newer entry writes.
+  void separateLeaderFromNewer() {
+    Site.cluster().partitionPair(MemoryCluster::entryName(Leader),
+                                 MemoryCluster::entryName(Newer));
+  }
+  void expectNoOlderConfigAtIsolated() {
+    Site.cluster().runFor(SeenAfter);
+    EXPECT_NE(Site.countWithRemovedKey(Isolated), CallResult::Ok);
+  }
+
+  const int Leader;
+  const int Isolated;
+  const int Newer;
+};
+
+// Guards against an answer that names the configuration by which a submitted
+// job was checked, though the store has shown a newer one beside the stored
+// job.
+TEST_P(ConfigNewsOfAnswers, EntryToldOfAJobThatTheStoreHasUsesNoOlderConfig) {
+  separateLeaderFromNewer();
+  runToChangeBehindOthers();
+  ASSERT_EQ(Site.resultOf(Site.submit(Newer, LastingQueue)), CallResult::Ok);
+  ASSERT_EQ(Site.resultOf(Site.submit(Isolated, LastingQueue)), CallResult::Ok);
+  ASSERT_TRUE(Site.runUntilStarted());
+  expectNoOlderConfigAtIsolated();
+}
+
+// Guards against an answer that rests on a known record of a job, and names an
+// older configuration than the one that decided the record.
+TEST_P(ConfigNewsOfAnswers, EntryToldOfAKnownRecordUsesNoOlderConfig) {
+  runToChangeBehindOthers();
+  Site.storeFaults(Isolated).Refuses = false;
+  Site.storeFaults(Isolated).Silent = true;
+  Site.storeFaults(Leader).LostAnswerShare = 1;
+  ASSERT_EQ(Site.resultOf(Site.submit(Newer, LastingQueue)), CallResult::Ok);
+  ASSERT_EQ(Site.resultOf(Site.submit(Isolated, LastingQueue)), CallResult::Ok);
+  Site.storeFaults(Leader).LostAnswerShare = 0;
+  ASSERT_TRUE(Site.runUntilStarted());
+  expectNoOlderConfigAtIsolated();
+}
+
+// Guards against an answer that confirms a cancellation which a newer
+// configuration allowed, and names the one by which the call was checked.
+TEST_P(ConfigNewsOfAnswers, EntryToldOfACancellationUsesNoOlderConfig) {
+  Site.submit(Newer, LastingQueue);
+  ASSERT_TRUE(Site.runUntilStarted());
+  separateLeaderFromNewer();
+  runToChangeBehindOthers();
+  ASSERT_EQ(Site.resultOf(Site.cancel(Newer, AddedKey)), CallResult::Ok);
+  ASSERT_EQ(Site.resultOf(Site.cancel(Isolated, LastingKey)), CallResult::Ok);
+  ASSERT_TRUE(Site.runUntilCancelled());
+  expectNoOlderConfigAtIsolated();
+}
+
+// Guards against an answer that shows the state of a job which a newer
+// configuration accepted, and names the one by which the call was checked.
+TEST_P(ConfigNewsOfAnswers, EntryToldOfAJobsStateUsesNoOlderConfig) {
+  separateLeaderFromNewer();
+  runToChangeBehindOthers();
+  ASSERT_EQ(Site.resultOf(Site.submit(Newer, LastingQueue)), CallResult::Ok);
+  ASSERT_EQ(Site.resultOf(Site.state(Isolated)), CallResult::Ok);
+  ASSERT_TRUE(Site.runUntilStarted());
+  expectNoOlderConfigAtIsolated();
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, ConfigNews, testing::Range(0, 600, 40));
+INSTANTIATE_TEST_SUITE_P(Table, ConfigNewsOfAnswers,
+                         testing::Range(0, 600, 40));
 
 } // namespace
 } // namespace oriolebay::cluster
