An answer between entries tells the newest configuration that its sender knows of

What callers saw: an entry confirmed a job, a cancellation or a state that a third entry had accepted by a newer configuration, a worker saw its effect, and a quarter of a second later the same entry let in a key that the newer configuration had taken away.

Cause: a call that an entry forwards tells the newest configuration known to its sender, but the answer told only the one by which the call was checked. The answering entry may learn of a newer one while it serves the call: from the store beside a stored job, or from the job's record. It then raised its own bound, and the entry that had asked and tells its caller did not.

The change: ForwardedAnswer carries NewestKnown, as ForwardedCall carries OldestRevision, and the receiver takes the newer of both stamps before it tells its caller. Whatever a sender has read, it knew when it answered, so that no content of an answer has to be looked at. Whether an answer may be passed on is decided by what was known before it.

--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -197,10 +197,15 @@
 }
 
 static void to_json(json &j, const ForwardedAnswer &a) {
-  j = {{"Result", a.Result},   {"Detail", a.Detail},
-       {"State", a.State},     {"RetryAfterMs", a.RetryAfterMs},
-       {"Waiting", a.Waiting}, {"DecidedBy", a.DecidedBy},
-       {"Entry", a.Entry},     {"Settled", a.Settled}};
+  j = {{"Result", a.Result},
+       {"Detail", a.Detail},
+       {"State", a.State},
+       {"RetryAfterMs", a.RetryAfterMs},
+       {"Waiting", a.Waiting},
+       {"DecidedBy", a.DecidedBy},
+       {"Entry", a.Entry},
+       {"Settled", a.Settled},
+       {"NewestKnown", a.NewestKnown}};
 }
 
 static void from_json(const json &j, ForwardedAnswer &a) {
@@ -212,6 +217,7 @@
   j.at("DecidedBy").get_to(a.DecidedBy);
   j.at("Entry").get_to(a.Entry);
   a.Settled = j.value("Settled", ForwardedAnswer().Settled);
+  a.NewestKnown = j.value("NewestKnown", ForwardedAnswer().NewestKnown);
 }
 
 const char *runEndName(RunEnd end) {
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -431,6 +431,10 @@
   /// telling of it, those that the call named included. Not set by entries of
   /// earlier versions.
   bool Settled = false;
+  /// The newest configuration that the sender knew to exist when it answered.
+  /// What it tells may come from that one. Not set by entries of earlier
+  /// versions.
+  core::ConfigStamp NewestKnown = {};
   auto operator<=>(const ForwardedAnswer &) const = default;
 };
 
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -55,6 +55,9 @@
   bool Settled = false;
   /// The configuration that the answer is based on; zeros if there was none.
   core::ConfigStamp DecidedBy;
+  /// The newest configuration that the answering entry knew to exist. What it
+  /// has read for the answer may come from that one.
+  core::ConfigStamp NewestKnown;
   /// The address of the entry that answered, if it was another one.
   std::string ServedBy;
 };
--- a/src/libs/jobs/callcodec.cpp
+++ b/src/libs/jobs/callcodec.cpp
@@ -74,7 +74,8 @@
           answer.Waiting,
           answer.DecidedBy,
           answer.ServedBy,
-          answer.Settled};
+          answer.Settled,
+          answer.NewestKnown};
 }
 
 CallAnswer toAnswer(const endpoints::ForwardedAnswer &m) {
@@ -86,6 +87,7 @@
   answer.DecidedBy = m.DecidedBy;
   answer.ServedBy = m.Entry;
   answer.Settled = m.Settled;
+  answer.NewestKnown = m.NewestKnown;
   const auto *result = findByName(Results, m.Result, callResultName);
   const auto *state = findByName(States, m.State, jobStateName);
   if (result == Results.end() || state == States.end())
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -125,6 +125,7 @@
     return;
   call->Finished = true;
   answer.Settled = !call->Writes.isOpen();
+  answer.NewestKnown = Config.newestKnown();
   forgetIfSettled(call);
   std::optional<CallResult> withheld;
   if (isRefusal(answer.Result) && mayBeStored(call, answer.Result)) {
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -158,6 +158,8 @@
   bool forward(const CallPtr &call);
   void onForwarded(const CallPtr &call, const std::optional<CallAnswer> &answer,
                    bool outcomeUnknown);
+  /// Another entry's answer tells of newer configurations.
+  void learnConfigsFrom(const CallAnswer &answer);
   /// Records what the end of a forwarded call tells of its writes.
   static void recordForwardedWrites(const CallPtr &call,
                                     const std::optional<CallAnswer> &answer,
--- a/src/libs/jobs/jobservice_forwarding.cpp
+++ b/src/libs/jobs/jobservice_forwarding.cpp
@@ -5,6 +5,8 @@
 
 #include "utils/eventloop.h"
 
+#include <algorithm>
+
 namespace oriolebay::jobs {
 
 namespace {
@@ -51,7 +53,7 @@
       call->Access,
       call->JobId,
       call->Spec,
-      Config.newestKnownRevision(),
+      Config.newestKnown().Revision,
       Loop.now() - call->OldestConfirmation,
       call->Writes.openRevision(),
       {call->WritingOrganisations.begin(), call->WritingOrganisations.end()}};
@@ -64,18 +66,18 @@
 bool JobService::isAnswerUsable(const CallPtr &call,
                                 const CallAnswer &answer) const {
   return (isWrite(call->Name) && answer.Result == CallResult::Ok) ||
-         answer.DecidedBy.Revision >= Config.newestKnownRevision();
+         answer.DecidedBy.Revision >= Config.newestKnown().Revision;
 }
 
 void JobService::onForwarded(const CallPtr &call,
                              const std::optional<CallAnswer> &answer,
                              bool outcomeUnknown) {
   recordForwardedWrites(call, answer, outcomeUnknown);
+  const bool isUsable = answer && answer->Result != CallResult::NotDone &&
+                        isAnswerUsable(call, *answer);
   if (answer)
-    Config.handleNewerConfig(answer->DecidedBy,
-                             operators::ConfigNewsSource::ForwardedAnswer);
-  if (answer && answer->Result != CallResult::NotDone &&
-      isAnswerUsable(call, *answer)) {
+    learnConfigsFrom(*answer);
+  if (isUsable) {
     relay(call, *answer);
     return;
   }
@@ -85,6 +87,12 @@
                 : "the store is not available here, nor any other entry");
 }
 
+// Callers who are told the answer rely on all that it was made of.
+void JobService::learnConfigsFrom(const CallAnswer &answer) {
+  Config.handleNewerConfig(std::max(answer.DecidedBy, answer.NewestKnown),
+                           operators::ConfigNewsSource::ForwardedAnswer);
+}
+
 void JobService::recordForwardedWrites(const CallPtr &call,
                                        const std::optional<CallAnswer> &answer,
                                        bool outcomeUnknown) {
--- a/src/libs/jobs/jobservice_state.cpp
+++ b/src/libs/jobs/jobservice_state.cpp
@@ -100,8 +100,7 @@
 void JobService::onLeaderAnswer(const CallPtr &call,
                                 const std::optional<CallAnswer> &answer) {
   if (answer)
-    Config.handleNewerConfig(answer->DecidedBy,
-                             operators::ConfigNewsSource::ForwardedAnswer);
+    learnConfigsFrom(*answer);
   const StoredJob *job = View.find(call->JobId);
   const bool hasEnded = job != nullptr && isFinal(visibleState(*job));
   if (hasEnded || !answer || answer->Result != CallResult::Ok) {
--- a/src/libs/operators/configfollower.cpp
+++ b/src/libs/operators/configfollower.cpp
@@ -88,9 +88,9 @@
 
 void ConfigFollower::handleNewerConfig(const core::ConfigStamp &newer,
                                        ConfigNewsSource source) {
-  if (newer.Revision <= newestKnownRevision())
+  if (newer.Revision <= newestKnown().Revision)
     return;
-  NewestKnownRevision = newer.Revision;
+  NewestHeardOf = newer;
   if (Current != nullptr)
     NotifyOutdated(newer, source);
   confirm([](bool) {});
--- a/src/libs/operators/configfollower.h
+++ b/src/libs/operators/configfollower.h
@@ -7,7 +7,6 @@
 
 #include <absl/time/time.h>
 
-#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -83,11 +82,11 @@
                          ConfigNewsSource source);
   /// Returns whether a newer configuration than the one in force here is known
   /// to exist.
-  bool isOutdated() const { return Revision < NewestKnownRevision; }
-  /// Returns the store's revision of the newest configuration that is known to
-  /// exist.
-  int64_t newestKnownRevision() const {
-    return std::max(Revision, NewestKnownRevision);
+  bool isOutdated() const { return Revision < NewestHeardOf.Revision; }
+  /// Returns the newest configuration that is known to exist. Its version is
+  /// zero if only its revision was told.
+  core::ConfigStamp newestKnown() const {
+    return isOutdated() ? NewestHeardOf : stamp();
   }
   /// Returns the condition for transactions that depend on the configuration
   /// in force. It holds as long as the key's revision in the store is the one
@@ -126,8 +125,8 @@
   int64_t Revision = 0;
   /// Revision of the newest value seen, whether it could be parsed or not.
   int64_t SeenRevision = 0;
-  /// Revision of the newest configuration that any entry is known to use.
-  int64_t NewestKnownRevision = 0;
+  /// The newest configuration that any entry is known to use.
+  core::ConfigStamp NewestHeardOf;
   absl::Time ConfirmedAt = absl::InfinitePast();
 };
 
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -90,8 +90,15 @@
                               300,
                               4700,
                               {"org"}}),
-        Message(ForwardedAnswer{
-            "ok", "", 0, "running", 3, {4711, 12}, "tcp://127.0.0.1:5", true})),
+        Message(ForwardedAnswer{"ok",
+                                "",
+                                0,
+                                "running",
+                                3,
+                                {4711, 12},
+                                "tcp://127.0.0.1:5",
+                                true,
+                                {4715, 13}})),
     caseName);
 
 /// Decodes what an earlier version would have sent in place of message: the
@@ -176,6 +183,14 @@
   EXPECT_EQ(decodeWithout(answer, {"Settled"}), Message(expectedAnswer));
 }
 
+// Guards against entries that refuse each other's answers during an upgrade.
+TEST(Decode, AnswerOfAnEarlierEntryTellsOfNoNewerConfiguration) {
+  ForwardedAnswer answer{"ok", "", 0, "queued", 0, {4711, 12}, "tcp://e", true};
+  const ForwardedAnswer expected = answer;
+  answer.NewestKnown = {4715, 13};
+  EXPECT_EQ(decodeWithout(answer, {"NewestKnown"}), Message(expected));
+}
+
 // A message of another version, or a corrupted frame, must give a typed error
 // with which the reply thread answers, and must not crash the agent or the
 // entry.
