An answer by a known record names what decided the record and allowed the call

What was seen: front-hu-bud-2 leads, its own configuration (version 11) is 2.5 s old and known to be outdated, so that it serves nobody by it. A forwarded job, whose record it knows, is confirmed all the same, which is right: the entry that asked had allowed the call by version 14 and sent the write.

Cause: each answer was stamped with the configuration that the call was last checked against, also where that check had ended without a decision.

The change: what was done is stamped with the newest of what allowed the call, here or at the entry that forwards it (AllowedBy, told with the call), and of what decided the job's record. A refusal is stamped by the last check, as before. config_version of call.answered is that stamp where the entry itself answers. A record's stamp counts only if it is older than the record, as where records are read (StoredJob::decidedBy()).

--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -178,7 +178,8 @@
        {"OldestRevision", c.OldestRevision},
        {"MaxConfigAgeMs", c.MaxConfigAgeMs},
        {"OpenRevision", c.OpenRevision},
-       {"OpenOrganisations", c.OpenOrganisations}};
+       {"OpenOrganisations", c.OpenOrganisations},
+       {"AllowedBy", c.AllowedBy}};
 }
 
 static void from_json(const json &j, ForwardedCall &c) {
@@ -194,6 +195,7 @@
   c.OpenRevision = j.value("OpenRevision", ForwardedCall().OpenRevision);
   c.OpenOrganisations =
       j.value("OpenOrganisations", ForwardedCall().OpenOrganisations);
+  c.AllowedBy = j.value("AllowedBy", ForwardedCall().AllowedBy);
 }
 
 static void to_json(json &j, const ForwardedAnswer &a) {
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -413,6 +413,9 @@
   /// are none, and the organisations as whose job they store it.
   int64_t OpenRevision = 0;
   std::vector<std::string> OpenOrganisations = {};
+  /// The newest configuration that has allowed the call at the sender; zeros if
+  /// none has. Not set by entries of earlier versions.
+  core::ConfigStamp AllowedBy = {};
   auto operator<=>(const ForwardedCall &) const = default;
 };
 
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -260,13 +260,9 @@
             {"why", why}});
 }
 
-// A record was written while the configuration that decided it existed. A stamp
-// from a store that was replaced since may be newer than the record, and tells
-// nothing.
 void JobEntry::onRecord(const jobs::StoredJob &job) {
-  if (job.Record.DecidedBy.Revision < job.RecordRevision)
-    Config->handleNewerConfig(job.Record.DecidedBy,
-                              operators::ConfigNewsSource::JobRecord);
+  Config->handleNewerConfig(job.decidedBy(),
+                            operators::ConfigNewsSource::JobRecord);
   if (Session)
     Session->onRecord(job);
 }
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -76,8 +76,9 @@
   std::string Organisation;
   /// With submit: what the job requests; see core::summary().
   std::string Asked;
-  /// The configuration of this entry that the call was checked against, and its
-  /// age at that time.
+  /// The configuration that the answer is based on or, if another entry has
+  /// answered, the one of this entry that the call was checked against; and the
+  /// age of this entry's configuration at the check.
   int64_t ConfigVersion = 0;
   int64_t ConfigAgeMs = 0;
   /// A newer configuration was known to exist when the call was answered.
--- a/src/libs/jobs/callcodec.cpp
+++ b/src/libs/jobs/callcodec.cpp
@@ -39,6 +39,7 @@
         std::max<int64_t>(1, absl::ToInt64Milliseconds(call.MaxConfigAge));
   m.OpenRevision = call.OpenRevision;
   m.OpenOrganisations = call.OpenOrganisations;
+  m.AllowedBy = call.AllowedBy;
   if (call.Name == "submit") {
     JobRecord record;
     record.Spec = call.Spec;
@@ -59,6 +60,7 @@
     call.MaxConfigAge = absl::Milliseconds(m.MaxConfigAgeMs);
   call.OpenRevision = m.OpenRevision;
   call.OpenOrganisations = m.OpenOrganisations;
+  call.AllowedBy = m.AllowedBy;
   if (m.Call == "submit") {
     BOOST_LEAF_AUTO(record, decodeRecord(m.Record));
     call.Spec = std::move(record.Spec);
--- a/src/libs/jobs/callcodec.h
+++ b/src/libs/jobs/callcodec.h
@@ -31,6 +31,8 @@
   /// none, and the organisations as whose job they store it.
   int64_t OpenRevision = 0;
   std::vector<std::string> OpenOrganisations = {};
+  /// The newest configuration that has allowed the call; zeros if none has.
+  core::ConfigStamp AllowedBy = {};
 
   bool operator==(const CallRequest &) const = default;
 };
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -72,6 +72,7 @@
   call->JobId = std::move(request.JobId);
   call->Spec = std::move(request.Spec);
   call->MaxConfigAge = request.MaxConfigAge;
+  call->AllowedBy = request.AllowedBy;
   if (request.OpenRevision != 0) {
     call->Writes.adopt(request.OpenRevision);
     call->WritingOrganisations.insert(request.OpenOrganisations.begin(),
@@ -107,7 +108,7 @@
   CallAnswer answer;
   answer.Result = result;
   answer.Detail = std::move(detail);
-  answer.DecidedBy = call->CheckedConfig;
+  answer.DecidedBy = decidedBy(call, result);
   if (result == CallResult::NotDone || result == CallResult::Open)
     answer.RetryAfterMs = retryAfterMs();
   if (result == CallResult::Ok && call->Name == "state") {
@@ -120,6 +121,18 @@
   deliver(call, std::move(answer));
 }
 
+// A refusal, or that nothing was done, is decided by the last check alone. What
+// was done may be known by the job's record, at an entry whose own
+// configuration is too old to check any call.
+core::ConfigStamp JobService::decidedBy(const CallPtr &call,
+                                        CallResult result) const {
+  if (result != CallResult::Ok)
+    return call->CheckedConfig;
+  const StoredJob *job = View.find(call->JobId);
+  return job == nullptr ? call->AllowedBy
+                        : std::max(call->AllowedBy, job->decidedBy());
+}
+
 void JobService::deliver(const CallPtr &call, CallAnswer answer) {
   if (call->Finished)
     return;
@@ -150,11 +163,13 @@
   decision.Organisation = call->Organisation;
   if (call->Name == "submit")
     decision.Asked = core::summary(call->Spec);
-  decision.ConfigVersion = call->CheckedConfig.Version;
+  decision.ConfigVersion = answer.ServedBy.empty()
+                               ? answer.DecidedBy.Version
+                               : call->CheckedConfig.Version;
   decision.ConfigAgeMs = loggedAgeMs(call->ConfigAge);
   decision.ConfigOutdated = Config.isOutdated();
   if (const StoredJob *job = View.find(call->JobId))
-    decision.RecordConfigVersion = job->Record.DecidedBy.Version;
+    decision.RecordConfigVersion = job->decidedBy().Version;
   decision.WritesSent = call->Writes.sentCount();
   decision.WritesUnanswered = call->Writes.unansweredCount();
   decision.WithheldRefusal = withheld;
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -170,6 +170,9 @@
   /// nothing if it does not write.
   std::optional<UnansweredWrites::Id> trackForwardedWrite(const CallPtr &call);
   bool isAnswerUsable(const CallPtr &call, const CallAnswer &answer) const;
+  /// Returns the newest configuration that an answer with result, given by this
+  /// entry, is based on.
+  core::ConfigStamp decidedBy(const CallPtr &call, CallResult result) const;
   /// Logs the call and sends the answer, unless the call was answered before.
   /// All answers to calls pass here. A refusal becomes Open while it may be
   /// untrue.
--- a/src/libs/jobs/jobservice_access.cpp
+++ b/src/libs/jobs/jobservice_access.cpp
@@ -5,6 +5,8 @@
 
 #include "utils/eventloop.h"
 
+#include <algorithm>
+
 namespace oriolebay::jobs {
 
 // Checks queue and key, then calls next. A call is refused only after the store
@@ -49,6 +51,7 @@
     call->Queue = *queue;
     call->Organisation = owner != nullptr ? owner->Name : "";
     call->IsAuthorised = true;
+    call->AllowedBy = std::max(call->AllowedBy, call->CheckedConfig);
     next(call);
     return;
   }
--- a/src/libs/jobs/jobservice_forwarding.cpp
+++ b/src/libs/jobs/jobservice_forwarding.cpp
@@ -56,7 +56,8 @@
       Config.newestKnown().Revision,
       Loop.now() - call->OldestConfirmation,
       call->Writes.openRevision(),
-      {call->WritingOrganisations.begin(), call->WritingOrganisations.end()}};
+      {call->WritingOrganisations.begin(), call->WritingOrganisations.end()},
+      call->AllowedBy};
 }
 
 // Whether another entry's answer may be passed on to the caller. A write that
--- a/src/libs/jobs/jobservicecall.h
+++ b/src/libs/jobs/jobservicecall.h
@@ -30,6 +30,9 @@
   std::string Organisation;
   /// Queue and key were found in that configuration.
   bool IsAuthorised = false;
+  /// The newest configuration that has allowed the call, here or at the entry
+  /// that forwards it.
+  core::ConfigStamp AllowedBy;
   CallWrites Writes;
   /// The organisations as whose job the writes store it. There are several if
   /// the key or the queue has changed hands between two writes.
--- a/src/libs/jobs/jobview.h
+++ b/src/libs/jobs/jobview.h
@@ -18,6 +18,13 @@
   /// Zero until the leader has recorded any progress.
   int64_t ProgressRevision = 0;
 
+  /// The configuration that decided the record; zeros if it is not known. A
+  /// record was written while that configuration existed: a stamp from a store
+  /// that was replaced since may be newer than the record, and tells nothing.
+  core::ConfigStamp decidedBy() const {
+    return Record.DecidedBy.Revision < RecordRevision ? Record.DecidedBy
+                                                      : core::ConfigStamp();
+  }
   /// The state to report to callers.
   JobState visibleState() const {
     return visibleStateOf(Record, ProgressRevision > 0 ? &Progress : nullptr);
--- a/tests/auto/cluster/tst_confignews.cpp
+++ b/tests/auto/cluster/tst_confignews.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <optional>
 
 namespace oriolebay::cluster {
 namespace {
@@ -65,6 +66,9 @@
   std::shared_ptr<MemoryCluster::CallerCall> state(int entry) {
     return Cluster.state(entry, LastingKey, JobId);
   }
+  std::optional<jobs::JobRecord> storedRecord() const {
+    return Cluster.storedRecord(JobId);
+  }
   /// Returns false if no task starts.
   bool runUntilStarted() {
     return runUntil([this] { return HasStarted; });
@@ -214,6 +218,13 @@
     runToChange();
     Site.storeFaults(Isolated).Refuses = true;
   }
+  /// The isolated entry does not hear what becomes of its writes, nor does the
+  /// leader.
+  void loseWritesOfOthers() {
+    Site.storeFaults(Isolated).Refuses = false;
+    Site.storeFaults(Isolated).Silent = true;
+    Site.storeFaults(Leader).LostAnswerShare = 1;
+  }
   /// The leader does not hear of what the newer entry writes.
   void separateLeaderFromNewer() {
     Site.cluster().partitionPair(MemoryCluster::entryName(Leader),
@@ -245,9 +256,7 @@
 // older configuration than the one that decided the record.
 TEST_P(ConfigNewsOfAnswers, EntryToldOfAKnownRecordUsesNoOlderConfig) {
   runToChangeBehindOthers();
-  Site.storeFaults(Isolated).Refuses = false;
-  Site.storeFaults(Isolated).Silent = true;
-  Site.storeFaults(Leader).LostAnswerShare = 1;
+  loseWritesOfOthers();
   ASSERT_EQ(Site.resultOf(Site.submit(Newer, LastingQueue)), CallResult::Ok);
   ASSERT_EQ(Site.resultOf(Site.submit(Isolated, LastingQueue)), CallResult::Ok);
   Site.storeFaults(Leader).LostAnswerShare = 0;
@@ -255,6 +264,34 @@
   expectNoOlderConfigAtIsolated();
 }
 
+// Guards against an answer that rests on a record, and names the configuration
+// of an entry that served nobody by it.
+TEST_P(ConfigNewsOfAnswers, AnswerByAKnownRecordNamesWhatDecidedTheRecord) {
+  runToChangeBehindOthers();
+  loseWritesOfOthers();
+  Site.submit(Newer, LastingQueue);
+  const auto call = Site.submit(Isolated, LastingQueue);
+  ASSERT_EQ(Site.resultOf(call), CallResult::Ok);
+  EXPECT_EQ(call->Answer->DecidedBy, Site.storedRecord()->DecidedBy);
+}
+
+// Guards against the same where the call was allowed by a newer configuration
+// than the one that decided the record.
+TEST_P(ConfigNewsOfAnswers, AnswerByAKnownRecordNamesWhatAllowedTheCall) {
+  ASSERT_EQ(Site.resultOf(Site.submit(Leader, LastingQueue)), CallResult::Ok);
+  Site.storeFaults(Leader).WatchesSilent = true;
+  Site.storeFaults(Leader).LostAnswerShare = 1;
+  runToChange();
+  Site.submit(Newer, AddedQueue);
+  const auto heard = Site.submit(Isolated, LastingQueue);
+  ASSERT_EQ(Site.resultOf(heard), CallResult::Ok);
+  loseWritesOfOthers();
+  const auto call = Site.submit(Isolated, LastingQueue);
+  ASSERT_EQ(Site.resultOf(call), CallResult::Ok);
+  EXPECT_EQ(call->Answer->DecidedBy, heard->Answer->DecidedBy);
+  EXPECT_GT(call->Answer->DecidedBy, Site.storedRecord()->DecidedBy);
+}
+
 // Guards against an answer that confirms a cancellation which a newer
 // configuration allowed, and names the one by which the call was checked.
 TEST_P(ConfigNewsOfAnswers, EntryToldOfACancellationUsesNoOlderConfig) {
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -89,7 +89,8 @@
                               4711,
                               300,
                               4700,
-                              {"org"}}),
+                              {"org"},
+                              {4700, 12}}),
         Message(ForwardedAnswer{"ok",
                                 "",
                                 0,
@@ -175,8 +176,10 @@
   const ForwardedCall expectedCall = call;
   call.OpenRevision = 4700;
   call.OpenOrganisations = {"org"};
-  EXPECT_EQ(decodeWithout(call, {"OpenRevision", "OpenOrganisations"}),
-            Message(expectedCall));
+  call.AllowedBy = {4700, 12};
+  EXPECT_EQ(
+      decodeWithout(call, {"OpenRevision", "OpenOrganisations", "AllowedBy"}),
+      Message(expectedCall));
   ForwardedAnswer answer{"bad_key", "", 0, "queued", 0, {4711, 12}, "tcp://e"};
   const ForwardedAnswer expectedAnswer = answer;
   answer.Settled = true;
