--- a/tests/auto/cluster/tst_configchanges.cpp
+++ b/tests/auto/cluster/tst_configchanges.cpp
@@ -96,17 +96,19 @@
 /// An entry during one incarnation.
 using EntryIncarnation = std::pair<int, int>;
 
-/// Configurations whose effects workers have seen, as starts of jobs whose
-/// queues only some configurations contain. A start counts for the entry that
-/// led and for the entries that may have accepted the job: those that have
-/// confirmed it, or, if none has, those that it was sent to.
+/// Configurations whose effects workers have seen, as starts of jobs. A start
+/// shows the configuration that decided the job's record, for the entry that
+/// led and for those that have confirmed the job. If none has, it counts for
+/// the entries that the job was sent to, and shows the first configuration that
+/// contains the job's queue.
 class StartEffects {
 public:
   explicit StartEffects(MemoryCluster &cluster) : Cluster(cluster) {
     Cluster.observeStarts([this](const std::string &task, int64_t epoch) {
       core::TaskId id;
-      if (core::parseTaskName(task, id) && Jobs.count(id.Job) > 0)
-        Starts.push_back({id.Job, epoch, Cluster.loop().now()});
+      if (core::parseTaskName(task, id))
+        Starts.push_back(
+            {id.Job, epoch, Cluster.loop().now(), recordedVersion(id.Job)});
     });
   }
 
@@ -128,9 +130,8 @@
   int64_t newestAt(const EntryIncarnation &entry) const {
     int64_t newest = 0;
     for (const Start &start : Starts)
-      if (start.At + SeenAfterStart <= Cluster.loop().now() &&
-          isEffectOf(start, entry))
-        newest = std::max(newest, Jobs.at(start.Job).Number);
+      if (start.At + SeenAfterStart <= Cluster.loop().now())
+        newest = std::max(newest, shownBy(start, entry));
     return newest;
   }
   size_t count() const { return Starts.size(); }
@@ -145,16 +146,26 @@
     std::string Job;
     int64_t Epoch;
     absl::Time At;
+    int64_t RecordedVersion;
   };
 
-  bool isEffectOf(const Start &start, const EntryIncarnation &entry) const {
+  int64_t recordedVersion(const std::string &job) const {
+    const auto record = Cluster.storedRecord(job);
+    return record ? record->DecidedBy.Version : 0;
+  }
+
+  /// The configuration that the start shows for the entry; zero if none.
+  int64_t shownBy(const Start &start, const EntryIncarnation &entry) const {
     auto leader = Leaders.find(start.Epoch);
     if (leader != Leaders.end() && leader->second == entry)
-      return true;
-    const Job &job = Jobs.at(start.Job);
-    const auto &entries =
-        job.ConfirmedBy.empty() ? job.SentTo : job.ConfirmedBy;
-    return entries.count(entry) > 0;
+      return start.RecordedVersion;
+    auto it = Jobs.find(start.Job);
+    if (it == Jobs.end())
+      return 0;
+    const Job &job = it->second;
+    if (job.ConfirmedBy.empty())
+      return job.SentTo.count(entry) > 0 ? job.Number : 0;
+    return job.ConfirmedBy.count(entry) > 0 ? start.RecordedVersion : 0;
   }
 
   MemoryCluster &Cluster;
@@ -330,10 +341,29 @@
     }
     int64_t &shown = NewestShown[{sent.Entry, sent.Incarnation}];
     shown = std::max(shown, decidedBy);
-    if (sent.What == Uses::Job && sent.Call->Answer->Result == CallResult::Ok)
+    checkStamp(sent, shown);
+    if (isSubmission(sent.What) && sent.Call->Answer->Result == CallResult::Ok)
       Effects.addConfirmation(sent.Call->Job, {sent.Entry, sent.Incarnation});
   }
 
+  static bool isSubmission(Uses uses) {
+    return uses == Uses::Job || uses == Uses::Service;
+  }
+
+  /// Checks the configuration that the entry says has decided its answer, and
+  /// adds it to what the entry has shown.
+  void checkStamp(const SentCall &sent, int64_t &shown) {
+    const int64_t stamped = sent.Call->Answer->DecidedBy.Version;
+    if (stamped < sent.OldestAllowed)
+      Violation =
+          MemoryCluster::entryName(sent.Entry) + " answered " +
+          jobs::callResultName(sent.Call->Answer->Result) + " by " +
+          std::to_string(stamped) + ", though " +
+          std::to_string(sent.OldestAllowed) +
+          " or a newer one had to decide it: " + sent.Call->Answer->Detail;
+    shown = std::max(shown, stamped);
+  }
+
   // Nothing if the answer tells nothing about the configuration.
   std::optional<AllowedConfigs> configsThatAllow(const SentCall &sent) const {
     const CallResult result = sent.Call->Answer->Result;
