One odd member of a list of the store leaves the others followed

What was seen: with one item on a page of the store whose member has another type, or is nested 200 levels deep, no entry becomes ready: the whole page counts as unreadable and is read again for ever. The same for a watch.

Cause: the body of an answer was decoded as a whole.

The change: pages and changes are decoded member by member. A member whose key or revision cannot be read is left out, reported (message.refused) and named: its key is not taken for removed, and if even the key is unknown, no key is; an evacuation holds by its key alone. After a change that cannot be read all keys are read again. What is nested too deeply becomes null (parseJsonToDepth). Answers to transactions stay strict: an item that they lack counts as not existing.

--- a/src/libs/operators/cordonfollower.cpp
+++ b/src/libs/operators/cordonfollower.cpp
@@ -47,14 +47,22 @@
     return;
   }
   for (const platform::KeyValue &item : reply.Value.Items)
-    if (item.Key.size() > Source.Prefix.size())
-      reading->Found.Domains.insert(item.Key.substr(Source.Prefix.size()));
-  if (reply.Value.More && !reply.Value.Items.empty())
-    readPage(reading, reply.Value.Items.back().Key);
+    addCordon(*reading, item.Key);
+  for (const std::string &key : reply.Value.UnreadableKeys)
+    addCordon(*reading, key);
+  const std::string last = platform::lastKey(reply.Value);
+  if (reply.Value.More && !last.empty())
+    readPage(reading, last);
   else
     finish(*reading);
 }
 
+// The key alone cordons the failure domain.
+void CordonFollower::addCordon(Reading &reading, const std::string &key) const {
+  if (key.size() > Source.Prefix.size())
+    reading.Found.Domains.insert(key.substr(Source.Prefix.size()));
+}
+
 // The pages are not a snapshot, but each of them contains the cordons that were
 // set before the first one was requested.
 void CordonFollower::finish(const Reading &reading) {
--- a/src/libs/operators/cordonfollower.h
+++ b/src/libs/operators/cordonfollower.h
@@ -70,6 +70,7 @@
   void readPage(const ReadingPtr &reading, const std::string &after);
   void onPage(const ReadingPtr &reading,
               const platform::StoreReply<platform::StorePage> &reply);
+  void addCordon(Reading &reading, const std::string &key) const;
   void finish(const Reading &reading);
   void readAfter(absl::Duration pause);
   bool needsFreshView() const {
--- a/src/libs/platform/prefixfollower.cpp
+++ b/src/libs/platform/prefixfollower.cpp
@@ -24,6 +24,7 @@
 void PrefixFollower::readAgain() {
   const uint64_t round = ++*Round;
   ReadItems.clear();
+  UnreadableKeys.clear();
   FirstPageRevision = 0;
   readPage(round, "");
 }
@@ -49,11 +50,11 @@
   // repeats some changes, but misses none.
   if (FirstPageRevision == 0)
     FirstPageRevision = reply.Value.Revision;
-  std::string last;
-  for (const KeyValue &item : reply.Value.Items) {
-    last = item.Key;
-    ReadItems[last] = item;
-  }
+  for (const KeyValue &item : reply.Value.Items)
+    ReadItems[item.Key] = item;
+  UnreadableKeys.insert(reply.Value.UnreadableKeys.begin(),
+                        reply.Value.UnreadableKeys.end());
+  const std::string last = lastKey(reply.Value);
   if (reply.Value.More && !last.empty())
     readPage(round, last);
   else
@@ -63,7 +64,7 @@
 void PrefixFollower::finishReading(uint64_t round) {
   std::vector<std::string> removed;
   for (const auto &[key, revision] : ReportedRevisions)
-    if (!ReadItems.contains(key) && revision <= FirstPageRevision)
+    if (isAbsent(key) && revision <= FirstPageRevision)
       removed.push_back(key);
   for (const std::string &key : removed) {
     StoreEvent event{{key, "", 0, FirstPageRevision, 0}, true};
@@ -79,6 +80,11 @@
     watch(round);
 }
 
+bool PrefixFollower::isAbsent(const std::string &key) const {
+  return !ReadItems.contains(key) && !UnreadableKeys.contains(key) &&
+         !UnreadableKeys.contains("");
+}
+
 void PrefixFollower::apply(const StoreEvent &event) {
   if (!event.Deleted) {
     if (markKnown(event.Item.Key, event.Item.ModRevision))
@@ -139,7 +145,9 @@
   SeenRevision = std::max(SeenRevision, reply.Value.Revision);
   if (*Round != round)
     return;
-  if (events.empty())
+  if (reply.Value.HasUnreadable)
+    retry(round, [this] { readAgain(); });
+  else if (events.empty())
     watch(round);
   else
     watchAfterDelay(round);
--- a/src/libs/platform/prefixfollower.h
+++ b/src/libs/platform/prefixfollower.h
@@ -3,6 +3,7 @@
 #include "store.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 #include <functional>
@@ -34,7 +35,8 @@
 /// Follows all keys under a prefix: reads them, then watches for changes. If
 /// the store no longer has the history, or a watch was interrupted and may have
 /// missed changes, it reads all keys again and reports only the differences, so
-/// its user never misses a change. Owned by one event loop.
+/// its user never misses a change. An item that cannot be read counts as
+/// unchanged. Owned by one event loop.
 class PrefixFollower {
 public:
   /// Called when a key was written (Deleted false) or removed. For each key the
@@ -71,6 +73,8 @@
   void readPage(uint64_t round, const std::string &after);
   void onPage(uint64_t round, const StoreReply<StorePage> &reply);
   void finishReading(uint64_t round);
+  /// Returns whether the current reading shows that key does not exist.
+  bool isAbsent(const std::string &key) const;
   void watch(uint64_t round);
   void watchAfterDelay(uint64_t round);
   void onEvents(uint64_t round, const StoreReply<StoreEvents> &reply);
@@ -97,6 +101,9 @@
   int64_t FirstPageRevision = 0;
   /// Keys of the current reading.
   absl::flat_hash_map<std::string, KeyValue> ReadItems;
+  /// Keys of the current reading whose items could not be read. They exist; the
+  /// empty one stands for any key.
+  absl::flat_hash_set<std::string> UnreadableKeys;
   /// Last reported revision of each key that exists.
   absl::flat_hash_map<std::string, int64_t> ReportedRevisions;
 };
--- a/src/libs/platform/store.cpp
+++ b/src/libs/platform/store.cpp
@@ -22,6 +22,14 @@
   return "unknown";
 }
 
+std::string lastKey(const StorePage &page) {
+  if (!page.Items.empty())
+    return page.Items.back().Key;
+  const auto it =
+      std::max_element(page.UnreadableKeys.begin(), page.UnreadableKeys.end());
+  return it == page.UnreadableKeys.end() ? "" : *it;
+}
+
 const KeyValue *findItem(const std::vector<KeyValue> &items,
                          const std::string &key) {
   auto it = std::find_if(items.begin(), items.end(),
--- a/src/libs/platform/store.h
+++ b/src/libs/platform/store.h
@@ -49,8 +49,15 @@
   std::vector<KeyValue> Items;
   bool More = false;
   int64_t Revision = 0;
+  /// Keys of items that could not be read and are not in Items; empty for an
+  /// item whose key could not be read either.
+  std::vector<std::string> UnreadableKeys = {};
 };
 
+/// Returns the key after which the next page begins; empty if no key of page
+/// could be read.
+std::string lastKey(const StorePage &page);
+
 /// A changed key. Item is the key as it was written or, if Deleted, the key
 /// name with the revision of its removal.
 struct StoreEvent {
@@ -63,6 +70,8 @@
 struct StoreEvents {
   std::vector<StoreEvent> Events;
   int64_t Revision = 0;
+  /// Further changes could not be read.
+  bool HasUnreadable = false;
 };
 
 /// Returns the item with this key, or null.
--- a/src/libs/utils/jsontext.cpp
+++ b/src/libs/utils/jsontext.cpp
@@ -11,13 +11,16 @@
 
 namespace {
 
+/// What becomes of an array or object below MaxJsonDepth levels.
+enum class TooDeep { EndsParser, BecomesNull };
+
 /// Builds a document from the events of a parser, and ends the parser at the
 /// first thing that the document must not hold.
 class DocumentBuilder final : public json::json_sax_t {
 public:
   /// The members that byteMembers names may hold bytes that are not UTF-8.
-  explicit DocumentBuilder(const std::set<std::string> &byteMembers)
-      : ByteMembers(byteMembers) {}
+  DocumentBuilder(const std::set<std::string> &byteMembers, TooDeep tooDeep)
+      : ByteMembers(byteMembers), Deeper(tooDeep) {}
 
   bool null() override { return add(json()); }
   bool boolean(bool value) override { return add(json(value)); }
@@ -44,6 +47,8 @@
   bool key(string_t &name) override {
     if (!checkText(name))
       return false;
+    if (SkippedLevels > 0)
+      return true;
     const auto it = Open.back()->emplace(name, nullptr).first;
     MemberName = &it.key();
     Member = &*it;
@@ -65,7 +70,8 @@
 
 private:
   bool add(json value) {
-    place(std::move(value));
+    if (SkippedLevels == 0)
+      place(std::move(value));
     return true;
   }
 
@@ -85,16 +91,24 @@
   }
 
   bool open(json container) {
-    if (Open.size() == MaxJsonDepth) {
+    if (SkippedLevels == 0 && Open.size() < MaxJsonDepth) {
+      Open.push_back(place(std::move(container)));
+      return true;
+    }
+    if (Deeper == TooDeep::EndsParser) {
       Problem = "more than " + std::to_string(MaxJsonDepth) + " levels";
       return false;
     }
-    Open.push_back(place(std::move(container)));
+    add(json());
+    ++SkippedLevels;
     return true;
   }
 
   bool close() {
-    Open.pop_back();
+    if (SkippedLevels > 0)
+      --SkippedLevels;
+    else
+      Open.pop_back();
     return true;
   }
 
@@ -111,19 +125,24 @@
   }
 
   const std::set<std::string> &ByteMembers;
+  const TooDeep Deeper;
   json Document;
   /// The arrays and objects that the parser is in, the innermost last.
   std::vector<json *> Open;
   /// The member of the innermost object that the next value is for.
   const std::string *MemberName = nullptr;
   json *Member = nullptr;
+  /// Number of arrays and objects below the deepest level that the parser is
+  /// in.
+  size_t SkippedLevels = 0;
   std::string Problem;
 };
 
 Result<json> parse(std::string_view input, json::input_format_t format,
                    const char *formatName,
-                   const std::set<std::string> &byteMembers) {
-  DocumentBuilder builder(byteMembers);
+                   const std::set<std::string> &byteMembers,
+                   TooDeep tooDeep = TooDeep::EndsParser) {
+  DocumentBuilder builder(byteMembers, tooDeep);
   if (json::sax_parse(input.begin(), input.end(), &builder, format))
     return builder.takeDocument();
   return fail(ErrorKind::BadMessage,
@@ -137,6 +156,11 @@
   return parse(text, json::input_format_t::json, "JSON", {});
 }
 
+Result<json> parseJsonToDepth(std::string_view text) {
+  return parse(text, json::input_format_t::json, "JSON", {},
+               TooDeep::BecomesNull);
+}
+
 Result<json> parseCbor(std::string_view bytes,
                        const std::set<std::string> &byteMembers) {
   return parse(bytes, json::input_format_t::cbor, "CBOR", byteMembers);
--- a/src/libs/utils/jsontext.h
+++ b/src/libs/utils/jsontext.h
@@ -20,8 +20,11 @@
 /// Decodes JSON text. Fails with ErrorKind::BadMessage if it is not one valid
 /// document of at most MaxJsonDepth levels whose texts are UTF-8.
 Result<nlohmann::json> parseJson(std::string_view text);
-/// Does the same for CBOR. The members that byteMembers names may hold bytes
-/// that are not UTF-8.
+/// Does the same, except that an array or object below MaxJsonDepth levels
+/// becomes null. For lists whose other members have to be read all the same.
+Result<nlohmann::json> parseJsonToDepth(std::string_view text);
+/// Does what parseJson() does for CBOR. The members that byteMembers names may
+/// hold bytes that are not UTF-8.
 Result<nlohmann::json> parseCbor(std::string_view bytes,
                                  const std::set<std::string> &byteMembers = {});
 
--- a/tests/auto/adapter/platformstub.h
+++ b/tests/auto/adapter/platformstub.h
@@ -3,6 +3,7 @@
 #include "http/asyncclient.h"
 #include "http/asyncserver.h"
 #include "utils/eventloop.h"
+#include "utils/refusedmessage.h"
 
 #include <functional>
 #include <future>
@@ -13,6 +14,8 @@
 
 namespace oriolebay::adapter {
 
+inline void ignoreRefused(const utils::RefusedMessage &) {}
+
 /// An HTTP peer on loopback that gives the same answer to every call and
 /// records the last request, with the event loop and the client that calls to
 /// it need.
--- a/tests/auto/adapter/tst_closedconnections.cpp
+++ b/tests/auto/adapter/tst_closedconnections.cpp
@@ -101,7 +101,8 @@
   const auto &[c, kind] = GetParam();
   ClosingPeer peer(c.Moment, kind, Ok.Body, c.Later);
   PlatformStub stub(std::nullopt);
-  const Store store = makeStore(stub.Loop, stub.Client, peer.address());
+  const Store store =
+      makeStore(stub.Loop, stub.Client, peer.address(), ignoreRefused);
   ASSERT_EQ(callStore(stub, store, TransactPath), StoreStatus::Ok);
   if (c.Moment == CloseMoment::WhileIdle)
     peer.waitUntilCallerIsDisconnected();
--- a/tests/auto/adapter/tst_storeadapter.cpp
+++ b/tests/auto/adapter/tst_storeadapter.cpp
@@ -28,7 +28,8 @@
 // answer that leaves this open must never be reported as "not applied".
 TEST_P(StoreAnswers, MapToTheExpectedStatus) {
   PlatformStub stub(GetParam().Answer);
-  const platform::Store store = makeStore(stub.Loop, stub.Client, stub.Address);
+  const platform::Store store =
+      makeStore(stub.Loop, stub.Client, stub.Address, ignoreRefused);
   const auto reply = stub.callAndWait<StoreReply<StoreTxnReply>>(
       [&](std::function<void(StoreReply<StoreTxnReply>)> done) {
         platform::StoreTxn txn;
@@ -61,7 +62,8 @@
 
 TEST(StoreAdapter, TransactionCarriesConditionsWritesAndLeases) {
   PlatformStub stub(http::HttpResponse{200, R"({"revision":7})"});
-  const platform::Store store = makeStore(stub.Loop, stub.Client, stub.Address);
+  const platform::Store store =
+      makeStore(stub.Loop, stub.Client, stub.Address, ignoreRefused);
   const auto reply = stub.callAndWait<StoreReply<StoreTxnReply>>(
       [&](std::function<void(StoreReply<StoreTxnReply>)> done) {
         platform::StoreTxn txn;
@@ -82,7 +84,8 @@
   PlatformStub stub(http::HttpResponse{
       200,
       R"({"key":"k","value":"dGV4dA==","created":4,"revision":6,"lease":9})"});
-  const platform::Store store = makeStore(stub.Loop, stub.Client, stub.Address);
+  const platform::Store store =
+      makeStore(stub.Loop, stub.Client, stub.Address, ignoreRefused);
   const auto reply = stub.callAndWait<StoreReply<KeyValue>>(
       [&](std::function<void(StoreReply<KeyValue>)> done) {
         store.Get("a key", done);
@@ -112,7 +115,7 @@
                      std::chrono::milliseconds(250));
   PlatformStub stub(std::nullopt);
   const platform::Store store =
-      makeStore(stub.Loop, stub.Client, peer.address());
+      makeStore(stub.Loop, stub.Client, peer.address(), ignoreRefused);
   const auto reply = stub.callAndWait<StoreReply<platform::StorePage>>(
       [&](std::function<void(StoreReply<platform::StorePage>)> done) {
         store.Range("jobs/", "", platform::ReadMode::Linearizable, done);
--- a/tests/auto/cluster/tst_prefixfollower.cpp
+++ b/tests/auto/cluster/tst_prefixfollower.cpp
@@ -4,12 +4,56 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
 namespace oriolebay::cluster {
 namespace {
 
+// Guards against an entry that takes a job, a peer or a cordon for removed,
+// because its item could not be read.
+TEST(PrefixFollower, ItemThatCannotBeReadIsNotTakenForRemoved) {
+  utils::EventLoop loop(100, utils::EventLoop::Time::Manual);
+  MemoryStore store(loop, 1);
+  platform::Store client = store.clientOf("entry");
+  const auto range = client.Range;
+  std::string unreadable;
+  client.Range = [&](const std::string &prefix, const std::string &after,
+                     platform::ReadMode mode,
+                     platform::OnStoreReply<platform::StorePage> done) {
+    range(prefix, after, mode,
+          [&, done](platform::StoreReply<platform::StorePage> reply) {
+            if (std::erase_if(reply.Value.Items, [&](const auto &item) {
+                  return item.Key == unreadable;
+                }) > 0)
+              reply.Value.UnreadableKeys.push_back(unreadable);
+            done(reply);
+          });
+  };
+  std::set<std::string> known;
+  platform::PrefixFollower follower(
+      loop, client, "jobs/", {},
+      [&](const platform::StoreEvent &e) {
+        if (e.Deleted)
+          known.erase(e.Item.Key);
+        else
+          known.insert(e.Item.Key);
+      },
+      [](int64_t) {}, [](platform::StoreStatus, const std::string &) {});
+  for (const char *key : {"jobs/a", "jobs/b", "jobs/c"})
+    store.put(key, "x");
+  follower.start();
+  loop.advance(absl::Milliseconds(100));
+  unreadable = "jobs/b";
+  store.faults("entry").WatchesSilent = true;
+  store.erase("jobs/c");
+  store.put("jobs/d", "x");
+  follower.readAgain();
+  loop.advance(absl::Milliseconds(100));
+  EXPECT_EQ(known, (std::set<std::string>{"jobs/a", "jobs/b", "jobs/d"}));
+}
+
 struct DelayCase {
   const char *Name;
   absl::Duration Delay;
--- a/tests/auto/utils/tst_jsontext.cpp
+++ b/tests/auto/utils/tst_jsontext.cpp
@@ -51,6 +51,38 @@
       });
 }
 
+struct DeepCase {
+  const char *Name;
+  std::string Input;
+  std::string Output;
+};
+
+void PrintTo(const DeepCase &c, std::ostream *out) { *out << c.Name; }
+
+class DeepMembers : public ::testing::TestWithParam<DeepCase> {};
+
+// Guards against a list that cannot be read for one member nested too deeply.
+TEST_P(DeepMembers, BecomeNullAndLeaveTheOthers) {
+  const auto document = parseJsonToDepth(GetParam().Input);
+  ASSERT_TRUE(document);
+  EXPECT_EQ(toJsonText(*document), GetParam().Output);
+}
+
+const DeepCase DeepCases[] = {
+    {"none", "[1,[2],3]", "[1,[2],3]"},
+    {"deepest_that_is_kept", nested(MaxJsonDepth), nested(MaxJsonDepth)},
+    {"one_level_more", nested(MaxJsonDepth + 1),
+     std::string(MaxJsonDepth, '[') + "null" + std::string(MaxJsonDepth, ']')},
+    {"beside_others",
+     std::string(MaxJsonDepth, '[') + R"(1,{"a":[[2],{"b":3}],"c":4},5)" +
+         std::string(MaxJsonDepth, ']'),
+     std::string(MaxJsonDepth, '[') + "1,null,5" +
+         std::string(MaxJsonDepth, ']')},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, DeepMembers, ::testing::ValuesIn(DeepCases),
+                         [](const auto &info) { return info.param.Name; });
+
 class JsonInputs : public ::testing::TestWithParam<InputCase> {};
 
 // Guards against input that ends the process or that an answer repeats at
