An entry of another writer gets no calls and delays no election

What was seen: an entry in the store with a processor share of 1e300 makes each election wait 0.75 s longer, for good, as does a true one that is gone; an entry whose address has no usable port costs each call that meets it the whole timeout, as the results of nng_dial and nng_req0_open were not looked at (and nng reports such a port only in the background).

Cause: a record was taken for an entry's if its fields had the right types.

The change: EntryDirectory holds the entries, apart from the rest of JobEntry. A key names an entry if it is held by a lease, its share is one that a process can have (1024 cores at most, also in settings), and its address is of the form that peers have (an IP, a port from 1 to 65535); else record.refused, and what was known of the key stays. A removed entry counts as known for 30 s, so that an outage that ends all registrations at once elects no small entry, and no longer. A call to an address that cannot be called ends at once, as not sent; the same if the socket cannot be opened. Agents read entries by the same rules.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -250,8 +250,8 @@
   /// Logs once that the grant has expired.
   void logGrantEnd();
   void readEntriesFromStore();
-  static std::vector<std::string>
-  parseEntryAddresses(const platform::StorePage &page);
+  std::vector<std::string>
+  parseEntryAddresses(const platform::StorePage &page) const;
 
   utils::EventLoop &Loop;
   const endpoints::Peers Peers;
--- a/src/libs/agent/workeragent_reports.cpp
+++ b/src/libs/agent/workeragent_reports.cpp
@@ -120,13 +120,14 @@
 }
 
 std::vector<std::string>
-WorkerAgent::parseEntryAddresses(const platform::StorePage &page) {
+WorkerAgent::parseEntryAddresses(const platform::StorePage &page) const {
   std::vector<std::string> addresses;
   for (const platform::KeyValue &item : page.Items)
     utils::handle<bool>(
         [&]() -> utils::Result<bool> {
-          BOOST_LEAF_AUTO(entry, platform::decodeEntry(item.Value));
-          addresses.push_back(entry.Address);
+          BOOST_LEAF_AUTO(entry, platform::decodeEntry(item));
+          if (Peers.IsAddress(entry.Address))
+            addresses.push_back(entry.Address);
           return true;
         },
         [&](const utils::Error &e) {
--- a/src/libs/endpoints/peers.h
+++ b/src/libs/endpoints/peers.h
@@ -25,7 +25,10 @@
 
   /// Address at which other processes reach this process.
   std::string Address;
-  /// Sends a request to address and waits up to timeoutMs for the answer.
+  /// Returns whether an address has the form of those that can be called.
+  std::function<bool(const std::string &address)> IsAddress;
+  /// Sends a request to address and waits up to timeoutMs for the answer. Ends
+  /// soon without an answer if the address cannot be called.
   std::function<void(const std::string &address, const Message &, int timeoutMs,
                      Done)>
       Call;
--- a/src/libs/endpoints/pendingcall.h
+++ b/src/libs/endpoints/pendingcall.h
@@ -18,17 +18,21 @@
 class Socket {
 public:
   explicit Socket(const std::string &address) {
-    nng_req0_open(&Handle);
+    Error = nng_req0_open(&Handle);
+    if (Error != 0)
+      return;
     nng_socket_set_ms(Handle, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
     nng_socket_set_ms(Handle, NNG_OPT_RECONNMINT, ReconnectMinMs);
     nng_socket_set_ms(Handle, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
-    nng_dial(Handle, address.c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    Error = nng_dial(Handle, address.c_str(), nullptr, NNG_FLAG_NONBLOCK);
   }
   ~Socket() { nng_close(Handle); }
   Socket(const Socket &) = delete;
   Socket &operator=(const Socket &) = delete;
 
   nng_socket Handle = NNG_SOCKET_INITIALIZER;
+  /// The nng error number if the socket will never connect; zero if it may.
+  int Error = 0;
 
 private:
   static constexpr int ReconnectMinMs = 50;
@@ -46,7 +50,8 @@
 };
 
 /// One request on its own nng context. It sends, receives and reports its
-/// outcome on nng's threads, so that no thread of this process waits for it.
+/// outcome on nng's threads, so that no thread of this process waits for it. On
+/// a socket that cannot connect it reports that at once, from the constructor.
 class PendingCall {
 public:
   using Done = std::function<void(const CallOutcome &)>;
@@ -54,6 +59,10 @@
   PendingCall(std::shared_ptr<Socket> socket, const Message &message,
               int timeoutMs, Done done)
       : RequestSocket(std::move(socket)), OnDone(std::move(done)) {
+    if (RequestSocket->Error != 0) {
+      OnDone({RequestSocket->Error, false});
+      return;
+    }
     nng_ctx_open(&Ctx, RequestSocket->Handle);
     nng_aio_alloc(&Aio, &PendingCall::onEvent, this);
     nng_aio_set_timeout(Aio, timeoutMs);
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -39,7 +39,10 @@
                      {{"why", why}});
           },
           Observers.StoreCalled),
-      StoreClient(Health.monitored(store)) {
+      StoreClient(Health.monitored(store)),
+      Directory([this](const std::string &address) {
+        return Peers.IsAddress(address);
+      }) {
   Peers.Serve([this, alive = Alive](const Message &m, const auto &respond) {
     const auto *call = std::get_if<endpoints::ForwardedCall>(&m);
     if (!*alive)
@@ -134,7 +137,7 @@
   election.Name = Settings.Name;
   election.Entry = {Peers.Address, Settings.ProcessorShare};
   election.IsLargerEntryKnown = [this] {
-    return LargestProcessorShare > Settings.ProcessorShare;
+    return Directory.isLargerKnown(Settings.ProcessorShare, Loop.now());
   };
   election.LeaseTtl = Time.LeaderLease;
   election.Follow = follow;
@@ -221,21 +224,14 @@
 }
 
 void JobEntry::onEntry(const platform::StoreEvent &event) {
-  const std::string &key = event.Item.Key;
-  if (event.Deleted) {
-    EntryAddresses.erase(key);
-    return;
-  }
   utils::handle<bool>(
       [&]() -> utils::Result<bool> {
-        BOOST_LEAF_AUTO(entry, platform::decodeEntry(event.Item.Value));
-        EntryAddresses[key] = entry.Address;
-        LargestProcessorShare =
-            std::max(LargestProcessorShare, entry.ProcessorShare);
+        BOOST_LEAF_CHECK(Directory.apply(event, Loop.now()));
         return true;
       },
       [&](const utils::Error &e) {
-        logEvent(Event::RecordRefused, {{"key", key}, {"error", e.text()}});
+        logEvent(Event::RecordRefused,
+                 {{"key", event.Item.Key}, {"error", e.text()}});
         return false;
       });
 }
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -2,6 +2,7 @@
 
 #include "callforwarder.h"
 #include "endpoints/peers.h"
+#include "entrydirectory.h"
 #include "jobs/jobservice.h"
 #include "jobs/jobview.h"
 #include "leadersession.h"
@@ -124,12 +125,7 @@
   /// time.
   absl::Time LeaderRetryTime = absl::InfinitePast();
   bool Stopping = false;
-  /// Addresses of the registered entries, by their keys.
-  std::map<std::string, std::string> EntryAddresses;
-  /// The largest processor share with which any entry has registered. It does
-  /// not decrease when registrations are removed, because all of them expire
-  /// together in an outage of the store.
-  double LargestProcessorShare = 0;
+  EntryDirectory Directory;
   std::unique_ptr<operators::ConfigFollower> Config;
   std::unique_ptr<operators::CordonFollower> Cordons;
   /// The cordons in force here, to log what changes.
--- a/src/libs/entry/jobentry_messages.cpp
+++ b/src/libs/entry/jobentry_messages.cpp
@@ -40,7 +40,7 @@
   std::vector<std::string> otherAddresses;
   if (!Leader.Mine && !Leader.Address.empty())
     otherAddresses.push_back(Leader.Address);
-  for (const auto &[key, address] : EntryAddresses)
+  for (const std::string &address : Directory.addresses())
     if (address != Peers.Address && address != Leader.Address)
       otherAddresses.push_back(address);
   return otherAddresses;
@@ -83,9 +83,7 @@
 // to the same entries when the leader is lost.
 std::vector<std::string>
 JobEntry::entriesForAgent(const std::string &agent) const {
-  std::vector<std::string> addresses;
-  for (const auto &[key, address] : EntryAddresses)
-    addresses.push_back(address);
+  std::vector<std::string> addresses = Directory.addresses();
   if (addresses.size() <= MaxEntriesPerAgent)
     return addresses;
   const size_t first = std::hash<std::string>()(agent) % addresses.size();
--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -1,5 +1,6 @@
 #include "election.h"
 
+#include "core/processorshare.h"
 #include "utils/eventloop.h"
 #include "utils/jsonfields.h"
 #include "utils/jsontext.h"
@@ -24,14 +25,19 @@
                             {"processor_share", record.ProcessorShare}});
 }
 
-utils::Result<EntryRecord> decodeEntry(const std::string &value) {
-  BOOST_LEAF_AUTO(j, utils::parseJson(value));
+utils::Result<EntryRecord> decodeEntry(const KeyValue &item) {
+  BOOST_LEAF_AUTO(j, utils::parseJson(item.Value));
   const std::string address = utils::textIn(j, "address");
   const auto share = j.find("processor_share");
   if (address.empty() || share == j.end() || !share->is_number())
     return utils::fail(utils::ErrorKind::BadMessage, "not a valid entry record",
                        "run the same version of all entries and agents");
-  return EntryRecord{address, share->get<double>()};
+  EntryRecord record{address, share->get<double>()};
+  if (item.Lease == 0 || !core::isProcessorShare(record.ProcessorShare))
+    return utils::fail(utils::ErrorKind::BadMessage,
+                       "a record that no entry registers",
+                       "remove the key if no entry has written it");
+  return record;
 }
 
 Election::Election(utils::EventLoop &loop, const Store &store,
--- a/src/libs/platform/election.h
+++ b/src/libs/platform/election.h
@@ -21,9 +21,10 @@
   auto operator<=>(const EntryRecord &) const = default;
 };
 std::string encode(const EntryRecord &record);
-/// Decodes an entry record. Fails with ErrorKind::BadMessage if value is not a
-/// valid one.
-utils::Result<EntryRecord> decodeEntry(const std::string &value);
+/// Decodes the record of an entry. Fails with ErrorKind::BadMessage if item is
+/// none: entries register under a lease, and no process has more than
+/// core::MaxProcessorShare.
+utils::Result<EntryRecord> decodeEntry(const KeyValue &item);
 
 /// The keys and the timing of an election.
 struct ElectionOptions {
--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -1,5 +1,6 @@
 #include "nodesettings.h"
 
+#include "core/processorshare.h"
 #include "reader.h"
 
 #include <algorithm>
@@ -134,9 +135,10 @@
                        "settings heartbeat_ms and store_min_lease_ms must be "
                        "above zero",
                        "give a positive number of milliseconds");
-  if (s.ProcessorShare <= 0)
+  if (!core::isProcessorShare(s.ProcessorShare))
     return utils::fail(ErrorKind::BadSettings,
-                       "setting processor_share must be above zero",
+                       "setting processor_share must be above zero, and 1024 "
+                       "at most",
                        "give the cores that the process may use, such as 0.25");
   if (s.Bounds.HoldMaxMs <= 2 * s.HeartbeatMs)
     return utils::fail(ErrorKind::BadSettings,
--- a/tests/auto/agent/agentfixture.h
+++ b/tests/auto/agent/agentfixture.h
@@ -22,6 +22,7 @@
     settings.Name = "agent";
     endpoints::Peers peers;
     peers.Address = "agent";
+    peers.IsAddress = [](const std::string &) { return true; };
     peers.Serve = [this](endpoints::Peers::Handler h) { Handler = h; };
     peers.Call = [this](const std::string &, const endpoints::Message &m, int,
                         const endpoints::Peers::Done &done) {
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -1,5 +1,6 @@
 #include "memorycluster.h"
 
+#include <absl/strings/match.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -143,6 +144,10 @@
   const int generation = ++Generation[process];
   endpoints::Peers peers;
   peers.Address = process;
+  peers.IsAddress = [](const std::string &address) {
+    return absl::StartsWith(address, "entry-") ||
+           absl::StartsWith(address, "agent-");
+  };
   peers.Serve = [this, process](endpoints::Peers::Handler handler) {
     Handlers[process] = std::move(handler);
   };
