A leader in the list that cannot be read is waited for, not for ever

Cause: one odd row made the whole list unreadable, and the list was read again until somebody repaired it.

The change: what the list protects has a longest time. The other terms are asked as before; one whose address cannot be called is waited for. With an unknown term the leader before this one is not known, so that the silent agents recorded under it are not taken over. record.refused says so, with waits_ms.

--- a/src/libs/entry/previousleaders.cpp
+++ b/src/libs/entry/previousleaders.cpp
@@ -2,6 +2,7 @@
 
 #include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
+#include "utils/jsonfields.h"
 #include "utils/jsontext.h"
 
 #include <nlohmann/json.hpp>
@@ -22,20 +23,40 @@
   return utils::toJsonText(list);
 }
 
-// Returns false if the list is unreadable. It must not count as empty then,
-// since the leaders in it may still keep tasks alive for the longest time that
-// a leader can continue. The caller reads it again later.
-bool decode(const std::string &value, std::vector<LeaderTerm> &terms) {
+/// Stands for the terms in the list that cannot be read. They must not be
+/// dropped: their leaders may still keep tasks alive.
+const LeaderTerm UnknownTerm;
+
+LeaderTerm decodeRow(const json &row) {
+  if (!row.is_array() || row.size() != 2 || !row[0].is_number_integer() ||
+      !row[1].is_string())
+    return UnknownTerm;
+  return {utils::toInt64(row[0]), row[1].get<std::string>()};
+}
+
+/// Decodes the list that the leader of ownTerm has read, in which each other
+/// term is an earlier one.
+std::vector<LeaderTerm> decode(const std::string &value,
+                               const LeaderTerm &ownTerm) {
   const auto list = utils::parseJson(value);
   if (!list || !list->is_array())
-    return false;
-  for (const json &r : *list) {
-    if (!r.is_array() || r.size() != 2 || !r[0].is_number_integer() ||
-        !r[1].is_string())
-      return false;
-    terms.push_back({r[0].get<int64_t>(), r[1].get<std::string>()});
+    return {UnknownTerm};
+  std::vector<LeaderTerm> terms;
+  bool hasUnknown = false;
+  for (const json &row : *list) {
+    LeaderTerm term = decodeRow(row);
+    if (term == ownTerm || (term.Epoch > 0 && term.Epoch < ownTerm.Epoch))
+      terms.push_back(std::move(term));
+    else
+      hasUnknown = true;
   }
-  return true;
+  if (hasUnknown)
+    terms.push_back(UnknownTerm);
+  return terms;
+}
+
+bool hasUnknownTerm(const std::vector<LeaderTerm> &terms) {
+  return std::find(terms.begin(), terms.end(), UnknownTerm) != terms.end();
 }
 
 } // namespace
@@ -73,18 +94,19 @@
     registerTerm({}, 0);
     return;
   }
-  std::vector<LeaderTerm> previousTerms;
-  const bool isReadable =
-      reply.ok() && decode(reply.Value.Value, previousTerms);
-  if (reply.ok() && !isReadable)
-    eventlog::logEvent(eventlog::Event::RecordRefused,
-                       {{"key", Params.Key},
-                        {"error", "not a list of leaders (remedy: remove the "
-                                  "key once no earlier entry runs)"}});
-  if (!isReadable) {
+  if (!reply.ok()) {
     scheduleRead();
     return;
   }
+  std::vector<LeaderTerm> previousTerms =
+      decode(reply.Value.Value, Params.OwnTerm);
+  if (hasUnknownTerm(previousTerms))
+    eventlog::logEvent(
+        eventlog::Event::RecordRefused,
+        {{"key", Params.Key},
+         {"error", "the list of leaders holds terms that cannot be read; they "
+                   "are waited for as long as a leader can go on alone"},
+         {"waits_ms", absl::ToInt64Milliseconds(Params.TimeLimit)}});
   const auto ownTerm =
       std::find(previousTerms.begin(), previousTerms.end(), Params.OwnTerm);
   const bool isRegistered = ownTerm != previousTerms.end();
@@ -130,8 +152,9 @@
 // Reports that this leader is registered, and asks the previous leaders to step
 // down. If there are none, that is reported at once.
 void PreviousLeaders::completeRegistration() {
-  for (const LeaderTerm &term : PreviousTerms)
-    PreviousEpoch = std::max(PreviousEpoch, term.Epoch);
+  if (!hasUnknownTerm(PreviousTerms))
+    for (const LeaderTerm &term : PreviousTerms)
+      PreviousEpoch = std::max(PreviousEpoch, term.Epoch);
   ReportRegistered();
   if (PreviousTerms.empty()) {
     ReportAllEnded(Loop.now());
@@ -145,13 +168,16 @@
     requestStepDown(term);
 }
 
-// Repeats the request until the leader confirms or the time limit has passed.
+// Repeats the request until the leader confirms or the time limit has passed. A
+// leader that cannot be asked is waited for.
 void PreviousLeaders::requestStepDown(const LeaderTerm &term) {
   // This process has ended its own earlier terms already.
   if (term.Address == Params.OwnTerm.Address) {
     onSteppedDown(term);
     return;
   }
+  if (!Peers.IsAddress(term.Address))
+    return;
   Peers.Call(term.Address, endpoints::StandDown{Params.OwnTerm.Epoch},
              Params.PeerTimeoutMs,
              [this, alive = Alive, term](const endpoints::PeerReply &reply) {
--- a/src/libs/entry/previousleaders.h
+++ b/src/libs/entry/previousleaders.h
@@ -60,8 +60,8 @@
   PreviousLeaders &operator=(const PreviousLeaders &) = delete;
 
   void start() { read(); }
-  /// Epoch of the leader before this one; zero if there was none. Known once
-  /// this leader is registered.
+  /// Epoch of the leader before this one; zero if there was none, or if it
+  /// cannot be read. Known once this leader is registered.
   int64_t previousEpoch() const { return PreviousEpoch; }
 
 private:
