One odd row of the record of silent agents leaves the others usable

By reading: the whole record was refused for one odd row, and an integer beyond 63 bits wrapped to a negative time (get<int64_t>() of an unsigned number). The rows that can be read are used, the others are counted in record.refused; their agents are waited for as long as agents that are not recorded. Numbers go through utils::toInt64().

--- a/src/libs/entry/silentagentrecord.cpp
+++ b/src/libs/entry/silentagentrecord.cpp
@@ -2,6 +2,7 @@
 
 #include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
+#include "utils/jsonfields.h"
 #include "utils/jsontext.h"
 
 #include <nlohmann/json.hpp>
@@ -25,6 +26,9 @@
 struct DecodedRecord {
   int64_t Epoch = 0;
   std::vector<SilentAgent> Agents;
+  /// Number of rows that could not be read. Their agents count as not recorded,
+  /// so that the longest time is waited for them.
+  int UnreadableRows = 0;
 };
 
 std::string encode(int64_t epoch, const std::vector<SilentAgent> &agents) {
@@ -46,6 +50,11 @@
          std::find(list->begin(), list->end(), name) != list->end();
 }
 
+bool isReadable(const json &row) {
+  return row.is_array() && row.size() == 2 && row[0].is_string() &&
+         row[1].is_number_integer() && utils::toInt64(row[1]) >= 0;
+}
+
 std::optional<DecodedRecord> decode(const std::string &value) {
   const auto parsed = utils::parseJson(value);
   const json j = parsed ? *parsed : json();
@@ -53,13 +62,14 @@
       !j["epoch"].is_number_integer() || !j.contains("agents") ||
       !j["agents"].is_array())
     return std::nullopt;
-  DecodedRecord record{j["epoch"].get<int64_t>(), {}};
+  DecodedRecord record{utils::toInt64(j["epoch"]), {}};
   for (const json &row : j["agents"]) {
-    if (!row.is_array() || row.size() != 2 || !row[0].is_string() ||
-        !row[1].is_number_integer())
-      return std::nullopt;
+    if (!isReadable(row)) {
+      ++record.UnreadableRows;
+      continue;
+    }
     const auto name = row[0].get<std::string>();
-    record.Agents.push_back({name, absl::Milliseconds(row[1].get<int64_t>()),
+    record.Agents.push_back({name, absl::Milliseconds(utils::toInt64(row[1])),
                              isListed(j, "fenced", name)});
   }
   return record;
@@ -115,6 +125,10 @@
              {{"key", Params.Key}, {"error", "not a record of silent agents"}});
     return;
   }
+  if (record->UnreadableRows > 0)
+    logEvent(Event::RecordRefused, {{"key", Params.Key},
+                                    {"error", "rows that cannot be read"},
+                                    {"rows", record->UnreadableRows}});
   ReadEpoch = record->Epoch;
   ReadAgents = std::move(record->Agents);
 }
