One heartbeat with too large a number does not make all later ones count as delayed

By reading, then by test: a liveness report of another writer under a worker's own id and start time, with the largest sequence, was accepted, and every true one after it counted as delayed. The worker's shutdown was not noticed, its state counted as outdated, and it got no work until it ended.

The change: a rising series of such heartbeats, with none above, is taken for the worker's once it has lasted as long as makes a worker's state outdated (two and a half intervals). Heartbeats that an outage has held up come at once, and a current one comes between them. HeartbeatSequence is a module of its own.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -3,6 +3,7 @@
 #include "cordonview.h"
 #include "endpoints/peers.h"
 #include "endpoints/workercalls.h"
+#include "heartbeatsequence.h"
 #include "leaderfinder.h"
 #include "openattempts.h"
 #include "platform/store.h"
@@ -272,7 +273,7 @@
   /// Number of the first report since the served incarnation counted as ended;
   /// zero if it never did. The leader may have given up what it ordered before.
   int64_t FirstReportOfIncarnation = 0;
-  int64_t LastHeartbeatSequence = 0;
+  HeartbeatSequence HeartbeatNumbers{Time.StateOutdatedAfter};
   absl::Time LastHeartbeatAt;
   /// The latest incarnations that have ended, the newest last.
   std::vector<endpoints::IncarnationEnd> EndedIncarnations;
--- a/src/libs/agent/workeragent_incarnation.cpp
+++ b/src/libs/agent/workeragent_incarnation.cpp
@@ -54,9 +54,8 @@
 
 void WorkerAgent::applyHeartbeat(const Heartbeat &heartbeat) {
   // A delayed heartbeat carries an outdated state.
-  if (heartbeat.Sequence <= LastHeartbeatSequence)
+  if (!HeartbeatNumbers.accept(heartbeat.Sequence, Loop.now()))
     return;
-  LastHeartbeatSequence = heartbeat.Sequence;
   LastHeartbeatAt = Loop.now();
   const bool draining = heartbeat.Worker.Draining && !State.Draining;
   const core::Resources previousCapacity = State.Capacity;
@@ -126,7 +125,7 @@
       hasEnded(heartbeat.Worker.Life) ? LastSequence + 1 : 0;
   removeIncarnationEnd(heartbeat.Worker.Life);
   State = heartbeat.Worker;
-  LastHeartbeatSequence = heartbeat.Sequence;
+  HeartbeatNumbers.begin(heartbeat.Sequence);
   LastHeartbeatAt = Loop.now();
   logEvent(Event::WorkerLifeBegan,
            {{"worker", State.Life.Id},
@@ -163,7 +162,7 @@
     Attempts.closeId(State.Life.Id);
   SentStarts = {};
   State = {};
-  LastHeartbeatSequence = 0;
+  HeartbeatNumbers.begin(0);
   ClockOffset.reset();
   SeenUpto = 0;
   Running.clear();
