tests: lines of the event log are waited for

A process that ends waits for 300 ms at most until its last lines are written. Two tests read the log right after that, so that they fail on a machine that is busy at that moment. They wait for the lines now, and check the same.

--- a/tests/auto/agent/tst_startattempts.cpp
+++ b/tests/auto/agent/tst_startattempts.cpp
@@ -3,6 +3,7 @@
 #include "agentfixture.h"
 #include "eventlog/eventlog.h"
 #include "eventlog/timeline.h"
+#include "waituntil.h"
 
 #include <gtest/gtest.h>
 
@@ -395,8 +396,13 @@
   AgentFixture fixture;
   GetParam().Play(fixture);
   eventlog::closeEventLog();
-  const auto lines = eventlog::select(eventlog::readEvents({path}).Events,
-                                      {"", "", "", "order.defer", {}, {}});
+  std::vector<eventlog::LoggedEvent> lines;
+  // The log does not wait for its last lines for longer than a moment.
+  testwaits::waitUntil([&] {
+    lines = eventlog::select(eventlog::readEvents({path}).Events,
+                             {"", "", "", "order.defer", {}, {}});
+    return lines.size() >= GetParam().Lines.size();
+  });
   ::unlink(path.c_str());
   ASSERT_EQ(lines.size(), GetParam().Lines.size());
   for (size_t i = 0; i < lines.size(); ++i) {
--- a/tests/auto/eventlog/tst_eventlog.cpp
+++ b/tests/auto/eventlog/tst_eventlog.cpp
@@ -1,5 +1,7 @@
 #include "eventlog/eventlog.h"
 
+#include "waituntil.h"
+
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -65,9 +67,12 @@
   ASSERT_TRUE(ready);
   logEvent(Event::CallAnswered, {{"asked", std::string(1000000, 'x')}});
   closeEventLog();
-  std::ifstream in(path);
+  // The log does not wait for its last lines for longer than a moment.
   std::string line;
-  ASSERT_TRUE(std::getline(in, line));
+  testwaits::waitUntil([&] {
+    std::ifstream in(path);
+    return std::getline(in, line) && !in.eof();
+  });
   EXPECT_NE(line.find("call.answered"), std::string::npos);
   EXPECT_LT(line.size(), 20000u);
   ::unlink(path.c_str());
