Lists of a worker that cannot be read are reported

An answer to a keep-alive call with one odd row is not used, as it has to be: without that row the list would tell that a run is over, and an end that is not read would be acknowledged with the later ones.

--- a/tests/auto/adapter/tst_workeradapter.cpp
+++ b/tests/auto/adapter/tst_workeradapter.cpp
@@ -136,6 +136,7 @@
   CallStatus Status;
   size_t Running;
   size_t Ended;
+  size_t Refused = 0;
 };
 
 void PrintTo(const KeepAliveCase &c, std::ostream *out) { *out << c.Name; }
@@ -146,9 +147,10 @@
 // leader would start the worker's tasks elsewhere.
 TEST_P(KeepAliveAnswers, AreParsedCompletelyOrRejected) {
   PlatformStub stub(http::HttpResponse{200, GetParam().Body});
+  size_t refused = 0;
   const endpoints::WorkerCalls calls =
       makeWorkerCalls(stub.Loop, stub.Client, stub.Address,
-                      [](const utils::RefusedMessage &) {});
+                      [&](const utils::RefusedMessage &) { ++refused; });
   const auto reply = stub.callAndWait<endpoints::KeepAliveReply>(
       [&](std::function<void(endpoints::KeepAliveReply)> done) {
         calls.KeepAlive({{"life-1", 1000}, 0, 11, 3, 0}, done);
@@ -156,6 +158,7 @@
   EXPECT_EQ(reply.Outcome.Status, GetParam().Status) << reply.Outcome.Detail;
   EXPECT_EQ(reply.Running.size(), GetParam().Running);
   EXPECT_EQ(reply.Ended.size(), GetParam().Ended);
+  EXPECT_EQ(refused, GetParam().Refused);
 }
 
 const KeepAliveCase KeepAliveCases[] = {
@@ -166,11 +169,17 @@
     {"nothing_runs", R"({"clockMs":9,"running":[],"ended":[]})", CallStatus::Ok,
      0, 0},
     {"short_row", R"({"clockMs":9,"running":[["j.0.0.0",2]],"ended":[]})",
-     CallStatus::NoAnswer, 0, 0},
+     CallStatus::NoAnswer, 0, 0, 1},
     {"wrong_type", R"({"clockMs":9,"running":[["j.0.0.0","x","s",1]]})",
-     CallStatus::NoAnswer, 0, 0},
-    {"no_json", "<html>", CallStatus::NoAnswer, 0, 0},
-    {"no_lists", R"({"clockMs":9})", CallStatus::NoAnswer, 0, 0},
+     CallStatus::NoAnswer, 0, 0, 1},
+    {"one_odd_row_among_others",
+     R"({"clockMs":9,"running":[["j.0.0.0",2,"s",41,0],null],"ended":[]})",
+     CallStatus::NoAnswer, 0, 0, 1},
+    {"number_of_an_end_of_another_type",
+     R"({"clockMs":9,"running":[],"ended":[["x","j.0.0.1",1,"done",""]]})",
+     CallStatus::NoAnswer, 0, 0, 1},
+    {"no_json", "<html>", CallStatus::NoAnswer, 0, 0, 1},
+    {"no_lists", R"({"clockMs":9})", CallStatus::NoAnswer, 0, 0, 1},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, KeepAliveAnswers,
