tests: the soak of real processes judges the configuration behind each answer and start

configmonitor reads the logs of all starts of each entry: no answer to a caller may be decided by an older configuration than the entry had shown 250 ms before it received the call, by an answer or by a start as leader, also before it was started again. call.answered tells whether the call was forwarded by another entry, which then answers the caller.

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -106,6 +106,8 @@
                            {"config_age_ms", d.ConfigAgeMs},
                            {"result", jobs::callResultName(d.Answer.Result)},
                            {"took_ms", d.TookMs}};
+  if (d.Forwarded)
+    fields["forwarded"] = true;
   if (d.ConfigOutdated)
     fields["config_outdated"] = true;
   if (!d.Job.empty())
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -71,6 +71,8 @@
 struct CallDecision {
   std::string Call;
   std::string Job;
+  /// The call came from another entry, which answers its caller.
+  bool Forwarded = false;
   std::string Queue;
   int Priority = 0;
   std::string Organisation;
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -158,6 +158,7 @@
   CallDecision decision;
   decision.Call = call->Name;
   decision.Job = call->JobId;
+  decision.Forwarded = call->FromOtherEntry;
   decision.Queue = call->Queue.Name;
   decision.Priority = call->Queue.Priority;
   decision.Organisation = call->Organisation;
--- a/tests/auto/system/jobssite.cpp
+++ b/tests/auto/system/jobssite.cpp
@@ -94,7 +94,7 @@
 
 void JobsProcess::start() {
   ++Starts;
-  LogPath = PathStem + "." + std::to_string(Starts) + ".log";
+  LogPath = logPathOf(Starts);
   Pid = bench::startProcess({Program, "jobs", "--settings", PathStem + ".json"},
                             LogPath);
 }
@@ -122,6 +122,13 @@
   return Pid > 0;
 }
 
+std::vector<std::string> JobsProcess::logPaths() const {
+  std::vector<std::string> paths;
+  for (int n = 1; n <= Starts; ++n)
+    paths.push_back(logPathOf(n));
+  return paths;
+}
+
 std::string JobsProcess::log() const {
   std::ifstream in(LogPath);
   return {std::istreambuf_iterator<char>(in), {}};
--- a/tests/auto/system/jobssite.h
+++ b/tests/auto/system/jobssite.h
@@ -44,6 +44,8 @@
   void restart();
   /// The port that the process has logged for this role; zero before it has.
   int port(const std::string &role);
+  /// The logs of all starts of the process, the first one first.
+  std::vector<std::string> logPaths() const;
   /// Everything that the process has logged since it was last started.
   std::string log() const;
   /// Number of logged events with this name.
@@ -51,6 +53,9 @@
 
 private:
   void start();
+  std::string logPathOf(int start) const {
+    return PathStem + "." + std::to_string(start) + ".log";
+  }
 
   const std::string Name;
   const std::string Program;
--- a/tests/auto/system/tst_faultstorm.cpp
+++ b/tests/auto/system/tst_faultstorm.cpp
@@ -1,4 +1,5 @@
 #include "cluster/seeds.h"
+#include "configmonitor.h"
 #include "faultstorm.h"
 #include "stormcallers.h"
 #include "testnames.h"
@@ -129,13 +130,25 @@
         ADD_FAILURE() << "no answer in time: " << call;
   }
 
+  /// No entry goes back to an older configuration than it has shown.
+  void expectNoConfigWentBack() {
+    for (const auto &entry : Site->Entries)
+      addConfigHistory(entry->logPaths(), Configs);
+    for (const std::string &violation : Configs.Violations)
+      ADD_FAILURE() << violation;
+    EXPECT_GT(Configs.Answers, 0);
+    EXPECT_GT(Configs.Starts, 0);
+  }
+
   void printCounts() const {
     int calls = 0;
     for (const auto &caller : CallersOfStorm)
       calls += caller->callCount();
     std::cout << "Seed " << Seed << ": " << calls << " calls, "
               << sentJobs().size() << " jobs, of which " << Accepted
-              << " accepted and not cancelled, " << Refused << " refused\n";
+              << " accepted and not cancelled, " << Refused << " refused; "
+              << Configs.Answers << " decided answers, " << Configs.Starts
+              << " starts\n";
   }
 
   const uint64_t Seed = static_cast<uint64_t>(GetParam());
@@ -147,15 +160,18 @@
   size_t NextEntry = 0;
   size_t Accepted = 0;
   int Refused = 0;
+  ConfigHistory Configs;
 };
 
-// Guards against answers that do not tell what became of a call, and against
-// tasks that run twice, while connections, answers and processes are lost.
+// Guards against answers that do not tell what became of a call, against tasks
+// that run twice, and against entries that go back to an older configuration,
+// while connections, answers and processes are lost.
 TEST_P(FaultStorms, EndAsCallersWereTold) {
   runStorm();
   expectAcceptedJobsCompleted();
   expectRefusedJobsNotRun();
   expectRulesKept();
+  expectNoConfigWentBack();
   printCounts();
 }
 
