--- a/tests/auto/adapter/tst_oddmembers.cpp
+++ b/tests/auto/adapter/tst_oddmembers.cpp
@@ -72,8 +72,9 @@
   ASSERT_TRUE(reply.ok()) << reply.Why;
   EXPECT_EQ(keysOf(reply.Value), Expected);
   EXPECT_EQ(reply.Value.UnreadableKeys.size(), GetParam().IsRead ? 0u : 1u);
-  if (!GetParam().IsRead)
+  if (!GetParam().IsRead) {
     EXPECT_EQ(reply.Value.UnreadableKeys[0], GetParam().UnreadableKey);
+  }
   EXPECT_EQ(Refused, GetParam().IsRead ? 0 : 1);
 }
 
--- a/tests/auto/cluster/tst_previousleaders.cpp
+++ b/tests/auto/cluster/tst_previousleaders.cpp
@@ -64,9 +64,10 @@
   EXPECT_TRUE(isRegistered);
   EXPECT_EQ(allEndedAt != absl::InfiniteFuture(), GetParam().IsReadable);
   EXPECT_EQ(leaders.previousEpoch() > 0, GetParam().IsReadable);
-  if (!GetParam().IsReadable)
+  if (!GetParam().IsReadable) {
     EXPECT_EQ(Store.items().at(ListKey).Value,
               "[" + GetParam().Kept + ownRow() + "]");
+  }
   Loop.advance(Options.TimeLimit);
   EXPECT_LE(allEndedAt, startedAt + Options.TimeLimit + absl::Seconds(1));
   EXPECT_EQ(Store.items().at(ListKey).Value, "[" + ownRow() + "]");
--- a/tests/auto/system/callerconnection.h
+++ b/tests/auto/system/callerconnection.h
@@ -11,7 +11,7 @@
   std::string Method;
   std::string Path;
   std::string Key = "key";
-  std::string Body;
+  std::string Body = {};
   /// The caller's deadline; the default is that of an entry.
   absl::Duration Deadline = absl::Seconds(3);
 };
