--- a/tests/auto/cluster/tst_confignews.cpp
+++ b/tests/auto/cluster/tst_confignews.cpp
@@ -45,11 +45,12 @@
                           {makeQueue(LastingQueue), makeQueue(AddedQueue)});
     Cluster.runFor(absl::Milliseconds(20));
   }
-  std::shared_ptr<MemoryCluster::CallerCall> submit(int entry,
-                                                    const std::string &queue) {
+  std::shared_ptr<MemoryCluster::CallerCall>
+  submit(int entry, const std::string &queue,
+         const std::string &key = LastingKey) {
     core::JobSpec job = makeJob(JobId, 1, 1, 5000);
     job.Queue = queue;
-    return Cluster.submit(entry, LastingKey, std::move(job));
+    return Cluster.submit(entry, key, std::move(job));
   }
   /// Submits a job whose progress is written again when its first step ends.
   std::shared_ptr<MemoryCluster::CallerCall> submitTwoSteps(int entry) {
@@ -316,6 +317,19 @@
   expectNoOlderConfigAtIsolated();
 }
 
+// Guards against a known record that confirms a later call of the same id, sent
+// with a key that is gone by then.
+TEST_P(ConfigNewsOfAnswers, LaterCallWithARemovedKeyIsNotConfirmedByARecord) {
+  ASSERT_EQ(Site.resultOf(Site.submit(Newer, LastingQueue, RemovedKey)),
+            CallResult::Ok);
+  Site.storeFaults(Leader).WatchesSilent = true;
+  runToChange();
+  Site.storeFaults(Isolated).Refuses = true;
+  Site.storeFaults(Leader).LostAnswerShare = 1;
+  EXPECT_NE(Site.resultOf(Site.submit(Isolated, LastingQueue, RemovedKey)),
+            CallResult::Ok);
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, ConfigNews, testing::Range(0, 600, 40));
 INSTANTIATE_TEST_SUITE_P(Table, ConfigNewsOfAnswers,
                          testing::Range(0, 600, 40));
