tests: tst_cluster.cpp split by what is tested

917 lines held end-to-end tests, faults beside running jobs, and the states that callers are shown. The latter two have files of their own (tst_faults, tst_visiblestates); servingCluster() and hasNoViolations() are shared by them and by tst_answerorder. job() was makeJob() once more.

--- a/tests/auto/cluster/tst_answerorder.cpp
+++ b/tests/auto/cluster/tst_answerorder.cpp
@@ -1,5 +1,5 @@
-#include "memorycluster.h"
 #include "seeds.h"
+#include "servingcluster.h"
 
 #include <gtest/gtest.h>
 
@@ -208,14 +208,6 @@
   return spec;
 }
 
-std::unique_ptr<MemoryCluster> servingCluster() {
-  auto cluster =
-      std::make_unique<MemoryCluster>(MemoryCluster::Options{Entries, 3, 3, 1});
-  cluster->configure({"k1", "k2"});
-  cluster->runFor(absl::Seconds(4));
-  return cluster;
-}
-
 CallResult resultOf(MemoryCluster &cluster,
                     const std::shared_ptr<MemoryCluster::CallerCall> &call) {
   for (int ms = 0; !call->Answer && ms < CallerTimeoutMs; ++ms)
@@ -227,7 +219,7 @@
 // read recently, after it has forwarded a call because the store would not
 // confirm that configuration and another entry has answered by a newer one.
 TEST(ConfigMonotonicity, EntryRefusedByTheStoreDoesNotUseItsOldConfig) {
-  auto cluster = servingCluster();
+  auto cluster = servingCluster({Entries, 3, 3, 1});
   const int isolated = (cluster->leader() + 1) % Entries;
   MemoryStore::Faults &store =
       cluster->store().faults(MemoryCluster::entryName(isolated));
@@ -244,7 +236,7 @@
 // Guards against an entry that forwards the answer of another entry whose
 // configuration is older than one that it has already answered by itself.
 TEST(ConfigMonotonicity, AnswerOfAStaleEntryIsNotForwarded) {
-  auto cluster = servingCluster();
+  auto cluster = servingCluster({Entries, 3, 3, 1});
   const int stale = cluster->leader();
   const int newer = (stale + 1) % Entries;
   const int third = (stale + 2) % Entries;
@@ -263,7 +255,7 @@
 // its own and the newer one contain the caller's key, which now belongs to
 // another organisation.
 TEST(ConfigMonotonicity, KeyMovedToAnotherOrganisationStaysMoved) {
-  auto cluster = servingCluster();
+  auto cluster = servingCluster({Entries, 3, 3, 1});
   const int isolated = (cluster->leader() + 1) % Entries;
   cluster->submit(isolated, "k1", job("over", 100));
   cluster->submit(isolated, "k1", job("runs", 20000));
--- a/tests/auto/cluster/tst_cluster.cpp
+++ b/tests/auto/cluster/tst_cluster.cpp
@@ -1,46 +1,13 @@
-#include "memorycluster.h"
+#include "servingcluster.h"
 
 #include <gtest/gtest.h>
 
 namespace oriolebay::cluster {
 namespace {
 
-core::JobSpec job(const std::string &id, int count, int64_t accelerators,
-                  int64_t ms, const std::string &queue = "q1") {
-  core::JobSpec spec;
-  spec.Id = id;
-  spec.Queue = queue;
-  spec.Payload = "text";
-  core::StepSpec step;
-  step.Count = count;
-  step.PerTask = {1000, 1000, accelerators};
-  step.EstimateMs = ms;
-  spec.Steps.push_back(step);
-  return spec;
-}
-
-/// Returns a cluster that is configured, has elected a leader and knows all its
-/// workers.
-std::unique_ptr<MemoryCluster>
-servingCluster(MemoryCluster::Options options = {}) {
-  auto cluster = std::make_unique<MemoryCluster>(options);
-  cluster->configure({"k1", "k2"});
-  cluster->runFor(absl::Seconds(4));
-  return cluster;
-}
-
-::testing::AssertionResult hasNoViolations(MemoryCluster &cluster) {
-  const std::vector<std::string> foundViolations = cluster.violations();
-  if (foundViolations.empty())
-    return ::testing::AssertionSuccess();
-  return ::testing::AssertionFailure()
-         << foundViolations.size()
-         << " violations, first: " << foundViolations.front();
-}
-
 TEST(Cluster, ServesAJobFromEndToEnd) {
   auto cluster = servingCluster();
-  auto call = cluster->submit(1, "k1", job("j1", 4, 2, 1000));
+  auto call = cluster->submit(1, "k1", makeJob("j1", 4, 2, 1000));
   cluster->runFor(absl::Milliseconds(100));
   ASSERT_TRUE(call->Answer.has_value());
   EXPECT_EQ(call->Answer->Result, jobs::CallResult::Ok);
@@ -51,127 +18,6 @@
   EXPECT_TRUE(hasNoViolations(*cluster));
 }
 
-// Guards against late answers to callers that query a job's state the moment
-// its last task has ended, and again a quarter of a second later. The first
-// answer was "running", as the end was still being written to the store, and
-// the next quarter of a second made urgent jobs late, which have a second and a
-// half in all.
-TEST(Cluster, StateQueriedRightAfterTheEndIsCompleted) {
-  for (int queried = 0; queried < 3; ++queried) {
-    auto cluster = servingCluster();
-    cluster->submit(0, "k1", job("j", 1, 1, 1000));
-    cluster->runFor(absl::Milliseconds(200));
-    const auto running = [&] {
-      const auto &runs = cluster->sharedState().Running;
-      auto it = runs.find("j.0.0.0");
-      return it != runs.end() && !it->second.empty();
-    };
-    ASSERT_TRUE(running());
-    for (int ms = 0; running() && ms < 2000; ++ms)
-      cluster->runFor(absl::Milliseconds(1));
-    ASSERT_FALSE(running());
-    // The caller learns of the end, and its call arrives.
-    cluster->runFor(absl::Milliseconds(2));
-    ASSERT_NE(cluster->storedState("j"), jobs::JobState::Completed);
-    auto shown = cluster->state(queried, "k1", "j");
-    cluster->runFor(absl::Milliseconds(50));
-    ASSERT_TRUE(shown->Answer.has_value());
-    EXPECT_EQ(shown->Answer->State, jobs::JobState::Completed)
-        << "asked at entry " << queried;
-  }
-}
-
-// Guards against the answer "running" to callers whose query arrives after the
-// end of the job's last task, but before the leader has received the report of
-// the end.
-TEST(Cluster, StateQueriedBeforeTheEndIsReportedIsCompleted) {
-  auto cluster = servingCluster();
-  cluster->submit(0, "k1", job("j", 1, 1, 1000));
-  cluster->runFor(absl::Milliseconds(200));
-  const auto running = [&] {
-    const auto &runs = cluster->sharedState().Running;
-    auto it = runs.find("j.0.0.0");
-    return it != runs.end() && !it->second.empty();
-  };
-  for (int ms = 0; running() && ms < 2000; ++ms)
-    cluster->runFor(absl::Milliseconds(1));
-  ASSERT_FALSE(running());
-  std::vector<std::shared_ptr<MemoryCluster::CallerCall>> calls;
-  for (int entry = 0; entry < 3; ++entry)
-    calls.push_back(cluster->state(entry, "k1", "j"));
-  cluster->runFor(absl::Milliseconds(60));
-  for (const auto &call : calls) {
-    ASSERT_TRUE(call->Answer.has_value());
-    EXPECT_EQ(call->Answer->State, jobs::JobState::Completed);
-  }
-}
-
-// Guards against ended jobs that are shown as running for six seconds, even by
-// the leader that had recorded their ends: the store's watches report nothing
-// for a while, and then the store drops its history.
-TEST(Cluster, ShowsEndsWhileWatchesAreSilent) {
-  auto cluster = servingCluster();
-  for (int n = 0; n < 3; ++n)
-    cluster->store().faults(MemoryCluster::entryName(n)).WatchesSilent = true;
-  cluster->submit(cluster->leader(), "k1", job("j", 1, 1, 500));
-  cluster->runFor(absl::Milliseconds(700));
-  ASSERT_EQ(cluster->storedState("j"), jobs::JobState::Completed);
-  for (int n = 0; n < 3; ++n) {
-    auto shown = cluster->state(n, "k1", "j");
-    cluster->runFor(absl::Milliseconds(50));
-    ASSERT_TRUE(shown->Answer.has_value());
-    EXPECT_EQ(shown->Answer->State, jobs::JobState::Completed) << n;
-  }
-}
-
-// Guards against an entry that has shown a job's end as the leader reported it
-// and then, when the leader cannot be reached, shows the job as running
-// according to its own view.
-TEST(Cluster, EndReportedByTheLeaderIsNotRevoked) {
-  auto cluster = servingCluster();
-  const int leader = cluster->leader();
-  const int queried = (leader + 1) % 3;
-  cluster->submit(queried, "k1", job("j", 1, 1, 500));
-  cluster->runFor(absl::Milliseconds(300));
-  cluster->store().faults(MemoryCluster::entryName(queried)).WatchesSilent =
-      true;
-  cluster->runFor(absl::Milliseconds(400));
-  ASSERT_EQ(cluster->storedState("j"), jobs::JobState::Completed);
-  auto reported = cluster->state(queried, "k1", "j");
-  cluster->runFor(absl::Milliseconds(50));
-  ASSERT_TRUE(reported->Answer.has_value());
-  ASSERT_EQ(reported->Answer->State, jobs::JobState::Completed);
-  cluster->partitionPair(MemoryCluster::entryName(queried),
-                         MemoryCluster::entryName(leader));
-  auto again = cluster->state(queried, "k1", "j");
-  cluster->runFor(absl::Milliseconds(400));
-  ASSERT_TRUE(again->Answer.has_value());
-  EXPECT_EQ(again->Answer->State, jobs::JobState::Completed);
-}
-
-// Guards against an entry that shows a job as queued long after its end because
-// the store refuses to return the job's progress.
-TEST(Cluster, JobWhoseProgressCannotBeReadIsNotShownAsQueued) {
-  auto cluster = servingCluster();
-  const int leader = cluster->leader();
-  const int queried = (leader + 1) % 3;
-  MemoryStore::Faults &store =
-      cluster->store().faults(MemoryCluster::entryName(queried));
-  store.WatchesSilent = true;
-  cluster->submit(leader, "k1", job("j", 1, 1, 200));
-  cluster->runFor(absl::Milliseconds(700));
-  ASSERT_EQ(cluster->storedState("j"), jobs::JobState::Completed);
-  cluster->partitionPair(MemoryCluster::entryName(queried),
-                         MemoryCluster::entryName(leader));
-  auto shown = cluster->state(queried, "k1", "j");
-  cluster->runFor(absl::Milliseconds(1));
-  store.Refuses = true;
-  cluster->runFor(absl::Seconds(2));
-  ASSERT_TRUE(shown->Answer.has_value());
-  ASSERT_EQ(shown->Answer->Result, jobs::CallResult::Ok);
-  EXPECT_EQ(shown->Answer->State, jobs::JobState::Completed);
-}
-
 // Guards against a load on the store that grows with the number of entries:
 // with many entries and hundreds of written records a second the store was
 // called two thousand times a second, as each write woke each entry. The store
@@ -187,7 +33,8 @@
     const int leader = cluster->leader();
     const int before = cluster->store().calls();
     for (int n = 0; n < 20 * Seconds; ++n) {
-      cluster->submit(leader, "k1", job("j" + std::to_string(n), 10, 0, 200));
+      cluster->submit(leader, "k1",
+                      makeJob("j" + std::to_string(n), 10, 0, 200));
       cluster->runFor(absl::Milliseconds(50));
     }
     callsAtSize[entries] = cluster->store().calls() - before;
@@ -223,7 +70,7 @@
     GetParam().Inject(
         cluster->store().faults(MemoryCluster::entryName(isolated)));
     cluster->runFor(absl::Milliseconds(GetParam().AfterMs));
-    auto call = cluster->submit(isolated, "k1", job("j", 1, 1, 500));
+    auto call = cluster->submit(isolated, "k1", makeJob("j", 1, 1, 500));
     cluster->runFor(absl::Milliseconds(GetParam().WithinMs));
     ASSERT_TRUE(call->Answer.has_value());
     EXPECT_EQ(call->Answer->Result, jobs::CallResult::Ok)
@@ -262,7 +109,7 @@
 TEST(Cluster, EntryThatSawANewerConfigIgnoresItsOwn) {
   auto cluster = servingCluster();
   const int isolated = (cluster->leader() + 1) % 3;
-  cluster->submit(isolated, "k1", job("j", 1, 1, 200));
+  cluster->submit(isolated, "k1", makeJob("j", 1, 1, 200));
   ASSERT_TRUE(cluster->runUntilAllEnded(absl::Seconds(3)));
   cluster->runFor(absl::Seconds(1));
   cluster->store().faults(MemoryCluster::entryName(isolated)).Silent = true;
@@ -280,7 +127,7 @@
   cluster->store().faults(MemoryCluster::entryName(isolated)).Silent = false;
   cluster->runFor(absl::Seconds(4));
   auto later = cluster->state(isolated, "k1", "j");
-  auto known = cluster->submit(isolated, "k2", job("j2", 1, 1, 200));
+  auto known = cluster->submit(isolated, "k2", makeJob("j2", 1, 1, 200));
   cluster->runFor(absl::Milliseconds(100));
   ASSERT_TRUE(known->Answer.has_value());
   EXPECT_EQ(known->Answer->Result, jobs::CallResult::Ok);
@@ -296,7 +143,7 @@
   auto cluster = servingCluster();
   const int isolated = (cluster->leader() + 1) % 3;
   const std::string leader = MemoryCluster::entryName(cluster->leader());
-  cluster->submit(isolated, "k1", job("j", 1, 1, 200));
+  cluster->submit(isolated, "k1", makeJob("j", 1, 1, 200));
   ASSERT_TRUE(cluster->runUntilAllEnded(absl::Seconds(3)));
   cluster->runFor(absl::Seconds(1));
   cluster->store().faults(MemoryCluster::entryName(isolated)).Silent = true;
@@ -320,12 +167,12 @@
   cluster.runFor(absl::Seconds(4));
   auto &faults = cluster.store().faults(MemoryCluster::entryName(0));
   faults.LostAnswerShare = 1;
-  cluster.submit(0, "k1", job("lost", 1, 1, 200));
+  cluster.submit(0, "k1", makeJob("lost", 1, 1, 200));
   cluster.runFor(absl::Milliseconds(100));
   faults.LostAnswerShare = 0;
   cluster.runFor(absl::Seconds(2));
   faults.Refuses = true;
-  cluster.submit(0, "k1", job("refused", 1, 1, 200));
+  cluster.submit(0, "k1", makeJob("refused", 1, 1, 200));
   cluster.runFor(absl::Seconds(2));
   const auto &lines = cluster.callDecisions();
   ASSERT_EQ(lines.size(), 2);
@@ -394,7 +241,7 @@
   const auto &items = cluster->store().items();
   ASSERT_EQ(items.count(entry::JobLeaderKey), 1u);
   EXPECT_GT(items.at(entry::JobLeaderKey).CreateRevision, epoch);
-  cluster->submit(0, "k1", job("j", 1, 1, 200));
+  cluster->submit(0, "k1", makeJob("j", 1, 1, 200));
   EXPECT_TRUE(cluster->runUntilAllEnded(absl::Seconds(3)));
   EXPECT_TRUE(hasNoViolations(*cluster));
 }
@@ -419,7 +266,7 @@
   std::vector<std::shared_ptr<MemoryCluster::CallerCall>> calls;
   for (int n = 0; n < 3; ++n)
     calls.push_back(
-        cluster->submit(n, "k1", job("j" + std::to_string(n), 1, 1, 500)));
+        cluster->submit(n, "k1", makeJob("j" + std::to_string(n), 1, 1, 500)));
   cluster->runFor(absl::Milliseconds(30));
   for (const auto &call : calls) {
     ASSERT_TRUE(call->Answer.has_value());
@@ -438,42 +285,29 @@
   cluster->store().faults(MemoryCluster::entryName(isolated)).Refuses = true;
   cluster->setPartitioned(MemoryCluster::entryName(isolated), true);
   cluster->runFor(absl::Milliseconds(400));
-  auto first = cluster->submit(isolated, "k1", job("j1", 1, 1, 500));
+  auto first = cluster->submit(isolated, "k1", makeJob("j1", 1, 1, 500));
   cluster->runFor(absl::Milliseconds(850));
   ASSERT_TRUE(first->Answer.has_value());
-  auto second = cluster->submit(isolated, "k1", job("j2", 1, 1, 500));
+  auto second = cluster->submit(isolated, "k1", makeJob("j2", 1, 1, 500));
   cluster->runFor(absl::Milliseconds(20));
   ASSERT_TRUE(second->Answer.has_value());
   EXPECT_EQ(second->Answer->Result, jobs::CallResult::NotDone);
   cluster->setPartitioned(MemoryCluster::entryName(isolated), false);
   cluster->runFor(absl::Seconds(1));
-  auto third = cluster->submit(isolated, "k1", job("j3", 1, 1, 500));
+  auto third = cluster->submit(isolated, "k1", makeJob("j3", 1, 1, 500));
   cluster->runFor(absl::Milliseconds(50));
   ASSERT_TRUE(third->Answer.has_value());
   EXPECT_EQ(third->Answer->Result, jobs::CallResult::Ok);
 }
 
-// The end of a job is known but cannot be recorded because the store is down:
-// the caller gets the recorded state, without a long wait.
-TEST(Cluster, StateIsAnsweredWhenTheEndCannotBeRecorded) {
-  auto cluster = servingCluster();
-  cluster->submit(0, "k1", job("j", 1, 1, 1000));
-  cluster->runFor(absl::Milliseconds(800));
-  for (int n = 0; n < 3; ++n)
-    cluster->store().faults(MemoryCluster::entryName(n)).Silent = true;
-  cluster->runFor(absl::Milliseconds(400));
-  auto shown = cluster->state(1, "k1", "j");
-  cluster->runFor(absl::Milliseconds(300));
-  ASSERT_TRUE(shown->Answer.has_value());
-  EXPECT_EQ(shown->Answer->State, jobs::JobState::Running);
-}
-
 // Guards against a job that is accepted and then never starts: its queue's
 // policy lets only some workers run its jobs, and the service that knows these
 // workers is not queried yet, so that workers refuse every start.
 TEST(Cluster, JobThatCannotBeServedIsRefusedAtOnce) {
   auto cluster = servingCluster();
-  auto call = cluster->submit(0, "k1", job("j1", 1, 1, 1000, "advised"));
+  core::JobSpec job = makeJob("j1", 1, 1, 1000);
+  job.Queue = "advised";
+  auto call = cluster->submit(0, "k1", std::move(job));
   cluster->runFor(absl::Milliseconds(100));
   ASSERT_TRUE(call->Answer.has_value());
   EXPECT_EQ(call->Answer->Result, jobs::CallResult::Invalid);
@@ -492,7 +326,7 @@
   cluster->runFor(absl::Seconds(3));
   for (int n = 0; n < 3; ++n) {
     auto call =
-        cluster->submit(n, "k1", job("j" + std::to_string(n), 1, 1, 500));
+        cluster->submit(n, "k1", makeJob("j" + std::to_string(n), 1, 1, 500));
     cluster->runFor(StoreDelay + absl::Milliseconds(20));
     ASSERT_TRUE(call->Answer.has_value());
     EXPECT_EQ(call->Answer->Result, jobs::CallResult::Ok);
@@ -514,7 +348,7 @@
   const int writes = cluster->store().writes();
   constexpr int Jobs = 10;
   for (int n = 0; n < Jobs; ++n) {
-    core::JobSpec gang = job("g" + std::to_string(n), 6, 4, 1000);
+    core::JobSpec gang = makeJob("g" + std::to_string(n), 6, 4, 1000);
     gang.Steps[0].Gang = true;
     cluster->submit(n % 3, "k1", gang);
     ASSERT_TRUE(cluster->runUntilAllEnded(absl::Seconds(10)));
@@ -527,182 +361,6 @@
   EXPECT_GE(cluster->store().writes() - writes, Jobs * 3);
 }
 
-// A fault that happens while a long job runs, shortly before others are
-// submitted.
-struct FaultCase {
-  const char *Name;
-  std::function<void(MemoryCluster &)> Inject;
-  std::function<void(MemoryCluster &)> Heal;
-  absl::Duration FaultDuration;
-  /// Maximum number of starts beyond one per task that the fault may cause.
-  int MaxExtraStarts;
-};
-
-std::ostream &operator<<(std::ostream &out, const FaultCase &c) {
-  return out << c.Name;
-}
-
-class Faults : public ::testing::TestWithParam<FaultCase> {};
-
-// A fault happens while a job runs and more are submitted. Every accepted job
-// must complete in the end, no task may run twice, and healthy runs must not be
-// restarted.
-TEST_P(Faults, AcceptedJobsCompleteExactlyOnce) {
-  auto cluster = servingCluster();
-  cluster->submit(0, "k1", job("long", 6, 4, 6000));
-  cluster->runFor(absl::Seconds(2));
-  ASSERT_EQ(cluster->acceptedJobs().size(), 1u);
-  GetParam().Inject(*cluster);
-  cluster->runFor(absl::Milliseconds(200));
-  std::vector<std::shared_ptr<MemoryCluster::CallerCall>> calls;
-  for (int n = 0; n < 3; ++n)
-    calls.push_back(
-        cluster->submit(n, "k2", job("more" + std::to_string(n), 2, 1, 1500)));
-  cluster->runFor(GetParam().FaultDuration);
-  GetParam().Heal(*cluster);
-  ASSERT_TRUE(cluster->runUntilAllEnded(absl::Seconds(40)));
-  EXPECT_EQ(cluster->storedState("long"), jobs::JobState::Completed);
-  EXPECT_TRUE(hasNoViolations(*cluster));
-  EXPECT_LE(cluster->starts(), 6 + 3 * 2 + GetParam().MaxExtraStarts);
-  for (const auto &call : calls)
-    if (call->Answer && call->Answer->Result == jobs::CallResult::NotDone) {
-      EXPECT_FALSE(cluster->storedState(call->Job).has_value())
-          << call->Job << " was refused but is in the store";
-      EXPECT_GT(call->Answer->RetryAfterMs, 0);
-    }
-}
-
-void forAllClients(MemoryCluster &cluster,
-                   const std::function<void(MemoryStore::Faults &)> &change) {
-  for (int n = 0; n < 3; ++n)
-    change(cluster.store().faults(MemoryCluster::entryName(n)));
-  for (int n = 0; n < 6; ++n)
-    change(cluster.store().faults(MemoryCluster::agentName(n)));
-}
-
-const std::vector<FaultCase> FaultCases = {
-    {"leader_killed", [](MemoryCluster &c) { c.killEntry(c.leader()); },
-     [](MemoryCluster &c) {
-       for (int n = 0; n < 3; ++n)
-         if (!c.isEntryUp(n))
-           c.startEntry(n);
-     },
-     absl::Seconds(3), 0},
-    {"every_process_killed",
-     [](MemoryCluster &c) {
-       for (int n = 0; n < 3; ++n)
-         c.killEntry(n);
-       for (int n = 0; n < 6; ++n)
-         c.killAgent(n);
-     },
-     [](MemoryCluster &c) {
-       for (int n = 0; n < 3; ++n)
-         c.startEntry(n);
-       for (int n = 0; n < 6; ++n)
-         c.startAgent(n);
-     },
-     absl::Seconds(1), 0},
-    {"store_silent_for_all",
-     [](MemoryCluster &c) {
-       forAllClients(c, [](MemoryStore::Faults &f) { f.Silent = true; });
-     },
-     [](MemoryCluster &c) {
-       forAllClients(c, [](MemoryStore::Faults &f) { f.Silent = false; });
-     },
-     absl::Seconds(8), 0},
-    {"store_refuses_the_leader",
-     [](MemoryCluster &c) {
-       c.store().faults(MemoryCluster::entryName(c.leader())).Refuses = true;
-     },
-     [](MemoryCluster &c) {
-       forAllClients(c, [](MemoryStore::Faults &f) { f.Refuses = false; });
-     },
-     absl::Seconds(8), 0},
-    {"store_loses_answers",
-     [](MemoryCluster &c) {
-       forAllClients(c,
-                     [](MemoryStore::Faults &f) { f.LostAnswerShare = 0.5; });
-     },
-     [](MemoryCluster &c) {
-       forAllClients(c, [](MemoryStore::Faults &f) { f.LostAnswerShare = 0; });
-     },
-     absl::Seconds(5), 0},
-    {"store_writes_late",
-     [](MemoryCluster &c) {
-       forAllClients(c, [](MemoryStore::Faults &f) { f.LateWriteShare = 0.5; });
-     },
-     [](MemoryCluster &c) {
-       forAllClients(c, [](MemoryStore::Faults &f) { f.LateWriteShare = 0; });
-     },
-     absl::Seconds(5), 0},
-    {"watches_silent_then_history_gone",
-     [](MemoryCluster &c) {
-       forAllClients(c, [](MemoryStore::Faults &f) { f.WatchesSilent = true; });
-     },
-     [](MemoryCluster &c) {
-       forAllClients(c,
-                     [](MemoryStore::Faults &f) { f.WatchesSilent = false; });
-       c.store().compact();
-     },
-     absl::Seconds(2), 0},
-    {"leader_cut_off",
-     [](MemoryCluster &c) {
-       const std::string name = MemoryCluster::entryName(c.leader());
-       c.setPartitioned(name, true);
-       c.store().faults(name).Silent = true;
-     },
-     [](MemoryCluster &c) {
-       for (int n = 0; n < 3; ++n) {
-         c.setPartitioned(MemoryCluster::entryName(n), false);
-         c.store().faults(MemoryCluster::entryName(n)).Silent = false;
-       }
-     },
-     absl::Seconds(8), 0},
-    {"agent_killed", [](MemoryCluster &c) { c.killAgent(0); },
-     [](MemoryCluster &c) { c.startAgent(0); }, absl::Seconds(2), 0},
-    {"agent_cut_off_shortly",
-     [](MemoryCluster &c) {
-       c.setPartitioned(MemoryCluster::agentName(0), true);
-     },
-     [](MemoryCluster &c) {
-       c.setPartitioned(MemoryCluster::agentName(0), false);
-     },
-     absl::Seconds(3), 0},
-    {"agent_cut_off_for_long",
-     [](MemoryCluster &c) {
-       c.setPartitioned(MemoryCluster::agentName(0), true);
-     },
-     [](MemoryCluster &c) {
-       c.setPartitioned(MemoryCluster::agentName(0), false);
-     },
-     absl::Seconds(12), 2},
-    {"worker_crashes", [](MemoryCluster &c) { c.worker(0).crash(); },
-     [](MemoryCluster &) {}, absl::Seconds(1), 2},
-    {"orders_late_on_all_workers",
-     [](MemoryCluster &c) {
-       for (int n = 0; n < 6; ++n)
-         c.worker(n).LateOrderShare = 0.3;
-     },
-     [](MemoryCluster &c) {
-       for (int n = 0; n < 6; ++n)
-         c.worker(n).LateOrderShare = 0;
-     },
-     absl::Seconds(4), 4},
-    {"answers_of_workers_lost",
-     [](MemoryCluster &c) {
-       for (int n = 0; n < 6; ++n)
-         c.worker(n).LostOrderAnswerShare = 0.5;
-     },
-     [](MemoryCluster &c) {
-       for (int n = 0; n < 6; ++n)
-         c.worker(n).LostOrderAnswerShare = 0;
-     },
-     absl::Seconds(4), 0},
-};
-
-INSTANTIATE_TEST_SUITE_P(Table, Faults, ::testing::ValuesIn(FaultCases),
-                         [](const auto &info) { return info.param.Name; });
-
 // Guards against a task that never ends: its worker crashes without a report
 // and starts again at once, while the agent still has a poll of the old
 // incarnation open, and the agent did not poll the new one again. That takes a
@@ -712,7 +370,7 @@
   for (int tenth = 0; tenth < 15; ++tenth) {
     auto cluster = servingCluster();
     cluster->runFor(absl::Milliseconds(100 * tenth));
-    cluster->submit(0, "k1", job("j", 48, 1, 1000));
+    cluster->submit(0, "k1", makeJob("j", 48, 1, 1000));
     cluster->runFor(absl::Milliseconds(500));
     cluster->worker(0).crash();
     EXPECT_TRUE(cluster->runUntilAllEnded(absl::Seconds(8))) << tenth;
@@ -726,7 +384,7 @@
 // extended task leases somewhere, although all of them had been restarted.
 TEST(Cluster, TasksOfARemovedHostDoNotWaitForStoppedLeaders) {
   auto cluster = servingCluster();
-  cluster->submit(0, "k1", job("j", 12, 4, 3000));
+  cluster->submit(0, "k1", makeJob("j", 12, 4, 3000));
   cluster->runFor(absl::Milliseconds(500));
   cluster->removeHost(0);
   for (int round = 0; round < 2; ++round) {
@@ -751,7 +409,7 @@
   ASSERT_GE(first, 0);
   cluster->killEntry(first);
   cluster->runFor(absl::Seconds(30));
-  cluster->submit((first + 1) % 3, "k1", job("j", 12, 4, 3000));
+  cluster->submit((first + 1) % 3, "k1", makeJob("j", 12, 4, 3000));
   cluster->runFor(absl::Milliseconds(500));
   cluster->removeHost(0);
   const int second = cluster->leader();
@@ -767,7 +425,7 @@
 // good: the others end as alone, and all start again.
 TEST(Cluster, GangStartsAgainAfterItHasLostAMember) {
   auto cluster = servingCluster();
-  core::JobSpec spec = job("j", 3, 8, 5000);
+  core::JobSpec spec = makeJob("j", 3, 8, 5000);
   spec.Steps.front().Gang = true;
   cluster->submit(0, "k1", spec);
   cluster->runFor(absl::Seconds(1));
@@ -783,7 +441,7 @@
 // themselves while another one makes no progress.
 TEST(Cluster, GangMakesProgressAndEndsAsOne) {
   auto cluster = servingCluster();
-  core::JobSpec spec = job("j", 3, 8, 1000);
+  core::JobSpec spec = makeJob("j", 3, 8, 1000);
   spec.Steps.front().Gang = true;
   cluster->worker(0).Hangs = true;
   cluster->submit(0, "k1", spec);
@@ -802,7 +460,7 @@
 // elsewhere before that.
 TEST(Cluster, TaskAtAnAgentThatOnlyTheOldLeaderReachesRunsOnce) {
   auto cluster = servingCluster();
-  cluster->submit(0, "k1", job("j", 6, 8, 25000));
+  cluster->submit(0, "k1", makeJob("j", 6, 8, 25000));
   cluster->runFor(absl::Seconds(1));
   const int old = cluster->leader();
   cluster->store().faults(MemoryCluster::entryName(old)).Silent = true;
@@ -823,13 +481,13 @@
 // and went on with its old configuration.
 TEST(Cluster, RemovedKeyIsRefusedAtAnIsolatedEntry) {
   auto cluster = servingCluster();
-  cluster->submit(0, "k2", job("before", 1, 1, 500));
+  cluster->submit(0, "k2", makeJob("before", 1, 1, 500));
   cluster->runFor(absl::Seconds(1));
   cluster->store().faults(MemoryCluster::entryName(0)).Silent = true;
   cluster->configure({"k1"});
   const absl::Time removedAt = cluster->loop().now();
   while (cluster->loop().now() - removedAt < absl::Seconds(9)) {
-    auto submitted = cluster->submit(0, "k2", job("late", 1, 1, 500));
+    auto submitted = cluster->submit(0, "k2", makeJob("late", 1, 1, 500));
     auto shown = cluster->state(0, "k2", "before");
     cluster->runFor(absl::Milliseconds(250));
     if (shown->SentAt - removedAt > absl::Seconds(5)) {
@@ -853,8 +511,8 @@
   for (int n = 0; n < 3; ++n)
     cluster->store().faults(MemoryCluster::entryName(n)).Silent = true;
   for (int tenth = 0; tenth < 40; ++tenth) {
-    auto call = cluster->submit(tenth % 3, "k1",
-                                job("s" + std::to_string(tenth), 1, 1, 500));
+    auto call = cluster->submit(
+        tenth % 3, "k1", makeJob("s" + std::to_string(tenth), 1, 1, 500));
     cluster->runFor(absl::Milliseconds(100));
     // Once the outage is detected, nobody waits at all.
     if (tenth >= 20) {
@@ -876,9 +534,9 @@
 // confirmed the job's cancellation, because the leader's watch is silent.
 TEST(Cluster, NothingStartsAfterACancelWasConfirmed) {
   auto cluster = servingCluster();
-  cluster->submit(0, "k1", job("fills", 48, 1, 3000));
+  cluster->submit(0, "k1", makeJob("fills", 48, 1, 3000));
   cluster->runFor(absl::Milliseconds(300));
-  cluster->submit(1, "k1", job("waits", 8, 8, 1000));
+  cluster->submit(1, "k1", makeJob("waits", 8, 8, 1000));
   cluster->runFor(absl::Milliseconds(300));
   cluster->store()
       .faults(MemoryCluster::entryName(cluster->leader()))
@@ -898,15 +556,15 @@
 // at once, and again later. It must remain one job.
 TEST(Cluster, SameIdAtSeveralEntriesIsOneJob) {
   auto cluster = servingCluster();
-  auto first = cluster->submit(0, "k1", job("same", 2, 1, 1000));
-  auto second = cluster->submit(1, "k1", job("same", 2, 1, 1000));
-  auto stranger = cluster->submit(2, "k2", job("same", 2, 1, 1000));
+  auto first = cluster->submit(0, "k1", makeJob("same", 2, 1, 1000));
+  auto second = cluster->submit(1, "k1", makeJob("same", 2, 1, 1000));
+  auto stranger = cluster->submit(2, "k2", makeJob("same", 2, 1, 1000));
   cluster->runFor(absl::Milliseconds(100));
   EXPECT_EQ(first->Answer->Result, jobs::CallResult::Ok);
   EXPECT_EQ(second->Answer->Result, jobs::CallResult::Ok);
   EXPECT_EQ(stranger->Answer->Result, jobs::CallResult::IdTaken);
   ASSERT_TRUE(cluster->runUntilAllEnded(absl::Seconds(5)));
-  auto late = cluster->submit(2, "k1", job("same", 2, 1, 1000));
+  auto late = cluster->submit(2, "k1", makeJob("same", 2, 1, 1000));
   cluster->runFor(absl::Seconds(2));
   EXPECT_EQ(late->Answer->Result, jobs::CallResult::Ok);
   EXPECT_EQ(cluster->starts(), 2);
