An entry no longer stands still for good when nng does not end a connection

Cause: stacks of two such processes (gdb, 16 s after their last line) show the event loop in nng_close(), called by the destructor of the last call on a socket that had been replaced, and nng's own thread for ended connections waiting within the library (1.5.2) for something that never comes. A socket is replaced after each call without an answer, so that many are closed when a process goes on after a stall.

The change: sockets are closed on a thread of their own (SocketCloser), which nobody waits for, also not at the end of the process. If nng never ends one, the later ones wait behind it: sockets.not_closed (111) says so at 32 and at 1024. Calls go on over new sockets.

--- a/src/libs/endpoints/asyncreplyserver.cpp
+++ b/src/libs/endpoints/asyncreplyserver.cpp
@@ -1,5 +1,6 @@
 #include "asyncreplyserver.h"
 
+#include "socketcloser.h"
 #include "utils/activity.h"
 #include "utils/eventloop.h"
 
@@ -152,7 +153,7 @@
 
 AsyncReplyServer::~AsyncReplyServer() {
   D->Closed = true;
-  nng_close(D->Socket);
+  Internal::closeInBackground(D->Socket);
   D->Exchanges.clear();
 }
 
--- a/src/libs/endpoints/pendingcall.h
+++ b/src/libs/endpoints/pendingcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "messages.h"
+#include "socketcloser.h"
 
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/req.h>
@@ -26,7 +27,10 @@
     nng_socket_set_ms(Handle, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
     Error = nng_dial(Handle, address.c_str(), nullptr, NNG_FLAG_NONBLOCK);
   }
-  ~Socket() { nng_close(Handle); }
+  ~Socket() {
+    if (Handle.id != 0)
+      closeInBackground(Handle);
+  }
   Socket(const Socket &) = delete;
   Socket &operator=(const Socket &) = delete;
 
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -18,6 +18,7 @@
   ProcessFailed = 108,
   MessageRefused = 109,
   RequestRepeated = 110,
+  SocketsNotClosed = 111,
 
   JobReceived = 200,
   JobPlaced = 201,
