Review case 8: a job that was cancelled with 410 runs later

Claim: a cancellation is answered with 410 while a write of the job may still be carried out; the write takes effect later, and the tasks start more than cancel_ms after the acknowledgement (rule UNASKED).

--- a/review/sitekit-2/site.cpp
+++ b/review/sitekit-2/site.cpp
@@ -17,7 +17,6 @@
 constexpr int64_t StartTimeoutMs = 20000;
 constexpr int64_t AfterReadyMs = 2500;
 constexpr int64_t ReadyIntervalMs = 200;
-constexpr int64_t CallerDeadlineMs = 3000;
 constexpr int64_t RetryMs = 300;
 const std::vector<std::string> Zones = {"hall-a", "hall-b", "hall-c"};
 const std::string ProgramFolder = "target/src/app/";
@@ -229,7 +228,8 @@
 
 void Site::call(int entry, const std::string &method, const std::string &path,
                 const json &body, const std::string &key,
-                std::function<void(const Answer &)> done) {
+                std::function<void(const Answer &)> done,
+                int64_t leavesAfterMs) {
   Call call;
   call.Port = CallerPorts[static_cast<size_t>(entry)];
   call.Method = method;
@@ -239,7 +239,7 @@
                   {"Oriolebay-Deadline-Ms", std::to_string(CallerDeadlineMs)}};
   if (!body.is_null())
     call.Body = body.dump();
-  call.TimeoutMs = CallerDeadlineMs;
+  call.TimeoutMs = leavesAfterMs;
   send(EventLoop, call, std::move(done));
 }
 
--- a/review/sitekit-2/site.h
+++ b/review/sitekit-2/site.h
@@ -14,6 +14,9 @@
 constexpr int RuleBroken = 1;
 constexpr int CannotRun = 2;
 
+/// How long consumers wait for an answer.
+constexpr int64_t CallerDeadlineMs = 3000;
+
 /// Whether the case is to run without its disruption (TROUBLE=0).
 bool isWithoutTrouble();
 
@@ -63,10 +66,12 @@
   bool start();
   /// Writes a line with the time since the start to the record.
   void record(const std::string &line);
-  /// Calls an entry like a consumer with the given key.
+  /// Calls an entry like a consumer with the given key, which waits for the
+  /// answer until its deadline, or leaves earlier.
   void call(int entry, const std::string &method, const std::string &path,
             const json &body, const std::string &key,
-            std::function<void(const Answer &)> done);
+            std::function<void(const Answer &)> done,
+            int64_t leavesAfterMs = CallerDeadlineMs);
   /// Submits a job, again with the same id until it is accepted or rejected.
   void submit(int entry, const std::string &prefix, const std::string &id,
               const json &job, const std::string &key,
--- a/review/sitekit-2/store.cpp
+++ b/review/sitekit-2/store.cpp
@@ -166,7 +166,13 @@
   } else if (path == "/-/kv-watch") {
     watch(request, respond);
   } else if (path == "/-/kv-txn") {
-    transact(json::parse(request.Body), respond);
+    const json txn = json::parse(request.Body);
+    const int64_t lateBy = LateBy ? LateBy(txn) : -1;
+    if (lateBy < 0)
+      transact(txn, respond);
+    else
+      EventLoop.runAfter(
+          lateBy, [this, txn] { transact(txn, [](int, const json &) {}); });
   } else if (path == "/-/kv-lease") {
     grantLease(json::parse(request.Body), respond);
   } else if (startsWith(path, "/-/kv-keep/")) {
@@ -266,17 +272,13 @@
     if (lease != 0 && Leases.count(lease) == 0)
       return respond(404, json::object());
   }
-  if (!puts.empty() || !removes.empty()) {
+  if (!puts.empty() || !removes.empty())
     ++Revision;
-    ++Writes;
-  }
   for (const json &put : puts)
     putItem(put.at("key"), fromBase64(put.at("value")),
             put.value("lease", int64_t{0}), Revision);
   for (const json &key : removes)
     removeItem(key, Revision);
-  if (LosesAnswer && LosesAnswer(txn))
-    return;
   respond(200, {{"revision", Revision}});
 }
 
--- a/review/sitekit-2/store.h
+++ b/review/sitekit-2/store.h
@@ -27,10 +27,9 @@
   void remove(const std::string &key);
   std::string value(const std::string &key) const;
   void setMode(Mode mode);
-  /// Whether write calls that carry a key with this part are carried out and
-  /// get no answer.
-  std::function<bool(const json &txn)> LosesAnswer;
-  int64_t writeCount() const { return Writes; }
+  /// The delay with which a write is carried out, which then gets no answer;
+  /// negative for writes that are carried out and answered at once.
+  std::function<int64_t(const json &txn)> LateBy;
 
 private:
   struct Item {
@@ -78,7 +77,6 @@
   int64_t PausedSince = 0;
   int64_t Revision = 100;
   int64_t NextLease = 1;
-  int64_t Writes = 0;
   std::map<std::string, Item> Items;
   std::map<int64_t, Lease> Leases;
   std::deque<Change> History;
