--- a/review/sitekit-2/worker.cpp
+++ b/review/sitekit-2/worker.cpp
@@ -14,6 +14,8 @@
 constexpr int64_t GangNewsMs = 30;
 /// Time that a stop takes, below stopGraceMs.
 constexpr int64_t StopMs = 100;
+/// checkpointS: the time of work after which progress is saved.
+constexpr int64_t CheckpointMs = 1000;
 constexpr int64_t TickMs = 10;
 constexpr size_t EndsPerAnswer = 500;
 constexpr size_t MaxConnections = 64;
@@ -196,6 +198,13 @@
     respond(200, lists());
 }
 
+std::string Worker::savedOf(const RunKey &run, const RunState &state) const {
+  if (!Saved || state.BegunAt == 0)
+    return "";
+  const int64_t checkpoints = (nowMs() - state.BegunAt) / CheckpointMs;
+  return checkpoints == 0 ? "" : Saved(run, checkpoints);
+}
+
 json Worker::lists() const {
   json running = json::array();
   for (const auto &[run, state] : Running) {
@@ -204,7 +213,7 @@
     const int64_t percent =
         state.WorkMs == 0 ? 0
                           : std::min<int64_t>(99, elapsed * 100 / state.WorkMs);
-    running.push_back({run.Task, run.Run, "", percent, 0});
+    running.push_back({run.Task, run.Run, savedOf(run, state), percent, 0});
   }
   json ended = json::array();
   for (const auto &[number, end] : Ended) {
--- a/review/sitekit-2/worker.h
+++ b/review/sitekit-2/worker.h
@@ -65,6 +65,8 @@
   /// The members of a step that is a gang have to be present before any works.
   /// Size is asked for "ID.K.STEP"; zero means that it is no gang.
   std::function<int(const std::string &step)> GangSize;
+  /// The progress that a run has saved after some checkpoints; none if unset.
+  std::function<std::string(const RunKey &run, int64_t checkpoints)> Saved;
   void shareGangsWith(const Worker &other) { AllGangs = other.AllGangs; }
   /// Ends a member of a gang because another member has ended.
   void breakRun(const RunKey &run) { end(run, "broken"); }
@@ -98,6 +100,7 @@
   void checkLease();
   void tick();
   json lists() const;
+  std::string savedOf(const RunKey &run, const RunState &state) const;
   json refusal(const char *reason) const;
   void sendHeartbeat();
 
