--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,168 +1,131 @@
-// Hands in a large job whose tasks save their progress, and small jobs of
-// another organisation after it. Checks that every accepted job is run.
+// A consumer whose submission ends in 504 cancels the job at another entry,
+// which answers 410. Checks that nothing of the job runs on.
 #include "../sitekit-2/site.h"
 
-#include <cstdlib>
 #include <set>
 
 using namespace sitekit;
 
 namespace {
 
-constexpr int LargeTaskCount = 2000;
-/// Length of what a task of the large job has saved. SAVED_BYTES replaces it.
-constexpr size_t DefaultSavedBytes = 600;
-constexpr int64_t LargeWorkMs = 5000;
-constexpr int SmallJobs = 4;
-constexpr int64_t SmallWorkMs = 1000;
-constexpr int64_t PauseMs = 300;
-/// finish_s, and the span in which a job may not stand still.
-constexpr int64_t FinishMs = 14000;
-constexpr int64_t StandstillMs = 3000;
-constexpr size_t JobIdLength = 16;
-const std::string LargeId = "00000000000000ff";
-
-std::string smallId(int number) {
-  return "00000000000000a" + std::to_string(number);
-}
-
-std::string jobOf(const std::string &task) {
-  return task.substr(0, task.find('.'));
-}
-
-size_t savedBytes() {
-  const char *text = std::getenv("SAVED_BYTES");
-  return text == nullptr ? DefaultSavedBytes : std::stoul(text);
-}
-
-/// A text of the given length that differs for each task and checkpoint.
-std::string savedText(const RunKey &run, int64_t checkpoints, size_t bytes) {
-  std::string text =
-      std::to_string(checkpoints) + "/" + run.Task.substr(JobIdLength);
-  text.resize(bytes, '0');
-  return text;
-}
-
-json route(const std::string &name, int priority) {
-  return {
-      {"name", name},   {"host", "brno.example"}, {"prefix", "/" + name + "/"},
-      {"service", "s"}, {"priority", priority},   {"attempts", 4},
-      {"stretch", 3.0}, {"targetLatencyMs", 1000}};
-}
+/// The store carries out the writes of the job this late, without an answer, as
+/// long as the submission is under way.
+constexpr int64_t LateMs = 6000;
+constexpr int64_t WorkMs = 15000;
+/// contactMs: how long the store has been sound by the end of the check.
+constexpr int64_t ContactMs = 3000;
+const std::string JobId = "9a0e7a21d94b36f8";
+const std::string Prefix = "/q/";
 
 json manifest() {
   return {{"version", 1},
-          {"routes", {route("large", 2), route("small", 1)}},
+          {"routes",
+           {{{"name", "q"},
+             {"host", "brno.example"},
+             {"prefix", Prefix},
+             {"service", "s"},
+             {"priority", 1},
+             {"attempts", 4},
+             {"stretch", 3.0},
+             {"targetLatencyMs", 1000}}}},
           {"services", {{{"name", "s"}}}},
-          {"tenants",
-           {{{"name", "t1"}, {"apiKeys", {"key-1"}}},
-            {{"name", "t2"}, {"apiKeys", {"key-2"}}}}},
+          {"tenants", {{{"name", "t"}, {"apiKeys", {"key-t"}}}}},
           {"limits", {{"bodyBytes", 262144}}}};
 }
 
+bool writesJob(const json &txn) {
+  for (const json &put : txn.value("puts", json::array()))
+    if (put.at("key").get<std::string>().find(JobId) != std::string::npos)
+      return true;
+  return false;
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
   if (argc != 2)
     return CannotRun;
-  std::map<std::string, int> starts;
-  std::map<std::string, int> ends;
-  std::map<std::string, int> atWork;
-  std::map<std::string, int64_t> lastAtWork;
+  Site *site = nullptr;
+  std::set<RunKey> running;
+  int startsAfterCancel = 0;
+  int64_t cancelledAt = 0;
   WorkerHooks hooks;
-  hooks.Plan = [](const std::string &, const RunKey &run) {
-    return RunPlan{jobOf(run.Task) == LargeId ? LargeWorkMs : SmallWorkMs,
-                   "done"};
+  hooks.Plan = [](const std::string &, const RunKey &) {
+    return RunPlan{WorkMs, "done"};
   };
-  hooks.OnStarted = [&](const std::string &, const RunKey &run,
+  hooks.OnStarted = [&](const std::string &worker, const RunKey &run,
                         const std::string &) {
-    ++starts[jobOf(run.Task)];
-    ++atWork[jobOf(run.Task)];
+    site->record("start " + run.Task + " run " + std::to_string(run.Run) +
+                 " on " + worker);
+    running.insert(run);
+    startsAfterCancel += cancelledAt != 0 ? 1 : 0;
   };
-  hooks.OnEnded = [&](const std::string &, const RunKey &run,
+  hooks.OnEnded = [&](const std::string &worker, const RunKey &run,
                       const std::string &how) {
-    ends[jobOf(run.Task)] += how == "done" ? 1 : 0;
-    --atWork[jobOf(run.Task)];
-    lastAtWork[jobOf(run.Task)] = nowMs();
+    site->record("end " + run.Task + " run " + std::to_string(run.Run) +
+                 " on " + worker + ": " + how);
+    running.erase(run);
   };
   hooks.OnEndNoted = [](const std::string &, const RunKey &,
                         const std::string &, bool) {};
   SiteOptions options;
   options.Workers = brnoWorkers(11);
   options.Manifest = manifest();
-  Site site(options, hooks, argv[1]);
-  for (const auto &worker : site.Workers)
-    worker->Saved = [](const RunKey &run, int64_t checkpoints) {
-      return jobOf(run.Task) == LargeId
-                 ? savedText(run, checkpoints, savedBytes())
-                 : "";
-    };
-  if (!site.start())
+  Site runningSite(options, hooks, argv[1]);
+  site = &runningSite;
+  if (!site->start())
     return CannotRun;
-  const json small = {{"spec", "small"},
-                      {"steps",
-                       {{{"count", 2},
-                         {"cpu", 1000},
-                         {"memMb", 256},
-                         {"estimateMs", SmallWorkMs}}}}};
-  const json large = {{"spec", "large"},
-                      {"steps",
-                       {{{"count", LargeTaskCount},
-                         {"cpu", 100},
-                         {"memMb", 64},
-                         {"savesProgress", true},
-                         {"estimateMs", LargeWorkMs}},
-                        {{"count", 1},
-                         {"cpu", 1000},
-                         {"memMb", 256},
-                         {"after", {0}},
-                         {"estimateMs", SmallWorkMs}}}}};
-  std::map<std::string, int64_t> acceptedAt;
-  size_t rejected = 0;
-  size_t sent = 0;
-  const auto submit = [&](int entry, const std::string &prefix,
-                          const std::string &id, const json &job,
-                          const std::string &key) {
-    ++sent;
-    site.submit(entry, prefix, id, job, key, [&, id](int status) {
-      if (status == 200)
-        acceptedAt[id] = nowMs();
-      else
-        ++rejected;
-    });
-    site.EventLoop.runFor(PauseMs);
-  };
+  int lateWrites = 0;
+  int otherWrites = 0;
+  int postStatus = -1;
   if (!isWithoutTrouble())
-    submit(1, "/large/", LargeId, large, "key-1");
-  submit(0, "/small/", smallId(0), small, "key-2");
-  submit(2, "/small/", smallId(1), small, "key-2");
-  site.EventLoop.runFor(LargeWorkMs + 3000);
-  site.record("the tasks of the large job: " + std::to_string(starts[LargeId]) +
-              " starts, " + std::to_string(ends[LargeId]) + " done");
-  for (int n = 2; n < SmallJobs; ++n)
-    submit(n % 3, "/small/", smallId(n), small, "key-2");
-  if (!site.EventLoop.runUntil(
-          [&] { return acceptedAt.size() + rejected == sent; }, 10000) ||
-      rejected > 0)
-    return CannotRun;
-  site.EventLoop.runFor(FinishMs);
-  std::map<std::string, std::string> states;
-  for (const auto &[id, at] : acceptedAt)
-    site.state(0, (id == LargeId ? "/large/" : "/small/") + id,
-               id == LargeId ? "key-1" : "key-2",
-               [&, id = id](const std::string &state) { states[id] = state; });
-  site.EventLoop.runFor(StandstillMs);
-  bool isBroken = false;
-  for (const auto &[id, at] : acceptedAt) {
-    const int64_t idleSince = std::max(at, lastAtWork[id]);
-    const bool standsStill = states[id] != "completed" && atWork[id] == 0 &&
-                             nowMs() - idleSince >= StandstillMs;
-    isBroken |= standsStill;
-    site.record("job " + id + ": " + std::to_string(starts[id]) + " starts, " +
-                std::to_string(ends[id]) + " done, state " + states[id] +
-                (standsStill ? ", nothing of it runs for " +
-                                   std::to_string(nowMs() - idleSince) + " ms"
-                             : ""));
+    site->Platform->LateBy = [&](const json &txn) -> int64_t {
+      if (postStatus >= 0)
+        return -1;
+      ++(writesJob(txn) ? lateWrites : otherWrites);
+      return writesJob(txn) ? LateMs : -1;
+    };
+  const json job = {{"spec", "no longer wanted"},
+                    {"steps",
+                     {{{"count", 2},
+                       {"cpu", 2000},
+                       {"memMb", 1024},
+                       {"gpu", 1},
+                       {"estimateMs", WorkMs}}}}};
+  site->call(0, "POST", Prefix + JobId, job, "key-t",
+             [&](const Answer &answer) {
+               postStatus = answer.Status;
+               site->record("POST " + Prefix + JobId +
+                            " at entry 0: " + std::to_string(postStatus));
+             });
+  site->EventLoop.runUntil([&] { return postStatus >= 0; }, 5000);
+  site->record("writes that the store carries out late, unanswered: " +
+               std::to_string(lateWrites) +
+               "; other writes meanwhile: " + std::to_string(otherWrites));
+  int status = 0;
+  for (int entry = 1; entry < 3 && status != 200 && status != 410; ++entry) {
+    status = 0;
+    site->call(entry, "DELETE", Prefix + JobId, json(), "key-t",
+               [&](const Answer &answer) {
+                 status = answer.Status == 0 ? -1 : answer.Status;
+                 site->record("DELETE " + Prefix + JobId + " at entry " +
+                              std::to_string(entry) + ": " +
+                              std::to_string(answer.Status));
+               });
+    site->EventLoop.runUntil([&] { return status != 0; }, 5000);
   }
-  return isBroken ? RuleBroken : RuleHeld;
+  if (status != 200 && status != 410)
+    return CannotRun;
+  cancelledAt = nowMs();
+  site->EventLoop.runFor(LateMs + 2 * ContactMs);
+  std::string state;
+  site->state(2, Prefix + JobId, "key-t",
+              [&](const std::string &answer) { state = answer; });
+  site->EventLoop.runFor(1000);
+  site->record(
+      std::to_string(nowMs() - cancelledAt) +
+      " ms after the cancelling was acknowledged: state " + state + ", " +
+      std::to_string(startsAfterCancel) +
+      " starts since, tasks that run: " + std::to_string(running.size()));
+  return running.empty() ? RuleHeld : RuleBroken;
 }
--- a/review/sitekit-2/site.h
+++ b/review/sitekit-2/site.h
@@ -34,6 +34,7 @@
   /// Whether the process still runs; if not, how() tells how it ended.
   bool isRunning();
   std::string how() const;
+  pid_t pid() const { return Pid; }
 
 private:
   const std::string Program;
