Review case 6: a killed leader does the same

Claim: tasks that ended done start again as well when nothing but the leader's process is killed, as the next leader takes 500 listed ends for all of them.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -2,6 +2,7 @@
 // store is down, and checks that no task starts again once it has ended done.
 #include "../sitekit-2/site.h"
 
+#include <cstdlib>
 #include <set>
 
 using namespace sitekit;
@@ -13,6 +14,9 @@
 /// From the start of the first task to the outage, and its length.
 constexpr int64_t OutageAfterMs = 2000;
 constexpr int64_t OutageMs = 4500;
+/// From the start of the first task to the kill of the leader.
+constexpr int64_t KillAfterMs = 2800;
+constexpr int64_t RestartMs = 1000;
 constexpr int64_t FinishMs = 40000;
 const std::string JobId = "5c0e7a21d94b36f8";
 
@@ -44,6 +48,26 @@
       {"limits", {{"bodyBytes", 262144}}}};
 }
 
+/// Whether the leader is to be killed in place of the outage (TROUBLE=leader).
+bool isLeaderKilled() {
+  const char *trouble = std::getenv("TROUBLE");
+  return trouble != nullptr && std::string(trouble) == "leader";
+}
+
+/// Kills the leader's process and starts it again after a second.
+void killLeader(Site &site) {
+  const std::string leader = site.Platform->value("oriolebay/leader");
+  for (size_t n = 0; n < site.Entries.size(); ++n) {
+    if (site.PeerAddresses[n] != leader)
+      continue;
+    site.record("the leader, entry " + std::to_string(n) + ", is killed");
+    site.Entries[n]->kill();
+    site.EventLoop.runFor(RestartMs);
+    site.Entries[n]->start();
+    site.record("it is started again");
+  }
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -100,10 +124,12 @@
     return CannotRun;
   if (!site->EventLoop.runUntil([&] { return firstStart != 0; }, 10000))
     return CannotRun;
-  site->EventLoop.runFor(OutageAfterMs);
+  site->EventLoop.runFor(isLeaderKilled() ? KillAfterMs : OutageAfterMs);
   site->record(std::to_string(tasks.size()) + " tasks have started, " +
                std::to_string(ended) + " runs have ended");
-  if (!isWithoutTrouble()) {
+  if (isLeaderKilled()) {
+    killLeader(*site);
+  } else if (!isWithoutTrouble()) {
     site->record("the store is down: it answers 503");
     site->Platform->setMode(Store::Mode::Busy);
     site->EventLoop.runFor(OutageMs);
--- a/review/sitekit-2/site.cpp
+++ b/review/sitekit-2/site.cpp
@@ -171,6 +171,8 @@
   json settings = commonSettings(name, zoneOf(number));
   CallerPorts.push_back(newPort());
   ReadyPorts.push_back(newPort());
+  PeerAddresses.push_back("tcp://" +
+                          settings["peers_listen"].get<std::string>());
   settings["site_failure_domains"] = Zones;
   settings["processor_share"] = 0.25;
   settings["callers_listen"] = loopback(CallerPorts.back());
--- a/review/sitekit-2/site.h
+++ b/review/sitekit-2/site.h
@@ -90,6 +90,8 @@
   std::vector<std::unique_ptr<Process>> Agents;
   std::vector<int> CallerPorts;
   std::vector<int> ReadyPorts;
+  /// Of the entries, as the store's key of the leader names them.
+  std::vector<std::string> PeerAddresses;
 
 private:
   int newPort();
