Job that failed: name the task, its failures and its runs

What callers saw: jobs of gangs shown as failed although they had attempts left, on machines whose logs were not kept. Cause of the gap: job.ended gave a cause for crashes only. Without the lines of all ends nothing told whether a failed job had used its attempts up in as many runs, and across a change of the leader not even those did. Change: job.ended names the task, how often it has failed and its latest run, as they are recorded: more failures than runs tell that a run was counted more than once. Nothing is decided otherwise; tst_jobs and tst_eventlog pass.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -183,23 +183,27 @@
       return;
     }
   }
-  bool failed = false;
+  std::string cause;
   bool allDone = true;
-  for (const auto &[number, steps] : job.Occurrences)
-    for (size_t s = 0; s < steps.size(); ++s) {
-      const bool isLongRunning = job.Record.Spec.Steps[s].LongRunning;
-      for (const Task &t : steps[s]) {
-        failed |= !isLongRunning && t.Progress.Failed >= job.Record.Attempts;
-        allDone &= t.Progress.Done;
-      }
-    }
-  if (failed)
-    endJob(job, JobState::Failed, now);
+  forEachTask(job, [&](const TaskId &id, const Task &task) {
+    if (cause.empty() && hasUsedUpAttempts(job, id, task))
+      cause = absl::StrCat(core::taskName(id), " failed ", task.Progress.Failed,
+                           " times in ", task.Progress.Run, " runs");
+    allDone &= task.Progress.Done;
+  });
+  if (!cause.empty())
+    endJob(job, JobState::Failed, now, cause);
   else if (allDone && static_cast<int>(job.Occurrences.size()) ==
                           job.Record.Spec.occurrences())
     endJob(job, JobState::Completed, now);
 }
 
+bool JobScheduler::hasUsedUpAttempts(const Job &job, const TaskId &id,
+                                     const Task &task) {
+  return !job.specOf(id).LongRunning &&
+         task.Progress.Failed >= job.Record.Attempts;
+}
+
 void JobScheduler::endJob(Job &job, JobState state, absl::Time now,
                           const std::string &cause) {
   job.State = state;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -484,6 +484,9 @@
   /// Ends the job if all its tasks are done, a task has failed too often, or a
   /// task has crashed too many workers.
   void checkJobEnd(Job &job, absl::Time now);
+  /// Tasks that last have as many attempts as they need.
+  static bool hasUsedUpAttempts(const Job &job, const core::TaskId &id,
+                                const Task &task);
   std::string crashFailureCause(Job &job);
   bool isRemote(const Job &job, const core::TaskId &id, const Task &task) const;
   /// Ends the job in the given final state and requests the stop of all tasks
