Gangs: a failed run counts once, whoever lists it

Cause: each end `failed` that a member lists added one failure to every member of the run, so that a run in which n members fail counted n times. Class: an event of a group that is counted once per witness.

Change: the number of the latest failed run is part of a task's progress, and a failure counts if its run is later. Progress of earlier versions is read as before, and theirs reads this.

--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -136,10 +136,13 @@
     return 0;
   json j = json::array(
       {t.Run, t.Failed, t.Done ? 1 : 0, workers.indexFor(t), t.Saved});
-  if (!t.CrashedAt.empty() || !t.LateStarts.empty())
+  // Members at the end that are empty are left out.
+  if (t.LatestFailedRun != 0 || !t.CrashedAt.empty() || !t.LateStarts.empty())
     j.push_back(t.CrashedAt);
-  if (!t.LateStarts.empty())
+  if (t.LatestFailedRun != 0 || !t.LateStarts.empty())
     j.push_back(t.LateStarts);
+  if (t.LatestFailedRun != 0)
+    j.push_back(t.LatestFailedRun);
   return j;
 }
 
@@ -156,6 +159,8 @@
     j.at(5).get_to(t.CrashedAt);
   if (j.size() > 6)
     j.at(6).get_to(t.LateStarts);
+  if (j.size() > 7)
+    t.LatestFailedRun = utils::checkedNumber<int64_t>(j.at(7));
   return t;
 }
 
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -60,7 +60,9 @@
 /// task had started there, one item for each crash. It is cleared once a worker
 /// has survived the start of the task. LateStarts lists the open attempts to
 /// start its latest run and earlier ones. They bar further runs, but not for
-/// longer than MaxOrderDelay.
+/// longer than MaxOrderDelay. Failed is the number of failed runs, and
+/// LatestFailedRun the latest of them: the members of a gang list the end of
+/// one run each, also to a later leader, and it counts once.
 struct TaskProgress {
   int64_t Run = 0;
   int Failed = 0;
@@ -70,6 +72,7 @@
   std::string Saved;
   std::vector<std::string> CrashedAt = {};
   std::vector<LateStart> LateStarts = {};
+  int64_t LatestFailedRun = 0;
 
   auto operator<=>(const TaskProgress &) const = default;
 };
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -476,6 +476,7 @@
                        Settlement settlement = Settlement::Otherwise);
   void handleGangMemberEnd(Job &job, const core::TaskId &id,
                            endpoints::RunEnd how);
+  static void countFailedRun(Task &task, int64_t run);
   /// Requests the end of the task's run, unless that was done before or no
   /// worker has the task.
   void requestStop(const core::TaskId &id, Task &task, const std::string &why);
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -335,7 +335,15 @@
   if (how == RunEnd::Done && !spec.LongRunning)
     task.Progress.Done = true;
   else if (how == RunEnd::Failed)
-    ++task.Progress.Failed;
+    countFailedRun(task, task.Progress.Run);
+}
+
+// Several members of a gang may list the same run as failed.
+void JobScheduler::countFailedRun(Task &task, int64_t run) {
+  if (run <= task.Progress.LatestFailedRun)
+    return;
+  task.Progress.LatestFailedRun = run;
+  ++task.Progress.Failed;
 }
 
 // Applies the end of one member to the whole gang: if it is done, all members
@@ -353,7 +361,7 @@
     if (how == RunEnd::Done && !isLongRunning)
       member.Progress.Done = true;
     else if (how == RunEnd::Failed)
-      ++member.Progress.Failed;
+      countFailedRun(member, run);
     if (member.isAssigned() && !member.Progress.Done)
       requestStop({id.Job, id.Occurrence, id.Step, static_cast<int>(i)}, member,
                   "another member of its gang ended");
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -281,6 +281,15 @@
   return absl::Floor(run.WorkDone, CheckpointInterval);
 }
 
+// How a member ends when another one of its run has ended first.
+RunEnd SimSite::endBesideMember(const RunId &run, RunEnd how) const {
+  if (how == RunEnd::Done)
+    return RunEnd::Done;
+  if (how == RunEnd::Failed && EndBesideFailedMember)
+    return EndBesideFailedMember(taskIdOf(run.Task), run.Run);
+  return RunEnd::Broken;
+}
+
 void SimSite::endRun(Worker &worker, const RunId &run, RunEnd how) {
   auto it = worker.Runs.find(run);
   if (it == worker.Runs.end())
@@ -303,7 +312,6 @@
   if (!stepOf(id).Gang)
     return;
   Gangs.erase(gangKey(id, run.Run));
-  const RunEnd others = how == RunEnd::Done ? RunEnd::Done : RunEnd::Broken;
   for (auto &[incarnation, w] : Workers) {
     std::vector<RunId> members;
     for (const auto &[key, state] : w.Runs) {
@@ -313,7 +321,7 @@
         members.push_back(key);
     }
     for (const RunId &key : members)
-      endRun(w, key, others);
+      endRun(w, key, endBesideMember(key, how));
   }
 }
 
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -123,6 +123,10 @@
   /// Returns whether this run fails for a reason of its own rather than of its
   /// worker.
   std::function<bool(const core::TaskId &, int64_t run)> RunFails;
+  /// Returns how a member of a gang's run ends when another one has failed. The
+  /// default is that it breaks off.
+  std::function<endpoints::RunEnd(const core::TaskId &, int64_t run)>
+      EndBesideFailedMember;
   /// Returns whether the task crashes each worker that starts it. The crash
   /// comes CrashDelay after the start.
   std::function<bool(const core::TaskId &)> CrashesWorker;
@@ -187,6 +191,8 @@
   absl::Duration savedWork(const Run &run, const core::TaskId &id,
                            bool byStop) const;
   std::string runningCheckpoint(const Run &run, const core::TaskId &id) const;
+  endpoints::RunEnd endBesideMember(const RunId &run,
+                                    endpoints::RunEnd how) const;
   /// Ends a run and, if it belongs to a gang, the runs of all other members.
   void endRun(Worker &worker, const RunId &run, endpoints::RunEnd how);
   void sendReport(Worker &worker);
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -69,6 +69,47 @@
   return cborOf(document);
 }
 
+struct ProgressCase {
+  const char *Name;
+  TaskProgress Task;
+};
+
+void PrintTo(const ProgressCase &c, std::ostream *out) { *out << c.Name; }
+
+class StoredTasks : public testing::TestWithParam<ProgressCase> {};
+
+// Guards against a next leader that counts a failed run, a crash or a late
+// start otherwise than the one that recorded it.
+TEST_P(StoredTasks, AreReadAsWritten) {
+  const JobProgress progress{
+      3, JobState::Running, {{0, {{GetParam().Task, TaskProgress()}}}}};
+  EXPECT_EQ(decodeProgress(encode(progress)).value(), progress);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, StoredTasks,
+    testing::Values(
+        ProgressCase{"Done", {5, 0, true, {}, "", "saved"}},
+        ProgressCase{"Crashed", {2, 0, false, {"w", 1}, "a", "", {"a"}}},
+        ProgressCase{"StartsLate",
+                     {2, 0, false, {}, "", "", {}, {{"w", "a", 2}}}},
+        ProgressCase{"Failed", {2, 1, false, {}, "", "", {}, {}, 2}},
+        ProgressCase{
+            "All",
+            {7, 2, false, {"w", 1}, "a", "s", {"b"}, {{"w", "a", 7}}, 5}}),
+    [](const auto &info) { return info.param.Name; });
+
+// Guards against jobs that are lost during an upgrade, because a leader cannot
+// read progress that an earlier version has written without the latest failed
+// run.
+TEST(ProgressOfAnEarlierVersion, IsRead) {
+  TaskProgress task{2, 1, false, {}, "", "", {"a"}, {{"w", "a", 2}}};
+  const JobProgress progress{3, JobState::Running, {{0, {{task}}}}};
+  nlohmann::json earlier = nlohmann::json::from_cbor(encode(progress));
+  EXPECT_EQ(earlier["tasks"][0][1][0][0].size(), 7u);
+  EXPECT_EQ(decodeProgress(cborOf(earlier)).value(), progress);
+}
+
 struct OddCase {
   const char *Name;
   std::string Bytes;
