Test gangs of which several members fail in one run, on the whole system

Guards against jobs that are shown as failed before their gang has failed in as many runs as it has attempts, and against runs after that, with the product's own entries and agents in memory.

The memory worker can be told how and when a gang member ends by itself (SharedWorkerState::PlanEnd); without it members end as before. It lists all ends with whether a leader acknowledged them before the lease lapsed, and queues of the memory cluster have attempts of their own.

--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -37,8 +37,8 @@
     organisations.push_back({o.Name, o.Keys, o.GuaranteedAccelerators});
   json queues = json::array();
   for (const auto &q : config.Queues)
-    queues.push_back(
-        {q.Name, q.Prefix, q.Priority, q.NeedsAdvice, q.Service, q.Public});
+    queues.push_back({q.Name, q.Prefix, q.Priority, q.NeedsAdvice, q.Service,
+                      q.Public, q.Attempts});
   return json{{"version", config.Version},
               {"organisations", organisations},
               {"queues", queues}}
@@ -64,7 +64,7 @@
     queue.NeedsAdvice = q[3];
     queue.Service = q[4];
     queue.Public = q[5];
-    queue.Attempts = 4;
+    queue.Attempts = q[6];
     config.Queues.push_back(queue);
   }
   return config;
@@ -116,6 +116,7 @@
   core::QueueConfig queue;
   queue.Name = name;
   queue.Prefix = "/" + name + "/";
+  queue.Attempts = 4;
   queue.Service = "service";
   return queue;
 }
@@ -342,6 +343,14 @@
   return stored->Record;
 }
 
+std::optional<jobs::JobProgress>
+MemoryCluster::storedProgress(const std::string &job) const {
+  const std::optional<StoredJob> stored = storedJob(job);
+  if (!stored)
+    return std::nullopt;
+  return stored->Progress;
+}
+
 bool MemoryCluster::isFailureAllowed(const std::string &job) const {
   return std::any_of(Shared.WorkersLostByTask.begin(),
                      Shared.WorkersLostByTask.end(), [&](const auto &entry) {
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -146,6 +146,17 @@
       std::function<void(const std::string &task, int64_t epoch)> onStart) {
     Shared.OnStart = std::move(onStart);
   }
+  /// Has each end that a worker lists reported.
+  void observeEnds(std::function<void(const ObservedEnd &end)> onEnd) {
+    Shared.OnEnd = std::move(onEnd);
+  }
+  /// Sets how the members of gangs end by themselves; see
+  /// SharedWorkerState::PlanEnd.
+  void setPlannedEnds(
+      std::function<std::optional<PlannedEnd>(const std::string &, int64_t)>
+          plan) {
+    Shared.PlanEnd = std::move(plan);
+  }
   /// Sets which tasks crash each worker that starts them.
   void setCrashingTasks(std::function<bool(const std::string &task)> crashes) {
     Shared.CrashesWorker = std::move(crashes);
@@ -161,6 +172,8 @@
   std::optional<jobs::JobState> finalState(const std::string &job) const;
   /// The job's record in the store.
   std::optional<jobs::JobRecord> storedRecord(const std::string &job) const;
+  /// The job's progress in the store.
+  std::optional<jobs::JobProgress> storedProgress(const std::string &job) const;
 
 private:
   struct Entry {
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -256,9 +256,8 @@
   if (call.UntilMs > 0)
     extendLease(call.UntilMs);
   for (const auto &e : Ended)
-    if (e.Number <= call.SeenUpto && e.How == RunEnd::Done &&
-        LapseCountAtEnd[e.Number] == LapseCount)
-      Shared.AcknowledgedDone.insert(e.Task);
+    if (e.Number <= call.SeenUpto && LapseCountAtEnd[e.Number] == LapseCount)
+      noteAcknowledged(e);
   Ended.erase(
       std::remove_if(Ended.begin(), Ended.end(),
                      [&](const auto &e) { return e.Number <= call.SeenUpto; }),
@@ -273,6 +272,12 @@
   return reply;
 }
 
+void MemoryWorker::noteAcknowledged(const endpoints::EndedTask &end) {
+  Shared.Ends[ObservedEndIndex.at(end.Number)].Acknowledged = true;
+  if (end.How == RunEnd::Done)
+    Shared.AcknowledgedDone.insert(end.Task);
+}
+
 void MemoryWorker::deliverOrder(const endpoints::WorkerIncarnation &incarnation,
                                 const std::function<CallOutcome()> &execute,
                                 const std::function<void(CallOutcome)> &done) {
@@ -383,6 +388,10 @@
   run.GangSize = spec.Count;
   run.GangCompleteAt = Loop.now();
   ++run.Gang->Members;
+  if (run.Gang->Members == run.GangSize)
+    run.Gang->CompleteSince = std::min(run.Gang->CompleteSince, Loop.now());
+  if (Shared.PlanEnd)
+    run.Planned = Shared.PlanEnd(key.first, key.second);
 }
 
 void MemoryWorker::endRun(const Key &key, RunEnd how) {
@@ -399,7 +408,11 @@
   HighestRunByTask[key.first] =
       std::max(HighestRunByTask[key.first], key.second);
   LapseCountAtEnd[NextEndNumber] = LapseCount;
+  ObservedEndIndex[NextEndNumber] = Shared.Ends.size();
+  Shared.Ends.push_back({key.first, key.second, how, Loop.now()});
   Ended.push_back({NextEndNumber++, key.first, key.second, how, saved});
+  if (Shared.OnEnd)
+    Shared.OnEnd(Shared.Ends.back());
 }
 
 void MemoryWorker::answerPolls() {
@@ -419,7 +432,10 @@
 
 // A member that starts after the end of the others waits for them in vain.
 std::optional<RunEnd> MemoryWorker::endOfGangMember(Run &run) const {
-  if (run.StartedAt <= run.Gang->EndedAt && run.Gang->EndedAt <= Loop.now())
+  if (isPlannedEndDue(run))
+    return run.Planned->How;
+  if (!run.Planned && run.StartedAt <= run.Gang->EndedAt &&
+      run.Gang->EndedAt <= Loop.now())
     return run.Gang->EndOfOthers;
   if (run.Gang->Members == run.GangSize)
     run.GangCompleteAt = Loop.now();
@@ -428,6 +444,11 @@
   return std::nullopt;
 }
 
+bool MemoryWorker::isPlannedEndDue(const Run &run) const {
+  return run.Planned &&
+         Loop.now() - run.Gang->CompleteSince >= run.Planned->After;
+}
+
 bool MemoryWorker::makesProgress(const Run &run) const {
   if (run.Gang == nullptr)
     return !Hangs;
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -16,10 +16,29 @@
 
 namespace oriolebay::cluster {
 
+/// How a gang member ends by itself, whatever the other members do, and how
+/// long after its run was complete.
+struct PlannedEnd {
+  absl::Duration After;
+  endpoints::RunEnd How = endpoints::RunEnd::Failed;
+};
+
+/// An end that a worker has listed.
+struct ObservedEnd {
+  std::string Task;
+  int64_t Run = 0;
+  endpoints::RunEnd How = endpoints::RunEnd::Done;
+  absl::Time At;
+  /// A leader has acknowledged it before the worker's lease lapsed.
+  bool Acknowledged = false;
+};
+
 /// A run of a gang over all workers.
 struct GangRun {
   /// Number of members that workers run now.
   int Members = 0;
+  /// Time at which workers ran all members for the first time.
+  absl::Time CompleteSince = absl::InfiniteFuture();
   /// A member makes no progress until this time, and so no member does.
   absl::Time StandsStillUntil = absl::InfinitePast();
   /// End of the first member that ended, which ends those that run then.
@@ -51,6 +70,13 @@
   /// Called when a run of the task starts on the order of the leader with this
   /// epoch. May be empty.
   std::function<void(const std::string &task, int64_t epoch)> OnStart;
+  /// Decides at its start how a gang member ends by itself. Nothing: it does
+  /// its work or ends with the others. May be empty.
+  std::function<std::optional<PlannedEnd>(const std::string &task, int64_t run)>
+      PlanEnd;
+  /// Called when a worker lists the end of a run. May be empty.
+  std::function<void(const ObservedEnd &end)> OnEnd;
+  std::vector<ObservedEnd> Ends;
   /// The failure domains that the operator evacuates, each with the time since
   /// which the store has its cordon.
   std::map<std::string, absl::Time> CordonedSince;
@@ -134,6 +160,7 @@
     /// belongs to none.
     GangRun *Gang = nullptr;
     int GangSize = 0;
+    std::optional<PlannedEnd> Planned;
     /// Last time at which workers ran all members, or the start.
     absl::Time GangCompleteAt;
   };
@@ -165,6 +192,8 @@
   /// How the run ends now; nothing if it goes on.
   std::optional<endpoints::RunEnd> endOf(const Key &key, Run &run, bool lapsed);
   std::optional<endpoints::RunEnd> endOfGangMember(Run &run) const;
+  bool isPlannedEndDue(const Run &run) const;
+  void noteAcknowledged(const endpoints::EndedTask &end);
   bool makesProgress(const Run &run) const;
   void endRun(const Key &key, endpoints::RunEnd how);
   void answerPolls();
@@ -192,6 +221,8 @@
   int LapseCount = 0;
   bool LeaseLapsed = true;
   std::map<int64_t, int> LapseCountAtEnd;
+  /// Index of each end of this incarnation in the ends of all workers.
+  std::map<int64_t, size_t> ObservedEndIndex;
   std::map<Key, Run> Runs;
   std::map<std::string, int64_t> HighestRunByTask;
   std::vector<endpoints::EndedTask> Ended;
