Failed runs count also if their end is listed late

What callers saw: nothing yet, found in the review of the gangs' failed runs. A task, or a gang, with four attempts was started a fifth time after four runs that had ended failed (BUDGET).

Cause: an end `failed` counted only as the end of the latest run at the worker that the task is assigned to. A run that had been found absent before counted not at all, and its end was acknowledged: it lay beyond the ends that a worker lists at a time when a new leader asked, its worker was cut off until its lease had lapsed, or its worker carried the start out late, in its next incarnation. Class: the other edge of an event of a group that is counted once per witness, an event whose count depends on who lists it when.

Change: a task's progress lists the runs that have failed, in place of the latest of them, and an end counts unless its run is listed, whichever run is the latest. The list is as long as the attempts; tasks that last keep the latest run only. Progress of earlier versions has a count without a list: an earlier run's end does not count there, as it may be one of those counted.

--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -137,12 +137,13 @@
   json j = json::array(
       {t.Run, t.Failed, t.Done ? 1 : 0, workers.indexFor(t), t.Saved});
   // Members at the end that are empty are left out.
-  if (t.LatestFailedRun != 0 || !t.CrashedAt.empty() || !t.LateStarts.empty())
+  const bool hasFailedRuns = !t.FailedRuns.empty();
+  if (hasFailedRuns || !t.CrashedAt.empty() || !t.LateStarts.empty())
     j.push_back(t.CrashedAt);
-  if (t.LatestFailedRun != 0 || !t.LateStarts.empty())
+  if (hasFailedRuns || !t.LateStarts.empty())
     j.push_back(t.LateStarts);
-  if (t.LatestFailedRun != 0)
-    j.push_back(t.LatestFailedRun);
+  if (hasFailedRuns)
+    j.push_back(t.FailedRuns);
   return j;
 }
 
@@ -160,7 +161,8 @@
   if (j.size() > 6)
     j.at(6).get_to(t.LateStarts);
   if (j.size() > 7)
-    t.LatestFailedRun = utils::checkedNumber<int64_t>(j.at(7));
+    for (const json &run : j.at(7))
+      t.FailedRuns.push_back(utils::checkedNumber<int64_t>(run));
   return t;
 }
 
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -61,8 +61,9 @@
 /// has survived the start of the task. LateStarts lists the open attempts to
 /// start its latest run and earlier ones. They bar further runs, but not for
 /// longer than MaxOrderDelay. Failed is the number of failed runs, and
-/// LatestFailedRun the latest of them: the members of a gang list the end of
-/// one run each, also to a later leader, and it counts once.
+/// FailedRuns lists them, of tasks that last the latest alone: the members of a
+/// gang list the end of one run each, also to a later leader or after a later
+/// run, and it counts once.
 struct TaskProgress {
   int64_t Run = 0;
   int Failed = 0;
@@ -72,7 +73,7 @@
   std::string Saved;
   std::vector<std::string> CrashedAt = {};
   std::vector<LateStart> LateStarts = {};
-  int64_t LatestFailedRun = 0;
+  std::vector<int64_t> FailedRuns = {};
 
   auto operator<=>(const TaskProgress &) const = default;
 };
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -476,7 +476,11 @@
                        Settlement settlement = Settlement::Otherwise);
   void handleGangMemberEnd(Job &job, const core::TaskId &id,
                            endpoints::RunEnd how);
-  static void countFailedRun(Task &task, int64_t run);
+  /// Whether a run that failed before the latest one, or was found absent
+  /// before its end was listed, still has to be counted.
+  static bool isLateFailure(const Job &job, const core::TaskId &id,
+                            const Task &task, const endpoints::EndedTask &end);
+  static void recordFailedRun(Job &job, const core::TaskId &id, int64_t run);
   /// Requests the end of the task's run, unless that was done before or no
   /// worker has the task.
   void requestStop(const core::TaskId &id, Task &task, const std::string &why);
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -9,6 +9,26 @@
 using core::TaskId;
 using endpoints::RunEnd;
 
+namespace {
+
+bool hasFailed(const TaskProgress &progress, int64_t run) {
+  const std::vector<int64_t> &failed = progress.FailedRuns;
+  return std::find(failed.begin(), failed.end(), run) != failed.end();
+}
+
+// Several members of a gang may list the same run as failed.
+void countFailedRun(const core::StepSpec &spec, TaskProgress &progress,
+                    int64_t run) {
+  if (hasFailed(progress, run))
+    return;
+  if (spec.LongRunning)
+    progress.FailedRuns.clear();
+  progress.FailedRuns.push_back(run);
+  ++progress.Failed;
+}
+
+} // namespace
+
 int64_t JobScheduler::onReport(const endpoints::WorkerReport &report,
                                absl::Time now) {
   const WorkerIncarnation &incarnation = report.Worker.Life;
@@ -235,8 +255,8 @@
 }
 
 // Handles an end that a worker lists. It counts if it is the end of the latest
-// run, or if an earlier run has completed the task. Other ends are only
-// acknowledged.
+// run, or if an earlier run has completed the task or has failed. Other ends
+// are only acknowledged.
 void JobScheduler::handleTaskEnd(const WorkerIncarnation &incarnation,
                                  const endpoints::EndedTask &end,
                                  absl::Time now) {
@@ -254,7 +274,8 @@
     updateStartOpenUntil(Jobs.at(id.Job), id, *task, now);
   const bool isCounted = task != nullptr && !task->Progress.Done &&
                          end.Run <= task->Progress.Run &&
-                         (isLatest || end.How == RunEnd::Done);
+                         (isLatest || end.How == RunEnd::Done ||
+                          isLateFailure(Jobs.at(id.Job), id, *task, end));
   logDecision(
       Decision::Kind::Ended, id.Job, end.Task, end.Run, incarnation.Id,
       endpoints::runEndName(end.How),
@@ -274,7 +295,10 @@
     acknowledgeEnd(job, incarnation, end.Number);
     return;
   }
-  handleRunEnd(job, id, *task, end.How, end.Saved, incarnation, now);
+  if (isLatest || end.How == RunEnd::Done)
+    handleRunEnd(job, id, *task, end.How, end.Saved, incarnation, now);
+  else
+    recordFailedRun(job, id, end.Run);
   checkJobEnd(job, now);
   job.Dirty = true;
   acknowledgeEnd(job, incarnation, end.Number);
@@ -328,22 +352,34 @@
       Workers.recordRunOutcome(incarnation, how == RunEnd::Done, now))
     logDecision(Decision::Kind::WorkerQuarantined, id.Job, core::taskName(id),
                 task.Progress.Run, incarnation.Id, "failed runs in a row");
-  if (spec.Gang) {
+  if (how == RunEnd::Failed)
+    recordFailedRun(job, id, task.Progress.Run);
+  if (spec.Gang)
     handleGangMemberEnd(job, id, how);
-    return;
-  }
-  if (how == RunEnd::Done && !spec.LongRunning)
+  else if (how == RunEnd::Done && !spec.LongRunning)
     task.Progress.Done = true;
-  else if (how == RunEnd::Failed)
-    countFailedRun(task, task.Progress.Run);
 }
 
-// Several members of a gang may list the same run as failed.
-void JobScheduler::countFailedRun(Task &task, int64_t run) {
-  if (run <= task.Progress.LatestFailedRun)
+// An earlier version recorded how many runs had failed and not which ones. The
+// end may be that of one of them, listed again.
+bool JobScheduler::isLateFailure(const Job &job, const TaskId &id,
+                                 const Task &task,
+                                 const endpoints::EndedTask &end) {
+  const TaskProgress &progress = task.Progress;
+  return end.How == RunEnd::Failed && !job.specOf(id).LongRunning &&
+         progress.FailedRuns.size() == static_cast<size_t>(progress.Failed) &&
+         !hasFailed(progress, end.Run);
+}
+
+void JobScheduler::recordFailedRun(Job &job, const TaskId &id, int64_t run) {
+  const core::StepSpec &spec = job.specOf(id);
+  Step &step = job.stepOf(id);
+  if (!spec.Gang) {
+    countFailedRun(spec, step[static_cast<size_t>(id.Index)].Progress, run);
     return;
-  task.Progress.LatestFailedRun = run;
-  ++task.Progress.Failed;
+  }
+  for (Task &member : step)
+    countFailedRun(spec, member.Progress, run);
 }
 
 // Applies the end of one member to the whole gang: if it is done, all members
@@ -360,8 +396,6 @@
       continue;
     if (how == RunEnd::Done && !isLongRunning)
       member.Progress.Done = true;
-    else if (how == RunEnd::Failed)
-      countFailedRun(member, run);
     if (member.isAssigned() && !member.Progress.Done)
       requestStop({id.Job, id.Occurrence, id.Step, static_cast<int>(i)}, member,
                   "another member of its gang ended");
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -93,10 +93,10 @@
         ProgressCase{"Crashed", {2, 0, false, {"w", 1}, "a", "", {"a"}}},
         ProgressCase{"StartsLate",
                      {2, 0, false, {}, "", "", {}, {{"w", "a", 2}}}},
-        ProgressCase{"Failed", {2, 1, false, {}, "", "", {}, {}, 2}},
+        ProgressCase{"Failed", {2, 1, false, {}, "", "", {}, {}, {2}}},
         ProgressCase{
             "All",
-            {7, 2, false, {"w", 1}, "a", "s", {"b"}, {{"w", "a", 7}}, 5}}),
+            {7, 2, false, {"w", 1}, "a", "s", {"b"}, {{"w", "a", 7}}, {3, 5}}}),
     [](const auto &info) { return info.param.Name; });
 
 // Guards against jobs that are lost during an upgrade, because a leader cannot
