Gangs that fail: tests with the store down while the count is written

The state that their names say was not reached; a next leader that finds no count in the store was not tested.

Change: the store is away from the moment at which the first member fails. Two rows are new, in which the leader is replaced before the count is written, and after it was written without an answer. The rows check what the next leader reads in the store, and all rows on how many workers the failed runs were.

--- a/tests/auto/jobs/tst_failinggangs.cpp
+++ b/tests/auto/jobs/tst_failinggangs.cpp
@@ -30,8 +30,15 @@
   /// The same, and the leader is replaced before it is listed.
   LeaderLostBetweenEnds,
   LeaderLostAfterEnds,
+  /// The store is down when the ends are listed, so that their count is written
+  /// later.
   StoreDown,
-  StoreLosesAnswers
+  /// The same, and the leader is replaced before the count is written.
+  LeaderLostWithStoreDown,
+  /// The answer to the write of the count is lost.
+  StoreLosesAnswers,
+  /// The same, and the leader is replaced before it has read the store again.
+  LeaderLostWithAnswers
 };
 
 struct FailureCase {
@@ -45,6 +52,15 @@
     return During == Disturbance::FirstEndListedLast ||
            During == Disturbance::LeaderLostBetweenEnds;
   }
+  bool isStoreDown() const {
+    return During == Disturbance::StoreDown ||
+           During == Disturbance::LeaderLostWithStoreDown;
+  }
+  bool losesAnswers() const {
+    return During == Disturbance::StoreLosesAnswers ||
+           During == Disturbance::LeaderLostWithAnswers;
+  }
+  size_t workersPerRun() const { return PerTask == WholeWorker ? Members : 1; }
 };
 
 void PrintTo(const FailureCase &c, std::ostream *out) { *out << c.Name; }
@@ -57,8 +73,11 @@
     Site.RunFails = [this](const core::TaskId &id, int64_t run) {
       if (static_cast<int>(FailedRuns.size()) >= RunsToFail)
         return false;
-      FailedRuns.insert(run);
+      if (FailedRuns.insert(run).second)
+        WorkersOfFailedRuns.insert(workerCount());
       HasNewFailure = true;
+      Site.StoreDown = GetParam().isStoreDown();
+      Site.StoreLosesAnswers = GetParam().losesAnswers();
       if (GetParam().isFirstEndHeldBack())
         holdBack({core::taskName(id), run});
       return true;
@@ -95,20 +114,42 @@
       return;
     case Disturbance::LeaderLostAfterEnds:
       Site.changeLeader();
+      EXPECT_EQ(recordedFailures(), FailedRuns.size());
       return;
     case Disturbance::StoreDown:
-      Site.StoreDown = true;
-      Site.runFor(absl::Seconds(2));
-      Site.StoreDown = false;
-      return;
     case Disturbance::StoreLosesAnswers:
-      Site.StoreLosesAnswers = true;
       Site.runFor(absl::Seconds(2));
-      Site.StoreLosesAnswers = false;
+      mendStore();
+      return;
+    case Disturbance::LeaderLostWithStoreDown:
+      Site.changeLeader();
+      EXPECT_EQ(recordedFailures(), FailedRuns.size() - 1);
+      mendStore();
+      return;
+    case Disturbance::LeaderLostWithAnswers:
+      Site.changeLeader();
+      EXPECT_EQ(recordedFailures(), FailedRuns.size());
+      mendStore();
       return;
     }
   }
 
+  void mendStore() {
+    Site.StoreDown = false;
+    Site.StoreLosesAnswers = false;
+  }
+
+  /// How often the gang has failed, as far as a new leader knows.
+  size_t recordedFailures() {
+    return static_cast<size_t>(
+        Site.scheduler().progress("g")->Tasks.at(0)[0][0].Failed);
+  }
+
+  size_t workerCount() const {
+    const std::multiset<std::string> workers = Site.workersOf("g");
+    return std::set<std::string>(workers.begin(), workers.end()).size();
+  }
+
   /// Holds up the reports of the worker that has this run.
   void holdBack(const RunId &run) {
     for (int n = 0; n < Racks * WorkersPerRack; ++n) {
@@ -130,6 +171,8 @@
   int RunsToFail = 0;
   /// Numbers of the gang's runs of which a member has failed.
   std::set<int64_t> FailedRuns;
+  /// On how many workers each of them worked.
+  std::set<size_t> WorkersOfFailedRuns;
   bool HasNewFailure = false;
   SimSite::Worker *Held = nullptr;
 };
@@ -140,6 +183,7 @@
   runUntilEnded(Attempts - 1);
   EXPECT_STREQ(jobStateName(Site.state("g")), "completed");
   EXPECT_EQ(FailedRuns.size(), static_cast<size_t>(Attempts - 1));
+  EXPECT_EQ(WorkersOfFailedRuns, std::set{GetParam().workersPerRun()});
   EXPECT_TRUE(Site.violations().empty());
 }
 
@@ -148,6 +192,7 @@
   runUntilEnded(2 * Attempts);
   EXPECT_STREQ(jobStateName(Site.state("g")), "failed");
   EXPECT_EQ(FailedRuns.size(), static_cast<size_t>(Attempts));
+  EXPECT_EQ(WorkersOfFailedRuns, std::set{GetParam().workersPerRun()});
   EXPECT_TRUE(Site.violations().empty());
 }
 
@@ -166,8 +211,12 @@
                     Disturbance::LeaderLostAfterEnds},
         FailureCase{"StoreDown", WholeWorker, RunEnd::Failed,
                     Disturbance::StoreDown},
+        FailureCase{"LeaderLostWithStoreDown", WholeWorker, RunEnd::Failed,
+                    Disturbance::LeaderLostWithStoreDown},
         FailureCase{"StoreLosesAnswers", WholeWorker, RunEnd::Failed,
-                    Disturbance::StoreLosesAnswers}),
+                    Disturbance::StoreLosesAnswers},
+        FailureCase{"LeaderLostWithAnswers", WholeWorker, RunEnd::Failed,
+                    Disturbance::LeaderLostWithAnswers}),
     [](const auto &test) { return std::string(test.param.Name); });
 
 } // namespace
