--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -469,6 +469,12 @@
   return text;
 }
 
+int MemoryCluster::countDecisions(jobs::Decision::Kind kind) const {
+  return static_cast<int>(std::count_if(
+      LeaderDecisions.begin(), LeaderDecisions.end(),
+      [kind](const auto &entry) { return entry.second.What == kind; }));
+}
+
 void MemoryCluster::watchWaits() {
   Loop.runAfter(RecoveryTime, [this] { observeWaits(); });
 }
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -130,6 +130,8 @@
   }
   /// The leaders' decisions about the job, one per line.
   std::string decisionsText(const std::string &job) const;
+  /// Number of decisions of this kind that the leaders have made.
+  int countDecisions(jobs::Decision::Kind kind) const;
   /// Time from the last fault until its effects on waiting jobs are over.
   static constexpr absl::Duration RecoveryTime = absl::Seconds(14);
   /// All faults are over. From RecoveryTime on, a job that waits beside free
