Test that a slow gang is moved no more often than a task

What callers would see: a gang that takes far longer than estimated is stopped and started again twice for each of its members, and each time a sound worker is quarantined; without checkpoints all its work is lost each time.

Cause (not mended here): RunMonitor counts a move for the member that it finds too slow, and stops the whole gang. Each member may be moved MaxMoves times, so that the gang is moved MaxMoves times its members. Members progress alike; they are compared with each other only once two of them have a rate, and while a percent takes longer than the reports are apart one has it first and is judged by the estimate alone.

--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -152,6 +152,10 @@
   void observeEnds(std::function<void(const ObservedEnd &end)> onEnd) {
     Shared.OnEnd = std::move(onEnd);
   }
+  /// Sets how long a task works. The default is its estimate.
+  void setWorkTime(std::function<absl::Duration(const std::string &)> time) {
+    Shared.WorkTimeOf = std::move(time);
+  }
   /// Sets how the members of gangs end by themselves; see
   /// SharedWorkerState::PlanEnd.
   void setPlannedEnds(
