Test failed runs whose ends are listed late

What callers would see: tasks start again after as many failed runs as they have attempts (BUDGET), and their job is completed or fails late.

Cause (not mended here): a worker lists 500 ends at a time. The next leader takes a run of its predecessor that the first list does not have, neither as running nor as ended, for one that never began, and starts its task again. The end comes with a later list and is not of the latest run then, so that it is acknowledged and not counted.

The memory worker lists 500 ends at a time, as the platform's workers do, and runs that belong to no gang can end as planned, too.

--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -156,7 +156,7 @@
   void setWorkTime(std::function<absl::Duration(const std::string &)> time) {
     Shared.WorkTimeOf = std::move(time);
   }
-  /// Sets how the members of gangs end by themselves; see
+  /// Sets how runs end by themselves; see
   /// SharedWorkerState::PlanEnd.
   void setPlannedEnds(
       std::function<std::optional<PlannedEnd>(const std::string &, int64_t)>
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -20,6 +20,8 @@
 /// period.
 constexpr absl::Duration CapacityReductionDelay =
     absl::Milliseconds(3000 + 1500);
+/// The other ends are listed once these are acknowledged.
+constexpr size_t MaxListedEnds = 500;
 constexpr absl::Duration CrashDelay = absl::Milliseconds(10);
 constexpr absl::Duration RestartDelay = absl::Seconds(2);
 } // namespace
@@ -226,6 +228,8 @@
   Run run;
   run.StartedAt = Loop.now();
   joinGang(key, run);
+  if (Shared.PlanEnd)
+    run.Planned = Shared.PlanEnd(key.first, key.second);
   Runs[key] = run;
   return ok();
 }
@@ -268,7 +272,9 @@
     reply.Running.push_back({key.first, key.second, run.Saved,
                              static_cast<int>(100 * std::min(1.0, share))});
   }
-  reply.Ended = Ended;
+  reply.Ended.assign(Ended.begin(),
+                     Ended.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                         Ended.size(), MaxListedEnds)));
   return reply;
 }
 
@@ -390,8 +396,6 @@
   ++run.Gang->Members;
   if (run.Gang->Members == run.GangSize)
     run.Gang->CompleteSince = std::min(run.Gang->CompleteSince, Loop.now());
-  if (Shared.PlanEnd)
-    run.Planned = Shared.PlanEnd(key.first, key.second);
 }
 
 void MemoryWorker::endRun(const Key &key, RunEnd how) {
@@ -432,8 +436,6 @@
 
 // A member that starts after the end of the others waits for them in vain.
 std::optional<RunEnd> MemoryWorker::endOfGangMember(Run &run) const {
-  if (isPlannedEndDue(run))
-    return run.Planned->How;
   if (!run.Planned && run.StartedAt <= run.Gang->EndedAt &&
       run.Gang->EndedAt <= Loop.now())
     return run.Gang->EndOfOthers;
@@ -445,8 +447,9 @@
 }
 
 bool MemoryWorker::isPlannedEndDue(const Run &run) const {
-  return run.Planned &&
-         Loop.now() - run.Gang->CompleteSince >= run.Planned->After;
+  const absl::Time begun =
+      run.Gang == nullptr ? run.StartedAt : run.Gang->CompleteSince;
+  return run.Planned && Loop.now() - begun >= run.Planned->After;
 }
 
 bool MemoryWorker::makesProgress(const Run &run) const {
@@ -466,6 +469,8 @@
     return RunEnd::Stopped;
   if (FailsAll)
     return RunEnd::Failed;
+  if (isPlannedEndDue(run))
+    return run.Planned->How;
   if (run.Gang != nullptr)
     if (const std::optional<RunEnd> end = endOfGangMember(run))
       return end;
--- a/tests/auto/cluster/memoryworker.h
+++ b/tests/auto/cluster/memoryworker.h
@@ -16,8 +16,8 @@
 
 namespace oriolebay::cluster {
 
-/// How a gang member ends by itself, whatever the other members do, and how
-/// long after its run was complete.
+/// How a run ends by itself, and how long after its start. A gang member does
+/// so whatever the others do, and the time is that since its run was complete.
 struct PlannedEnd {
   absl::Duration After;
   endpoints::RunEnd How = endpoints::RunEnd::Failed;
@@ -70,8 +70,8 @@
   /// Called when a run of the task starts on the order of the leader with this
   /// epoch. May be empty.
   std::function<void(const std::string &task, int64_t epoch)> OnStart;
-  /// Decides at its start how a gang member ends by itself. Nothing: it does
-  /// its work or ends with the others. May be empty.
+  /// Decides at its start how a run ends by itself. Nothing: it does its work
+  /// or ends with the others of its gang. May be empty.
   std::function<std::optional<PlannedEnd>(const std::string &task, int64_t run)>
       PlanEnd;
   /// Called when a worker lists the end of a run. May be empty.
