--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -130,6 +130,8 @@
   }
   /// The leaders' decisions about the job, one per line.
   std::string decisionsText(const std::string &job) const;
+  /// Number of decisions of this kind that the leaders have made.
+  int countDecisions(jobs::Decision::Kind kind) const;
   /// Time from the last fault until its effects on waiting jobs are over.
   static constexpr absl::Duration RecoveryTime = absl::Seconds(14);
   /// All faults are over. From RecoveryTime on, a job that waits beside free
@@ -150,7 +152,11 @@
   void observeEnds(std::function<void(const ObservedEnd &end)> onEnd) {
     Shared.OnEnd = std::move(onEnd);
   }
-  /// Sets how the members of gangs end by themselves; see
+  /// Sets how long a task works. The default is its estimate.
+  void setWorkTime(std::function<absl::Duration(const std::string &)> time) {
+    Shared.WorkTimeOf = std::move(time);
+  }
+  /// Sets how runs end by themselves; see
   /// SharedWorkerState::PlanEnd.
   void setPlannedEnds(
       std::function<std::optional<PlannedEnd>(const std::string &, int64_t)>
