Runs whose ends are not listed yet are not taken for absent

Cause: nothing knew that a list of ends may be incomplete. The leader took a run that is neither running nor among the listed ends for vanished, a new leader for one that never began, and the agent answered a stop of it with 'the worker does not know it'. Class: a part of a list read as the whole.

Change: an answer of the worker with as many ends as it lists at a time counts as incomplete, and the agent's report says so. Until a list is complete no run counts as absent for not being listed, at the agent, at the leader and at a new leader. Reports of agents of earlier versions count as complete, as before.

--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -182,6 +182,7 @@
     ListedAt = Loop.now();
     ListedClockMs = outcome.ClockMs;
     changed |= epoch > ListedEpoch || reply.Ended != Ended ||
+               reply.EndsComplete != EndsComplete ||
                reply.Running.size() != Running.size();
     Running = reply.Running;
     for (const endpoints::RunningTask &r : Running)
@@ -194,6 +195,7 @@
     if (!reply.Ended.empty() && reply.Ended != Ended)
       EndsChangedAt = Loop.now();
     Ended = reply.Ended;
+    EndsComplete = reply.EndsComplete;
     OldestEndNumber = Ended.empty() ? 0 : Ended.front().Number;
     ListedEpoch = epoch;
     completeListedStarts();
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -307,6 +307,8 @@
   // The lists of the worker's last answer.
   std::vector<endpoints::RunningTask> Running;
   std::vector<endpoints::EndedTask> Ended;
+  /// The worker had no other ends when it listed these.
+  bool EndsComplete = true;
   absl::Time ListedAt = absl::InfinitePast();
   /// The worker's clock when it sent these lists; zero if unknown.
   int64_t ListedClockMs = 0;
--- a/src/libs/agent/workeragent_incarnation.cpp
+++ b/src/libs/agent/workeragent_incarnation.cpp
@@ -167,6 +167,7 @@
   SeenUpto = 0;
   Running.clear();
   Ended.clear();
+  EndsComplete = true;
   OldestEndNumber = 0;
   ListedClockMs = 0;
   ListedEpoch = 0;
--- a/src/libs/agent/workeragent_reports.cpp
+++ b/src/libs/agent/workeragent_reports.cpp
@@ -77,6 +77,7 @@
   message.SpeedWithGangs = SpeedWithGangs;
   message.Running = Running;
   message.Ended = Ended;
+  message.EndsComplete = EndsComplete;
   message.Results = Results;
   message.OpenStarts = Attempts.openStarts(Loop.now());
   message.StartsKnownForMs = absl::ToInt64Milliseconds(
--- a/src/libs/agent/workeragent_stops.cpp
+++ b/src/libs/agent/workeragent_stops.cpp
@@ -64,15 +64,16 @@
 }
 
 void WorkerAgent::resolveStops(uint64_t callNumber) {
-  std::set<RunId> listed;
+  std::set<RunId> running;
   for (const endpoints::RunningTask &r : Running)
-    listed.insert({r.Task, r.Run});
+    running.insert({r.Task, r.Run});
   std::set<RunId> ended;
   for (const endpoints::EndedTask &e : Ended)
     ended.insert({e.Task, e.Run});
   for (auto it = UnconfirmedStops.begin(); it != UnconfirmedStops.end();) {
     const RunId key = it->first;
-    if (callNumber < it->second || listed.count(key) != 0) {
+    const bool mayHaveEnded = !EndsComplete && ended.count(key) == 0;
+    if (callNumber < it->second || running.count(key) != 0 || mayHaveEnded) {
       ++it;
       continue;
     }
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -84,15 +84,16 @@
        {"SpeedWithGangs", r.SpeedWithGangs},
        {"Running", r.Running},
        {"Ended", r.Ended},
+       {"EndsComplete", r.EndsComplete},
        {"Results", r.Results},
        {"OpenStarts", r.OpenStarts},
        {"StartsKnownForMs", r.StartsKnownForMs},
        {"StateOutdated", r.StateOutdated}};
 }
 
-// Agents of earlier versions do not track open starts, the age of the state and
-// the speed in gangs. Their reports lack these fields and must remain readable
-// during an upgrade.
+// Agents of earlier versions do not track open starts, the age of the state,
+// the speed in gangs and whether all ends are listed. Their reports lack these
+// fields and must remain readable during an upgrade.
 static void from_json(const json &j, WorkerReport &r) {
   j.at("Agent").get_to(r.Agent);
   j.at("AgentAddress").get_to(r.AgentAddress);
@@ -109,6 +110,7 @@
   r.OpenStarts = j.value("OpenStarts", std::vector<OpenStart>());
   r.StartsKnownForMs = j.value("StartsKnownForMs", int64_t{0});
   r.StateOutdated = j.value("StateOutdated", false);
+  r.EndsComplete = j.value("EndsComplete", true);
   r.SpeedWithGangs = j.value("SpeedWithGangs", LearnedSpeed());
 }
 
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -320,6 +320,9 @@
   /// The worker's last heartbeat is so old that its state, and so its capacity,
   /// may be outdated. The worker gets no new tasks then.
   bool StateOutdated = false;
+  /// The worker has no ends beside Ended. Else a run that it does not list may
+  /// have ended.
+  bool EndsComplete = true;
   auto operator<=>(const WorkerReport &) const = default;
 };
 
--- a/src/libs/endpoints/workercalls.h
+++ b/src/libs/endpoints/workercalls.h
@@ -92,6 +92,9 @@
   CallOutcome Outcome;
   std::vector<RunningTask> Running;
   std::vector<EndedTask> Ended;
+  /// Ended has all ends that are not acknowledged. Else later ones are listed
+  /// once these are acknowledged.
+  bool EndsComplete = true;
 };
 
 /// The calls from an agent to its worker. Every function reports its outcome
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -65,6 +65,9 @@
   /// It has seen this leader's fencing token, and the effect of what earlier
   /// leaders ordered has been resolved.
   bool Fenced = false;
+  /// Since then it has listed all its runs and ends once, so that the runs of
+  /// previous leaders that it does not list are over.
+  bool UnlistedRunsResolved = false;
   /// Its agent can reach it.
   bool Reachable = true;
   /// Its state may be outdated, as its agent has had no heartbeat for too long.
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -61,12 +61,13 @@
     handleTaskEnd(incarnation, end, now);
   handleRunningTasks(report, now);
   WorkerView *worker = Workers.find(incarnation);
-  if (!worker->Fenced && report.Epoch >= Epoch) {
-    worker->Fenced = true;
-    resolveUnlistedRuns(report, now);
-  }
+  worker->Fenced |= report.Epoch >= Epoch;
   if (worker->Fenced)
     FencedAgents.insert(report.Agent);
+  if (worker->Fenced && !worker->UnlistedRunsResolved && report.EndsComplete) {
+    worker->UnlistedRunsResolved = true;
+    resolveUnlistedRuns(report, now);
+  }
   for (const endpoints::OrderResult &result : report.Results)
     handleOrderResult(incarnation, result, now);
   // Most reports only update the progress of runs. A scheduling pass after each
@@ -186,7 +187,8 @@
     }
     clearSuspectIfOutlived(Jobs.at(id.Job), id, *task);
   }
-  if (report.Reachable)
+  // The end of a run that is not listed may be among those still to be listed.
+  if (report.Reachable && report.EndsComplete)
     stopVanishedRuns(worker, now - absl::Milliseconds(report.ListedMsAgo));
 }
 
--- a/tests/auto/adapter/tst_workeradapter.cpp
+++ b/tests/auto/adapter/tst_workeradapter.cpp
@@ -201,6 +201,41 @@
   EXPECT_EQ(reply.Outcome.BornMs, 1791000000000);
 }
 
+struct EndsCase {
+  const char *Name;
+  int Ends;
+  bool Complete;
+};
+
+void PrintTo(const EndsCase &c, std::ostream *out) { *out << c.Name; }
+
+class ListedEnds : public ::testing::TestWithParam<EndsCase> {};
+
+// Guards against runs that count as vanished although their ends are only not
+// listed yet.
+TEST_P(ListedEnds, AreCompleteBelowTheNumberThatIsListedAtATime) {
+  nlohmann::json ends = nlohmann::json::array();
+  for (int n = 1; n <= GetParam().Ends; ++n)
+    ends.push_back({n, "j.0.0." + std::to_string(n), 1, "done", ""});
+  const nlohmann::json lists = {
+      {"clockMs", 9}, {"running", nlohmann::json::array()}, {"ended", ends}};
+  PlatformStub stub(http::HttpResponse{200, lists.dump()});
+  const endpoints::WorkerCalls calls =
+      makeWorkerCalls(stub.Loop, stub.Client, stub.Address,
+                      [](const utils::RefusedMessage &) {});
+  const auto reply = stub.callAndWait<endpoints::KeepAliveReply>(
+      [&](std::function<void(endpoints::KeepAliveReply)> done) {
+        calls.KeepAlive({{"life-1", 1000}, 0, 11, 3, 0}, done);
+      });
+  EXPECT_EQ(reply.EndsComplete, GetParam().Complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, ListedEnds,
+                         ::testing::Values(EndsCase{"none", 0, true},
+                                           EndsCase{"below", 499, true},
+                                           EndsCase{"as_many", 500, false}),
+                         [](const auto &info) { return info.param.Name; });
+
 struct HeartbeatCase {
   const char *Name;
   std::string Body;
--- a/tests/auto/cluster/memoryworker.cpp
+++ b/tests/auto/cluster/memoryworker.cpp
@@ -275,6 +275,7 @@
   reply.Ended.assign(Ended.begin(),
                      Ended.begin() + static_cast<std::ptrdiff_t>(std::min(
                                          Ended.size(), MaxListedEnds)));
+  reply.EndsComplete = Ended.size() < MaxListedEnds;
   return reply;
 }
 
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -383,7 +383,10 @@
         {key.Task, key.Run, runningCheckpoint(run, taskIdOf(key.Task)),
          static_cast<int>(100 *
                           absl::FDivDuration(run.WorkDone, run.RequiredWork))});
-  r.Ended = worker.Ended;
+  const size_t listed = std::min(worker.Ended.size(), worker.MaxEndsListed);
+  r.Ended.assign(worker.Ended.begin(),
+                 worker.Ended.begin() + static_cast<ptrdiff_t>(listed));
+  r.EndsComplete = listed == worker.Ended.size();
   r.Results = std::exchange(worker.Results, {});
   r.OpenStarts = worker.OpenStarts;
   r.StartsKnownForMs = worker.StartsKnownForMs;
