Quarantine: a gang's failed run counts once for its worker

What callers saw: nothing yet, found in the review of the gangs' failed runs. A job waited for 4 s beside a healthy worker that was kept out after one failed run of a gang, of which several members had run there.

Cause: each member's end `failed` counted as a failed run of the worker, so that two members of one run were the two failures in a row after which a worker is quarantined.

Evidence: WorkerOfAFailingGang.IsNotQuarantinedAfterOneRun failed before the change (the next job waited for 4 s on a site of one worker).

Change: the outcome of a run names the run, that of a gang's members their common one, and a worker's latest failed run counts once. A worker that really fails all it starts is avoided by the same job as before, and is quarantined after the next run that fails there.

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace oriolebay::jobs {
 
@@ -162,8 +163,8 @@
   return counts;
 }
 
-bool Fleet::recordRunOutcome(const WorkerIncarnation &incarnation, bool ok,
-                             absl::Time now) {
+bool Fleet::recordRunOutcome(const WorkerIncarnation &incarnation,
+                             const RunId &run, bool ok, absl::Time now) {
   WorkerView *worker = find(incarnation);
   if (worker == nullptr)
     return false;
@@ -172,6 +173,8 @@
     worker->QuarantineDuration = absl::ZeroDuration();
     return false;
   }
+  if (std::exchange(worker->LatestFailedRun, run) == run)
+    return false;
   if (++worker->ConsecutiveFailures < Policy.FailuresBeforeQuarantine)
     return false;
   return quarantine(incarnation, now);
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -97,6 +97,7 @@
   int64_t SeenUpto = 0;
   /// Failures since the last completed run; see Fleet::recordRunOutcome().
   int ConsecutiveFailures = 0;
+  RunId LatestFailedRun;
   /// Duration of the latest quarantine; zero after a completed run.
   absl::Duration QuarantineDuration = absl::ZeroDuration();
   absl::Time QuarantinedUntil = absl::InfinitePast();
@@ -167,9 +168,10 @@
   void endQuarantine(const WorkerIncarnation &incarnation, absl::Time now);
   /// Counts the end of a run, to quarantine workers that fail the tasks started
   /// on them. With ok false, the run failed or the unhealthy worker did not
-  /// start it. Returns true if the worker is quarantined from now on.
-  bool recordRunOutcome(const WorkerIncarnation &incarnation, bool ok,
-                        absl::Time now);
+  /// start it. The members of a gang's run share one run, which counts once as
+  /// failed. Returns true if the worker is quarantined from now on.
+  bool recordRunOutcome(const WorkerIncarnation &incarnation, const RunId &run,
+                        bool ok, absl::Time now);
 
   void allocate(const WorkerIncarnation &incarnation, const RunId &run,
                 const core::Resources &resources);
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -350,8 +350,10 @@
     task.Progress.Saved = saved;
   if (how == RunEnd::Failed)
     task.FailedOn.insert(incarnation);
+  const RunId run{spec.Gang ? stepName(id) : core::taskName(id),
+                  task.Progress.Run};
   if ((how == RunEnd::Done || how == RunEnd::Failed) &&
-      Workers.recordRunOutcome(incarnation, how == RunEnd::Done, now))
+      Workers.recordRunOutcome(incarnation, run, how == RunEnd::Done, now))
     logDecision(Decision::Kind::WorkerQuarantined, id.Job, core::taskName(id),
                 task.Progress.Run, incarnation.Id, "failed runs in a row");
   if (how == RunEnd::Failed)
--- a/tests/auto/jobs/tst_unfitworkers.cpp
+++ b/tests/auto/jobs/tst_unfitworkers.cpp
@@ -241,5 +241,23 @@
   EXPECT_TRUE(site.violations().empty()) << site.violations().front();
 }
 
+// Guards against a healthy worker that is kept out because several members of
+// one gang's run fail there: each of them counts as a failed run of the worker.
+TEST(WorkerOfAFailingGang, IsNotQuarantinedAfterOneRun) {
+  SimSite site;
+  site.addWorker("w0", "r0");
+  site.runFor(absl::Milliseconds(600));
+  site.RunFails = [](const core::TaskId &id, int64_t) { return id.Job == "g"; };
+  site.EndBesideFailedMember = [](const core::TaskId &, int64_t) {
+    return endpoints::RunEnd::Failed;
+  };
+  site.submit(jobOf("g", asGang(makeStep(3, {1000, 1000, 1}, 1000))), 1, 1);
+  ASSERT_TRUE(site.runUntilAllEnded(absl::Seconds(4)));
+  ASSERT_EQ(site.state("g"), JobState::Failed);
+  site.submit(jobOf("next", makeStep(1, WholeWorker, 1000)));
+  ASSERT_TRUE(site.runUntilAllEnded(absl::Seconds(30)));
+  EXPECT_LT(*site.waitTime("next"), absl::Seconds(1));
+}
+
 } // namespace
 } // namespace oriolebay::jobs
