Quarantine: a completed gang counts for each of its workers

What callers saw: nothing yet, found in the review of the gangs' failed runs. A gang waited for 4 s beside a healthy worker that was kept out for two failed runs in a row, although it had completed one between them.

Cause: the first end `done` of a member completes the gang, and the other members' ends are only acknowledged, so that a completed run counted for the worker of that member alone. A failed run counts for each worker. The class is that of the gangs' attempts, mirrored: an event of a group that is counted for one witness only.

Evidence: WorkersOfACompletedGang.HaveNoFailuresInARow failed before the change (4 s of waiting on a site of two workers).

Change: the end of a member whose gang is done already counts as a completed run of its worker.

--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -292,6 +292,9 @@
   Job &job = Jobs.at(id.Job);
   noteBegun(job, now);
   if (!isCounted) {
+    // The end of another member has completed the gang.
+    if (isLatest && end.How == RunEnd::Done)
+      Workers.recordRunOutcome(incarnation, {end.Task, end.Run}, true, now);
     if (isLatest)
       unassign(job, id, *task, Settlement::ByWorker, now);
     acknowledgeEnd(job, incarnation, end.Number);
--- a/tests/auto/jobs/tst_unfitworkers.cpp
+++ b/tests/auto/jobs/tst_unfitworkers.cpp
@@ -259,5 +259,28 @@
   EXPECT_LT(*site.waitTime("next"), absl::Seconds(1));
 }
 
+// Guards against a healthy worker that is kept out although its latest run but
+// one was completed: a completed run of a gang counts for one of its workers.
+TEST(WorkersOfACompletedGang, HaveNoFailuresInARow) {
+  SimSite site;
+  site.addWorker("w0", "r0");
+  site.addWorker("w1", "r0");
+  site.runFor(absl::Milliseconds(600));
+  site.RunFails = [](const core::TaskId &id, int64_t) {
+    return id.Job != "sound";
+  };
+  site.EndBesideFailedMember = [](const core::TaskId &, int64_t) {
+    return endpoints::RunEnd::Failed;
+  };
+  for (const char *job : {"first", "sound", "last"}) {
+    site.submit(jobOf(job, asGang(makeStep(2, WholeWorker, 1000))), 1, 1);
+    ASSERT_TRUE(site.runUntilAllEnded(absl::Seconds(4)));
+  }
+  site.RunFails = nullptr;
+  site.submit(jobOf("next", asGang(makeStep(2, WholeWorker, 1000))));
+  ASSERT_TRUE(site.runUntilAllEnded(absl::Seconds(30)));
+  EXPECT_LT(*site.waitTime("next"), absl::Seconds(1));
+}
+
 } // namespace
 } // namespace oriolebay::jobs
