Setting memory_mb: the memory that the host gives to a process

Cause: the programs that serve jobs are not told how much memory their host gives them, so that no limit of what they keep of unfinished or waiting calls can follow from it.

Change: the settings of a process that serves jobs get memory_mb, an integer above zero, 128 by default. It is read and checked; nothing uses it yet.

--- a/src/libs/settings/nodesettings.cpp
+++ b/src/libs/settings/nodesettings.cpp
@@ -125,6 +125,7 @@
   BOOST_LEAF_CHECK(readAddress(r, "advice_address", false, s.Advice));
   BOOST_LEAF_CHECK(r.get("heartbeat_ms", s.HeartbeatMs, false));
   BOOST_LEAF_CHECK(r.get("processor_share", s.ProcessorShare, false));
+  BOOST_LEAF_CHECK(r.get("memory_mb", s.MemoryMb, false));
   json bounds;
   BOOST_LEAF_CHECK(r.get("bounds", bounds, false));
   BOOST_LEAF_CHECK(r.requireNoOtherKeys());
@@ -140,6 +141,11 @@
                        "setting processor_share must be above zero, and 1024 "
                        "at most",
                        "give the cores that the process may use, such as 0.25");
+  if (s.MemoryMb <= 0)
+    return utils::fail(ErrorKind::BadSettings,
+                       "setting memory_mb must be above zero",
+                       "give the memory in MB that the process may use, such "
+                       "as 128");
   if (s.Bounds.HoldMaxMs <= 2 * s.HeartbeatMs)
     return utils::fail(ErrorKind::BadSettings,
                        "setting bounds.hold_max_ms must be above twice "
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -78,6 +78,8 @@
   int HeartbeatMs = 1500;
   /// Number of cores, such as 0.25, that the host gives to this process.
   double ProcessorShare = 1;
+  /// Memory in MB that the host gives to this process.
+  int MemoryMb = 128;
   SiteBounds Bounds;
   bool operator==(const NodeSettings &) const = default;
 };
--- a/tests/auto/settings/tst_nodesettings.cpp
+++ b/tests/auto/settings/tst_nodesettings.cpp
@@ -76,6 +76,11 @@
                     "bounds.term_grace_s"},
         InvalidCase{"no processor", settingsWith(R"("processor_share":0)"),
                     "processor_share"},
+        InvalidCase{"no memory", settingsWith(R"("memory_mb":0)"), "memory_mb"},
+        InvalidCase{"negative memory", settingsWith(R"("memory_mb":-260)"),
+                    "memory_mb"},
+        InvalidCase{"memory is a text", settingsWith(R"("memory_mb":"260")"),
+                    "memory_mb"},
         InvalidCase{"wrong type", settingsWith(R"("heartbeat_ms":"often")"),
                     "heartbeat_ms"},
         InvalidCase{"holds shorter than two heartbeats",
@@ -89,6 +94,24 @@
       return oriolebay::testnames::testNameFrom(info.param.Description);
     });
 
+/// Returns the memory in MB that the settings give to the process.
+int memoryMbOf(const std::string &text) {
+  return utils::handle<int>(
+      [&]() -> utils::Result<int> {
+        BOOST_LEAF_AUTO(s, settings::parseNodeSettings(text));
+        return s.MemoryMb;
+      },
+      [](const utils::Error &e) {
+        ADD_FAILURE() << e.Message;
+        return 0;
+      });
+}
+
+TEST(NodeSettings, MemoryIsReadAndHasADefault) {
+  EXPECT_EQ(memoryMbOf(settingsWith(R"("memory_mb":260)")), 260);
+  EXPECT_EQ(memoryMbOf(ValidSettings), 128);
+}
+
 struct SiteCase {
   const char *Name;
   int HeartbeatMs;
