--- a/tests/auto/system/jobssite.cpp
+++ b/tests/auto/system/jobssite.cpp
@@ -33,12 +33,15 @@
                       {"service", "s"},
                       {"priority", 1},
                       {"attempts", 4}});
-  return {{"version", version},
-          {"routes", routes},
-          {"tenants",
-           {{{"name", "o"},
-             {"apiKeys", config.Keys},
-             {"guaranteed", {{"gpu", 4}}}}}}};
+  json value = {{"version", version},
+                {"routes", routes},
+                {"tenants",
+                 {{{"name", "o"},
+                   {"apiKeys", config.Keys},
+                   {"guaranteed", {{"gpu", 4}}}}}}};
+  if (config.MaxBodyBytes > 0)
+    value["limits"] = {{"bodyBytes", config.MaxBodyBytes}};
+  return value;
 }
 
 std::string jobText() {
@@ -162,19 +165,20 @@
 }
 
 JobsSite::JobsSite(const std::string &workDir, Options options)
-    : WorkDir(workDir), Runs(createdFolder(workDir) + "/runs.log"),
-      Random(options.Seed), Store(Loop, options.Seed) {
+    : WorkDir(workDir), SiteOptions(std::move(options)),
+      Runs(createdFolder(workDir) + "/runs.log"), Random(SiteOptions.Seed),
+      Store(Loop, SiteOptions.Seed) {
   Store.put(ConfigKey, configOf({}, ++ConfigVersion).dump());
   Platform = std::make_unique<StoreServer>(
       Loop, Store, [this](std::string body) { return changeAnswer(body); });
-  for (int n = 0; n < options.Workers; ++n)
+  for (int n = 0; n < SiteOptions.Workers; ++n)
     Workers.push_back(std::make_unique<WorkerServer>(
         Loop, Runs, "w" + std::to_string(n), "r0",
         [this](std::string body) { return changeAnswer(body); }));
   LoopThread = std::thread([this] { Loop.run(); });
-  for (int n = 0; n < options.Entries; ++n)
+  for (int n = 0; n < SiteOptions.Entries; ++n)
     addEntry(n);
-  for (int n = 0; n < options.Workers; ++n)
+  for (int n = 0; n < SiteOptions.Workers; ++n)
     addWorker(n);
 }
 
@@ -198,12 +202,15 @@
 
 json JobsSite::settings(const std::string &name) {
   const int storePort = addProxy(name, Platform->port(), StoreFaults);
-  return {{"name", name},
-          {"failure_domain", "d0"},
-          {"peers_listen", "127.0.0.1:0"},
-          {"store_address", "127.0.0.1:" + std::to_string(storePort)},
-          {"heartbeat_ms", 300},
-          {"bounds", json::object()}};
+  json values = {{"name", name},
+                 {"failure_domain", "d0"},
+                 {"peers_listen", "127.0.0.1:0"},
+                 {"store_address", "127.0.0.1:" + std::to_string(storePort)},
+                 {"heartbeat_ms", 300},
+                 {"bounds", json::object()}};
+  if (SiteOptions.MoreSettings)
+    values.update(SiteOptions.MoreSettings(name));
+  return values;
 }
 
 void JobsSite::addEntry(int n) {
--- a/tests/auto/system/jobssite.h
+++ b/tests/auto/system/jobssite.h
@@ -37,6 +37,8 @@
   const std::string &name() const { return Name; }
   /// Whether the process runs; else it has ended by itself, or by a signal.
   bool isRunning();
+  /// Zero after the process has ended.
+  pid_t pid() const { return Pid; }
   /// Sends a signal to the process if it runs.
   void signal(int number);
   /// Starts the program again after its process has ended, with a log of its
@@ -71,6 +73,8 @@
 struct SiteConfig {
   std::vector<std::string> Keys = {"key"};
   std::vector<std::string> Queues = {"q"};
+  /// Largest body of a call; zero leaves it to the entries.
+  int64_t MaxBodyBytes = 0;
 };
 
 /// Entries and agents as processes, with a store and workers in the process of
@@ -82,6 +86,9 @@
     int Entries = 2;
     int Workers = 2;
     uint64_t Seed = 1;
+    /// Returns further settings of the process with this name.
+    std::function<nlohmann::json(const std::string &process)> MoreSettings =
+        nullptr;
   };
   /// Decides what becomes of a request of the process with this name. Called on
   /// the threads of the proxies.
@@ -147,6 +154,7 @@
   void addWorker(int n);
 
   const std::string WorkDir;
+  const Options SiteOptions;
   RunLog Runs;
   FaultHook StoreFaults;
   FaultHook WorkerFaults;
