--- a/src/libs/utils/jsontext.cpp
+++ b/src/libs/utils/jsontext.cpp
@@ -2,6 +2,7 @@
 
 #include "text.h"
 
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -14,13 +15,16 @@
 /// What becomes of an array or object below MaxJsonDepth levels.
 enum class TooDeep { EndsParser, BecomesNull };
 
+constexpr size_t AnyNumberOfValues = std::numeric_limits<size_t>::max();
+
 /// Builds a document from the events of a parser, and ends the parser at the
 /// first thing that the document must not hold.
 class DocumentBuilder final : public json::json_sax_t {
 public:
   /// The members that byteMembers names may hold bytes that are not UTF-8.
-  DocumentBuilder(const std::set<std::string> &byteMembers, TooDeep tooDeep)
-      : ByteMembers(byteMembers), Deeper(tooDeep) {}
+  DocumentBuilder(const std::set<std::string> &byteMembers, TooDeep tooDeep,
+                  size_t maxValues)
+      : ByteMembers(byteMembers), Deeper(tooDeep), MaxValues(maxValues) {}
 
   bool null() override { return add(json()); }
   bool boolean(bool value) override { return add(json(value)); }
@@ -70,11 +74,22 @@
 
 private:
   bool add(json value) {
+    if (!countValue())
+      return false;
     if (SkippedLevels == 0)
       place(std::move(value));
     return true;
   }
 
+  bool countValue() {
+    if (Values < MaxValues) {
+      ++Values;
+      return true;
+    }
+    Problem = "more than " + std::to_string(MaxValues) + " values";
+    return false;
+  }
+
   // Puts value where the parser is and returns its place there.
   json *place(json value) {
     if (Open.empty()) {
@@ -92,6 +107,8 @@
 
   bool open(json container) {
     if (SkippedLevels == 0 && Open.size() < MaxJsonDepth) {
+      if (!countValue())
+        return false;
       Open.push_back(place(std::move(container)));
       return true;
     }
@@ -99,7 +116,8 @@
       Problem = "more than " + std::to_string(MaxJsonDepth) + " levels";
       return false;
     }
-    add(json());
+    if (!add(json()))
+      return false;
     ++SkippedLevels;
     return true;
   }
@@ -126,6 +144,8 @@
 
   const std::set<std::string> &ByteMembers;
   const TooDeep Deeper;
+  const size_t MaxValues;
+  size_t Values = 0;
   json Document;
   /// The arrays and objects that the parser is in, the innermost last.
   std::vector<json *> Open;
@@ -141,8 +161,9 @@
 Result<json> parse(std::string_view input, json::input_format_t format,
                    const char *formatName,
                    const std::set<std::string> &byteMembers,
-                   TooDeep tooDeep = TooDeep::EndsParser) {
-  DocumentBuilder builder(byteMembers, tooDeep);
+                   TooDeep tooDeep = TooDeep::EndsParser,
+                   size_t maxValues = AnyNumberOfValues) {
+  DocumentBuilder builder(byteMembers, tooDeep, maxValues);
   if (json::sax_parse(input.begin(), input.end(), &builder, format))
     return builder.takeDocument();
   return fail(ErrorKind::BadMessage,
@@ -156,6 +177,11 @@
   return parse(text, json::input_format_t::json, "JSON", {});
 }
 
+Result<json> parseBoundedJson(std::string_view text, size_t maxValues) {
+  return parse(text, json::input_format_t::json, "JSON", {},
+               TooDeep::EndsParser, maxValues);
+}
+
 Result<json> parseJsonToDepth(std::string_view text) {
   return parse(text, json::input_format_t::json, "JSON", {},
                TooDeep::BecomesNull);
--- a/src/libs/utils/jsontext.h
+++ b/src/libs/utils/jsontext.h
@@ -20,6 +20,11 @@
 /// Decodes JSON text. Fails with ErrorKind::BadMessage if it is not one valid
 /// document of at most MaxJsonDepth levels whose texts are UTF-8.
 Result<nlohmann::json> parseJson(std::string_view text);
+/// Does the same, and fails as well if the document has more than maxValues
+/// values: arrays, objects and what they hold. For text of senders that are not
+/// trusted: a document of small values takes many times the memory of its text.
+Result<nlohmann::json> parseBoundedJson(std::string_view text,
+                                        size_t maxValues);
 /// Does the same, except that an array or object below MaxJsonDepth levels
 /// becomes null. For lists whose other members have to be read all the same.
 Result<nlohmann::json> parseJsonToDepth(std::string_view text);
--- a/tests/auto/adapter/tst_calleradapter.cpp
+++ b/tests/auto/adapter/tst_calleradapter.cpp
@@ -2,12 +2,65 @@
 #include "configadapter.h"
 #include "utils/text.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <gtest/gtest.h>
 
+#include <numeric>
+#include <vector>
+
 namespace oriolebay::adapter {
 namespace {
 
 constexpr const char *Id = "0123456789abcdef";
+/// Largest body that the platform's pages allow.
+constexpr size_t LargestLegalBytes = 262144;
+
+std::string jobOf(const std::vector<std::string> &steps) {
+  return R"({"spec":"x","steps":[)" + absl::StrJoin(steps, ",") + "]}";
+}
+
+std::string jobOfSteps(int n, const std::string &step) {
+  return jobOf(std::vector<std::string>(static_cast<size_t>(n), step));
+}
+
+// A text of n bytes that JSON spells with six bytes each.
+std::string escapedText(size_t n) {
+  std::string text = "\"";
+  for (size_t i = 0; i < n; ++i)
+    text += "\\u0001";
+  return text + "\"";
+}
+
+// A step that waits for all steps before it and has every other field.
+std::string largestStep(int number) {
+  std::vector<int> earlier(static_cast<size_t>(number));
+  std::iota(earlier.begin(), earlier.end(), 0);
+  const std::string name = std::string(core::MaxNameBytes, 'n');
+  return absl::StrCat(
+      R"({"count":64,"cpu":1000000,"memMb":1000000,"gpu":1000,)",
+      R"("estimateMs":1000000000000,"savesProgress":false,"gang":false,)",
+      R"("sameRack":false,"speculative":false,"longRunning":true,)",
+      R"("targetMs":1000000000000,"fills":false,"mayMiss":64,)",
+      R"("antiAffinity":64,"needs":")", name, R"(","affinity":")", name,
+      R"(","image":")", name, R"(","after":[)", absl::StrJoin(earlier, ","),
+      "]}");
+}
+
+// A job at all limits, padded to the largest body.
+std::string largestJob() {
+  std::vector<std::string> steps;
+  steps.reserve(core::MaxStepsPerJob);
+  for (int i = 0; i < core::MaxStepsPerJob; ++i)
+    steps.push_back(largestStep(i));
+  std::string body =
+      R"({"repeats":16,"firstMs":1800000000000,"intervalMs":1000,"spec":)" +
+      escapedText(core::MaxPayloadBytes) + R"(,"steps":[)" +
+      absl::StrJoin(steps, ",") + "]";
+  EXPECT_LT(body.size(), LargestLegalBytes);
+  body.resize(LargestLegalBytes - 1, ' ');
+  return body + "}";
+}
 
 struct JobCase {
   const char *Name;
@@ -63,6 +116,23 @@
     {"count_beyond_int", R"({"spec":"x","steps":[{"count":4294967297}]})",
      false},
     {"estimate_huge", R"({"spec":"x","steps":[{"cpu":"1e300"}]})", false},
+    {"largest", largestJob(), true},
+    {"most_steps", jobOfSteps(core::MaxStepsPerJob, "{}"), true},
+    {"one_step_more", jobOfSteps(core::MaxStepsPerJob + 1, "{}"), false},
+    {"very_many_steps", jobOfSteps(13000, R"({"cpu":100})"), false},
+    {"very_many_numbers",
+     jobOf({R"({"after":[)" + absl::StrJoin(std::vector<int>(100000, 0), ",") +
+            "]}"}),
+     false},
+    {"text_too_long",
+     R"({"spec":")" + std::string(core::MaxPayloadBytes + 1, 'x') +
+         R"(","steps":[{}]})",
+     false},
+    {"name_too_long",
+     jobOf({R"({"image":")" + std::string(core::MaxNameBytes + 1, 'x') +
+            R"("})"}),
+     false},
+    {"too_many_tasks", jobOf({R"({"count":4097})"}), false},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, JobBodies, ::testing::ValuesIn(JobCases),
--- a/tests/auto/utils/tst_jsontext.cpp
+++ b/tests/auto/utils/tst_jsontext.cpp
@@ -115,6 +115,41 @@
 INSTANTIATE_TEST_SUITE_P(Table, JsonInputs, ::testing::ValuesIn(JsonCases),
                          [](const auto &info) { return info.param.Name; });
 
+struct CountCase {
+  const char *Name;
+  std::string Input;
+  size_t Values;
+};
+
+void PrintTo(const CountCase &c, std::ostream *out) { *out << c.Name; }
+
+class CountedValues : public ::testing::TestWithParam<CountCase> {};
+
+// Guards against documents that take many times the memory of their text.
+TEST_P(CountedValues, AreRefusedBeyondTheLimit) {
+  const auto parseUpTo = [](size_t maxValues) {
+    return [maxValues](std::string_view text) {
+      return parseBoundedJson(text, maxValues);
+    };
+  };
+  EXPECT_EQ(problemOf(parseUpTo(GetParam().Values), GetParam().Input), "");
+  EXPECT_NE(problemOf(parseUpTo(GetParam().Values - 1), GetParam().Input)
+                .find("values"),
+            std::string::npos);
+}
+
+const CountCase CountCases[] = {
+    {"number", "1", 1},
+    {"list", "[1,2,3]", 4},
+    {"empty_lists", "[[],[],[]]", 4},
+    {"empty_objects", "[{},{}]", 3},
+    {"object", R"({"a":1,"b":"x"})", 3},
+    {"repeated_member", R"({"a":1,"a":2,"a":3})", 4},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, CountedValues, ::testing::ValuesIn(CountCases),
+                         [](const auto &info) { return info.param.Name; });
+
 class CborInputs : public ::testing::TestWithParam<InputCase> {};
 
 // Guards against messages of peers and stored values that end the process.
