utils: a memory budget for requests, and the server's options for it

Callers that the system does not control can end a process: each of a thousand connections may hold a body of legal size, and nothing bounds their sum. A limit a request cannot bound it.

MemoryBudget counts the bytes of all requests of a process. A request's MemoryReservation gives its bytes back when it is destroyed, grows when something larger is made of the data, and travels with HttpRequest.

AsyncServerOptions get the budget, a timeout for a whole request and a hook that reports each refusal.

--- a/src/libs/http/asyncserver.h
+++ b/src/libs/http/asyncserver.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "httpserver.h"
+#include "refusedrequest.h"
+
+#include "absl/time/time.h"
 
 #include <functional>
 #include <memory>
@@ -9,19 +12,31 @@
 
 namespace oriolebay::http {
 
+/// Time for a whole request, from the end of its request line to its last byte.
+inline constexpr absl::Duration DefaultRequestTimeout = absl::Seconds(30);
+
 /// Address and limits of an AsyncServer.
 struct AsyncServerOptions {
   std::string Host = "127.0.0.1";
   /// Zero picks a free port.
   int Port = 0;
   int MaxConnections = 1024;
-  /// Maximum size of a request's body. Larger ones are answered with 413,
-  /// and the data beyond the limit is discarded.
+  /// Maximum size of a request's body; zero if requests have none. A larger one
+  /// is answered with 413 as soon as it is announced. The connection of a
+  /// chunked one is closed when it passes the limit.
   size_t MaxBodyBytes = 1 << 20;
+  /// Budget of bytes for the requests; null for no budget. A request that finds
+  /// no room is answered with 503, or closed if its body is chunked.
+  std::shared_ptr<utils::MemoryBudget> Budget = {};
+  /// Maximum time for a whole request. A slower one is closed.
+  absl::Duration RequestTimeout = DefaultRequestTimeout;
   /// Names of the request headers that are stored in HttpRequest::Headers.
   std::vector<std::string> StoredHeaders;
   /// Names of the query's arguments that are stored in HttpRequest::Arguments.
   std::vector<std::string> StoredArguments = {};
+  /// Called once for each request that the server refuses or closes, on one of
+  /// its threads; it must return quickly.
+  std::function<void(const RefusedRequest &)> OnRefused = {};
 };
 
 /// An HTTP/1.1 server based on libmicrohttpd, with one thread for all
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "utils/memorybudget.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +18,10 @@
   std::string Body;
   std::map<std::string, std::string> Headers = {};
   std::map<std::string, std::string> Arguments = {};
+  /// The bytes that the request holds in the server's memory budget; null
+  /// without one. Whoever holds the request's data on its way holds this as
+  /// well, and reserves more before it makes something larger of the data.
+  std::shared_ptr<utils::MemoryReservation> Reservation = {};
 
   /// Returns the value of a stored header; empty when the request does not have
   /// it.
