The event loop releases each task before it runs the next one

What callers saw: processes that were ended for their memory while many large requests arrived (the issue's second matter).

Cause: the loop took all queued tasks at once and kept them until the last one had run. With a thousand requests in the queue, the texts of those that had long been served were held beside the ones to come.

Change: each task is taken out of the batch, run and destroyed. The order of tasks and timers stays the same.

Measured: QueuedTasks failed in both kinds of time before and passes now; tst_utils, 91 tests passed.

Ruled out: smaller batches. They would take the lock for each task.

--- a/src/libs/utils/eventloop.cpp
+++ b/src/libs/utils/eventloop.cpp
@@ -61,6 +61,15 @@
   }
 }
 
+// Each task gives up what it holds before the next one runs.
+void EventLoop::runEach(std::deque<Task> &tasks) {
+  while (!tasks.empty()) {
+    const Task task = std::move(tasks.front());
+    tasks.pop_front();
+    task();
+  }
+}
+
 void EventLoop::run() {
   while (true) {
     std::deque<Task> batch;
@@ -78,8 +87,7 @@
         return;
       batch.swap(Tasks);
     }
-    for (Task &task : batch)
-      task();
+    runEach(batch);
     runDueTimers();
   }
 }
@@ -92,8 +100,7 @@
       batch.swap(Tasks);
     }
     more = !batch.empty();
-    for (Task &task : batch)
-      task();
+    runEach(batch);
   }
 }
 
--- a/src/libs/utils/eventloop.h
+++ b/src/libs/utils/eventloop.h
@@ -58,6 +58,7 @@
 private:
   using Clock = std::chrono::steady_clock;
   Clock::time_point timerNow() const;
+  static void runEach(std::deque<Task> &tasks);
   void runTasks();
   void runDueTimers();
 
