--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -153,6 +153,16 @@
   return "";
 }
 
+size_t memoryBytes(const JobSpec &spec) {
+  size_t n = sizeof(spec) + spec.Id.capacity() + spec.Organisation.capacity() +
+             spec.Queue.capacity() + spec.Payload.capacity() +
+             spec.Steps.capacity() * sizeof(StepSpec);
+  for (const StepSpec &step : spec.Steps)
+    n += step.After.capacity() * sizeof(int) + step.NeedsLabel.capacity() +
+         step.DataRack.capacity() + step.Image.capacity();
+  return n;
+}
+
 std::string taskName(const TaskId &task) {
   return task.Job + "." + std::to_string(task.Occurrence) + "." +
          std::to_string(task.Step) + "." + std::to_string(task.Index);
--- a/src/libs/core/jobspec.h
+++ b/src/libs/core/jobspec.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -148,6 +149,9 @@
 /// Returns the part of the summary for one step.
 std::string summary(const StepSpec &step);
 
+/// Returns the number of bytes that spec takes in memory, with all its parts.
+size_t memoryBytes(const JobSpec &spec);
+
 /// Identifies one task of a job.
 struct TaskId {
   std::string Job;
