http: a body that is too large is refused by its headers

A caller that announced 10 GB, or sent chunks without end, was read to the end of its body; up to the limit was kept meanwhile, and 413 came only then. A server whose requests have no body took one as well.

The headers decide now: a body that is announced as larger than the limit gets 413 before any of it is read, and its connection is closed, also if the caller waits for "100 Continue". A chunked body is counted as it comes and ends its connection when it passes the limit, as libmicrohttpd takes no answer within a body. What was read is freed at once. A limit of zero refuses each body. The announced size is reserved at once, so that the data is not copied into ever larger buffers. OnRefused reports each refusal.

libmicrohttpd writes a line for each connection that is ended this way; a caller could fill the log with them. At most one of its messages is written a second now.

Before: the five rows of RefusedHeaders and the test of ChunkedBody fail (no answer within 20 s; all 1,000 chunks of 64 kB are taken). After: all pass, ten runs of ten. The rows of LegalBodies and ExpectedContinue pass before and after.

Ruled out: an answer to a chunked body after discarding the rest, as it has no end that the server could wait for.

--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -1,5 +1,10 @@
 #include "asyncserver.h"
 
+#include "librarylog.h"
+#include "requestbody.h"
+#include "requesthead.h"
+#include "utils/steadyclock.h"
+
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -19,11 +24,17 @@
 /// on a connection that is being closed.
 constexpr unsigned IdleTimeoutS = 120;
 
+const HttpResponse TooLargeAnswer{
+    413, R"({"error":"the body is too large; send a smaller one"})"};
+
 /// One request from its first byte to the end of its answer.
 struct Exchange {
-  MHD_Connection *Connection = nullptr;
-  std::string Body;
-  bool TooLarge = false;
+  Exchange(MHD_Connection *connection, RequestBody body)
+      : Connection(connection), Body(std::move(body)) {}
+
+  MHD_Connection *const Connection;
+  const absl::Time Begun = utils::steadyNow();
+  RequestBody Body;
   // Guarded by the server's mutex.
   bool IsHandedOver = false;
   bool Suspended = false;
@@ -43,6 +54,12 @@
   std::set<std::shared_ptr<Exchange>> OpenExchanges;
   bool Stopped = false;
 
+  /// Begins a request whose headers have arrived.
+  MHD_Result receiveHeaders(MHD_Connection *connection, void **state);
+  /// Takes a part of a request's body.
+  MHD_Result receiveBody(Exchange &exchange, const char *data, size_t *size);
+  MHD_Result refuseByHeaders(Exchange &exchange, RefusalReason reason);
+  void report(const Exchange &exchange, RefusalReason reason) const;
   HttpRequest makeRequest(Exchange &exchange, const char *url,
                           const char *method);
   void answer(const std::shared_ptr<Exchange> &exchange, HttpResponse response);
@@ -85,13 +102,55 @@
 /// server was destroyed.
 struct ServerRef {
   std::weak_ptr<AsyncServer::Impl> Server;
+  LibraryLog Log;
 };
 
 } // namespace
 
+MHD_Result AsyncServer::Impl::receiveHeaders(MHD_Connection *connection,
+                                             void **state) {
+  auto exchange =
+      std::make_shared<Exchange>(connection, RequestBody(Options.MaxBodyBytes));
+  ++Unanswered;
+  *state = new ExchangePtr(exchange);
+  {
+    std::lock_guard<std::mutex> lock(Mu);
+    OpenExchanges.insert(exchange);
+  }
+  if (auto reason = exchange->Body.begin(bodyAnnouncementOf(connection)))
+    return refuseByHeaders(*exchange, *reason);
+  return MHD_YES;
+}
+
+// libmicrohttpd closes the connection after an answer that precedes the body.
+MHD_Result AsyncServer::Impl::refuseByHeaders(Exchange &exchange,
+                                              RefusalReason reason) {
+  report(exchange, reason);
+  return send(exchange.Connection, TooLargeAnswer);
+}
+
+// libmicrohttpd allows no answer between the parts of a body.
+MHD_Result AsyncServer::Impl::receiveBody(Exchange &exchange, const char *data,
+                                          size_t *size) {
+  if (auto reason = exchange.Body.append(data, *size)) {
+    report(exchange, *reason);
+    exchange.Body.discard();
+    return MHD_NO;
+  }
+  *size = 0;
+  return MHD_YES;
+}
+
+void AsyncServer::Impl::report(const Exchange &exchange,
+                               RefusalReason reason) const {
+  if (Options.OnRefused)
+    Options.OnRefused(
+        {reason, exchange.Body.bytes(), utils::steadyNow() - exchange.Begun});
+}
+
 HttpRequest AsyncServer::Impl::makeRequest(Exchange &exchange, const char *url,
                                            const char *method) {
-  HttpRequest request{method, url, std::move(exchange.Body)};
+  HttpRequest request{method, url, exchange.Body.take()};
   const auto store = [&exchange](const std::vector<std::string> &names,
                                  MHD_ValueKind kind,
                                  std::map<std::string, std::string> &values) {
@@ -166,28 +225,11 @@
   auto server = static_cast<ServerRef *>(cls)->Server.lock();
   if (server == nullptr)
     return MHD_NO;
-  if (*state == nullptr) {
-    auto exchange = std::make_shared<Exchange>();
-    exchange->Connection = connection;
-    ++server->Unanswered;
-    std::lock_guard<std::mutex> lock(server->Mu);
-    server->OpenExchanges.insert(exchange);
-    *state = new ExchangePtr(std::move(exchange));
-    return MHD_YES;
-  }
+  if (*state == nullptr)
+    return server->receiveHeaders(connection, state);
   const ExchangePtr exchange = *static_cast<ExchangePtr *>(*state);
-  if (*size != 0) {
-    if (exchange->Body.size() + *size > server->Options.MaxBodyBytes)
-      exchange->TooLarge = true;
-    else
-      exchange->Body.append(data, *size);
-    *size = 0;
-    return MHD_YES;
-  }
-  if (exchange->TooLarge)
-    return server->send(
-        connection,
-        {413, R"({"error":"the body is too large; send a smaller one"})"});
+  if (*size != 0)
+    return server->receiveBody(*exchange, data, size);
   if (server->beginHandover(*exchange)) {
     auto responder = std::make_shared<Responder>(server, exchange);
     server->Serve(
@@ -228,13 +270,14 @@
   if (inet_pton(AF_INET, D->Options.Host.c_str(), &addr.sin_addr) != 1)
     throw std::runtime_error("not an IPv4 address: " + D->Options.Host);
   // Lives as long as the daemon, which ends with the process or in stop().
-  auto *ref = new ServerRef{D};
+  auto *ref = new ServerRef{D, {}};
   // The library's address reuse option is not used: it would let a second
   // process listen on the same address and receive half of the connections.
   D->Daemon = MHD_start_daemon(
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
           MHD_USE_ERROR_LOG,
       static_cast<uint16_t>(D->Options.Port), nullptr, nullptr, &onRequest, ref,
+      MHD_OPTION_EXTERNAL_LOGGER, &LibraryLog::write, &ref->Log,
       MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&addr),
       MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned>(D->Options.MaxConnections),
--- /dev/null
+++ b/tests/auto/http/limitedserver.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "http/asyncserver.h"
+#include "rawconnection.h"
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace oriolebay::testpeers {
+
+/// A server under test that answers each request with the size of its body, and
+/// stores why it refused others.
+class LimitedServer {
+public:
+  explicit LimitedServer(http::AsyncServerOptions options);
+
+  int port() const { return Server.port(); }
+  /// Returns the reasons of all refusals so far.
+  std::vector<http::RefusalReason> refusals();
+  /// Waits until a request was refused for the reason, and returns whether one
+  /// was.
+  bool awaitRefusal(http::RefusalReason reason);
+  /// Returns whether an ordinary request on a connection of its own is
+  /// answered.
+  bool servesOrdinaryRequest() const;
+
+private:
+  http::AsyncServerOptions watched(http::AsyncServerOptions options);
+
+  std::mutex Mu;
+  std::vector<http::RefusalReason> Refusals;
+  http::AsyncServer Server;
+};
+
+/// Returns the text of a POST with these headers, each with its line end.
+std::string requestText(const std::string &headers,
+                        const std::string &body = "");
+/// Returns the text of one chunk of the given size.
+std::string chunkText(size_t bytes);
+
+} // namespace oriolebay::testpeers
