Each server takes connections and bodies as large as its clients need

What callers saw: 1,000 clients that sent all but the last byte of their bodies to the readiness check or to an agent's control address took 370 MB there, as at the callers' address (findings of the issue).

Cause: all servers had the limits of the callers' server: 1,024 connections of 1 MiB each, also where a request has no body or one client asks once a second.

--- a/src/libs/metrics/metricsserver.cpp
+++ b/src/libs/metrics/metricsserver.cpp
@@ -18,12 +18,15 @@
 } // namespace
 
 MetricsServer::MetricsServer(utils::EventLoop &loop, ProcessMetrics &metrics,
-                             Refresh refresh, const std::string &host,
-                             int port) {
+                             Refresh refresh, const std::string &host, int port,
+                             const http::RequestGuard &guard) {
   http::AsyncServerOptions options;
   options.Host = host;
   options.Port = port;
   options.MaxConnections = ConnectionLimit;
+  options.MaxBodyBytes = 0;
+  options.Budget = guard.Budget;
+  options.OnRefused = guard.OnRefused;
   auto answer = [&loop, &metrics, refresh = std::move(refresh)](
                     const http::HttpRequest &request,
                     const http::AsyncServer::Respond &respond) {
--- a/src/libs/metrics/metricsserver.h
+++ b/src/libs/metrics/metricsserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/asyncserver.h"
+#include "http/requestguard.h"
 #include "processmetrics.h"
 
 #include <functional>
@@ -24,7 +25,8 @@
   /// without a metrics server: a failure of metrics must never stop the
   /// service.
   MetricsServer(utils::EventLoop &loop, ProcessMetrics &metrics,
-                Refresh refresh, const std::string &host, int port);
+                Refresh refresh, const std::string &host, int port,
+                const http::RequestGuard &guard = {});
 
   /// Returns the port; zero when the server could not be started.
   int port() const { return Server ? Server->port() : 0; }
--- a/tests/auto/metrics/tst_metrics.cpp
+++ b/tests/auto/metrics/tst_metrics.cpp
@@ -1,5 +1,6 @@
 #include "eventlog/eventlog.h"
 #include "http/httpclient.h"
+#include "http/rawconnection.h"
 #include "metrics/metricsserver.h"
 #include "utils/eventloop.h"
 
@@ -124,6 +125,16 @@
   EXPECT_EQ(get(server.port(), "/other").Status, 404);
 }
 
+// Guards against bodies that are kept for a request that has none.
+TEST_F(MetricsServing, TakesNoBody) {
+  MetricsServer server(
+      Loop, Metrics, [](ProcessMetrics &) {}, "127.0.0.1", 0);
+  testpeers::RawConnection connection(server.port());
+  connection.send("GET /metrics HTTP/1.1\r\nHost: h\r\n"
+                  "Content-Length: 1\r\n\r\n");
+  EXPECT_TRUE(connection.receiveUntil("HTTP/1.1 413"));
+}
+
 // Guards against an entry that does not start because another process uses the
 // address of its metrics: callers lost an entry only because its metrics could
 // not be served.
