The programs give their servers one memory budget and show refused requests

What callers saw: nothing bounded what the requests of all servers of a process hold together, and nothing in logs or metrics showed it: a process that was ended for its memory left no trace of who had filled it.

Change: a quarter of memory_mb is the budget of all servers of a process, a quarter of that is kept for small requests. Each request that a server refuses is logged as request.refused (112) with server, reason, bytes and age, at most 100 lines a second like each kind of event, and counted in oriolebay_requests_refused_total{server,reason}; two gauges show the used part of the budget and its size. They are computed when the metrics are read.

The tests of counters and budgets are new.

Ruled out: a budget for each server. The memory is that of the process, and a crowd at one server may use what the others leave.

--- a/src/app/agent/jobscommand.cpp
+++ b/src/app/agent/jobscommand.cpp
@@ -6,6 +6,7 @@
 #include "eventlog/eventlog.h"
 #include "http/asyncclient.h"
 #include "metrics/metricsserver.h"
+#include "metrics/requestguards.h"
 #include "settings/nodesettings.h"
 #include "storeadapter.h"
 #include "utils/eventloop.h"
@@ -49,11 +50,11 @@
             [this](const endpoints::WorkerIncarnation &incarnation) {
               Agent.onDeregister(incarnation);
             },
-            app::logRefusedMessage) {
+            app::logRefusedMessage, Guards.of("control")) {
     if (Settings.Metrics.Port > 0)
       MetricsHttpServer = std::make_unique<metrics::MetricsServer>(
           Loop, Metrics, [this](metrics::ProcessMetrics &m) { refresh(m); },
-          Settings.Metrics.Host, Settings.Metrics.Port);
+          Settings.Metrics.Host, Settings.Metrics.Port, Guards.of("metrics"));
   }
 
   void run() {
@@ -72,6 +73,7 @@
 private:
   // Updates the gauges before the metrics are read.
   void refresh(metrics::ProcessMetrics &m) const {
+    Guards.refresh();
     const AgentStatus s = Agent.status();
     m.set("worker_reachable", "1 while the worker beside it answers.",
           s.Reachable ? 1 : 0);
@@ -97,6 +99,7 @@
   utils::EventLoop Loop;
   http::AsyncClient Client{app::logRepeatedRequest};
   metrics::ProcessMetrics Metrics;
+  const metrics::RequestGuards Guards{Settings.MemoryMb, Metrics};
   const endpoints::Peers Peers;
   WorkerAgent Agent;
   adapter::HeartbeatServer Heartbeats;
--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -8,6 +8,7 @@
 #include "eventlog/eventlog.h"
 #include "http/asyncclient.h"
 #include "metrics/metricsserver.h"
+#include "metrics/requestguards.h"
 #include "settings/nodesettings.h"
 #include "storeadapter.h"
 #include "utils/boottime.h"
@@ -43,14 +44,15 @@
               {adapter::ConfigKey, adapter::parseConfig, adapter::CordonPrefix},
               metricObservers()),
         Callers(Loop, Entry.jobService(), Settings.Callers.Host,
-                Settings.Callers.Port, app::logRefusedMessage),
+                Settings.Callers.Port, app::logRefusedMessage,
+                Guards.of("callers")),
         Ready(
             Loop, [this](std::string *why) { return Entry.ready(why); },
-            Settings.Ready.Host, Settings.Ready.Port) {
+            Settings.Ready.Host, Settings.Ready.Port, Guards.of("ready")) {
     if (Settings.Metrics.Port > 0)
       MetricsHttpServer = std::make_unique<metrics::MetricsServer>(
           Loop, Metrics, [this](metrics::ProcessMetrics &m) { refresh(m); },
-          Settings.Metrics.Host, Settings.Metrics.Port);
+          Settings.Metrics.Host, Settings.Metrics.Port, Guards.of("metrics"));
   }
 
   void run() {
@@ -141,6 +143,7 @@
           "Longest time for which a step has waited while workers had the "
           "capacity for it; only at the leader.",
           absl::ToDoubleSeconds(s.Waits.LongestBesideFree));
+    Guards.refresh();
     m.set("calls_open", "Calls that wait for their answer.",
           Callers.unanswered());
   }
@@ -174,6 +177,7 @@
   utils::EventLoop Loop;
   http::AsyncClient Client{app::logRepeatedRequest};
   metrics::ProcessMetrics Metrics;
+  const metrics::RequestGuards Guards{Settings.MemoryMb, Metrics};
   const endpoints::Peers Peers;
   JobEntry Entry;
   adapter::CallerServer Callers;
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -90,6 +90,7 @@
       {Event::ProcessFailed, "process.failed"},
       {Event::MessageRefused, "message.refused"},
       {Event::RequestRepeated, "request.repeated"},
+      {Event::RequestRefused, "request.refused"},
       {Event::SocketsNotClosed, "sockets.not_closed"},
       {Event::LeaderUnreachable, "leader.unreachable"},
       {Event::SilentAgentsRecorded, "leader.silent_agents"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -19,6 +19,7 @@
   MessageRefused = 109,
   RequestRepeated = 110,
   SocketsNotClosed = 111,
+  RequestRefused = 112,
 
   JobReceived = 200,
   JobPlaced = 201,
--- a/src/libs/metrics/processmetrics.cpp
+++ b/src/libs/metrics/processmetrics.cpp
@@ -53,6 +53,9 @@
                            "From a job's acceptance to its end.")),
       Orders(counter(Registry, "oriolebay_orders_total",
                      "Orders to the worker by outcome.")),
+      RefusedRequests(counter(Registry, "oriolebay_requests_refused_total",
+                              "Requests that a server refused, or whose "
+                              "connection it closed.")),
       LongWaits(counter(Registry, "oriolebay_long_waits_total",
                         "Steps that waited beside free workers for longer "
                         "than expected.")),
@@ -94,6 +97,11 @@
   Orders.Add({{"outcome", outcome}}).Increment();
 }
 
+void ProcessMetrics::recordRefusedRequest(const std::string &server,
+                                          const std::string &reason) {
+  RefusedRequests.Add({{"server", server}, {"reason", reason}}).Increment();
+}
+
 void ProcessMetrics::recordLongWaits(int64_t steps) {
   LongWaits.Add({}).Increment(static_cast<double>(steps));
 }
--- a/src/libs/metrics/processmetrics.h
+++ b/src/libs/metrics/processmetrics.h
@@ -34,6 +34,10 @@
   /// Counts an order when its outcome is known to the agent.
   void recordOrderOutcome(const std::string &outcome);
 
+  /// Counts a request that a server refused, or whose connection it closed.
+  void recordRefusedRequest(const std::string &server,
+                            const std::string &reason);
+
   /// Counts steps that have waited beside free workers for longer than
   /// expected.
   void recordLongWaits(int64_t steps);
@@ -58,6 +62,7 @@
   prometheus::Family<prometheus::Histogram> &PlacementSeconds;
   prometheus::Family<prometheus::Histogram> &JobSeconds;
   prometheus::Family<prometheus::Counter> &Orders;
+  prometheus::Family<prometheus::Counter> &RefusedRequests;
   prometheus::Family<prometheus::Counter> &LongWaits;
   prometheus::Family<prometheus::Counter> &Events;
   prometheus::Family<prometheus::Counter> &LinesLeftOut;
--- a/tests/auto/metrics/tst_metrics.cpp
+++ b/tests/auto/metrics/tst_metrics.cpp
@@ -2,6 +2,7 @@
 #include "http/httpclient.h"
 #include "http/rawconnection.h"
 #include "metrics/metricsserver.h"
+#include "metrics/requestguards.h"
 #include "utils/eventloop.h"
 
 #include <gtest/gtest.h>
@@ -125,6 +126,82 @@
   EXPECT_EQ(get(server.port(), "/other").Status, 404);
 }
 
+struct RefusalCase {
+  const char *Name;
+  http::RefusalReason Reason;
+  const char *Label;
+};
+
+void PrintTo(const RefusalCase &c, std::ostream *out) { *out << c.Name; }
+
+class RefusedRequests : public testing::TestWithParam<RefusalCase> {};
+
+// Guards against clients that are refused without a trace in the metrics.
+TEST_P(RefusedRequests, AreCountedByServerAndReason) {
+  ProcessMetrics metrics;
+  const RequestGuards guards(128, metrics);
+  const auto logged = [] {
+    return eventlog::eventCounts()[eventlog::Event::RequestRefused];
+  };
+  ASSERT_TRUE(eventlog::initEventLog(
+      "metrics", testing::TempDir() + "refused_" + GetParam().Label));
+  const int64_t loggedBefore = logged();
+  guards.of("callers").OnRefused({GetParam().Reason, 5});
+  guards.of("callers").OnRefused({GetParam().Reason, 5});
+  const std::string counter =
+      std::string("oriolebay_requests_refused_total{reason=\"") +
+      GetParam().Label + "\",server=\"callers\"} 2";
+  EXPECT_NE(metrics.text().find(counter), std::string::npos) << metrics.text();
+  EXPECT_EQ(logged(), loggedBefore + 2);
+  eventlog::closeEventLog();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, RefusedRequests,
+    testing::Values(
+        RefusalCase{"too_large", http::RefusalReason::TooLarge, "too_large"},
+        RefusalCase{"no_room", http::RefusalReason::NoRoom, "no_room"},
+        RefusalCase{"too_slow", http::RefusalReason::TooSlow, "too_slow"},
+        RefusalCase{"place_given_up", http::RefusalReason::PlaceGivenUp,
+                    "place_given_up"}),
+    [](const auto &info) { return info.param.Name; });
+
+struct MemoryCase {
+  const char *Name;
+  int MemoryMb;
+  size_t BudgetBytes;
+};
+
+void PrintTo(const MemoryCase &c, std::ostream *out) { *out << c.Name; }
+
+class RequestBudgets : public testing::TestWithParam<MemoryCase> {};
+
+// Guards against a budget that leaves no memory for the program itself, or none
+// for its callers.
+TEST_P(RequestBudgets, AreAQuarterOfTheHostsMemoryForAllServers) {
+  ProcessMetrics metrics;
+  const RequestGuards guards(GetParam().MemoryMb, metrics);
+  const auto budget = guards.of("callers").Budget;
+  EXPECT_EQ(budget->totalBytes(), GetParam().BudgetBytes);
+  EXPECT_EQ(guards.of("ready").Budget, budget);
+  utils::MemoryReservation held(budget);
+  ASSERT_TRUE(held.tryGrow(1000));
+  guards.refresh();
+  const std::string text = metrics.text();
+  EXPECT_NE(text.find("oriolebay_request_memory_used_bytes 1000\n"),
+            std::string::npos)
+      << text;
+  EXPECT_NE(text.find("oriolebay_request_memory_limit_bytes " +
+                      std::to_string(GetParam().BudgetBytes)),
+            std::string::npos)
+      << text;
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, RequestBudgets,
+                         testing::Values(MemoryCase{"agent", 128, 32000000},
+                                         MemoryCase{"entry", 512, 128000000}),
+                         [](const auto &info) { return info.param.Name; });
+
 // Guards against bodies that are kept for a request that has none.
 TEST_F(MetricsServing, TakesNoBody) {
   MetricsServer server(
