http: all requests of a server together stay within a memory budget

A thousand callers that each sent a body of legal size, or nearly all of it, made a process hold them all: each connection had a limit and their sum had none. What was decoded from a body and waited behind the server was not counted at all.

A request reserves its announced size, and a fixed overhead, by its headers; a chunked one reserves its buffer as it grows. Without room it is answered at once with NoRoomAnswer, by default 503 with Retry-After, and a chunked one's connection is closed. The part of the budget that is kept for small requests serves those. HttpRequest takes the reservation along, so that whoever holds the request on its way holds its bytes; it may reserve more for what it decodes. The bytes return when the last holder is gone, however the request ended.

NoRoomAnswer is an option, as a door at which an earlier copy of the same request may have been carried out must leave that open.

Ruled out: counting bytes only as they come, as a request would then run out of room within its body, where no answer can be given.

--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -109,8 +109,8 @@
 
 MHD_Result AsyncServer::Impl::receiveHeaders(MHD_Connection *connection,
                                              void **state) {
-  auto exchange =
-      std::make_shared<Exchange>(connection, RequestBody(Options.MaxBodyBytes));
+  auto exchange = std::make_shared<Exchange>(
+      connection, RequestBody(Options.MaxBodyBytes, Options.Budget));
   ++Unanswered;
   *state = new ExchangePtr(exchange);
   {
@@ -126,7 +126,9 @@
 MHD_Result AsyncServer::Impl::refuseByHeaders(Exchange &exchange,
                                               RefusalReason reason) {
   report(exchange, reason);
-  return send(exchange.Connection, TooLargeAnswer);
+  return send(exchange.Connection, reason == RefusalReason::NoRoom
+                                       ? Options.NoRoomAnswer
+                                       : TooLargeAnswer);
 }
 
 // libmicrohttpd allows no answer between the parts of a body.
@@ -159,6 +161,7 @@
                                                           kind, name.c_str()))
         values[name] = value;
   };
+  request.Reservation = exchange.Body.takeReservation();
   store(Options.StoredHeaders, MHD_HEADER_KIND, request.Headers);
   store(Options.StoredArguments, MHD_GET_ARGUMENT_KIND, request.Arguments);
   return request;
--- a/src/libs/http/asyncserver.h
+++ b/src/libs/http/asyncserver.h
@@ -28,6 +28,13 @@
   /// Budget of bytes for the requests; null for no budget. A request that finds
   /// no room is answered with 503, or closed if its body is chunked.
   std::shared_ptr<utils::MemoryBudget> Budget = {};
+  /// The answer to a request that finds no room. Where an earlier copy of a
+  /// request may have been carried out it must leave that open.
+  HttpResponse NoRoomAnswer = {
+      503,
+      R"({"error":"too many large requests; nothing was done"})",
+      "application/json",
+      {{"Retry-After", "1"}}};
   /// Maximum time for a whole request. A slower one is closed.
   absl::Duration RequestTimeout = DefaultRequestTimeout;
   /// Names of the request headers that are stored in HttpRequest::Headers.
--- a/src/libs/http/requestbody.h
+++ b/src/libs/http/requestbody.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "refusedrequest.h"
+#include "utils/memorybudget.h"
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -17,10 +19,16 @@
   bool operator==(const BodyAnnouncement &) const = default;
 };
 
-/// The body of a request as far as it was received.
+/// What a request with a body holds in a budget beside its body.
+inline constexpr size_t RequestOverheadBytes = 2048;
+
+/// The body of a request as far as it was received. It holds its bytes in a
+/// budget: all of them once they are announced, else those that were received.
 class RequestBody {
 public:
-  explicit RequestBody(size_t maxBytes) : MaxBytes(maxBytes) {}
+  /// The budget may be null.
+  RequestBody(size_t maxBytes,
+              const std::shared_ptr<utils::MemoryBudget> &budget);
 
   /// Returns why the announced body is refused; nothing if it may come.
   std::optional<RefusalReason> begin(const BodyAnnouncement &announcement);
@@ -32,13 +40,25 @@
   size_t bytes() const;
   /// Returns the received data; the body is empty afterwards.
   std::string take() { return std::move(Data); }
-  /// Frees the received data.
+  /// Returns what holds the body's bytes in the budget; null without a budget
+  /// or the second time.
+  std::shared_ptr<utils::MemoryReservation> takeReservation() {
+    return std::move(Reservation);
+  }
+  /// Frees the received data and its bytes of the budget.
   void discard();
 
 private:
+  [[nodiscard]] bool reserve(size_t bytes);
+  /// Makes room for more data. Returns false when the budget has none.
+  [[nodiscard]] bool makeRoom(size_t bytes);
+
   size_t MaxBytes;
   size_t AnnouncedBytes = 0;
+  /// The reserved part of the body's size.
+  size_t Capacity = 0;
   std::string Data;
+  std::shared_ptr<utils::MemoryReservation> Reservation;
 };
 
 } // namespace oriolebay::http
--- a/tests/auto/http/limitedserver.cpp
+++ b/tests/auto/http/limitedserver.cpp
@@ -3,6 +3,7 @@
 #include "utils/steadyclock.h"
 
 #include <algorithm>
+#include <functional>
 #include <sstream>
 #include <thread>
 
@@ -18,15 +19,29 @@
 
 constexpr absl::Duration PollInterval = absl::Milliseconds(2);
 
+bool await(const std::function<bool()> &condition) {
+  const absl::Time end = utils::steadyNow() + PatienceOfTests;
+  while (!condition()) {
+    if (utils::steadyNow() > end)
+      return false;
+    std::this_thread::sleep_for(absl::ToChronoMilliseconds(PollInterval));
+  }
+  return true;
+}
+
 } // namespace
 
 LimitedServer::LimitedServer(AsyncServerOptions options)
-    : Server(
-          watched(std::move(options)),
+    : LimitedServer(
+          std::move(options),
           [](const HttpRequest &request, const AsyncServer::Respond &respond) {
             respond({200, std::to_string(request.Body.size())});
           }) {}
 
+LimitedServer::LimitedServer(AsyncServerOptions options,
+                             AsyncServer::Handler handler)
+    : Server(watched(std::move(options)), std::move(handler)) {}
+
 AsyncServerOptions LimitedServer::watched(AsyncServerOptions options) {
   options.OnRefused = [this](const RefusedRequest &refused) {
     std::lock_guard<std::mutex> lock(Mu);
@@ -41,14 +56,10 @@
 }
 
 bool LimitedServer::awaitRefusal(RefusalReason reason) {
-  const absl::Time end = utils::steadyNow() + PatienceOfTests;
-  while (utils::steadyNow() < end) {
+  return await([this, reason] {
     const std::vector<RefusalReason> reasons = refusals();
-    if (std::ranges::count(reasons, reason) != 0)
-      return true;
-    std::this_thread::sleep_for(absl::ToChronoMilliseconds(PollInterval));
-  }
-  return false;
+    return std::ranges::count(reasons, reason) != 0;
+  });
 }
 
 bool LimitedServer::servesOrdinaryRequest() const {
@@ -58,6 +69,14 @@
          caller.receiveUntil("\r\n\r\n2");
 }
 
+bool awaitEmpty(const utils::MemoryBudget &budget) {
+  return await([&budget] { return budget.usedBytes() == 0; });
+}
+
+bool awaitUsed(const utils::MemoryBudget &budget, size_t bytes) {
+  return await([&budget, bytes] { return budget.usedBytes() >= bytes; });
+}
+
 std::string requestText(const std::string &headers, const std::string &body) {
   return "POST /any HTTP/1.1\r\nHost: test\r\n" + headers + "\r\n" + body;
 }
@@ -68,4 +87,12 @@
   return out.str();
 }
 
+std::string repeated(const std::string &text, size_t times) {
+  std::string out;
+  out.reserve(text.size() * times);
+  for (size_t i = 0; i < times; ++i)
+    out += text;
+  return out;
+}
+
 } // namespace oriolebay::testpeers
--- a/tests/auto/http/limitedserver.h
+++ b/tests/auto/http/limitedserver.h
@@ -14,6 +14,9 @@
 class LimitedServer {
 public:
   explicit LimitedServer(http::AsyncServerOptions options);
+  /// Gives the requests to a handler of the test.
+  LimitedServer(http::AsyncServerOptions options,
+                http::AsyncServer::Handler handler);
 
   int port() const { return Server.port(); }
   /// Returns the reasons of all refusals so far.
@@ -33,10 +36,16 @@
   http::AsyncServer Server;
 };
 
+/// Waits until nothing is reserved, and returns whether that came.
+bool awaitEmpty(const utils::MemoryBudget &budget);
+/// Does the same until at least so many bytes are reserved.
+bool awaitUsed(const utils::MemoryBudget &budget, size_t bytes);
 /// Returns the text of a POST with these headers, each with its line end.
 std::string requestText(const std::string &headers,
                         const std::string &body = "");
 /// Returns the text of one chunk of the given size.
 std::string chunkText(size_t bytes);
+/// Returns the text that often.
+std::string repeated(const std::string &text, size_t times);
 
 } // namespace oriolebay::testpeers
--- a/tests/auto/http/tst_requestlimits.cpp
+++ b/tests/auto/http/tst_requestlimits.cpp
@@ -1,17 +1,43 @@
+#include "http/requestbody.h"
 #include "limitedserver.h"
 
 #include <gtest/gtest.h>
 
+#include <future>
+#include <memory>
+#include <optional>
+
 namespace oriolebay::http {
 namespace {
 
+using testpeers::awaitEmpty;
+using testpeers::awaitUsed;
 using testpeers::chunkText;
 using testpeers::LimitedServer;
 using testpeers::RawConnection;
+using testpeers::repeated;
 using testpeers::requestText;
+using utils::MemoryBudget;
 
 constexpr size_t MaxBytes = 1000;
 
+// A budget for two bodies of the largest size and a few small ones.
+constexpr size_t LargeBytes = 256 << 10;
+constexpr size_t BytesForSmall = 2 * utils::SmallReservationBytes;
+constexpr size_t BudgetBytes =
+    2 * (LargeBytes + RequestOverheadBytes) + BytesForSmall;
+
+AsyncServerOptions optionsWithBudget() {
+  AsyncServerOptions options;
+  options.MaxBodyBytes = LargeBytes;
+  options.Budget = std::make_shared<MemoryBudget>(BudgetBytes, BytesForSmall);
+  return options;
+}
+
+std::string lengthHeader(size_t bytes) {
+  return "Content-Length: " + std::to_string(bytes) + "\r\n";
+}
+
 struct HeaderCase {
   const char *Name;
   size_t MaxBodyBytes;
@@ -126,5 +152,127 @@
   EXPECT_TRUE(server.servesOrdinaryRequest());
 }
 
+struct NoRoomCase {
+  const char *Name;
+  std::string Headers;
+  std::string Body;
+  const char *Answer;
+};
+
+void PrintTo(const NoRoomCase &c, std::ostream *out) { *out << c.Name; }
+
+class FullBudget : public testing::TestWithParam<NoRoomCase> {};
+
+// Guards against unfinished bodies of legal size that take all memory, or that
+// leave no room for a small request.
+TEST_P(FullBudget, RefusesALargeBodyAndServesASmallOne) {
+  const NoRoomCase &c = GetParam();
+  const AsyncServerOptions options = optionsWithBudget();
+  LimitedServer server(options);
+  RawConnection first(server.port());
+  RawConnection second(server.port());
+  for (const RawConnection *it : {&first, &second})
+    ASSERT_TRUE(it->send(
+        requestText(lengthHeader(LargeBytes) + "Expect: 100-continue\r\n")));
+  ASSERT_TRUE(first.receiveUntil("HTTP/1.1 100"));
+  ASSERT_TRUE(second.receiveUntil("HTTP/1.1 100"));
+
+  RawConnection third(server.port());
+  third.send(requestText(c.Headers, c.Body));
+  EXPECT_TRUE(third.receiveUntilClosed());
+  EXPECT_EQ(third.received().rfind(c.Answer, 0), 0U) << third.received();
+  EXPECT_EQ(server.refusals(),
+            std::vector<RefusalReason>{RefusalReason::NoRoom});
+  EXPECT_TRUE(server.servesOrdinaryRequest());
+
+  ASSERT_TRUE(first.send(std::string(LargeBytes, 'x')));
+  EXPECT_TRUE(first.receiveUntil("HTTP/1.1 200"));
+  EXPECT_TRUE(first.receiveUntil(std::to_string(LargeBytes)));
+}
+
+const NoRoomCase NoRoomCases[] = {
+    {"announced", lengthHeader(LargeBytes), "", "HTTP/1.1 503"},
+    {"waits_for_100_continue",
+     lengthHeader(LargeBytes) + "Expect: 100-continue\r\n", "", "HTTP/1.1 503"},
+    {"chunked", "Transfer-Encoding: chunked\r\n", chunkText(LargeBytes), ""},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, FullBudget, testing::ValuesIn(NoRoomCases),
+                         [](const auto &info) { return info.param.Name; });
+
+// Guards against a caller that is refused without being told when to return.
+TEST(NoRoomAnswer, TellsWhenToReturn) {
+  AsyncServerOptions options = optionsWithBudget();
+  options.Budget = std::make_shared<MemoryBudget>(1, 0);
+  LimitedServer server(options);
+  RawConnection caller(server.port());
+  ASSERT_TRUE(caller.send(requestText(lengthHeader(1))));
+  EXPECT_TRUE(caller.receiveUntilClosed());
+  EXPECT_NE(caller.received().find("Retry-After: 1\r\n"), std::string::npos);
+}
+
+/// UsedBytes: what is reserved at least when the client closes its connection;
+/// zero if it does not close it.
+struct EndCase {
+  const char *Name;
+  std::string Headers;
+  std::string Body;
+  size_t UsedBytes;
+};
+
+void PrintTo(const EndCase &c, std::ostream *out) { *out << c.Name; }
+
+class EndedRequests : public testing::TestWithParam<EndCase> {};
+
+// Guards against a budget that shrinks with each request that ends early.
+TEST_P(EndedRequests, GiveTheirBytesBack) {
+  const EndCase &c = GetParam();
+  const AsyncServerOptions options = optionsWithBudget();
+  LimitedServer server(options);
+  std::optional<RawConnection> caller(server.port());
+  caller->send(requestText(c.Headers, c.Body));
+  if (c.UsedBytes != 0) {
+    EXPECT_TRUE(awaitUsed(*options.Budget, c.UsedBytes));
+    caller.reset();
+  }
+  EXPECT_TRUE(awaitEmpty(*options.Budget));
+}
+
+const EndCase EndCases[] = {
+    {"served", lengthHeader(2), "{}", 0},
+    {"client_closes_in_body", lengthHeader(LargeBytes), "{", LargeBytes},
+    {"client_closes_in_chunk", "Transfer-Encoding: chunked\r\n",
+     "10\r\n0123456789abcdef", 16},
+    {"too_large", lengthHeader(LargeBytes + 1), "", 0},
+    {"too_many_chunks", "Transfer-Encoding: chunked\r\n",
+     chunkText(LargeBytes) + chunkText(1), 0},
+    {"client_closes_in_small_chunks", "Transfer-Encoding: chunked\r\n",
+     repeated(chunkText(1), 1 << 16) + "1\r\nx", 1 << 17},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table, EndedRequests, testing::ValuesIn(EndCases),
+                         [](const auto &info) { return info.param.Name; });
+
+// Guards against requests that wait behind the server and are not counted.
+TEST(HandledRequest, HoldsItsBytesUntilItsAnswer) {
+  const AsyncServerOptions options = optionsWithBudget();
+  std::promise<std::pair<HttpRequest, AsyncServer::Respond>> handed;
+  LimitedServer server(options, [&handed](const HttpRequest &request,
+                                          const AsyncServer::Respond &respond) {
+    handed.set_value({request, respond});
+  });
+  RawConnection caller(server.port());
+  ASSERT_TRUE(caller.send(requestText(lengthHeader(2), "{}")));
+  std::optional waiting(handed.get_future().get());
+  ASSERT_NE(waiting->first.Reservation, nullptr);
+  EXPECT_EQ(options.Budget->usedBytes(), 2 + RequestOverheadBytes);
+  EXPECT_TRUE(waiting->first.Reservation->tryGrow(BytesForSmall / 2));
+  waiting->second({200, "{}"});
+  EXPECT_TRUE(caller.receiveUntil("HTTP/1.1 200"));
+  handed = {};
+  waiting.reset();
+  EXPECT_TRUE(awaitEmpty(*options.Budget));
+}
+
 } // namespace
 } // namespace oriolebay::http
