A submission that finds no room is left open instead of refused

What callers saw: an entry whose loop was full answered 503 "nothing was done" to a submission, also if an earlier copy of it was stored and ran. 503 promises that the job never runs. With the memory budget such answers are more frequent.

Cause: the server's thread answers before the job service is asked, which alone knows of earlier copies and turns such a refusal into an open answer.

Change: a submission that finds no room, in the loop or in the budget, gets 504 with Retry-After 1, after which callers ask again with the same id. Reads and cancels still get 503.

Ruled out: asking the job service for each refusal. The request would have to be queued for that, and a queue without a limit is what has to be avoided.

--- a/tests/auto/adapter/tst_heldcalls.cpp
+++ b/tests/auto/adapter/tst_heldcalls.cpp
@@ -1,4 +1,5 @@
 // Tests of what calls hold in memory while they wait for their answer.
+#include "http/rawconnection.h"
 #include "waitingentry.h"
 #include "waituntil.h"
 
@@ -11,6 +12,8 @@
 using testwaits::waitUntil;
 
 constexpr size_t LargestLegalBytes = 262144;
+/// Status of submissions that find no room.
+constexpr int RefusedSubmission = 504;
 std::string paddedJob(size_t bytes) {
   std::string body = R"({"spec":"x","steps":[{"cpu":100}])";
   body.resize(bytes - 1, ' ');
@@ -78,11 +81,12 @@
   for (int i = 0; i < c.Calls; ++i)
     entry.send("POST", c.Body);
   const auto served = [&] {
-    return entry.waiting() + static_cast<size_t>(entry.answered(503));
+    return entry.waiting() +
+           static_cast<size_t>(entry.answered(RefusedSubmission));
   };
   waitUntil([&] { return served() == static_cast<size_t>(c.Calls); });
-  EXPECT_GT(entry.answered(503), 0);
-  EXPECT_EQ(entry.Refused, entry.answered(503));
+  EXPECT_GT(entry.answered(RefusedSubmission), 0);
+  EXPECT_EQ(entry.Refused, entry.answered(RefusedSubmission));
   EXPECT_GT(entry.waiting(), 0u);
   EXPECT_LE(entry.Budget->usedBytes(), BudgetBytes);
   const size_t waitingBefore = entry.waiting();
@@ -105,14 +109,69 @@
   for (size_t i = 0; i < Calls; ++i)
     entry.send("POST", paddedJob(100));
   waitUntil([&] {
-    return entry.waiting() + static_cast<size_t>(entry.answered(503)) == Calls;
+    return entry.waiting() +
+               static_cast<size_t>(entry.answered(RefusedSubmission)) ==
+           Calls;
   });
-  EXPECT_GT(entry.answered(503), 0);
+  EXPECT_GT(entry.answered(RefusedSubmission), 0);
   EXPECT_LE(entry.Budget->usedBytes(), BudgetBytes);
   entry.answerAll();
-  waitUntil([&] { return static_cast<size_t>(entry.answered(503)) == Calls; });
+  waitUntil([&] {
+    return static_cast<size_t>(entry.answered(503) +
+                               entry.answered(RefusedSubmission)) == Calls;
+  });
   waitUntil([&] { return entry.Budget->usedBytes() == 0; });
 }
 
+struct FullCase {
+  const char *Name;
+  const char *Method;
+  size_t Bytes;
+  const char *Status;
+};
+
+void PrintTo(const FullCase &c, std::ostream *out) { *out << c.Name; }
+
+class FullEntries : public ::testing::TestWithParam<FullCase> {};
+
+// Takes all bytes of the budget.
+std::vector<utils::MemoryReservation>
+fill(const std::shared_ptr<utils::MemoryBudget> &budget) {
+  std::vector<utils::MemoryReservation> all;
+  all.reserve(BudgetBytes / utils::SmallReservationBytes);
+  while (budget->usedBytes() < BudgetBytes) {
+    all.emplace_back(budget);
+    EXPECT_TRUE(all.back().tryGrow(utils::SmallReservationBytes));
+  }
+  return all;
+}
+
+// Guards against a refusal of a submission whose earlier copy is stored and
+// runs.
+TEST_P(FullEntries, RefuseAtOnceAndLeaveSubmissionsOpen) {
+  const FullCase &c = GetParam();
+  WaitingEntry entry;
+  const auto held = fill(entry.Budget);
+  testpeers::RawConnection connection(entry.port());
+  connection.send(
+      absl::StrCat(c.Method, " /queue/0123456789abcdef HTTP/1.1\r\n",
+                   "Host: h\r\nContent-Length: ", c.Bytes, "\r\n\r\n"));
+  EXPECT_TRUE(connection.receiveUntil("\r\n\r\n"));
+  EXPECT_EQ(connection.received().substr(9, 3), c.Status);
+  EXPECT_NE(connection.received().find("Retry-After: 1\r\n"),
+            std::string::npos);
+  EXPECT_EQ(entry.waiting(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, FullEntries,
+    ::testing::Values(FullCase{"submit", "POST", 100, "504"},
+                      FullCase{"large_submit", "POST", LargestLegalBytes,
+                               "504"},
+                      FullCase{"submit_without_a_body", "POST", 0, "504"},
+                      FullCase{"state", "GET", 0, "503"},
+                      FullCase{"cancel", "DELETE", 0, "503"}),
+    [](const auto &info) { return info.param.Name; });
+
 } // namespace
 } // namespace oriolebay::adapter
