Messages of peers have a maximum size

What was seen: nothing yet at a site. By reading for the issue's second matter, at the one port beside the HTTP servers: a peer may announce a message of any size, and the process takes memory for all of it.

Cause: the library's limit (NNG_OPT_RECVMAXSZ) is off by default.

Change: 32 MiB for requests and answers, at all sockets. It is twice what orders to start the 4,096 tasks of the largest job on one worker take, with the longest payload. A larger message ends its connection. The bytes of a request are no longer copied twice on their way to the loop.

Ruled out: a smaller limit, which legal orders meet; and counting these messages in the budget of requests: at most 16 of them are handled at once. Many connections with one large message each are not bounded by this.

--- a/src/libs/endpoints/asyncreplyserver.cpp
+++ b/src/libs/endpoints/asyncreplyserver.cpp
@@ -75,10 +75,10 @@
       return;
     }
     nng_msg *msg = nng_aio_get_msg(Aio);
-    const std::string bytes(static_cast<const char *>(nng_msg_body(msg)),
-                            nng_msg_len(msg));
+    std::string bytes(static_cast<const char *>(nng_msg_body(msg)),
+                      nng_msg_len(msg));
     nng_msg_free(msg);
-    Server.Loop.post([this, weak = WeakServer, bytes] {
+    Server.Loop.post([this, weak = WeakServer, bytes = std::move(bytes)] {
       if (auto server = weak.lock())
         serve(weak, bytes);
     });
@@ -136,6 +136,7 @@
                                std::move(onRefused))) {
   if (nng_rep0_open(&D->Socket) != 0)
     throw std::runtime_error("cannot open an nng reply socket");
+  nng_socket_set_size(D->Socket, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
   nng_listener listener;
   const int ec = nng_listen(D->Socket, address.c_str(), &listener, 0);
   if (ec != 0) {
--- a/src/libs/endpoints/channel.cpp
+++ b/src/libs/endpoints/channel.cpp
@@ -90,6 +90,7 @@
     : Handle(std::move(handler)) {
   if (nng_rep0_open(&Socket) != 0)
     throw std::runtime_error("cannot open an nng reply socket");
+  nng_socket_set_size(Socket, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
   nng_listener listener;
   int rv = nng_listen(Socket, address.c_str(), &listener, 0);
   if (rv != 0)
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -457,6 +457,10 @@
                  Answered, Cancel, Ack, WorkerReport, ReportAck, WorkerOrders,
                  JobWritten, StandDown, ForwardedCall, ForwardedAnswer>;
 
+/// Maximum size of an encoded message; larger ones end their connection. Orders
+/// to start all tasks of the largest job on one worker take half of it.
+constexpr size_t MaxMessageBytes = size_t{32} << 20;
+
 /// Returns the stable name of the message's kind.
 const char *messageName(const Message &message);
 
--- a/src/libs/endpoints/pendingcall.h
+++ b/src/libs/endpoints/pendingcall.h
@@ -23,6 +23,7 @@
     if (Error != 0)
       return;
     nng_socket_set_ms(Handle, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
+    nng_socket_set_size(Handle, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
     nng_socket_set_ms(Handle, NNG_OPT_RECONNMINT, ReconnectMinMs);
     nng_socket_set_ms(Handle, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
     Error = nng_dial(Handle, address.c_str(), nullptr, NNG_FLAG_NONBLOCK);
