http: an unfinished request ends with a timeout for all of it

A request that never ended kept its connection and its bytes for 120 s of idle time, which each byte renewed: a header line or a byte of the body from time to time held both without end. An answer that its client did not read did the same.

ConnectionTable knows since when each connection is in its phase, and shuts down one whose request, or the reading of its answer, takes longer than RequestTimeout (30 s by default), however often something comes. The time counts from the end of the request line; without one it is 125 s from the last answer, as connections that callers keep open send nothing for long. A request that is being handled has no bound here. The shutdown is seen by libmicrohttpd as the end of the connection, so that all is freed in the usual way. OnRefused reports it as TooSlow.

The thread that waits for the deadlines sleeps until the earliest one and is woken only for an earlier one: without open connections it never wakes, and under load about twice per timeout.

Ruled out: the library's idle timeout, as each byte renews it and none of its callbacks sees a header that is not complete; a periodic timer, as it costs wake-ups while nothing is open.

--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -1,5 +1,6 @@
 #include "asyncserver.h"
 
+#include "connectiontable.h"
 #include "librarylog.h"
 #include "requestbody.h"
 #include "requesthead.h"
@@ -8,12 +9,14 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <atomic>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <stdexcept>
+#include <thread>
 
 namespace oriolebay::http {
 
@@ -23,6 +26,14 @@
 /// timeout of callers, so that the caller closes first and no request is sent
 /// on a connection that is being closed.
 constexpr unsigned IdleTimeoutS = 120;
+/// Time for a whole request line. It is longer than the idle timeout, which
+/// closes what sends nothing.
+constexpr absl::Duration RequestLineTimeout = absl::Seconds(IdleTimeoutS + 5);
+
+int descriptorOf(MHD_Connection *connection) {
+  return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
 
 const HttpResponse TooLargeAnswer{
     413, R"({"error":"the body is too large; send a smaller one"})"};
@@ -44,6 +55,13 @@
 } // namespace
 
 struct AsyncServer::Impl {
+  Impl(AsyncServerOptions options, Handler handler)
+      : Options(std::move(options)), Serve(std::move(handler)),
+        Connections(
+            {Options.RequestTimeout, RequestLineTimeout},
+            [](int fd) { shutdown(fd, SHUT_RDWR); },
+            [this](const RefusedRequest &it) { report(it); }) {}
+
   AsyncServerOptions Options;
   Handler Serve;
   MHD_Daemon *Daemon = nullptr;
@@ -53,13 +71,16 @@
   std::mutex Mu;
   std::set<std::shared_ptr<Exchange>> OpenExchanges;
   bool Stopped = false;
+  ConnectionTable Connections;
+  std::thread TimeoutThread;
 
   /// Begins a request whose headers have arrived.
   MHD_Result receiveHeaders(MHD_Connection *connection, void **state);
   /// Takes a part of a request's body.
   MHD_Result receiveBody(Exchange &exchange, const char *data, size_t *size);
   MHD_Result refuseByHeaders(Exchange &exchange, RefusalReason reason);
-  void report(const Exchange &exchange, RefusalReason reason) const;
+  void reportRefusal(const Exchange &exchange, RefusalReason reason) const;
+  void report(const RefusedRequest &refused) const;
   HttpRequest makeRequest(Exchange &exchange, const char *url,
                           const char *method);
   void answer(const std::shared_ptr<Exchange> &exchange, HttpResponse response);
@@ -119,13 +140,14 @@
   }
   if (auto reason = exchange->Body.begin(bodyAnnouncementOf(connection)))
     return refuseByHeaders(*exchange, *reason);
+  Connections.setBodyBytes(descriptorOf(connection), exchange->Body.bytes());
   return MHD_YES;
 }
 
 // libmicrohttpd closes the connection after an answer that precedes the body.
 MHD_Result AsyncServer::Impl::refuseByHeaders(Exchange &exchange,
                                               RefusalReason reason) {
-  report(exchange, reason);
+  reportRefusal(exchange, reason);
   return send(exchange.Connection, reason == RefusalReason::NoRoom
                                        ? Options.NoRoomAnswer
                                        : TooLargeAnswer);
@@ -135,7 +157,7 @@
 MHD_Result AsyncServer::Impl::receiveBody(Exchange &exchange, const char *data,
                                           size_t *size) {
   if (auto reason = exchange.Body.append(data, *size)) {
-    report(exchange, *reason);
+    reportRefusal(exchange, *reason);
     exchange.Body.discard();
     return MHD_NO;
   }
@@ -143,11 +165,14 @@
   return MHD_YES;
 }
 
-void AsyncServer::Impl::report(const Exchange &exchange,
-                               RefusalReason reason) const {
+void AsyncServer::Impl::reportRefusal(const Exchange &exchange,
+                                      RefusalReason reason) const {
+  report({reason, exchange.Body.bytes(), utils::steadyNow() - exchange.Begun});
+}
+
+void AsyncServer::Impl::report(const RefusedRequest &refused) const {
   if (Options.OnRefused)
-    Options.OnRefused(
-        {reason, exchange.Body.bytes(), utils::steadyNow() - exchange.Begun});
+    Options.OnRefused(refused);
 }
 
 HttpRequest AsyncServer::Impl::makeRequest(Exchange &exchange, const char *url,
@@ -211,6 +236,8 @@
     MHD_add_response_header(reply, name.c_str(), value.c_str());
   if (ClosesAfterAnswers)
     MHD_add_response_header(reply, "Connection", "close");
+  Connections.enter(descriptorOf(connection), ConnectionPhase::Answering,
+                    utils::steadyNow());
   const MHD_Result ec = MHD_queue_response(
       connection, static_cast<unsigned>(response.Status), reply);
   MHD_destroy_response(reply);
@@ -234,6 +261,10 @@
   if (*size != 0)
     return server->receiveBody(*exchange, data, size);
   if (server->beginHandover(*exchange)) {
+    if (!server->Connections.enter(descriptorOf(connection),
+                                   ConnectionPhase::Handled,
+                                   utils::steadyNow()))
+      return MHD_NO;
     auto responder = std::make_shared<Responder>(server, exchange);
     server->Serve(
         server->makeRequest(*exchange, url, method),
@@ -247,13 +278,37 @@
   return MHD_YES;
 }
 
-void onCompleted(void *cls, MHD_Connection * /*connection*/, void **state,
+/// libmicrohttpd calls this when a request line has arrived. The result is the
+/// request's state at its first call of onRequest().
+void *onRequestLine(void *cls, const char * /*uri*/,
+                    MHD_Connection *connection) {
+  if (auto server = static_cast<ServerRef *>(cls)->Server.lock())
+    server->Connections.enter(descriptorOf(connection),
+                              ConnectionPhase::Receiving, utils::steadyNow());
+  return nullptr;
+}
+
+void onConnection(void *cls, MHD_Connection *connection,
+                  void ** /*socketContext*/,
+                  MHD_ConnectionNotificationCode code) {
+  auto server = static_cast<ServerRef *>(cls)->Server.lock();
+  if (server == nullptr)
+    return;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    server->Connections.add(descriptorOf(connection), utils::steadyNow());
+  else
+    server->Connections.remove(descriptorOf(connection));
+}
+
+void onCompleted(void *cls, MHD_Connection *connection, void **state,
                  MHD_RequestTerminationCode /*code*/) {
   auto *storedExchange = static_cast<ExchangePtr *>(*state);
   if (storedExchange == nullptr)
     return;
   if (auto server = static_cast<ServerRef *>(cls)->Server.lock()) {
     --server->Unanswered;
+    server->Connections.enter(descriptorOf(connection), ConnectionPhase::Idle,
+                              utils::steadyNow());
     std::lock_guard<std::mutex> lock(server->Mu);
     server->OpenExchanges.erase(*storedExchange);
   }
@@ -264,9 +319,7 @@
 } // namespace
 
 AsyncServer::AsyncServer(AsyncServerOptions options, Handler handler)
-    : D(std::make_shared<Impl>()) {
-  D->Options = std::move(options);
-  D->Serve = std::move(handler);
+    : D(std::make_shared<Impl>(std::move(options), std::move(handler))) {
   sockaddr_in addr{};
   addr.sin_family = AF_INET;
   addr.sin_port = htons(static_cast<uint16_t>(D->Options.Port));
@@ -285,7 +338,8 @@
       MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned>(D->Options.MaxConnections),
       MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS, MHD_OPTION_NOTIFY_COMPLETED,
-      &onCompleted, ref, MHD_OPTION_END);
+      &onCompleted, ref, MHD_OPTION_URI_LOG_CALLBACK, &onRequestLine, ref,
+      MHD_OPTION_NOTIFY_CONNECTION, &onConnection, ref, MHD_OPTION_END);
   if (D->Daemon == nullptr) {
     delete ref;
     throw std::runtime_error("cannot listen on " + D->Options.Host + ":" +
@@ -294,6 +348,7 @@
   const MHD_DaemonInfo *info =
       MHD_get_daemon_info(D->Daemon, MHD_DAEMON_INFO_BIND_PORT);
   D->Port = info != nullptr ? info->port : D->Options.Port;
+  D->TimeoutThread = std::thread([impl = D.get()] { impl->Connections.run(); });
 }
 
 AsyncServer::~AsyncServer() { stop(); }
@@ -315,6 +370,8 @@
   }
   for (const ExchangePtr &exchange : openExchanges)
     D->answerAtStop(exchange);
+  D->Connections.stop();
+  D->TimeoutThread.join();
   MHD_stop_daemon(D->Daemon);
 }
 
--- a/tests/auto/http/rawconnection.cpp
+++ b/tests/auto/http/rawconnection.cpp
@@ -88,4 +88,14 @@
   return result == ReadResult::Closed;
 }
 
+bool RawConnection::sendUntilClosed(const std::string &text,
+                                    absl::Duration interval) {
+  const absl::Time end = utils::steadyNow() + PatienceOfTests;
+  while (utils::steadyNow() < end)
+    if (receiveSome(utils::steadyNow() + interval) == ReadResult::Closed ||
+        !send(text))
+      return true;
+  return false;
+}
+
 } // namespace oriolebay::testpeers
--- a/tests/auto/http/rawconnection.h
+++ b/tests/auto/http/rawconnection.h
@@ -27,6 +27,9 @@
   bool receiveUntil(const std::string &text);
   /// Reads until the server closes the connection, and returns whether it did.
   bool receiveUntilClosed();
+  /// Sends the text at each interval until the server closes the connection,
+  /// and returns whether it did.
+  bool sendUntilClosed(const std::string &text, absl::Duration interval);
   /// Returns what was received so far.
   const std::string &received() const { return Received; }
   void clearReceived() { Received.clear(); }
