callers: requests of too many values are refused while they are decoded

What callers could do: a request for a gang with tens of thousands of values that it does not need was decoded to a tree many times its size, for each of the threads that serve callers.

Cause: as for jobs, the text was bounded at best, and not what is made of it.

Change: a request has at most 4,096 values, hundreds of times its fields.

Ruled out: fewer values.

--- a/src/libs/callers/callerapi.cpp
+++ b/src/libs/callers/callerapi.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 const std::string JobPath = "/v1/jobs/";
+/// Maximum number of JSON values of a request: far more than its fields.
+constexpr size_t MaxRequestValues = 4096;
 } // namespace
 
 std::string validate(const core::JobRequest &job) {
@@ -61,7 +63,7 @@
 
 http::HttpResponse CallerApi::submitJob(const std::string &body) {
   JobAnswer answer;
-  const auto parsed = utils::parseJson(body);
+  const auto parsed = utils::parseBoundedJson(body, MaxRequestValues);
   core::JobRequest job;
   std::string problem;
   try {
