http: an ordinary caller finds a place beside unfinished requests

Connections that never finished a request took all places of a server. Every other caller then waited in the listening queue until one of them ended, and large unfinished bodies kept the memory budget full for as long.

A connection beyond the limit now takes the place of the one that has waited longest for its client: one whose request, or the reading of its answer, is not finished, or that never had a request answered; else the one that has been kept open for longest without a request. An unfinished one of less than a second goes before a kept-open one only if such hold most places, so that two calls that arrive together do not take each other's place. One whose request is being handled never goes. The address of the caller decides nothing. The library accepts 16 connections beyond the limit, so that it does not stop accepting meanwhile; descriptors stay under limit + 16.

In the same way a body that finds no room takes the bytes of the body that has been arriving for longest, if that is more than 5 s. Without that time, many large bodies at once would take each other's room and none would be served. The bytes are freed at once, not when the library sees the end of the connection. OnRefused reports both as PlaceGivenUp.

Ruled out: a limit for each address, as all callers may come from one; to close kept-open connections first, as a crowd would then close those of all ordinary callers.

--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -30,6 +30,10 @@
 /// closes what sends nothing.
 constexpr absl::Duration RequestLineTimeout = absl::Seconds(IdleTimeoutS + 5);
 
+/// Connections beyond the limit that libmicrohttpd accepts, so that it does not
+/// stop accepting while one gives up its place.
+constexpr unsigned AcceptedBeyondLimit = 16;
+
 int descriptorOf(MHD_Connection *connection) {
   return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
       ->connect_fd;
@@ -41,9 +45,11 @@
 /// One request from its first byte to the end of its answer.
 struct Exchange {
   Exchange(MHD_Connection *connection, RequestBody body)
-      : Connection(connection), Body(std::move(body)) {}
+      : Connection(connection), Descriptor(descriptorOf(connection)),
+        Body(std::move(body)) {}
 
   MHD_Connection *const Connection;
+  const int Descriptor;
   const absl::Time Begun = utils::steadyNow();
   RequestBody Body;
   // Guarded by the server's mutex.
@@ -58,7 +64,8 @@
   Impl(AsyncServerOptions options, Handler handler)
       : Options(std::move(options)), Serve(std::move(handler)),
         Connections(
-            {Options.RequestTimeout, RequestLineTimeout},
+            {Options.MaxConnections, Options.RequestTimeout,
+             RequestLineTimeout},
             [](int fd) { shutdown(fd, SHUT_RDWR); },
             [this](const RefusedRequest &it) { report(it); }) {}
 
@@ -78,6 +85,8 @@
   MHD_Result receiveHeaders(MHD_Connection *connection, void **state);
   /// Takes a part of a request's body.
   MHD_Result receiveBody(Exchange &exchange, const char *data, size_t *size);
+  /// Frees the bytes of another request. Returns false when none gives them up.
+  bool makeRoomFor(const Exchange &exchange);
   MHD_Result refuseByHeaders(Exchange &exchange, RefusalReason reason);
   void reportRefusal(const Exchange &exchange, RefusalReason reason) const;
   void report(const RefusedRequest &refused) const;
@@ -138,9 +147,14 @@
     std::lock_guard<std::mutex> lock(Mu);
     OpenExchanges.insert(exchange);
   }
-  if (auto reason = exchange->Body.begin(bodyAnnouncementOf(connection)))
+  const BodyAnnouncement announcement = bodyAnnouncementOf(connection);
+  std::optional<RefusalReason> reason;
+  do
+    reason = exchange->Body.begin(announcement);
+  while (reason == RefusalReason::NoRoom && makeRoomFor(*exchange));
+  if (reason)
     return refuseByHeaders(*exchange, *reason);
-  Connections.setBodyBytes(descriptorOf(connection), exchange->Body.bytes());
+  Connections.setBodyBytes(exchange->Descriptor, exchange->Body.bytes());
   return MHD_YES;
 }
 
@@ -156,15 +170,35 @@
 // libmicrohttpd allows no answer between the parts of a body.
 MHD_Result AsyncServer::Impl::receiveBody(Exchange &exchange, const char *data,
                                           size_t *size) {
-  if (auto reason = exchange.Body.append(data, *size)) {
+  if (exchange.Body.isDiscarded())
+    return MHD_NO;
+  std::optional<RefusalReason> reason;
+  do
+    reason = exchange.Body.append(data, *size);
+  while (reason == RefusalReason::NoRoom && makeRoomFor(exchange));
+  if (reason) {
     reportRefusal(exchange, *reason);
     exchange.Body.discard();
     return MHD_NO;
   }
+  Connections.setBodyBytes(exchange.Descriptor, exchange.Body.bytes());
   *size = 0;
   return MHD_YES;
 }
 
+// Bodies belong to the server's thread, which is the only one that calls this.
+bool AsyncServer::Impl::makeRoomFor(const Exchange &exchange) {
+  const std::optional<int> fd =
+      Connections.giveUpBytes(exchange.Descriptor, utils::steadyNow());
+  if (!fd)
+    return false;
+  std::lock_guard<std::mutex> lock(Mu);
+  for (const std::shared_ptr<Exchange> &it : OpenExchanges)
+    if (it->Descriptor == *fd)
+      it->Body.discard();
+  return true;
+}
+
 void AsyncServer::Impl::reportRefusal(const Exchange &exchange,
                                       RefusalReason reason) const {
   report({reason, exchange.Body.bytes(), utils::steadyNow() - exchange.Begun});
@@ -336,7 +370,7 @@
       MHD_OPTION_EXTERNAL_LOGGER, &LibraryLog::write, &ref->Log,
       MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&addr),
       MHD_OPTION_CONNECTION_LIMIT,
-      static_cast<unsigned>(D->Options.MaxConnections),
+      static_cast<unsigned>(D->Options.MaxConnections) + AcceptedBeyondLimit,
       MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS, MHD_OPTION_NOTIFY_COMPLETED,
       &onCompleted, ref, MHD_OPTION_URI_LOG_CALLBACK, &onRequestLine, ref,
       MHD_OPTION_NOTIFY_CONNECTION, &onConnection, ref, MHD_OPTION_END);
--- a/src/libs/http/connectiontable.cpp
+++ b/src/libs/http/connectiontable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,14 @@
 /// them cost few wake-ups.
 constexpr int ChecksPerTimeout = 8;
 
+/// Time for which an unfinished request keeps its place before idle connections
+/// do: a connection that was just accepted has had no time to send.
+constexpr absl::Duration PlaceGrace = absl::Seconds(1);
+
+/// Time for which a body that arrives keeps its bytes. Without it, many large
+/// bodies at once would take each other's room and none would be served.
+constexpr absl::Duration BytesGrace = absl::Seconds(5);
+
 } // namespace
 
 ConnectionTable::ConnectionTable(ConnectionLimits limits, ShutDown shutDown,
@@ -22,11 +31,95 @@
     : Limits(limits), ShutDownDescriptor(std::move(shutDown)),
       Report(std::move(onRefused)) {}
 
+bool ConnectionTable::Connection::isUnfinished() const {
+  switch (Phase) {
+  case ConnectionPhase::Idle:
+    return !WasAnswered;
+  case ConnectionPhase::Receiving:
+  case ConnectionPhase::Answering:
+    return true;
+  case ConnectionPhase::Handled:
+  case ConnectionPhase::ShutDown:
+    break;
+  }
+  return false;
+}
+
 void ConnectionTable::add(int fd, absl::Time now) {
-  std::lock_guard<std::mutex> lock(Mu);
-  Connection &connection = Connections[fd];
-  connection.Since = now;
-  wakeBefore(deadlineOf(connection));
+  std::optional<RefusedRequest> refused;
+  {
+    std::lock_guard<std::mutex> lock(Mu);
+    Connection &connection = Connections[fd];
+    connection.Since = now;
+    wakeBefore(deadlineOf(connection));
+    if (Entry *entry = findPlaceFor(fd, now))
+      refused = shutDownLocked(*entry, RefusalReason::PlaceGivenUp, now);
+  }
+  if (refused)
+    Report(*refused);
+}
+
+bool ConnectionTable::isFullLocked() const {
+  if (std::ssize(Connections) <= Limits.MaxConnections)
+    return false;
+  const auto isOpen = [](const Entry &entry) {
+    return entry.second.Phase != ConnectionPhase::ShutDown;
+  };
+  return std::ranges::count_if(Connections, isOpen) > Limits.MaxConnections;
+}
+
+ConnectionTable::Entry *
+ConnectionTable::longestWaiting(int exceptFd, const Condition &condition) {
+  Entry *longest = nullptr;
+  for (Entry &entry : Connections) {
+    const auto &[fd, connection] = entry;
+    if (fd == exceptFd || !condition(connection))
+      continue;
+    if (longest == nullptr || connection.Since < longest->second.Since)
+      longest = &entry;
+  }
+  return longest;
+}
+
+// Connections that callers keep open make room before requests that have just
+// begun, unless most places are taken by such.
+ConnectionTable::Entry *ConnectionTable::findPlaceFor(int fd, absl::Time now) {
+  if (!isFullLocked())
+    return nullptr;
+  const auto isUnfinished = [](const Connection &it) {
+    return it.isUnfinished();
+  };
+  const auto isIdle = [](const Connection &it) {
+    return it.Phase == ConnectionPhase::Idle && it.WasAnswered;
+  };
+  Entry *unfinished = longestWaiting(fd, isUnfinished);
+  Entry *idle = longestWaiting(fd, isIdle);
+  if (unfinished == nullptr || idle == nullptr)
+    return unfinished != nullptr ? unfinished : idle;
+  const auto otherUnfinished =
+      std::ranges::count_if(Connections, [&](const Entry &entry) {
+        return entry.first != fd && isUnfinished(entry.second);
+      });
+  const bool areMost = 2 * otherUnfinished > Limits.MaxConnections;
+  const bool hasWaited = now - unfinished->second.Since >= PlaceGrace;
+  return areMost || hasWaited ? unfinished : idle;
+}
+
+std::optional<int> ConnectionTable::giveUpBytes(int forFd, absl::Time now) {
+  int fd = -1;
+  RefusedRequest refused;
+  {
+    std::lock_guard<std::mutex> lock(Mu);
+    Entry *entry = longestWaiting(forFd, [](const Connection &it) {
+      return it.Phase == ConnectionPhase::Receiving && it.BodyBytes != 0;
+    });
+    if (entry == nullptr || now - entry->second.Since < BytesGrace)
+      return std::nullopt;
+    fd = entry->first;
+    refused = shutDownLocked(*entry, RefusalReason::PlaceGivenUp, now);
+  }
+  Report(refused);
+  return fd;
 }
 
 void ConnectionTable::remove(int fd) {
@@ -39,8 +132,10 @@
   auto it = Connections.find(fd);
   if (it == Connections.end() || it->second.Phase == ConnectionPhase::ShutDown)
     return false;
+  it->second.WasAnswered |= it->second.Phase == ConnectionPhase::Answering;
   it->second.Phase = phase;
   it->second.Since = now;
+  it->second.BodyBytes = 0;
   wakeBefore(deadlineOf(it->second));
   return true;
 }
@@ -67,9 +162,10 @@
 }
 
 // The descriptor is open as long as the connection is in the table.
-RefusedRequest ConnectionTable::shutDownLocked(int fd, Connection &connection,
+RefusedRequest ConnectionTable::shutDownLocked(Entry &entry,
                                                RefusalReason reason,
                                                absl::Time now) {
+  auto &[fd, connection] = entry;
   const RefusedRequest refused{reason, connection.BodyBytes,
                                now - connection.Since};
   connection.Phase = ConnectionPhase::ShutDown;
@@ -82,11 +178,11 @@
   absl::Time next = absl::InfiniteFuture();
   {
     std::lock_guard<std::mutex> lock(Mu);
-    for (auto &[fd, connection] : Connections) {
-      const absl::Time deadline = deadlineOf(connection);
+    for (Entry &entry : Connections) {
+      const absl::Time deadline = deadlineOf(entry.second);
       if (deadline <= now)
         refusedRequests.push_back(
-            shutDownLocked(fd, connection, RefusalReason::TooSlow, now));
+            shutDownLocked(entry, RefusalReason::TooSlow, now));
       else
         next = std::min(next, deadline);
     }
--- a/src/libs/http/connectiontable.h
+++ b/src/libs/http/connectiontable.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 
 namespace oriolebay::http {
 
@@ -27,6 +28,8 @@
 
 /// Limits of a server's connections.
 struct ConnectionLimits {
+  /// Number of connections beyond which one gives up its place for a new one.
+  int MaxConnections;
   /// Time for a whole request, and for the reading of its answer.
   absl::Duration RequestTimeout;
   /// Time without a whole request line.
@@ -37,7 +40,9 @@
 
 /// The open connections of a server, known by their descriptors, and since when
 /// each waits for its client. It shuts down those that wait too long, however
-/// often they send something. Safe for use by several threads.
+/// often they send something. A connection that has waited long for its client
+/// gives up its place, or its bytes, to a new one if none is left; one whose
+/// request is being handled never does. Safe for use by several threads.
 class ConnectionTable {
 public:
   using OnRefused = std::function<void(const RefusedRequest &)>;
@@ -50,6 +55,7 @@
   ConnectionTable(const ConnectionTable &) = delete;
   ConnectionTable &operator=(const ConnectionTable &) = delete;
 
+  /// Adds a connection; beyond the limit another one is shut down for it.
   void add(int fd, absl::Time now);
   void remove(int fd);
   /// Begins a phase. Returns false when the connection was shut down.
@@ -57,6 +63,10 @@
   /// Stores the size of the body that is being received.
   void setBodyBytes(int fd, size_t bytes);
 
+  /// Shuts down another connection, whose body has been arriving for long, for
+  /// one that finds no room for its body. Returns its descriptor.
+  std::optional<int> giveUpBytes(int forFd, absl::Time now);
+
   /// Shuts down the connections whose time is over, and returns when the next
   /// one's is.
   absl::Time shutDownOverdue(absl::Time now);
@@ -66,15 +76,30 @@
 
 private:
   struct Connection {
+    /// Returns whether it waits for its client within a request, or never had
+    /// one answered.
+    bool isUnfinished() const;
+
     ConnectionPhase Phase = ConnectionPhase::Idle;
     absl::Time Since;
+    bool WasAnswered = false;
     size_t BodyBytes = 0;
   };
+  using Entry = std::map<int, Connection>::value_type;
+  using Condition = std::function<bool(const Connection &)>;
 
   absl::Time deadlineOf(const Connection &connection) const;
+  /// Returns the one of the connections with a condition, other than exceptFd,
+  /// that has been in its phase for longest; null if there is none. The caller
+  /// holds Mu.
+  Entry *longestWaiting(int exceptFd, const Condition &condition);
+  /// Returns which connection gives up its place; null if none can. The caller
+  /// holds Mu.
+  Entry *findPlaceFor(int fd, absl::Time now);
+  bool isFullLocked() const;
   /// The caller holds Mu.
-  RefusedRequest shutDownLocked(int fd, Connection &connection,
-                                RefusalReason reason, absl::Time now);
+  RefusedRequest shutDownLocked(Entry &entry, RefusalReason reason,
+                                absl::Time now);
   /// Wakes run() if it would sleep beyond the deadline; the caller holds Mu.
   void wakeBefore(absl::Time deadline);
   void sleepUntil(absl::Time deadline);
--- a/src/libs/http/requestbody.cpp
+++ b/src/libs/http/requestbody.cpp
@@ -61,6 +61,7 @@
 void RequestBody::discard() {
   std::string().swap(Data);
   Reservation.reset();
+  Discarded = true;
 }
 
 } // namespace oriolebay::http
--- a/src/libs/http/requestbody.h
+++ b/src/libs/http/requestbody.h
@@ -45,8 +45,9 @@
   std::shared_ptr<utils::MemoryReservation> takeReservation() {
     return std::move(Reservation);
   }
-  /// Frees the received data and its bytes of the budget.
+  /// Frees the received data and its bytes of the budget. No more may come.
   void discard();
+  bool isDiscarded() const { return Discarded; }
 
 private:
   [[nodiscard]] bool reserve(size_t bytes);
@@ -58,6 +59,7 @@
   /// The reserved part of the body's size.
   size_t Capacity = 0;
   std::string Data;
+  bool Discarded = false;
   std::shared_ptr<utils::MemoryReservation> Reservation;
 };
 
--- a/tests/auto/http/limitedserver.cpp
+++ b/tests/auto/http/limitedserver.cpp
@@ -19,16 +19,6 @@
 
 constexpr absl::Duration PollInterval = absl::Milliseconds(2);
 
-bool await(const std::function<bool()> &condition) {
-  const absl::Time end = utils::steadyNow() + PatienceOfTests;
-  while (!condition()) {
-    if (utils::steadyNow() > end)
-      return false;
-    std::this_thread::sleep_for(absl::ToChronoMilliseconds(PollInterval));
-  }
-  return true;
-}
-
 } // namespace
 
 LimitedServer::LimitedServer(AsyncServerOptions options)
@@ -56,7 +46,7 @@
 }
 
 bool LimitedServer::awaitRefusal(RefusalReason reason) {
-  return await([this, reason] {
+  return awaitCondition([this, reason] {
     const std::vector<RefusalReason> reasons = refusals();
     return std::ranges::count(reasons, reason) != 0;
   });
@@ -69,12 +59,23 @@
          caller.receiveUntil("\r\n\r\n2");
 }
 
+bool awaitCondition(const std::function<bool()> &condition) {
+  const absl::Time end = utils::steadyNow() + PatienceOfTests;
+  while (!condition()) {
+    if (utils::steadyNow() > end)
+      return false;
+    std::this_thread::sleep_for(absl::ToChronoMilliseconds(PollInterval));
+  }
+  return true;
+}
+
 bool awaitEmpty(const utils::MemoryBudget &budget) {
-  return await([&budget] { return budget.usedBytes() == 0; });
+  return awaitCondition([&budget] { return budget.usedBytes() == 0; });
 }
 
 bool awaitUsed(const utils::MemoryBudget &budget, size_t bytes) {
-  return await([&budget, bytes] { return budget.usedBytes() >= bytes; });
+  return awaitCondition(
+      [&budget, bytes] { return budget.usedBytes() >= bytes; });
 }
 
 std::string requestText(const std::string &headers, const std::string &body) {
--- a/tests/auto/http/limitedserver.h
+++ b/tests/auto/http/limitedserver.h
@@ -3,6 +3,7 @@
 #include "http/asyncserver.h"
 #include "rawconnection.h"
 
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -36,6 +37,8 @@
   http::AsyncServer Server;
 };
 
+/// Waits until the condition is met, and returns whether it was.
+bool awaitCondition(const std::function<bool()> &condition);
 /// Waits until nothing is reserved, and returns whether that came.
 bool awaitEmpty(const utils::MemoryBudget &budget);
 /// Does the same until at least so many bytes are reserved.
--- a/tests/auto/http/tst_slowclients.cpp
+++ b/tests/auto/http/tst_slowclients.cpp
@@ -96,7 +96,7 @@
   EXPECT_TRUE(caller.receiveUntil("HTTP/1.1 200"));
 }
 
-constexpr ConnectionLimits TestLimits{absl::Seconds(30), absl::Seconds(125)};
+constexpr ConnectionLimits TestLimits{4, absl::Seconds(30), absl::Seconds(125)};
 constexpr int Fd = 7;
 
 struct DeadlineCase {
