http: received data that is not read has a bound for each connection

The kernel kept 128 KB for each connection that the server does not read from, as while a request on it is being handled, and more once its buffer had grown; libmicrohttpd kept up to 32 KiB more. A thousand connections could so hold more than the memory of a machine that counts such bytes.

The server opens its listening socket itself and sets a receive buffer of 16 KiB, of which the kernel uses twice as much at most; accepted connections inherit it. The library's memory for each connection is 16 KiB. With 1,024 connections and the 16 beyond the limit that is 48.75 MiB at most. As before, a restart can bind beside old connections and a second process cannot bind the same address; the socket is closed on exec and does not block.

Before: PipelinedCalls fails (128,000 bytes unread; the bound is 32,768). After: passes, ten runs of ten. ListenAddress passes before and after.

Ruled out: buffers of 64 KiB, as 1,024 of them exceed the memory of small machines; larger memory of the library, which made no call faster.

--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -2,14 +2,14 @@
 
 #include "connectiontable.h"
 #include "librarylog.h"
+#include "listensocket.h"
 #include "requestbody.h"
 #include "requesthead.h"
 #include "utils/steadyclock.h"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <mutex>
@@ -354,34 +354,27 @@
 
 AsyncServer::AsyncServer(AsyncServerOptions options, Handler handler)
     : D(std::make_shared<Impl>(std::move(options), std::move(handler))) {
-  sockaddr_in addr{};
-  addr.sin_family = AF_INET;
-  addr.sin_port = htons(static_cast<uint16_t>(D->Options.Port));
-  if (inet_pton(AF_INET, D->Options.Host.c_str(), &addr.sin_addr) != 1)
-    throw std::runtime_error("not an IPv4 address: " + D->Options.Host);
+  const ListenSocket listenSocket = listenOn(D->Options.Host, D->Options.Port);
+  D->Port = listenSocket.Port;
   // Lives as long as the daemon, which ends with the process or in stop().
   auto *ref = new ServerRef{D, {}};
-  // The library's address reuse option is not used: it would let a second
-  // process listen on the same address and receive half of the connections.
   D->Daemon = MHD_start_daemon(
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
           MHD_USE_ERROR_LOG,
-      static_cast<uint16_t>(D->Options.Port), nullptr, nullptr, &onRequest, ref,
-      MHD_OPTION_EXTERNAL_LOGGER, &LibraryLog::write, &ref->Log,
-      MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&addr),
-      MHD_OPTION_CONNECTION_LIMIT,
+      0, nullptr, nullptr, &onRequest, ref, MHD_OPTION_EXTERNAL_LOGGER,
+      &LibraryLog::write, &ref->Log, MHD_OPTION_LISTEN_SOCKET,
+      listenSocket.Descriptor, MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned>(D->Options.MaxConnections) + AcceptedBeyondLimit,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes,
       MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS, MHD_OPTION_NOTIFY_COMPLETED,
       &onCompleted, ref, MHD_OPTION_URI_LOG_CALLBACK, &onRequestLine, ref,
       MHD_OPTION_NOTIFY_CONNECTION, &onConnection, ref, MHD_OPTION_END);
   if (D->Daemon == nullptr) {
     delete ref;
-    throw std::runtime_error("cannot listen on " + D->Options.Host + ":" +
-                             std::to_string(D->Options.Port));
+    close(listenSocket.Descriptor);
+    throw std::runtime_error("cannot serve on " + D->Options.Host + ":" +
+                             std::to_string(D->Port));
   }
-  const MHD_DaemonInfo *info =
-      MHD_get_daemon_info(D->Daemon, MHD_DAEMON_INFO_BIND_PORT);
-  D->Port = info != nullptr ? info->port : D->Options.Port;
   D->TimeoutThread = std::thread([impl = D.get()] { impl->Connections.run(); });
 }
 
--- a/tests/auto/http/rawconnection.cpp
+++ b/tests/auto/http/rawconnection.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,6 +26,20 @@
   return poll(&it, 1, ms) == 1;
 }
 
+sockaddr_in localAddress(int socket) {
+  sockaddr_in addr{};
+  socklen_t bytes = sizeof(addr);
+  getsockname(socket, reinterpret_cast<sockaddr *>(&addr), &bytes);
+  return addr;
+}
+
+sockaddr_in peerAddress(int socket) {
+  sockaddr_in addr{};
+  socklen_t bytes = sizeof(addr);
+  getpeername(socket, reinterpret_cast<sockaddr *>(&addr), &bytes);
+  return addr;
+}
+
 } // namespace
 
 RawConnection::RawConnection(int port) {
@@ -98,4 +113,14 @@
   return false;
 }
 
+size_t RawConnection::unreadBytesOfServer() const {
+  constexpr int MaxDescriptors = 1024;
+  const in_port_t ownPort = localAddress(Socket).sin_port;
+  int unread = 0;
+  for (int fd = 0; fd < MaxDescriptors; ++fd)
+    if (peerAddress(fd).sin_port == ownPort)
+      ioctl(fd, FIONREAD, &unread);
+  return static_cast<size_t>(unread);
+}
+
 } // namespace oriolebay::testpeers
--- a/tests/auto/http/rawconnection.h
+++ b/tests/auto/http/rawconnection.h
@@ -32,6 +32,9 @@
   bool sendUntilClosed(const std::string &text, absl::Duration interval);
   /// Returns what was received so far.
   const std::string &received() const { return Received; }
+  /// Returns how many bytes the server's end of the connection, in this
+  /// process, has received and not read.
+  size_t unreadBytesOfServer() const;
   void clearReceived() { Received.clear(); }
 
 private:
--- a/tests/auto/http/tst_requestlimits.cpp
+++ b/tests/auto/http/tst_requestlimits.cpp
@@ -1,8 +1,10 @@
+#include "http/listensocket.h"
 #include "http/requestbody.h"
 #include "limitedserver.h"
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
 #include <memory>
 #include <optional>
@@ -274,5 +276,39 @@
   EXPECT_TRUE(awaitEmpty(*options.Budget));
 }
 
+// Guards against received data that fills memory while the server does not read
+// it: pipelined calls behind one that is being handled.
+TEST(PipelinedCalls, WaitWithTheirSenderWhileOneIsHandled) {
+  constexpr size_t SentBytes = 16 << 20;
+  constexpr absl::Duration Patience = absl::Milliseconds(300);
+  std::promise<AsyncServer::Respond> handed;
+  std::atomic<int> calls{0};
+  LimitedServer server(
+      {}, [&](const HttpRequest &, const AsyncServer::Respond &respond) {
+        if (++calls == 1)
+          handed.set_value(respond);
+        else
+          respond({200, "{}"});
+      });
+  RawConnection caller(server.port());
+  ASSERT_TRUE(caller.send(requestText("")));
+  const AsyncServer::Respond respond = handed.get_future().get();
+  EXPECT_FALSE(caller.send(
+      repeated(requestText(""), SentBytes / requestText("").size()), Patience));
+  EXPECT_LE(caller.unreadBytesOfServer(), 2 * ReceiveBufferBytes);
+  EXPECT_EQ(calls, 1);
+  respond({200, "{}"});
+  EXPECT_TRUE(caller.receiveUntil("HTTP/1.1 200"));
+}
+
+// Guards against a second process that gets half of the connections.
+TEST(ListenAddress, IsNotShared) {
+  AsyncServerOptions options;
+  LimitedServer first(options);
+  options.Port = first.port();
+  EXPECT_THROW(LimitedServer second(options), std::runtime_error);
+  EXPECT_TRUE(first.servesOrdinaryRequest());
+}
+
 } // namespace
 } // namespace oriolebay::http
