http: the threaded server has the limits of the other one

HttpServer, which serves the callers of gangs, took bodies of any size in up to 256 or more threads, and waited without a bound for the end of a request; connections that never finished one held all its threads.

It now refuses by the headers what is too large or finds no room, ends a chunked body at the limit, an unfinished request after RequestTimeout, and gives up places, all through the parts that AsyncServer uses: RequestBody, ConnectionTable and the new ConnectionWatch, ListenSocket and what reads and writes messages through libmicrohttpd (mhdmessages). It has no limit for idle connections, as before: their threads are bounded, and the library's idle timeout would end a connection whose handler has blocked for longer, before its answer.

Before: the four rows of RequestsToThreads and HttpServer.ServesAnOrdinaryCallerBesideUnfinishedRequests fail (no end or no answer within 20 s). After: all pass, ten runs of ten; HttpServer.ServesTheLargestBody passes before and after. The tests of callers, platform, endpoints and entry, which use the server, pass.

--- a/src/libs/http/asyncserver.cpp
+++ b/src/libs/http/asyncserver.cpp
@@ -1,14 +1,13 @@
 #include "asyncserver.h"
 
-#include "connectiontable.h"
+#include "connectionwatch.h"
 #include "librarylog.h"
 #include "listensocket.h"
+#include "mhdmessages.h"
 #include "requestbody.h"
-#include "requesthead.h"
 #include "utils/steadyclock.h"
 
 #include <microhttpd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -16,36 +15,16 @@
 #include <optional>
 #include <set>
 #include <stdexcept>
-#include <thread>
 
 namespace oriolebay::http {
 
 namespace {
 
-/// Time after which idle connections are closed. It is longer than the idle
-/// timeout of callers, so that the caller closes first and no request is sent
-/// on a connection that is being closed.
-constexpr unsigned IdleTimeoutS = 120;
-/// Time for a whole request line. It is longer than the idle timeout, which
-/// closes what sends nothing.
-constexpr absl::Duration RequestLineTimeout = absl::Seconds(IdleTimeoutS + 5);
-
-/// Connections beyond the limit that libmicrohttpd accepts, so that it does not
-/// stop accepting while one gives up its place.
-constexpr unsigned AcceptedBeyondLimit = 16;
-
-int descriptorOf(MHD_Connection *connection) {
-  return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-      ->connect_fd;
-}
-
-const HttpResponse TooLargeAnswer{
-    413, R"({"error":"the body is too large; send a smaller one"})"};
-
 /// One request from its first byte to the end of its answer.
 struct Exchange {
   Exchange(MHD_Connection *connection, RequestBody body)
-      : Connection(connection), Descriptor(descriptorOf(connection)),
+      : Connection(connection),
+        Descriptor(ConnectionWatch::descriptorOf(connection)),
         Body(std::move(body)) {}
 
   MHD_Connection *const Connection;
@@ -63,11 +42,9 @@
 struct AsyncServer::Impl {
   Impl(AsyncServerOptions options, Handler handler)
       : Options(std::move(options)), Serve(std::move(handler)),
-        Connections(
-            {Options.MaxConnections, Options.RequestTimeout,
-             RequestLineTimeout},
-            [](int fd) { shutdown(fd, SHUT_RDWR); },
-            [this](const RefusedRequest &it) { report(it); }) {}
+        Watch({Options.MaxConnections, Options.RequestTimeout,
+               RequestLineTimeout},
+              [this](const RefusedRequest &it) { report(it); }) {}
 
   AsyncServerOptions Options;
   Handler Serve;
@@ -78,8 +55,7 @@
   std::mutex Mu;
   std::set<std::shared_ptr<Exchange>> OpenExchanges;
   bool Stopped = false;
-  ConnectionTable Connections;
-  std::thread TimeoutThread;
+  ConnectionWatch Watch;
 
   /// Begins a request whose headers have arrived.
   MHD_Result receiveHeaders(MHD_Connection *connection, void **state);
@@ -154,7 +130,7 @@
   while (reason == RefusalReason::NoRoom && makeRoomFor(*exchange));
   if (reason)
     return refuseByHeaders(*exchange, *reason);
-  Connections.setBodyBytes(exchange->Descriptor, exchange->Body.bytes());
+  Watch.table().setBodyBytes(exchange->Descriptor, exchange->Body.bytes());
   return MHD_YES;
 }
 
@@ -162,9 +138,7 @@
 MHD_Result AsyncServer::Impl::refuseByHeaders(Exchange &exchange,
                                               RefusalReason reason) {
   reportRefusal(exchange, reason);
-  return send(exchange.Connection, reason == RefusalReason::NoRoom
-                                       ? Options.NoRoomAnswer
-                                       : TooLargeAnswer);
+  return send(exchange.Connection, refusalOf(reason, Options.NoRoomAnswer));
 }
 
 // libmicrohttpd allows no answer between the parts of a body.
@@ -181,7 +155,7 @@
     exchange.Body.discard();
     return MHD_NO;
   }
-  Connections.setBodyBytes(exchange.Descriptor, exchange.Body.bytes());
+  Watch.table().setBodyBytes(exchange.Descriptor, exchange.Body.bytes());
   *size = 0;
   return MHD_YES;
 }
@@ -189,7 +163,7 @@
 // Bodies belong to the server's thread, which is the only one that calls this.
 bool AsyncServer::Impl::makeRoomFor(const Exchange &exchange) {
   const std::optional<int> fd =
-      Connections.giveUpBytes(exchange.Descriptor, utils::steadyNow());
+      Watch.table().giveUpBytes(exchange.Descriptor, utils::steadyNow());
   if (!fd)
     return false;
   std::lock_guard<std::mutex> lock(Mu);
@@ -262,20 +236,8 @@
 
 MHD_Result AsyncServer::Impl::send(MHD_Connection *connection,
                                    const HttpResponse &response) {
-  MHD_Response *reply = MHD_create_response_from_buffer(
-      response.Body.size(), const_cast<char *>(response.Body.data()),
-      MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header(reply, "Content-Type", response.ContentType.c_str());
-  for (const auto &[name, value] : response.Headers)
-    MHD_add_response_header(reply, name.c_str(), value.c_str());
-  if (ClosesAfterAnswers)
-    MHD_add_response_header(reply, "Connection", "close");
-  Connections.enter(descriptorOf(connection), ConnectionPhase::Answering,
-                    utils::steadyNow());
-  const MHD_Result ec = MHD_queue_response(
-      connection, static_cast<unsigned>(response.Status), reply);
-  MHD_destroy_response(reply);
-  return ec;
+  Watch.enter(connection, ConnectionPhase::Answering);
+  return queueResponse(connection, response, ClosesAfterAnswers);
 }
 
 namespace {
@@ -295,9 +257,7 @@
   if (*size != 0)
     return server->receiveBody(*exchange, data, size);
   if (server->beginHandover(*exchange)) {
-    if (!server->Connections.enter(descriptorOf(connection),
-                                   ConnectionPhase::Handled,
-                                   utils::steadyNow()))
+    if (!server->Watch.enter(connection, ConnectionPhase::Handled))
       return MHD_NO;
     auto responder = std::make_shared<Responder>(server, exchange);
     server->Serve(
@@ -312,28 +272,6 @@
   return MHD_YES;
 }
 
-/// libmicrohttpd calls this when a request line has arrived. The result is the
-/// request's state at its first call of onRequest().
-void *onRequestLine(void *cls, const char * /*uri*/,
-                    MHD_Connection *connection) {
-  if (auto server = static_cast<ServerRef *>(cls)->Server.lock())
-    server->Connections.enter(descriptorOf(connection),
-                              ConnectionPhase::Receiving, utils::steadyNow());
-  return nullptr;
-}
-
-void onConnection(void *cls, MHD_Connection *connection,
-                  void ** /*socketContext*/,
-                  MHD_ConnectionNotificationCode code) {
-  auto server = static_cast<ServerRef *>(cls)->Server.lock();
-  if (server == nullptr)
-    return;
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    server->Connections.add(descriptorOf(connection), utils::steadyNow());
-  else
-    server->Connections.remove(descriptorOf(connection));
-}
-
 void onCompleted(void *cls, MHD_Connection *connection, void **state,
                  MHD_RequestTerminationCode /*code*/) {
   auto *storedExchange = static_cast<ExchangePtr *>(*state);
@@ -341,8 +279,7 @@
     return;
   if (auto server = static_cast<ServerRef *>(cls)->Server.lock()) {
     --server->Unanswered;
-    server->Connections.enter(descriptorOf(connection), ConnectionPhase::Idle,
-                              utils::steadyNow());
+    server->Watch.enter(connection, ConnectionPhase::Idle);
     std::lock_guard<std::mutex> lock(server->Mu);
     server->OpenExchanges.erase(*storedExchange);
   }
@@ -367,15 +304,16 @@
       static_cast<unsigned>(D->Options.MaxConnections) + AcceptedBeyondLimit,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes,
       MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS, MHD_OPTION_NOTIFY_COMPLETED,
-      &onCompleted, ref, MHD_OPTION_URI_LOG_CALLBACK, &onRequestLine, ref,
-      MHD_OPTION_NOTIFY_CONNECTION, &onConnection, ref, MHD_OPTION_END);
+      &onCompleted, ref, MHD_OPTION_URI_LOG_CALLBACK,
+      &ConnectionWatch::onRequestLine, &D->Watch, MHD_OPTION_NOTIFY_CONNECTION,
+      &ConnectionWatch::onConnection, &D->Watch, MHD_OPTION_END);
   if (D->Daemon == nullptr) {
     delete ref;
     close(listenSocket.Descriptor);
     throw std::runtime_error("cannot serve on " + D->Options.Host + ":" +
                              std::to_string(D->Port));
   }
-  D->TimeoutThread = std::thread([impl = D.get()] { impl->Connections.run(); });
+  D->Watch.start();
 }
 
 AsyncServer::~AsyncServer() { stop(); }
@@ -397,8 +335,7 @@
   }
   for (const ExchangePtr &exchange : openExchanges)
     D->answerAtStop(exchange);
-  D->Connections.stop();
-  D->TimeoutThread.join();
+  D->Watch.stop();
   MHD_stop_daemon(D->Daemon);
 }
 
--- a/src/libs/http/asyncserver.h
+++ b/src/libs/http/asyncserver.h
@@ -12,9 +12,6 @@
 
 namespace oriolebay::http {
 
-/// Time for a whole request, from the end of its request line to its last byte.
-inline constexpr absl::Duration DefaultRequestTimeout = absl::Seconds(30);
-
 /// Address and limits of an AsyncServer.
 struct AsyncServerOptions {
   std::string Host = "127.0.0.1";
@@ -30,11 +27,7 @@
   std::shared_ptr<utils::MemoryBudget> Budget = {};
   /// The answer to a request that finds no room. Where an earlier copy of a
   /// request may have been carried out it must leave that open.
-  HttpResponse NoRoomAnswer = {
-      503,
-      R"({"error":"too many large requests; nothing was done"})",
-      "application/json",
-      {{"Retry-After", "1"}}};
+  HttpResponse NoRoomAnswer = defaultNoRoomAnswer();
   /// Maximum time for a whole request. A slower one is closed.
   absl::Duration RequestTimeout = DefaultRequestTimeout;
   /// Names of the request headers that are stored in HttpRequest::Headers.
--- a/src/libs/http/connectiontable.h
+++ b/src/libs/http/connectiontable.h
@@ -32,7 +32,7 @@
   int MaxConnections;
   /// Time for a whole request, and for the reading of its answer.
   absl::Duration RequestTimeout;
-  /// Time without a whole request line.
+  /// Time without a whole request line; infinite for no limit.
   absl::Duration IdleTimeout;
 
   bool operator==(const ConnectionLimits &) const = default;
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "refusedrequest.h"
 #include "utils/memorybudget.h"
 
+#include "absl/time/time.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,6 +47,35 @@
   std::map<std::string, std::string> Headers = {};
 };
 
+/// Time for a whole request, from the end of its request line to its last byte.
+inline constexpr absl::Duration DefaultRequestTimeout = absl::Seconds(30);
+
+/// The answer to a request that finds no room in a memory budget, if its door
+/// has no other.
+inline HttpResponse defaultNoRoomAnswer() {
+  return {503,
+          R"({"error":"too many large requests; nothing was done"})",
+          "application/json",
+          {{"Retry-After", "1"}}};
+}
+
+/// Limits of an HttpServer.
+struct HttpServerOptions {
+  int MaxConnections = 256;
+  /// Maximum size of a request's body. A larger one is answered with 413 as
+  /// soon as it is announced. The connection of a chunked one is closed when it
+  /// passes the limit.
+  size_t MaxBodyBytes = 1 << 20;
+  /// Budget of bytes for the requests; null for no budget. A request that finds
+  /// no room is answered with 503, or closed if its body is chunked.
+  std::shared_ptr<utils::MemoryBudget> Budget = {};
+  /// Maximum time for a whole request. A slower one is closed.
+  absl::Duration RequestTimeout = DefaultRequestTimeout;
+  /// Called once for each request that the server refuses or closes, on one of
+  /// its threads; it must return quickly.
+  std::function<void(const RefusedRequest &)> OnRefused = {};
+};
+
 /// A threaded HTTP/1.1 server based on libmicrohttpd. Each connection has its
 /// own thread, so that a handler may block until its answer is ready;
 /// maxConnections limits the number of these threads.
@@ -55,6 +87,8 @@
   /// handler. Throws std::runtime_error when the address cannot be bound.
   HttpServer(const std::string &host, int port, Handler handler,
              int maxConnections = 256);
+  HttpServer(const std::string &host, int port, Handler handler,
+             HttpServerOptions options);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
