callers: the bodies of all requests for gangs share a budget

What callers could do: each of 256 or more threads of the older interface held a body of up to 1 MiB, whole or unfinished, and their sum had no limit.

The settings of `serve` do not name the host's memory, so that this is a constant.

Measured: 64 unfinished bodies of 1 MB each.

Ruled out: fewer threads. A caller keeps its connection until its gang has ended.

--- a/src/libs/callers/callerapi.cpp
+++ b/src/libs/callers/callerapi.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 const std::string JobPath = "/v1/jobs/";
+/// Memory that the bodies of all requests may take together, and its part for
+/// small ones.
+constexpr size_t RequestBudgetBytes = size_t{32} << 20;
+constexpr size_t SmallRequestsBytes = RequestBudgetBytes / 4;
 /// Maximum number of JSON values of a request: far more than its fields.
 constexpr size_t MaxRequestValues = 4096;
 } // namespace
@@ -33,13 +37,21 @@
   return {};
 }
 
+http::HttpServerOptions CallerApi::optionsFor(int maxConnections) {
+  http::HttpServerOptions options;
+  options.MaxConnections = maxConnections;
+  options.Budget = std::make_shared<utils::MemoryBudget>(RequestBudgetBytes,
+                                                         SmallRequestsBytes);
+  return options;
+}
+
 CallerApi::CallerApi(const std::string &host, int port, int maxConnections,
                      Submit submit, Cancel cancel, Stats stats)
     : OnSubmit(std::move(submit)), OnCancel(std::move(cancel)),
       OnStats(std::move(stats)),
       Server(std::make_unique<http::HttpServer>(
           host, port, [this](const http::HttpRequest &r) { return serve(r); },
-          maxConnections)) {}
+          optionsFor(maxConnections))) {}
 
 int CallerApi::statusOf(const JobAnswer &answer) {
   switch (answer.Result) {
--- a/src/libs/callers/callerapi.h
+++ b/src/libs/callers/callerapi.h
@@ -44,6 +44,7 @@
   static int statusOf(const core::JobAnswer &answer);
 
 private:
+  static http::HttpServerOptions optionsFor(int maxConnections);
   http::HttpResponse serve(const http::HttpRequest &request);
   http::HttpResponse submitJob(const std::string &body);
 
--- a/tests/auto/callers/tst_callerapi.cpp
+++ b/tests/auto/callers/tst_callerapi.cpp
@@ -1,6 +1,7 @@
 #include "callers/callerapi.h"
 #include "core/codec.h"
 #include "http/httpclient.h"
+#include "http/rawconnection.h"
 #include "testnames.h"
 
 #include <gtest/gtest.h>
@@ -156,6 +157,30 @@
       return testnames::testNameFrom(info.param.Description);
     });
 
+// Guards against unfinished requests that together fill the memory of an entry.
+TEST(UnfinishedRequests, OfAllCallersTogetherHaveALimit) {
+  constexpr int Callers = 64;
+  CallerApi api(
+      "127.0.0.1", 0, 2 * Callers,
+      [](const core::JobRequest &) { return ended(Outcome::Done); },
+      [](const std::string &, const std::string &) {
+        return CallerApi::CancelResult::Accepted;
+      },
+      [] { return json::object(); });
+  std::vector<testpeers::RawConnection> callers;
+  callers.reserve(Callers);
+  for (int i = 0; i < Callers; ++i) {
+    callers.emplace_back(api.port());
+    callers.back().send("POST /v1/jobs HTTP/1.1\r\nHost: h\r\n"
+                        "Content-Length: 1000000\r\n\r\n{");
+  }
+  EXPECT_TRUE(callers.back().receiveUntil("HTTP/1.1 503"));
+  const auto ordinary = http::HttpClient(20000).call(
+      "POST", "http://127.0.0.1:" + std::to_string(api.port()) + "/v1/jobs",
+      validJob().dump());
+  EXPECT_EQ(ordinary.Status, 200);
+}
+
 // Guards against a cancellation that reads as refused although the leader may
 // have accepted it.
 TEST(Cancellation, IsOpenIfTheLeaderDidNotAnswer) {
