http: requests do not wake the thread that waits for their deadlines

The thread looked at all connections when a request with an earlier deadline woke it. By then that request had ended, the thread went back to sleep until the deadline of the idle connection, and the next request woke it again: one wake-up for each request, on machines that charge for them.

It now keeps the earlier time and looks at the connections when that has come, once for all requests in between.

--- a/src/libs/http/connectiontable.cpp
+++ b/src/libs/http/connectiontable.cpp
@@ -3,7 +3,6 @@
 #include "utils/steadyclock.h"
 
 #include <algorithm>
-#include <chrono>
 #include <iterator>
 #include <utility>
 #include <vector>
@@ -195,34 +194,39 @@
 
 void ConnectionTable::run() {
   const absl::Duration minSleep = Limits.RequestTimeout / ChecksPerTimeout;
-  while (true) {
+  do {
     const absl::Time now = utils::steadyNow();
-    sleepUntil(std::max(shutDownOverdue(now), now + minSleep));
-    std::lock_guard<std::mutex> lock(Mu);
-    if (IsStopped)
-      return;
-  }
+    shutDownOverdue(now);
+    sleepUntilDue(now + minSleep);
+  } while (!isStopped());
 }
 
 void ConnectionTable::wakeBefore(absl::Time deadline) {
   if (deadline >= WakeTime)
     return;
   WakeTime = deadline;
-  IsWoken = true;
   Changed.notify_one();
 }
 
-void ConnectionTable::sleepUntil(absl::Time deadline) {
+// A request lowers WakeTime once and does not raise it when it has ended, so
+// that the thread is not woken by each one.
+void ConnectionTable::sleepUntilDue(absl::Time earliest) {
   std::unique_lock<std::mutex> lock(Mu);
-  const auto isWoken = [this] { return IsWoken || IsStopped; };
-  if (deadline == absl::InfiniteFuture())
-    Changed.wait(lock, isWoken);
-  else
-    Changed.wait_for(lock,
-                     absl::ToChronoMilliseconds(deadline - utils::steadyNow()) +
-                         std::chrono::milliseconds(1),
-                     isWoken);
-  IsWoken = false;
+  while (!IsStopped) {
+    const absl::Time due = std::max(WakeTime, earliest);
+    const absl::Duration left = due - utils::steadyNow();
+    if (left <= absl::ZeroDuration())
+      return;
+    if (due == absl::InfiniteFuture())
+      Changed.wait(lock);
+    else
+      Changed.wait_for(lock, absl::ToChronoNanoseconds(left));
+  }
+}
+
+bool ConnectionTable::isStopped() {
+  std::lock_guard<std::mutex> lock(Mu);
+  return IsStopped;
 }
 
 void ConnectionTable::stop() {
--- a/src/libs/http/connectiontable.h
+++ b/src/libs/http/connectiontable.h
@@ -102,7 +102,9 @@
                                 absl::Time now);
   /// Wakes run() if it would sleep beyond the deadline; the caller holds Mu.
   void wakeBefore(absl::Time deadline);
-  void sleepUntil(absl::Time deadline);
+  /// Sleeps until WakeTime has come, but at least until the earliest time.
+  void sleepUntilDue(absl::Time earliest);
+  bool isStopped();
 
   const ConnectionLimits Limits;
   const ShutDown ShutDownDescriptor;
@@ -110,8 +112,8 @@
   std::mutex Mu;
   std::condition_variable Changed;
   std::map<int, Connection> Connections;
+  /// When run() looks at the connections next.
   absl::Time WakeTime = absl::InfiniteFuture();
-  bool IsWoken = false;
   bool IsStopped = false;
 };
 
--- a/tests/auto/http/tst_slowclients.cpp
+++ b/tests/auto/http/tst_slowclients.cpp
@@ -1,11 +1,16 @@
 #include "http/connectiontable.h"
 #include "http/requestbody.h"
 #include "limitedserver.h"
+#include "utils/steadyclock.h"
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+
+#include <chrono>
 #include <future>
 #include <set>
+#include <thread>
 
 namespace oriolebay::http {
 namespace {
@@ -170,5 +175,31 @@
   EXPECT_TRUE(closed.empty());
 }
 
+// Guards against a thread that each request wakes: wake-ups cost processor time
+// that callers wait for.
+TEST(ConnectionTable, IsNotWokenByEachRequest) {
+  constexpr int Requests = 300;
+  constexpr long MaxWakeups = 10;
+  constexpr std::chrono::milliseconds TimeBetween{1};
+  ConnectionTable table(
+      TestLimits, [](int) {}, [](const RefusedRequest &) {});
+  rusage usage{};
+  std::thread thread([&] {
+    table.run();
+    getrusage(RUSAGE_THREAD, &usage);
+  });
+  table.add(Fd, utils::steadyNow());
+  for (int i = 0; i < Requests; ++i) {
+    for (const ConnectionPhase phase :
+         {ConnectionPhase::Receiving, ConnectionPhase::Handled,
+          ConnectionPhase::Answering, ConnectionPhase::Idle})
+      EXPECT_TRUE(table.enter(Fd, phase, utils::steadyNow()));
+    std::this_thread::sleep_for(TimeBetween);
+  }
+  table.stop();
+  thread.join();
+  EXPECT_LE(usage.ru_nvcsw, MaxWakeups);
+}
+
 } // namespace
 } // namespace oriolebay::http
