Slow gangs: a move counts for all members of the gang

What callers saw: a gang of n members whose work takes far longer than estimated was stopped as too slow 2n times, as often as two moves of each member allow, and a worker was quarantined each time (found as a neighbour of the gangs that fail together; gangs of 2, 3 and 8: 4, 6 and 16 moves).

Cause: the members are moved together, but the move counted for the member that was found slow only. Class: an event of a group that is counted once per witness.

Change: a move of a gang counts for all its members, whose number of moves is limited as that of a single task.

--- a/src/libs/jobs/runmonitor.cpp
+++ b/src/libs/jobs/runmonitor.cpp
@@ -53,11 +53,21 @@
   } else if (isRunStalled(job, id, task)) {
     quarantineAndRestart(job, id, task, "stands still");
   } else if (isRunTooSlow(job, id, task, peers)) {
-    ++task.Moves;
+    countMove(job, id, task);
     quarantineAndRestart(job, id, task, "crawls");
   }
 }
 
+// The members of a gang are moved together, whichever of them is slow.
+void RunMonitor::countMove(Job &job, const TaskId &id, Task &task) {
+  if (!job.specOf(id).Gang) {
+    ++task.Moves;
+    return;
+  }
+  for (Task &member : job.stepOf(id))
+    ++member.Moves;
+}
+
 absl::Duration RunMonitor::remainingTime(const Job &job, const TaskId &id,
                                          const Task &task) const {
   const core::StepSpec &spec = job.specOf(id);
--- a/src/libs/jobs/runmonitor.h
+++ b/src/libs/jobs/runmonitor.h
@@ -59,6 +59,7 @@
                     const Task &task) const;
   void requestRestart(Job &job, const core::TaskId &id, Task &task,
                       const std::string &why);
+  void countMove(Job &job, const core::TaskId &id, Task &task);
   void quarantineAndRestart(Job &job, const core::TaskId &id, Task &task,
                             const std::string &why);
   void evacuate(Job &job, const core::TaskId &id, Task &task);
