Crowds of more connections than places, with little to send

Cause: the crowd of 1,100 slow clients announces bodies of 262,144 bytes each. An entry that bounds the memory of requests refuses most of them by their headers, so that the row no longer shows who gets a place.

Change: two more rows of 1,100 clients at the callers' door, which announce 2 kB, or never end a header, and send a byte twice a second.

Ruled out: memory as the reason; each stays below a quarter of its bound.

--- a/tests/auto/system/crowdmessages.cpp
+++ b/tests/auto/system/crowdmessages.cpp
@@ -90,6 +90,15 @@
           "", " "};
 }
 
+CrowdMessage slowSmallBody(const std::string &head) {
+  return {withLength(head, 2 * PieceBytes), std::string(PieceBytes, ' '), 1, "",
+          " "};
+}
+
+CrowdMessage slowHeaders(const std::string &head) {
+  return {head + "X-Filler: ", "", 0, "", "x"};
+}
+
 CrowdMessage announcedFarOverLimit(const std::string &head) {
   constexpr size_t AnnouncedBytes = 10'000'000'000;
   constexpr size_t SentBytes = 4'000'000;
--- a/tests/auto/system/crowdmessages.h
+++ b/tests/auto/system/crowdmessages.h
@@ -22,6 +22,9 @@
 /// A body of the largest size, of which a little is sent, and then a byte now
 /// and again.
 CrowdMessage slowBody(const std::string &head);
+/// The same with a body of 2 kB, and with a header that does not end.
+CrowdMessage slowSmallBody(const std::string &head);
+CrowdMessage slowHeaders(const std::string &head);
 /// 4 MB of a body that is announced with 10 GB.
 CrowdMessage announcedFarOverLimit(const std::string &head);
 /// 16 MB in chunks, of which the last one is missing.
--- a/tests/auto/system/tst_crowds.cpp
+++ b/tests/auto/system/tst_crowds.cpp
@@ -121,6 +121,10 @@
     BeyondTheConnections, CrowdAtADoor,
     testing::Values(CrowdRow{"callers_slow", Door::Callers, ManyClients,
                              slowBody, AgentMemoryMb},
+                    CrowdRow{"callers_slow_small", Door::Callers, ManyClients,
+                             slowSmallBody, AgentMemoryMb},
+                    CrowdRow{"callers_slow_headers", Door::Callers, ManyClients,
+                             slowHeaders, AgentMemoryMb},
                     CrowdRow{"callers_whole", Door::Callers, ManyClients,
                              unfinishedWhole, EntryMemoryMb}),
     [](const auto &info) { return std::string(info.param.Name); });
