Quarantine: a refused or failed run of a gang counts once for its worker

What callers saw: a worker that refused the starts of one run of a gang (429 or 503, once), or where one run of a gang failed (older interface), was kept out of use although it had failed once; the next job waited beside it.

Cause: each member counted as a failure in a row of its worker.

Why it works: both ways now name the run that a worker is judged by, which is one for all members of a gang (judgedRun(), as for ends), and the older scheduler counts a run once for each worker where a member failed.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -463,6 +463,9 @@
   void handleRunEnd(Job &job, const core::TaskId &id, Task &task,
                     endpoints::RunEnd how, const std::string &saved,
                     const WorkerIncarnation &incarnation, absl::Time now);
+  /// The run by whose outcome a worker is judged: one for all members of a
+  /// gang.
+  static RunId judgedRun(const Job &job, const core::TaskId &id, int64_t run);
   void unassign(Job &job, const core::TaskId &id, Task &task,
                 Settlement settlement, absl::Time now);
   void compareSpeedByProgress(const core::TaskId &id, Task &task);
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -336,6 +336,10 @@
   job.Dirty = true;
 }
 
+RunId JobScheduler::judgedRun(const Job &job, const TaskId &id, int64_t run) {
+  return {job.specOf(id).Gang ? stepName(id) : core::taskName(id), run};
+}
+
 void JobScheduler::handleRunEnd(Job &job, const TaskId &id, Task &task,
                                 RunEnd how, const std::string &saved,
                                 const WorkerIncarnation &incarnation,
@@ -353,10 +357,10 @@
     task.Progress.Saved = saved;
   if (how == RunEnd::Failed)
     task.FailedOn.insert(incarnation);
-  const RunId run{spec.Gang ? stepName(id) : core::taskName(id),
-                  task.Progress.Run};
   if ((how == RunEnd::Done || how == RunEnd::Failed) &&
-      Workers.recordRunOutcome(incarnation, run, how == RunEnd::Done, now))
+      Workers.recordRunOutcome(incarnation,
+                               judgedRun(job, id, task.Progress.Run),
+                               how == RunEnd::Done, now))
     logDecision(Decision::Kind::WorkerQuarantined, id.Job, core::taskName(id),
                 task.Progress.Run, incarnation.Id, "failed runs in a row");
   if (how == RunEnd::Failed)
--- a/src/libs/scheduler/gangscheduler.h
+++ b/src/libs/scheduler/gangscheduler.h
@@ -181,6 +181,8 @@
     std::string Detail;
     std::string Saved;
     std::vector<std::optional<core::MemberResult>> Members;
+    /// Workers where a member failed. The run counts once for each.
+    std::set<std::string> FailedWorkers;
     /// Measured watts of each member, -1 before the first measurement.
     std::vector<int64_t> Watts;
     /// Workers of an adopted run that have not announced themselves yet. After
--- a/src/libs/scheduler/gangscheduler_runs.cpp
+++ b/src/libs/scheduler/gangscheduler_runs.cpp
@@ -64,7 +64,10 @@
     return;
   if (!result.Saved.empty())
     it->second.Saved = result.Saved;
-  if (result.End != TaskEnd::Stopped) {
+  const bool isCounted =
+      result.End == TaskEnd::Failed &&
+      !it->second.FailedWorkers.insert(result.WorkerId).second;
+  if (result.End != TaskEnd::Stopped && !isCounted) {
     const bool wasQuarantined = State.isQuarantined(result.WorkerId, now);
     State.recordTaskEnd(result.WorkerId, result.End == TaskEnd::Done, now);
     if (!wasQuarantined && State.isQuarantined(result.WorkerId, now))
