--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -122,6 +122,9 @@
           static_cast<double>(s.JobsKnown));
     m.set("jobs_active", "Jobs that are not over; only at the leader.",
           static_cast<double>(s.ActiveJobs));
+    m.set("tasks_remembered",
+          "Tasks that the leader remembers something of; only at the leader.",
+          static_cast<double>(s.TasksRemembered));
     m.set("workers", "Workers that report; only at the leader.",
           static_cast<double>(s.Workers));
     m.set("workers_speed_known",
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -187,6 +187,7 @@
   s.JobsKnown = View->jobs().size();
   if (s.Leads) {
     s.ActiveJobs = Session->scheduler().unfinishedJobCount();
+    s.TasksRemembered = Session->scheduler().rememberedTaskCount();
     s.Workers = Session->scheduler().fleet().workers().size();
     s.Waits = Session->scheduler().waitSummary();
     s.Speeds = Session->scheduler().speedSummary();
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -47,6 +47,8 @@
   size_t JobsKnown = 0;
   /// Counts of the leader; zero at other entries.
   size_t ActiveJobs = 0;
+  /// Tasks that the leader remembers something of; zero at other entries.
+  size_t TasksRemembered = 0;
   size_t Workers = 0;
   jobs::WaitSummary Waits;
   jobs::SpeedSummary Speeds;
--- a/src/libs/entry/jobentry_leadership.cpp
+++ b/src/libs/entry/jobentry_leadership.cpp
@@ -14,6 +14,14 @@
 using eventlog::Event;
 using eventlog::logEvent;
 
+namespace {
+
+/// A task that runs takes less than 2 KB in all, so that tasks use up less than
+/// the whole of the host's memory.
+constexpr size_t RememberedTasksPerMb = 400;
+
+} // namespace
+
 void JobEntry::onLeadership(const platform::Leadership &leadership) {
   const bool wasLeader = Leader.Mine;
   Leader = leadership;
@@ -47,7 +55,8 @@
         // The watch reports the same record, but can be delayed for seconds
         // while the store drops its history. Until then the entry that has
         // recorded the end of a job would show the job as running.
-        View->applyWrittenProgress(write.JobId, write.Progress, revision);
+        View->applyWrittenProgress(write.JobId, write.State, write.Value,
+                                   revision);
       },
       [this](const platform::KeyValue &record) { View->applyItem(record); },
       [this] {
@@ -112,6 +121,8 @@
   // The setting is a minimum, so jobs are retained for a quarter longer.
   options.Policy.FinishedJobRetention =
       absl::Milliseconds(Settings.Bounds.KeepFinishedMs) * 5 / 4;
+  options.Policy.MaxRememberedTasks =
+      static_cast<size_t>(Settings.MemoryMb) * RememberedTasksPerMb;
   options.Policy.WallMs = [] { return absl::ToUnixMillis(utils::wallNow()); };
   return options;
 }
--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -94,12 +94,27 @@
       continue;
     Scheduler.onRecord(job.Record, job.RecordRevision, now);
     if (job.ProgressRevision > 0)
-      Scheduler.onProgress(id, job.Progress, job.ProgressRevision, now);
+      adoptStoredProgress(id, job);
   }
   scheduleTick();
   postPass();
 }
 
+// The view takes no progress that cannot be decoded.
+void LeaderSession::adoptStoredProgress(const std::string &jobId,
+                                        const jobs::StoredJob &job) {
+  utils::handle<bool>(
+      [&]() -> utils::Result<bool> {
+        BOOST_LEAF_AUTO(progress, jobs::decodeProgress(job.Progress));
+        Scheduler.onProgress(jobId, progress, job.ProgressRevision, Loop.now());
+        return true;
+      },
+      [&](const utils::Error &e) {
+        ReportStoreError(StoreStatus::Conflict, e.text());
+        return false;
+      });
+}
+
 void LeaderSession::onConfig(
     const std::shared_ptr<const core::SiteConfig> &config) {
   if (!Running)
@@ -257,8 +272,8 @@
 void LeaderSession::onWritten(const std::vector<ProgressWrite> &batch,
                               int64_t revision) {
   for (const ProgressWrite &progressWrite : batch) {
-    Scheduler.onWritten(progressWrite.JobId, progressWrite.Progress.Version,
-                        revision, Loop.now());
+    Scheduler.onWritten(progressWrite.JobId, progressWrite.Version, revision,
+                        Loop.now());
     ReportRecorded(progressWrite, revision);
   }
 }
--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -99,6 +99,9 @@
   const jobs::JobScheduler &scheduler() const { return Scheduler; }
 
 private:
+  /// Takes over a job's progress as the store has it.
+  void adoptStoredProgress(const std::string &jobId,
+                           const jobs::StoredJob &job);
   void readSilentAgents();
   /// Completes the registration once this entry is in the list of leaders and
   /// knows which agents were silent under the previous one.
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -130,10 +130,7 @@
   json List;
 };
 
-// A task without any progress is written as zero.
 json taskToJson(const TaskProgress &t, WorkerTable &workers) {
-  if (t == TaskProgress{})
-    return 0;
   json j = json::array(
       {t.Run, t.Failed, t.Done ? 1 : 0, workers.indexFor(t), t.Saved});
   // Members at the end that are empty are left out.
@@ -149,8 +146,6 @@
 
 TaskProgress taskFromJson(const json &j, const WorkerTable &workers) {
   TaskProgress t;
-  if (!j.is_array())
-    return t;
   j.at(0).get_to(t.Run);
   j.at(1).get_to(t.Failed);
   t.Done = j.at(2).get<int>() != 0;
@@ -174,23 +169,70 @@
   return static_cast<JobState>(state);
 }
 
+// A task without any progress is written as zero.
+json stepToJson(const StepProgress &step, WorkerTable &workers) {
+  TaskProgress done;
+  done.Done = true;
+  json tasks = json::array();
+  for (size_t i = 0; i < step.size(); ++i) {
+    if (const TaskProgress *task = step.find(i))
+      tasks.push_back(taskToJson(*task, workers));
+    else if (step.isDone(i))
+      tasks.push_back(taskToJson(done, workers));
+    else
+      tasks.push_back(0);
+  }
+  return tasks;
+}
+
+StepProgress stepFromJson(const json &j, const WorkerTable &workers) {
+  TaskProgress done;
+  done.Done = true;
+  StepProgress step(j.size());
+  for (size_t i = 0; i < j.size(); ++i) {
+    if (!j[i].is_array())
+      continue;
+    TaskProgress task = taskFromJson(j[i], workers);
+    if (task == done)
+      step.settle(i);
+    else
+      step[i] = std::move(task);
+  }
+  return step;
+}
+
 // The tasks of one occurrence, by step.
-std::vector<std::vector<TaskProgress>>
-occurrenceFromJson(const json &j, const WorkerTable &workers) {
-  std::vector<std::vector<TaskProgress>> steps;
+std::vector<StepProgress> occurrenceFromJson(const json &j,
+                                             const WorkerTable &workers) {
+  std::vector<StepProgress> steps;
   size_t count = 0;
   for (const json &list : j) {
     count += list.size();
     if (steps.size() == core::MaxStepsPerJob ||
         count > static_cast<size_t>(core::MaxTasksPerJob))
       throw std::out_of_range("more tasks than a job may have");
-    auto &tasks = steps.emplace_back();
-    for (const json &t : list)
-      tasks.push_back(taskFromJson(t, workers));
+    steps.push_back(stepFromJson(list, workers));
   }
   return steps;
 }
 
+int occurrenceNumber(const json &j) {
+  const int occurrence = utils::checkedNumber<int>(j);
+  if (occurrence < 0 || occurrence >= core::MaxRepeats)
+    throw std::out_of_range("no occurrence has this number");
+  return occurrence;
+}
+
+// Occurrences of which all is done have an entry of a range only. Versions that
+// do not know ranges refuse it: they would take these for not begun.
+json rangeToJson(int first, int last) {
+  return json::array({json::array({first, last})});
+}
+
+void addRange(const json &range, NumberRanges &ranges) {
+  ranges.insert(occurrenceNumber(range.at(0)), occurrenceNumber(range.at(1)));
+}
+
 template <class T, class Decode>
 utils::Result<T> decodeCbor(const std::string &bytes, Decode decode) {
   BOOST_LEAF_AUTO(j, utils::parseCbor(bytes));
@@ -244,9 +286,7 @@
   return "unknown";
 }
 
-JobState visibleStateOf(const JobRecord &record, const JobProgress *progress) {
-  const JobState state =
-      progress != nullptr ? progress->State : JobState::Queued;
+JobState visibleStateOf(const JobRecord &record, JobState state) {
   if (!isFinal(state) && record.Cancelled)
     return JobState::Cancelled;
   return state;
@@ -271,14 +311,12 @@
   WorkerTable workers;
   for (const auto &[occurrence, steps] : p.Tasks) {
     json list = json::array();
-    for (const auto &tasks : steps) {
-      json step = json::array();
-      for (const TaskProgress &t : tasks)
-        step.push_back(taskToJson(t, workers));
-      list.push_back(std::move(step));
-    }
+    for (const StepProgress &step : steps)
+      list.push_back(stepToJson(step, workers));
     occurrences.push_back(json::array({occurrence, std::move(list)}));
   }
+  for (const auto &[first, last] : p.DoneOccurrences.ranges())
+    occurrences.push_back(rangeToJson(first, last));
   return toCbor({{"v", p.Version},
                  {"state", static_cast<int>(p.State)},
                  {"places", workers.list()},
@@ -319,10 +357,11 @@
     p.State = stateFromJson(j.at("state"));
     const WorkerTable workers(j.at("places"));
     for (const json &entry : j.at("tasks")) {
-      const int occurrence = utils::checkedNumber<int>(entry.at(0));
-      if (occurrence < 0 || occurrence >= core::MaxRepeats)
-        throw std::out_of_range("no occurrence has this number");
-      p.Tasks[occurrence] = occurrenceFromJson(entry.at(1), workers);
+      if (entry.at(0).is_array())
+        addRange(entry.at(0), p.DoneOccurrences);
+      else
+        p.Tasks[occurrenceNumber(entry.at(0))] =
+            occurrenceFromJson(entry.at(1), workers);
     }
     return p;
   });
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -3,6 +3,8 @@
 #include "core/jobspec.h"
 #include "core/siteconfig.h"
 #include "endpoints/workerincarnation.h"
+#include "numberranges.h"
+#include "sparsestep.h"
 #include "utils/error.h"
 
 #include <compare>
@@ -75,8 +77,20 @@
   std::vector<LateStart> LateStarts = {};
   std::vector<int64_t> FailedRuns = {};
 
+  bool isDone() const { return Done; }
+  void setDone() { Done = true; }
+  /// Nothing has happened to the task.
+  bool isUntouched() const { return *this == TaskProgress(); }
+  /// The task is done, no attempt to start it is open, and it is no suspect.
+  bool isOver() const {
+    return Done && Worker.empty() && LateStarts.empty() && CrashedAt.empty();
+  }
+  /// The task is over, and no run of it has failed.
+  bool isSettled() const { return isOver() && Failed == 0; }
+
   auto operator<=>(const TaskProgress &) const = default;
 };
+using StepProgress = SparseStep<TaskProgress>;
 
 /// Queued: no worker is known to have begun a task of the job. Running: one has
 /// begun a task; the job stays so when the task fails and waits again.
@@ -89,19 +103,21 @@
 }
 
 /// A job's progress as the leader records it. Tasks contains the tasks of each
-/// step of each occurrence that has become due. Version grows with each write,
-/// so that a write whose answer was lost can be recognised.
+/// step of each occurrence of which something has begun, except those in
+/// DoneOccurrences, of which all is done. Version grows with each write, so
+/// that a write whose answer was lost can be recognised.
 struct JobProgress {
   int64_t Version = 0;
   JobState State = JobState::Queued;
-  std::map<int, std::vector<std::vector<TaskProgress>>> Tasks;
+  std::map<int, std::vector<StepProgress>> Tasks;
+  NumberRanges DoneOccurrences = {};
 
   auto operator<=>(const JobProgress &) const = default;
 };
 
-/// The state to report to callers: Cancelled as soon as the job is cancelled,
-/// unless it had ended before.
-JobState visibleStateOf(const JobRecord &record, const JobProgress *progress);
+/// The state to report to callers, if this is the recorded one: Cancelled as
+/// soon as the job is cancelled, unless it had ended before.
+JobState visibleStateOf(const JobRecord &record, JobState state);
 
 /// Encode and decode the stored values as CBOR. Decoding fails with
 /// ErrorKind::BadMessage if bytes are not a valid value.
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -54,10 +54,9 @@
   auto job = Jobs.find(id.Job);
   if (job == Jobs.end())
     return nullptr;
-  auto it = job->second.Occurrences.find(id.Occurrence);
-  if (it == job->second.Occurrences.end())
+  if (!job->second.isOccurrenceKnown(id.Occurrence))
     return nullptr;
-  std::vector<Step> &steps = it->second;
+  std::vector<Step> &steps = ensureOccurrence(job->second, id.Occurrence);
   if (id.Step < 0 || static_cast<size_t>(id.Step) >= steps.size())
     return nullptr;
   Step &step = steps[static_cast<size_t>(id.Step)];
@@ -69,12 +68,112 @@
 std::vector<JobScheduler::Step> &JobScheduler::ensureOccurrence(Job &job,
                                                                 int number) {
   std::vector<Step> &steps = job.Occurrences[number];
-  if (steps.empty())
-    for (const core::StepSpec &spec : job.Record.Spec.Steps)
-      steps.emplace_back(static_cast<size_t>(spec.Count));
+  if (!steps.empty())
+    return steps;
+  const bool done = job.DoneOccurrences.contains(number);
+  job.DoneOccurrences.erase(number);
+  for (const core::StepSpec &spec : job.Record.Spec.Steps)
+    steps.emplace_back(static_cast<size_t>(spec.Count), done);
   return steps;
 }
 
+// All occurrences that have not begun are alike: where one finds no capacity,
+// neither does the next one.
+bool JobScheduler::openDueOccurrences(Job &job) {
+  const int due = dueOccurrences(job);
+  job.DueAtLatestPass = due;
+  int known = job.DoneOccurrences.count();
+  int waiting = 0;
+  for (const auto &[number, steps] : job.Occurrences) {
+    known += number < due ? 1 : 0;
+    waiting += std::all_of(steps.begin(), steps.end(),
+                           [](const Step &s) { return s.isUntouched(); })
+                   ? 1
+                   : 0;
+  }
+  if (known >= due)
+    return false;
+  int tasks = 0;
+  for (const core::StepSpec &spec : job.Record.Spec.Steps)
+    tasks += spec.Count;
+  const int maxWaiting = std::max(1, Policy.MaxWaitingTasks / tasks);
+  for (int number = 0; number < due; ++number) {
+    if (job.isOccurrenceKnown(number))
+      continue;
+    if (waiting++ >= maxWaiting)
+      return true;
+    ensureOccurrence(job, number);
+  }
+  return false;
+}
+
+size_t JobScheduler::rememberedTaskCount() const {
+  size_t n = 0;
+  for (const auto &[id, job] : Jobs)
+    for (const auto &[number, steps] : job.Occurrences)
+      for (const Step &step : steps)
+        n += step.objects().size();
+  return n;
+}
+
+void JobScheduler::compactStep(Job &job, const TaskId &first, Step &step) {
+  step.compact([&step](const Task &task) {
+    if (task.RunDuration > absl::ZeroDuration())
+      step.SettledDurations.push_back(task.RunDuration);
+  });
+  // Nothing starts any more, so that only what may run, and why the job failed,
+  // has to be known.
+  if (job.hasEnded() && !job.Dirty && !job.Writing)
+    step.drop([](const Task &task) {
+      return !task.isAssigned() && task.Progress.LateStarts.empty() &&
+             task.Progress.Failed == 0;
+    });
+  if (step.isAllDone())
+    job.LoggedCapacityPlans.erase({first.Occurrence, first.Step});
+}
+
+bool JobScheduler::isOver(const std::vector<Step> &steps) {
+  return std::all_of(steps.begin(), steps.end(), [](const Step &step) {
+    const auto &tasks = step.objects();
+    return step.isAllDone() &&
+           std::all_of(tasks.begin(), tasks.end(), [](const auto &entry) {
+             return entry.second.Progress.isOver();
+           });
+  });
+}
+
+// The progress of a job that does not repeat keeps its only occurrence, so that
+// entries of earlier versions can read it.
+void JobScheduler::compact(Job &job) {
+  std::vector<int> done;
+  for (auto &[number, steps] : job.Occurrences) {
+    for (size_t s = 0; s < steps.size(); ++s)
+      compactStep(job, {job.Record.Spec.Id, number, static_cast<int>(s), 0},
+                  steps[s]);
+    if (isOver(steps) && job.Record.Spec.Repeats > 0)
+      done.push_back(number);
+  }
+  for (int number : done)
+    forgetOccurrence(job, number);
+}
+
+void JobScheduler::forgetOccurrence(Job &job, int number) {
+  forgetSpeeds(job, number);
+  for (size_t s = 0; s < job.Record.Spec.Steps.size(); ++s)
+    job.Waits.Steps.erase({number, static_cast<int>(s)});
+  job.Occurrences.erase(number);
+  job.DoneOccurrences.insert(number);
+}
+
+void JobScheduler::forgetSpeeds(const Job &job, int number) {
+  for (size_t s = 0; s < job.Record.Spec.Steps.size(); ++s) {
+    const std::string name =
+        stepName({job.Record.Spec.Id, number, static_cast<int>(s), 0});
+    Speeds.forget(name);
+    SpeedsWithGangs.forget(name);
+  }
+}
+
 int JobScheduler::dueOccurrences(const Job &job) const {
   const core::JobSpec &spec = job.Record.Spec;
   if (spec.Repeats == 0)
@@ -150,16 +249,11 @@
                             {"steps", stepsText(spec.Steps, deadline)}};
 }
 
-bool JobScheduler::isStepDone(const Step &step) {
-  return std::all_of(step.begin(), step.end(),
-                     [](const Task &t) { return t.Progress.Done; });
-}
-
 bool JobScheduler::isStepReady(const Job &job, const std::vector<Step> &steps,
                                size_t step) {
   const auto &after = job.Record.Spec.Steps[step].After;
   return std::all_of(after.begin(), after.end(), [&](int s) {
-    return isStepDone(steps[static_cast<size_t>(s)]);
+    return steps[static_cast<size_t>(s)].isAllDone();
   });
 }
 
@@ -184,20 +278,28 @@
     }
   }
   std::string cause;
-  bool allDone = true;
   forEachTask(job, [&](const TaskId &id, const Task &task) {
     if (cause.empty() && hasUsedUpAttempts(job, id, task))
       cause = absl::StrCat(core::taskName(id), " failed ", task.Progress.Failed,
                            " times in ", task.Progress.Run, " runs");
-    allDone &= task.Progress.Done;
   });
   if (!cause.empty())
     endJob(job, JobState::Failed, now, cause);
-  else if (allDone && static_cast<int>(job.Occurrences.size()) ==
-                          job.Record.Spec.occurrences())
+  else if (isAllDone(job))
     endJob(job, JobState::Completed, now);
 }
 
+bool JobScheduler::isAllDone(const Job &job) {
+  const auto known = static_cast<int>(job.Occurrences.size());
+  if (known + job.DoneOccurrences.count() < job.Record.Spec.occurrences())
+    return false;
+  return std::all_of(
+      job.Occurrences.begin(), job.Occurrences.end(), [](const auto &entry) {
+        return std::all_of(entry.second.begin(), entry.second.end(),
+                           [](const Step &s) { return s.isAllDone(); });
+      });
+}
+
 bool JobScheduler::hasUsedUpAttempts(const Job &job, const TaskId &id,
                                      const Task &task) {
   return !job.specOf(id).LongRunning &&
@@ -221,11 +323,9 @@
   Decisions.back().Texts = {{"queue", job.Record.Spec.Queue}};
   if (!cause.empty())
     Decisions.back().Texts["cause"] = cause;
+  for (const auto &[number, steps] : job.Occurrences)
+    forgetSpeeds(job, number);
   forEachTask(job, [&](const TaskId &id, Task &task) {
-    if (id.Index == 0) {
-      Speeds.forget(stepName(id));
-      SpeedsWithGangs.forget(stepName(id));
-    }
     if (!task.Progress.Done)
       requestStop(id, task, absl::StrCat("job ", jobStateName(state)));
   });
@@ -304,9 +404,9 @@
     return true;
   if (!spec.SameRack)
     return false;
-  const Step &step = job.stepOf(id);
-  return std::any_of(step.begin(), step.end(), [&](const Task &t) {
-    const WorkerView *other = Workers.find(t.Progress.Worker);
+  const auto &tasks = job.stepOf(id).objects();
+  return std::any_of(tasks.begin(), tasks.end(), [&](const auto &entry) {
+    const WorkerView *other = Workers.find(entry.second.Progress.Worker);
     return other != nullptr && other->State.Rack != worker->State.Rack;
   });
 }
@@ -340,9 +440,9 @@
     Job &job = entry.second;
     if (!job.hasEnded() && isFleetKnown(now))
       logDeadline(job);
-    if (!job.hasEnded() &&
-        dueOccurrences(job) > static_cast<int>(job.Occurrences.size()))
+    if (!job.hasEnded() && dueOccurrences(job) > job.DueAtLatestPass)
       PassNeeded = true;
+    compact(job);
     job.Dirty |= now >= job.RecordStateAt;
     forEachTask(job, [&](const TaskId &id, Task &task) {
       forgetLateStarts(job, task, now);
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -34,8 +34,9 @@
   std::string JobId;
   int64_t RecordRevision = 0;
   int64_t ProgressRevision = 0;
-  JobProgress Progress;
-  /// Progress in its stored encoding.
+  int64_t Version = 0;
+  JobState State = JobState::Queued;
+  /// The progress in its stored encoding.
   std::string Value;
 };
 
@@ -138,6 +139,9 @@
   int64_t passCount() const { return PassCount; }
   /// Number of jobs that have not ended, waiting jobs included.
   size_t unfinishedJobCount() const;
+  /// Number of tasks of all jobs of which something is remembered. The memory
+  /// of a leader follows it.
+  size_t rememberedTaskCount() const;
   /// What waits on the site, as of the last second.
   const WaitSummary &waitSummary() const { return WaitSurveys.Summary; }
   /// What is known of the workers' speeds, as of the latest scheduling pass.
@@ -226,6 +230,10 @@
     /// they were unhealthy.
     std::set<WorkerIncarnation> FailedOn;
 
+    bool isDone() const { return Progress.Done; }
+    void setDone() { Progress.setDone(); }
+    bool isUntouched() const { return Progress.isUntouched(); }
+    bool isSettled() const { return Progress.isSettled(); }
     /// A worker may be running the task.
     bool isAssigned() const { return !Progress.Worker.empty(); }
     /// Time before which the task starts nowhere; infinite past if it may
@@ -246,7 +254,12 @@
              PercentReportedAt - StartedAt >= endpoints::CrashDetectionWindow;
     }
   };
-  using Step = std::vector<Task>;
+  /// A step of one occurrence.
+  struct Step : SparseStep<Task> {
+    using SparseStep<Task>::SparseStep;
+    /// Durations of the runs that completed the settled tasks, as far as known.
+    std::vector<absl::Duration> SettledDurations;
+  };
   struct Job {
     JobRecord Record;
     int64_t RecordRevision = 0;
@@ -259,7 +272,13 @@
     /// Running from the time at which it is known that a worker has begun a
     /// task.
     JobState State = JobState::Queued;
+    /// The steps of the occurrences that wait to begin, have begun or have been
+    /// read. Of the other due ones, those in DoneOccurrences are done and the
+    /// rest are untouched.
     std::map<int, std::vector<Step>> Occurrences;
+    NumberRanges DoneOccurrences;
+    /// Number of occurrences that were due at the latest scheduling pass.
+    int DueAtLatestPass = 0;
     /// Time at which this leader first received the record. For jobs that a new
     /// leader reads from the store, it is later than the submission.
     absl::Time Arrived;
@@ -295,6 +314,9 @@
     int Rank = 0;
 
     bool hasEnded() const { return isFinal(State); }
+    bool isOccurrenceKnown(int number) const {
+      return Occurrences.count(number) != 0 || DoneOccurrences.contains(number);
+    }
     const core::StepSpec &specOf(const core::TaskId &id) const {
       return Record.Spec.Steps[static_cast<size_t>(id.Step)];
     }
@@ -309,10 +331,28 @@
 
   /// The job's progress in the form in which it is recorded.
   static JobProgress progressOf(const Job &job);
-  /// Null if the job, occurrence, step or index does not exist.
+  static StepProgress progressOf(const Step &step);
+  /// Takes over the progress of one occurrence, or one task of it, as a
+  /// previous leader recorded it.
+  void adoptOccurrence(Job &job, int number,
+                       const std::vector<StepProgress> &steps, absl::Time now);
+  void adoptTask(Job &job, Step &step, size_t index,
+                 const TaskProgress &progress, absl::Time now);
+  /// Null if the job, occurrence, step or index does not exist, or if nothing
+  /// of the occurrence has begun.
   Task *findTask(const core::TaskId &id);
   /// The steps of an occurrence of the job, which is created if necessary.
-  std::vector<Step> &ensureOccurrence(Job &job, int number);
+  static std::vector<Step> &ensureOccurrence(Job &job, int number);
+  /// Creates the due occurrences that have not begun, as many as
+  /// MaxWaitingTasks allows. Returns whether there are others.
+  bool openDueOccurrences(Job &job);
+  /// Forgets tasks and occurrences of which nothing has to be remembered.
+  void compact(Job &job);
+  void compactStep(Job &job, const core::TaskId &first, Step &step);
+  /// All tasks are done and cannot run any more.
+  static bool isOver(const std::vector<Step> &steps);
+  void forgetOccurrence(Job &job, int number);
+  void forgetSpeeds(const Job &job, int number);
   /// Number of the job's occurrences that are due by now.
   int dueOccurrences(const Job &job) const;
   const std::string &serviceOf(const Job &job) const;
@@ -328,19 +368,19 @@
     return now - ElectedAt >= Policy.FleetDiscoveryTime;
   }
   void logDeadline(Job &job);
-  static bool isStepDone(const Step &step);
   /// All steps that the step has to follow are done.
   static bool isStepReady(const Job &job, const std::vector<Step> &steps,
                           size_t step);
+  /// Calls callback with each task of which something is remembered.
   template <class Callback> void forEachTask(Job &job, Callback callback) {
     core::TaskId id{job.Record.Spec.Id, 0, 0, 0};
     for (auto &[number, steps] : job.Occurrences)
       for (size_t s = 0; s < steps.size(); ++s)
-        for (size_t i = 0; i < steps[s].size(); ++i) {
+        for (auto &[index, task] : steps[s].objects()) {
           id.Occurrence = number;
           id.Step = static_cast<int>(s);
-          id.Index = static_cast<int>(i);
-          callback(static_cast<const core::TaskId &>(id), steps[s][i]);
+          id.Index = static_cast<int>(index);
+          callback(static_cast<const core::TaskId &>(id), task);
         }
   }
 
@@ -495,6 +535,8 @@
   /// Tasks that last have as many attempts as they need.
   static bool hasUsedUpAttempts(const Job &job, const core::TaskId &id,
                                 const Task &task);
+  /// Whether all tasks of all occurrences are done.
+  static bool isAllDone(const Job &job);
   std::string crashFailureCause(Job &job);
   bool isRemote(const Job &job, const core::TaskId &id, const Task &task) const;
   /// Ends the job in the given final state and requests the stop of all tasks
--- a/src/libs/jobs/jobscheduler_orders.cpp
+++ b/src/libs/jobs/jobscheduler_orders.cpp
@@ -78,9 +78,9 @@
 void JobScheduler::stopStep(Job &job, int number, int step,
                             const std::string &why) {
   Step &tasks = job.Occurrences.at(number)[static_cast<size_t>(step)];
-  for (size_t i = 0; i < tasks.size(); ++i)
-    requestStop({job.Record.Spec.Id, number, step, static_cast<int>(i)},
-                tasks[i], why);
+  for (auto &[index, task] : tasks.objects())
+    requestStop({job.Record.Spec.Id, number, step, static_cast<int>(index)},
+                task, why);
 }
 
 void JobScheduler::handleOrderResult(const WorkerIncarnation &incarnation,
@@ -116,8 +116,8 @@
     // it from the store.
     return;
   case OrderOutcome::Busy:
-    if (Workers.recordRunOutcome(incarnation,
-                                 judgedRun(job, id, result.Run), false, now))
+    if (Workers.recordRunOutcome(incarnation, judgedRun(job, id, result.Run),
+                                 false, now))
       logDecision(Decision::Kind::WorkerQuarantined, id.Job, result.Task,
                   result.Run, incarnation.Id, "refuses starts");
     task->FailedOn.insert(incarnation);
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -42,30 +42,53 @@
   job.Version = progress.Version;
   job.WrittenVersion = progress.Version;
   job.State = progress.State;
-  for (const auto &[number, steps] : progress.Tasks) {
-    if (number >= job.Record.Spec.occurrences())
-      continue;
-    std::vector<Step> &jobSteps = ensureOccurrence(job, number);
-    for (size_t s = 0; s < std::min(steps.size(), jobSteps.size()); ++s)
-      for (size_t i = 0; i < std::min(steps[s].size(), jobSteps[s].size());
-           ++i) {
-        jobSteps[s][i].Progress = steps[s][i];
-        job.HasSuspects |= jobSteps[s][i].isSuspect();
-        adoptLateStarts(jobSteps[s][i], now);
-        // The previous leader may not have ordered the run. The worker's list
-        // of running tasks shows whether it did.
-        if (jobSteps[s][i].isAssigned()) {
-          jobSteps[s][i].RunPhase = Phase::Adopted;
-          UnreportedIncarnations[steps[s][i].Worker] = {steps[s][i].Agent};
-        }
-      }
-  }
+  const int occurrences = job.Record.Spec.occurrences();
+  for (const auto &[first, last] : progress.DoneOccurrences.ranges())
+    job.DoneOccurrences.insert(first, std::min(last, occurrences - 1));
+  for (const auto &[number, steps] : progress.Tasks)
+    if (number < occurrences)
+      adoptOccurrence(job, number, steps, now);
   if (job.hasEnded())
     job.FinishedAt = now;
   else if (job.Record.Cancelled)
     endJob(job, JobState::Cancelled, now);
 }
 
+// Earlier versions have recorded the occurrences that had not begun, too.
+void JobScheduler::adoptOccurrence(Job &job, int number,
+                                   const std::vector<StepProgress> &steps,
+                                   absl::Time now) {
+  if (std::all_of(steps.begin(), steps.end(),
+                  [](const StepProgress &s) { return s.isUntouched(); }))
+    return;
+  std::vector<Step> &jobSteps = ensureOccurrence(job, number);
+  for (size_t s = 0; s < std::min(steps.size(), jobSteps.size()); ++s)
+    for (size_t i = 0; i < std::min(steps[s].size(), jobSteps[s].size()); ++i) {
+      if (const TaskProgress *task = steps[s].find(i))
+        adoptTask(job, jobSteps[s], i, *task, now);
+      else if (steps[s].isDone(i))
+        jobSteps[s].settle(i);
+    }
+}
+
+// The previous leader may not have ordered the run. The worker's list of
+// running tasks shows whether it did.
+void JobScheduler::adoptTask(Job &job, Step &step, size_t index,
+                             const TaskProgress &progress, absl::Time now) {
+  if (progress.isSettled()) {
+    step.settle(index);
+    return;
+  }
+  Task &task = step[index];
+  task.Progress = progress;
+  job.HasSuspects |= task.isSuspect();
+  adoptLateStarts(task, now);
+  if (task.isAssigned()) {
+    task.RunPhase = Phase::Adopted;
+    UnreportedIncarnations[progress.Worker] = {progress.Agent};
+  }
+}
+
 // The previous leader does not record until when the attempts may be carried
 // out, but an agent sends none for a leader that it has not reported to.
 void JobScheduler::adoptLateStarts(Task &task, absl::Time now) const {
@@ -83,13 +106,26 @@
 }
 
 JobProgress JobScheduler::progressOf(const Job &job) {
-  JobProgress progress{job.Version, job.State, {}};
-  for (const auto &[number, steps] : job.Occurrences)
-    for (const Step &step : steps) {
-      auto &tasks = progress.Tasks[number].emplace_back();
-      for (const Task &t : step)
-        tasks.push_back(t.Progress);
-    }
+  JobProgress progress{job.Version, job.State, {}, job.DoneOccurrences};
+  for (const auto &[number, steps] : job.Occurrences) {
+    if (std::all_of(steps.begin(), steps.end(),
+                    [](const Step &s) { return s.isUntouched(); }))
+      continue;
+    for (const Step &step : steps)
+      progress.Tasks[number].push_back(progressOf(step));
+  }
+  return progress;
+}
+
+StepProgress JobScheduler::progressOf(const Step &step) {
+  StepProgress progress(step.size());
+  for (size_t i = 0; i < step.size(); ++i) {
+    const Task *task = step.find(i);
+    if (task != nullptr && !task->isSettled() && !task->isUntouched())
+      progress[i] = task->Progress;
+    else if (step.isDone(i))
+      progress.settle(i);
+  }
   return progress;
 }
 
@@ -110,10 +146,8 @@
     job.RecordStateAt = absl::InfiniteFuture();
     job.Writing = true;
     ++job.Version;
-    JobProgress progress = progressOf(job);
-    std::string value = encode(progress);
-    writes.push_back({id, job.RecordRevision, job.ProgressRevision,
-                      std::move(progress), std::move(value)});
+    writes.push_back({id, job.RecordRevision, job.ProgressRevision, job.Version,
+                      job.State, encode(progressOf(job))});
   }
   return writes;
 }
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -389,8 +389,9 @@
     countFailedRun(spec, step[static_cast<size_t>(id.Index)].Progress, run);
     return;
   }
-  for (Task &member : step)
-    countFailedRun(spec, member.Progress, run);
+  for (size_t i = 0; i < step.size(); ++i)
+    if (step.find(i) != nullptr || !step.isDone(i))
+      countFailedRun(spec, step[i].Progress, run);
 }
 
 // Applies the end of one member to the whole gang: if it is done, all members
@@ -401,15 +402,14 @@
   Step &step = steps[static_cast<size_t>(id.Step)];
   const int64_t run = step[static_cast<size_t>(id.Index)].Progress.Run;
   const bool isLongRunning = job.specOf(id).LongRunning;
-  for (size_t i = 0; i < step.size(); ++i) {
-    Task &member = step[i];
+  for (auto &[index, member] : step.objects()) {
     if (member.Progress.Run != run)
       continue;
     if (how == RunEnd::Done && !isLongRunning)
       member.Progress.Done = true;
     if (member.isAssigned() && !member.Progress.Done)
-      requestStop({id.Job, id.Occurrence, id.Step, static_cast<int>(i)}, member,
-                  "another member of its gang ended");
+      requestStop({id.Job, id.Occurrence, id.Step, static_cast<int>(index)},
+                  member, "another member of its gang ended");
   }
 }
 
--- a/src/libs/jobs/jobscheduler_silentagents.cpp
+++ b/src/libs/jobs/jobscheduler_silentagents.cpp
@@ -74,7 +74,7 @@
   for (const auto &[id, job] : Jobs)
     for (const auto &[number, steps] : job.Occurrences)
       for (const Step &step : steps)
-        for (const Task &task : step)
+        for (const auto &[index, task] : step.objects())
           if (task.isAssigned() && task.RunPhase != Phase::Running)
             agents.erase(task.Progress.Agent);
   return agents;
--- a/src/libs/jobs/jobscheduler_speeds.cpp
+++ b/src/libs/jobs/jobscheduler_speeds.cpp
@@ -67,10 +67,15 @@
 double JobScheduler::slownessOfRun(const Job &job, const TaskId &id,
                                    const Task &task) const {
   double slowest = slownessOf(task.Progress.Worker);
-  if (job.specOf(id).Gang && Uneven.matter())
-    for (const Task &member : job.stepOf(id))
-      if (member.Progress.Run == task.Progress.Run)
-        slowest = std::max(slowest, slownessOf(member.Progress.Worker));
+  if (!job.specOf(id).Gang || !Uneven.matter())
+    return slowest;
+  const Step &step = job.stepOf(id);
+  // A member whose end is settled has no worker any more.
+  if (step.objects().size() < step.size())
+    slowest = std::max(slowest, slownessOf({}));
+  for (const auto &[index, member] : step.objects())
+    if (member.Progress.Run == task.Progress.Run)
+      slowest = std::max(slowest, slownessOf(member.Progress.Worker));
   return slowest;
 }
 
--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -53,18 +53,19 @@
       }));
 }
 
-void JobView::applyWrittenProgress(const std::string &jobId,
-                                   JobProgress progress, int64_t revision) {
+void JobView::applyWrittenProgress(const std::string &jobId, JobState state,
+                                   std::string value, int64_t revision) {
   if (Follower.markKnown(progressKey(jobId), revision))
-    applyProgress(jobId, std::move(progress), revision);
+    applyProgress(jobId, state, std::move(value), revision);
 }
 
-void JobView::applyProgress(const std::string &jobId, JobProgress progress,
-                            int64_t revision) {
+void JobView::applyProgress(const std::string &jobId, JobState state,
+                            std::string value, int64_t revision) {
   StoredJob &job = Jobs[jobId];
-  job.Progress = std::move(progress);
+  job.RecordedState = state;
+  job.Progress = std::move(value);
   job.ProgressRevision = revision;
-  if (isFinal(job.Progress.State))
+  if (isFinal(state))
     Ended(jobId);
 }
 
@@ -112,7 +113,8 @@
       [&]() -> utils::Result<bool> {
         if (progress) {
           BOOST_LEAF_AUTO(decoded, decodeProgress(event.Item.Value));
-          applyProgress(id, std::move(decoded), event.Item.ModRevision);
+          applyProgress(id, decoded.State, event.Item.Value,
+                        event.Item.ModRevision);
           return true;
         }
         BOOST_LEAF_AUTO(decoded, decodeRecord(event.Item.Value));
--- a/src/libs/jobs/jobview.h
+++ b/src/libs/jobs/jobview.h
@@ -14,7 +14,11 @@
 struct StoredJob {
   JobRecord Record;
   int64_t RecordRevision = 0;
-  JobProgress Progress;
+  /// The state in the recorded progress.
+  JobState RecordedState = JobState::Queued;
+  /// The progress in its stored encoding, of which a leader alone needs more
+  /// than the state; empty if there is none.
+  std::string Progress;
   /// Zero until the leader has recorded any progress.
   int64_t ProgressRevision = 0;
 
@@ -27,7 +31,7 @@
   }
   /// The state to report to callers.
   JobState visibleState() const {
-    return visibleStateOf(Record, ProgressRevision > 0 ? &Progress : nullptr);
+    return visibleStateOf(Record, RecordedState);
   }
 };
 
@@ -63,8 +67,8 @@
     Follower.applyItem(std::move(item));
   }
   /// Applies a job's progress that this process has just written.
-  void applyWrittenProgress(const std::string &jobId, JobProgress progress,
-                            int64_t revision);
+  void applyWrittenProgress(const std::string &jobId, JobState state,
+                            std::string value, int64_t revision);
 
   /// All jobs have been read at least once.
   bool isComplete() const { return Complete; }
@@ -77,8 +81,8 @@
   void onChange(const platform::StoreEvent &event);
   void applyRecord(const std::string &jobId, JobRecord record,
                    const platform::KeyValue &item);
-  void applyProgress(const std::string &jobId, JobProgress progress,
-                     int64_t revision);
+  void applyProgress(const std::string &jobId, JobState state,
+                     std::string value, int64_t revision);
 
   const OnRecord RecordChanged;
   const OnRemoved Removed;
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -82,6 +82,7 @@
 }
 
 void Planner::run() {
+  RememberedTasks = Scheduler.rememberedTaskCount();
   markRecentStarts();
   rankJobs();
   collectUnits();
@@ -124,10 +125,10 @@
   for (auto &[id, job] : Scheduler.Jobs) {
     if (job.hasEnded())
       continue;
-    const int due = Scheduler.dueOccurrences(job);
-    for (int number = 0; number < due; ++number) {
-      std::vector<JobScheduler::Step> &steps =
-          Scheduler.ensureOccurrence(job, number);
+    Scheduler.RetryOnTick |= Scheduler.openDueOccurrences(job);
+    for (auto &[number, steps] : job.Occurrences) {
+      if (number >= job.DueAtLatestPass)
+        break;
       for (size_t s = 0; s < steps.size(); ++s) {
         if (!JobScheduler::isStepReady(job, steps, s))
           continue;
@@ -160,10 +161,12 @@
 void Planner::collectTasks(PlacementUnit &unit,
                            const JobScheduler::Step &step) {
   const bool gang = unit.spec().Gang;
+  static const Task untouched;
   for (size_t i = 0; i < step.size(); ++i) {
-    const Task &task = step[i];
+    const Task *object = step.find(i);
+    const Task &task = object == nullptr ? untouched : *object;
     const auto index = static_cast<int>(i);
-    if (task.Progress.Done || task.isAssigned()) {
+    if (step.isDone(i) || task.isAssigned()) {
       if (gang)
         return;
     } else if (mayRunElsewhere(unit.taskId(index), task)) {
@@ -196,11 +199,13 @@
 void Planner::avoidFailedWorkers(PlacementUnit &unit,
                                  const JobScheduler::Step &step) const {
   for (int index : unit.Tasks) {
-    const Task &task = step[static_cast<size_t>(index)];
-    const auto &crashed = task.Progress.CrashedAt;
-    unit.AvoidWorkers.insert(task.FailedOn.begin(), task.FailedOn.end());
+    const Task *task = step.find(static_cast<size_t>(index));
+    if (task == nullptr)
+      continue;
+    const auto &crashed = task->Progress.CrashedAt;
+    unit.AvoidWorkers.insert(task->FailedOn.begin(), task->FailedOn.end());
     unit.AvoidHosts.insert(crashed.begin(), crashed.end());
-    unit.HasSuspect |= task.isSuspect();
+    unit.HasSuspect |= task->isSuspect();
   }
   if (unit.AvoidWorkers.empty() && unit.AvoidHosts.empty())
     return;
@@ -269,8 +274,11 @@
 absl::Duration Planner::idleTime(const PlacementUnit &unit) const {
   const JobScheduler::Step &step = unit.step();
   absl::Time since = Now;
-  for (int index : unit.Tasks)
-    since = std::min(since, step[static_cast<size_t>(index)].IdleSince);
+  for (int index : unit.Tasks) {
+    const Task *task = step.find(static_cast<size_t>(index));
+    since = std::min(since,
+                     task == nullptr ? absl::InfinitePast() : task->IdleSince);
+  }
   return Now - std::max(since, unit.Owner->Arrived);
 }
 
@@ -324,10 +332,10 @@
 
 int Planner::countTasksOnWorker(const PlacementUnit &unit,
                                 const WorkerIncarnation &incarnation) const {
-  const JobScheduler::Step &step = unit.step();
+  const auto &tasks = unit.step().objects();
   return static_cast<int>(
-      std::count_if(step.begin(), step.end(), [&](const Task &t) {
-        return t.Progress.Worker == incarnation;
+      std::count_if(tasks.begin(), tasks.end(), [&](const auto &entry) {
+        return entry.second.Progress.Worker == incarnation;
       }));
 }
 
@@ -349,6 +357,7 @@
                       task.Progress.Saved, task.Progress.Run + 1, unit.Rank,
                       unit.Demand, Now);
   allocate(candidateIndex, unit.spec().taskResources());
+  ++RememberedTasks;
   markRecentStart(candidateIndex, unit);
   if (unit.spec().MaxPerWorker > 0)
     --unit.TaskLimits[candidateIndex];
@@ -392,7 +401,7 @@
   size_t started = 0;
   for (int index : unit.Tasks) {
     const std::optional<size_t> candidate = findBestCandidate(unit);
-    if (!candidate)
+    if (!candidate || !maySpareMemoryFor(1))
       break;
     startTask(unit, index, *candidate);
     ++started;
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -182,6 +182,10 @@
   };
 
   void collectUnits();
+  /// Whether the scheduler may remember something of so many more tasks.
+  bool maySpareMemoryFor(size_t tasks) const {
+    return RememberedTasks + tasks <= Scheduler.Policy.MaxRememberedTasks;
+  }
   bool mayRunElsewhere(const core::TaskId &id, const Task &task) const;
   void collectTasks(PlacementUnit &unit, const JobScheduler::Step &step);
   void avoidFailedWorkers(PlacementUnit &unit,
@@ -342,6 +346,8 @@
   std::set<std::string> UnexpectedTasks;
   /// Number of empty workers beyond the headroom for urgent work.
   int EmptyBeyondHeadroom = 0;
+  /// Number of tasks that the scheduler remembers something of.
+  size_t RememberedTasks = 0;
   std::vector<PlacementUnit> Units;
   /// All running units. Collected when a unit has to wait for the first time
   /// and kept up to date from then on, because collecting them takes longer
--- a/src/libs/jobs/planner_gangs.cpp
+++ b/src/libs/jobs/planner_gangs.cpp
@@ -85,31 +85,33 @@
       bestScore = score;
     }
   }
-  if (!best || !leavesHeadroom(unit, *best))
+  if (!best || !leavesHeadroom(unit, *best) ||
+      !maySpareMemoryFor(unit.Tasks.size()))
     return false;
   startGang(unit, *best);
   return true;
 }
 
 void Planner::startGang(PlacementUnit &unit, const Placement &placement) {
-  JobScheduler::Step &step = unit.step();
+  const JobScheduler::Step &step = unit.step();
   // Members write checkpoints independently. Any member's checkpoint is valid
   // for the gang, but all members must resume from the same one: that of the
   // member that has progressed furthest.
-  const Task *furthest = &step.front();
+  const Task *furthest = nullptr;
   int64_t run = 0;
-  for (const Task &t : step) {
+  for (const auto &[index, t] : step.objects()) {
     run = std::max(run, t.Progress.Run);
     if (!t.Progress.Saved.empty() &&
-        (furthest->Progress.Saved.empty() || t.Percent > furthest->Percent))
+        (furthest == nullptr || t.Percent > furthest->Percent))
       furthest = &t;
   }
-  const std::string saved = furthest->Progress.Saved;
+  const std::string saved = furthest == nullptr ? "" : furthest->Progress.Saved;
   for (size_t n = 0; n < placement.size(); ++n) {
     Scheduler.assignRun(*unit.Owner, unit.taskId(unit.Tasks[n]),
                         Candidates[placement[n]].View->State.Life, saved,
                         run + 1, unit.Rank, unit.Demand, Now);
     allocate(placement[n], unit.spec().taskResources());
+    ++RememberedTasks;
     markRecentStart(placement[n], unit);
   }
   refreshRunningUnits(*unit.Owner, unit.Occurrence, unit.Step);
--- a/src/libs/jobs/planner_preferences.cpp
+++ b/src/libs/jobs/planner_preferences.cpp
@@ -28,8 +28,9 @@
   const Job &job = *unit.Owner;
   const JobScheduler::Step &step = job.stepOf(unit.taskId(unit.Tasks.front()));
   return std::all_of(unit.Tasks.begin(), unit.Tasks.end(), [&](int index) {
-    const Task &task = step[static_cast<size_t>(index)];
-    return task.Progress.Failed + 1 < job.Record.Attempts;
+    const Task *task = step.find(static_cast<size_t>(index));
+    const int failed = task == nullptr ? 0 : task->Progress.Failed;
+    return failed + 1 < job.Record.Attempts;
   });
 }
 
--- a/src/libs/jobs/planner_runningunits.cpp
+++ b/src/libs/jobs/planner_runningunits.cpp
@@ -16,11 +16,10 @@
   RunningUnit gang{&job, occurrence, step, -1, job.Rank};
   ResourcesByCandidate freedByGang;
   core::TaskId id{job.Record.Spec.Id, occurrence, step, 0};
-  for (size_t i = 0; i < tasks.size(); ++i) {
-    const Task &t = tasks[i];
+  for (const auto &[index, t] : tasks.objects()) {
     if (!t.isAssigned())
       continue;
-    id.Index = static_cast<int>(i);
+    id.Index = static_cast<int>(index);
     const double lostWork = workLostByStop(spec, t);
     const absl::Duration timeLeft =
         t.StopRequested ? Scheduler.Policy.StopDuration
--- a/src/libs/jobs/planner_urgency.cpp
+++ b/src/libs/jobs/planner_urgency.cpp
@@ -72,15 +72,13 @@
   };
   const auto n = static_cast<int64_t>(unit.Tasks.size());
   int64_t followUpTasks = 0;
-  const JobScheduler::Step &step = unit.step();
-  for (size_t i = 0; i < step.size(); ++i) {
-    if (!step[i].isAssigned())
+  for (const auto &[index, task] : unit.step().objects()) {
+    if (!task.isAssigned())
       continue;
+    const core::TaskId id = unit.taskId(static_cast<int>(index));
     followUpTasks +=
-        rounds(timeLeft - RunMonitor(Scheduler, Now)
-                              .remainingTime(*unit.Owner,
-                                             unit.taskId(static_cast<int>(i)),
-                                             step[i]));
+        rounds(timeLeft -
+               RunMonitor(Scheduler, Now).remainingTime(*unit.Owner, id, task));
   }
   const int64_t tasksPerSlot = std::max<int64_t>(1, rounds(timeLeft));
   const int64_t uncoveredTasks = std::max<int64_t>(0, n - followUpTasks);
--- a/src/libs/jobs/runmonitor.cpp
+++ b/src/libs/jobs/runmonitor.cpp
@@ -37,9 +37,8 @@
   PeerTimes peers;
   TaskId id = first;
   Step &step = job.stepOf(id);
-  for (size_t i = 0; i < step.size(); ++i) {
-    id.Index = static_cast<int>(i);
-    Task &task = step[i];
+  for (auto &[index, task] : step.objects()) {
+    id.Index = static_cast<int>(index);
     if (task.RunPhase == JobScheduler::Phase::Running && !task.StopRequested &&
         !task.Progress.Done)
       checkRun(job, id, task, peers);
@@ -64,7 +63,7 @@
     ++task.Moves;
     return;
   }
-  for (Task &member : job.stepOf(id))
+  for (auto &[index, member] : job.stepOf(id).objects())
     ++member.Moves;
 }
 
@@ -92,8 +91,9 @@
 // of them, and all are stalled until every member has started. Only a member
 // that is more than one percent behind another one is the cause.
 bool RunMonitor::isBehindGang(const Step &step, const Task &task) {
-  return std::any_of(step.begin(), step.end(), [&](const Task &other) {
-    return other.isAssigned() && other.Percent > task.Percent + 1;
+  const auto &tasks = step.objects();
+  return std::any_of(tasks.begin(), tasks.end(), [&](const auto &other) {
+    return other.second.isAssigned() && other.second.Percent > task.Percent + 1;
   });
 }
 
@@ -121,9 +121,10 @@
   peers.Collected = true;
   const Step &step = job.stepOf(first);
   TaskId id = first;
-  for (size_t i = 0; i < step.size(); ++i) {
-    const Task &task = step[i];
-    id.Index = static_cast<int>(i);
+  peers.ByIndex.assign(step.size(), absl::InfiniteDuration());
+  peers.Sorted = step.SettledDurations;
+  for (const auto &[index, task] : step.objects()) {
+    id.Index = static_cast<int>(index);
     absl::Duration duration = absl::InfiniteDuration();
     if (task.RunDuration > absl::ZeroDuration())
       duration = task.RunDuration;
@@ -131,7 +132,7 @@
       if (const auto bounds = Scheduler.Progress.durationBounds(
               {core::taskName(id), task.Progress.Run}))
         duration = bounds->AtMost;
-    peers.ByIndex.push_back(duration);
+    peers.ByIndex[index] = duration;
     if (duration != absl::InfiniteDuration())
       peers.Sorted.push_back(duration);
   }
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -106,6 +106,13 @@
   size_t CrashesBeforeFailure = 3;
   /// Time after a worker crash during which suspect tasks avoid its host.
   absl::Duration RecentCrashWindow = absl::Seconds(30);
+  /// How many tasks of a repeating job are considered for a start at a time,
+  /// in occurrences of which nothing has begun. One occurrence always is.
+  int MaxWaitingTasks = 1024;
+  /// How many tasks the scheduler remembers something of at the same time.
+  /// Nothing starts beyond that, so that tasks that need no capacity cannot use
+  /// up the memory of its process.
+  size_t MaxRememberedTasks = 110'000;
   /// How long the members of a gang wait for each other to start.
   absl::Duration GangWait = absl::Milliseconds(3000);
   /// The wall clock in milliseconds since 1970, for repeating jobs.
--- a/src/libs/jobs/waitsurvey.cpp
+++ b/src/libs/jobs/waitsurvey.cpp
@@ -75,15 +75,17 @@
 WaitSurvey::StepTasks
 WaitSurvey::countTasks(const TaskId &first,
                        const JobScheduler::Step &step) const {
+  static const Task untouched;
   StepTasks tasks;
   TaskId id = first;
   for (size_t i = 0; i < step.size(); ++i) {
     id.Index = static_cast<int>(i);
-    const Task &task = step[i];
-    if (task.Progress.Done) {
+    if (step.isDone(i)) {
       ++tasks.Done;
       continue;
     }
+    const Task *object = step.find(i);
+    const Task &task = object == nullptr ? untouched : *object;
     const std::optional<WaitCause> cause = heldCause(id, task);
     if (!cause && task.isAssigned()) {
       ++tasks.Running;
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -526,8 +526,7 @@
     if (recorded == stored->Progress.Tasks.end())
       return false;
     const auto &tasks = recorded->second.at(static_cast<size_t>(step));
-    return std::all_of(tasks.begin(), tasks.end(),
-                       [](const auto &task) { return task.Done; });
+    return tasks.isAllDone();
   };
   for (int step = 0; step < static_cast<int>(specs.size()); ++step) {
     const core::StepSpec &spec = specs[static_cast<size_t>(step)];
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -191,7 +191,7 @@
     jobs::JobProgress Progress;
 
     jobs::JobState state() const {
-      return jobs::visibleStateOf(Record, &Progress);
+      return jobs::visibleStateOf(Record, Progress.State);
     }
   };
   struct SeenEnd {
--- a/tests/auto/cluster/tst_gangfailures.cpp
+++ b/tests/auto/cluster/tst_gangfailures.cpp
@@ -170,8 +170,9 @@
     const auto progress = Cluster.storedProgress(JobId);
     if (!progress || progress->Tasks.empty())
       return true;
-    for (const jobs::TaskProgress &task : progress->Tasks.at(0).at(0))
-      if (task.Worker.empty())
+    const jobs::StepProgress &members = progress->Tasks.at(0).at(0);
+    for (size_t i = 0; i < members.size(); ++i)
+      if (members.find(i) == nullptr || members.find(i)->Worker.empty())
         return true;
     return false;
   }
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -507,8 +507,8 @@
       if (StoreLosesAnswers)
         Scheduler->onWriteFailed(write.JobId);
       else
-        Scheduler->onWritten(write.JobId, write.Progress.Version,
-                             job.ProgressRevision, Now);
+        Scheduler->onWritten(write.JobId, write.Version, job.ProgressRevision,
+                             Now);
       if (isFinal(state(write.JobId)) && !job.EndedAt)
         job.EndedAt = Now;
     }
@@ -575,11 +575,11 @@
 JobState SimSite::state(const std::string &jobId) const {
   const StoredJob &job = Jobs.at(jobId);
   if (job.ProgressRevision == 0)
-    return visibleStateOf(job.Record, nullptr);
+    return visibleStateOf(job.Record, JobState::Queued);
   return utils::handle<JobState>(
       [&]() -> utils::Result<JobState> {
         BOOST_LEAF_AUTO(progress, decodeProgress(job.Progress));
-        return visibleStateOf(job.Record, &progress);
+        return visibleStateOf(job.Record, progress.State);
       },
       [](const utils::Error &) { return JobState::Queued; });
 }
--- /dev/null
+++ b/tests/auto/system/tst_largejobs.cpp
@@ -0,0 +1,76 @@
+// Jobs inside all limits that are large: their tasks, or those that fall due.
+#include "crowdsite.h"
+
+#include <absl/time/clock.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <ostream>
+#include <string>
+
+namespace oriolebay::testing_system {
+namespace {
+
+using nlohmann::json;
+
+/// Memory of a small host.
+constexpr int EntryMemoryMb = 120;
+constexpr int Jobs = 6;
+constexpr int Repeats = 1000;
+constexpr int TasksEach = 64;
+constexpr int64_t WorkMs = 3000;
+/// Time for which the jobs run before the memory is judged.
+constexpr absl::Duration WatchTime = absl::Seconds(6);
+
+struct LargeRow {
+  const char *Name;
+  bool Gang;
+  /// The first occurrence is due that long before the jobs come, and the others
+  /// one after the other at this interval.
+  int64_t FirstDueMsAgo;
+  int64_t IntervalMs;
+};
+
+void PrintTo(const LargeRow &row, std::ostream *out) { *out << row.Name; }
+
+std::string largeJob(const LargeRow &row) {
+  const int64_t now = absl::ToUnixMillis(absl::Now());
+  // Half of the worker's cores are left for other jobs.
+  const json step = {{"count", TasksEach},
+                     {"cpu", row.Gang ? 60 : 500},
+                     {"gpu", row.Gang ? 0 : 1},
+                     {"estimateMs", WorkMs},
+                     {"gang", row.Gang}};
+  return json{{"spec", "large"},
+              {"repeats", Repeats},
+              {"firstMs", now - row.FirstDueMsAgo},
+              {"intervalMs", row.IntervalMs},
+              {"steps", json::array({step})}}
+      .dump();
+}
+
+class LargeJobs : public testing::TestWithParam<LargeRow> {};
+
+// Guards against entries that are ended for their memory, one after the other,
+// by legal jobs with many tasks that are due, or fall due later.
+TEST_P(LargeJobs, LeaveTheLeaderWithinItsMemory) {
+  CrowdSite site(EntryMemoryMb, 1);
+  site.watch(*site.site().Entries[0]);
+  for (int n = 0; n < Jobs; ++n)
+    EXPECT_EQ(
+        site.site().call(0, "POST", "/q/" + jobId(n), largeJob(GetParam())),
+        200);
+  absl::SleepFor(WatchTime);
+  EXPECT_TRUE(site.completesJob(0)) << "no small job beside the large ones";
+  site.expectWithinLimits();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, LargeJobs,
+    testing::Values(LargeRow{"Due", false, 1'000'000, 1000},
+                    LargeRow{"DueGangs", true, 1'000'000, 1000},
+                    LargeRow{"FallDueOneByOne", false, 0, 5}),
+    [](const auto &info) { return info.param.Name; });
+
+} // namespace
+} // namespace oriolebay::testing_system
--- a/tests/bench/decidebench/main.cpp
+++ b/tests/bench/decidebench/main.cpp
@@ -104,7 +104,7 @@
   void startPlacedRuns() {
     Scheduler.decide(Now);
     for (const jobs::ProgressWrite &write : Scheduler.takeWrites())
-      Scheduler.onWritten(write.JobId, write.Progress.Version, ++Revision, Now);
+      Scheduler.onWritten(write.JobId, write.Version, ++Revision, Now);
     for (const auto &[address, orders] : Scheduler.takeOrders())
       for (const endpoints::StartOrder &start : orders.Starts)
         RunningAt[orders.Life].push_back({start.Task, start.Run, "", 1});
