Waiting order: the occurrences of a job take turns with other jobs

What callers saw: a small job waited until nothing was due any more of a large repeated job of its priority that had come before it, however many of its occurrences were due (hours for 64,000 tasks).

Cause: all occurrences of a job have its arrival, so that all of them came before every later job.

Why it works: the key of a waiting unit counts the earlier occurrences of its job that wait too. A job that does not repeat, or of which one occurrence waits, is placed as before.

What remains: jobs that do not repeat are served by arrival within a priority, so that a job of 4,096 tasks still goes before a later one of another organisation.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -122,21 +122,9 @@
 }
 
 void Planner::collectUnits() {
-  for (auto &[id, job] : Scheduler.Jobs) {
-    if (job.hasEnded())
-      continue;
-    Scheduler.RetryOnTick |= Scheduler.openDueOccurrences(job);
-    for (auto &[number, steps] : job.Occurrences) {
-      if (number >= job.DueAtLatestPass)
-        break;
-      for (size_t s = 0; s < steps.size(); ++s) {
-        if (!JobScheduler::isStepReady(job, steps, s))
-          continue;
-        PlacementUnit unit{&job, number, static_cast<int>(s), {}, job.Rank, {}};
-        collectTasks(unit, steps[s]);
-      }
-    }
-  }
+  for (auto &[id, job] : Scheduler.Jobs)
+    if (!job.hasEnded())
+      collectUnitsOf(job);
   for (PlacementUnit &unit : Units) {
     unit.Overdue = Scheduler.isOverdue(*unit.Owner, Now);
     computeUrgency(unit);
@@ -147,6 +135,25 @@
             });
 }
 
+void Planner::collectUnitsOf(Job &job) {
+  Scheduler.RetryOnTick |= Scheduler.openDueOccurrences(job);
+  int round = 0;
+  for (auto &[number, steps] : job.Occurrences) {
+    if (number >= job.DueAtLatestPass)
+      break;
+    const size_t first = Units.size();
+    for (size_t s = 0; s < steps.size(); ++s) {
+      if (!JobScheduler::isStepReady(job, steps, s))
+        continue;
+      PlacementUnit unit{&job, number, static_cast<int>(s), {}, job.Rank, {}};
+      collectTasks(unit, steps[s]);
+    }
+    for (size_t n = first; n < Units.size(); ++n)
+      Units[n].Round = round;
+    round += Units.size() > first ? 1 : 0;
+  }
+}
+
 // Whether a run of the task may still start, or is still listed, on a worker
 // that it has left.
 bool Planner::mayRunElsewhere(const core::TaskId &id, const Task &task) const {
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -89,6 +89,8 @@
     std::set<std::string> AvoidHosts = {};
     /// Its job's answer is worth nearly nothing any more; see startsBefore().
     bool Overdue = false;
+    /// Number of earlier occurrences of its job that wait too.
+    int Round = 0;
     /// How long it can wait before its job misses its deadline. Among other
     /// work of priority 0, the unit with the least slack is placed first.
     absl::Duration Slack = absl::ZeroDuration();
@@ -122,7 +124,7 @@
     }
     WaitingUnitKey key() const {
       return {Rank,       Overdue, Slack, Owner->Arrived, Owner->Record.Spec.Id,
-              Occurrence, Step};
+              Occurrence, Step,    Round};
     }
     /// Other work may be stopped for it.
     bool mayStopOthers() const { return Rank == 0 || (Rank == 1 && !Overdue); }
@@ -182,6 +184,7 @@
   };
 
   void collectUnits();
+  void collectUnitsOf(Job &job);
   /// Whether the scheduler may remember something of so many more tasks.
   bool maySpareMemoryFor(size_t tasks) const {
     return RememberedTasks + tasks <= Scheduler.Policy.MaxRememberedTasks;
--- a/src/libs/jobs/waitingorder.cpp
+++ b/src/libs/jobs/waitingorder.cpp
@@ -16,6 +16,8 @@
     return a.Rank < b.Rank;
   if (a.Rank != RankWithinGuarantee && a.Overdue != b.Overdue)
     return b.Overdue;
+  if (a.Round != b.Round)
+    return a.Round < b.Round;
   if (a.Rank == RankOfOtherUrgentWork && a.Slack != b.Slack)
     return a.Slack < b.Slack;
   return std::tie(a.Arrived, a.Job, a.Occurrence, a.Step) <
--- a/src/libs/jobs/waitingorder.h
+++ b/src/libs/jobs/waitingorder.h
@@ -18,13 +18,16 @@
   std::string Job;
   int Occurrence = 0;
   int Step = 0;
+  /// Number of earlier occurrences of the job that wait too.
+  int Round = 0;
 
   auto operator<=>(const WaitingUnitKey &) const = default;
 };
 
 /// Decides the order in which waiting units get capacity: by rank, work that is
-/// overdue after all other work of its rank, among other urgent work by slack,
-/// then by arrival. The pattern of load that it answers: a burst leaves more
+/// overdue after all other work of its rank, the occurrences of a job in turn
+/// with those of other jobs, among other urgent work by slack, then by arrival.
+/// The pattern of load that it answers: a burst leaves more
 /// urgent work than the site can serve in time. Served in the order of arrival
 /// or slack, the backlog delays all work that arrives later until that is late
 /// too.
--- a/tests/auto/jobs/tst_manyoccurrences.cpp
+++ b/tests/auto/jobs/tst_manyoccurrences.cpp
@@ -164,6 +164,22 @@
   EXPECT_EQ(site.state("small"), JobState::Completed);
 }
 
+// Guards against small jobs that wait until nothing is due of the large jobs of
+// their priority that came before them.
+TEST(RepeatedJobs, TakeTurnsWithOthersOfTheirPriority) {
+  SimSite site;
+  addRacks(site, Racks);
+  for (const char *id : {"large0", "large1"}) {
+    core::JobSpec spec = repeated(makeStep(16, {1000, 1000, 1}, WorkMs), 1000);
+    spec.Id = id;
+    site.submit(spec);
+  }
+  site.runFor(absl::Seconds(2));
+  site.submit(jobOf("small", makeStep(1, {1000, 1000, 1}, WorkMs), "org-b"));
+  site.runFor(absl::Seconds(3));
+  EXPECT_EQ(site.state("small"), JobState::Completed);
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, LargeJobs,
                          testing::Values(LargeCase{"Tasks", false, 64, 1000},
                                          LargeCase{"Gangs", true, 32, 1000},
