Agent: the text of a job once in its orders, and a bound on calls to the worker

What callers saw: one legal job of 4,096 small tasks with a text of 3,900 bytes took the agent of its worker to 158 MB of its 128 and to 2,433 descriptors; on a host that limits memory it is ended, starts again and gets the same orders.

Cause: the text stood in each start of an order, in each order that the agent keeps and in each open call, and every start had a connection to the worker at the same time, as had every stop.

Why it works: orders contain each payload once if the agent's report says that it can read that (agents and leaders of earlier versions send and get what they did), and in memory all starts of a job share one text, in the leader as well. Of starts and of stops 24 each wait for the worker's answer at a time; a start that has waited is decided on again before it is sent.

What remains: stops of attempts that an earlier incarnation of a worker left open are sent all at once.

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -204,6 +204,14 @@
   /// Handles the outcome of an attempt of a start, also if it got no answer.
   void onStartReply(const OrderPtr &order,
                     const endpoints::CallOutcome &outcome);
+  /// Sends one attempt of a start, which carries the time until which the
+  /// worker may run it.
+  void sendStart(const OrderPtr &order, int64_t untilMs);
+  /// Calls startTask() if the order's incarnation is still served.
+  void resumeStart(const OrderPtr &order);
+  /// Carry out orders that wait until a call to the worker is answered.
+  void resumeQueuedStarts();
+  void resumeQueuedStops();
   /// Sends the next attempt of a stop.
   void stopTask(const OrderPtr &order);
   /// Handles the outcome of an attempt of a stop, also if it got no answer.
@@ -345,6 +353,12 @@
   /// Number of the first keep-alive call that was sent after the last confirmed
   /// stop of an open attempt.
   uint64_t FirstKeepAliveAfterStop = 0;
+  /// Calls to the worker that have not been answered, and the orders that wait
+  /// for one of them to be answered.
+  size_t StartsInFlight = 0;
+  size_t StopsInFlight = 0;
+  std::deque<OrderPtr> QueuedStarts;
+  std::deque<OrderPtr> QueuedStops;
   /// Starts and stops that are being carried out.
   std::map<endpoints::RunId, OrderPtr> StartsInProgress;
   std::map<endpoints::RunId, OrderPtr> StopsInProgress;
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -34,6 +34,9 @@
 constexpr absl::Duration MinOrderTimeout = absl::Milliseconds(200);
 /// Number of completed orders that are remembered to answer delayed messages.
 constexpr size_t MaxCompletedOrders = 2048;
+/// Maximum number of starts that the worker has not answered. A worker and its
+/// agent have some 64 connections for each other.
+constexpr size_t MaxStartsInFlight = 24;
 /// Minimum remaining grant that is required to send a start, so that the start
 /// can reach the worker in time.
 constexpr int64_t MinGrantForStartMs = 300;
@@ -248,10 +251,18 @@
     return;
   }
   endDeferral(*order, "allowed");
+  if (StartsInFlight >= MaxStartsInFlight)
+    QueuedStarts.push_back(order);
+  else
+    sendStart(order, until);
+}
+
+void WorkerAgent::sendStart(const OrderPtr &order, int64_t untilMs) {
+  const RunId key{order->Start.Task, order->Start.Run};
   endpoints::StartCall call;
   call.Incarnation = order->Incarnation;
   call.Order = order->Start;
-  call.UntilMs = until;
+  call.UntilMs = untilMs;
   call.Epoch = order->Epoch;
   // A reused connection may be silent, or end under the request, which leaves
   // the outcome unknown.
@@ -262,22 +273,34 @@
       Attempts.open(key, order->Incarnation, Loop.now());
   order->LastAttempt = number;
   order->FirstSentAt = std::min(order->FirstSentAt, Loop.now());
-  order->RefusedFromMs = until;
+  order->RefusedFromMs = untilMs;
+  ++StartsInFlight;
   Worker.Start(call,
                [this, alive = Alive, order, attempt = order->Attempts, number,
                 key, sentAt = Loop.now()](const CallOutcome &outcome) {
                  if (!*alive)
                    return;
+                 --StartsInFlight;
                  recordAttemptOutcome(*order, attempt, number, outcome);
-                 if (order->Incarnation != State.Life)
-                   return;
-                 if (outcome.Status == CallStatus::NoAnswer &&
-                     Loop.now() - sentAt >= MinOrderTimeout)
-                   SentStarts.recordTimeout(key, Loop.now());
-                 onStartReply(order, outcome);
+                 if (order->Incarnation == State.Life) {
+                   if (outcome.Status == CallStatus::NoAnswer &&
+                       Loop.now() - sentAt >= MinOrderTimeout)
+                     SentStarts.recordTimeout(key, Loop.now());
+                   onStartReply(order, outcome);
+                 }
+                 resumeQueuedStarts();
                });
 }
 
+// What has been decided when a start was queued may not hold any more.
+void WorkerAgent::resumeQueuedStarts() {
+  while (StartsInFlight < MaxStartsInFlight && !QueuedStarts.empty()) {
+    const OrderPtr order = QueuedStarts.front();
+    QueuedStarts.pop_front();
+    resumeStart(order);
+  }
+}
+
 bool WorkerAgent::isStateOutdated() const {
   return Loop.now() - LastHeartbeatAt >= Time.StateOutdatedAfter;
 }
@@ -294,15 +317,18 @@
 
 void WorkerAgent::retryStart(const OrderPtr &order) {
   Loop.runAfter(OrderRetryPause, [this, alive = Alive, order] {
-    if (!*alive)
-      return;
-    if (order->Incarnation == State.Life)
-      startTask(order);
-    else
-      endDeferral(*order, "that incarnation has ended");
+    if (*alive)
+      resumeStart(order);
   });
 }
 
+void WorkerAgent::resumeStart(const OrderPtr &order) {
+  if (order->Incarnation == State.Life)
+    startTask(order);
+  else
+    endDeferral(*order, "that incarnation has ended");
+}
+
 std::string WorkerAgent::deferralReason() const {
   if (!Attempts.pendingStops(State.Life, Loop.now()).empty())
     return "the worker has to refuse earlier starts first";
--- a/src/libs/agent/workeragent_reports.cpp
+++ b/src/libs/agent/workeragent_reports.cpp
@@ -78,6 +78,7 @@
   message.Running = Running;
   message.Ended = Ended;
   message.EndsComplete = EndsComplete;
+  message.ReadsSharedPayloads = true;
   message.Results = Results;
   message.OpenStarts = Attempts.openStarts(Loop.now());
   message.StartsKnownForMs = absl::ToInt64Milliseconds(
--- a/src/libs/agent/workeragent_stops.cpp
+++ b/src/libs/agent/workeragent_stops.cpp
@@ -17,6 +17,9 @@
 
 /// Maximum number of attempts to stop a run.
 constexpr int MaxStopAttempts = 40;
+/// Maximum number of stops that the worker has not answered, beside as many
+/// starts.
+constexpr size_t MaxStopsInFlight = 24;
 
 } // namespace
 
@@ -25,18 +28,36 @@
     StopsInProgress.erase({order->Stop.Task, order->Stop.Run});
     return;
   }
+  if (StopsInFlight >= MaxStopsInFlight) {
+    QueuedStops.push_back(order);
+    return;
+  }
   endpoints::StopCall call;
   call.Incarnation = order->Incarnation;
   call.Order = order->Stop;
   call.Epoch = order->Epoch;
   call.FreshConnection = order->Attempts > 0;
   ++order->Attempts;
+  ++StopsInFlight;
   Worker.Stop(call, [this, alive = Alive, order](const CallOutcome &outcome) {
-    if (*alive && order->Incarnation == State.Life)
+    if (!*alive)
+      return;
+    --StopsInFlight;
+    if (order->Incarnation == State.Life)
       onStopReply(order, outcome);
+    resumeQueuedStops();
   });
 }
 
+void WorkerAgent::resumeQueuedStops() {
+  while (StopsInFlight < MaxStopsInFlight && !QueuedStops.empty()) {
+    const OrderPtr order = QueuedStops.front();
+    QueuedStops.pop_front();
+    if (order->Incarnation == State.Life)
+      stopTask(order);
+  }
+}
+
 void WorkerAgent::onStopReply(const OrderPtr &order,
                               const CallOutcome &outcome) {
   const RunId key{order->Stop.Task, order->Stop.Run};
--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <set>
 
 namespace oriolebay::endpoints {
@@ -85,6 +86,7 @@
        {"Running", r.Running},
        {"Ended", r.Ended},
        {"EndsComplete", r.EndsComplete},
+       {"ReadsSharedPayloads", r.ReadsSharedPayloads},
        {"Results", r.Results},
        {"OpenStarts", r.OpenStarts},
        {"StartsKnownForMs", r.StartsKnownForMs},
@@ -92,8 +94,9 @@
 }
 
 // Agents of earlier versions do not track open starts, the age of the state,
-// the speed in gangs and whether all ends are listed. Their reports lack these
-// fields and must remain readable during an upgrade.
+// the speed in gangs and whether all ends are listed, and read no shared
+// payloads. Their reports lack these fields and must remain readable during an
+// upgrade.
 static void from_json(const json &j, WorkerReport &r) {
   j.at("Agent").get_to(r.Agent);
   j.at("AgentAddress").get_to(r.AgentAddress);
@@ -111,6 +114,7 @@
   r.StartsKnownForMs = j.value("StartsKnownForMs", int64_t{0});
   r.StateOutdated = j.value("StateOutdated", false);
   r.EndsComplete = j.value("EndsComplete", true);
+  r.ReadsSharedPayloads = j.value("ReadsSharedPayloads", false);
   r.SpeedWithGangs = j.value("SpeedWithGangs", LearnedSpeed());
 }
 
@@ -147,23 +151,80 @@
   a.EarlierStarts = j.value("EarlierStarts", std::vector<EarlierStart>());
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartOrder, Task, Run, Payload, Saved,
-                                   Ticket, DecidedOn)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopOrder, Task, Run)
 
+// A start without its payload.
+static json startToJson(const StartOrder &o) {
+  return {{"Task", o.Task},
+          {"Run", o.Run},
+          {"Saved", o.Saved},
+          {"Ticket", o.Ticket},
+          {"DecidedOn", o.DecidedOn}};
+}
+
+static StartOrder startFromJson(const json &j) {
+  StartOrder o;
+  j.at("Task").get_to(o.Task);
+  j.at("Run").get_to(o.Run);
+  j.at("Saved").get_to(o.Saved);
+  j.at("Ticket").get_to(o.Ticket);
+  j.at("DecidedOn").get_to(o.DecidedOn);
+  return o;
+}
+
+// The starts, each with its payload.
+static json startsToJson(const std::vector<StartOrder> &starts) {
+  json list = json::array();
+  for (const StartOrder &o : starts) {
+    list.push_back(startToJson(o));
+    list.back()["Payload"] = o.Payload.str();
+  }
+  return list;
+}
+
+// The starts, each with the index of its payload in the list of payloads.
+static json startsToJson(const std::vector<StartOrder> &starts,
+                         json &payloads) {
+  json list = json::array();
+  std::map<core::SharedText, size_t> indexOf;
+  payloads = json::array();
+  for (const StartOrder &o : starts) {
+    const auto [it, added] = indexOf.emplace(o.Payload, payloads.size());
+    if (added)
+      payloads.push_back(o.Payload.str());
+    list.push_back(startToJson(o));
+    list.back()["PayloadIndex"] = it->second;
+  }
+  return list;
+}
+
 static void to_json(json &j, const WorkerOrders &o) {
   j = {{"Epoch", o.Epoch},
        {"Life", o.Life},
-       {"Starts", o.Starts},
        {"Stops", o.Stops},
        {"LastReport", o.LastReport}};
+  if (o.PayloadsShared)
+    j["Starts"] = startsToJson(o.Starts, j["Payloads"]);
+  else
+    j["Starts"] = startsToJson(o.Starts);
 }
 
 static void from_json(const json &j, WorkerOrders &o) {
   j.at("Epoch").get_to(o.Epoch);
   j.at("Life").get_to(o.Life);
-  j.at("Starts").get_to(o.Starts);
   j.at("Stops").get_to(o.Stops);
+  o.PayloadsShared = j.contains("Payloads");
+  std::vector<core::SharedText> payloads;
+  if (o.PayloadsShared)
+    for (const json &payload : j.at("Payloads"))
+      payloads.emplace_back(payload.get<std::string>());
+  for (const json &start : j.at("Starts")) {
+    o.Starts.push_back(startFromJson(start));
+    o.Starts.back().Payload =
+        o.PayloadsShared
+            ? payloads.at(start.at("PayloadIndex").get<size_t>())
+            : core::SharedText(start.at("Payload").get<std::string>());
+  }
   o.LastReport = j.value("LastReport", WorkerOrders().LastReport);
 }
 
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -3,6 +3,7 @@
 #include "core/answer.h"
 #include "core/job.h"
 #include "core/jobspec.h"
+#include "core/sharedtext.h"
 #include "core/siteconfig.h"
 #include "core/workerinfo.h"
 #include "utils/error.h"
@@ -323,6 +324,9 @@
   /// The worker has no ends beside Ended. Else a run that it does not list may
   /// have ended.
   bool EndsComplete = true;
+  /// The agent can read orders that contain each payload once. Not set by
+  /// agents of earlier versions.
+  bool ReadsSharedPayloads = false;
   auto operator<=>(const WorkerReport &) const = default;
 };
 
@@ -358,7 +362,8 @@
 struct StartOrder {
   std::string Task;
   int64_t Run = 0;
-  std::string Payload;
+  /// The starts of one job share it.
+  core::SharedText Payload;
   std::string Saved;
   std::string Ticket;
   core::Resources DecidedOn = {};
@@ -375,13 +380,15 @@
 /// Leading entry to agent: orders for one incarnation of its worker. The agent
 /// acknowledges them immediately and sends the outcome of each in a report.
 /// LastReport is the number of the agent's latest report when the orders were
-/// given. A leader of an earlier version does not send it.
+/// given. A leader of an earlier version does not send it. PayloadsShared: the
+/// message contains each payload once, however many starts have it.
 struct WorkerOrders {
   int64_t Epoch = 0;
   WorkerIncarnation Life;
   std::vector<StartOrder> Starts;
   std::vector<StopOrder> Stops;
   int64_t LastReport = std::numeric_limits<int64_t>::max();
+  bool PayloadsShared = false;
   auto operator<=>(const WorkerOrders &) const = default;
 };
 
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -95,6 +95,7 @@
   worker.Sequence = report.Sequence;
   worker.Reachable = report.Reachable;
   worker.StateOutdated = report.StateOutdated;
+  worker.ReadsSharedPayloads = report.ReadsSharedPayloads;
   worker.EarliestShutdown =
       report.Worker.Draining
           ? now + absl::Milliseconds(report.Worker.RemainingMs)
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -72,6 +72,8 @@
   bool Reachable = true;
   /// Its state may be outdated, as its agent has had no heartbeat for too long.
   bool StateOutdated = false;
+  /// Its agent can read orders that contain each payload once.
+  bool ReadsSharedPayloads = false;
   /// Time by which its tasks have ended unless its agent reports it as
   /// reachable again.
   absl::Time LostAt;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -479,6 +479,7 @@
     orders.Epoch = Epoch;
     const WorkerView *worker = Workers.find(orders.Life);
     orders.LastReport = worker == nullptr ? 0 : worker->Sequence;
+    orders.PayloadsShared = worker != nullptr && worker->ReadsSharedPayloads;
     taken.push_back({receiver.first, std::move(orders)});
   }
   return taken;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -261,7 +261,9 @@
     std::vector<absl::Duration> SettledDurations;
   };
   struct Job {
+    /// Without the job's payload.
     JobRecord Record;
+    core::SharedText Payload;
     int64_t RecordRevision = 0;
     int64_t ProgressRevision = 0;
     /// Version of the latest progress that takeWrites() returned or that a
--- a/src/libs/jobs/jobscheduler_orders.cpp
+++ b/src/libs/jobs/jobscheduler_orders.cpp
@@ -46,7 +46,7 @@
   task.StartedAt = absl::InfinitePast();
   endpoints::StartOrder startOrder{core::taskName(id),
                                    task.Progress.Run,
-                                   job.Record.Spec.Payload,
+                                   job.Payload,
                                    task.Progress.Saved,
                                    "",
                                    worker->State.Capacity};
--- a/tests/auto/endpoints/tst_largemessages.cpp
+++ b/tests/auto/endpoints/tst_largemessages.cpp
@@ -78,15 +78,49 @@
                                          SizeCase{"huge", uint64_t{1} << 40}),
                          [](const auto &info) { return info.param.Name; });
 
-// Guards against a limit that orders meet.
-TEST(LargeMessages, OrdersForTheLargestJobAreTaken) {
-  const AcknowledgingServer server;
+/// Starts of all tasks of the largest job.
+WorkerOrders largestOrders() {
   StartOrder start;
   start.Task = "0123456789abcdef.999.63.4095";
   start.Payload = std::string(core::MaxPayloadBytes, 'x');
   start.Saved = "00000bb87a21d94b";
   WorkerOrders orders;
   orders.Starts.assign(core::MaxTasksPerJob, start);
+  return orders;
+}
+
+class OrdersOfTheLargestJob : public testing::TestWithParam<bool> {};
+
+// Guards against starts that get another payload, or none, because the message
+// contains it once or is one for an agent of an earlier version.
+TEST_P(OrdersOfTheLargestJob, AreReadAsWritten) {
+  WorkerOrders orders = largestOrders();
+  orders.PayloadsShared = GetParam();
+  orders.Starts[1].Payload = "of another job";
+  EXPECT_EQ(std::get<WorkerOrders>(decode(encode(orders)).value()), orders);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, OrdersOfTheLargestJob, testing::Bool(),
+                         [](const auto &info) {
+                           return info.param ? "shared" : "earlier_version";
+                         });
+
+// Guards against agents that are ended for their memory by the text of a job
+// that stands in each of its starts.
+TEST(SharedPayloads, TakeTheirMemoryOnce) {
+  WorkerOrders orders = largestOrders();
+  orders.PayloadsShared = true;
+  const std::string bytes = encode(orders);
+  EXPECT_LT(bytes.size(), core::MaxTasksPerJob * core::MaxPayloadBytes / 10);
+  const auto read = std::get<WorkerOrders>(decode(bytes).value());
+  EXPECT_EQ(&read.Starts.front().Payload.str(),
+            &read.Starts.back().Payload.str());
+}
+
+// Guards against a limit that orders meet.
+TEST(LargeMessages, OrdersForTheLargestJobAreTaken) {
+  const AcknowledgingServer server;
+  const WorkerOrders orders = largestOrders();
   EXPECT_LT(encode(orders).size(), MaxMessageBytes);
   const auto channel = std::make_shared<RequestChannel>(server.address());
   const PeerReply reply = RequestChannel::call(channel, orders, CallTimeoutMs);
--- a/tests/auto/system/tst_largejobs.cpp
+++ b/tests/auto/system/tst_largejobs.cpp
@@ -15,6 +15,7 @@
 
 /// Memory of a small host.
 constexpr int EntryMemoryMb = 120;
+constexpr int AgentMemoryMb = 128;
 constexpr int Jobs = 6;
 constexpr int Repeats = 1000;
 constexpr int TasksEach = 64;
@@ -72,5 +73,20 @@
                     LargeRow{"FallDueOneByOne", false, 0, 5}),
     [](const auto &info) { return info.param.Name; });
 
+// Guards against agents that are ended for their memory by one legal job, whose
+// text stands in each of its starts.
+TEST(JobOfManyTasks, LeavesTheAgentWithinItsMemory) {
+  CrowdSite site(AgentMemoryMb, 1);
+  site.watch(*site.site().Agents[0]);
+  const json step = {
+      {"count", 4096}, {"cpu", 1}, {"memMb", 1}, {"estimateMs", WorkMs}};
+  const json job = {{"spec", std::string(3900, 'x')},
+                    {"steps", json::array({step})}};
+  EXPECT_EQ(site.site().call(0, "POST", "/q/" + jobId(0), job.dump()), 200);
+  absl::SleepFor(WatchTime);
+  EXPECT_TRUE(site.completesJob(0)) << "no small job beside the large one";
+  site.expectWithinLimits();
+}
+
 } // namespace
 } // namespace oriolebay::testing_system
