Cancellations bar the id of a job that the store does not have

Cause: 410 rested on the absence of the record, and a write of the submission was open whose only condition is that absence. What entries remember of open writes is known to those that took part, until they restart.

One test is replaced: CancellationOfAJobThatMayBeStoredIsNotRefused asked that the answer stays open and that the late write is stored. It asks now for a firm answer and that the write fails, and a second test for an open answer where the store does not answer. The fakes' storedState() takes a tombstone for no job.

--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -29,6 +29,10 @@
 /// queue was removed. Only Cancelled ever changes, and only to true. DecidedBy
 /// is the newest configuration by which a call was accepted that has written
 /// the record; zeros if an earlier version of the product wrote it.
+///
+/// A record without steps is a tombstone: a caller has cancelled the id before
+/// any job was stored under it. While it is stored, a late write of such a job
+/// fails.
 struct JobRecord {
   core::JobSpec Spec;
   std::string Service;
@@ -40,6 +44,7 @@
   bool Cancelled = false;
   core::ConfigStamp DecidedBy = {};
 
+  bool isTombstone() const { return Cancelled && Spec.Steps.empty(); }
   auto operator<=>(const JobRecord &) const = default;
 };
 
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -132,7 +132,8 @@
   /// are being recorded.
   std::vector<std::string> takeEndingJobs();
   /// Returns the jobs that can be removed from the store: they ended more than
-  /// FinishedJobRetention ago and have no task on any worker.
+  /// FinishedJobRetention ago and have no task on any worker. Tombstones are
+  /// removed after the same time.
   std::vector<ExpiredJob> takeExpiredJobs(absl::Time now);
 
   /// Number of scheduling passes so far.
@@ -604,6 +605,13 @@
   UrgentDemandEstimator UrgentDemand;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
+  /// A record without a job, and when this leader learned of it.
+  struct Tombstone {
+    int64_t Revision = 0;
+    absl::Time Since;
+  };
+  /// By the id that it bars.
+  std::map<std::string, Tombstone> Tombstones;
   /// When this leader last received the record of a new job.
   absl::Time LastArrival = absl::InfinitePast();
   /// A worker incarnation that is named in a record and has not reported to
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -9,6 +9,12 @@
 
 void JobScheduler::onRecord(const JobRecord &record, int64_t revision,
                             absl::Time now) {
+  if (record.isTombstone()) {
+    Tombstones.try_emplace(record.Spec.Id, Tombstone{revision, now})
+        .first->second.Revision = revision;
+    return;
+  }
+  Tombstones.erase(record.Spec.Id);
   auto [it, added] = Jobs.try_emplace(record.Spec.Id);
   Job &job = it->second;
   if (revision <= job.RecordRevision)
@@ -104,6 +110,7 @@
 
 void JobScheduler::onRecordRemoved(const std::string &jobId) {
   Jobs.erase(jobId);
+  Tombstones.erase(jobId);
 }
 
 JobProgress JobScheduler::progressOf(const Job &job) {
@@ -194,6 +201,9 @@
     if (isRemovable)
       expired.push_back({id, job.RecordRevision, job.ProgressRevision});
   }
+  for (const auto &[id, tombstone] : Tombstones)
+    if (now - tombstone.Since > Policy.FinishedJobRetention)
+      expired.push_back({id, tombstone.Revision, 0});
   return expired;
 }
 
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -189,6 +189,7 @@
     return View.find(call->JobId) != nullptr ||
            JobsPossiblyStored.contains(call->JobId, Loop.now());
   return call->Name == "cancel" && refusal == CallResult::UnknownJob &&
+         !call->IsIdBarred &&
          JobsPossiblyStored.contains(call->JobId, Loop.now());
 }
 
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -244,6 +244,9 @@
                   const platform::StoreReply<platform::StoreTxnReply> &reply,
                   absl::Time sentAt, const std::string &value);
   platform::StoreTxn newJobTxn(const CallPtr &call) const;
+  /// Whether the job of a submit call may be stored in place of this record.
+  bool mayReplace(const CallPtr &call,
+                  const platform::KeyValue &existing) const;
   /// Answers a submit call whose id the store has.
   void finishWithStoredJob(const CallPtr &call,
                            const platform::KeyValue &existing);
@@ -268,6 +271,18 @@
   /// Answers a cancel call.
   void findJobToCancel(const CallPtr &call);
   void writeCancel(const CallPtr &call, JobRecord record, int64_t revision);
+  /// Bars the id of a cancel call for which the store has no job, so that no
+  /// write of a submission can take effect any more, and answers the call.
+  void barId(const CallPtr &call);
+  /// Writes a tombstone, in place of the one with this revision unless that is
+  /// zero.
+  void writeTombstone(const CallPtr &call, int64_t replacedRevision);
+  /// Has the store confirm that it holds the tombstone with this revision.
+  void confirmTombstone(const CallPtr &call, int64_t revision);
+  void
+  onTombstoneReply(const CallPtr &call,
+                   const platform::StoreReply<platform::StoreTxnReply> &reply);
+  void finishBarred(const CallPtr &call);
   /// The job is in the call's queue, and the queue is public or the job belongs
   /// to the call's organisation.
   bool isAccessAllowed(const CallPtr &call, const JobRecord &record) const;
--- a/src/libs/jobs/jobservice_state.cpp
+++ b/src/libs/jobs/jobservice_state.cpp
@@ -43,7 +43,10 @@
                       return;
                     }
                     View.applyItem(reply.Value);
-                    next(call);
+                    if (View.findTombstone(call->JobId) != nullptr)
+                      finish(call, CallResult::UnknownJob, "no such job");
+                    else
+                      next(call);
                   });
 }
 
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -89,10 +89,11 @@
 }
 
 // Returns a transaction without writes on the conditions of a new job: its key
-// does not exist, and the configuration is the one known here.
+// does not exist, or holds what the job may replace, and the configuration is
+// the one known here.
 platform::StoreTxn JobService::newJobTxn(const CallPtr &call) const {
   platform::StoreTxn txn;
-  txn.Expected.push_back({specKey(call->JobId), 0});
+  txn.Expected.push_back({specKey(call->JobId), call->ReplacedRevision});
   txn.Expected.push_back(Config.condition());
   txn.TimeoutMs = nextTryTimeoutMs(call);
   return txn;
@@ -110,9 +111,10 @@
   }
   if (reply.ok()) {
     call->Writes.settle();
-    const KeyValue item{specKey(call->JobId), value, reply.Value.Revision,
-                        reply.Value.Revision, 0};
-    publishWrite(item);
+    const int64_t created =
+        call->ReplacedRevision == 0 ? reply.Value.Revision : 0;
+    publishWrite(
+        {specKey(call->JobId), value, created, reply.Value.Revision, 0});
     finish(call, CallResult::Ok);
     return;
   }
@@ -129,10 +131,16 @@
   const KeyValue *config = findItem(current, configKey);
   if (config != nullptr)
     Config.applyItem(*config, sentAt);
-  if (const KeyValue *existing = findItem(current, specKey(call->JobId))) {
+  const KeyValue *existing = findItem(current, specKey(call->JobId));
+  const bool isNew = existing == nullptr
+                         ? call->ReplacedRevision == 0
+                         : existing->ModRevision == call->ReplacedRevision;
+  if (!isNew && existing != nullptr && !mayReplace(call, *existing)) {
     finishWithStoredJob(call, *existing);
     return;
   }
+  if (!isNew)
+    call->ReplacedRevision = existing == nullptr ? 0 : existing->ModRevision;
   if (config != nullptr)
     call->Writes.recordNothingStored(config->ModRevision);
   // Without time left, retryStoreCall() only forwards the call or finishes it.
@@ -143,6 +151,13 @@
   authorise(call, true, [this](const CallPtr &c) { storeJob(c); });
 }
 
+// A cancellation bars only what its caller could have cancelled.
+bool JobService::mayReplace(const CallPtr &call,
+                            const KeyValue &existing) const {
+  const std::optional<JobRecord> record = tryDecodeRecord(existing.Value);
+  return record && record->isTombstone() && !isAccessAllowed(call, *record);
+}
+
 // The id was submitted before, by this call or an earlier one. That is the same
 // job if it is of the same organisation. No write can replace it.
 void JobService::finishWithStoredJob(const CallPtr &call,
@@ -150,6 +165,11 @@
   const std::optional<JobRecord> record = tryDecodeRecord(existing.Value);
   View.applyItem(existing);
   call->Writes.settle();
+  if (record && record->isTombstone()) {
+    finish(call, CallResult::IdTaken,
+           "this id was cancelled before its job was stored; choose another");
+    return;
+  }
   if (record && !isOwnJob(call, *record)) {
     finish(call, CallResult::IdTaken, "another job has this id");
     return;
@@ -173,16 +193,93 @@
       writeCancel(call, job->Record, job->RecordRevision);
     return;
   }
-  fetchRecord(
-      call, [this](const CallPtr &c) { findJobToCancel(c); },
-      [this](const CallPtr &c) {
-        if (View.find(c->JobId) != nullptr)
-          findJobToCancel(c);
-        else
-          finish(c, CallResult::NotDone, "the record is unreadable");
+  barId(call);
+}
+
+// A submission without an answer may be stored later, on condition that its key
+// does not exist. Other entries do not know of it, and this one may have
+// forgotten.
+void JobService::barId(const CallPtr &call) {
+  const StoredJob *known = View.findTombstone(call->JobId);
+  if (known == nullptr)
+    writeTombstone(call, 0);
+  else if (isAccessAllowed(call, known->Record))
+    confirmTombstone(call, known->RecordRevision);
+  else
+    writeTombstone(call, known->RecordRevision);
+}
+
+void JobService::writeTombstone(const CallPtr &call, int64_t replacedRevision) {
+  JobRecord record;
+  record.Spec.Id = call->JobId;
+  record.Spec.Organisation = call->Organisation;
+  record.Spec.Queue = call->Queue.Name;
+  record.Cancelled = true;
+  record.DecidedBy = call->CheckedConfig;
+  const std::string key = specKey(call->JobId);
+  const std::string value = encode(record);
+  platform::StoreTxn txn;
+  txn.Expected.push_back({key, replacedRevision});
+  txn.Puts.push_back({key, value, 0});
+  txn.TimeoutMs = nextTryTimeoutMs(call);
+  recordWrite(call, CallWrites::NoConfig);
+  StoreClient.Transact(
+      std::move(txn), [this, alive = Alive, call, key,
+                       value](const StoreReply<StoreTxnReply> &reply) {
+        if (!*alive)
+          return;
+        call->Writes.recordOutcome(reply.Status);
+        if (reply.ok())
+          View.applyItem({key, value, 0, reply.Value.Revision, 0});
+        onTombstoneReply(call, reply);
+      });
+}
+
+// The tombstone that is known here may have been removed.
+void JobService::confirmTombstone(const CallPtr &call, int64_t revision) {
+  platform::StoreTxn txn;
+  txn.Expected.push_back({specKey(call->JobId), revision});
+  txn.TimeoutMs = nextTryTimeoutMs(call);
+  StoreClient.Transact(
+      std::move(txn),
+      [this, alive = Alive, call](const StoreReply<StoreTxnReply> &reply) {
+        if (*alive)
+          onTombstoneReply(call, reply);
       });
 }
 
+void JobService::onTombstoneReply(const CallPtr &call,
+                                  const StoreReply<StoreTxnReply> &reply) {
+  if (reply.ok()) {
+    finishBarred(call);
+    return;
+  }
+  if (reply.Status != StoreStatus::Conflict) {
+    retryStoreCall(call, [this](const CallPtr &c) { findJobToCancel(c); });
+    return;
+  }
+  const KeyValue *current = findItem(reply.Value.Current, specKey(call->JobId));
+  if (current == nullptr) {
+    writeTombstone(call, 0);
+    return;
+  }
+  // A job, or a tombstone whose write got no answer or that another call has
+  // written.
+  View.applyItem(*current);
+  if (View.find(call->JobId) != nullptr ||
+      View.findTombstone(call->JobId) != nullptr)
+    findJobToCancel(call);
+  else
+    finish(call, CallResult::NotDone, "the record is unreadable");
+}
+
+// No such job exists, and none that was submitted before will.
+void JobService::finishBarred(const CallPtr &call) {
+  call->Writes.settle();
+  call->IsIdBarred = true;
+  finish(call, CallResult::UnknownJob, "no such job; its id is barred");
+}
+
 void JobService::writeCancel(const CallPtr &call, JobRecord record,
                              int64_t revision) {
   record.Cancelled = true;
--- a/src/libs/jobs/jobservicecall.h
+++ b/src/libs/jobs/jobservicecall.h
@@ -42,6 +42,12 @@
   /// An earlier call for the job, whose outcome is open, keeps this one from
   /// being refused.
   bool AwaitsEarlierCall = false;
+  /// The id is barred, so that no write of a job under it can take effect any
+  /// more.
+  bool IsIdBarred = false;
+  /// Revision of the record that the submitted job may replace, a tombstone of
+  /// another organisation; zero if there is none.
+  int64_t ReplacedRevision = 0;
   /// The store was asked what became of the open writes.
   bool SettlingBegun = false;
   /// The call was forwarded by another entry, or to one.
--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -9,9 +9,11 @@
 // Another writer may have stored a job that no entry would have accepted.
 utils::Result<void> checkRecord(const JobRecord &record,
                                 const std::string &id) {
-  const std::string problem = record.Spec.Id == id
-                                  ? core::validateStored(record.Spec)
-                                  : "it belongs to another job";
+  std::string problem;
+  if (record.Spec.Id != id)
+    problem = "it belongs to another job";
+  else if (!record.isTombstone())
+    problem = core::validateStored(record.Spec);
   if (problem.empty())
     return {};
   return utils::fail(utils::ErrorKind::BadMessage,
@@ -39,8 +41,15 @@
 const StoredJob *JobView::find(const std::string &jobId) const {
   auto it = Jobs.find(jobId);
   // A job's progress may be read before its record; until then it is unknown.
-  return it == Jobs.end() || it->second.RecordRevision == 0 ? nullptr
-                                                            : &it->second;
+  const bool isJob = it != Jobs.end() && it->second.RecordRevision > 0 &&
+                     !it->second.Record.isTombstone();
+  return isJob ? &it->second : nullptr;
+}
+
+const StoredJob *JobView::findTombstone(const std::string &jobId) const {
+  auto it = Jobs.find(jobId);
+  return it != Jobs.end() && it->second.Record.isTombstone() ? &it->second
+                                                             : nullptr;
 }
 
 int JobView::waitingJobCount(const std::string &queue) const {
@@ -79,6 +88,8 @@
               const platform::KeyValue &item) {
   if (known.RecordRevision == 0)
     return false;
+  if (known.Record.isTombstone() != record.isTombstone())
+    return true;
   if (item.CreateRevision > 0)
     return item.CreateRevision > known.RecordRevision;
   return !record.Cancelled;
--- a/src/libs/jobs/jobview.h
+++ b/src/libs/jobs/jobview.h
@@ -72,7 +72,10 @@
 
   /// All jobs have been read at least once.
   bool isComplete() const { return Complete; }
+  /// Null if the job is not known. A tombstone is no job.
   const StoredJob *find(const std::string &jobId) const;
+  /// Null if no tombstone is known for the id.
+  const StoredJob *findTombstone(const std::string &jobId) const;
   const std::map<std::string, StoredJob> &jobs() const { return Jobs; }
   /// Number of the queue's jobs that have not started, repeating jobs excluded.
   int waitingJobCount(const std::string &queue) const;
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -312,6 +312,8 @@
   return utils::handle<std::optional<StoredJob>>(
       [&]() -> utils::Result<std::optional<StoredJob>> {
         BOOST_LEAF_AUTO(record, jobs::decodeRecord(spec->second.Value));
+        if (record.isTombstone())
+          return std::optional<StoredJob>();
         if (progress == Store.items().end())
           return std::make_optional(StoredJob{std::move(record), {}});
         BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress->second.Value));
@@ -421,20 +423,25 @@
   if (!isEntryUp(n))
     return call;
   jobs::CallerAccess a = accessFor(key);
-  a.Path = "/" + Specs.at(job).Queue + "/" + job;
+  a.Path = "/" + queueOf(job) + "/" + job;
   Entries[n].Process->jobService().cancel(
       a, job,
       [call](const jobs::CallAnswer &answer) { call->Answer = answer; });
   return call;
 }
 
+std::string MemoryCluster::queueOf(const std::string &job) const {
+  auto it = Specs.find(job);
+  return it == Specs.end() ? makeJob(job, 1, 0, 0).Queue : it->second.Queue;
+}
+
 std::shared_ptr<MemoryCluster::CallerCall>
 MemoryCluster::state(int n, const std::string &key, const std::string &job) {
   auto call = makeCall(job, key);
   if (!isEntryUp(n))
     return call;
   jobs::CallerAccess a = accessFor(key);
-  a.Path = "/" + Specs.at(job).Queue + "/" + job;
+  a.Path = "/" + queueOf(job) + "/" + job;
   Entries[n].Process->jobService().state(
       a, job,
       [call](const jobs::CallAnswer &answer) { call->Answer = answer; });
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -186,6 +186,7 @@
     std::unique_ptr<entry::JobEntry> Process;
   };
   /// What the store has of a job. A job without progress has that of a new one.
+  /// A tombstone is no job.
   struct StoredJob {
     jobs::JobRecord Record;
     jobs::JobProgress Progress;
@@ -211,6 +212,8 @@
                                        const std::string &key);
   jobs::CallerAccess accessFor(const std::string &key) const;
   void addWorker(int n, const std::string &domain, const std::string &rack);
+  /// The queue of a job; that of makeJob() if nobody has submitted it.
+  std::string queueOf(const std::string &job) const;
   void sendHeartbeat(int worker);
   core::StepSpec stepOf(const std::string &task) const;
   std::optional<StoredJob> storedJob(const std::string &job) const;
--- a/tests/auto/cluster/tst_refusals.cpp
+++ b/tests/auto/cluster/tst_refusals.cpp
@@ -272,7 +272,7 @@
 
 // Guards against a caller who is told that its job does not exist, while a
 // write of it is open that the store carries out seconds later.
-TEST(Refusals, CancellationOfAJobThatMayBeStoredIsNotRefused) {
+TEST(Refusals, CancellationOfAJobThatMayBeStoredIsTrue) {
   RefusingSite site(1);
   site.storeFaults().LateWriteShare = 1;
   auto first = site.submit();
@@ -283,7 +283,21 @@
   const CallResult result = site.resultOf(cancel);
   site.cluster().runFor(LateWriteLimit);
   ASSERT_FALSE(isStoredYet);
-  ASSERT_TRUE(site.isStored());
+  EXPECT_EQ(result, CallResult::UnknownJob) << jobs::callResultName(result);
+  EXPECT_FALSE(site.isStored());
+  EXPECT_EQ(site.cluster().starts(), 0);
+}
+
+// Guards against a caller who is told that its job does not exist, where the
+// entry cannot make sure of that.
+TEST(Refusals, CancellationOfAJobThatMayBeStoredIsOpenWithoutTheStore) {
+  RefusingSite site(1);
+  site.storeFaults().LateWriteShare = 1;
+  auto first = site.submit();
+  ASSERT_EQ(site.resultOf(first), CallResult::Open);
+  auto cancel = site.cluster().cancel(site.entry(), RevokedKey, JobId);
+  const CallResult result = site.resultOf(cancel);
+  site.cluster().runFor(LateWriteLimit);
   EXPECT_FALSE(isRefusal(result)) << jobs::callResultName(result);
 }
 
