Accepted jobs have a memory budget: 429 and a Retry-After beyond it

What callers would see: entries that are ended for their memory by the number of jobs that they have accepted. Each entry keeps the record of each job, and core::validate() bounds one job only.

Why it works: an entry knows what its jobs take at most (jobs_memory_bytes: its view, the leader's copy, the occurrences that wait; tasks that run are bounded apart). An eighth of the memory of the smallest host of an entry is for jobs, as any entry may lead; entries register their memory. Of what is free each entry takes its share until it has heard of the others' jobs (3 s), so that all together stay within the limit. A job without room is refused with 429 once the store has confirmed that no earlier copy of it is stored; the Retry-After follows from how fast jobs are removed, 1 to 30 s. Tombstones count as jobs.

What remains: if watches are silent for longer than 3 s, entries accept beyond the limit; records of jobs that an earlier version has accepted are all kept.

--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -120,6 +120,12 @@
           static_cast<double>(s.LeaderEpoch));
     m.set("jobs_known", "Jobs in this entry's view of the store.",
           static_cast<double>(s.JobsKnown));
+    m.set("jobs_memory_bytes",
+          "Memory that the known jobs take, without tasks that run.",
+          static_cast<double>(s.JobsMemoryBytes));
+    m.set("jobs_memory_limit_bytes",
+          "Memory for jobs beyond which further ones are refused.",
+          static_cast<double>(s.JobsMemoryLimitBytes));
     m.set("jobs_active", "Jobs that are not over; only at the leader.",
           static_cast<double>(s.ActiveJobs));
     m.set("tasks_remembered",
--- a/src/libs/entry/entrydirectory.cpp
+++ b/src/libs/entry/entrydirectory.cpp
@@ -31,6 +31,16 @@
   return all;
 }
 
+int64_t EntryDirectory::smallestMemoryMb() const {
+  int64_t smallest = 0;
+  for (const auto &[key, entry] : Entries) {
+    const int64_t mb = entry.Record.MemoryMb;
+    if (entry.RemovedAt == absl::InfiniteFuture() && mb > 0)
+      smallest = smallest == 0 ? mb : std::min(smallest, mb);
+  }
+  return smallest;
+}
+
 bool EntryDirectory::isLargerKnown(double processorShare,
                                    absl::Time now) const {
   return std::any_of(Entries.begin(), Entries.end(), [&](const auto &entry) {
--- a/src/libs/entry/entrydirectory.h
+++ b/src/libs/entry/entrydirectory.h
@@ -28,6 +28,9 @@
 
   /// The addresses of the registered entries, in the order of their keys.
   std::vector<std::string> addresses() const;
+  /// The least memory of a registered entry's host in MB; zero if none is
+  /// known.
+  int64_t smallestMemoryMb() const;
   /// Returns whether an entry with more than this processor share is
   /// registered, or was until a short time ago.
   bool isLargerKnown(double processorShare, absl::Time now) const;
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -24,6 +24,9 @@
 /// message is lost.
 constexpr absl::Duration ViewUpdatePause = absl::Milliseconds(500);
 constexpr absl::Duration LeaderViewUpdatePause = absl::Milliseconds(100);
+constexpr size_t BytesPerMb = 1'000'000;
+/// One part of this many of a host's memory is for accepted jobs.
+constexpr size_t JobMemoryDivisor = 8;
 
 } // namespace
 
@@ -115,6 +118,7 @@
       [this] {
         return Cordons->current().containsAll(Settings.SiteFailureDomains);
       },
+      [this] { return jobMemoryLimit(); },
       [this](const jobs::CallRequest &call, const jobs::OnForwarded &done) {
         return forward(call, done);
       },
@@ -135,7 +139,7 @@
   election.LeaderKey = JobLeaderKey;
   election.EntryPrefix = EntryPrefix;
   election.Name = Settings.Name;
-  election.Entry = {Peers.Address, Settings.ProcessorShare};
+  election.Entry = {Peers.Address, Settings.ProcessorShare, Settings.MemoryMb};
   election.IsLargerEntryKnown = [this] {
     return Directory.isLargerKnown(Settings.ProcessorShare, Loop.now());
   };
@@ -157,6 +161,15 @@
   Election->start();
 }
 
+// Any entry may lead, also the one with the least memory.
+jobs::JobMemoryLimit JobEntry::jobMemoryLimit() const {
+  int64_t mb = Settings.MemoryMb;
+  if (const int64_t smallest = Directory.smallestMemoryMb(); smallest > 0)
+    mb = std::min(mb, smallest);
+  return {static_cast<size_t>(mb) * BytesPerMb / JobMemoryDivisor,
+          std::max<size_t>(1, Directory.addresses().size())};
+}
+
 bool JobEntry::ready(std::string *why) const {
   const char *reason = nullptr;
   if (Stopping)
@@ -185,6 +198,8 @@
   s.Leads = Session != nullptr && Session->isRunning();
   s.LeaderEpoch = Leader.Epoch;
   s.JobsKnown = View->jobs().size();
+  s.JobsMemoryBytes = View->memoryBytes();
+  s.JobsMemoryLimitBytes = jobMemoryLimit().Bytes;
   if (s.Leads) {
     s.ActiveJobs = Session->scheduler().unfinishedJobCount();
     s.TasksRemembered = Session->scheduler().rememberedTaskCount();
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -47,6 +47,9 @@
   size_t JobsKnown = 0;
   /// Counts of the leader; zero at other entries.
   size_t ActiveJobs = 0;
+  /// What the known jobs take in memory, and what they may take.
+  size_t JobsMemoryBytes = 0;
+  size_t JobsMemoryLimitBytes = 0;
   /// Tasks that the leader remembers something of; zero at other entries.
   size_t TasksRemembered = 0;
   size_t Workers = 0;
@@ -95,6 +98,8 @@
   void onLeadership(const platform::Leadership &leadership);
   void onViewComplete();
   LeaderSessionOptions leaderOptions() const;
+  /// What all entries together may hold of accepted jobs.
+  jobs::JobMemoryLimit jobMemoryLimit() const;
   void beginSession();
   endpoints::Ack onStepDownRequest(const endpoints::StandDown &stepDown);
   void onJobWritten(const platform::KeyValue &item);
--- a/src/libs/jobs/callanswer.cpp
+++ b/src/libs/jobs/callanswer.cpp
@@ -22,6 +22,8 @@
     return "not_done";
   case CallResult::Open:
     return "open";
+  case CallResult::NoRoom:
+    return "no_room";
   }
   return "unknown";
 }
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -29,6 +29,9 @@
   NotDone,
   /// The outcome is unknown; the caller should retry with the same id.
   Open,
+  /// The entries have no memory for one more job; the call was not carried out
+  /// and will not be.
+  NoRoom,
 };
 
 /// The stable name of result, for logs, metrics and messages.
@@ -46,7 +49,7 @@
 struct CallAnswer {
   CallResult Result = CallResult::NotDone;
   std::string Detail;
-  /// Delay before the caller should retry, with NotDone and Open.
+  /// Delay before the caller should retry, with NotDone, Open and NoRoom.
   int64_t RetryAfterMs = 0;
   JobState State = JobState::Queued;
   int Waiting = 0;
--- a/src/libs/jobs/callcodec.cpp
+++ b/src/libs/jobs/callcodec.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-constexpr std::array Results = {CallResult::Ok,           CallResult::Invalid,
-                                CallResult::UnknownQueue, CallResult::BadKey,
-                                CallResult::UnknownJob,   CallResult::IdTaken,
-                                CallResult::NotDone,      CallResult::Open};
+constexpr std::array Results = {
+    CallResult::Ok,      CallResult::Invalid,    CallResult::UnknownQueue,
+    CallResult::BadKey,  CallResult::UnknownJob, CallResult::IdTaken,
+    CallResult::NotDone, CallResult::Open,       CallResult::NoRoom};
 constexpr std::array States = {JobState::Queued, JobState::Running,
                                JobState::Completed, JobState::Failed,
                                JobState::Cancelled};
--- a/src/libs/jobs/callwrites.cpp
+++ b/src/libs/jobs/callwrites.cpp
@@ -36,6 +36,10 @@
   return std::max(PendingRevision, OpenRevision);
 }
 
+bool isNeverRun(CallResult result) {
+  return result == CallResult::NotDone || result == CallResult::NoRoom;
+}
+
 bool isRefusal(CallResult result) {
   return result != CallResult::Ok && result != CallResult::Open;
 }
--- a/src/libs/jobs/callwrites.h
+++ b/src/libs/jobs/callwrites.h
@@ -59,5 +59,7 @@
 
 /// Returns whether the result tells the caller that its call has no effect.
 bool isRefusal(CallResult result);
+/// Returns whether the result promises that a submitted job never runs.
+bool isNeverRun(CallResult result);
 
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -22,15 +22,16 @@
                        JobServicePolicy policy,
                        StoreFailingSince storeFailingSince,
                        StoreLatency storeLatency, IsSiteCordoned isSiteCordoned,
-                       Forward forward, AskLeader askLeader,
-                       OnWritten onWritten, OnDecision onDecision)
+                       MemoryLimit memoryLimit, Forward forward,
+                       AskLeader askLeader, OnWritten onWritten,
+                       OnDecision onDecision)
     : Loop(loop), StoreClient(store), View(view), Config(config),
       Policy(policy), Unanswered(Policy.MaxRollbackTime),
       FailingSince(std::move(storeFailingSince)),
       RecentLatency(std::move(storeLatency)),
       CheckSiteCordoned(std::move(isSiteCordoned)),
-      ForwardToEntry(std::move(forward)), QueryLeader(std::move(askLeader)),
-      NotifyLeader(std::move(onWritten)),
+      JobMemory(std::move(memoryLimit)), ForwardToEntry(std::move(forward)),
+      QueryLeader(std::move(askLeader)), NotifyLeader(std::move(onWritten)),
       ReportDecision(std::move(onDecision)) {}
 
 JobService::~JobService() { *Alive = false; }
@@ -111,6 +112,8 @@
   answer.DecidedBy = decidedBy(call, result);
   if (result == CallResult::NotDone || result == CallResult::Open)
     answer.RetryAfterMs = retryAfterMs();
+  if (result == CallResult::NoRoom)
+    answer.RetryAfterMs = roomRetryAfterMs(call);
   if (result == CallResult::Ok && call->Name == "state") {
     const StoredJob *job = View.find(call->JobId);
     if (job != nullptr)
@@ -185,7 +188,7 @@
   forgetIfSettled(call);
   if (call->Writes.isOpen())
     return true;
-  if (call->Name == "submit" && refusal == CallResult::NotDone)
+  if (call->Name == "submit" && isNeverRun(refusal))
     return View.find(call->JobId) != nullptr ||
            JobsPossiblyStored.contains(call->JobId, Loop.now());
   return call->Name == "cancel" && refusal == CallResult::UnknownJob &&
@@ -202,15 +205,15 @@
          (call->IsAuthorised && record.Spec.Organisation == call->Organisation);
 }
 
-// The job of an earlier call is the same job. It contradicts NotDone and Open,
-// but no refusal by a newer configuration.
+// The job of an earlier call is the same job. It contradicts NotDone, NoRoom
+// and Open, but no refusal by a newer configuration.
 bool JobService::isKnownToBeStored(const CallPtr &call,
                                    CallResult result) const {
   const StoredJob *job = View.find(call->JobId);
   if (call->Name != "submit" || job == nullptr)
     return false;
   const bool isRefusedByConfig =
-      result != CallResult::NotDone && result != CallResult::Open;
+      !isNeverRun(result) && result != CallResult::Open;
   return isRefusedByConfig ? isWrittenBy(call, job->Record)
                            : isOwnJob(call, job->Record);
 }
@@ -220,8 +223,7 @@
 // up its tries. A call that may itself have written is answered: another entry
 // may be able to tell what became of it.
 bool JobService::serveAgain(const CallPtr &call, CallResult result) {
-  if (result == CallResult::NotDone && !call->Writes.isOpen() &&
-      mayBeStored(call, result))
+  if (isNeverRun(result) && !call->Writes.isOpen() && mayBeStored(call, result))
     call->AwaitsEarlierCall = true;
   if (!call->AwaitsEarlierCall || call->FromOtherEntry ||
       call->Writes.sentCount() > 0 || !canRetry(call))
@@ -258,6 +260,19 @@
   return std::clamp(failingFor, Policy.MinRetryAfterMs, Policy.MaxRetryAfterMs);
 }
 
+bool JobService::hasRoomFor(const JobRecord &record) {
+  return Budget.hasRoom(memoryBytes(record), View.memoryBytes(), JobMemory(),
+                        Loop.now());
+}
+
+int64_t JobService::roomRetryAfterMs(const CallPtr &call) {
+  JobRecord record;
+  record.Spec = call->Spec;
+  return absl::ToInt64Milliseconds(
+      Budget.retryAfter(memoryBytes(record), View.memoryBytes(), JobMemory(),
+                        View.freedBytes(), Loop.now()));
+}
+
 absl::Duration JobService::storeTimeLeft(const CallPtr &call) const {
   const absl::Duration totalTime = call->Access.Deadline - call->ReceivedAt;
   return call->ReceivedAt + totalTime * Policy.MaxStoreTimeShare - Loop.now();
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acceptancebudget.h"
 #include "callanswer.h"
 #include "callcodec.h"
 #include "jobview.h"
@@ -105,6 +106,8 @@
   using StoreLatency = std::function<absl::Duration()>;
   /// Returns whether the operator evacuates all failure domains of the site.
   using IsSiteCordoned = std::function<bool()>;
+  /// Returns what all entries together may hold of accepted jobs.
+  using MemoryLimit = std::function<JobMemoryLimit()>;
   /// Forwards a call to another entry. Returns false if no other entry can be
   /// asked.
   using Forward = std::function<bool(const CallRequest &, const OnForwarded &)>;
@@ -117,8 +120,8 @@
              JobView &view, operators::ConfigFollower &config,
              JobServicePolicy policy, StoreFailingSince storeFailingSince,
              StoreLatency storeLatency, IsSiteCordoned isSiteCordoned,
-             Forward forward, AskLeader askLeader, OnWritten onWritten,
-             OnDecision onDecision);
+             MemoryLimit memoryLimit, Forward forward, AskLeader askLeader,
+             OnWritten onWritten, OnDecision onDecision);
   ~JobService();
   JobService(const JobService &) = delete;
   JobService &operator=(const JobService &) = delete;
@@ -232,6 +235,10 @@
   /// The store answers, and its watches can be relied on; see MaxViewAge.
   bool isViewFresh() const;
   int64_t retryAfterMs() const;
+  /// Whether the entries have memory for one more job with this record.
+  bool hasRoomFor(const JobRecord &record);
+  /// Time after which the call's job may find room.
+  int64_t roomRetryAfterMs(const CallPtr &call);
   /// There is time to try the call once more.
   bool canRetry(const CallPtr &call);
   void retryStoreCall(const CallPtr &call, const Continuation &next);
@@ -243,6 +250,8 @@
   onStoreJobReply(const CallPtr &call,
                   const platform::StoreReply<platform::StoreTxnReply> &reply,
                   absl::Time sentAt, const std::string &value);
+  /// Answers a submit call whose job was not written.
+  void refuseUnstored(const CallPtr &call, bool hasRoom);
   platform::StoreTxn newJobTxn(const CallPtr &call) const;
   /// Whether the job of a submit call may be stored in place of this record.
   bool mayReplace(const CallPtr &call,
@@ -310,6 +319,8 @@
   const StoreFailingSince FailingSince;
   const StoreLatency RecentLatency;
   const IsSiteCordoned CheckSiteCordoned;
+  const MemoryLimit JobMemory;
+  AcceptanceBudget Budget;
   const Forward ForwardToEntry;
   const AskLeader QueryLeader;
   const OnWritten NotifyLeader;
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -68,22 +68,28 @@
   record.TargetLatencyMs = call->Queue.TargetLatencyMs;
   record.NeedsAdvice = call->Queue.NeedsAdvice;
   record.DecidedBy = call->CheckedConfig;
-  // While no task can start anywhere, the transaction writes nothing and only
-  // shows whether the job was accepted before.
+  // While no task can start anywhere, or the job finds no room, the transaction
+  // writes nothing and only shows whether the job was accepted before.
   std::string value;
-  if (!CheckSiteCordoned() || call->Writes.isOpen())
+  const bool hasRoom = hasRoomFor(record);
+  if (call->Writes.isOpen() || (hasRoom && !CheckSiteCordoned()))
     value = encode(record);
   platform::StoreTxn txn = newJobTxn(call);
   if (!value.empty()) {
     txn.Puts.push_back({specKey(call->JobId), value, 0});
     recordWrite(call, Config.condition().Revision);
     call->WritingOrganisations.insert(call->Organisation);
+    Budget.recordSent(memoryBytes(record), Loop.now());
   }
   const absl::Time sentAt = Loop.now();
   StoreClient.Transact(std::move(txn),
-                       [this, alive = Alive, call, sentAt,
-                        value](const StoreReply<StoreTxnReply> &reply) {
-                         if (*alive)
+                       [this, alive = Alive, call, sentAt, value,
+                        hasRoom](const StoreReply<StoreTxnReply> &reply) {
+                         if (!*alive)
+                           return;
+                         if (reply.ok() && value.empty())
+                           refuseUnstored(call, hasRoom);
+                         else
                            onStoreJobReply(call, reply, sentAt, value);
                        });
 }
@@ -99,16 +105,21 @@
   return txn;
 }
 
+// The store has confirmed that the job was not accepted before.
+void JobService::refuseUnstored(const CallPtr &call, bool hasRoom) {
+  if (hasRoom)
+    finish(call, CallResult::NotDone,
+           "the operator evacuates all failure domains; nothing was done");
+  else
+    finish(call, CallResult::NoRoom,
+           "the entries have no memory for one more job; ask again later");
+}
+
 void JobService::onStoreJobReply(const CallPtr &call,
                                  const StoreReply<StoreTxnReply> &reply,
                                  absl::Time sentAt, const std::string &value) {
   if (!value.empty())
     call->Writes.recordOutcome(reply.Status);
-  if (reply.ok() && value.empty()) {
-    finish(call, CallResult::NotDone,
-           "the operator evacuates all failure domains; nothing was done");
-    return;
-  }
   if (reply.ok()) {
     call->Writes.settle();
     const int64_t created =
@@ -216,6 +227,12 @@
   record.Spec.Queue = call->Queue.Name;
   record.Cancelled = true;
   record.DecidedBy = call->CheckedConfig;
+  if (!hasRoomFor(record)) {
+    finish(call, CallResult::NoRoom,
+           "the entries have no memory for one more record; ask again later");
+    return;
+  }
+  Budget.recordSent(memoryBytes(record), Loop.now());
   const std::string key = specKey(call->JobId);
   const std::string value = encode(record);
   platform::StoreTxn txn;
--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -1,5 +1,7 @@
 #include "jobview.h"
 
+#include "jobmemory.h"
+
 #include <algorithm>
 
 namespace oriolebay::jobs {
@@ -21,6 +23,10 @@
                      "remove the record if no entry has written it");
 }
 
+size_t bytesOf(const StoredJob &job) {
+  return memoryBytes(job.Record) + job.Progress.size();
+}
+
 } // namespace
 
 JobView::JobView(utils::EventLoop &loop, const platform::Store &store,
@@ -62,6 +68,23 @@
       }));
 }
 
+StoredJob &JobView::ensureJob(const std::string &jobId) {
+  auto [it, added] = Jobs.try_emplace(jobId);
+  if (added)
+    MemoryBytes += bytesOf(it->second);
+  return it->second;
+}
+
+void JobView::removeJob(const std::string &jobId) {
+  auto it = Jobs.find(jobId);
+  if (it == Jobs.end())
+    return;
+  MemoryBytes -= bytesOf(it->second);
+  FreedBytes += bytesOf(it->second);
+  Jobs.erase(it);
+  Removed(jobId);
+}
+
 void JobView::applyWrittenProgress(const std::string &jobId, JobState state,
                                    std::string value, int64_t revision) {
   if (Follower.markKnown(progressKey(jobId), revision))
@@ -70,10 +93,12 @@
 
 void JobView::applyProgress(const std::string &jobId, JobState state,
                             std::string value, int64_t revision) {
-  StoredJob &job = Jobs[jobId];
+  StoredJob &job = ensureJob(jobId);
+  MemoryBytes -= bytesOf(job);
   job.RecordedState = state;
   job.Progress = std::move(value);
   job.ProgressRevision = revision;
+  MemoryBytes += bytesOf(job);
   if (isFinal(state))
     Ended(jobId);
 }
@@ -99,7 +124,8 @@
 
 void JobView::applyRecord(const std::string &jobId, JobRecord record,
                           const platform::KeyValue &item) {
-  StoredJob &job = Jobs[jobId];
+  StoredJob &job = ensureJob(jobId);
+  MemoryBytes -= bytesOf(job);
   if (isNewJob(job, record, item)) {
     Removed(jobId);
     if (job.ProgressRevision < item.ModRevision)
@@ -107,6 +133,7 @@
   }
   job.Record = std::move(record);
   job.RecordRevision = item.ModRevision;
+  MemoryBytes += bytesOf(job);
   RecordChanged(job);
 }
 
@@ -116,8 +143,8 @@
   if (!parseJobKey(event.Item.Key, id, progress))
     return;
   if (event.Deleted) {
-    if (!progress && Jobs.erase(id) > 0)
-      Removed(id);
+    if (!progress)
+      removeJob(id);
     return;
   }
   utils::handle<bool>(
--- a/src/libs/jobs/jobview.h
+++ b/src/libs/jobs/jobview.h
@@ -77,10 +77,17 @@
   /// Null if no tombstone is known for the id.
   const StoredJob *findTombstone(const std::string &jobId) const;
   const std::map<std::string, StoredJob> &jobs() const { return Jobs; }
+  /// What the jobs take in memory, here and at the leader, as far as that does
+  /// not depend on the tasks that run; and what all that were removed took.
+  size_t memoryBytes() const { return MemoryBytes; }
+  size_t freedBytes() const { return FreedBytes; }
   /// Number of the queue's jobs that have not started, repeating jobs excluded.
   int waitingJobCount(const std::string &queue) const;
 
 private:
+  /// Returns the job, which is added if it is not known.
+  StoredJob &ensureJob(const std::string &jobId);
+  void removeJob(const std::string &jobId);
   void onChange(const platform::StoreEvent &event);
   void applyRecord(const std::string &jobId, JobRecord record,
                    const platform::KeyValue &item);
@@ -93,6 +100,8 @@
   const OnRefused Refused;
   bool Complete = false;
   std::map<std::string, StoredJob> Jobs;
+  size_t MemoryBytes = 0;
+  size_t FreedBytes = 0;
   platform::PrefixFollower Follower;
 };
 
--- a/src/libs/platform/election.cpp
+++ b/src/libs/platform/election.cpp
@@ -22,7 +22,8 @@
 
 std::string encode(const EntryRecord &record) {
   return utils::toJsonText({{"address", record.Address},
-                            {"processor_share", record.ProcessorShare}});
+                            {"processor_share", record.ProcessorShare},
+                            {"memory_mb", record.MemoryMb}});
 }
 
 utils::Result<EntryRecord> decodeEntry(const KeyValue &item) {
@@ -32,7 +33,8 @@
   if (address.empty() || share == j.end() || !share->is_number())
     return utils::fail(utils::ErrorKind::BadMessage, "not a valid entry record",
                        "run the same version of all entries and agents");
-  EntryRecord record{address, share->get<double>()};
+  EntryRecord record{address, share->get<double>(),
+                     std::max<int64_t>(0, utils::numberIn(j, "memory_mb"))};
   if (item.Lease == 0 || !core::isProcessorShare(record.ProcessorShare))
     return utils::fail(utils::ErrorKind::BadMessage,
                        "a record that no entry registers",
--- a/src/libs/platform/election.h
+++ b/src/libs/platform/election.h
@@ -18,6 +18,9 @@
   std::string Address;
   /// Processor time that the entry gets, as a fraction of one core.
   double ProcessorShare = 0;
+  /// Memory of its host in MB; zero if unknown, as of entries of earlier
+  /// versions.
+  int64_t MemoryMb = 0;
   auto operator<=>(const EntryRecord &) const = default;
 };
 std::string encode(const EntryRecord &record);
--- a/tests/auto/adapter/waitingentry.h
+++ b/tests/auto/adapter/waitingentry.h
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <atomic>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -44,6 +45,9 @@
             Loop, Store, View, Config, {},
             [] { return absl::InfiniteFuture(); },
             [] { return absl::ZeroDuration(); }, [] { return false; },
+            [] {
+              return jobs::JobMemoryLimit{SIZE_MAX, 1};
+            },
             [this](const jobs::CallRequest &, const jobs::OnForwarded &done) {
               std::lock_guard<std::mutex> lock(Mu);
               Waiting.push_back(done);
