Planner: a bound on the runs of a worker and on its unconfirmed starts

What callers would see: eight legal jobs of 4,096 tasks that need no capacity end the leader of a small host by its memory: all start at once on one worker, and each is in every order, report and record.

Cause: a worker got as many starts as its free resources hold, which is any number for tasks that need next to nothing. Orders without an answer are sent again, with all of them, each 400 ms.

Why it works: a worker has 4,096 runs at most, and 256 starts that its agent has not confirmed, gangs apart, whose members start together. Workers of ordinary tasks hold far fewer, so that nothing changes for them.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -237,6 +237,11 @@
     bool isSettled() const { return Progress.isSettled(); }
     /// A worker may be running the task.
     bool isAssigned() const { return !Progress.Worker.empty(); }
+    /// Its start was decided, and no report has confirmed it.
+    bool isUnconfirmed() const {
+      return isAssigned() &&
+             (RunPhase == Phase::Recording || RunPhase == Phase::Ordered);
+    }
     /// Time before which the task starts nowhere; infinite past if it may
     /// start.
     absl::Time startBarredUntil() const {
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -23,7 +23,8 @@
                             absl::InfiniteDuration(),
                             Scheduler.speedOfWorker(view),
                             Scheduler.Speeds.isSlow(view.Agent), -1,
-                            view.ConsecutiveFailures > 0});
+                            view.ConsecutiveFailures > 0, false,
+                            static_cast<int64_t>(view.Allocations.size())});
   }
   SiteDomain.emplace_back();
   std::map<std::string_view, int> rackIndices;
@@ -68,6 +69,9 @@
   EmptyBeyondHeadroom -= isEmpty(candidate) ? 1 : 0;
   candidate.Free -= resources;
   candidate.Unreserved -= resources;
+  ++candidate.Runs;
+  ++candidate.UnconfirmedStarts;
+  ++RememberedTasks;
 }
 
 bool Planner::leavesHeadroom(const PlacementUnit &unit,
@@ -82,7 +86,7 @@
 }
 
 void Planner::run() {
-  RememberedTasks = Scheduler.rememberedTaskCount();
+  countTasks();
   markRecentStarts();
   rankJobs();
   collectUnits();
@@ -319,15 +323,41 @@
     if (!isEligible(*Candidates[c].View, unit) ||
         !canStartOn(Candidates[c], unit) || isTooSlowFor(Candidates[c], unit))
       continue;
-    unit.TaskLimits[c] =
-        maxPerWorker == 0
-            ? unit.spec().Count
-            : std::max<int64_t>(
-                  0, maxPerWorker - countTasksOnWorker(
-                                        unit, Candidates[c].View->State.Life));
+    int64_t limit = maxMoreRuns(Candidates[c], unit);
+    if (maxPerWorker > 0)
+      limit = std::min(
+          limit, maxPerWorker -
+                     countTasksOnWorker(unit, Candidates[c].View->State.Life));
+    unit.TaskLimits[c] = std::max<int64_t>(0, limit);
   }
 }
 
+// Of tasks that need next to nothing a worker could get any number at once,
+// more than its agent's messages and memory hold. The members of a gang have to
+// start together.
+int64_t Planner::maxMoreRuns(const Candidate &candidate,
+                             const PlacementUnit &unit) const {
+  const SchedulerPolicy &policy = Scheduler.Policy;
+  const int64_t runs = policy.MaxRunsPerWorker - candidate.Runs;
+  const int64_t starts =
+      policy.MaxUnconfirmedStarts - candidate.UnconfirmedStarts;
+  const int64_t limit = unit.spec().Gang ? runs : std::min(runs, starts);
+  Scheduler.RetryOnTick |= limit < unit.spec().Count;
+  return std::min<int64_t>(limit, unit.spec().Count);
+}
+
+void Planner::countTasks() {
+  for (auto &[id, job] : Scheduler.Jobs)
+    Scheduler.forEachTask(job, [this](const core::TaskId &, const Task &task) {
+      ++RememberedTasks;
+      if (!task.isUnconfirmed())
+        return;
+      auto candidate = CandidateOf.find(task.Progress.Worker);
+      if (candidate != CandidateOf.end())
+        ++Candidates[candidate->second].UnconfirmedStarts;
+    });
+}
+
 const core::Resources &
 Planner::usableResources(const Candidate &candidate,
                          const PlacementUnit &unit) const {
@@ -364,10 +394,8 @@
                       task.Progress.Saved, task.Progress.Run + 1, unit.Rank,
                       unit.Demand, Now);
   allocate(candidateIndex, unit.spec().taskResources());
-  ++RememberedTasks;
   markRecentStart(candidateIndex, unit);
-  if (unit.spec().MaxPerWorker > 0)
-    --unit.TaskLimits[candidateIndex];
+  --unit.TaskLimits[candidateIndex];
 }
 
 // The candidate for the next task of unit, or nothing if it fits on none.
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -63,6 +63,10 @@
     /// A run began there, or may still begin, so recently that it could be the
     /// cause if the worker crashed now.
     bool HasRecentStart = false;
+    /// Number of runs that hold its resources, and of those the ones whose
+    /// start its agent has not confirmed.
+    int64_t Runs = 0;
+    int64_t UnconfirmedStarts = 0;
     /// One of the recent starts is of a suspect task. Nothing else starts there
     /// until the worker has survived it, so that a crash has one possible
     /// cause.
@@ -193,6 +197,13 @@
   void collectTasks(PlacementUnit &unit, const JobScheduler::Step &step);
   void avoidFailedWorkers(PlacementUnit &unit,
                           const JobScheduler::Step &step) const;
+  /// Counts the tasks that the scheduler remembers something of, and the starts
+  /// that are not confirmed.
+  void countTasks();
+  /// How many more tasks of unit the candidate may get, whatever resources are
+  /// free.
+  int64_t maxMoreRuns(const Candidate &candidate,
+                      const PlacementUnit &unit) const;
   void markRecentStarts();
   void markRecentStart(size_t candidateIndex, const PlacementUnit &unit);
   bool canStartOn(const Candidate &candidate, const PlacementUnit &unit) const;
--- a/src/libs/jobs/planner_gangs.cpp
+++ b/src/libs/jobs/planner_gangs.cpp
@@ -111,7 +111,6 @@
                         Candidates[placement[n]].View->State.Life, saved,
                         run + 1, unit.Rank, unit.Demand, Now);
     allocate(placement[n], unit.spec().taskResources());
-    ++RememberedTasks;
     markRecentStart(placement[n], unit);
   }
   refreshRunningUnits(*unit.Owner, unit.Occurrence, unit.Step);
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -109,6 +109,12 @@
   /// How many tasks of a repeating job are considered for a start at a time,
   /// in occurrences of which nothing has begun. One occurrence always is.
   int MaxWaitingTasks = 1024;
+  /// How many runs a worker has at most at the same time, and how many starts
+  /// of tasks that are no gang it is sent before it has confirmed them: more
+  /// than workers hold of tasks with ordinary needs, and as many as the agent's
+  /// reports and orders can list.
+  int64_t MaxRunsPerWorker = 4096;
+  int64_t MaxUnconfirmedStarts = 256;
   /// How many tasks the scheduler remembers something of at the same time.
   /// Nothing starts beyond that, so that tasks that need no capacity cannot use
   /// up the memory of its process.
--- a/tests/auto/jobs/tst_manyoccurrences.cpp
+++ b/tests/auto/jobs/tst_manyoccurrences.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <ostream>
 #include <string>
@@ -219,5 +220,34 @@
   EXPECT_LE(most, Most);
 }
 
+// Guards against orders, reports and records that grow with the number of tasks
+// that need no capacity.
+TEST(TasksWithoutNeeds, StartAFewAtATimeOnEachWorker) {
+  SchedulerPolicy policy;
+  policy.MaxRunsPerWorker = 20;
+  policy.MaxUnconfirmedStarts = 5;
+  SimSite site(policy);
+  addRacks(site, 1);
+  site.worker("w00").DropsOrders = true;
+  site.submit(jobOf("j", makeStep(200, {0, 0, 0}, WorkMs)));
+  size_t most = 0;
+  for (int n = 0; n < 50; ++n) {
+    site.runFor(absl::Milliseconds(SimSite::StepMs));
+    const auto workers = site.workersOf("j");
+    most = std::max({most, workers.count("w01"), workers.count("w02")});
+  }
+  EXPECT_LE(most, 20u);
+  EXPECT_GT(most, 5u);
+  const JobProgress progress = *site.scheduler().progress("j");
+  const auto &tasks = progress.Tasks.at(0).front().objects();
+  EXPECT_EQ(std::count_if(tasks.begin(), tasks.end(),
+                          [](const auto &entry) {
+                            return entry.second.Worker.Id == "w00";
+                          }),
+            5);
+  site.worker("w00").DropsOrders = false;
+  EXPECT_TRUE(site.runUntilAllEnded(absl::Minutes(1)));
+}
+
 } // namespace
 } // namespace oriolebay::jobs
--- a/tests/auto/system/tst_largejobs.cpp
+++ b/tests/auto/system/tst_largejobs.cpp
@@ -73,6 +73,29 @@
                     LargeRow{"FallDueOneByOne", false, 0, 5}),
     [](const auto &info) { return info.param.Name; });
 
+// Guards against entries that are ended for their memory by the number of legal
+// jobs that they accept.
+TEST(ManyJobs, AreRefusedBeforeTheyExceedTheMemory) {
+  constexpr int MemoryMb = 40;
+  constexpr int Jobs = 3500;
+  CrowdSite site(MemoryMb, 1);
+  site.watch(*site.site().Entries[0]);
+  const json step = {{"cpu", 1000}, {"needs", "a label of no worker"}};
+  const json job = {{"spec", std::string(4000, 'x')},
+                    {"steps", json::array({step})}};
+  int refused = 0;
+  for (int n = 0; n < Jobs; ++n) {
+    const int status =
+        site.site().call(0, "POST", "/q/" + jobId(n), job.dump());
+    EXPECT_TRUE(status == 200 || status == 429) << status;
+    refused += status == 429 ? 1 : 0;
+  }
+  EXPECT_GT(refused, 0);
+  EXPECT_EQ(site.site().call(0, "POST", "/q/" + jobId(0), job.dump()), 200)
+      << "an accepted job is submitted once more";
+  site.expectWithinLimits();
+}
+
 // Guards against agents that are ended for their memory by one legal job, whose
 // text stands in each of its starts.
 TEST(JobOfManyTasks, LeavesTheAgentWithinItsMemory) {
@@ -88,5 +111,20 @@
   site.expectWithinLimits();
 }
 
+// Guards against entries that are ended for their memory by tasks that need no
+// capacity, all of which start at once on one worker.
+TEST(TasksWithoutNeeds, LeaveTheLeaderWithinItsMemory) {
+  constexpr int MemoryMb = 64;
+  constexpr int Jobs = 8;
+  CrowdSite site(MemoryMb, 1);
+  site.watch(*site.site().Entries[0]);
+  const json step = {{"count", 4096}, {"estimateMs", 20'000}};
+  const json job = {{"spec", "x"}, {"steps", json::array({step})}};
+  for (int n = 0; n < Jobs; ++n)
+    EXPECT_EQ(site.site().call(0, "POST", "/q/" + jobId(n), job.dump()), 200);
+  absl::SleepFor(2 * WatchTime);
+  site.expectWithinLimits();
+}
+
 } // namespace
 } // namespace oriolebay::testing_system
