Ends of an earlier agent's worker: a full list is not the whole list

Cause: an agent of an earlier version does not tell whether its worker has more ends than it lists, and its reports counted as complete.

Evidence: Decode.FullListOfAnEarlierAgentIsNotTheWholeList, red with the field's former default.

Why it works: workers list 500 ends at a time, so that a report with fewer is complete and one with 500 may not be.

--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -93,6 +93,10 @@
        {"StateOutdated", r.StateOutdated}};
 }
 
+/// Number of ends that workers list at a time beside agents of earlier versions,
+/// which do not tell whether there are others.
+constexpr size_t MaxEndsOfEarlierAgents = 500;
+
 // Agents of earlier versions do not track open starts, the age of the state,
 // the speed in gangs and whether all ends are listed, and read no shared
 // payloads. Their reports lack these fields and must remain readable during an
@@ -113,7 +117,8 @@
   r.OpenStarts = j.value("OpenStarts", std::vector<OpenStart>());
   r.StartsKnownForMs = j.value("StartsKnownForMs", int64_t{0});
   r.StateOutdated = j.value("StateOutdated", false);
-  r.EndsComplete = j.value("EndsComplete", true);
+  r.EndsComplete =
+      j.value("EndsComplete", r.Ended.size() < MaxEndsOfEarlierAgents);
   r.ReadsSharedPayloads = j.value("ReadsSharedPayloads", false);
   r.SpeedWithGangs = j.value("SpeedWithGangs", LearnedSpeed());
 }
--- a/src/libs/endpoints/messages.h
+++ b/src/libs/endpoints/messages.h
@@ -322,7 +322,7 @@
   /// may be outdated. The worker gets no new tasks then.
   bool StateOutdated = false;
   /// The worker has no ends beside Ended. Else a run that it does not list may
-  /// have ended.
+  /// have ended. Agents of earlier versions do not say it.
   bool EndsComplete = true;
   /// The agent can read orders that contain each payload once. Not set by
   /// agents of earlier versions.
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -125,6 +125,19 @@
             Message(expected));
 }
 
+// Guards against tasks that are started a second time during an upgrade, because
+// an agent does not tell that its worker has more ends than it lists.
+TEST(Decode, FullListOfAnEarlierAgentIsNotTheWholeList) {
+  constexpr size_t ListedAtATime = 500;
+  for (const size_t ends : {ListedAtATime - 1, ListedAtATime}) {
+    WorkerReport report;
+    report.Ended.resize(ends);
+    const Message decoded = decodeWithout(report, {"EndsComplete"});
+    EXPECT_EQ(std::get<WorkerReport>(decoded).EndsComplete,
+              ends < ListedAtATime);
+  }
+}
+
 // Guards against agents that lose their leader during an upgrade, because they
 // cannot read the answers of an entry that knows no cordons.
 TEST(Decode, AnswerOfAnEarlierEntryKnowsNoCordons) {
