Progress: records stay within what the store takes, and hold up no other job

Cause: the progress of a job is one value without a bound; the store refused each transaction that held it, with the nine other jobs in it, each 100 ms.

A failed transaction halves the number of jobs in the next ones, so that a job that can't be written ends up alone.

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -60,6 +60,8 @@
     return Event::WorkerSpeedLearned;
   case Kind::SpeedIgnored:
     return Event::WorkerSpeedIgnored;
+  case Kind::SavesOmitted:
+    return Event::SavesOmitted;
   }
   return Event::RunPlaced;
 }
--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -40,7 +40,7 @@
       ReportEnding(std::move(onEnding)), ReportRecorded(std::move(onRecorded)),
       ReportRecordRead(std::move(onRecordRead)),
       ReportLeadershipLost(std::move(onLeadershipLost)),
-      Scheduler(Options.Policy, epoch, loop.now()) {}
+      Scheduler(Options.Policy, epoch, loop.now()), MaxBatchJobs(JobsPerTxn) {}
 
 LeaderSession::~LeaderSession() { *Alive = false; }
 
@@ -228,10 +228,15 @@
   if (Loop.now() < WritesPausedUntil)
     return;
   std::vector<ProgressWrite> batch;
+  size_t bytes = 0;
   for (ProgressWrite &progressWrite : Scheduler.takeWrites()) {
-    batch.push_back(std::move(progressWrite));
-    if (batch.size() == JobsPerTxn)
+    bytes += progressWrite.Value.size();
+    if (batch.size() >= MaxBatchJobs ||
+        (!batch.empty() && bytes > platform::MaxValueBytes)) {
       writeBatch(std::exchange(batch, {}));
+      bytes = progressWrite.Value.size();
+    }
+    batch.push_back(std::move(progressWrite));
   }
   if (!batch.empty())
     writeBatch(std::move(batch));
@@ -250,27 +255,33 @@
     txn.Puts.push_back(
         {jobs::progressKey(progressWrite.JobId), progressWrite.Value, 0});
   }
-  StoreClient.Transact(
-      std::move(txn), [this, alive = Alive, batch = std::move(batch)](
-                          const StoreReply<StoreTxnReply> &reply) {
-        if (!*alive)
-          return;
-        if (reply.ok()) {
-          onWritten(batch, reply.Value.Revision);
-        } else if (reply.Status == StoreStatus::Conflict) {
-          onConflict(batch, reply.Value.Current);
-        } else {
-          ReportStoreError(reply.Status, reply.Why);
-          WritesPausedUntil = Loop.now() + Options.WriteRetryDelay;
-          for (const ProgressWrite &progressWrite : batch)
-            Scheduler.onWriteFailed(progressWrite.JobId);
-        }
-        postPass();
-      });
+  StoreClient.Transact(std::move(txn),
+                       [this, alive = Alive, batch = std::move(batch)](
+                           const StoreReply<StoreTxnReply> &reply) {
+                         if (!*alive)
+                           return;
+                         if (reply.ok()) {
+                           onWritten(batch, reply.Value.Revision);
+                         } else if (reply.Status == StoreStatus::Conflict) {
+                           onConflict(batch, reply.Value.Current);
+                         } else {
+                           ReportStoreError(reply.Status, reply.Why);
+                           onWriteFailed(batch);
+                         }
+                         postPass();
+                       });
+}
+
+void LeaderSession::onWriteFailed(const std::vector<ProgressWrite> &batch) {
+  WritesPausedUntil = Loop.now() + Options.WriteRetryDelay;
+  MaxBatchJobs = std::max<size_t>(1, batch.size() / 2);
+  for (const ProgressWrite &progressWrite : batch)
+    Scheduler.onWriteFailed(progressWrite.JobId);
 }
 
 void LeaderSession::onWritten(const std::vector<ProgressWrite> &batch,
                               int64_t revision) {
+  MaxBatchJobs = std::min(2 * MaxBatchJobs, JobsPerTxn);
   for (const ProgressWrite &progressWrite : batch) {
     Scheduler.onWritten(progressWrite.JobId, progressWrite.Version, revision,
                         Loop.now());
--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -113,6 +113,7 @@
   void sendOrders();
   void writeProgress();
   void writeBatch(std::vector<jobs::ProgressWrite> batch);
+  void onWriteFailed(const std::vector<jobs::ProgressWrite> &batch);
   void onWritten(const std::vector<jobs::ProgressWrite> &batch,
                  int64_t revision);
   void onConflict(const std::vector<jobs::ProgressWrite> &batch,
@@ -162,6 +163,9 @@
   /// Ended jobs whose progress was removed or replaced by somebody else. They
   /// would hold up the removal of the others.
   std::set<std::string> UnremovableJobs;
+  /// Maximum number of jobs in one transaction. A job whose write fails holds
+  /// up those that are written with it, so that it falls with each failure.
+  size_t MaxBatchJobs;
   /// After a failed write no other is attempted before this time.
   absl::Time WritesPausedUntil = absl::InfinitePast();
 };
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -49,6 +49,7 @@
       {Event::StepPreferencesGivenUp, "step.preferences_given_up"},
       {Event::CallUnanswered, "call.unanswered"},
       {Event::CallRefusalWithheld, "call.refusal_withheld"},
+      {Event::SavesOmitted, "job.saves_omitted"},
       {Event::WorkerUsedAgain, "worker.used_again"},
       {Event::WorkerSpeedLearned, "worker.speed_learned"},
       {Event::WorkerSpeedIgnored, "worker.speed_ignored"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -39,6 +39,7 @@
   StepPreferencesGivenUp = 216,
   CallUnanswered = 217,
   CallRefusalWithheld = 218,
+  SavesOmitted = 219,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
--- a/src/libs/jobs/decision.h
+++ b/src/libs/jobs/decision.h
@@ -44,6 +44,9 @@
     SpeedLearned,
     /// The speed that an agent reports for its worker is not usable.
     SpeedIgnored,
+    /// A job's record leaves out what some of its tasks have saved, or does not
+    /// any more.
+    SavesOmitted,
   };
   Kind What = Kind::Placed;
   std::string Job;
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace oriolebay::core {
@@ -323,6 +324,42 @@
                  {"tasks", std::move(occurrences)}});
 }
 
+namespace {
+
+/// The tasks that have saved something, the longest first.
+std::vector<TaskProgress *> tasksBySaved(JobProgress &progress) {
+  std::vector<TaskProgress *> tasks;
+  for (auto &[occurrence, steps] : progress.Tasks)
+    for (StepProgress &step : steps)
+      for (auto &[index, task] : step.objects())
+        if (!task.Saved.empty())
+          tasks.push_back(&task);
+  std::stable_sort(tasks.begin(), tasks.end(),
+                   [](const TaskProgress *a, const TaskProgress *b) {
+                     return a->Saved.size() > b->Saved.size();
+                   });
+  return tasks;
+}
+
+} // namespace
+
+BoundedProgress encodeWithin(const JobProgress &progress, size_t maxBytes) {
+  BoundedProgress bounded{encode(progress)};
+  if (bounded.Value.size() <= maxBytes)
+    return bounded;
+  JobProgress smaller = progress;
+  size_t excess = bounded.Value.size() - maxBytes;
+  for (TaskProgress *task : tasksBySaved(smaller)) {
+    if (excess == 0)
+      break;
+    excess -= std::min(excess, task->Saved.size());
+    task->Saved.clear();
+    ++bounded.OmittedSaves;
+  }
+  bounded.Value = encode(smaller);
+  return bounded;
+}
+
 utils::Result<JobRecord> decodeRecord(const std::string &bytes) {
   return decodeCbor<JobRecord>(bytes, [](const json &j) {
     JobRecord r;
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -128,6 +128,16 @@
 /// ErrorKind::BadMessage if bytes are not a valid value.
 std::string encode(const JobRecord &record);
 std::string encode(const JobProgress &progress);
+/// A stored value, and how many tasks are recorded without what they have
+/// saved.
+struct BoundedProgress {
+  std::string Value;
+  int OmittedSaves = 0;
+};
+/// Encodes progress in at most maxBytes if that is possible without what the
+/// tasks have saved. The longest are left out, as few as suffice; such a task
+/// starts from the beginning under the next leader.
+BoundedProgress encodeWithin(const JobProgress &progress, size_t maxBytes);
 utils::Result<JobRecord> decodeRecord(const std::string &bytes);
 utils::Result<JobProgress> decodeProgress(const std::string &bytes);
 
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -300,6 +300,8 @@
     absl::Time RecordStateAt = absl::InfiniteFuture();
     /// A write of the progress is under way.
     bool Writing = false;
+    /// Number of tasks whose saved progress the latest write leaves out.
+    int OmittedSaves = 0;
     /// The end of a run, to be acknowledged once progress of this version has
     /// been written.
     struct PendingEndAck {
@@ -337,6 +339,7 @@
     }
   };
 
+  void noteOmittedSaves(Job &job, int omitted);
   /// The job's progress in the form in which it is recorded.
   static JobProgress progressOf(const Job &job);
   static StepProgress progressOf(const Step &step);
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -1,6 +1,8 @@
 // Records and progress of jobs: changes read from the store, and writes to it.
 #include "jobscheduler.h"
 
+#include "platform/store.h"
+
 #include <algorithm>
 
 namespace oriolebay::jobs {
@@ -154,12 +156,25 @@
     job.RecordStateAt = absl::InfiniteFuture();
     job.Writing = true;
     ++job.Version;
+    BoundedProgress encoded =
+        encodeWithin(progressOf(job), platform::MaxValueBytes);
+    noteOmittedSaves(job, encoded.OmittedSaves);
     writes.push_back({id, job.RecordRevision, job.ProgressRevision, job.Version,
-                      job.State, encode(progressOf(job))});
+                      job.State, std::move(encoded.Value)});
   }
   return writes;
 }
 
+// Logs it when it begins and when it ends.
+void JobScheduler::noteOmittedSaves(Job &job, int omitted) {
+  if ((std::exchange(job.OmittedSaves, omitted) > 0) == (omitted > 0))
+    return;
+  logDecision(Decision::Kind::SavesOmitted, job.Record.Spec.Id, "", 0, "",
+              omitted > 0 ? "the record of all tasks would be too large"
+                          : "the record holds what all tasks have saved",
+              {{"tasks", omitted}});
+}
+
 void JobScheduler::onWritten(const std::string &jobId, int64_t version,
                              int64_t revision, absl::Time now) {
   auto it = Jobs.find(jobId);
--- a/src/libs/platform/store.h
+++ b/src/libs/platform/store.h
@@ -114,6 +114,9 @@
 /// every adapter of the platform's store supports.
 constexpr size_t MaxTxnEntries = 32;
 
+/// Maximum size of a value that every platform's store supports.
+constexpr size_t MaxValueBytes = 1'000'000;
+
 struct StoreLease {
   int64_t Id = 0;
   int64_t TtlMs = 0;
--- a/tests/auto/cluster/memorystore.cpp
+++ b/tests/auto/cluster/memorystore.cpp
@@ -190,6 +190,13 @@
       txn.TimeoutMs > 0 ? absl::Milliseconds(txn.TimeoutMs) : CallTimeout;
   if (!admitCall(client, done, timeout))
     return;
+  for (const platform::StorePut &put : txn.Puts)
+    if (RefusedKeys.count(put.Key) > 0) {
+      answer(client, done,
+             platform::StoreReply<platform::StoreTxnReply>{
+                 StoreStatus::Refused, {}, "status 400"});
+      return;
+    }
   const Faults &f = FaultsByClient[client];
   auto timeOut = [this, done, timeout] {
     Loop.runAfter(timeout, [done] {
--- a/tests/auto/cluster/memorystore.h
+++ b/tests/auto/cluster/memorystore.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   /// Returns the store as client sees it.
   platform::Store clientOf(const std::string &client);
   Faults &faults(const std::string &client) { return FaultsByClient[client]; }
+  /// Refuses all transactions that write this key from now on.
+  void refuseWritesOf(const std::string &key) { RefusedKeys.insert(key); }
   /// Writes value directly, without any client's faults.
   void put(const std::string &key, const std::string &value);
   /// Removes key directly.
@@ -107,6 +110,7 @@
   std::vector<Change> History;
   std::vector<std::shared_ptr<PendingWatch>> Watches;
   std::map<std::string, Faults> FaultsByClient;
+  std::set<std::string> RefusedKeys;
 };
 
 } // namespace oriolebay::cluster
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -110,6 +110,49 @@
   EXPECT_EQ(decodeProgress(cborOf(earlier)).value(), progress);
 }
 
+struct SavedCase {
+  const char *Name;
+  size_t MaxBytes;
+  /// Tasks whose saved progress is left out.
+  int Omitted;
+};
+
+void PrintTo(const SavedCase &c, std::ostream *out) { *out << c.Name; }
+
+class LongSavedProgress : public testing::TestWithParam<SavedCase> {};
+
+// Guards against jobs whose record is refused by the store for its size, again
+// and again.
+TEST_P(LongSavedProgress, IsLeftOutOfTooLargeARecord) {
+  constexpr size_t Tasks = 100;
+  JobProgress progress{3, JobState::Running, {{0, {StepProgress(Tasks)}}}};
+  for (size_t i = 0; i < Tasks; ++i) {
+    TaskProgress &task = progress.Tasks[0][0][i];
+    task.Run = 1;
+    task.Worker = {"w", 1};
+    task.Saved = std::string(i == 7 ? 1000 : 600, 's');
+  }
+  const BoundedProgress bounded = encodeWithin(progress, GetParam().MaxBytes);
+  EXPECT_EQ(bounded.OmittedSaves, GetParam().Omitted);
+  EXPECT_LE(bounded.Value.size(), GetParam().MaxBytes);
+  JobProgress read = decodeProgress(bounded.Value).value();
+  int without = 0;
+  for (size_t i = 0; i < Tasks; ++i) {
+    std::string &saved = read.Tasks[0][0][i].Saved;
+    without += saved.empty() ? 1 : 0;
+    saved = progress.Tasks[0][0][i].Saved;
+  }
+  EXPECT_EQ(without, GetParam().Omitted);
+  EXPECT_EQ(read, progress);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LongSavedProgress,
+                         testing::Values(SavedCase{"Fits", 62'000, 0},
+                                         SavedCase{"OneTooMany", 61'000, 1},
+                                         SavedCase{"Half", 31'000, 50},
+                                         SavedCase{"All", 1'200, 100}),
+                         [](const auto &info) { return info.param.Name; });
+
 struct OddCase {
   const char *Name;
   std::string Bytes;
