--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -359,10 +359,12 @@
   bool openDueOccurrences(Job &job);
   /// Forgets tasks and occurrences of which nothing has to be remembered.
   void compact(Job &job);
-  void compactStep(Job &job, const core::TaskId &first, Step &step);
+  static void compactStep(Job &job, const core::TaskId &first, Step &step);
   /// All tasks are done and cannot run any more.
   static bool isOver(const std::vector<Step> &steps);
+  /// Keeps only that all of the occurrence is done.
   void forgetOccurrence(Job &job, int number);
+  /// Forgets the durations that were compared between the tasks of its steps.
   void forgetSpeeds(const Job &job, int number);
   /// Number of the job's occurrences that are due by now.
   int dueOccurrences(const Job &job) const;
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -265,12 +265,15 @@
                         Loop.now());
 }
 
+void JobService::takeRoomFor(const CallPtr &call, const JobRecord &record) {
+  if (call->Writes.sentCount() == 0)
+    Budget.recordSent(memoryBytes(record), Loop.now());
+}
+
 int64_t JobService::roomRetryAfterMs(const CallPtr &call) {
-  JobRecord record;
-  record.Spec = call->Spec;
   return absl::ToInt64Milliseconds(
-      Budget.retryAfter(memoryBytes(record), View.memoryBytes(), JobMemory(),
-                        View.freedBytes(), Loop.now()));
+      Budget.retryAfter(memoryBytes(newRecord(call)), View.memoryBytes(),
+                        JobMemory(), View.freedBytes(), Loop.now()));
 }
 
 absl::Duration JobService::storeTimeLeft(const CallPtr &call) const {
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -237,6 +237,9 @@
   int64_t retryAfterMs() const;
   /// Whether the entries have memory for one more job with this record.
   bool hasRoomFor(const JobRecord &record);
+  /// The record is about to be written for the call, which counts once however
+  /// often it is tried.
+  void takeRoomFor(const CallPtr &call, const JobRecord &record);
   /// Time after which the call's job may find room.
   int64_t roomRetryAfterMs(const CallPtr &call);
   /// There is time to try the call once more.
@@ -246,6 +249,8 @@
   /// call.
   void validateAndStore(const CallPtr &call);
   void storeJob(const CallPtr &call);
+  /// The record of the job that a call submits.
+  static JobRecord newRecord(const CallPtr &call);
   void
   onStoreJobReply(const CallPtr &call,
                   const platform::StoreReply<platform::StoreTxnReply> &reply,
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -42,6 +42,21 @@
            "the store is not available; nothing was done");
 }
 
+JobRecord JobService::newRecord(const CallPtr &call) {
+  JobRecord record;
+  record.Spec = call->Spec;
+  record.Spec.Organisation = call->Organisation;
+  record.Spec.Queue = call->Queue.Name;
+  record.Service = call->Queue.Service;
+  record.Priority = call->Queue.Priority;
+  record.Attempts = std::max(1, call->Queue.Attempts);
+  record.Stretch = call->Queue.Stretch;
+  record.TargetLatencyMs = call->Queue.TargetLatencyMs;
+  record.NeedsAdvice = call->Queue.NeedsAdvice;
+  record.DecidedBy = call->CheckedConfig;
+  return record;
+}
+
 // Writes the job on condition that its key does not exist and that the
 // configuration the call was checked against is still the newest.
 void JobService::storeJob(const CallPtr &call) {
@@ -57,17 +72,7 @@
            "use a queue without advice");
     return;
   }
-  JobRecord record;
-  record.Spec = call->Spec;
-  record.Spec.Organisation = call->Organisation;
-  record.Spec.Queue = call->Queue.Name;
-  record.Service = call->Queue.Service;
-  record.Priority = call->Queue.Priority;
-  record.Attempts = std::max(1, call->Queue.Attempts);
-  record.Stretch = call->Queue.Stretch;
-  record.TargetLatencyMs = call->Queue.TargetLatencyMs;
-  record.NeedsAdvice = call->Queue.NeedsAdvice;
-  record.DecidedBy = call->CheckedConfig;
+  const JobRecord record = newRecord(call);
   // While no task can start anywhere, or the job finds no room, the transaction
   // writes nothing and only shows whether the job was accepted before.
   std::string value;
@@ -77,9 +82,9 @@
   platform::StoreTxn txn = newJobTxn(call);
   if (!value.empty()) {
     txn.Puts.push_back({specKey(call->JobId), value, 0});
+    takeRoomFor(call, record);
     recordWrite(call, Config.condition().Revision);
     call->WritingOrganisations.insert(call->Organisation);
-    Budget.recordSent(memoryBytes(record), Loop.now());
   }
   const absl::Time sentAt = Loop.now();
   StoreClient.Transact(std::move(txn),
@@ -232,7 +237,7 @@
            "the entries have no memory for one more record; ask again later");
     return;
   }
-  Budget.recordSent(memoryBytes(record), Loop.now());
+  takeRoomFor(call, record);
   const std::string key = specKey(call->JobId);
   const std::string value = encode(record);
   platform::StoreTxn txn;
