--- a/src/libs/endpoints/messages.cpp
+++ b/src/libs/endpoints/messages.cpp
@@ -93,8 +93,8 @@
        {"StateOutdated", r.StateOutdated}};
 }
 
-/// Number of ends that workers list at a time beside agents of earlier versions,
-/// which do not tell whether there are others.
+/// Number of ends that workers list at a time beside agents of earlier
+/// versions, which do not tell whether there are others.
 constexpr size_t MaxEndsOfEarlierAgents = 500;
 
 // Agents of earlier versions do not track open starts, the age of the state,
--- a/tests/auto/endpoints/tst_messages.cpp
+++ b/tests/auto/endpoints/tst_messages.cpp
@@ -125,8 +125,8 @@
             Message(expected));
 }
 
-// Guards against tasks that are started a second time during an upgrade, because
-// an agent does not tell that its worker has more ends than it lists.
+// Guards against tasks that are started a second time during an upgrade,
+// because an agent does not tell that its worker has more ends than it lists.
 TEST(Decode, FullListOfAnEarlierAgentIsNotTheWholeList) {
   constexpr size_t ListedAtATime = 500;
   for (const size_t ends : {ListedAtATime - 1, ListedAtATime}) {
