Leader: a record without a usable revision leaves no job behind

What callers would see: the leader ends (SIGFPE) and so does the next one, as long as the store's answers carry changed revisions.

Cause: onRecord() added the job before it compared the revisions, and returned; a job without steps stayed.

The core of the entry ends in openDueOccurrences(). RecordWithoutARevision.IsNoJob.

Why it works: the revisions are compared first, and the division has a bound.

--- a/src/libs/jobs/jobscheduler_occurrences.cpp
+++ b/src/libs/jobs/jobscheduler_occurrences.cpp
@@ -39,11 +39,11 @@
   int tasks = 0;
   for (const core::StepSpec &spec : job.Record.Spec.Steps)
     tasks += spec.Count;
-  const int maxWaiting = std::max(1, Policy.MaxWaitingTasks / tasks);
+  const int maxWaiting = Policy.MaxWaitingTasks / std::max(1, tasks);
   for (int number = 0; number < due; ++number) {
     if (job.isOccurrenceKnown(number))
       continue;
-    if (waiting++ >= maxWaiting)
+    if (waiting++ >= std::max(1, maxWaiting))
       return true;
     ensureOccurrence(job, number);
   }
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -17,10 +17,11 @@
     return;
   }
   Tombstones.erase(record.Spec.Id);
+  const auto known = Jobs.find(record.Spec.Id);
+  if (revision <= (known == Jobs.end() ? 0 : known->second.RecordRevision))
+    return;
   auto [it, added] = Jobs.try_emplace(record.Spec.Id);
   Job &job = it->second;
-  if (revision <= job.RecordRevision)
-    return;
   if (added) {
     job.Arrived = now;
     LastArrival = now;
--- a/tests/auto/jobs/tst_manyoccurrences.cpp
+++ b/tests/auto/jobs/tst_manyoccurrences.cpp
@@ -201,6 +201,18 @@
   EXPECT_EQ(site.scheduler().rememberedTaskCount(), 0u);
 }
 
+// Guards against leaders that end because of a record whose revision was
+// changed on its way, which left a job without steps.
+TEST(RecordWithoutARevision, IsNoJob) {
+  SimSite site;
+  addRacks(site, 1);
+  JobRecord record;
+  record.Spec = jobOf("j", makeStep(1, {1000, 1000, 1}, WorkMs));
+  site.scheduler().onRecord(record, 0, site.now());
+  site.runFor(absl::Seconds(1));
+  EXPECT_EQ(site.scheduler().unfinishedJobCount(), 0u);
+}
+
 // Guards against tasks that need no capacity, all of which start at once and
 // use up the memory of the leader.
 TEST(TasksWithoutNeeds, StartAsFarAsTheyCanBeRemembered) {
