Jobs that have ended keep no text

What callers would see: 429 for up to 150 s after some 1,450 short jobs with long texts on a host of 128 MB, although all of them had ended.

Why it works: no task of such a job starts any more, so that view and leader drop the text, and the job counts without it.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -177,6 +177,7 @@
                           const std::string &cause) {
   job.State = state;
   job.FinishedAt = now;
+  job.Payload = {};
   job.Dirty = true;
   if (state != JobState::Cancelled)
     EndingJobs.push_back(job.Record.Spec.Id);
--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -23,6 +23,12 @@
                      "remove the record if no entry has written it");
 }
 
+// No task of a job that has ended starts any more.
+void dropPayloadIfEnded(StoredJob &job) {
+  if (isFinal(job.RecordedState))
+    std::string().swap(job.Record.Spec.Payload);
+}
+
 size_t bytesOf(const StoredJob &job) {
   return memoryBytes(job.Record) + job.Progress.size();
 }
@@ -98,6 +104,7 @@
   job.RecordedState = state;
   job.Progress = std::move(value);
   job.ProgressRevision = revision;
+  dropPayloadIfEnded(job);
   MemoryBytes += bytesOf(job);
   if (isFinal(state))
     Ended(jobId);
@@ -133,6 +140,7 @@
   }
   job.Record = std::move(record);
   job.RecordRevision = item.ModRevision;
+  dropPayloadIfEnded(job);
   MemoryBytes += bytesOf(job);
   RecordChanged(job);
 }
