--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -93,25 +93,25 @@
     if (job.RecordRevision == 0)
       continue;
     Scheduler.onRecord(job.Record, job.RecordRevision, now);
-    if (job.ProgressRevision > 0)
-      adoptStoredProgress(id, job);
+    if (job.ProgressRevision == 0)
+      continue;
+    if (const auto progress = decodeOrReport(job.Progress))
+      Scheduler.onProgress(id, *progress, job.ProgressRevision, now);
   }
   scheduleTick();
   postPass();
 }
 
-// The view takes no progress that cannot be decoded.
-void LeaderSession::adoptStoredProgress(const std::string &jobId,
-                                        const jobs::StoredJob &job) {
-  utils::handle<bool>(
-      [&]() -> utils::Result<bool> {
-        BOOST_LEAF_AUTO(progress, jobs::decodeProgress(job.Progress));
-        Scheduler.onProgress(jobId, progress, job.ProgressRevision, Loop.now());
-        return true;
+std::optional<jobs::JobProgress>
+LeaderSession::decodeOrReport(const std::string &value) const {
+  return utils::handle<std::optional<jobs::JobProgress>>(
+      [&]() -> utils::Result<std::optional<jobs::JobProgress>> {
+        BOOST_LEAF_AUTO(progress, jobs::decodeProgress(value));
+        return std::optional<jobs::JobProgress>(std::move(progress));
       },
       [&](const utils::Error &e) {
         ReportStoreError(StoreStatus::Conflict, e.text());
-        return false;
+        return std::optional<jobs::JobProgress>();
       });
 }
 
@@ -326,17 +326,11 @@
 
 bool LeaderSession::adoptProgress(const std::string &jobId,
                                   const KeyValue &progress) {
-  return utils::handle<bool>(
-      [&]() -> utils::Result<bool> {
-        BOOST_LEAF_AUTO(read, jobs::decodeProgress(progress.Value));
-        Scheduler.onWritten(jobId, read.Version, progress.ModRevision,
-                            Loop.now());
-        return true;
-      },
-      [&](const utils::Error &e) {
-        ReportStoreError(StoreStatus::Conflict, e.text());
-        return false;
-      });
+  const auto read = decodeOrReport(progress.Value);
+  if (!read)
+    return false;
+  Scheduler.onWritten(jobId, read->Version, progress.ModRevision, Loop.now());
+  return true;
 }
 
 // Removes finished jobs from the store after callers have had time to read
--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -99,9 +100,10 @@
   const jobs::JobScheduler &scheduler() const { return Scheduler; }
 
 private:
-  /// Takes over a job's progress as the store has it.
-  void adoptStoredProgress(const std::string &jobId,
-                           const jobs::StoredJob &job);
+  /// Returns the progress in a stored value. Reports an error and returns
+  /// nothing if it cannot be decoded.
+  std::optional<jobs::JobProgress>
+  decodeOrReport(const std::string &value) const;
   void readSilentAgents();
   /// Completes the registration once this entry is in the list of leaders and
   /// knows which agents were silent under the previous one.
