--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -81,6 +81,18 @@
 private:
   struct Order;
   using OrderPtr = std::shared_ptr<Order>;
+  /// Calls of one kind to the worker, of which a few are open at a time.
+  struct CallWindow {
+    /// Maximum number of calls without an answer. A worker and its agent have
+    /// some 64 connections for each other.
+    static constexpr size_t MaxInFlight = 24;
+
+    size_t InFlight = 0;
+    /// Orders that wait until a call is answered.
+    std::deque<OrderPtr> Queued = {};
+
+    bool isFull() const { return InFlight >= MaxInFlight; }
+  };
 
   endpoints::Message onMessage(const endpoints::Message &message);
   endpoints::Ack onOrders(const endpoints::WorkerOrders &orders);
@@ -207,11 +219,13 @@
   /// Sends one attempt of a start, which carries the time until which the
   /// worker may run it.
   void sendStart(const OrderPtr &order, int64_t untilMs);
-  /// Calls startTask() if the order's incarnation is still served.
+  /// Call startTask() or stopTask() if the order's incarnation is still served.
   void resumeStart(const OrderPtr &order);
-  /// Carry out orders that wait until a call to the worker is answered.
-  void resumeQueuedStarts();
-  void resumeQueuedStops();
+  void resumeStop(const OrderPtr &order);
+  /// Carries out the orders that waited for one of the window's calls, which
+  /// has been answered.
+  void onWindowCallAnswered(CallWindow &window,
+                            void (WorkerAgent::*resume)(const OrderPtr &));
   /// Sends the next attempt of a stop.
   void stopTask(const OrderPtr &order);
   /// Handles the outcome of an attempt of a stop, also if it got no answer.
@@ -353,12 +367,8 @@
   /// Number of the first keep-alive call that was sent after the last confirmed
   /// stop of an open attempt.
   uint64_t FirstKeepAliveAfterStop = 0;
-  /// Calls to the worker that have not been answered, and the orders that wait
-  /// for one of them to be answered.
-  size_t StartsInFlight = 0;
-  size_t StopsInFlight = 0;
-  std::deque<OrderPtr> QueuedStarts;
-  std::deque<OrderPtr> QueuedStops;
+  CallWindow StartWindow;
+  CallWindow StopWindow;
   /// Starts and stops that are being carried out.
   std::map<endpoints::RunId, OrderPtr> StartsInProgress;
   std::map<endpoints::RunId, OrderPtr> StopsInProgress;
--- a/src/libs/agent/workeragent_orders.cpp
+++ b/src/libs/agent/workeragent_orders.cpp
@@ -34,9 +34,6 @@
 constexpr absl::Duration MinOrderTimeout = absl::Milliseconds(200);
 /// Number of completed orders that are remembered to answer delayed messages.
 constexpr size_t MaxCompletedOrders = 2048;
-/// Maximum number of starts that the worker has not answered. A worker and its
-/// agent have some 64 connections for each other.
-constexpr size_t MaxStartsInFlight = 24;
 /// Minimum remaining grant that is required to send a start, so that the start
 /// can reach the worker in time.
 constexpr int64_t MinGrantForStartMs = 300;
@@ -251,8 +248,8 @@
     return;
   }
   endDeferral(*order, "allowed");
-  if (StartsInFlight >= MaxStartsInFlight)
-    QueuedStarts.push_back(order);
+  if (StartWindow.isFull())
+    StartWindow.Queued.push_back(order);
   else
     sendStart(order, until);
 }
@@ -274,13 +271,12 @@
   order->LastAttempt = number;
   order->FirstSentAt = std::min(order->FirstSentAt, Loop.now());
   order->RefusedFromMs = untilMs;
-  ++StartsInFlight;
+  ++StartWindow.InFlight;
   Worker.Start(call,
                [this, alive = Alive, order, attempt = order->Attempts, number,
                 key, sentAt = Loop.now()](const CallOutcome &outcome) {
                  if (!*alive)
                    return;
-                 --StartsInFlight;
                  recordAttemptOutcome(*order, attempt, number, outcome);
                  if (order->Incarnation == State.Life) {
                    if (outcome.Status == CallStatus::NoAnswer &&
@@ -288,16 +284,18 @@
                      SentStarts.recordTimeout(key, Loop.now());
                    onStartReply(order, outcome);
                  }
-                 resumeQueuedStarts();
+                 onWindowCallAnswered(StartWindow, &WorkerAgent::resumeStart);
                });
 }
 
-// What has been decided when a start was queued may not hold any more.
-void WorkerAgent::resumeQueuedStarts() {
-  while (StartsInFlight < MaxStartsInFlight && !QueuedStarts.empty()) {
-    const OrderPtr order = QueuedStarts.front();
-    QueuedStarts.pop_front();
-    resumeStart(order);
+// What had been decided when an order was queued may not hold any more.
+void WorkerAgent::onWindowCallAnswered(
+    CallWindow &window, void (WorkerAgent::*resume)(const OrderPtr &)) {
+  --window.InFlight;
+  while (!window.isFull() && !window.Queued.empty()) {
+    const OrderPtr order = window.Queued.front();
+    window.Queued.pop_front();
+    (this->*resume)(order);
   }
 }
 
--- a/src/libs/agent/workeragent_stops.cpp
+++ b/src/libs/agent/workeragent_stops.cpp
@@ -17,9 +17,6 @@
 
 /// Maximum number of attempts to stop a run.
 constexpr int MaxStopAttempts = 40;
-/// Maximum number of stops that the worker has not answered, beside as many
-/// starts.
-constexpr size_t MaxStopsInFlight = 24;
 
 } // namespace
 
@@ -28,8 +25,8 @@
     StopsInProgress.erase({order->Stop.Task, order->Stop.Run});
     return;
   }
-  if (StopsInFlight >= MaxStopsInFlight) {
-    QueuedStops.push_back(order);
+  if (StopWindow.isFull()) {
+    StopWindow.Queued.push_back(order);
     return;
   }
   endpoints::StopCall call;
@@ -38,24 +35,19 @@
   call.Epoch = order->Epoch;
   call.FreshConnection = order->Attempts > 0;
   ++order->Attempts;
-  ++StopsInFlight;
+  ++StopWindow.InFlight;
   Worker.Stop(call, [this, alive = Alive, order](const CallOutcome &outcome) {
     if (!*alive)
       return;
-    --StopsInFlight;
     if (order->Incarnation == State.Life)
       onStopReply(order, outcome);
-    resumeQueuedStops();
+    onWindowCallAnswered(StopWindow, &WorkerAgent::resumeStop);
   });
 }
 
-void WorkerAgent::resumeQueuedStops() {
-  while (StopsInFlight < MaxStopsInFlight && !QueuedStops.empty()) {
-    const OrderPtr order = QueuedStops.front();
-    QueuedStops.pop_front();
-    if (order->Incarnation == State.Life)
-      stopTask(order);
-  }
+void WorkerAgent::resumeStop(const OrderPtr &order) {
+  if (order->Incarnation == State.Life)
+    stopTask(order);
 }
 
 void WorkerAgent::onStopReply(const OrderPtr &order,
@@ -79,8 +71,8 @@
     return;
   }
   Loop.runAfter(OrderRetryPause, [this, alive = Alive, order] {
-    if (*alive && order->Incarnation == State.Life)
-      stopTask(order);
+    if (*alive)
+      resumeStop(order);
   });
 }
 
