--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -285,6 +285,16 @@
   /// Answers a cancel call.
   void findJobToCancel(const CallPtr &call);
   void writeCancel(const CallPtr &call, JobRecord record, int64_t revision);
+  void
+  onCancelReply(const CallPtr &call, const platform::KeyValue &written,
+                const platform::StoreReply<platform::StoreTxnReply> &reply);
+  using OnRecordWritten = std::function<void(
+      const platform::KeyValue &written,
+      const platform::StoreReply<platform::StoreTxnReply> &reply)>;
+  /// Writes the record of a cancel call's job in place of the one with this
+  /// revision, or where there is none if that is zero.
+  void writeRecord(const CallPtr &call, const JobRecord &record,
+                   int64_t revision, long timeoutMs, OnRecordWritten done);
   /// Bars the id of a cancel call for which the store has no job, so that no
   /// write of a submission can take effect any more, and answers the call.
   void barId(const CallPtr &call);
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -238,22 +238,34 @@
     return;
   }
   takeRoomFor(call, record);
+  writeRecord(call, record, replacedRevision, nextTryTimeoutMs(call),
+              [this, call](const KeyValue &written,
+                           const StoreReply<StoreTxnReply> &reply) {
+                if (reply.ok())
+                  View.applyItem(written);
+                onTombstoneReply(call, reply);
+              });
+}
+
+// Calls done with the record as it is stored if the write was made.
+void JobService::writeRecord(const CallPtr &call, const JobRecord &record,
+                             int64_t revision, long timeoutMs,
+                             OnRecordWritten done) {
   const std::string key = specKey(call->JobId);
   const std::string value = encode(record);
   platform::StoreTxn txn;
-  txn.Expected.push_back({key, replacedRevision});
+  txn.Expected.push_back({key, revision});
   txn.Puts.push_back({key, value, 0});
-  txn.TimeoutMs = nextTryTimeoutMs(call);
+  txn.TimeoutMs = timeoutMs;
   recordWrite(call, CallWrites::NoConfig);
   StoreClient.Transact(
-      std::move(txn), [this, alive = Alive, call, key,
-                       value](const StoreReply<StoreTxnReply> &reply) {
+      std::move(txn),
+      [this, alive = Alive, call, key, value,
+       done = std::move(done)](const StoreReply<StoreTxnReply> &reply) {
         if (!*alive)
           return;
         call->Writes.recordOutcome(reply.Status);
-        if (reply.ok())
-          View.applyItem({key, value, 0, reply.Value.Revision, 0});
-        onTombstoneReply(call, reply);
+        done({key, value, 0, reply.Value.Revision, 0}, reply);
       });
 }
 
@@ -306,39 +318,33 @@
                              int64_t revision) {
   record.Cancelled = true;
   record.DecidedBy = std::max(record.DecidedBy, call->CheckedConfig);
-  const std::string key = specKey(call->JobId);
-  const std::string value = encode(record);
-  platform::StoreTxn txn;
-  txn.Expected.push_back({key, revision});
-  txn.Puts.push_back({key, value, 0});
-  recordWrite(call, CallWrites::NoConfig);
-  StoreClient.Transact(
-      std::move(txn), [this, alive = Alive, call, key,
-                       value](const StoreReply<StoreTxnReply> &reply) {
-        if (!*alive)
-          return;
-        call->Writes.recordOutcome(reply.Status);
-        if (reply.ok()) {
-          const KeyValue item{key, value, 0, reply.Value.Revision, 0};
-          publishWrite(item);
-          finish(call, CallResult::Ok);
-          return;
-        }
-        if (reply.Status != StoreStatus::Conflict) {
-          retryStoreCall(call,
-                         [this](const CallPtr &c) { findJobToCancel(c); });
-          return;
-        }
-        // The record has changed: it was cancelled by another call, or by this
-        // one with the store's answer lost. No write can replace it any more.
-        call->Writes.settle();
-        if (const KeyValue *current = findItem(reply.Value.Current, key)) {
-          publishWrite(*current);
-          findJobToCancel(call);
-          return;
-        }
-        finish(call, CallResult::UnknownJob, "no such job");
-      });
+  writeRecord(call, record, revision, platform::StoreTxn().TimeoutMs,
+              [this, call](const KeyValue &written,
+                           const StoreReply<StoreTxnReply> &reply) {
+                onCancelReply(call, written, reply);
+              });
+}
+
+void JobService::onCancelReply(const CallPtr &call, const KeyValue &written,
+                               const StoreReply<StoreTxnReply> &reply) {
+  if (reply.ok()) {
+    publishWrite(written);
+    finish(call, CallResult::Ok);
+    return;
+  }
+  if (reply.Status != StoreStatus::Conflict) {
+    retryStoreCall(call, [this](const CallPtr &c) { findJobToCancel(c); });
+    return;
+  }
+  // The record has changed: it was cancelled by another call, or by this one
+  // with the store's answer lost. No write can replace it any more.
+  call->Writes.settle();
+  if (const KeyValue *current = findItem(reply.Value.Current, written.Key)) {
+    publishWrite(*current);
+    findJobToCancel(call);
+    return;
+  }
+  finish(call, CallResult::UnknownJob, "no such job");
 }
 
 } // namespace oriolebay::jobs
