--- a/src/libs/entry/entrydirectory.cpp
+++ b/src/libs/entry/entrydirectory.cpp
@@ -31,6 +31,13 @@
   return all;
 }
 
+size_t EntryDirectory::count() const {
+  return static_cast<size_t>(
+      std::count_if(Entries.begin(), Entries.end(), [](const auto &entry) {
+        return entry.second.RemovedAt == absl::InfiniteFuture();
+      }));
+}
+
 int64_t EntryDirectory::smallestMemoryMb() const {
   int64_t smallest = 0;
   for (const auto &[key, entry] : Entries) {
--- a/src/libs/entry/entrydirectory.h
+++ b/src/libs/entry/entrydirectory.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -28,6 +29,8 @@
 
   /// The addresses of the registered entries, in the order of their keys.
   std::vector<std::string> addresses() const;
+  /// Number of registered entries.
+  size_t count() const;
   /// The least memory of a registered entry's host in MB; zero if none is
   /// known.
   int64_t smallestMemoryMb() const;
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -167,7 +167,7 @@
   if (const int64_t smallest = Directory.smallestMemoryMb(); smallest > 0)
     mb = std::min(mb, smallest);
   return {static_cast<size_t>(mb) * BytesPerMb / JobMemoryDivisor,
-          std::max<size_t>(1, Directory.addresses().size())};
+          std::max<size_t>(1, Directory.count())};
 }
 
 bool JobEntry::ready(std::string *why) const {
