A failed write of progress names the largest record in it

Nothing tells whether a record is too large, whose it is, and how many jobs wait with it. The line says now how many jobs the write held, which of their records is the largest and how large it is.

--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -2,6 +2,8 @@
 
 #include "utils/eventloop.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace oriolebay::entry {
@@ -23,6 +25,19 @@
 constexpr size_t RemovalsPerTxn =
     (platform::MaxTxnEntries - 1) / EntriesPerRemoval;
 
+/// Says which job of a batch that was not written may be the cause by its size.
+std::string describeFailure(const std::string &why,
+                            const std::vector<ProgressWrite> &batch) {
+  const auto largest =
+      std::max_element(batch.begin(), batch.end(),
+                       [](const ProgressWrite &a, const ProgressWrite &b) {
+                         return a.Value.size() < b.Value.size();
+                       });
+  return absl::StrCat(why, "; progress of ", batch.size(),
+                      " jobs, the largest that of ", largest->JobId, ", ",
+                      largest->Value.size(), " bytes");
+}
+
 } // namespace
 
 LeaderSession::LeaderSession(
@@ -255,21 +270,21 @@
     txn.Puts.push_back(
         {jobs::progressKey(progressWrite.JobId), progressWrite.Value, 0});
   }
-  StoreClient.Transact(std::move(txn),
-                       [this, alive = Alive, batch = std::move(batch)](
-                           const StoreReply<StoreTxnReply> &reply) {
-                         if (!*alive)
-                           return;
-                         if (reply.ok()) {
-                           onWritten(batch, reply.Value.Revision);
-                         } else if (reply.Status == StoreStatus::Conflict) {
-                           onConflict(batch, reply.Value.Current);
-                         } else {
-                           ReportStoreError(reply.Status, reply.Why);
-                           onWriteFailed(batch);
-                         }
-                         postPass();
-                       });
+  StoreClient.Transact(
+      std::move(txn), [this, alive = Alive, batch = std::move(batch)](
+                          const StoreReply<StoreTxnReply> &reply) {
+        if (!*alive)
+          return;
+        if (reply.ok()) {
+          onWritten(batch, reply.Value.Revision);
+        } else if (reply.Status == StoreStatus::Conflict) {
+          onConflict(batch, reply.Value.Current);
+        } else {
+          ReportStoreError(reply.Status, describeFailure(reply.Why, batch));
+          onWriteFailed(batch);
+        }
+        postPass();
+      });
 }
 
 void LeaderSession::onWriteFailed(const std::vector<ProgressWrite> &batch) {
