What tasks have saved is bounded in the leader's memory and in its records

What callers saw: beside 40 jobs of 500 running tasks with 600 bytes saved each, entries take 260 MB and are ended one after the other; the store gets up to 8.5 MB a second, and callers at all entries wait for 504.

Cause: the record of a job holds what all its tasks have saved, up to 1 MB, and is written as a whole as soon as any of them has changed and the write before is answered. Each entry reads each of these values. Nothing counts the texts that the leader itself keeps.

Evidence: the driver's line of bytes written to the store (2.2 to 8.5 MB/s while nothing runs any more), and perf: 17 % of the entries' time in replies of the store.

Change: a record holds at most 64 KiB of saved texts. Records up to 16 KiB, and those of jobs that have ended, are written as before; larger ones take turns at 512 KiB a second for all of them together, each in a transaction of its own. The leader keeps a sixteenth of memory_mb of saved texts and drops the longest beyond it (job.saves_omitted says so); such a task starts from the beginning if its worker is lost. What its worker lists is heard again all the same. If a record is too large without saved texts, the numbers of failed runs are left out; their count stays, as with records of earlier versions. The check for stalled and slow runs takes place at most every 100 us a task: it took a third of the leader's time beside 9,000 runs.

What it costs: if a worker and the leader are lost together, a task whose text did not fit starts from the beginning.

--- a/src/app/entry/jobscommand.cpp
+++ b/src/app/entry/jobscommand.cpp
@@ -131,6 +131,19 @@
     m.set("tasks_remembered",
           "Tasks that the leader remembers something of; only at the leader.",
           static_cast<double>(s.TasksRemembered));
+    m.set("tasks_running",
+          "Tasks that run or may run on a worker; only at the leader.",
+          static_cast<double>(s.TasksRunning));
+    m.set("tasks_running_limit",
+          "Number of running tasks beyond which none starts; only at the "
+          "leader.",
+          static_cast<double>(s.MaxTasksRunning));
+    m.set("saved_bytes",
+          "What tasks have saved and the leader keeps; only at the leader.",
+          static_cast<double>(s.SavedBytes));
+    m.set("progress_written_bytes",
+          "Progress of jobs that this leader has sent to the store.",
+          static_cast<double>(s.ProgressBytesWritten));
     m.set("workers", "Workers that report; only at the leader.",
           static_cast<double>(s.Workers));
     m.set("workers_speed_known",
--- a/src/libs/entry/jobentry.cpp
+++ b/src/libs/entry/jobentry.cpp
@@ -24,7 +24,6 @@
 /// message is lost.
 constexpr absl::Duration ViewUpdatePause = absl::Milliseconds(500);
 constexpr absl::Duration LeaderViewUpdatePause = absl::Milliseconds(100);
-constexpr size_t BytesPerMb = 1'000'000;
 /// One part of this many of a host's memory is for accepted jobs.
 constexpr size_t JobMemoryDivisor = 8;
 
@@ -166,7 +165,7 @@
   int64_t mb = Settings.MemoryMb;
   if (const int64_t smallest = Directory.smallestMemoryMb(); smallest > 0)
     mb = std::min(mb, smallest);
-  return {static_cast<size_t>(mb) * BytesPerMb / JobMemoryDivisor,
+  return {settings::partOfMemory(mb, JobMemoryDivisor),
           std::max<size_t>(1, Directory.count())};
 }
 
@@ -203,6 +202,10 @@
   if (s.Leads) {
     s.ActiveJobs = Session->scheduler().unfinishedJobCount();
     s.TasksRemembered = Session->scheduler().rememberedTaskCount();
+    s.TasksRunning = Session->scheduler().runningTaskCount();
+    s.MaxTasksRunning = Session->scheduler().maxRunningTasks();
+    s.SavedBytes = Session->scheduler().savedBytes();
+    s.ProgressBytesWritten = Session->progressBytesWritten();
     s.Workers = Session->scheduler().fleet().workers().size();
     s.Waits = Session->scheduler().waitSummary();
     s.Speeds = Session->scheduler().speedSummary();
--- a/src/libs/entry/jobentry.h
+++ b/src/libs/entry/jobentry.h
@@ -52,6 +52,13 @@
   size_t JobsMemoryLimitBytes = 0;
   /// Tasks that the leader remembers something of; zero at other entries.
   size_t TasksRemembered = 0;
+  /// Tasks that run or may run, how many the leader lets run at most, what they
+  /// have saved, and the bytes of progress that it has sent to the store; zero
+  /// at other entries.
+  size_t TasksRunning = 0;
+  size_t MaxTasksRunning = 0;
+  size_t SavedBytes = 0;
+  size_t ProgressBytesWritten = 0;
   size_t Workers = 0;
   jobs::WaitSummary Waits;
   jobs::SpeedSummary Speeds;
--- a/src/libs/entry/jobentry_leadership.cpp
+++ b/src/libs/entry/jobentry_leadership.cpp
@@ -19,6 +19,12 @@
 /// A task that runs takes less than 2 KB in all, so that tasks use up less than
 /// the whole of the host's memory.
 constexpr size_t RememberedTasksPerMb = 400;
+/// One part of this many of a host's memory is for what tasks have saved.
+constexpr size_t SavedBytesDivisor = 16;
+/// Tasks whose reports a whole core can read and answer in time, and those that
+/// any leader takes on.
+constexpr double RunningTasksPerCore = 20'000;
+constexpr double MinRunningTasks = 1'000;
 
 } // namespace
 
@@ -123,6 +129,10 @@
       absl::Milliseconds(Settings.Bounds.KeepFinishedMs) * 5 / 4;
   options.Policy.MaxRememberedTasks =
       static_cast<size_t>(Settings.MemoryMb) * RememberedTasksPerMb;
+  options.Policy.MaxSavedBytes =
+      settings::partOfMemory(Settings.MemoryMb, SavedBytesDivisor);
+  options.Policy.MaxRunningTasks = static_cast<size_t>(
+      std::max(MinRunningTasks, Settings.ProcessorShare * RunningTasksPerCore));
   options.Policy.WallMs = [] { return absl::ToUnixMillis(utils::wallNow()); };
   return options;
 }
--- a/src/libs/entry/leadersession.cpp
+++ b/src/libs/entry/leadersession.cpp
@@ -239,18 +239,19 @@
                [](const endpoints::PeerReply &) {});
 }
 
+// A large record has a transaction of its own, so that small ones do not wait
+// for its bytes.
 void LeaderSession::writeProgress() {
   if (Loop.now() < WritesPausedUntil)
     return;
   std::vector<ProgressWrite> batch;
-  size_t bytes = 0;
-  for (ProgressWrite &progressWrite : Scheduler.takeWrites()) {
-    bytes += progressWrite.Value.size();
-    if (batch.size() >= MaxBatchJobs ||
-        (!batch.empty() && bytes > platform::MaxValueBytes)) {
-      writeBatch(std::exchange(batch, {}));
-      bytes = progressWrite.Value.size();
+  for (ProgressWrite &progressWrite : Scheduler.takeWrites(Loop.now())) {
+    if (progressWrite.Value.size() > Options.Policy.SmallRecordBytes) {
+      writeBatch({std::move(progressWrite)});
+      continue;
     }
+    if (batch.size() >= MaxBatchJobs)
+      writeBatch(std::exchange(batch, {}));
     batch.push_back(std::move(progressWrite));
   }
   if (!batch.empty())
@@ -269,6 +270,7 @@
                             progressWrite.ProgressRevision});
     txn.Puts.push_back(
         {jobs::progressKey(progressWrite.JobId), progressWrite.Value, 0});
+    ProgressBytesWritten += progressWrite.Value.size();
   }
   StoreClient.Transact(
       std::move(txn), [this, alive = Alive, batch = std::move(batch)](
--- a/src/libs/entry/leadersession.h
+++ b/src/libs/entry/leadersession.h
@@ -98,6 +98,8 @@
   endpoints::ReportAck onReport(const endpoints::WorkerReport &report);
 
   const jobs::JobScheduler &scheduler() const { return Scheduler; }
+  /// Bytes of progress that were sent to the store.
+  size_t progressBytesWritten() const { return ProgressBytesWritten; }
 
 private:
   /// Returns the progress in a stored value. Reports an error and returns
@@ -168,6 +170,7 @@
   /// Maximum number of jobs in one transaction. A job whose write fails holds
   /// up those that are written with it, so that it falls with each failure.
   size_t MaxBatchJobs;
+  size_t ProgressBytesWritten = 0;
   /// After a failed write no other is attempted before this time.
   absl::Time WritesPausedUntil = absl::InfinitePast();
 };
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -341,14 +341,36 @@
   return tasks;
 }
 
+size_t savedBytes(const JobProgress &progress) {
+  size_t bytes = 0;
+  for (const auto &[occurrence, steps] : progress.Tasks)
+    for (const StepProgress &step : steps)
+      for (const auto &[index, task] : step.objects())
+        bytes += task.Saved.size();
+  return bytes;
+}
+
+// A record without the numbers is one of an earlier version, whose count of
+// failed runs stands.
+void omitFailedRuns(JobProgress &progress) {
+  for (auto &[occurrence, steps] : progress.Tasks)
+    for (StepProgress &step : steps)
+      for (auto &[index, task] : step.objects())
+        task.FailedRuns.clear();
+}
+
 } // namespace
 
-BoundedProgress encodeWithin(const JobProgress &progress, size_t maxBytes) {
+BoundedProgress encodeWithin(const JobProgress &progress,
+                             const ProgressLimits &limits) {
   BoundedProgress bounded{encode(progress)};
-  if (bounded.Value.size() <= maxBytes)
+  const size_t saved = savedBytes(progress);
+  if (bounded.Value.size() <= limits.MaxBytes && saved <= limits.MaxSavedBytes)
     return bounded;
   JobProgress smaller = progress;
-  size_t excess = bounded.Value.size() - maxBytes;
+  size_t excess = std::max(bounded.Value.size() -
+                               std::min(bounded.Value.size(), limits.MaxBytes),
+                           saved - std::min(saved, limits.MaxSavedBytes));
   for (TaskProgress *task : tasksBySaved(smaller)) {
     if (excess == 0)
       break;
@@ -356,6 +378,8 @@
     task->Saved.clear();
     ++bounded.OmittedSaves;
   }
+  if (excess > 0)
+    omitFailedRuns(smaller);
   bounded.Value = encode(smaller);
   return bounded;
 }
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -134,10 +134,19 @@
   std::string Value;
   int OmittedSaves = 0;
 };
-/// Encodes progress in at most maxBytes if that is possible without what the
-/// tasks have saved. The longest are left out, as few as suffice; such a task
-/// starts from the beginning under the next leader.
-BoundedProgress encodeWithin(const JobProgress &progress, size_t maxBytes);
+/// Bounds of a stored value in bytes.
+struct ProgressLimits {
+  size_t MaxBytes = 0;
+  /// Of that, for what the tasks have saved.
+  size_t MaxSavedBytes = 0;
+};
+/// Encodes progress within the limits if that is possible without what the
+/// tasks have saved and without the numbers of their failed runs. The longest
+/// saved texts are left out, as few as suffice; such a task starts from the
+/// beginning under the next leader, unless its worker still lists it. The
+/// numbers of the failed runs are left out last; their count stays.
+BoundedProgress encodeWithin(const JobProgress &progress,
+                             const ProgressLimits &limits);
 utils::Result<JobRecord> decodeRecord(const std::string &bytes);
 utils::Result<JobProgress> decodeProgress(const std::string &bytes);
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -294,7 +294,11 @@
 
 void JobScheduler::tick(absl::Time now) {
   PassNeeded |= RetryOnTick;
-  RunMonitor(*this, now).checkRuns();
+  if (now >= NextRunCheckAt) {
+    RunMonitor(*this, now).checkRuns();
+    NextRunCheckAt =
+        now + Policy.RunCheckIntervalPerTask * rememberedTaskCount();
+  }
   for (const WorkerIncarnation &incarnation : Workers.takeLost(now))
     handleIncarnationEnd(
         {incarnation},
@@ -303,6 +307,7 @@
   endUnreportedIncarnations(now);
   forgetLostAgents(now);
   resendLateStops(now);
+  limitSavedBytes(now);
   LateStartsByAgent.clear();
   for (auto &entry : Jobs) {
     Job &job = entry.second;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -98,8 +98,8 @@
 
   // Writes to the store.
   /// Returns the progress of all jobs that changed since their last write,
-  /// except those with a write under way.
-  std::vector<ProgressWrite> takeWrites();
+  /// except those with a write under way and large ones that have to wait.
+  std::vector<ProgressWrite> takeWrites(absl::Time now);
   /// The write was made at revision, also if that turned out only later. Orders
   /// the starts and acknowledges the ends of runs that it recorded.
   void onWritten(const std::string &jobId, int64_t version, int64_t revision,
@@ -143,6 +143,11 @@
   /// Number of tasks of all jobs of which something is remembered. The memory
   /// of a leader follows it.
   size_t rememberedTaskCount() const;
+  /// Number of tasks that run or may run on a worker.
+  size_t runningTaskCount() const;
+  size_t maxRunningTasks() const { return Policy.MaxRunningTasks; }
+  /// What the tasks have saved, in bytes, as of the last tick.
+  size_t savedBytes() const { return SavedBytes; }
   /// What waits on the site, as of the last second.
   const WaitSummary &waitSummary() const { return WaitSurveys.Summary; }
   /// What is known of the workers' speeds, as of the latest scheduling pass.
@@ -300,8 +305,13 @@
     absl::Time RecordStateAt = absl::InfiniteFuture();
     /// A write of the progress is under way.
     bool Writing = false;
+    /// When the latest write was taken.
+    absl::Time WrittenAt = absl::InfinitePast();
     /// Number of tasks whose saved progress the latest write leaves out.
     int OmittedSaves = 0;
+    /// When it was last logged that texts that its tasks have saved were
+    /// dropped.
+    absl::Time DroppedSavesLoggedAt = absl::InfinitePast();
     /// The end of a run, to be acknowledged once progress of this version has
     /// been written.
     struct PendingEndAck {
@@ -339,7 +349,13 @@
     }
   };
 
+  ProgressWrite takeWrite(Job &job, absl::Time now);
+  bool isLargeRecord(Job &job);
   void noteOmittedSaves(Job &job, int omitted);
+  /// Keeps what the tasks have saved within MaxSavedBytes.
+  void limitSavedBytes(absl::Time now);
+  void dropLongestSaves(absl::Time now);
+  void noteDroppedSaves(Job &job, int64_t dropped, absl::Time now);
   /// The job's progress in the form in which it is recorded.
   static JobProgress progressOf(const Job &job);
   static StepProgress progressOf(const Step &step);
@@ -615,6 +631,11 @@
   UrgentDemandEstimator UrgentDemand;
   std::shared_ptr<const core::SiteConfig> Config;
   std::map<std::string, Job> Jobs;
+  size_t SavedBytes = 0;
+  /// When the runs are checked for stalled and slow ones again.
+  absl::Time NextRunCheckAt = absl::InfinitePast();
+  /// When the next large record may be written.
+  absl::Time NextLargeWriteAt = absl::InfinitePast();
   /// A record without a job, and when this leader learned of it.
   struct Tombstone {
     int64_t Revision = 0;
--- a/src/libs/jobs/jobscheduler_occurrences.cpp
+++ b/src/libs/jobs/jobscheduler_occurrences.cpp
@@ -59,6 +59,16 @@
   return n;
 }
 
+size_t JobScheduler::runningTaskCount() const {
+  size_t n = 0;
+  for (const auto &[id, job] : Jobs)
+    for (const auto &[number, steps] : job.Occurrences)
+      for (const Step &step : steps)
+        for (const auto &[index, task] : step.objects())
+          n += task.isAssigned() ? 1 : 0;
+  return n;
+}
+
 void JobScheduler::compactStep(Job &job, const TaskId &first, Step &step) {
   step.compact([&step](const Task &task) {
     if (task.RunDuration > absl::ZeroDuration())
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -148,32 +148,54 @@
   return progressOf(it->second);
 }
 
-std::vector<ProgressWrite> JobScheduler::takeWrites() {
+// Large records wait for each other, as their bytes reach all entries; the one
+// that was written the longest time ago goes first. Small ones, and the ends of
+// jobs, do not wait for them.
+std::vector<ProgressWrite> JobScheduler::takeWrites(absl::Time now) {
   std::vector<ProgressWrite> writes;
+  Job *nextLarge = nullptr;
   for (auto &[id, job] : Jobs) {
     if (!job.Dirty || job.Writing)
       continue;
-    job.Dirty = false;
-    job.RecordStateAt = absl::InfiniteFuture();
-    job.Writing = true;
-    ++job.Version;
-    BoundedProgress encoded =
-        encodeWithin(progressOf(job), platform::MaxValueBytes);
-    noteOmittedSaves(job, encoded.OmittedSaves);
-    writes.push_back({id, job.RecordRevision, job.ProgressRevision, job.Version,
-                      job.State, std::move(encoded.Value)});
+    if (job.hasEnded() || !isLargeRecord(job))
+      writes.push_back(takeWrite(job, now));
+    else if (nextLarge == nullptr || job.WrittenAt < nextLarge->WrittenAt)
+      nextLarge = &job;
   }
+  if (nextLarge == nullptr || now < NextLargeWriteAt)
+    return writes;
+  writes.push_back(takeWrite(*nextLarge, now));
+  NextLargeWriteAt =
+      now + absl::Seconds(static_cast<double>(writes.back().Value.size()) /
+                          Policy.LargeRecordBytesPerSecond);
   return writes;
 }
 
-// Logs it when it begins and when it ends.
-void JobScheduler::noteOmittedSaves(Job &job, int omitted) {
-  if ((std::exchange(job.OmittedSaves, omitted) > 0) == (omitted > 0))
-    return;
-  logDecision(Decision::Kind::SavesOmitted, job.Record.Spec.Id, "", 0, "",
-              omitted > 0 ? "the record of all tasks would be too large"
-                          : "the record holds what all tasks have saved",
-              {{"tasks", omitted}});
+ProgressWrite JobScheduler::takeWrite(Job &job, absl::Time now) {
+  job.Dirty = false;
+  job.RecordStateAt = absl::InfiniteFuture();
+  job.Writing = true;
+  ++job.Version;
+  BoundedProgress encoded =
+      encodeWithin(progressOf(job),
+                   {platform::MaxValueBytes, Policy.MaxSavedBytesPerRecord});
+  noteOmittedSaves(job, encoded.OmittedSaves);
+  job.WrittenAt = now;
+  return {job.Record.Spec.Id, job.RecordRevision, job.ProgressRevision,
+          job.Version,        job.State,          std::move(encoded.Value)};
+}
+
+// Going by the tasks that are remembered, without encoding them.
+bool JobScheduler::isLargeRecord(Job &job) {
+  constexpr size_t BytesPerTask = 12;
+  size_t bytes = 0;
+  size_t saved = 0;
+  forEachTask(job, [&](const TaskId &, const Task &task) {
+    bytes += BytesPerTask;
+    saved += task.Progress.Done ? 0 : task.Progress.Saved.size();
+  });
+  return bytes + std::min(saved, Policy.MaxSavedBytesPerRecord) >
+         Policy.SmallRecordBytes;
 }
 
 void JobScheduler::onWritten(const std::string &jobId, int64_t version,
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -119,6 +119,26 @@
   /// Nothing starts beyond that, so that tasks that need no capacity cannot use
   /// up the memory of its process.
   size_t MaxRememberedTasks = 110'000;
+  /// Minimum time between two checks for stalled and slow runs, for each task
+  /// that is remembered: thousands of runs are checked less often.
+  absl::Duration RunCheckIntervalPerTask = absl::Microseconds(100);
+  /// How many tasks run at the same time: as many as the leader can serve. One
+  /// in RunningTasksPerReservedOne of these places is for urgent work, and for
+  /// jobs of which fewer tasks than ReservedTasksPerJob run.
+  size_t MaxRunningTasks = 110'000;
+  size_t RunningTasksPerReservedOne = 8;
+  size_t ReservedTasksPerJob = 8;
+  /// What the leader keeps at most of the texts that all tasks have saved, in
+  /// bytes.
+  size_t MaxSavedBytes = 16'000'000;
+  /// What a job's record holds at most of the texts that its tasks have saved,
+  /// in bytes.
+  size_t MaxSavedBytesPerRecord = 64 * 1024;
+  /// Records up to this size in bytes are written as soon as they have changed,
+  /// larger ones at this rate in bytes a second, all of them together: the
+  /// links of hosts and the other entries have to carry each.
+  size_t SmallRecordBytes = 16 * 1024;
+  double LargeRecordBytesPerSecond = 512 * 1024;
   /// How long the members of a gang wait for each other to start.
   absl::Duration GangWait = absl::Milliseconds(3000);
   /// The wall clock in milliseconds since 1970, for repeating jobs.
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -84,6 +84,12 @@
   bool operator==(const NodeSettings &) const = default;
 };
 
+/// Returns one part of this many of a host's memory, in bytes.
+constexpr size_t partOfMemory(int64_t memoryMb, size_t divisor) {
+  constexpr size_t BytesPerMb = 1'000'000;
+  return static_cast<size_t>(memoryMb) * BytesPerMb / divisor;
+}
+
 /// Intervals and timeouts that are derived from a site's bounds and the
 /// heartbeat period.
 struct Timing {
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -360,7 +360,8 @@
 std::string SimSite::runningCheckpoint(const Run &run, const TaskId &id) const {
   const absl::Duration savedTime = savedWork(run, id, false);
   return savedTime > absl::ZeroDuration()
-             ? std::to_string(absl::ToInt64Milliseconds(savedTime))
+             ? std::to_string(absl::ToInt64Milliseconds(savedTime)) +
+                   std::string(SavedPadding, '/')
              : "";
 }
 
@@ -477,8 +478,10 @@
   // decisions endlessly is detected.
   for (int round = 0; round < 20; ++round) {
     Scheduler->decide(Now);
-    for (ProgressWrite &write : Scheduler->takeWrites()) {
+    for (ProgressWrite &write : Scheduler->takeWrites(Now)) {
       StoredJob &job = Jobs.at(write.JobId);
+      if (OnWrite)
+        OnWrite(write);
       if (StoreDown) {
         Scheduler->onWriteFailed(write.JobId);
         continue;
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -137,6 +137,10 @@
   /// again.
   static constexpr absl::Duration CrashDetectionDelay = absl::Milliseconds(460);
   absl::Duration RestartDelay = absl::Seconds(2);
+  /// Number of bytes that runs add to what they save.
+  size_t SavedPadding = 0;
+  /// Called with each write of a job's progress.
+  std::function<void(const ProgressWrite &)> OnWrite;
   /// While set, writes are neither made nor answered.
   bool StoreDown = false;
   /// While set, writes are made but their answers are lost.
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -1,5 +1,7 @@
 #include "jobs/jobrecord.h"
 
+#include "platform/store.h"
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -113,6 +115,7 @@
 struct SavedCase {
   const char *Name;
   size_t MaxBytes;
+  size_t MaxSavedBytes;
   /// Tasks whose saved progress is left out.
   int Omitted;
 };
@@ -132,7 +135,8 @@
     task.Worker = {"w", 1};
     task.Saved = std::string(i == 7 ? 1000 : 600, 's');
   }
-  const BoundedProgress bounded = encodeWithin(progress, GetParam().MaxBytes);
+  const BoundedProgress bounded =
+      encodeWithin(progress, {GetParam().MaxBytes, GetParam().MaxSavedBytes});
   EXPECT_EQ(bounded.OmittedSaves, GetParam().Omitted);
   EXPECT_LE(bounded.Value.size(), GetParam().MaxBytes);
   JobProgress read = decodeProgress(bounded.Value).value();
@@ -146,12 +150,61 @@
   EXPECT_EQ(read, progress);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, LongSavedProgress,
-                         testing::Values(SavedCase{"Fits", 62'000, 0},
-                                         SavedCase{"OneTooMany", 61'000, 1},
-                                         SavedCase{"Half", 31'000, 50},
-                                         SavedCase{"All", 1'200, 100}),
-                         [](const auto &info) { return info.param.Name; });
+INSTANTIATE_TEST_SUITE_P(
+    Table, LongSavedProgress,
+    testing::Values(SavedCase{"Fits", 62'000, 62'000, 0},
+                    SavedCase{"OneTooMany", 61'000, 62'000, 1},
+                    SavedCase{"Half", 31'000, 62'000, 50},
+                    SavedCase{"All", 1'200, 62'000, 100},
+                    SavedCase{"OneSavedTooMany", 62'000, 60'000, 1},
+                    SavedCase{"HalfOfTheSaved", 62'000, 30'400, 50},
+                    SavedCase{"NoneSaved", 62'000, 0, 100}),
+    [](const auto &info) { return info.param.Name; });
+
+// A task with all that can be known of one at a time, with long names.
+TaskProgress eventfulTask(int index, int failedRuns) {
+  const std::string name(36, static_cast<char>('a' + index % 20));
+  TaskProgress task;
+  task.Run = failedRuns + 1;
+  task.Failed = failedRuns;
+  task.Worker = {"i-" + name, 1'700'000'000'000};
+  task.Agent = "side-" + name;
+  task.Saved = std::string(8000, 's');
+  task.CrashedAt = {"side-" + name, "side-" + name};
+  task.LateStarts = {{"i-" + name, "side-" + name, task.Run}};
+  for (int run = 1; run <= failedRuns; ++run)
+    task.FailedRuns.push_back(run);
+  return task;
+}
+
+class LargestProgress : public testing::TestWithParam<int> {};
+
+// Guards against a job that stands still for good, because all that is known of
+// its tasks is more than the store takes.
+TEST_P(LargestProgress, FitsIntoTheStore) {
+  constexpr int Occurrences = 64;
+  constexpr size_t Tasks = core::MaxTasksPerJob / Occurrences;
+  JobProgress progress{3, JobState::Running, {}};
+  for (int n = 0; n < Occurrences; ++n) {
+    StepProgress step(Tasks);
+    for (size_t i = 0; i < Tasks; ++i)
+      step[i] = eventfulTask(static_cast<int>(i), GetParam());
+    progress.Tasks[15 * n] = {step};
+    progress.DoneOccurrences.insert(15 * n + 1, 15 * n + 13);
+  }
+  const BoundedProgress bounded =
+      encodeWithin(progress, {platform::MaxValueBytes, 64 * 1024});
+  EXPECT_LE(bounded.Value.size(), platform::MaxValueBytes);
+  const JobProgress read = decodeProgress(bounded.Value).value();
+  const TaskProgress task = *read.Tasks.at(0)[0].find(0);
+  EXPECT_EQ(task.Failed, GetParam()) << "failed runs are still counted";
+  EXPECT_EQ(task.LateStarts.size(), 1u);
+  EXPECT_EQ(task.CrashedAt.size(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Attempts, LargestProgress,
+                         testing::Values(0, 3, 9, 100),
+                         testing::PrintToStringParamName());
 
 struct OddCase {
   const char *Name;
--- a/tests/bench/decidebench/main.cpp
+++ b/tests/bench/decidebench/main.cpp
@@ -103,7 +103,7 @@
   // the ordered runs as running.
   void startPlacedRuns() {
     Scheduler.decide(Now);
-    for (const jobs::ProgressWrite &write : Scheduler.takeWrites())
+    for (const jobs::ProgressWrite &write : Scheduler.takeWrites(Now))
       Scheduler.onWritten(write.JobId, write.Version, ++Revision, Now);
     for (const auto &[address, orders] : Scheduler.takeOrders())
       for (const endpoints::StartOrder &start : orders.Starts)
