Leader: as many tasks run as it can serve, others wait unstarted

What callers saw: 40 jobs of 500 small tasks (10 mCPU, 15 s) all start, lose their grants and start again (13,694 times with 16 bytes saved), and small jobs of another organisation wait for 23 to 44 s.

Cause: how many tasks run at once follows from the workers' free capacity alone, up to 4,096 a worker. What they cost the leader (their rows in each report, two a second, and its checks of them) has no bound.

An eighth of these places is for urgent work and for jobs of which fewer than 8 tasks run, so that no job stands still because of others. Tasks beyond that wait with the reason too_many_running.

--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -63,8 +63,8 @@
                                WorkersPerHeadroomWorker);
 }
 
-void Planner::allocate(size_t candidateIndex,
-                       const core::Resources &resources) {
+void Planner::allocate(const PlacementUnit &unit, size_t candidateIndex) {
+  const core::Resources resources = unit.spec().taskResources();
   Candidate &candidate = Candidates[candidateIndex];
   EmptyBeyondHeadroom -= isEmpty(candidate) ? 1 : 0;
   candidate.Free -= resources;
@@ -72,6 +72,8 @@
   ++candidate.Runs;
   ++candidate.UnconfirmedStarts;
   ++RememberedTasks;
+  ++RunningTasks;
+  ++RunningTasksOf[unit.Owner];
 }
 
 bool Planner::leavesHeadroom(const PlacementUnit &unit,
@@ -227,10 +229,31 @@
   return std::min<int64_t>(limit, unit.spec().Count);
 }
 
+// The last places are for urgent work and for jobs of which next to nothing
+// runs, so that none stands still beside free workers while others use up all.
+bool Planner::mayStart(const PlacementUnit &unit, size_t tasks) const {
+  const SchedulerPolicy &policy = Scheduler.Policy;
+  const size_t running = RunningTasks + tasks;
+  if (RememberedTasks + tasks > policy.MaxRememberedTasks ||
+      running > policy.MaxRunningTasks)
+    return false;
+  const size_t reserve =
+      policy.MaxRunningTasks / policy.RunningTasksPerReservedOne;
+  if (running <= policy.MaxRunningTasks - reserve || unit.Rank <= 1)
+    return true;
+  const auto it = RunningTasksOf.find(unit.Owner);
+  const size_t ofJob = it == RunningTasksOf.end() ? 0 : it->second;
+  return unit.spec().Gang ? ofJob == 0 : ofJob < policy.ReservedTasksPerJob;
+}
+
 void Planner::countTasks() {
   for (auto &[id, job] : Scheduler.Jobs)
-    Scheduler.forEachTask(job, [this](const core::TaskId &, const Task &task) {
+    Scheduler.forEachTask(job, [&](const core::TaskId &, const Task &task) {
       ++RememberedTasks;
+      if (!task.isAssigned())
+        return;
+      ++RunningTasks;
+      ++RunningTasksOf[&job];
       if (!task.isUnconfirmed())
         return;
       auto candidate = CandidateOf.find(task.Progress.Worker);
@@ -274,7 +297,7 @@
                       Candidates[candidateIndex].View->State.Life,
                       task.Progress.Saved, task.Progress.Run + 1, unit.Rank,
                       unit.Demand, Now);
-  allocate(candidateIndex, unit.spec().taskResources());
+  allocate(unit, candidateIndex);
   markRecentStart(candidateIndex, unit);
   --unit.TaskLimits[candidateIndex];
 }
@@ -317,7 +340,7 @@
   size_t started = 0;
   for (int index : unit.Tasks) {
     const std::optional<size_t> candidate = findBestCandidate(unit);
-    if (!candidate || !maySpareMemoryFor(1))
+    if (!candidate || !mayStart(unit, 1))
       break;
     startTask(unit, index, *candidate);
     ++started;
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -189,16 +189,15 @@
 
   void collectUnits();
   void collectUnitsOf(Job &job);
-  /// Whether the scheduler may remember something of so many more tasks.
-  bool maySpareMemoryFor(size_t tasks) const {
-    return RememberedTasks + tasks <= Scheduler.Policy.MaxRememberedTasks;
-  }
+  /// Whether so many more tasks of unit may start, whatever capacity is free:
+  /// the leader has the memory and the time for them.
+  bool mayStart(const PlacementUnit &unit, size_t tasks) const;
   bool mayRunElsewhere(const core::TaskId &id, const Task &task) const;
   void collectTasks(PlacementUnit &unit, const JobScheduler::Step &step);
   void avoidFailedWorkers(PlacementUnit &unit,
                           const JobScheduler::Step &step) const;
-  /// Counts the tasks that the scheduler remembers something of, and the starts
-  /// that are not confirmed.
+  /// Counts the tasks that the scheduler remembers something of, those that
+  /// run, and the starts that are not confirmed.
   void countTasks();
   /// How many more tasks of unit the candidate may get, whatever resources are
   /// free.
@@ -241,7 +240,7 @@
   bool isEmpty(const Candidate &candidate) const {
     return candidate.Free == candidate.View->State.Capacity;
   }
-  void allocate(size_t candidateIndex, const core::Resources &resources);
+  void allocate(const PlacementUnit &unit, size_t candidateIndex);
   bool leavesHeadroom(const PlacementUnit &unit,
                       const Placement &placement) const;
   std::optional<size_t> findBestCandidate(const PlacementUnit &unit) const;
@@ -362,6 +361,9 @@
   int EmptyBeyondHeadroom = 0;
   /// Number of tasks that the scheduler remembers something of.
   size_t RememberedTasks = 0;
+  /// Number of tasks that run or may run, in all and by job.
+  size_t RunningTasks = 0;
+  absl::flat_hash_map<const Job *, size_t> RunningTasksOf;
   std::vector<PlacementUnit> Units;
   /// All running units. Collected when a unit has to wait for the first time
   /// and kept up to date from then on, because collecting them takes longer
--- a/src/libs/jobs/planner_gangs.cpp
+++ b/src/libs/jobs/planner_gangs.cpp
@@ -86,7 +86,7 @@
     }
   }
   if (!best || !leavesHeadroom(unit, *best) ||
-      !maySpareMemoryFor(unit.Tasks.size()))
+      !mayStart(unit, unit.Tasks.size()))
     return false;
   startGang(unit, *best);
   return true;
@@ -110,7 +110,7 @@
     Scheduler.assignRun(*unit.Owner, unit.taskId(unit.Tasks[n]),
                         Candidates[placement[n]].View->State.Life, saved,
                         run + 1, unit.Rank, unit.Demand, Now);
-    allocate(placement[n], unit.spec().taskResources());
+    allocate(unit, placement[n]);
     markRecentStart(placement[n], unit);
   }
   refreshRunningUnits(*unit.Owner, unit.Occurrence, unit.Step);
--- a/src/libs/jobs/planner_waits.cpp
+++ b/src/libs/jobs/planner_waits.cpp
@@ -269,6 +269,8 @@
     return {WaitReason::ExceedsCapacity};
   if (!fitsUsable && isPlacedByRack(unit))
     return rackCause(unit, fits);
+  if (!mayStart(unit, static_cast<size_t>(need)))
+    return {WaitReason::TooManyRunning};
   if (fitsAnywhere([](const DomainFit &f) { return f.Now; }))
     return {WaitReason::Headroom};
   for (WaitReason reason : SingleConditions)
--- a/src/libs/jobs/waitreason.cpp
+++ b/src/libs/jobs/waitreason.cpp
@@ -46,6 +46,8 @@
     return "cordoned";
   case WaitReason::RackUnusable:
     return "rack_unusable";
+  case WaitReason::TooManyRunning:
+    return "too_many_running";
   case WaitReason::Headroom:
     return "headroom";
   case WaitReason::Reserved:
@@ -106,6 +108,8 @@
     return "not considered yet";
   case WaitReason::Cordoned:
     return WaitsForCordonReason;
+  case WaitReason::TooManyRunning:
+    return "as many tasks run as the leader can serve";
   default:
     return gang ? "no capacity for the whole gang" : "no capacity";
   }
--- a/src/libs/jobs/waitreason.h
+++ b/src/libs/jobs/waitreason.h
@@ -49,6 +49,8 @@
   /// A gang needs one rack, and no rack has enough usable workers, even if they
   /// were empty.
   RackUnusable,
+  /// As many tasks run as the leader can serve.
+  TooManyRunning,
   /// The capacity is left empty for urgent work.
   Headroom,
   /// The capacity is reserved for other tasks.
