Repeating jobs: a bound on the tasks that have begun and are not done

What a caller would see: a job that stands still for good, state running.

By the types: the first runs of 64,000 due tasks fail one after the other. The occurrences that have not begun are opened 1,024 tasks at a time, but one that has begun and failed makes room for the next, so that all 64,000 may be remembered at once, with some 20 bytes each without saved texts: more than the store's megabyte.

Change: the occurrences that have begun and are not done have 4,096 tasks together, like a job that does not repeat, or there is one.

--- a/src/libs/jobs/jobscheduler_occurrences.cpp
+++ b/src/libs/jobs/jobscheduler_occurrences.cpp
@@ -26,7 +26,7 @@
   const int due = dueOccurrences(job);
   job.DueAtLatestPass = due;
   int known = job.DoneOccurrences.count();
-  int waiting = 0;
+  size_t waiting = 0;
   for (const auto &[number, steps] : job.Occurrences) {
     known += number < due ? 1 : 0;
     waiting += std::all_of(steps.begin(), steps.end(),
@@ -39,11 +39,14 @@
   int tasks = 0;
   for (const core::StepSpec &spec : job.Record.Spec.Steps)
     tasks += spec.Count;
-  const int maxWaiting = Policy.MaxWaitingTasks / std::max(1, tasks);
+  const auto most = [tasks](int limit) {
+    return static_cast<size_t>(std::max(1, limit / std::max(1, tasks)));
+  };
   for (int number = 0; number < due; ++number) {
     if (job.isOccurrenceKnown(number))
       continue;
-    if (waiting++ >= std::max(1, maxWaiting))
+    if (waiting++ >= most(Policy.MaxWaitingTasks) ||
+        job.Occurrences.size() >= most(Policy.MaxOpenTasks))
       return true;
     ensureOccurrence(job, number);
   }
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -109,6 +109,10 @@
   /// How many tasks of a repeating job are considered for a start at a time,
   /// in occurrences of which nothing has begun. One occurrence always is.
   int MaxWaitingTasks = 1024;
+  /// How many tasks the occurrences of a repeating job have that have begun and
+  /// are not done, unless a single one has more: as many as a job that does not
+  /// repeat, so that its record does not outgrow the store.
+  int MaxOpenTasks = core::MaxTasksPerJob;
   /// How many runs a worker has at most at the same time, and how many starts
   /// of tasks that are no gang it is sent before it has confirmed them: more
   /// than workers hold of tasks with ordinary needs, and as many as the agent's
--- a/tests/auto/jobs/tst_manyoccurrences.cpp
+++ b/tests/auto/jobs/tst_manyoccurrences.cpp
@@ -201,6 +201,27 @@
   EXPECT_EQ(site.scheduler().rememberedTaskCount(), 0u);
 }
 
+// Guards against a job that stands still for good, because its record names the
+// failed tasks of all its occurrences and is too large for the store.
+TEST(FailingOccurrences, BeginAFewAtATime) {
+  constexpr int MaxOpen = 6;
+  SchedulerPolicy policy;
+  policy.MaxOpenTasks = MaxOpen * TasksEach;
+  SimSite site(policy);
+  addRacks(site, Racks);
+  site.RunFails = [](const core::TaskId &, int64_t run) { return run == 1; };
+  site.submit(repeatedTasks());
+  size_t most = 0;
+  const absl::Time giveUpAt = site.now() + EndLimit;
+  while (site.state("j") != JobState::Completed && site.now() < giveUpAt) {
+    site.runFor(absl::Milliseconds(SimSite::StepMs));
+    most = std::max(most, site.scheduler().progress("j")->Tasks.size());
+  }
+  EXPECT_EQ(site.state("j"), JobState::Completed);
+  EXPECT_EQ(site.starts(), 2 * Repeats * TasksEach);
+  EXPECT_LE(most, static_cast<size_t>(MaxOpen));
+}
+
 // Guards against leaders that end because of a record whose revision was
 // changed on its way, which left a job without steps.
 TEST(RecordWithoutARevision, IsNoJob) {
