Quarantine: failures of one job on most workers speak of the job

What callers saw: a job of 64 x 1,000 due tasks whose first runs fail after 0.3 s.

Cause: two failed runs in a row quarantine a worker for all jobs, whoever's runs they were: 92 quarantines in 20 s over 11 workers.

Change: a job whose runs fail on more than half of the workers of its service, and on more of them than its other runs are on, is the cause (job.failures_dismissed). Its failures then keep a worker from this job alone, as before for 4 s and doubling, until a run that was ordered after them is completed there; quarantines that rested on them end. Other failures count as before, so that workers that fail all that they start are quarantined as early as before. Failures of one job do not quarantine the only usable worker of its service; a worker that refuses starts as unhealthy is quarantined all the same.

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -62,6 +62,8 @@
     return Event::WorkerSpeedIgnored;
   case Kind::SavesOmitted:
     return Event::SavesOmitted;
+  case Kind::FailuresDismissed:
+    return Event::FailuresDismissed;
   }
   return Event::RunPlaced;
 }
--- a/src/libs/eventlog/events.cpp
+++ b/src/libs/eventlog/events.cpp
@@ -50,6 +50,7 @@
       {Event::CallUnanswered, "call.unanswered"},
       {Event::CallRefusalWithheld, "call.refusal_withheld"},
       {Event::SavesOmitted, "job.saves_omitted"},
+      {Event::FailuresDismissed, "job.failures_dismissed"},
       {Event::WorkerUsedAgain, "worker.used_again"},
       {Event::WorkerSpeedLearned, "worker.speed_learned"},
       {Event::WorkerSpeedIgnored, "worker.speed_ignored"},
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -40,6 +40,7 @@
   CallUnanswered = 217,
   CallRefusalWithheld = 218,
   SavesOmitted = 219,
+  FailuresDismissed = 220,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
--- a/src/libs/jobs/decision.h
+++ b/src/libs/jobs/decision.h
@@ -47,6 +47,9 @@
     /// A job's record leaves out what some of its tasks have saved, or does not
     /// any more.
     SavesOmitted,
+    /// The failed runs of a job do not count against the workers, as the job is
+    /// the cause.
+    FailuresDismissed,
   };
   Kind What = Kind::Placed;
   std::string Job;
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -42,6 +42,19 @@
   return "unknown";
 }
 
+int WorkerView::consecutiveFailures() const {
+  int n = 0;
+  for (const auto &[job, failures] : FailuresByJob)
+    n += failures;
+  return n;
+}
+
+absl::Time WorkerView::quarantinedUntil(const std::string &job) const {
+  auto own = OwnFailuresByJob.find(job);
+  return own == OwnFailuresByJob.end() ? absl::InfinitePast()
+                                       : own->second.QuarantinedUntil;
+}
+
 bool WorkerView::hasLabel(const std::string &label) const {
   const std::vector<std::string> &labels = State.Labels;
   return label.empty() ||
@@ -135,6 +148,13 @@
   return all;
 }
 
+size_t Fleet::countOf(const std::string &service) const {
+  return static_cast<size_t>(
+      std::count_if(Workers.begin(), Workers.end(), [&](const auto &entry) {
+        return entry.second.State.Service == service;
+      }));
+}
+
 WorkerCondition Fleet::conditionOf(const WorkerView &worker,
                                    absl::Time now) const {
   if (worker.State.Draining)
@@ -164,40 +184,104 @@
   return counts;
 }
 
-bool Fleet::recordRunOutcome(const WorkerIncarnation &incarnation,
-                             const RunId &run, bool ok, absl::Time now) {
+bool Fleet::recordFailure(const WorkerIncarnation &incarnation,
+                          const std::string &job, const RunId &run,
+                          absl::Time now) {
   WorkerView *worker = find(incarnation);
-  if (worker == nullptr)
+  if (worker == nullptr || std::exchange(worker->LatestFailedRun, run) == run)
     return false;
-  if (ok) {
-    worker->ConsecutiveFailures = 0;
-    worker->QuarantineDuration = absl::ZeroDuration();
+  ++worker->FailuresByJob[job];
+  if (worker->consecutiveFailures() < Policy.FailuresBeforeQuarantine)
     return false;
-  }
-  if (std::exchange(worker->LatestFailedRun, run) == run)
-    return false;
-  if (++worker->ConsecutiveFailures < Policy.FailuresBeforeQuarantine)
+  const bool isOfOneJob = !job.empty() && worker->FailuresByJob.size() == 1;
+  if (isOfOneJob && !hasOtherUsable(*worker, now))
     return false;
   return quarantine(incarnation, now);
 }
 
+bool Fleet::recordOwnFailure(const WorkerIncarnation &incarnation,
+                             const std::string &job, const RunId &run,
+                             absl::Time now) {
+  WorkerView *worker = find(incarnation);
+  if (worker == nullptr || std::exchange(worker->LatestFailedRun, run) == run)
+    return false;
+  WorkerView::OwnFailures &own = worker->OwnFailuresByJob[job];
+  own.LatestAt = now;
+  if (++own.Count < Policy.FailuresBeforeQuarantine ||
+      now < own.QuarantinedUntil)
+    return false;
+  own.QuarantineDuration = nextQuarantine(own.QuarantineDuration);
+  own.QuarantinedUntil = now + own.QuarantineDuration;
+  return true;
+}
+
+void Fleet::recordSuccess(const WorkerIncarnation &incarnation,
+                          absl::Time orderedAt) {
+  WorkerView *worker = find(incarnation);
+  if (worker == nullptr)
+    return;
+  worker->FailuresByJob.clear();
+  worker->QuarantineDuration = absl::ZeroDuration();
+  std::erase_if(worker->OwnFailuresByJob, [orderedAt](const auto &entry) {
+    return entry.second.LatestAt < orderedAt;
+  });
+}
+
+std::vector<WorkerIncarnation> Fleet::dismissFailuresOf(const std::string &job,
+                                                        absl::Time now) {
+  std::vector<WorkerIncarnation> released;
+  for (auto &[incarnation, worker] : Workers) {
+    auto failures = worker.FailuresByJob.find(job);
+    if (failures == worker.FailuresByJob.end())
+      continue;
+    WorkerView::OwnFailures &own = worker.OwnFailuresByJob[job];
+    own.Count += failures->second;
+    own.LatestAt = now;
+    worker.FailuresByJob.erase(failures);
+    if (worker.consecutiveFailures() >= Policy.FailuresBeforeQuarantine)
+      continue;
+    own.QuarantineDuration =
+        std::exchange(worker.QuarantineDuration, absl::ZeroDuration());
+    own.QuarantinedUntil = worker.QuarantinedUntil;
+    if (now < worker.QuarantinedUntil)
+      released.push_back(incarnation);
+    worker.QuarantinedUntil = std::min(worker.QuarantinedUntil, now);
+  }
+  return released;
+}
+
+bool Fleet::hasOtherUsable(const WorkerView &worker, absl::Time now) const {
+  return std::any_of(Workers.begin(), Workers.end(), [&](const auto &entry) {
+    const WorkerView &other = entry.second;
+    return &other != &worker && other.State.Service == worker.State.Service &&
+           isUsable(other, now);
+  });
+}
+
+absl::Duration Fleet::nextQuarantine(absl::Duration latest) const {
+  return latest == absl::ZeroDuration()
+             ? Policy.FirstQuarantine
+             : std::min(latest * 2, Policy.MaxQuarantine);
+}
+
 bool Fleet::quarantine(const WorkerIncarnation &incarnation, absl::Time now) {
   WorkerView *worker = find(incarnation);
   if (worker == nullptr || now < worker->QuarantinedUntil)
     return false;
-  worker->QuarantineDuration =
-      worker->QuarantineDuration == absl::ZeroDuration()
-          ? Policy.FirstQuarantine
-          : std::min(worker->QuarantineDuration * 2, Policy.MaxQuarantine);
+  worker->QuarantineDuration = nextQuarantine(worker->QuarantineDuration);
   worker->QuarantinedUntil = now + worker->QuarantineDuration;
   return true;
 }
 
 void Fleet::endQuarantine(const WorkerIncarnation &incarnation,
-                          absl::Time now) {
+                          const std::string &job, absl::Time now) {
   WorkerView *worker = find(incarnation);
-  if (worker != nullptr)
-    worker->QuarantinedUntil = std::min(worker->QuarantinedUntil, now);
+  if (worker == nullptr)
+    return;
+  worker->QuarantinedUntil = std::min(worker->QuarantinedUntil, now);
+  auto own = worker->OwnFailuresByJob.find(job);
+  if (own != worker->OwnFailuresByJob.end())
+    own->second.QuarantinedUntil = std::min(own->second.QuarantinedUntil, now);
 }
 
 void Fleet::allocate(const WorkerIncarnation &incarnation, const RunId &run,
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -26,7 +26,7 @@
   /// Time after the last grant for a worker by which its tasks have certainly
   /// ended.
   absl::Duration LostAfter = absl::Milliseconds(6000);
-  /// Number of consecutive failures, as counted by Fleet::recordRunOutcome(),
+  /// Number of consecutive failures, as counted by Fleet::recordFailure(),
   /// before a worker is quarantined. Usually they are of different tasks,
   /// because a failed task avoids the worker while others could hold it.
   int FailuresBeforeQuarantine = 2;
@@ -97,13 +97,28 @@
   std::map<int64_t, bool> RunEnds;
   /// All ends up to this number have been recorded.
   int64_t SeenUpto = 0;
-  /// Failures since the last completed run; see Fleet::recordRunOutcome().
-  int ConsecutiveFailures = 0;
+  /// Failures since the last completed run, by the job whose run it was, and by
+  /// an empty name those that the worker itself is the cause of; see
+  /// Fleet::recordFailure().
+  std::map<std::string, int> FailuresByJob;
   RunId LatestFailedRun;
+  /// Failures of a job that is their cause. They keep the worker from this job
+  /// alone.
+  struct OwnFailures {
+    int Count = 0;
+    absl::Time LatestAt = absl::InfinitePast();
+    absl::Duration QuarantineDuration = absl::ZeroDuration();
+    absl::Time QuarantinedUntil = absl::InfinitePast();
+  };
+  std::map<std::string, OwnFailures> OwnFailuresByJob;
   /// Duration of the latest quarantine; zero after a completed run.
   absl::Duration QuarantineDuration = absl::ZeroDuration();
   absl::Time QuarantinedUntil = absl::InfinitePast();
 
+  /// Number of failures since the last completed run.
+  int consecutiveFailures() const;
+  /// Time until which the worker gets no tasks of this job alone.
+  absl::Time quarantinedUntil(const std::string &job) const;
   /// Whether it has the label; true for an empty label.
   bool hasLabel(const std::string &label) const;
   core::Resources freeResources() const {
@@ -151,6 +166,9 @@
   /// failure domains.
   core::Resources capacityOf(const std::string &service) const;
 
+  /// Number of known workers of the service.
+  size_t countOf(const std::string &service) const;
+
   /// Whether new tasks may be placed on the worker.
   bool isUsable(const WorkerView &worker, absl::Time now) const {
     return conditionOf(worker, now) == WorkerCondition::Usable;
@@ -166,14 +184,32 @@
   /// Quarantines the worker, for longer each time. Returns false if it is
   /// already quarantined.
   bool quarantine(const WorkerIncarnation &incarnation, absl::Time now);
-  /// Ends the worker's quarantine. The next one is longer all the same.
-  void endQuarantine(const WorkerIncarnation &incarnation, absl::Time now);
-  /// Counts the end of a run, to quarantine workers that fail the tasks started
-  /// on them. With ok false, the run failed or the unhealthy worker did not
-  /// start it. The members of a gang's run share one run, which counts once as
-  /// failed. Returns true if the worker is quarantined from now on.
-  bool recordRunOutcome(const WorkerIncarnation &incarnation, const RunId &run,
-                        bool ok, absl::Time now);
+  /// Ends the worker's quarantine, for all jobs or for this one. The next one
+  /// is longer all the same.
+  void endQuarantine(const WorkerIncarnation &incarnation,
+                     const std::string &job, absl::Time now);
+  /// Counts a run that failed, or that the unhealthy worker did not start (then
+  /// job is empty, as the worker itself is the cause), to quarantine workers
+  /// that fail the tasks started on them. The members of a gang's run share one
+  /// run, which counts once. Failures of one job alone do not quarantine the
+  /// only usable worker of its service, as the job may be the cause. Returns
+  /// true if the worker is quarantined from now on.
+  bool recordFailure(const WorkerIncarnation &incarnation,
+                     const std::string &job, const RunId &run, absl::Time now);
+  /// The same for a run whose job is the cause of the failure. It quarantines
+  /// the worker for this job alone.
+  bool recordOwnFailure(const WorkerIncarnation &incarnation,
+                        const std::string &job, const RunId &run,
+                        absl::Time now);
+  /// A run that was ordered at this time was completed, so that the worker is
+  /// healthy.
+  void recordSuccess(const WorkerIncarnation &incarnation,
+                     absl::Time orderedAt);
+  /// The job has turned out to be the cause of its failures: they count as its
+  /// own from now on. Returns the workers whose quarantine rested on them, and
+  /// now holds for this job alone.
+  std::vector<WorkerIncarnation> dismissFailuresOf(const std::string &job,
+                                                   absl::Time now);
 
   void allocate(const WorkerIncarnation &incarnation, const RunId &run,
                 const core::Resources &resources);
@@ -198,6 +234,8 @@
   void markEndRecorded(const WorkerIncarnation &incarnation, int64_t number);
 
 private:
+  bool hasOtherUsable(const WorkerView &worker, absl::Time now) const;
+  absl::Duration nextQuarantine(absl::Duration latest) const;
   bool hasNotReported(const WorkerView &worker, absl::Time now) const {
     return now - worker.LastReportAt >= Policy.UnresponsiveAfter;
   }
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -322,6 +322,12 @@
     std::vector<PendingEndAck> PendingEndAcks;
     /// At least one of the tasks is a suspect.
     bool HasSuspects = false;
+    /// Workers on which a run of the job has failed and none was completed
+    /// since.
+    std::set<WorkerIncarnation> FailsOn;
+    /// Its runs fail for a reason of its own, as determined at CauseCheckedAt.
+    bool CausesFailures = false;
+    absl::Time CauseCheckedAt = absl::InfinitePast();
     JobWaits Waits;
     bool Overdue = false;
     absl::Time OverdueCheckedAt = absl::InfinitePast();
@@ -535,6 +541,12 @@
   /// The run by whose outcome a worker is judged: one for all members of a
   /// gang.
   static RunId judgedRun(const Job &job, const core::TaskId &id, int64_t run);
+  void recordSuccessOn(const WorkerIncarnation &incarnation, Job &job,
+                       const Task &task);
+  void recordFailureOn(const WorkerIncarnation &incarnation, Job &job,
+                       const core::TaskId &id, int64_t run, absl::Time now);
+  bool isCauseOfFailures(Job &job, absl::Time now);
+  void dismissFailuresOf(const Job &job, size_t otherWorkers, absl::Time now);
   void unassign(Job &job, const core::TaskId &id, Task &task,
                 Settlement settlement, absl::Time now);
   void compareSpeedByProgress(const core::TaskId &id, Task &task);
--- a/src/libs/jobs/jobscheduler_orders.cpp
+++ b/src/libs/jobs/jobscheduler_orders.cpp
@@ -116,8 +116,8 @@
     // it from the store.
     return;
   case OrderOutcome::Busy:
-    if (Workers.recordRunOutcome(incarnation, judgedRun(job, id, result.Run),
-                                 false, now))
+    if (Workers.recordFailure(incarnation, "", judgedRun(job, id, result.Run),
+                              now))
       logDecision(Decision::Kind::WorkerQuarantined, id.Job, result.Task,
                   result.Run, incarnation.Id, "refuses starts");
     task->FailedOn.insert(incarnation);
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -294,7 +294,7 @@
   if (!isCounted) {
     // The end of another member has completed the gang.
     if (isLatest && end.How == RunEnd::Done)
-      Workers.recordRunOutcome(incarnation, {end.Task, end.Run}, true, now);
+      recordSuccessOn(incarnation, job, *task);
     if (isLatest)
       unassign(job, id, *task, Settlement::ByWorker, now);
     acknowledgeEnd(job, incarnation, end.Number);
@@ -355,16 +355,13 @@
     requestStop(id, task, "an earlier run has done the work");
   if (!saved.empty())
     task.Progress.Saved = saved;
-  if (how == RunEnd::Failed)
+  if (how == RunEnd::Done)
+    recordSuccessOn(incarnation, job, task);
+  if (how == RunEnd::Failed) {
     task.FailedOn.insert(incarnation);
-  if ((how == RunEnd::Done || how == RunEnd::Failed) &&
-      Workers.recordRunOutcome(incarnation,
-                               judgedRun(job, id, task.Progress.Run),
-                               how == RunEnd::Done, now))
-    logDecision(Decision::Kind::WorkerQuarantined, id.Job, core::taskName(id),
-                task.Progress.Run, incarnation.Id, "failed runs in a row");
-  if (how == RunEnd::Failed)
+    recordFailureOn(incarnation, job, id, task.Progress.Run, now);
     recordFailedRun(job, id, task.Progress.Run);
+  }
   if (spec.Gang)
     handleGangMemberEnd(job, id, how);
   else if (how == RunEnd::Done && !spec.LongRunning)
--- a/src/libs/jobs/jobscheduler_waits.cpp
+++ b/src/libs/jobs/jobscheduler_waits.cpp
@@ -105,11 +105,12 @@
 void JobScheduler::endQuarantine(const WorkerIncarnation &incarnation,
                                  const std::string &jobId, absl::Time now) {
   const WorkerView &worker = *Workers.find(incarnation);
-  logDecision(
-      Decision::Kind::QuarantineEnded, jobId, "", 0, incarnation.Id,
-      "a job finds no other worker",
-      {{"left_ms", absl::ToInt64Milliseconds(worker.QuarantinedUntil - now)}});
-  Workers.endQuarantine(incarnation, now);
+  const absl::Time until =
+      std::max(worker.QuarantinedUntil, worker.quarantinedUntil(jobId));
+  logDecision(Decision::Kind::QuarantineEnded, jobId, "", 0, incarnation.Id,
+              "a job finds no other worker",
+              {{"left_ms", absl::ToInt64Milliseconds(until - now)}});
+  Workers.endQuarantine(incarnation, jobId, now);
   PassNeeded = true;
 }
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -19,12 +19,11 @@
     for (const RunId &run : view.UnexpectedRuns)
       UnexpectedTasks.insert(run.Task);
     if (Scheduler.Workers.isUsable(view, now))
-      Candidates.push_back({&view, view.freeResources(), view.freeResources(),
-                            absl::InfiniteDuration(),
-                            Scheduler.speedOfWorker(view),
-                            Scheduler.Speeds.isSlow(view.Agent), -1,
-                            view.ConsecutiveFailures > 0, false,
-                            static_cast<int64_t>(view.Allocations.size())});
+      Candidates.push_back(
+          {&view, view.freeResources(), view.freeResources(),
+           absl::InfiniteDuration(), Scheduler.speedOfWorker(view),
+           Scheduler.Speeds.isSlow(view.Agent), -1, !view.FailuresByJob.empty(),
+           false, static_cast<int64_t>(view.Allocations.size())});
   }
   SiteDomain.emplace_back();
   std::map<std::string_view, int> rackIndices;
@@ -204,6 +203,7 @@
   unit.TaskLimits.assign(Candidates.size(), 0);
   for (size_t c = 0; c < Candidates.size(); ++c) {
     if (!isEligible(*Candidates[c].View, unit) ||
+        isKeptOff(*Candidates[c].View, unit) ||
         !canStartOn(Candidates[c], unit) || isTooSlowFor(Candidates[c], unit))
       continue;
     int64_t limit = maxMoreRuns(Candidates[c], unit);
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -273,6 +273,10 @@
   bool isLarge(const PlacementUnit &unit) const;
 
   bool isEligible(const WorkerView &worker, const PlacementUnit &unit) const;
+  /// Whether the worker is in quarantine for the unit's job alone.
+  bool isKeptOff(const WorkerView &worker, const PlacementUnit &unit) const {
+    return Now < worker.quarantinedUntil(unit.Owner->Record.Spec.Id);
+  }
   void computeTaskLimits(PlacementUnit &unit) const;
   /// The candidate's resources that unit may use: all that is free if it is
   /// expected to end before the reservation starts, else the unreserved part.
--- a/src/libs/jobs/planner_preferences.cpp
+++ b/src/libs/jobs/planner_preferences.cpp
@@ -63,11 +63,16 @@
 std::vector<WorkerIncarnation>
 Planner::quarantinedWorkers(const PlacementUnit &unit) const {
   std::vector<std::pair<absl::Time, WorkerIncarnation>> byEnd;
-  for (const auto &[incarnation, view] : Scheduler.Workers.workers())
-    if (Scheduler.Workers.conditionOf(view, Now) ==
-            WorkerCondition::Quarantined &&
-        isEligible(view, unit))
+  for (const auto &[incarnation, view] : Scheduler.Workers.workers()) {
+    const WorkerCondition condition = Scheduler.Workers.conditionOf(view, Now);
+    if (!isEligible(view, unit))
+      continue;
+    if (condition == WorkerCondition::Quarantined)
       byEnd.emplace_back(view.QuarantinedUntil, incarnation);
+    else if (condition == WorkerCondition::Usable && isKeptOff(view, unit))
+      byEnd.emplace_back(view.quarantinedUntil(unit.Owner->Record.Spec.Id),
+                         incarnation);
+  }
   std::sort(byEnd.begin(), byEnd.end());
   std::vector<WorkerIncarnation> incarnations;
   incarnations.reserve(byEnd.size());
--- a/src/libs/jobs/planner_units.cpp
+++ b/src/libs/jobs/planner_units.cpp
@@ -119,7 +119,7 @@
     maxTasks = std::min<int64_t>(maxTasks, spec.MaxPerWorker);
   int64_t taskCount = 0;
   for (const Candidate &candidate : Candidates)
-    if (isEligible(*candidate.View, unit))
+    if (isEligible(*candidate.View, unit) && !isKeptOff(*candidate.View, unit))
       taskCount += spec.taskResources().countIn(candidate.View->State.Capacity,
                                                 maxTasks);
   return taskCount;
--- a/src/libs/jobs/planner_waits.cpp
+++ b/src/libs/jobs/planner_waits.cpp
@@ -196,6 +196,13 @@
     fit.AllUsableBy = absl::InfiniteFuture();
     return;
   }
+  if (isKeptOff(*candidate.View, unit)) {
+    behind(WaitReason::Quarantined) += free;
+    fit.AllUsableBy =
+        std::max(fit.AllUsableBy,
+                 candidate.View->quarantinedUntil(unit.Owner->Record.Spec.Id));
+    return;
+  }
   ++fit.UsableWorkers;
   fit.UsableIfEmpty += ifEmpty;
   if (!canStartOn(candidate, unit)) {
@@ -309,6 +316,12 @@
   for (const UnusableWorker &worker : unusableWorkers())
     if (worker.Reason == reason && isEligible(*worker.View, unit))
       earliest = std::min(earliest, endOf(reason, *worker.View));
+  if (reason != WaitReason::Quarantined)
+    return earliest;
+  for (const Candidate &candidate : Candidates)
+    if (isEligible(*candidate.View, unit) && isKeptOff(*candidate.View, unit))
+      earliest = std::min(earliest, candidate.View->quarantinedUntil(
+                                        unit.Owner->Record.Spec.Id));
   return earliest;
 }
 
