--- a/src/libs/agent/workeragent.cpp
+++ b/src/libs/agent/workeragent.cpp
@@ -110,7 +110,7 @@
   ++KeepAlivesInFlight;
   Worker.KeepAlive(call, [this, alive = Alive, number, incarnation = State.Life,
                           epoch = Epoch, sent = Loop.now(),
-                          waitMs = call.WaitMs](const KeepAliveReply &reply) {
+                          waitMs = call.WaitMs](KeepAliveReply reply) {
     if (!*alive || incarnation != State.Life)
       return;
     --KeepAlivesInFlight;
@@ -119,7 +119,7 @@
     if (reply.Outcome.Status == CallStatus::NoAnswer &&
         Loop.now() - sent < absl::Milliseconds(waitMs))
       SentStarts.recordConnectionClosed(Loop.now());
-    onKeepAliveReply(number, epoch, reply);
+    onKeepAliveReply(number, epoch, std::move(reply));
   });
 }
 
@@ -157,7 +157,7 @@
 }
 
 void WorkerAgent::onKeepAliveReply(uint64_t number, int64_t epoch,
-                                   const KeepAliveReply &reply) {
+                                   KeepAliveReply reply) {
   const CallOutcome &outcome = reply.Outcome;
   if (isOtherIncarnation(outcome, State.Life)) {
     endIncarnation("another incarnation answered", EndReason::Superseded);
@@ -184,7 +184,7 @@
     changed |= epoch > ListedEpoch || reply.Ended != Ended ||
                reply.EndsComplete != EndsComplete ||
                reply.Running.size() != Running.size();
-    Running = reply.Running;
+    Running = std::move(reply.Running);
     for (const endpoints::RunningTask &r : Running)
       SentStarts.recordListed({r.Task, r.Run});
     for (const endpoints::EndedTask &e : reply.Ended) {
@@ -194,7 +194,7 @@
     }
     if (!reply.Ended.empty() && reply.Ended != Ended)
       EndsChangedAt = Loop.now();
-    Ended = reply.Ended;
+    Ended = std::move(reply.Ended);
     EndsComplete = reply.EndsComplete;
     OldestEndNumber = Ended.empty() ? 0 : Ended.front().Number;
     ListedEpoch = epoch;
--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -155,7 +155,7 @@
   /// Handles the answer to the keep-alive call with this number, which was sent
   /// with this epoch.
   void onKeepAliveReply(uint64_t number, int64_t epoch,
-                        const endpoints::KeepAliveReply &reply);
+                        endpoints::KeepAliveReply reply);
   absl::Duration pauseBeforePoll() const;
   /// Handles a poll that was not answered: reports the worker as unreachable,
   /// or its process as ended, after several.
--- a/tests/auto/system/crowdsite.cpp
+++ b/tests/auto/system/crowdsite.cpp
@@ -100,11 +100,12 @@
   return "";
 }
 
-CrowdSite::CrowdSite(int memoryMb, int entries)
+CrowdSite::CrowdSite(int memoryMb, int entries, int workers, size_t savedBytes)
     : MemoryMb(memoryMb), MetricsPort(freePort()) {
   JobsSite::Options options;
   options.Entries = entries;
-  options.Workers = 1;
+  options.Workers = workers;
+  options.SavedBytes = savedBytes;
   options.MoreSettings = [this](const std::string &process) {
     json settings = {{"memory_mb", MemoryMb}};
     if (process == MetricsEntry)
--- a/tests/auto/system/crowdsite.h
+++ b/tests/auto/system/crowdsite.h
@@ -22,11 +22,12 @@
 /// the method alternates, as a client may send one with either.
 std::string headOf(Door door, int number);
 
-/// A site with one worker, one process of which is watched while crowds come.
+/// A site with few workers, one process of which is watched while crowds come.
 class CrowdSite {
 public:
-  /// Waits until a job is completed. Each process is given this much memory.
-  CrowdSite(int memoryMb, int entries);
+  /// Waits until a job is completed. Each process is given this much memory,
+  /// and each run has saved a text of this length.
+  CrowdSite(int memoryMb, int entries, int workers = 1, size_t savedBytes = 0);
 
   JobsSite &site() { return *Site; }
   /// The process that serves the door; the first entry, if all do.
--- a/tests/auto/system/jobssite.cpp
+++ b/tests/auto/system/jobssite.cpp
@@ -173,7 +173,7 @@
       Loop, Store, [this](std::string body) { return changeAnswer(body); });
   for (int n = 0; n < SiteOptions.Workers; ++n)
     Workers.push_back(std::make_unique<WorkerServer>(
-        Loop, Runs, "w" + std::to_string(n), "r0",
+        Loop, Runs, "w" + std::to_string(n), "r0", SiteOptions.SavedBytes,
         [this](std::string body) { return changeAnswer(body); }));
   LoopThread = std::thread([this] { Loop.run(); });
   for (int n = 0; n < SiteOptions.Entries; ++n)
--- a/tests/auto/system/jobssite.h
+++ b/tests/auto/system/jobssite.h
@@ -86,6 +86,8 @@
     int Entries = 2;
     int Workers = 2;
     uint64_t Seed = 1;
+    /// Length of what each run has saved.
+    size_t SavedBytes = 0;
     /// Returns further settings of the process with this name.
     std::function<nlohmann::json(const std::string &process)> MoreSettings =
         nullptr;
--- a/tests/auto/system/workerserver.cpp
+++ b/tests/auto/system/workerserver.cpp
@@ -27,9 +27,10 @@
 } // namespace
 
 WorkerServer::WorkerServer(utils::EventLoop &loop, RunLog &runs, std::string id,
-                           std::string rack, ChangeAnswer changeAnswer)
+                           std::string rack, size_t savedBytes,
+                           ChangeAnswer changeAnswer)
     : Loop(loop), Runs(runs), Id(std::move(id)), Rack(std::move(rack)),
-      Change(std::move(changeAnswer)) {
+      Saved(savedBytes, 's'), Change(std::move(changeAnswer)) {
   http::AsyncServerOptions options;
   options.StoredHeaders = {"Oriolebay-Expect-Instance"};
   Server = std::make_unique<http::AsyncServer>(
@@ -49,11 +50,18 @@
   return body;
 }
 
+int WorkerServer::percentOf(const Work &work) const {
+  constexpr double MostOfUnfinished = 99;
+  const double share = absl::FDivDuration(Loop.now() - work.BeganAt, work.Time);
+  return static_cast<int>(std::min(MostOfUnfinished, 100 * share));
+}
+
 json WorkerServer::lists() const {
   json body = clock();
   body["running"] = json::array();
-  for (const auto &[run, running] : Running)
-    body["running"].push_back({run.Task, run.Number, "", 50, 0});
+  for (const auto &[run, work] : Running)
+    body["running"].push_back(
+        {run.Task, run.Number, Saved, percentOf(work), 0});
   body["ended"] = json::array();
   for (const auto &[number, end] : Ended)
     body["ended"].push_back(
@@ -98,9 +106,10 @@
   extendLease(body.at("untilMs"));
   if (run.Number <= LastRuns[run.Task])
     return refusal("old");
-  Running.emplace(run, true);
+  const absl::Duration workTime = runTimeOf(body);
+  Running.emplace(run, Work{Loop.now(), workTime});
   Runs.onStarted(Id, run, Loop.now());
-  Loop.runAfter(runTimeOf(body), [this, run] { end(run, "done"); });
+  Loop.runAfter(workTime, [this, run] { end(run, "done"); });
   return clock();
 }
 
--- a/tests/auto/system/workerserver.h
+++ b/tests/auto/system/workerserver.h
@@ -23,9 +23,10 @@
   /// Changes the body of an answer before it is sent. Called on loop.
   using ChangeAnswer = std::function<std::string(std::string body)>;
 
-  /// Loop owns the worker and runs on a thread of its own.
+  /// Loop owns the worker and runs on a thread of its own. Each run has saved a
+  /// text of this many bytes.
   WorkerServer(utils::EventLoop &loop, RunLog &runs, std::string id,
-               std::string rack, ChangeAnswer changeAnswer);
+               std::string rack, size_t savedBytes, ChangeAnswer changeAnswer);
 
   const std::string &id() const { return Id; }
   int port() const { return Server->port(); }
@@ -34,6 +35,10 @@
   void sendHeartbeatsTo(int controlPort);
 
 private:
+  struct Work {
+    absl::Time BeganAt;
+    absl::Duration Time;
+  };
   /// The end of a run that is not acknowledged yet.
   struct End {
     TaskRun Run;
@@ -52,6 +57,7 @@
   void checkLease();
   void end(const TaskRun &run, const char *how);
   void acknowledgeEnds(int64_t upTo);
+  int percentOf(const Work &work) const;
   nlohmann::json lists() const;
   nlohmann::json clock() const;
   nlohmann::json refusal(const char *reason) const;
@@ -61,11 +67,12 @@
   RunLog &Runs;
   const std::string Id;
   const std::string Rack;
+  const std::string Saved;
   const ChangeAnswer Change;
   http::AsyncClient Client;
   int ControlPort = 0;
   int64_t Heartbeats = 0;
-  std::map<TaskRun, bool> Running;
+  std::map<TaskRun, Work> Running;
   std::map<int64_t, End> Ended;
   int64_t LastEnd = 0;
   /// The highest run of each task that was stopped or has ended here.
