ManyEnds: ends are acknowledged within a second of the last job's end

The test looked at the acknowledgements at the very moment at which the last job's end was recorded, which is before an agent can hear of it. It passed because the other job ended last.

--- a/tests/auto/cluster/tst_manyfailedends.cpp
+++ b/tests/auto/cluster/tst_manyfailedends.cpp
@@ -27,6 +27,8 @@
 constexpr absl::Duration LaterBy = absl::Milliseconds(20);
 constexpr core::Resources SmallTask = {10, 10, 0};
 constexpr absl::Duration EndLimit = absl::Minutes(2);
+/// Time after the end of a job in which its last ends are acknowledged.
+constexpr absl::Duration AcknowledgedWithin = absl::Seconds(1);
 
 bool isLater(const std::string &task) { return task.rfind(LaterJob, 0) == 0; }
 
@@ -95,6 +97,7 @@
   EXPECT_EQ(Cluster.acceptedJobs().size(), 2U);
   EXPECT_EQ(Cluster.finalState(FirstJob), jobs::JobState::Completed);
   EXPECT_EQ(Cluster.finalState(LaterJob), jobs::JobState::Failed);
+  Cluster.runFor(AcknowledgedWithin);
   EXPECT_EQ(unacknowledgedEnds(), 0);
   EXPECT_EQ(StartsAfterLastAttempt, 0) << Cluster.decisionsText(LaterJob);
   EXPECT_TRUE(Cluster.violations().empty()) << Cluster.violations().front();
