scheduledjob.h: what the leader knows of a job and its tasks

The state of a job, its steps and tasks, which the planner, the run monitor and the wait survey use as well, has a header of its own; the members moved as they were. The phase of a run is RunPhase, the member Phase. Behaviour is as it was.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -208,7 +208,7 @@
   task.Progress.Worker = incarnation;
   task.Progress.Agent = Workers.find(incarnation)->Agent;
   task.Progress.Saved = saved;
-  task.RunPhase = Phase::Recording;
+  task.Phase = Phase::Recording;
   task.StartWriteVersion = job.Version + 1;
   task.StopRequested = false;
   task.StartRefused = false;
@@ -321,13 +321,13 @@
       forgetLateStarts(job, task, now);
       indexLateStarts(id, task);
       resolveRefusedStart(job, id, task, now);
-      if (!task.isAssigned() || task.RunPhase == Phase::Recording)
+      if (!task.isAssigned() || task.Phase == Phase::Recording)
         return;
       if (now - task.LastOrderAt < Policy.OrderResendInterval)
         return;
       if (task.StopRequested)
         orderStop(id, task, now);
-      else if (task.RunPhase == Phase::Ordered)
+      else if (task.Phase == Phase::Ordered)
         orderStart(job, id, task, now);
     });
   }
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -7,6 +7,7 @@
 #include "jobrecord.h"
 #include "openstartregistry.h"
 #include "progress.h"
+#include "scheduledjob.h"
 #include "schedulerpolicy.h"
 #include "silentagent.h"
 #include "stepwait.h"
@@ -161,16 +162,10 @@
   friend class Planner;
   friend class RunMonitor;
   friend class WaitSurvey;
-  /// State of a task's latest run as the leader knows it. It is not recorded.
-  enum class Phase {
-    Idle,
-    /// The start is being recorded and has not been ordered.
-    Recording,
-    Ordered,
-    /// Recorded by a previous leader, which may or may not have ordered it.
-    Adopted,
-    Running
-  };
+  using Phase = RunPhase;
+  using Task = ScheduledTask;
+  using Step = ScheduledStep;
+  using Job = ScheduledJob;
   /// How it is known that a run is over.
   enum class Settlement {
     /// Its worker has listed the end or confirmed a stop, and refuses the run
@@ -181,180 +176,6 @@
     ByExpiry,
     Otherwise
   };
-  struct LateStartBound {
-    absl::Time Until;
-    /// When this leader first ordered the start; infinite past if an earlier
-    /// one did.
-    absl::Time OrderedAt = absl::InfinitePast();
-  };
-  struct Task {
-    TaskProgress Progress;
-    Phase RunPhase = Phase::Idle;
-    bool StopRequested = false;
-    /// The agent refused the start, but an earlier attempt to start the run may
-    /// still be carried out.
-    bool StartRefused = false;
-    /// Version of the job's progress that records the start.
-    int64_t StartWriteVersion = 0;
-    /// Time at which this leader first received a report that the run has
-    /// started.
-    absl::Time StartedAt = absl::InfinitePast();
-    /// The run started under this leader, so that its start time is known.
-    bool StartObserved = false;
-    /// The worker has listed the run as running.
-    bool ListedByWorker = false;
-    /// The start was sent to a worker incarnation that has ended. Until this
-    /// time the next incarnation with the same id may still carry it out.
-    absl::Time LateStartPossibleUntil = absl::InfinitePast();
-    /// Time at which this leader first ordered the start; infinite past if a
-    /// previous leader may have ordered it.
-    absl::Time FirstOrderAt = absl::InfinitePast();
-    /// Time until which an attempt to start the run may still be carried out,
-    /// as far as the agent's reports tell; infinite past if none may. Not set
-    /// before a report has shown what became of the order.
-    std::optional<absl::Time> StartOpenUntil;
-    /// Until when each of Progress.LateStarts may still be carried out. While
-    /// the task is not assigned, it starts nowhere before the latest of them.
-    std::map<LateStart, LateStartBound> LateStartBounds;
-    /// The run had just started, or may have, when its worker crashed. If no
-    /// incarnation turns out to have it, the crash counts against the task.
-    bool CountCrashIfAbsent = false;
-    absl::Time LastOrderAt = absl::InfinitePast();
-    int Percent = 0;
-    /// Time at which the worker listed Percent. An agent that cannot reach its
-    /// worker does not advance it.
-    absl::Time PercentReportedAt = absl::InfinitePast();
-    /// When the latest run was over, as far as this leader knows.
-    absl::Time IdleSince = absl::InfinitePast();
-    /// The run's speed has been compared with other tasks of the same step.
-    bool SpeedCompared = false;
-    /// Duration of the run that completed the task.
-    absl::Duration RunDuration = absl::ZeroDuration();
-    /// How often the task was moved because it was too slow.
-    int Moves = 0;
-    /// Workers where a run of the task failed, or that did not start it because
-    /// they were unhealthy.
-    std::set<WorkerIncarnation> FailedOn;
-
-    bool isDone() const { return Progress.Done; }
-    void setDone() { Progress.setDone(); }
-    bool isUntouched() const { return Progress.isUntouched(); }
-    bool isSettled() const { return Progress.isSettled(); }
-    /// A worker may be running the task.
-    bool isAssigned() const { return !Progress.Worker.empty(); }
-    /// Its start was decided, and no report has confirmed it.
-    bool isUnconfirmed() const {
-      return isAssigned() &&
-             (RunPhase == Phase::Recording || RunPhase == Phase::Ordered);
-    }
-    /// Time before which the task starts nowhere; infinite past if it may
-    /// start.
-    absl::Time startBarredUntil() const {
-      absl::Time until = absl::InfinitePast();
-      if (!isAssigned())
-        for (const auto &[start, bound] : LateStartBounds)
-          until = std::max(until, bound.Until);
-      return until;
-    }
-    /// The task may have crashed a worker.
-    bool isSuspect() const { return !Progress.CrashedAt.empty(); }
-    /// The worker has survived the start of the run by CrashDetectionWindow, so
-    /// that the run is not one that crashes workers.
-    bool hasOutlivedCrashWindow() const {
-      return RunPhase == Phase::Running &&
-             PercentReportedAt - StartedAt >= endpoints::CrashDetectionWindow;
-    }
-  };
-  /// A step of one occurrence.
-  struct Step : SparseStep<Task> {
-    using SparseStep<Task>::SparseStep;
-    /// Durations of the runs that completed the settled tasks, as far as known.
-    std::vector<absl::Duration> SettledDurations;
-  };
-  struct Job {
-    /// Without the job's payload.
-    JobRecord Record;
-    core::SharedText Payload;
-    int64_t RecordRevision = 0;
-    int64_t ProgressRevision = 0;
-    /// Version of the latest progress that takeWrites() returned or that a
-    /// previous leader recorded.
-    int64_t Version = 0;
-    /// Version of the latest progress that is known to be in the store.
-    int64_t WrittenVersion = 0;
-    /// Running from the time at which it is known that a worker has begun a
-    /// task.
-    JobState State = JobState::Queued;
-    /// The steps of the occurrences that wait to begin, have begun or have been
-    /// read. Of the other due ones, those in DoneOccurrences are done and the
-    /// rest are untouched.
-    std::map<int, std::vector<Step>> Occurrences;
-    NumberRanges DoneOccurrences;
-    /// Number of occurrences that were due at the latest scheduling pass.
-    int DueAtLatestPass = 0;
-    /// Time at which this leader first received the record. For jobs that a new
-    /// leader reads from the store, it is later than the submission.
-    absl::Time Arrived;
-    /// Time of the job's end, or for a job that ended under a previous leader,
-    /// the time at which its progress was read.
-    absl::Time FinishedAt = absl::InfiniteFuture();
-    /// The progress has changed since the latest takeWrites().
-    bool Dirty = false;
-    /// When the state has to be written at the latest, if only it has changed;
-    /// infinite if it has been written.
-    absl::Time RecordStateAt = absl::InfiniteFuture();
-    /// A write of the progress is under way.
-    bool Writing = false;
-    /// When the latest write was taken.
-    absl::Time WrittenAt = absl::InfinitePast();
-    /// Number of tasks whose saved progress the latest write leaves out.
-    int OmittedSaves = 0;
-    /// When it was last logged that texts that its tasks have saved were
-    /// dropped.
-    absl::Time DroppedSavesLoggedAt = absl::InfinitePast();
-    /// The end of a run, to be acknowledged once progress of this version has
-    /// been written.
-    struct PendingEndAck {
-      int64_t Version = 0;
-      WorkerIncarnation Incarnation;
-      int64_t Number = 0;
-    };
-    std::vector<PendingEndAck> PendingEndAcks;
-    /// At least one of the tasks is a suspect.
-    bool HasSuspects = false;
-    /// Workers on which a run of the job has failed and none was completed
-    /// since.
-    std::set<WorkerIncarnation> FailsOn;
-    /// Its runs fail for a reason of its own, as determined at CauseCheckedAt.
-    bool CausesFailures = false;
-    absl::Time CauseCheckedAt = absl::InfinitePast();
-    JobWaits Waits;
-    bool Overdue = false;
-    absl::Time OverdueCheckedAt = absl::InfinitePast();
-    bool DeadlineLogged = false;
-    /// The latest outcome of planning capacity for a waiting step, by
-    /// occurrence and step. Logged when it changes.
-    std::map<std::pair<int, int>, const char *> LoggedCapacityPlans;
-
-    /// Rank in the planner's latest pass; see Planner::PlacementUnit::Rank.
-    int Rank = 0;
-
-    bool hasEnded() const { return isFinal(State); }
-    bool isOccurrenceKnown(int number) const {
-      return Occurrences.count(number) != 0 || DoneOccurrences.contains(number);
-    }
-    const core::StepSpec &specOf(const core::TaskId &id) const {
-      return Record.Spec.Steps[static_cast<size_t>(id.Step)];
-    }
-    /// All tasks of the step that id belongs to. Its occurrence must exist.
-    const Step &stepOf(const core::TaskId &id) const {
-      return Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
-    }
-    Step &stepOf(const core::TaskId &id) {
-      return Occurrences.at(id.Occurrence)[static_cast<size_t>(id.Step)];
-    }
-  };
-
   ProgressWrite takeWrite(Job &job, absl::Time now);
   bool isLargeRecord(Job &job);
   void noteOmittedSaves(Job &job, int omitted);
--- a/src/libs/jobs/jobscheduler_incarnations.cpp
+++ b/src/libs/jobs/jobscheduler_incarnations.cpp
@@ -28,7 +28,7 @@
                                  const endpoints::IncarnationEnd &end,
                                  const WorkerIncarnation *next,
                                  absl::Time now) const {
-  if (next == nullptr || task.RunPhase == Phase::Recording)
+  if (next == nullptr || task.Phase == Phase::Recording)
     return false;
   if (!next->empty() && next->Id != end.Life.Id)
     return false;
@@ -67,7 +67,7 @@
                      job.specOf(id).taskResources());
   job.Dirty = true;
   setLateStart(job, task, currentStart(task), task.LateStartPossibleUntil, now);
-  task.RunPhase = Phase::Ordered;
+  task.Phase = Phase::Ordered;
   task.StopRequested = false;
   requestStop(id, task, "may begin in its worker's next life");
   if (job.specOf(id).Gang)
@@ -129,7 +129,7 @@
 // once it has reported; what that leader knew to be open is recorded.
 absl::Time JobScheduler::startOpenUntil(const TaskId &id, const Task &task,
                                         absl::Time now) const {
-  if (task.RunPhase == Phase::Recording)
+  if (task.Phase == Phase::Recording)
     return absl::InfinitePast();
   const std::string &agent = task.Progress.Agent;
   // An agent sends no attempt after its reports have gone unanswered for that
@@ -137,7 +137,7 @@
   const absl::Time lastAttempt =
       OpenStarts.lastReportAt(agent) + Policy.Fleet.UnresponsiveAfter;
   absl::Time unknown = std::min(now, lastAttempt) + endpoints::MaxOrderDelay;
-  if (task.RunPhase == Phase::Adopted)
+  if (task.Phase == Phase::Adopted)
     unknown = OpenStarts.unknownUntil(agent, task.FirstOrderAt, now)
                   .value_or(absl::InfinitePast());
   else if (task.LateStartPossibleUntil != absl::InfinitePast())
--- a/src/libs/jobs/jobscheduler_orders.cpp
+++ b/src/libs/jobs/jobscheduler_orders.cpp
@@ -22,7 +22,7 @@
 void JobScheduler::orderStart(Job &job, const TaskId &id, Task &task,
                               absl::Time now) {
   const WorkerView *worker = Workers.find(task.Progress.Worker);
-  const bool isFirstOrder = task.RunPhase == Phase::Recording;
+  const bool isFirstOrder = task.Phase == Phase::Recording;
   if (worker == nullptr || worker->State.Draining ||
       Workers.isCordoned(*worker) || task.StopRequested) {
     if (isFirstOrder)
@@ -41,7 +41,7 @@
   }
   if (isFirstOrder)
     task.FirstOrderAt = now;
-  task.RunPhase = Phase::Ordered;
+  task.Phase = Phase::Ordered;
   task.LastOrderAt = now;
   task.StartedAt = absl::InfinitePast();
   endpoints::StartOrder startOrder{core::taskName(id),
@@ -71,7 +71,7 @@
   // A start that is not recorded yet has not been ordered. It is dropped when
   // its write is confirmed. Any other stop counts as last sent in the infinite
   // past, as the current time is not known here: the next tick repeats it.
-  if (task.RunPhase != Phase::Recording)
+  if (task.Phase != Phase::Recording)
     orderStop(id, task, absl::InfinitePast());
 }
 
@@ -91,8 +91,7 @@
   TaskId id;
   Task *task = core::parseTaskName(result.Task, id) ? findTask(id) : nullptr;
   if (task == nullptr || task->Progress.Run != result.Run ||
-      task->Progress.Worker != incarnation ||
-      task->RunPhase == Phase::Recording)
+      task->Progress.Worker != incarnation || task->Phase == Phase::Recording)
     return;
   Job &job = Jobs.at(id.Job);
   if (result.Outcome != OrderOutcome::Unconfirmed)
@@ -100,8 +99,8 @@
   switch (result.Outcome) {
   case OrderOutcome::Started:
     noteBegun(job, now);
-    if (task->RunPhase != Phase::Running) {
-      task->RunPhase = Phase::Running;
+    if (task->Phase != Phase::Running) {
+      task->Phase = Phase::Running;
       task->StartedAt = now;
       task->StartObserved = true;
       logDecision(Decision::Kind::Started, id.Job, result.Task, result.Run,
@@ -133,7 +132,7 @@
   // Ignores a late refusal and the refusal of a repeated order. A run that was
   // seen running and is now absent has certainly ended, even if the worker does
   // not list its end.
-  if (task->RunPhase == Phase::Running && !isOver)
+  if (task->Phase == Phase::Running && !isOver)
     return;
   if (!isOver && keepRefusedStart(job, id, *task, result.Detail, now))
     return;
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -94,7 +94,7 @@
   job.HasSuspects |= task.isSuspect();
   adoptLateStarts(task, now);
   if (task.isAssigned()) {
-    task.RunPhase = Phase::Adopted;
+    task.Phase = Phase::Adopted;
     UnreportedIncarnations[progress.Worker] = {progress.Agent};
   }
 }
@@ -208,7 +208,7 @@
   job.ProgressRevision = revision;
   job.WrittenVersion = version;
   forEachTask(job, [&](const TaskId &id, Task &task) {
-    if (task.RunPhase == Phase::Recording && task.StartWriteVersion <= version)
+    if (task.Phase == Phase::Recording && task.StartWriteVersion <= version)
       orderStart(job, id, task, now);
   });
   std::vector<Job::PendingEndAck> remaining;
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -176,14 +176,14 @@
       trackProgress(id, *task, task->PercentReportedAt);
       compareSpeedByProgress(id, *task);
     }
-    if (task->RunPhase != Phase::Running) {
+    if (task->Phase != Phase::Running) {
       if (task->StartedAt == absl::InfinitePast()) {
         task->StartedAt = now;
-        task->StartObserved = task->RunPhase == Phase::Ordered;
+        task->StartObserved = task->Phase == Phase::Ordered;
         logDecision(Decision::Kind::Started, id.Job, running.Task, running.Run,
                     report.Worker.Life.Id);
       }
-      task->RunPhase = Phase::Running;
+      task->Phase = Phase::Running;
     }
     clearSuspectIfOutlived(Jobs.at(id.Job), id, *task);
   }
@@ -201,7 +201,7 @@
     Task *task = core::parseTaskName(run.Task, id) ? findTask(id) : nullptr;
     if (task == nullptr || task->Progress.Run != run.Run ||
         task->Progress.Worker != worker.State.Life ||
-        task->RunPhase != Phase::Running)
+        task->Phase != Phase::Running)
       continue;
     const absl::Time lastKnownAt =
         std::max(task->StartedAt, task->PercentReportedAt);
@@ -242,7 +242,7 @@
     Job &job = entry.second;
     bool anyChanged = false;
     forEachTask(job, [&](const TaskId &id, Task &task) {
-      if (task.RunPhase != Phase::Adopted ||
+      if (task.Phase != Phase::Adopted ||
           task.Progress.Worker != report.Worker.Life ||
           listed.count({core::taskName(id), task.Progress.Run}) != 0)
         return;
@@ -329,7 +329,7 @@
   Progress.forget({core::taskName(id), task.Progress.Run});
   task.Progress.Worker = {};
   task.Progress.Agent.clear();
-  task.RunPhase = Phase::Idle;
+  task.Phase = Phase::Idle;
   task.IdleSince = now;
   task.StopRequested = false;
   task.StartRefused = false;
--- a/src/libs/jobs/jobscheduler_silentagents.cpp
+++ b/src/libs/jobs/jobscheduler_silentagents.cpp
@@ -75,7 +75,7 @@
     for (const auto &[number, steps] : job.Occurrences)
       for (const Step &step : steps)
         for (const auto &[index, task] : step.objects())
-          if (task.isAssigned() && task.RunPhase != Phase::Running)
+          if (task.isAssigned() && task.Phase != Phase::Running)
             agents.erase(task.Progress.Agent);
   return agents;
 }
--- a/src/libs/jobs/runmonitor.cpp
+++ b/src/libs/jobs/runmonitor.cpp
@@ -39,7 +39,7 @@
   Step &step = job.stepOf(id);
   for (auto &[index, task] : step.objects()) {
     id.Index = static_cast<int>(index);
-    if (task.RunPhase == JobScheduler::Phase::Running && !task.StopRequested &&
+    if (task.Phase == JobScheduler::Phase::Running && !task.StopRequested &&
         !task.Progress.Done)
       checkRun(job, id, task, peers);
   }
@@ -128,7 +128,7 @@
     absl::Duration duration = absl::InfiniteDuration();
     if (task.RunDuration > absl::ZeroDuration())
       duration = task.RunDuration;
-    else if (task.RunPhase == JobScheduler::Phase::Running)
+    else if (task.Phase == JobScheduler::Phase::Running)
       if (const auto bounds = Scheduler.Progress.durationBounds(
               {core::taskName(id), task.Progress.Run}))
         duration = bounds->AtMost;
--- a/src/libs/jobs/waitsurvey.cpp
+++ b/src/libs/jobs/waitsurvey.cpp
@@ -132,7 +132,7 @@
   };
   if (task.StopRequested)
     return without(WaitReason::AwaitsStop);
-  switch (task.RunPhase) {
+  switch (task.Phase) {
   case Phase::Recording:
     return without(WaitReason::StartNotRecorded);
   case Phase::Ordered:
