testnames: the rows of a table and the names of its tests

Test files began with the same lines for each table: a row with a name, how it is printed, and how its test is named. No test has changed.

--- a/tests/auto/agent/tst_largelists.cpp
+++ b/tests/auto/agent/tst_largelists.cpp
@@ -1,10 +1,10 @@
 // Workers that list many runs, or runs that have saved long texts.
 #include "agentfixture.h"
+#include "testnames.h"
 
 #include <gtest/gtest.h>
 
 #include <map>
-#include <ostream>
 #include <string>
 
 namespace oriolebay::agent {
@@ -14,14 +14,11 @@
 constexpr size_t MaxEndBytesPerReport = 64 * 1024;
 constexpr absl::Duration WatchTime = absl::Seconds(10);
 
-struct ListRow {
-  const char *Name;
+struct ListRow : testnames::NamedRow {
   int Runs;
   size_t SavedBytes;
 };
 
-void PrintTo(const ListRow &row, std::ostream *out) { *out << row.Name; }
-
 std::string taskOf(int n) { return "j.0.0." + std::to_string(n); }
 
 size_t savedBytes(const endpoints::WorkerReport &report) {
@@ -87,7 +84,7 @@
                                          ListRow{"ManySavedTexts", 1500, 600},
                                          ListRow{"LongSavedTexts", 20,
                                                  200'000}),
-                         [](const auto &info) { return info.param.Name; });
+                         testnames::rowName);
 
 class FewRuns : public AgentFixture, public testing::Test {};
 
--- a/tests/auto/jobs/tst_failedruns.cpp
+++ b/tests/auto/jobs/tst_failedruns.cpp
@@ -1,5 +1,6 @@
 // Tests of failed runs whose end is listed after their task has started again.
 #include "simsitesetup.h"
+#include "testnames.h"
 
 #include <gtest/gtest.h>
 
@@ -27,14 +28,11 @@
   LateStart
 };
 
-struct AbsentRunCase {
-  const char *Name;
+struct AbsentRunCase : testnames::NamedRow {
   int Members;
   Absence Way;
 };
 
-void PrintTo(const AbsentRunCase &c, std::ostream *out) { *out << c.Name; }
-
 /// A site with a job whose first run fails on w00, where it is found absent.
 /// The end is listed while the second run works.
 class FailedRunsListedLate : public testing::TestWithParam<AbsentRunCase> {
--- a/tests/auto/jobs/tst_failingjobs.cpp
+++ b/tests/auto/jobs/tst_failingjobs.cpp
@@ -1,10 +1,10 @@
 // Failed runs that speak of their job, or of their worker.
 #include "simsitesetup.h"
+#include "testnames.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <ostream>
 #include <string>
 
 namespace oriolebay::jobs {
@@ -28,8 +28,7 @@
                     [kind](const Decision &d) { return d.What == kind; }));
 }
 
-struct FailingJobRow {
-  const char *Name;
+struct FailingJobRow : testnames::NamedRow {
   int Racks;
   int Tasks;
   /// Cores of a task, in thousandths. All tasks take most of each worker.
@@ -39,8 +38,6 @@
   bool Gang = false;
 };
 
-void PrintTo(const FailingJobRow &row, std::ostream *out) { *out << row.Name; }
-
 class FailingJob : public testing::TestWithParam<FailingJobRow> {
 protected:
   FailingJob() {
@@ -99,7 +96,7 @@
                     FailingJobRow{"AllRuns", 2, 60, 3000, 4},
                     FailingJobRow{"FewWorkers", 1, 30, 3000, 1},
                     FailingJobRow{"Gang", 2, 300, 1, true}),
-    [](const auto &info) { return info.param.Name; });
+    testnames::rowName);
 
 class FailingWorkersBesideSoundOnes : public testing::TestWithParam<int> {};
 
--- a/tests/auto/jobs/tst_longsaves.cpp
+++ b/tests/auto/jobs/tst_longsaves.cpp
@@ -1,10 +1,10 @@
 // Tasks that save long texts, in the leader's memory and in its records.
 #include "simsitesetup.h"
+#include "testnames.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <ostream>
 #include <string>
 
 namespace oriolebay::jobs {
@@ -20,14 +20,11 @@
       }));
 }
 
-struct SavedRow {
-  const char *Name;
+struct SavedRow : testnames::NamedRow {
   int Tasks;
   size_t SavedBytes;
 };
 
-void PrintTo(const SavedRow &row, std::ostream *out) { *out << row.Name; }
-
 class TasksThatSaveLongTexts : public testing::TestWithParam<SavedRow> {
 protected:
   static constexpr int LargeJobs = 4;
@@ -89,7 +86,7 @@
                          testing::Values(SavedRow{"ManyTasks", 1000, 60},
                                          SavedRow{"LongTexts", 100, 2000},
                                          SavedRow{"VeryLongTexts", 8, 30'000}),
-                         [](const auto &info) { return info.param.Name; });
+                         testnames::rowName);
 
 // Guards against small jobs that start late, because their records wait for
 // those of large ones.
--- a/tests/auto/jobs/tst_manyends.cpp
+++ b/tests/auto/jobs/tst_manyends.cpp
@@ -1,6 +1,7 @@
 // More ends of runs than a worker lists at a time, beside faults during which
 // none of them can be acknowledged.
 #include "simsitesetup.h"
+#include "testnames.h"
 
 #include <gtest/gtest.h>
 
@@ -14,16 +15,13 @@
 constexpr int64_t WorkMs = 3000;
 constexpr absl::Duration OutageTime = absl::Milliseconds(4500);
 
-struct EndsCase {
-  const char *Name;
+struct EndsCase : testnames::NamedRow {
   /// Number of ends that the worker lists at a time.
   size_t EndsListed;
   bool IsStoreDown;
   bool IsLeaderLost;
 };
 
-void PrintTo(const EndsCase &c, std::ostream *out) { *out << c.Name; }
-
 class ManyEnds : public testing::TestWithParam<EndsCase> {};
 
 // Guards against tasks that are done and run again, because the worker could
--- a/tests/auto/jobs/tst_manyoccurrences.cpp
+++ b/tests/auto/jobs/tst_manyoccurrences.cpp
@@ -1,11 +1,11 @@
 // Jobs of which many occurrences are due at once.
 #include "simsitesetup.h"
+#include "testnames.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <functional>
-#include <ostream>
 #include <string>
 #include <vector>
 
@@ -53,15 +53,12 @@
   return spec;
 }
 
-struct ManyCase {
-  const char *Name;
+struct ManyCase : testnames::NamedRow {
   core::JobSpec (*Spec)();
   bool LeadersChange = false;
   bool FirstRunsFail = false;
 };
 
-void PrintTo(const ManyCase &c, std::ostream *out) { *out << c.Name; }
-
 SchedulerPolicy fewWaitingTasks() {
   SchedulerPolicy policy;
   policy.MaxWaitingTasks = MaxWaitingTasks;
@@ -112,17 +109,14 @@
         ManyCase{"SpreadTasksUnderNewLeaders", spreadTasks, true},
         ManyCase{"ChainsUnderNewLeaders", chains, true},
         ManyCase{"FailuresUnderNewLeaders", repeatedTasks, true, true}),
-    [](const auto &info) { return info.param.Name; });
+    testnames::rowName);
 
-struct LargeCase {
-  const char *Name;
+struct LargeCase : testnames::NamedRow {
   bool Gang;
   int TasksEach;
   int Repeats;
 };
 
-void PrintTo(const LargeCase &c, std::ostream *out) { *out << c.Name; }
-
 class LargeJobs : public testing::TestWithParam<LargeCase> {
 protected:
   static constexpr int Jobs = 12;
@@ -186,7 +180,7 @@
                                          LargeCase{"Gangs", true, 32, 1000},
                                          LargeCase{"Wide", false, 4096, 16},
                                          LargeCase{"Once", false, 4096, 0}),
-                         [](const auto &info) { return info.param.Name; });
+                         testnames::rowName);
 
 // Guards against a leader that exceeds its memory by what an earlier version
 // has stored, which lists each task that is due.
--- a/tests/auto/system/tst_largejobs.cpp
+++ b/tests/auto/system/tst_largejobs.cpp
@@ -1,11 +1,11 @@
 // Jobs inside all limits that are large: their tasks, or those that fall due.
 #include "crowdsite.h"
+#include "testnames.h"
 
 #include <absl/time/clock.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <ostream>
 #include <string>
 
 namespace oriolebay::testing_system {
@@ -23,8 +23,7 @@
 /// Time for which the jobs run before the memory is judged.
 constexpr absl::Duration WatchTime = absl::Seconds(6);
 
-struct LargeRow {
-  const char *Name;
+struct LargeRow : testnames::NamedRow {
   bool Gang;
   /// The first occurrence is due that long before the jobs come, and the others
   /// one after the other at this interval.
@@ -32,8 +31,6 @@
   int64_t IntervalMs;
 };
 
-void PrintTo(const LargeRow &row, std::ostream *out) { *out << row.Name; }
-
 std::string largeJob(const LargeRow &row) {
   const int64_t now = absl::ToUnixMillis(absl::Now());
   // Half of the worker's cores are left for other jobs.
@@ -71,7 +68,7 @@
     testing::Values(LargeRow{"Due", false, 1'000'000, 1000},
                     LargeRow{"DueGangs", true, 1'000'000, 1000},
                     LargeRow{"FallDueOneByOne", false, 0, 5}),
-    [](const auto &info) { return info.param.Name; });
+    testnames::rowName);
 
 // Guards against entries that are ended for their memory by the number of legal
 // jobs that they accept.
--- a/tests/auto/system/tst_runningtasks.cpp
+++ b/tests/auto/system/tst_runningtasks.cpp
@@ -1,11 +1,11 @@
 // Thousands of tasks that run at the same time and have saved long texts.
 #include "crowdsite.h"
+#include "testnames.h"
 
 #include <absl/time/clock.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <ostream>
 #include <string>
 #include <vector>
 
@@ -23,13 +23,10 @@
 constexpr absl::Duration WatchTime = absl::Seconds(12);
 constexpr absl::Duration SmallJobInterval = absl::Milliseconds(500);
 
-struct RunningRow {
-  const char *Name;
+struct RunningRow : testnames::NamedRow {
   size_t SavedBytes;
 };
 
-void PrintTo(const RunningRow &row, std::ostream *out) { *out << row.Name; }
-
 class ManyRunningTasks : public testing::TestWithParam<RunningRow> {};
 
 std::string largeJob() {
@@ -65,7 +62,7 @@
 INSTANTIATE_TEST_SUITE_P(Table, ManyRunningTasks,
                          testing::Values(RunningRow{"ShortTexts", 16},
                                          RunningRow{"LongTexts", 600}),
-                         [](const auto &info) { return info.param.Name; });
+                         testnames::rowName);
 
 // Guards against agents that are ended for their memory by what the runs of
 // their worker have saved.
--- a/tests/auto/testnames.h
+++ b/tests/auto/testnames.h
@@ -4,6 +4,7 @@
 
 #include <cctype>
 #include <filesystem>
+#include <ostream>
 #include <string>
 #include <unistd.h>
 
@@ -18,6 +19,18 @@
   return out;
 }
 
+/// A row of a table of tests. Its name is that of the test.
+struct NamedRow {
+  const char *Name = "";
+};
+inline void PrintTo(const NamedRow &row, std::ostream *out) {
+  *out << row.Name;
+}
+/// Names the tests of a table by its rows.
+inline constexpr auto rowName = [](const auto &info) {
+  return std::string(info.param.Name);
+};
+
 /// Returns a directory for the processes that the running test starts. It is
 /// unique to the test and its process.
 inline std::string workDir() {
