Messages of peers: large ones are handled one by one, with small ones in between

What callers would see: grants and questions for a job's state that come late beside thousands of running tasks, because up to sixteen reports of 100 kB and more are read in a row before anything else.

Change: messages above 16 KiB wait in a queue of which the event loop takes one at a time; what has arrived meanwhile goes between two of them. Reports may be handled out of order already (their sequence numbers tell).

--- a/src/libs/endpoints/asyncreplyserver.cpp
+++ b/src/libs/endpoints/asyncreplyserver.cpp
@@ -1,5 +1,6 @@
 #include "asyncreplyserver.h"
 
+#include "messagequeue.h"
 #include "socketcloser.h"
 #include "utils/activity.h"
 #include "utils/eventloop.h"
@@ -28,10 +29,11 @@
   std::string BoundAddress;
   std::atomic<bool> Closed{false};
   std::vector<std::unique_ptr<Exchange>> Exchanges;
+  Internal::MessageQueue Received;
 
   Impl(utils::EventLoop &loop, Handler serve, utils::OnRefusedMessage onRefused)
       : Loop(loop), Serve(std::move(serve)),
-        ReportRefused(std::move(onRefused)) {}
+        ReportRefused(std::move(onRefused)), Received(loop) {}
 };
 
 /// One nng context: receives a request, waits for its answer, sends the answer
@@ -79,8 +81,13 @@
                       nng_msg_len(msg));
     nng_msg_free(msg);
     Server.Loop.post([this, weak = WeakServer, bytes = std::move(bytes)] {
-      if (auto server = weak.lock())
-        serve(weak, bytes);
+      auto server = weak.lock();
+      if (!server)
+        return;
+      server->Received.handle(bytes.size(), [this, weak, bytes] {
+        if (auto server = weak.lock())
+          serve(weak, bytes);
+      });
     });
   }
 
