--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -81,11 +81,11 @@
 
 private:
   /// Lists of runs up to this size are polled and reported without a pause.
-  static constexpr size_t SmallListBytes = 16 * 1024;
+  static constexpr size_t SmallListBytes = size_t{16} * 1024;
   /// Rates at which larger lists are reported, for the leader's sake, and
   /// polled, for that of this process.
-  static constexpr size_t ReportBytesPerSecond = 256 * 1024;
-  static constexpr size_t PollBytesPerSecond = 1024 * 1024;
+  static constexpr size_t ReportBytesPerSecond = size_t{256} * 1024;
+  static constexpr size_t PollBytesPerSecond = size_t{1024} * 1024;
 
   struct Order;
   using OrderPtr = std::shared_ptr<Order>;
--- a/src/libs/agent/workeragent_reports.cpp
+++ b/src/libs/agent/workeragent_reports.cpp
@@ -22,8 +22,8 @@
 constexpr absl::Duration StoreReadRetryPause = absl::Milliseconds(300);
 /// Bounds of what a report contains of the texts that tasks have saved, and of
 /// the ends. The others follow in later reports.
-constexpr size_t MaxSavedBytesPerReport = 64 * 1024;
-constexpr size_t MaxEndBytesPerReport = 64 * 1024;
+constexpr size_t MaxSavedBytesPerReport = size_t{64} * 1024;
+constexpr size_t MaxEndBytesPerReport = size_t{64} * 1024;
 
 } // namespace
 
--- a/src/libs/endpoints/messagequeue.cpp
+++ b/src/libs/endpoints/messagequeue.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Messages above this size are large. Those of ordinary work are smaller.
-constexpr size_t LargeMessageBytes = 16 * 1024;
+constexpr size_t LargeMessageBytes = size_t{16} * 1024;
 
 } // namespace
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -247,7 +247,8 @@
 }
 
 void Planner::countTasks() {
-  for (auto &[id, job] : Scheduler.Jobs)
+  for (auto &entry : Scheduler.Jobs) {
+    Job &job = entry.second;
     Scheduler.forEachTask(job, [&](const core::TaskId &, const Task &task) {
       ++RememberedTasks;
       if (!task.isAssigned())
@@ -260,6 +261,7 @@
       if (candidate != CandidateOf.end())
         ++Candidates[candidate->second].UnconfirmedStarts;
     });
+  }
 }
 
 const core::Resources &
--- a/src/libs/jobs/schedulerpolicy.h
+++ b/src/libs/jobs/schedulerpolicy.h
@@ -137,11 +137,11 @@
   size_t MaxSavedBytes = 16'000'000;
   /// What a job's record holds at most of the texts that its tasks have saved,
   /// in bytes.
-  size_t MaxSavedBytesPerRecord = 64 * 1024;
+  size_t MaxSavedBytesPerRecord = size_t{64} * 1024;
   /// Records up to this size in bytes are written as soon as they have changed,
   /// larger ones at this rate in bytes a second, all of them together: the
   /// links of hosts and the other entries have to carry each.
-  size_t SmallRecordBytes = 16 * 1024;
+  size_t SmallRecordBytes = size_t{16} * 1024;
   double LargeRecordBytesPerSecond = 512 * 1024;
   /// How long the members of a gang wait for each other to start.
   absl::Duration GangWait = absl::Milliseconds(3000);
