A gang that waits for places among the running tasks gets those that become free

What callers saw: a gang that fits onto the workers waits for as long as other jobs bring small tasks, once about as many tasks run as the leader can serve. Cause: the bound on running tasks gave each place that became free to the next single task; a gang needs many at once and reserved none. On a quarter of a core (5,000 places, 4,375 before the reserve) a gang of the largest size, 4,096, started only beside 279 other tasks or fewer; below 0.2 cores it never did, as its own size was over the bound. Why it works: once a gang fits but for its places, later ordinary units of the same pass get only the reserved ones (jobs with fewer than 8 running tasks, urgent work), so the count falls until the gang fits. Each leader takes on 5,000 tasks at least, more than the largest gang. Below the bound nothing changes. Test: MoreTasksThanTheLeaderServes.LeaveTheirPlacesToAWideGang, red before.

--- a/src/libs/entry/jobentry_leadership.cpp
+++ b/src/libs/entry/jobentry_leadership.cpp
@@ -2,6 +2,7 @@
 // down.
 #include "jobentry.h"
 
+#include "core/jobspec.h"
 #include "decisionlog.h"
 #include "eventlog/eventlog.h"
 #include "utils/eventloop.h"
@@ -22,9 +23,10 @@
 /// One part of this many of a host's memory is for what tasks have saved.
 constexpr size_t SavedBytesDivisor = 16;
 /// Tasks whose reports a whole core can read and answer in time, and those that
-/// any leader takes on.
+/// any leader takes on: the largest gang, and others beside it.
 constexpr double RunningTasksPerCore = 20'000;
-constexpr double MinRunningTasks = 1'000;
+constexpr double MinRunningTasks = 5'000;
+static_assert(MinRunningTasks > core::MaxTasksPerJob);
 
 } // namespace
 
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -231,6 +231,7 @@
 
 // The last places are for urgent work and for jobs of which next to nothing
 // runs, so that none stands still beside free workers while others use up all.
+// While a gang waits for places, all of them are, so that they become free.
 bool Planner::mayStart(const PlacementUnit &unit, size_t tasks) const {
   const SchedulerPolicy &policy = Scheduler.Policy;
   const size_t running = RunningTasks + tasks;
@@ -239,7 +240,8 @@
     return false;
   const size_t reserve =
       policy.MaxRunningTasks / policy.RunningTasksPerReservedOne;
-  if (running <= policy.MaxRunningTasks - reserve || unit.Rank <= 1)
+  if (unit.Rank <= 1 ||
+      (!GangWaitsForPlaces && running <= policy.MaxRunningTasks - reserve))
     return true;
   const auto it = RunningTasksOf.find(unit.Owner);
   const size_t ofJob = it == RunningTasksOf.end() ? 0 : it->second;
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -368,6 +368,8 @@
   /// Number of tasks that run or may run, in all and by job.
   size_t RunningTasks = 0;
   absl::flat_hash_map<const Job *, size_t> RunningTasksOf;
+  /// The members of a gang fit onto the workers but are more than may start.
+  bool GangWaitsForPlaces = false;
   std::vector<PlacementUnit> Units;
   /// All running units. Collected when a unit has to wait for the first time
   /// and kept up to date from then on, because collecting them takes longer
--- a/src/libs/jobs/planner_gangs.cpp
+++ b/src/libs/jobs/planner_gangs.cpp
@@ -85,9 +85,12 @@
       bestScore = score;
     }
   }
-  if (!best || !leavesHeadroom(unit, *best) ||
-      !mayStart(unit, unit.Tasks.size()))
+  if (!best || !leavesHeadroom(unit, *best))
     return false;
+  if (!mayStart(unit, unit.Tasks.size())) {
+    GangWaitsForPlaces = true;
+    return false;
+  }
   startGang(unit, *best);
   return true;
 }
--- a/tests/auto/jobs/tst_manyrunningtasks.cpp
+++ b/tests/auto/jobs/tst_manyrunningtasks.cpp
@@ -11,6 +11,7 @@
 
 constexpr core::Resources SmallTask = {10, 10, 0};
 constexpr int64_t WorkMs = 3000;
+constexpr int64_t LongestWorkMs = 6000;
 
 class MoreTasksThanTheLeaderServes : public testing::Test {
 protected:
@@ -27,8 +28,25 @@
   MoreTasksThanTheLeaderServes() : Site(limited()) {
     addRacks(Site, 2);
     for (int n = 0; n < LargeJobs; ++n)
-      Site.submit(
-          jobOf("large" + std::to_string(n), makeStep(200, SmallTask, WorkMs)));
+      submitLarge("large", n);
+  }
+  /// Their tasks do not all end at the same time.
+  void submitLarge(const std::string &name, int n) {
+    const int64_t workMs =
+        WorkMs + n * (LongestWorkMs - WorkMs) / (2 * LargeJobs);
+    Site.submit(
+        jobOf(name + std::to_string(n), makeStep(200, SmallTask, workMs)));
+  }
+  /// Returns how many tasks have run at the same time.
+  size_t runUntilCompleted(const std::string &job) {
+    size_t most = 0;
+    const absl::Time giveUpAt = Site.now() + absl::Minutes(5);
+    while (Site.state(job) != JobState::Completed && Site.now() < giveUpAt) {
+      Site.runFor(absl::Milliseconds(SimSite::StepMs));
+      most = std::max(most, Site.scheduler().runningTaskCount());
+    }
+    EXPECT_EQ(Site.state(job), JobState::Completed);
+    return most;
   }
 
   SimSite Site;
@@ -37,13 +55,7 @@
 // Guards against leaders that start more tasks than they can serve, lose the
 // agents with their grants, and start all of them again.
 TEST_F(MoreTasksThanTheLeaderServes, WaitUnstarted) {
-  size_t most = 0;
-  const absl::Time giveUpAt = Site.now() + absl::Minutes(5);
-  while (Site.state("large3") != JobState::Completed && Site.now() < giveUpAt) {
-    Site.runFor(absl::Milliseconds(SimSite::StepMs));
-    most = std::max(most, Site.scheduler().runningTaskCount());
-  }
-  EXPECT_EQ(Site.state("large3"), JobState::Completed);
+  const size_t most = runUntilCompleted("large3");
   EXPECT_LE(most, MaxRunning);
   EXPECT_GE(most, MaxRunning / 2);
   EXPECT_EQ(Site.starts(), LargeJobs * 200);
@@ -62,6 +74,19 @@
   EXPECT_EQ(Site.workersOf("gang").size(), 4u);
 }
 
+// Guards against gangs that never start because jobs that came later take each
+// place that becomes free.
+TEST_F(MoreTasksThanTheLeaderServes, LeaveTheirPlacesToAWideGang) {
+  Site.runFor(absl::Seconds(1));
+  Site.submit(jobOf("gang", makeStep(60, SmallTask, WorkMs, true)));
+  for (int n = 0; n < 2 * LargeJobs; ++n)
+    submitLarge("later", n);
+  runUntilCompleted("large3");
+  Site.runFor(4 * absl::Milliseconds(LongestWorkMs));
+  EXPECT_EQ(Site.state("gang"), JobState::Completed);
+  EXPECT_EQ(Site.state("later7"), JobState::Running);
+}
+
 // Guards against operators who cannot tell why tasks wait beside free workers.
 TEST_F(MoreTasksThanTheLeaderServes, SayWhatTheyWaitFor) {
   Site.runFor(absl::Seconds(1));
