Review case 13: a sound task that takes over five times its estimate never ends

Claim: a run whose whole percent rises more slowly than each twentieth of its estimate counts as stalled; it is stopped and begun anew without a limit, and sound workers are quarantined for it (LOST).

The worker stand-in now saves progress only if the spec says so, which case 11 asks for.

--- a/review/sitekit-3/worker.cpp
+++ b/review/sitekit-3/worker.cpp
@@ -14,6 +14,8 @@
 constexpr size_t MaxEndsListed = 500;
 constexpr int ConfirmationMs = 1000;
 constexpr int64_t EndlessMs = 1000000000;
+/// remoteFactor: how much longer a task takes away from the rack of its data.
+constexpr int64_t RemoteFactor = 3;
 
 int64_t workMsOf(const std::string &spec) {
   const size_t at = spec.find("ms=");
@@ -349,7 +351,12 @@
   work.Run = run;
   work.BeganAt = nowMs();
   work.WorkMs = workMsOf(spec);
+  if (const size_t rack = spec.find("rack=");
+      rack != std::string::npos &&
+      spec.substr(rack + 5, Options.Labels[1].size()) != Options.Labels[1])
+    work.WorkMs *= RemoteFactor;
   work.Saved = saved;
+  work.SavesProgress = spec.find("saves") != std::string::npos;
   if (!saved.empty())
     work.DoneMs = std::atoll(saved.c_str()) - Options.RestoreMs;
   work.BookIndex =
@@ -379,7 +386,7 @@
 std::string Worker::progressLocked(const std::string &task, Work &work) const {
   const int64_t done =
       std::min(work.WorkMs, work.DoneMs + nowMs() - work.BeganAt);
-  if (done <= 0)
+  if (done <= 0 || !work.SavesProgress)
     return work.Saved;
   return std::to_string(done) + " of " + task;
 }
--- a/review/sitekit-3/worker.h
+++ b/review/sitekit-3/worker.h
@@ -42,6 +42,7 @@
   std::string Name;
   std::string Service = "svc";
   std::string Zone = "zone-a";
+  /// The kind, the rack, and others.
   std::vector<std::string> Labels = {"a", "r1"};
   int64_t Cpu = 32000;
   int64_t MemMb = 65536;
@@ -57,9 +58,10 @@
 };
 
 /// A worker of the platform, as PROTOCOL.md describes it. A task runs for the
-/// milliseconds that its spec gives as "ms=N", or until it is stopped. The
-/// worker is up from its construction until it crashes or leaves, and again
-/// after start().
+/// milliseconds that its spec gives as "ms=N", or until it is stopped. It saves
+/// its progress if its spec says "saves", and takes longer away from the rack
+/// that its spec gives as "rack=R". The worker is up from its construction
+/// until it crashes or leaves, and again after start().
 class Worker {
 public:
   Worker(Record &log, RunBook &book, WorkerOptions options);
@@ -96,6 +98,7 @@
     int64_t DoneMs = 0;
     int64_t StopsAt = 0;
     std::string Saved;
+    bool SavesProgress = false;
     size_t BookIndex = 0;
   };
   struct Life {
