--- a/review/sitekit-3/http.cpp
+++ b/review/sitekit-3/http.cpp
@@ -21,6 +21,11 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr int ListenBacklog = 128;
+/// Ports for the project's processes, below those that the kernel gives to
+/// outgoing connections, which could take a free one in the meantime.
+constexpr int FirstPort = 20000;
+constexpr int PortCount = 12000;
+constexpr int PortStep = 64;
 /// Time after which a connection without a request is closed.
 constexpr int IdleTimeoutMs = 60000;
 
@@ -250,14 +255,19 @@
 }
 
 int freePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = loopback(0);
-  socklen_t size = sizeof address;
-  if (bind(fd, reinterpret_cast<sockaddr *>(&address), size) != 0)
-    throw std::runtime_error("no free port");
-  getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  static int next =
+      FirstPort + static_cast<int>(getpid()) * PortStep % PortCount;
+  for (int tries = 0; tries < PortCount; ++tries) {
+    next = FirstPort + (next + 1 - FirstPort) % PortCount;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(next);
+    const bool isFree = bind(fd, reinterpret_cast<const sockaddr *>(&address),
+                             sizeof address) == 0;
+    close(fd);
+    if (isFree)
+      return next;
+  }
+  throw std::runtime_error("no free port");
 }
 
 } // namespace sitekit
--- a/review/sitekit-3/site.cpp
+++ b/review/sitekit-3/site.cpp
@@ -89,12 +89,12 @@
     addAgent(i);
 }
 
-void Site::writeConfig() {
+void Site::writeConfig(const std::string &routeSuffix) {
   ConfigVersion += 3;
   json routes = json::array();
   for (int priority = 0; priority < 3; ++priority)
     routes.push_back(
-        {{"name", "r-" + std::to_string(priority)},
+        {{"name", "r-" + std::to_string(priority) + routeSuffix},
          {"host", "site.example"},
          {"prefix",
           priority == 1 ? Prefix : "/jobs" + std::to_string(priority) + "/"},
--- a/review/sitekit-3/site.h
+++ b/review/sitekit-3/site.h
@@ -76,8 +76,9 @@
   bool awaitState(size_t entry, const std::string &id,
                   const std::string &wanted, int64_t timeoutMs);
   int controlPort(size_t agent) const { return ControlPorts[agent]; }
-  /// Writes the operator's configuration as its next version.
-  void writeConfig();
+  /// Writes the operator's configuration as its next version, with this at the
+  /// end of the names of its routes.
+  void writeConfig(const std::string &routeSuffix = "");
 
   Store Platform;
   RunBook Book;
