--- a/review/sitekit-3/site.cpp
+++ b/review/sitekit-3/site.cpp
@@ -136,14 +136,13 @@
   CallerPorts.push_back(freePort());
   ReadyPorts.push_back(freePort());
   const std::string at = "127.0.0.1:";
-  PeerAddresses.push_back(at + std::to_string(freePort()));
   json limits = bounds();
   limits["config_rollback_ms"] = 250;
   const json settings = {
       {"name", name},
       {"failure_domain", "zone-a"},
       {"site_failure_domains", {"zone-a"}},
-      {"peers_listen", PeerAddresses.back()},
+      {"peers_listen", at + std::to_string(freePort())},
       {"metrics_listen", at + std::to_string(freePort())},
       {"store_address", Platform.address()},
       {"store_min_lease_ms", 1000},
@@ -190,18 +189,6 @@
   Workers[number]->setControlPort(ControlPorts.back());
 }
 
-size_t Site::leader() {
-  const std::string key = "oriolebay/leader";
-  const auto items = Platform.items(key);
-  const auto it = items.find(key);
-  size_t n = 0;
-  while (n < PeerAddresses.size() &&
-         (it == items.end() ||
-          it->second.find(PeerAddresses[n]) == std::string::npos))
-    ++n;
-  return n;
-}
-
 CallAnswer Site::call(size_t entry, const std::string &method,
                       const std::string &id, const json &body, int timeoutMs) {
   Request request{method, Prefix + id, {}, {}, ""};
--- a/review/sitekit-3/site.h
+++ b/review/sitekit-3/site.h
@@ -76,8 +76,6 @@
   bool awaitState(size_t entry, const std::string &id,
                   const std::string &wanted, int64_t timeoutMs);
   int controlPort(size_t agent) const { return ControlPorts[agent]; }
-  /// The entry that leads, by the store's key; the number of entries if none.
-  size_t leader();
   /// Writes the operator's configuration as its next version, with this at the
   /// end of the names of its routes.
   void writeConfig(const std::string &routeSuffix = "");
@@ -100,7 +98,6 @@
   const std::string WorkDir;
   const SiteOptions Options;
   int ConfigVersion = 0;
-  std::vector<std::string> PeerAddresses;
   std::vector<int> CallerPorts;
   std::vector<int> ReadyPorts;
   std::vector<int> ControlPorts;
--- a/review/sitekit-3/store.cpp
+++ b/review/sitekit-3/store.cpp
@@ -79,20 +79,7 @@
   }).detach();
 }
 
-void Store::setIntercept(Intercept intercept) {
-  std::lock_guard<std::mutex> lock(Mu);
-  Hook = std::move(intercept);
-}
-
 Response Store::serve(const Request &request) {
-  Intercept hook;
-  {
-    std::lock_guard<std::mutex> lock(Mu);
-    hook = Hook;
-  }
-  Response instead;
-  if (hook && hook(request, instead))
-    return instead;
   const std::string &path = request.Path;
   if (path == "/-/kv-key")
     return get(request);
@@ -248,15 +235,6 @@
             std::to_string(Revision));
 }
 
-std::map<std::string, std::string> Store::items(const std::string &prefix) {
-  std::lock_guard<std::mutex> lock(Mu);
-  std::map<std::string, std::string> found;
-  for (const auto &[key, item] : Items)
-    if (startsWith(key, prefix))
-      found[key] = item.Value;
-  return found;
-}
-
 void Store::putLocked(const std::string &key, const std::string &value,
                       int64_t lease, int64_t revision) {
   Item &item = Items[key];
--- a/review/sitekit-3/store.h
+++ b/review/sitekit-3/store.h
@@ -16,19 +16,11 @@
 /// The platform's metadata store, as PROTOCOL.md describes it, in memory.
 class Store {
 public:
-  /// Decides about a call before it is carried out; an answer with a status
-  /// takes the place of the store's.
-  using Intercept = std::function<bool(const Request &, Response &)>;
-
   explicit Store(Record &log);
 
   std::string address() const { return Server->address(); }
   /// Writes a key as the operator.
   void put(const std::string &key, const nlohmann::json &value);
-  /// The keys that begin with this text, with their values.
-  std::map<std::string, std::string> items(const std::string &prefix);
-  /// Calls intercept for each call from now on; none if it is empty.
-  void setIntercept(Intercept intercept);
 
 private:
   struct Item {
@@ -66,7 +58,6 @@
   Record &Log;
   std::mutex Mu;
   std::condition_variable Changed;
-  Intercept Hook;
   int64_t Revision = 100;
   int64_t LastLease = 77000;
   std::map<std::string, Item> Items;
--- a/review/sitekit-3/worker.cpp
+++ b/review/sitekit-3/worker.cpp
@@ -64,21 +64,6 @@
   return Now.Id;
 }
 
-int64_t Worker::bornMs() {
-  std::lock_guard<std::mutex> lock(Mu);
-  return Now.BornMs;
-}
-
-bool Worker::isUp() {
-  std::lock_guard<std::mutex> lock(Mu);
-  return Up;
-}
-
-bool Worker::hasDeregistered() {
-  std::lock_guard<std::mutex> lock(Mu);
-  return Now.Deregistered;
-}
-
 bool Worker::isDrainConfirmed() {
   std::lock_guard<std::mutex> lock(Mu);
   return Now.DrainConfirmed;
@@ -94,13 +79,6 @@
   ControlPort = port;
 }
 
-void Worker::applyLate(const std::string &path, int count, int64_t delayMs) {
-  std::lock_guard<std::mutex> lock(Mu);
-  LatePath = path;
-  LateCount = count;
-  LateDelayMs = delayMs;
-}
-
 void Worker::start() {
   std::lock_guard<std::mutex> lock(Mu);
   if (Up)
@@ -146,11 +124,6 @@
   Changed.notify_all();
 }
 
-void Worker::crash() {
-  std::lock_guard<std::mutex> lock(Mu);
-  finishLocked("crash");
-}
-
 void Worker::leave(int64_t drainMs, int64_t unconfirmedMs) {
   uint64_t life = 0;
   {
@@ -190,11 +163,6 @@
     finishLocked("leaves");
 }
 
-json Worker::heartbeat() {
-  std::lock_guard<std::mutex> lock(Mu);
-  return heartbeatLocked();
-}
-
 json Worker::heartbeatLocked() {
   json body = {
       {"service", Options.Service},
@@ -264,33 +232,10 @@
   if (!body.is_object())
     return {400, "{}"};
   const std::string expected = request.header("oriolebay-expect-instance");
-  uint64_t life = 0;
-  int64_t delayMs = 0;
   {
     std::lock_guard<std::mutex> lock(Mu);
     if (!expected.empty() && expected != Now.Id)
       return {421, clockLocked().dump()};
-    life = LifeNumber;
-    if (LateCount > 0 && request.Path == LatePath) {
-      --LateCount;
-      delayMs = LateDelayMs;
-    }
-  }
-  if (delayMs > 0) {
-    Log.write(Options.Name + ": leaves unanswered for now " + request.Path +
-              " " + body.dump());
-    std::thread([this, path = request.Path, body, delayMs, life] {
-      sleepMs(delayMs);
-      {
-        std::lock_guard<std::mutex> lock(Mu);
-        if (!Up || (life != LifeNumber && !Options.KeepsId))
-          return;
-      }
-      const Response late = apply(path, body);
-      Log.write(Options.Name + ": carries out late " + path + " " +
-                body.dump() + " -> " + std::to_string(late.Status));
-    }).detach();
-    return {};
   }
   return apply(request.Path, body);
 }
--- a/review/sitekit-3/worker.h
+++ b/review/sitekit-3/worker.h
@@ -69,26 +69,16 @@
   int port() const { return Port; }
   std::string address() const { return "127.0.0.1:" + std::to_string(Port); }
   std::string id();
-  int64_t bornMs();
-  bool isUp();
   /// Sends heartbeats to this port from now on.
   void setControlPort(int port);
   /// Begins another lifetime.
   void start();
-  /// Ends at once, without a word.
-  void crash();
   /// Says that it drains, serves on for at least drainMs after that was
   /// confirmed, deregisters and ends. Without a confirmation it ends
   /// unconfirmedMs later.
   void leave(int64_t drainMs, int64_t unconfirmedMs);
-  /// Whether it has sent that it deregisters.
-  bool hasDeregistered();
   bool isDrainConfirmed();
   size_t runningCount();
-  /// Number of answers to this call from now on that are withheld: the call is
-  /// carried out after delayMs.
-  void applyLate(const std::string &path, int count, int64_t delayMs);
-  nlohmann::json heartbeat();
 
 private:
   struct Work {
@@ -146,9 +136,6 @@
   uint64_t LifeNumber = 0;
   bool Up = false;
   Life Now;
-  std::string LatePath;
-  int LateCount = 0;
-  int64_t LateDelayMs = 0;
   std::vector<std::unique_ptr<HttpServer>> Servers;
 };
 
