The log of a restarted run tells a halt from a percent that is not due

The line run.stands_still gave the percent only, which fits three hypotheses: the limit that is derived from the estimate lies below the time that one percent takes; the worker has really halted; or reports are late, so that the percent is old.

The line gives them apart now: still_ms, timeout_ms, percent_ms (the time of one percent at the run's own rate), estimate_ms, runs_ms, remote and worker_heard_ms_ago. No decision is changed.

--- a/src/libs/jobs/progress.cpp
+++ b/src/libs/jobs/progress.cpp
@@ -47,11 +47,35 @@
   const TrackedRun &tracked = it->second;
   if (isSuddenlyStill(tracked))
     return true;
-  absl::Duration timeout = std::max(
+  return tracked.LastReport - tracked.LastIncrease >= stallTimeout(tracked);
+}
+
+absl::Duration ProgressTracker::stallTimeout(const TrackedRun &tracked) const {
+  const absl::Duration timeout = std::max(
       Policy.StalledAfter, tracked.Estimate * Policy.StalledEstimateShare);
-  if (tracked.Resumed)
-    timeout += Policy.RestoreTime;
-  return tracked.LastReport - tracked.LastIncrease >= timeout;
+  return tracked.Resumed ? timeout + Policy.RestoreTime : timeout;
+}
+
+absl::Duration ProgressTracker::stallTimeout(const RunId &run) const {
+  auto it = Runs.find(run);
+  return it == Runs.end() ? absl::InfiniteDuration() : stallTimeout(it->second);
+}
+
+absl::Duration ProgressTracker::stillTime(const RunId &run) const {
+  auto it = Runs.find(run);
+  if (it == Runs.end() || it->second.Percent >= 100)
+    return absl::ZeroDuration();
+  return it->second.LastReport - it->second.LastIncrease;
+}
+
+std::optional<absl::Duration>
+ProgressTracker::percentTime(const RunId &run) const {
+  auto it = Runs.find(run);
+  if (it == Runs.end() || it->second.Increases.size() < 2)
+    return std::nullopt;
+  const Sample &first = it->second.Increases.front();
+  const Sample &last = it->second.Increases.back();
+  return (last.At - first.At) / (last.Percent - first.Percent);
 }
 
 bool ProgressTracker::isWorkerProgressing(const RunId &run,
--- a/src/libs/jobs/progress.h
+++ b/src/libs/jobs/progress.h
@@ -64,6 +64,15 @@
   /// long. Time in which it could not be reported does not count, because its
   /// agent may have been killed or cut off.
   bool isStalled(const RunId &run) const;
+  /// Time for which the percentage of an unfinished run has not increased, as
+  /// far as it could be reported; zero if nothing is known of the run.
+  absl::Duration stillTime(const RunId &run) const;
+  /// Time without an increase from which on the run is stalled, whatever its
+  /// rate was before.
+  absl::Duration stallTimeout(const RunId &run) const;
+  /// Time that an increase by one percent has taken at the run's latest rate.
+  /// Returns nothing before it is known.
+  std::optional<absl::Duration> percentTime(const RunId &run) const;
   /// Whether the percentage of another run on the same worker has increased
   /// within StalledAfter, and after that of this run did for the last time.
   bool isWorkerProgressing(const RunId &run, absl::Time now) const;
@@ -96,6 +105,7 @@
   };
 
   bool isSuddenlyStill(const TrackedRun &tracked) const;
+  absl::Duration stallTimeout(const TrackedRun &tracked) const;
 
   const ProgressPolicy Policy;
   std::map<RunId, TrackedRun> Runs;
--- a/src/libs/jobs/runmonitor.cpp
+++ b/src/libs/jobs/runmonitor.cpp
@@ -232,12 +232,32 @@
   requestRestart(job, id, task, "would not be done before its worker leaves");
 }
 
+// What tells a run that has stopped from one whose next percent is not due.
+std::vector<DecisionInput> RunMonitor::restartInputs(const Job &job,
+                                                     const TaskId &id,
+                                                     const Task &task) const {
+  const RunId run{core::taskName(id), task.Progress.Run};
+  const auto percentTime = Scheduler.Progress.percentTime(run);
+  return {{"still_ms",
+           absl::ToInt64Milliseconds(Scheduler.Progress.stillTime(run))},
+          {"timeout_ms",
+           absl::ToInt64Milliseconds(Scheduler.Progress.stallTimeout(run))},
+          {"percent_ms",
+           percentTime ? absl::ToInt64Milliseconds(*percentTime) : -1},
+          {"estimate_ms", job.specOf(id).EstimateMs},
+          {"runs_ms", absl::ToInt64Milliseconds(Now - task.StartedAt)},
+          {"remote", Scheduler.isRemote(job, id, task) ? 1 : 0},
+          {"worker_heard_ms_ago",
+           Scheduler.lastReportAgeMs(task.Progress.Worker, Now)}};
+}
+
 void RunMonitor::quarantineAndRestart(Job &job, const TaskId &id, Task &task,
                                       const std::string &why) {
   const std::string name = core::taskName(id);
   Scheduler.logDecision(Decision::Kind::RunStalledOrSlow, id.Job, name,
                         task.Progress.Run, task.Progress.Worker.Id,
-                        absl::StrCat(why, " at ", task.Percent, "%"));
+                        absl::StrCat(why, " at ", task.Percent, "%"),
+                        restartInputs(job, id, task));
   if (Scheduler.Workers.quarantine(task.Progress.Worker, Now))
     Scheduler.logDecision(Decision::Kind::WorkerQuarantined, id.Job, name,
                           task.Progress.Run, task.Progress.Worker.Id, why);
--- a/src/libs/jobs/runmonitor.h
+++ b/src/libs/jobs/runmonitor.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace oriolebay::jobs {
 
@@ -60,6 +61,8 @@
   void requestRestart(Job &job, const core::TaskId &id, Task &task,
                       const std::string &why);
   void countMove(Job &job, const core::TaskId &id, Task &task);
+  std::vector<DecisionInput>
+  restartInputs(const Job &job, const core::TaskId &id, const Task &task) const;
   void quarantineAndRestart(Job &job, const core::TaskId &id, Task &task,
                             const std::string &why);
   void evacuate(Job &job, const core::TaskId &id, Task &task);
