Runs whose next percent is not due are not taken for stalled

Cause: a run counted as stalled once its percent, a whole number, had not risen for the larger of 1.3 s and a twentieth of the estimate. Neither its own rate, nor the rack, nor what earlier runs had shown entered that.

Now three increases have to be due by the best that is known (own rate, other tasks of the step, the estimate times the remote factor). A halt that shows on several workers alike, or again and again, speaks for the task: the run goes on, the timeout grows fourfold, and quarantines that rest on this job end. The timeout is recorded for the next leader. The first halt is judged as before, so that really stalled runs are noticed no later.

Related paths: a run that crawls by its queue's estimates stays if another task of the step is as slow on another worker; at most half of the workers are quarantined for stalls and crawls; work that waits beside workers that are quarantined for nothing else takes them even with one attempt; the remaining time of a run takes the rack and the first percents into account.

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -64,6 +64,8 @@
     return Event::SavesOmitted;
   case Kind::FailuresDismissed:
     return Event::FailuresDismissed;
+  case Kind::StallTimeoutRaised:
+    return Event::StallTimeoutRaised;
   }
   return Event::RunPlaced;
 }
--- a/src/libs/eventlog/events.h
+++ b/src/libs/eventlog/events.h
@@ -41,6 +41,7 @@
   CallRefusalWithheld = 218,
   SavesOmitted = 219,
   FailuresDismissed = 220,
+  StallTimeoutRaised = 221,
 
   WorkerJoined = 300,
   WorkerLeaving = 301,
--- a/src/libs/jobs/decision.h
+++ b/src/libs/jobs/decision.h
@@ -50,6 +50,8 @@
     /// The failed runs of a job do not count against the workers, as the job is
     /// the cause.
     FailuresDismissed,
+    /// Runs of a step may stand still for longer, as several did alike.
+    StallTimeoutRaised,
   };
   Kind What = Kind::Placed;
   std::string Job;
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -12,6 +12,9 @@
 /// recognise delayed reports.
 constexpr size_t MaxReportedEnds = 8;
 
+/// Number of jobs whose runs stood still on a worker that are remembered.
+constexpr size_t MaxStalledJobs = 16;
+
 constexpr std::array AllConditions = {
     WorkerCondition::Usable,    WorkerCondition::Draining,
     WorkerCondition::Cordoned,  WorkerCondition::Unreachable,
@@ -196,7 +199,55 @@
   const bool isOfOneJob = !job.empty() && worker->FailuresByJob.size() == 1;
   if (isOfOneJob && !hasOtherUsable(*worker, now))
     return false;
-  return quarantine(incarnation, now);
+  return quarantine(*worker, now);
+}
+
+bool Fleet::recordStall(const WorkerIncarnation &incarnation,
+                        const std::string &job, absl::Time now) {
+  WorkerView *worker = find(incarnation);
+  if (worker == nullptr)
+    return false;
+  if (worker->StalledJobs.size() < MaxStalledJobs)
+    worker->StalledJobs.insert(job);
+  return now >= worker->QuarantinedUntil && hasOtherUsable(*worker, now) &&
+         !areManyStalled(worker->State.Service, now) &&
+         quarantine(*worker, now);
+}
+
+bool Fleet::hasStalledOthers(const WorkerIncarnation &incarnation,
+                             const std::string &job) const {
+  const WorkerView *worker = find(incarnation);
+  return worker != nullptr &&
+         worker->StalledJobs.size() > worker->StalledJobs.count(job);
+}
+
+std::vector<WorkerIncarnation> Fleet::dismissStallsOf(const std::string &job,
+                                                      absl::Time now) {
+  std::vector<WorkerIncarnation> released;
+  for (auto &[incarnation, worker] : Workers) {
+    if (worker.StalledJobs.erase(job) == 0 || !worker.StalledJobs.empty() ||
+        worker.consecutiveFailures() >= Policy.FailuresBeforeQuarantine)
+      continue;
+    if (now < worker.QuarantinedUntil)
+      released.push_back(incarnation);
+    worker.QuarantineDuration = absl::ZeroDuration();
+    worker.QuarantinedUntil = std::min(worker.QuarantinedUntil, now);
+  }
+  return released;
+}
+
+// Whether half of the service's workers are quarantined because runs stood
+// still there.
+bool Fleet::areManyStalled(const std::string &service, absl::Time now) const {
+  size_t known = 0;
+  size_t stalled = 0;
+  for (const auto &[incarnation, worker] : Workers) {
+    if (worker.State.Service != service)
+      continue;
+    ++known;
+    stalled += now < worker.QuarantinedUntil && worker.isOnlyStalled() ? 1 : 0;
+  }
+  return 2 * stalled >= known;
 }
 
 bool Fleet::recordOwnFailure(const WorkerIncarnation &incarnation,
@@ -216,10 +267,13 @@
 }
 
 void Fleet::recordSuccess(const WorkerIncarnation &incarnation,
-                          absl::Time orderedAt) {
+                          absl::Time orderedAt, absl::Time now) {
   WorkerView *worker = find(incarnation);
   if (worker == nullptr)
     return;
+  worker->LastSuccessAt = now;
+  if (now >= worker->QuarantinedUntil)
+    worker->StalledJobs.clear();
   worker->FailuresByJob.clear();
   worker->QuarantineDuration = absl::ZeroDuration();
   std::erase_if(worker->OwnFailuresByJob, [orderedAt](const auto &entry) {
@@ -264,12 +318,11 @@
              : std::min(latest * 2, Policy.MaxQuarantine);
 }
 
-bool Fleet::quarantine(const WorkerIncarnation &incarnation, absl::Time now) {
-  WorkerView *worker = find(incarnation);
-  if (worker == nullptr || now < worker->QuarantinedUntil)
+bool Fleet::quarantine(WorkerView &worker, absl::Time now) const {
+  if (now < worker.QuarantinedUntil)
     return false;
-  worker->QuarantineDuration = nextQuarantine(worker->QuarantineDuration);
-  worker->QuarantinedUntil = now + worker->QuarantineDuration;
+  worker.QuarantineDuration = nextQuarantine(worker.QuarantineDuration);
+  worker.QuarantinedUntil = now + worker.QuarantineDuration;
   return true;
 }
 
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -111,12 +111,21 @@
     absl::Time QuarantinedUntil = absl::InfinitePast();
   };
   std::map<std::string, OwnFailures> OwnFailuresByJob;
+  /// Jobs of which a run stood still or was too slow here. None was completed
+  /// since, but for runs that ended during the quarantine.
+  std::set<std::string> StalledJobs;
+  absl::Time LastSuccessAt = absl::InfinitePast();
   /// Duration of the latest quarantine; zero after a completed run.
   absl::Duration QuarantineDuration = absl::ZeroDuration();
   absl::Time QuarantinedUntil = absl::InfinitePast();
 
   /// Number of failures since the last completed run.
   int consecutiveFailures() const;
+  /// Whether nothing but runs that stood still speaks against the worker. It
+  /// uses up no attempts of its tasks then.
+  bool isOnlyStalled() const {
+    return FailuresByJob.empty() && !StalledJobs.empty();
+  }
   /// Time until which the worker gets no tasks of this job alone.
   absl::Time quarantinedUntil(const std::string &job) const;
   /// Whether it has the label; true for an empty label.
@@ -181,9 +190,20 @@
   /// Number of workers of the service in each condition, zeros included.
   std::map<WorkerCondition, int64_t> countConditions(const std::string &service,
                                                      absl::Time now) const;
-  /// Quarantines the worker, for longer each time. Returns false if it is
-  /// already quarantined.
-  bool quarantine(const WorkerIncarnation &incarnation, absl::Time now);
+  /// Quarantines a worker on which a run of the job stood still or was too
+  /// slow, unless it is the only usable one of its service, or half of them are
+  /// quarantined for that: then their tasks are the cause. Returns true if it
+  /// is quarantined from now on.
+  bool recordStall(const WorkerIncarnation &incarnation, const std::string &job,
+                   absl::Time now);
+  /// Whether runs of other jobs stood still or were too slow there, and none
+  /// was completed since.
+  bool hasStalledOthers(const WorkerIncarnation &incarnation,
+                        const std::string &job) const;
+  /// The job has turned out to be the cause of its runs that stood still.
+  /// Returns the workers whose quarantine rested on them alone, and has ended.
+  std::vector<WorkerIncarnation> dismissStallsOf(const std::string &job,
+                                                 absl::Time now);
   /// Ends the worker's quarantine, for all jobs or for this one. The next one
   /// is longer all the same.
   void endQuarantine(const WorkerIncarnation &incarnation,
@@ -203,8 +223,8 @@
                         absl::Time now);
   /// A run that was ordered at this time was completed, so that the worker is
   /// healthy.
-  void recordSuccess(const WorkerIncarnation &incarnation,
-                     absl::Time orderedAt);
+  void recordSuccess(const WorkerIncarnation &incarnation, absl::Time orderedAt,
+                     absl::Time now);
   /// The job has turned out to be the cause of its failures: they count as its
   /// own from now on. Returns the workers whose quarantine rested on them, and
   /// now holds for this job alone.
@@ -234,6 +254,10 @@
   void markEndRecorded(const WorkerIncarnation &incarnation, int64_t number);
 
 private:
+  /// Quarantines the worker, for longer each time. Returns false if it is
+  /// already quarantined.
+  bool quarantine(WorkerView &worker, absl::Time now) const;
+  bool areManyStalled(const std::string &service, absl::Time now) const;
   bool hasOtherUsable(const WorkerView &worker, absl::Time now) const;
   absl::Duration nextQuarantine(absl::Duration latest) const;
   bool hasNotReported(const WorkerView &worker, absl::Time now) const {
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -234,6 +234,26 @@
   ranges.insert(occurrenceNumber(range.at(0)), occurrenceNumber(range.at(1)));
 }
 
+json stallTimeoutsToJson(const std::map<int, int64_t> &timeouts) {
+  json rows = json::array();
+  for (const auto &[step, ms] : timeouts)
+    rows.push_back(json::array({step, ms}));
+  return rows;
+}
+
+std::map<int, int64_t> stallTimeoutsFromJson(const json &rows) {
+  std::map<int, int64_t> timeouts;
+  for (const json &row : rows) {
+    const int step = utils::checkedNumber<int>(row.at(0));
+    const auto ms = utils::checkedNumber<int64_t>(row.at(1));
+    if (step < 0 || static_cast<size_t>(step) >= core::MaxStepsPerJob ||
+        ms < 0 || ms > core::MaxAmount)
+      throw std::out_of_range("no step has this timeout");
+    timeouts[step] = ms;
+  }
+  return timeouts;
+}
+
 template <class T, class Decode>
 utils::Result<T> decodeCbor(const std::string &bytes, Decode decode) {
   BOOST_LEAF_AUTO(j, utils::parseCbor(bytes));
@@ -318,10 +338,13 @@
   }
   for (const auto &[first, last] : p.DoneOccurrences.ranges())
     occurrences.push_back(rangeToJson(first, last));
-  return toCbor({{"v", p.Version},
-                 {"state", static_cast<int>(p.State)},
-                 {"places", workers.list()},
-                 {"tasks", std::move(occurrences)}});
+  json j = {{"v", p.Version},
+            {"state", static_cast<int>(p.State)},
+            {"places", workers.list()},
+            {"tasks", std::move(occurrences)}};
+  if (!p.StallTimeoutsMs.empty())
+    j["stall_ms"] = stallTimeoutsToJson(p.StallTimeoutsMs);
+  return toCbor(j);
 }
 
 namespace {
@@ -424,6 +447,8 @@
         p.Tasks[occurrenceNumber(entry.at(0))] =
             occurrenceFromJson(entry.at(1), workers);
     }
+    if (j.contains("stall_ms"))
+      p.StallTimeoutsMs = stallTimeoutsFromJson(j["stall_ms"]);
     return p;
   });
 }
--- a/src/libs/jobs/jobrecord.h
+++ b/src/libs/jobs/jobrecord.h
@@ -109,13 +109,16 @@
 
 /// A job's progress as the leader records it. Tasks contains the tasks of each
 /// step of each occurrence of which something has begun, except those in
-/// DoneOccurrences, of which all is done. Version grows with each write, so
-/// that a write whose answer was lost can be recognised.
+/// DoneOccurrences, of which all is done. StallTimeoutsMs contains, by step,
+/// the time in milliseconds for which runs have to stand still to be stalled,
+/// where that is known to be longer than the estimate suggests. Version grows
+/// with each write, so that a write whose answer was lost can be recognised.
 struct JobProgress {
   int64_t Version = 0;
   JobState State = JobState::Queued;
   std::map<int, std::vector<StepProgress>> Tasks;
   NumberRanges DoneOccurrences = {};
+  std::map<int, int64_t> StallTimeoutsMs = {};
 
   auto operator<=>(const JobProgress &) const = default;
 };
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -254,10 +254,10 @@
                                  absl::Time now) {
   const core::StepSpec &spec = Jobs.at(id.Job).specOf(id);
   if (!spec.LongRunning)
-    Progress.recordProgress({core::taskName(id), task.Progress.Run},
-                            task.Progress.Worker, task.Percent,
-                            absl::Milliseconds(spec.EstimateMs),
-                            !task.Progress.Saved.empty(), now);
+    Progress.recordProgress(
+        {core::taskName(id), task.Progress.Run},
+        {task.Progress.Worker, !task.Progress.Saved.empty(), spec.Gang},
+        task.Percent, now);
 }
 
 // Whether the run is expected to be slow where it is: outside the rack of its
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -363,7 +363,8 @@
   /// gang.
   static RunId judgedRun(const Job &job, const core::TaskId &id, int64_t run);
   void recordSuccessOn(const WorkerIncarnation &incarnation, Job &job,
-                       const Task &task);
+                       const core::TaskId &id, const Task &task,
+                       absl::Time now);
   void recordFailureOn(const WorkerIncarnation &incarnation, Job &job,
                        const core::TaskId &id, int64_t run, absl::Time now);
   bool isCauseOfFailures(Job &job, absl::Time now);
--- a/src/libs/jobs/jobscheduler_failures.cpp
+++ b/src/libs/jobs/jobscheduler_failures.cpp
@@ -18,9 +18,12 @@
 } // namespace
 
 void JobScheduler::recordSuccessOn(const WorkerIncarnation &incarnation,
-                                   Job &job, const Task &task) {
+                                   Job &job, const TaskId &id, const Task &task,
+                                   absl::Time now) {
   job.FailsOn.erase(incarnation);
-  Workers.recordSuccess(incarnation, task.FirstOrderAt);
+  if (auto stalls = job.Stalls.find(id.Step); stalls != job.Stalls.end())
+    stalls->second.StoppedOn.clear();
+  Workers.recordSuccess(incarnation, task.FirstOrderAt, now);
 }
 
 void JobScheduler::recordFailureOn(const WorkerIncarnation &incarnation,
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -58,6 +58,8 @@
   for (const auto &[number, steps] : progress.Tasks)
     if (number < occurrences)
       adoptOccurrence(job, number, steps, now);
+  for (const auto &[step, ms] : progress.StallTimeoutsMs)
+    job.Stalls[step] = {absl::Milliseconds(ms), absl::Milliseconds(ms), {}};
   if (job.hasEnded())
     job.FinishedAt = now;
   else if (job.Record.Cancelled)
@@ -125,6 +127,10 @@
     for (const Step &step : steps)
       progress.Tasks[number].push_back(progressOf(step));
   }
+  for (const auto &[step, stalls] : job.Stalls)
+    if (stalls.RecordedTimeout > absl::ZeroDuration())
+      progress.StallTimeoutsMs[step] =
+          absl::ToInt64Milliseconds(stalls.RecordedTimeout);
   return progress;
 }
 
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -294,7 +294,7 @@
   if (!isCounted) {
     // The end of another member has completed the gang.
     if (isLatest && end.How == RunEnd::Done)
-      recordSuccessOn(incarnation, job, *task);
+      recordSuccessOn(incarnation, job, id, *task, now);
     if (isLatest)
       unassign(job, id, *task, Settlement::ByWorker, now);
     acknowledgeEnd(job, incarnation, end.Number);
@@ -356,7 +356,7 @@
   if (!saved.empty())
     task.Progress.Saved = saved;
   if (how == RunEnd::Done)
-    recordSuccessOn(incarnation, job, task);
+    recordSuccessOn(incarnation, job, id, task, now);
   if (how == RunEnd::Failed) {
     task.FailedOn.insert(incarnation);
     recordFailureOn(incarnation, job, id, task.Progress.Run, now);
--- a/src/libs/jobs/planner.cpp
+++ b/src/libs/jobs/planner.cpp
@@ -137,8 +137,7 @@
     giveUpPreferences(unit);
     if (placeWherePossible(unit))
       return;
-    if (mayTakeUnhealthyWorkers(unit))
-      endQuarantines(unit);
+    endQuarantines(unit, mayTakeUnhealthyWorkers(unit));
   }
   if (unit.spec().Gang || unit.RequiredConcurrency > 0)
     handleBlockedUnit(unit);
@@ -159,7 +158,7 @@
     return false;
   Scheduler.RetryOnTick = true;
   if (idleTime(unit) >= Scheduler.Policy.MaxLongRunningWait)
-    endQuarantines(unit);
+    endQuarantines(unit, true);
   return false;
 }
 
--- a/src/libs/jobs/planner.h
+++ b/src/libs/jobs/planner.h
@@ -222,15 +222,16 @@
   bool mustGiveUpPreferences(const PlacementUnit &unit) const;
   /// Whether each task of the unit may fail once more without failing its job.
   static bool canSpareAttempt(const PlacementUnit &unit);
-  /// Whether unit may take workers where its tasks failed or that are in
-  /// quarantine.
+  /// Whether unit may take workers where its tasks failed, or that are in
+  /// quarantine because runs failed there.
   bool mayTakeUnhealthyWorkers(const PlacementUnit &unit) const;
   void giveUpPreferences(PlacementUnit &unit);
   /// The workers in quarantine that could hold tasks of unit.
   std::vector<WorkerIncarnation>
   quarantinedWorkers(const PlacementUnit &unit) const;
-  /// Ends as many quarantines as it takes to hold the tasks of unit.
-  void endQuarantines(const PlacementUnit &unit);
+  /// Ends as many quarantines as it takes to hold the tasks of unit, those of
+  /// workers that may fail its tasks only if mayFail is set.
+  void endQuarantines(const PlacementUnit &unit, bool mayFail);
   /// Whether unit may use the workers that are left empty for urgent work.
   static bool mayUseHeadroom(const PlacementUnit &unit) {
     return unit.Rank <= 1 || unit.HasGivenUpPreferences;
--- a/src/libs/jobs/planner_preferences.cpp
+++ b/src/libs/jobs/planner_preferences.cpp
@@ -83,7 +83,7 @@
 
 // The workers keep the duration of their latest quarantine, so that one that is
 // still unhealthy is quarantined for longer the next time.
-void Planner::endQuarantines(const PlacementUnit &unit) {
+void Planner::endQuarantines(const PlacementUnit &unit, bool mayFail) {
   const core::Resources each = unit.spec().taskResources();
   auto missing = static_cast<int64_t>(unit.Tasks.size());
   for (size_t c = 0; c < Candidates.size(); ++c)
@@ -91,8 +91,10 @@
   for (const WorkerIncarnation &incarnation : quarantinedWorkers(unit)) {
     if (missing <= 0)
       return;
-    missing -= each.countIn(
-        Scheduler.Workers.find(incarnation)->freeResources(), missing);
+    const WorkerView &worker = *Scheduler.Workers.find(incarnation);
+    if (!mayFail && !worker.isOnlyStalled())
+      continue;
+    missing -= each.countIn(worker.freeResources(), missing);
     Scheduler.endQuarantine(incarnation, unit.Owner->Record.Spec.Id, Now);
   }
 }
--- a/src/libs/jobs/progress.cpp
+++ b/src/libs/jobs/progress.cpp
@@ -5,13 +5,10 @@
 
 namespace oriolebay::jobs {
 
-void ProgressTracker::recordProgress(const RunId &run,
-                                     const WorkerIncarnation &worker,
-                                     int percent, absl::Duration estimate,
-                                     bool resumed, absl::Time now) {
+void ProgressTracker::recordProgress(const RunId &run, const RunKind &kind,
+                                     int percent, absl::Time now) {
   auto [it, added] = Runs.try_emplace(
-      run,
-      TrackedRun{worker, estimate, resumed, percent, percent, now, now, {}});
+      run, TrackedRun{kind, percent, percent, now, now, now, {}});
   TrackedRun &tracked = it->second;
   tracked.LastReport = now;
   if (added || percent <= tracked.Percent)
@@ -26,56 +23,55 @@
 
 void ProgressTracker::forget(const RunId &run) { Runs.erase(run); }
 
-// Whether the run has stopped progressing from one poll to the next, although
-// it progressed fast until then.
-bool ProgressTracker::isSuddenlyStill(const TrackedRun &tracked) const {
-  if (tracked.Increases.size() < 2)
-    return false;
-  const Sample &first = tracked.Increases.front();
-  const Sample &last = tracked.Increases.back();
-  const absl::Duration still = tracked.LastReport - tracked.LastIncrease;
-  const double missing = (last.Percent - first.Percent) *
-                         absl::FDivDuration(still, last.At - first.At);
-  return still >= Policy.SuddenStallAfter &&
-         missing >= Policy.SuddenStallPercent;
-}
-
-bool ProgressTracker::isStalled(const RunId &run) const {
-  auto it = Runs.find(run);
-  if (it == Runs.end() || it->second.Percent >= 100)
-    return false;
-  const TrackedRun &tracked = it->second;
-  if (isSuddenlyStill(tracked))
-    return true;
-  return tracked.LastReport - tracked.LastIncrease >= stallTimeout(tracked);
-}
-
-absl::Duration ProgressTracker::stallTimeout(const TrackedRun &tracked) const {
-  const absl::Duration timeout = std::max(
-      Policy.StalledAfter, tracked.Estimate * Policy.StalledEstimateShare);
-  return tracked.Resumed ? timeout + Policy.RestoreTime : timeout;
-}
-
-absl::Duration ProgressTracker::stallTimeout(const RunId &run) const {
+const ProgressTracker::TrackedRun *
+ProgressTracker::find(const RunId &run) const {
   auto it = Runs.find(run);
-  return it == Runs.end() ? absl::InfiniteDuration() : stallTimeout(it->second);
+  return it == Runs.end() ? nullptr : &it->second;
 }
 
 absl::Duration ProgressTracker::stillTime(const RunId &run) const {
-  auto it = Runs.find(run);
-  if (it == Runs.end() || it->second.Percent >= 100)
+  const TrackedRun *tracked = find(run);
+  if (tracked == nullptr || tracked->Percent >= 100)
     return absl::ZeroDuration();
-  return it->second.LastReport - it->second.LastIncrease;
+  return tracked->LastReport - tracked->LastIncrease;
 }
 
+bool ProgressTracker::isSuddenlyStill(const RunId &run) const {
+  const TrackedRun *tracked = find(run);
+  if (tracked == nullptr || tracked->Percent >= 100 ||
+      tracked->Increases.size() < 2)
+    return false;
+  const Sample &first = tracked->Increases.front();
+  const Sample &last = tracked->Increases.back();
+  const absl::Duration still = stillTime(run);
+  const double missing = (last.Percent - first.Percent) *
+                         absl::FDivDuration(still, last.At - first.At);
+  return still >= Policy.SuddenStallAfter &&
+         missing >= Policy.SuddenStallPercent;
+}
+
+// The time to the first increase counts for runs that started from nothing and
+// at once. Of others, part of that percent was done before, or of that time was
+// spent waiting.
 std::optional<absl::Duration>
 ProgressTracker::percentTime(const RunId &run) const {
-  auto it = Runs.find(run);
-  if (it == Runs.end() || it->second.Increases.size() < 2)
+  const TrackedRun *tracked = find(run);
+  if (tracked == nullptr || tracked->Increases.empty())
     return std::nullopt;
-  const Sample &first = it->second.Increases.front();
-  const Sample &last = it->second.Increases.back();
-  return (last.At - first.At) / (last.Percent - first.Percent);
+  const Sample &last = tracked->Increases.back();
+  if (tracked->Increases.size() > 1) {
+    const Sample &first = tracked->Increases.front();
+    return (last.At - first.At) / (last.Percent - first.Percent);
+  }
+  if (tracked->Kind.Resumed || tracked->Kind.AwaitsOthers ||
+      tracked->FirstPercent > 0)
+    return std::nullopt;
+  return (last.At - tracked->FirstReport) / last.Percent;
+}
+
+bool ProgressTracker::isResumed(const RunId &run) const {
+  const TrackedRun *tracked = find(run);
+  return tracked != nullptr && tracked->Kind.Resumed;
 }
 
 bool ProgressTracker::isWorkerProgressing(const RunId &run,
@@ -88,7 +84,7 @@
     const TrackedRun &tracked = entry.second;
     // The first report of a run sets LastIncrease as well, but does not show
     // any progress.
-    return tracked.Worker == own.Worker &&
+    return tracked.Kind.Worker == own.Kind.Worker &&
            tracked.Percent > tracked.FirstPercent &&
            tracked.LastIncrease > own.LastIncrease &&
            now - tracked.LastIncrease < Policy.StalledAfter;
--- a/src/libs/jobs/progress.h
+++ b/src/libs/jobs/progress.h
@@ -21,6 +21,22 @@
   /// Share of the estimated duration that replaces StalledAfter for long tasks,
   /// where it is longer.
   double StalledEstimateShare = 0.05;
+  /// The same for durations that are known better: from the run's own rate,
+  /// from other tasks of its step, or from where the run is. Three increases
+  /// are due within this time.
+  double StalledDurationShare = 0.03;
+  /// Factor by which a step's runs may stand still for longer once several have
+  /// stood still alike.
+  double StallTimeoutGrowth = 4;
+  /// How often a task may be stopped as stalled before its runs rather than
+  /// their workers are taken to be the cause; and the same if something else
+  /// speaks for the worker.
+  int MaxStalledRuns = 1;
+  int MaxStalledRunsOfSuspects = 2;
+  /// Share of the timeout for which another run of the step has to have stood
+  /// still to show the same picture. Runs that start together are reported at
+  /// slightly different times.
+  double SamePictureShare = 0.75;
   /// A run that has progressed is stalled earlier, after this time, if it
   /// should have progressed by SuddenStallPercent since at its rate so far. The
   /// time is that of two polls without an increase.
@@ -45,34 +61,38 @@
   double MaxLogDeviation = 0.4;
 };
 
-/// Tracks the progress of runs. Detects stalled runs on workers that otherwise
-/// answer in time, and derives the duration of the others from their rate of
-/// progress. Uses no threads, clock or sockets.
+/// Tracks the progress of runs: for how long each has stood still, and how long
+/// the others take by their rate of progress. Uses no threads, clock or
+/// sockets.
 class ProgressTracker {
 public:
+  /// What does not change while a run goes on.
+  struct RunKind {
+    WorkerIncarnation Worker;
+    /// It started from a checkpoint.
+    bool Resumed = false;
+    /// It begins to progress once other runs have started.
+    bool AwaitsOthers = false;
+  };
+
   explicit ProgressTracker(ProgressPolicy policy) : Policy(policy) {}
 
-  /// Records that a run on worker was reported at percent. Estimate is the
-  /// expected duration of the whole run; resumed runs started from a
-  /// checkpoint.
-  void recordProgress(const RunId &run, const WorkerIncarnation &worker,
-                      int percent, absl::Duration estimate, bool resumed,
+  /// Records that a run of this kind was reported at percent.
+  void recordProgress(const RunId &run, const RunKind &kind, int percent,
                       absl::Time now);
   void forget(const RunId &run);
 
-  /// Whether the percentage of an unfinished run has not increased for too
-  /// long. Time in which it could not be reported does not count, because its
-  /// agent may have been killed or cut off.
-  bool isStalled(const RunId &run) const;
-  /// Time for which the percentage of an unfinished run has not increased, as
-  /// far as it could be reported; zero if nothing is known of the run.
+  /// Time for which the percentage of an unfinished run has not increased; zero
+  /// if nothing is known of the run. Time in which it could not be reported
+  /// does not count, because its agent may have been killed or cut off.
   absl::Duration stillTime(const RunId &run) const;
-  /// Time without an increase from which on the run is stalled, whatever its
-  /// rate was before.
-  absl::Duration stallTimeout(const RunId &run) const;
-  /// Time that an increase by one percent has taken at the run's latest rate.
+  /// Whether the run has stopped progressing from one poll to the next,
+  /// although it progressed fast until then.
+  bool isSuddenlyStill(const RunId &run) const;
+  /// Time that an increase by one percent takes at the run's latest rate.
   /// Returns nothing before it is known.
   std::optional<absl::Duration> percentTime(const RunId &run) const;
+  bool isResumed(const RunId &run) const;
   /// Whether the percentage of another run on the same worker has increased
   /// within StalledAfter, and after that of this run did for the last time.
   bool isWorkerProgressing(const RunId &run, absl::Time now) const;
@@ -92,11 +112,10 @@
     int Percent = 0;
   };
   struct TrackedRun {
-    WorkerIncarnation Worker;
-    absl::Duration Estimate;
-    bool Resumed = false;
+    RunKind Kind;
     int FirstPercent = 0;
     int Percent = 0;
+    absl::Time FirstReport;
     absl::Time LastIncrease;
     absl::Time LastReport;
     /// Increases of the percentage, starting with the last one that is at least
@@ -104,8 +123,7 @@
     std::deque<Sample> Increases;
   };
 
-  bool isSuddenlyStill(const TrackedRun &tracked) const;
-  absl::Duration stallTimeout(const TrackedRun &tracked) const;
+  const TrackedRun *find(const RunId &run) const;
 
   const ProgressPolicy Policy;
   std::map<RunId, TrackedRun> Runs;
--- a/src/libs/jobs/runmonitor.cpp
+++ b/src/libs/jobs/runmonitor.cpp
@@ -49,11 +49,11 @@
                           PeerTimes &peers) {
   if (mustEvacuate(job, id, task)) {
     evacuate(job, id, task);
-  } else if (isRunStalled(job, id, task)) {
-    quarantineAndRestart(job, id, task, "stands still");
+  } else if (isRunStalled(job, id, task, peers)) {
+    handleStalledRun(job, id, task, peers);
   } else if (isRunTooSlow(job, id, task, peers)) {
     countMove(job, id, task);
-    quarantineAndRestart(job, id, task, "crawls");
+    quarantineAndRestart(job, id, task, "crawls", peers);
   }
 }
 
@@ -67,17 +67,27 @@
     ++member.Moves;
 }
 
+absl::Duration RunMonitor::expectedRunTime(const Job &job, const TaskId &id,
+                                           const Task &task) const {
+  const RunId run{core::taskName(id), task.Progress.Run};
+  if (const auto bounds = Scheduler.Progress.durationBounds(run))
+    return bounds->AtLeast;
+  absl::Duration total = Scheduler.taskTime(job, job.specOf(id));
+  if (Scheduler.Uneven.matter())
+    total *= Scheduler.slownessOfRun(job, id, task);
+  if (Scheduler.isRemote(job, id, task))
+    total *= Scheduler.Policy.RemoteFactor;
+  if (const auto percentTime = Scheduler.Progress.percentTime(run))
+    total = std::max(total, *percentTime * 100);
+  return total;
+}
+
 absl::Duration RunMonitor::remainingTime(const Job &job, const TaskId &id,
                                          const Task &task) const {
   const core::StepSpec &spec = job.specOf(id);
   if (spec.LongRunning)
     return absl::InfiniteDuration();
-  absl::Duration total = Scheduler.taskTime(job, spec);
-  if (Scheduler.Uneven.matter())
-    total *= Scheduler.slownessOfRun(job, id, task);
-  if (const auto bounds = Scheduler.Progress.durationBounds(
-          {core::taskName(id), task.Progress.Run}))
-    total = bounds->AtLeast;
+  const absl::Duration total = expectedRunTime(job, id, task);
   // The percentage is as old as the last report. Without the correction, a run
   // that was about to end was stopped for an urgent job, because its remaining
   // time did not decrease between two reports.
@@ -87,32 +97,6 @@
                   MinRemaining);
 }
 
-// Members of a gang wait for each other, so a single stalled member stalls all
-// of them, and all are stalled until every member has started. Only a member
-// that is more than one percent behind another one is the cause.
-bool RunMonitor::isBehindGang(const Step &step, const Task &task) {
-  const auto &tasks = step.objects();
-  return std::any_of(tasks.begin(), tasks.end(), [&](const auto &other) {
-    return other.second.isAssigned() && other.second.Percent > task.Percent + 1;
-  });
-}
-
-// Whether a run is stalled and better restarted elsewhere, because no other run
-// on its worker makes progress either. A member of a gang must also be behind
-// another member, or have had the time to wait for the others and to stall.
-bool RunMonitor::isRunStalled(const Job &job, const TaskId &id,
-                              const Task &task) const {
-  const RunId run{core::taskName(id), task.Progress.Run};
-  if (!Scheduler.Progress.isStalled(run) ||
-      Scheduler.Progress.isWorkerProgressing(run, Now))
-    return false;
-  const Step &step = job.stepOf(id);
-  const bool gang = job.specOf(id).Gang && step.size() > 1;
-  return !gang || isBehindGang(step, task) ||
-         Now - task.StartedAt >
-             Scheduler.Policy.GangWait + Scheduler.Policy.Progress.StalledAfter;
-}
-
 // Collects the durations of all tasks of the step that are known. Done once per
 // step, because collecting them for each task takes quadratic time in the
 // number of tasks of a wide step.
@@ -158,6 +142,27 @@
   return ownKnown && own <= all[middle] ? all[middle + 1] : all[middle];
 }
 
+// Whether another task of the step is as slow on another worker, so that their
+// estimate is wrong rather than a worker slow.
+bool RunMonitor::isSlowElsewhere(const Job &job, const TaskId &id,
+                                 const Task &task,
+                                 absl::Duration duration) const {
+  constexpr double Alike = 0.5;
+  const auto &tasks = job.stepOf(id).objects();
+  TaskId other = id;
+  return std::any_of(tasks.begin(), tasks.end(), [&](const auto &entry) {
+    const Task &peer = entry.second;
+    if (!peer.isAssigned() || peer.Progress.Worker == task.Progress.Worker)
+      return false;
+    other.Index = static_cast<int>(entry.first);
+    const RunId run{core::taskName(other), peer.Progress.Run};
+    const absl::Duration percentTime = std::max(
+        Scheduler.Progress.percentTime(run).value_or(absl::ZeroDuration()),
+        Scheduler.Progress.stillTime(run));
+    return percentTime * 100 >= duration * Alike;
+  });
+}
+
 // Whether a run is so slow that restarting it on a sound worker would complete
 // the task sooner.
 bool RunMonitor::isRunTooSlow(const Job &job, const TaskId &id,
@@ -180,7 +185,7 @@
     normalTime = *medianTime;
   } else if (const auto threshold =
                  Scheduler.Estimates.slowThreshold(queue, estimate)) {
-    slow = duration > *threshold;
+    slow = duration > *threshold && !isSlowElsewhere(job, id, task, duration);
   }
   const double shareLeft = (100 - task.Percent) / 100.0;
   const absl::Duration restartTime =
@@ -235,15 +240,18 @@
 // What tells a run that has stopped from one whose next percent is not due.
 std::vector<DecisionInput> RunMonitor::restartInputs(const Job &job,
                                                      const TaskId &id,
-                                                     const Task &task) const {
+                                                     const Task &task,
+                                                     PeerTimes &peers) const {
+  const auto orUnknown = [](std::optional<absl::Duration> time) {
+    return time ? absl::ToInt64Milliseconds(*time) : -1;
+  };
   const RunId run{core::taskName(id), task.Progress.Run};
-  const auto percentTime = Scheduler.Progress.percentTime(run);
   return {{"still_ms",
            absl::ToInt64Milliseconds(Scheduler.Progress.stillTime(run))},
           {"timeout_ms",
-           absl::ToInt64Milliseconds(Scheduler.Progress.stallTimeout(run))},
-          {"percent_ms",
-           percentTime ? absl::ToInt64Milliseconds(*percentTime) : -1},
+           absl::ToInt64Milliseconds(stallTimeout(job, id, task, peers))},
+          {"percent_ms", orUnknown(Scheduler.Progress.percentTime(run))},
+          {"peers_percent_ms", orUnknown(medianPercentTime(job, id, peers))},
           {"estimate_ms", job.specOf(id).EstimateMs},
           {"runs_ms", absl::ToInt64Milliseconds(Now - task.StartedAt)},
           {"remote", Scheduler.isRemote(job, id, task) ? 1 : 0},
@@ -252,13 +260,14 @@
 }
 
 void RunMonitor::quarantineAndRestart(Job &job, const TaskId &id, Task &task,
-                                      const std::string &why) {
+                                      const std::string &why,
+                                      PeerTimes &peers) {
   const std::string name = core::taskName(id);
   Scheduler.logDecision(Decision::Kind::RunStalledOrSlow, id.Job, name,
                         task.Progress.Run, task.Progress.Worker.Id,
                         absl::StrCat(why, " at ", task.Percent, "%"),
-                        restartInputs(job, id, task));
-  if (Scheduler.Workers.quarantine(task.Progress.Worker, Now))
+                        restartInputs(job, id, task, peers));
+  if (Scheduler.Workers.recordStall(task.Progress.Worker, id.Job, Now))
     Scheduler.logDecision(Decision::Kind::WorkerQuarantined, id.Job, name,
                           task.Progress.Run, task.Progress.Worker.Id, why);
   requestRestart(job, id, task, why);
--- a/src/libs/jobs/runmonitor.h
+++ b/src/libs/jobs/runmonitor.h
@@ -42,13 +42,51 @@
     std::vector<absl::Duration> ByIndex;
     /// The known durations in ascending order.
     std::vector<absl::Duration> Sorted;
+    /// The times that one percent takes, in ascending order, once collected.
+    std::optional<std::vector<absl::Duration>> PercentTimes;
   };
 
+  /// Expected duration of the whole run.
+  absl::Duration expectedRunTime(const Job &job, const core::TaskId &id,
+                                 const Task &task) const;
   void checkStep(Job &job, const core::TaskId &first);
   void checkRun(Job &job, const core::TaskId &id, Task &task, PeerTimes &peers);
-  bool isRunStalled(const Job &job, const core::TaskId &id,
-                    const Task &task) const;
+  absl::Duration stallTimeoutByEstimate(const Job &job, const core::TaskId &id,
+                                        const Task &task) const;
+  absl::Duration stallTimeoutByDuration(const Job &job, const core::TaskId &id,
+                                        const Task &task,
+                                        PeerTimes &peers) const;
+  /// Time without an increase from which on the run is stalled.
+  absl::Duration stallTimeout(const Job &job, const core::TaskId &id,
+                              const Task &task, PeerTimes &peers) const;
+  void collectPercentTimes(const Job &job, const core::TaskId &first,
+                           PeerTimes &peers) const;
+  std::optional<absl::Duration> medianPercentTime(const Job &job,
+                                                  const core::TaskId &id,
+                                                  PeerTimes &peers) const;
   static bool isBehindGang(const Step &step, const Task &task);
+  bool isWorkerProgressing(const RunId &run, const Task &task) const;
+  bool hasStoodStillTooLong(Job &job, const core::TaskId &id, const Task &task,
+                            PeerTimes &peers);
+  bool isRunStalled(Job &job, const core::TaskId &id, const Task &task,
+                    PeerTimes &peers);
+  static void noteLongPercent(Job &job, const core::TaskId &id,
+                              absl::Duration timeout);
+  size_t countAlikeWorkers(const Job &job, const core::TaskId &id,
+                           const Task &task) const;
+  bool isWorkerSuspected(const Job &job, const core::TaskId &id,
+                         const Task &task, PeerTimes &peers) const;
+  /// Whether the run stands still for a reason of its task, not of its worker.
+  bool isTaskTheCause(const Job &job, const core::TaskId &id, const Task &task,
+                      PeerTimes &peers) const;
+  void handleStalledRun(Job &job, const core::TaskId &id, Task &task,
+                        PeerTimes &peers);
+  void raiseStallTimeout(Job &job, const core::TaskId &id, Task &task,
+                         PeerTimes &peers);
+  int64_t raiseStepTimeout(Job &job, const core::TaskId &id,
+                           absl::Duration timeout);
+  bool isSlowElsewhere(const Job &job, const core::TaskId &id, const Task &task,
+                       absl::Duration duration) const;
   bool isRunTooSlow(const Job &job, const core::TaskId &id, const Task &task,
                     PeerTimes &peers) const;
   void collectPeerTimes(const Job &job, const core::TaskId &first,
@@ -61,10 +99,12 @@
   void requestRestart(Job &job, const core::TaskId &id, Task &task,
                       const std::string &why);
   void countMove(Job &job, const core::TaskId &id, Task &task);
-  std::vector<DecisionInput>
-  restartInputs(const Job &job, const core::TaskId &id, const Task &task) const;
+  std::vector<DecisionInput> restartInputs(const Job &job,
+                                           const core::TaskId &id,
+                                           const Task &task,
+                                           PeerTimes &peers) const;
   void quarantineAndRestart(Job &job, const core::TaskId &id, Task &task,
-                            const std::string &why);
+                            const std::string &why, PeerTimes &peers);
   void evacuate(Job &job, const core::TaskId &id, Task &task);
 
   JobScheduler &Scheduler;
--- a/src/libs/jobs/scheduledjob.h
+++ b/src/libs/jobs/scheduledjob.h
@@ -81,6 +81,11 @@
   absl::Duration RunDuration = absl::ZeroDuration();
   /// How often the task was moved because it was too slow.
   int Moves = 0;
+  /// How often it was stopped as stalled since the timeout was last raised, for
+  /// the task or for its step.
+  int StalledRuns = 0;
+  /// Time for which its runs have to stand still, at least, to be stalled.
+  absl::Duration MinStallTimeout = absl::ZeroDuration();
   /// Workers where a run of the task failed, or that did not start it because
   /// they were unhealthy.
   std::set<WorkerIncarnation> FailedOn;
@@ -122,6 +127,20 @@
   std::vector<absl::Duration> SettledDurations;
 };
 
+/// What runs of a step that stood still have shown of its tasks, in all
+/// occurrences.
+struct StepStalls {
+  /// Time for which a run of any task has to stand still, at least, to be
+  /// stalled.
+  absl::Duration MinTimeout = absl::ZeroDuration();
+  /// The same for the next leader, which does not know the rates of the runs
+  /// nor what single tasks have shown.
+  absl::Duration RecordedTimeout = absl::ZeroDuration();
+  /// Workers on which a run was stopped as stalled since MinTimeout was last
+  /// raised, and none was completed since.
+  std::set<WorkerIncarnation> StoppedOn;
+};
+
 /// A job as the leader knows it, with what it remembers of its tasks.
 struct ScheduledJob {
   /// Without the job's payload.
@@ -180,6 +199,7 @@
   /// Its runs fail for a reason of its own, as determined at CauseCheckedAt.
   bool CausesFailures = false;
   absl::Time CauseCheckedAt = absl::InfinitePast();
+  std::map<int, StepStalls> Stalls;
   JobWaits Waits;
   bool Overdue = false;
   absl::Time OverdueCheckedAt = absl::InfinitePast();
@@ -195,6 +215,12 @@
   bool isOccurrenceKnown(int number) const {
     return Occurrences.count(number) != 0 || DoneOccurrences.contains(number);
   }
+  absl::Duration minStallTimeout(int step, const ScheduledTask &task) const {
+    auto it = Stalls.find(step);
+    return it == Stalls.end()
+               ? task.MinStallTimeout
+               : std::max(task.MinStallTimeout, it->second.MinTimeout);
+  }
   const core::StepSpec &specOf(const core::TaskId &id) const {
     return Record.Spec.Steps[static_cast<size_t>(id.Step)];
   }
--- a/tests/auto/jobs/simsite.h
+++ b/tests/auto/jobs/simsite.h
@@ -45,6 +45,8 @@
     endpoints::LearnedSpeed SpeedWithGangs;
     /// Factor by which work takes longer there than on a healthy worker.
     double Slowness = 1;
+    /// How much later than those of other workers its regular reports are sent.
+    int ReportOffsetMs = 0;
     /// Number of ends that it lists at a time.
     size_t MaxEndsListed = 500;
     /// Every run fails shortly after its start.
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -112,6 +112,14 @@
   EXPECT_EQ(decodeProgress(cborOf(earlier)).value(), progress);
 }
 
+// Guards against a next leader that stops sound runs, because it does not know
+// how long one percent of them takes.
+TEST(StallTimeouts, AreReadAsWritten) {
+  const JobProgress progress{
+      3, JobState::Running, {}, {}, {{0, 5200}, {core::MaxStepsPerJob - 1, 1}}};
+  EXPECT_EQ(decodeProgress(encode(progress)).value(), progress);
+}
+
 struct SavedCase {
   const char *Name;
   size_t MaxBytes;
@@ -259,6 +267,13 @@
          "tasks",
          {{0, {nlohmann::json(std::vector<int>(core::MaxTasksPerJob + 1))}}})},
     {"places_are_no_list", progressWith("places", 5)},
+    {"stall_timeouts_are_no_list", progressWith("stall_ms", 5)},
+    {"stall_timeout_is_text", progressWith("stall_ms", {{0, "5200"}})},
+    {"stall_timeout_negative", progressWith("stall_ms", {{0, -1}})},
+    {"stall_timeout_too_long",
+     progressWith("stall_ms", {{0, core::MaxAmount + 1}})},
+    {"stall_timeout_of_no_step",
+     progressWith("stall_ms", {{core::MaxStepsPerJob, 5200}})},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, OddValues, testing::ValuesIn(OddValueCases),
