The log of a call names the queue and organisation of the record known under its id

Three hypotheses fit: the entry's view has lost the job; it is known, and access to it is refused; or another entry answered by an older view.

call.answered gives record_queue and record_organisation where they are not the call's own. No decision is changed.

--- a/src/libs/entry/decisionlog.cpp
+++ b/src/libs/entry/decisionlog.cpp
@@ -120,6 +120,11 @@
     fields["job"] = d.Job;
   if (d.RecordConfigVersion > 0)
     fields["record_config_version"] = d.RecordConfigVersion;
+  // Otherwise the record is the one that the call is about.
+  if (!d.RecordQueue.empty() && d.RecordQueue != d.Queue)
+    fields["record_queue"] = d.RecordQueue;
+  if (!d.RecordQueue.empty() && d.RecordOrganisation != d.Organisation)
+    fields["record_organisation"] = d.RecordOrganisation;
   if (!d.Asked.empty()) {
     fields["asked"] = d.Asked;
     fields["priority"] = d.Priority;
--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -91,6 +91,10 @@
   /// The version of the configuration that decided the record of the call's
   /// job, as it is known here; zero if it is not known.
   int64_t RecordConfigVersion = 0;
+  /// The queue and the organisation of the record that the store has under the
+  /// call's id, as it is known here; empty if none is.
+  std::string RecordQueue;
+  std::string RecordOrganisation;
   /// Number of writes that this entry sent to the store for the call, and of
   /// those that got no answer.
   int WritesSent = 0;
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -172,8 +172,15 @@
                                : call->CheckedConfig.Version;
   decision.ConfigAgeMs = loggedAgeMs(call->ConfigAge);
   decision.ConfigOutdated = Config.isOutdated();
-  if (const StoredJob *job = View.find(call->JobId))
-    decision.RecordConfigVersion = job->decidedBy().Version;
+  const StoredJob *known = View.find(call->JobId);
+  if (known != nullptr)
+    decision.RecordConfigVersion = known->decidedBy().Version;
+  else
+    known = View.findTombstone(call->JobId);
+  if (known != nullptr) {
+    decision.RecordQueue = known->Record.Spec.Queue;
+    decision.RecordOrganisation = known->Record.Spec.Organisation;
+  }
   decision.WritesSent = call->Writes.sentCount();
   decision.WritesUnanswered = call->Writes.unansweredCount();
   decision.WithheldRefusal = withheld;
