Jobs are found by their organisation and id, whatever their queue is called

One id submitted at two prefixes was answered 200 twice and never ran in the second queue.

Cause: a job's queue was identified by the name of its route at the time of acceptance, which callers never see and operators may change; and POST asked for the organisation alone where GET and DELETE asked for queue name and organisation.

Now four questions have one function each. Access and tombstones go by organisation and id; public queues and jobs submitted without a key are told apart by the queue that the call reaches. Records have the host, prefix and path of the submission, by which SiteConfig::queueOf() finds the queue that a job is in now, for `waiting`, its service and what is learned of estimates. A second submission of an id in another queue that exists gets 409. Records without an address, of earlier versions, are found as well.

--- a/src/libs/core/jobspec.cpp
+++ b/src/libs/core/jobspec.cpp
@@ -155,8 +155,9 @@
 
 size_t memoryBytes(const JobSpec &spec) {
   size_t n = sizeof(spec) + spec.Id.capacity() + spec.Organisation.capacity() +
-             spec.Queue.capacity() + spec.Payload.capacity() +
-             spec.Steps.capacity() * sizeof(StepSpec);
+             spec.Queue.capacity() + spec.Address.Host.capacity() +
+             spec.Address.Prefix.capacity() + spec.Address.Path.capacity() +
+             spec.Payload.capacity() + spec.Steps.capacity() * sizeof(StepSpec);
   for (const StepSpec &step : spec.Steps)
     n += step.After.capacity() * sizeof(int) + step.NeedsLabel.capacity() +
          step.DataRack.capacity() + step.Image.capacity();
--- a/src/libs/core/jobspec.h
+++ b/src/libs/core/jobspec.h
@@ -95,13 +95,28 @@
   auto operator<=>(const StepSpec &) const = default;
 };
 
+/// Where a job was submitted: the host and the path of the call, and the prefix
+/// of the queue that it reached. Empty in what earlier versions have recorded.
+struct JobAddress {
+  std::string Host;
+  std::string Prefix;
+  std::string Path;
+
+  bool isKnown() const { return !Path.empty(); }
+  auto operator<=>(const JobAddress &) const = default;
+};
+
 /// A job as submitted by its caller. A task is identified by its occurrence (0
 /// unless the job repeats), its step and its index in the step.
 struct JobSpec {
   /// Chosen by the caller. Submitting the same id again refers to the same job.
   std::string Id;
   std::string Organisation;
+  /// The name that the queue had when the job was submitted. Operators may
+  /// rename queues: use SiteConfig::queueOf() for the queue that the job is in
+  /// now.
   std::string Queue;
+  JobAddress Address = {};
   /// Passed unchanged to each task.
   std::string Payload;
   std::vector<StepSpec> Steps;
--- a/src/libs/core/siteconfig.h
+++ b/src/libs/core/siteconfig.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "jobspec.h"
+
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -29,6 +31,11 @@
   /// The advice service is asked which workers may run a step.
   bool NeedsAdvice = false;
 
+  /// Identifies the queue towards its callers, who do not see its name.
+  std::string url() const { return Host + Prefix; }
+  bool hasSameUrl(const QueueConfig &other) const {
+    return Host == other.Host && Prefix == other.Prefix;
+  }
   auto operator<=>(const QueueConfig &) const = default;
 };
 
@@ -65,6 +72,13 @@
   const QueueConfig *route(const std::string &host,
                            const std::string &path) const;
   const QueueConfig *queue(const std::string &name) const;
+  /// Returns the queue that the job is in, or null if it is in none any more:
+  /// the one with the host and prefix that its queue had, whatever its name;
+  /// else the one with the name, which has moved; else the one that calls to
+  /// the job's address reach.
+  const QueueConfig *queueOf(const JobSpec &job) const;
+  /// Returns whether queueOf() is queue, without a search for most jobs.
+  bool isInQueue(const JobSpec &job, const QueueConfig &queue) const;
   /// Returns the organisation that key belongs to, or null.
   const OrganisationConfig *owner(const std::string &key) const;
   const OrganisationConfig *organisation(const std::string &name) const;
--- a/src/libs/jobs/jobrecord.cpp
+++ b/src/libs/jobs/jobrecord.cpp
@@ -322,6 +322,8 @@
             {"advice", r.NeedsAdvice}, {"cancelled", r.Cancelled}};
   if (r.DecidedBy != core::ConfigStamp())
     j["config"] = {r.DecidedBy.Revision, r.DecidedBy.Version};
+  if (r.Spec.Address.isKnown())
+    j["at"] = {r.Spec.Address.Host, r.Spec.Address.Prefix, r.Spec.Address.Path};
   if (r.Spec.Repeats > 0)
     j["due"] = {r.Spec.Repeats, r.Spec.FirstDueMs, r.Spec.IntervalMs};
   return toCbor(j);
@@ -425,6 +427,10 @@
     if (j.contains("config"))
       r.DecidedBy = {j["config"].at(0).get<int64_t>(),
                      j["config"].at(1).get<int64_t>()};
+    if (j.contains("at"))
+      r.Spec.Address = {j["at"].at(0).get<std::string>(),
+                        j["at"].at(1).get<std::string>(),
+                        j["at"].at(2).get<std::string>()};
     if (j.contains("due")) {
       r.Spec.Repeats = j["due"].at(0).get<int>();
       r.Spec.FirstDueMs = j["due"].at(1).get<int64_t>();
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -66,17 +66,18 @@
 }
 
 // The record may have been written by a newer configuration than the one here.
-const std::string &JobScheduler::serviceOf(const Job &job) const {
+void JobScheduler::updateQueue(Job &job) const {
   const bool isConfigCurrent =
       Config != nullptr && Config->Version >= job.Record.DecidedBy.Version;
   const core::QueueConfig *queue =
-      isConfigCurrent ? Config->queue(job.Record.Spec.Queue) : nullptr;
-  return queue != nullptr ? queue->Service : job.Record.Service;
+      isConfigCurrent ? Config->queueOf(job.Record.Spec) : nullptr;
+  job.Service = queue != nullptr ? queue->Service : job.Record.Service;
+  job.QueueKey = queue != nullptr ? queue->url() : job.Record.Spec.Queue;
 }
 
 absl::Duration JobScheduler::taskTime(const Job &job,
                                       const core::StepSpec &spec) const {
-  return Estimates.expectedDuration(job.Record.Spec.Queue,
+  return Estimates.expectedDuration(job.QueueKey,
                                     absl::Milliseconds(spec.EstimateMs));
 }
 
@@ -137,6 +138,8 @@
 
 void JobScheduler::onConfig(std::shared_ptr<const core::SiteConfig> config) {
   Config = std::move(config);
+  for (auto &[id, job] : Jobs)
+    updateQueue(job);
   PassNeeded = true;
 }
 
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -211,7 +211,9 @@
   void forgetSpeeds(const Job &job, int number);
   /// Number of the job's occurrences that are due by now.
   int dueOccurrences(const Job &job) const;
-  const std::string &serviceOf(const Job &job) const;
+  static const std::string &serviceOf(const Job &job) { return job.Service; }
+  /// Finds out in which queue the job is now.
+  void updateQueue(Job &job) const;
   /// Expected duration of a task, from its estimate and the past errors of the
   /// queue's estimates.
   absl::Duration taskTime(const Job &job, const core::StepSpec &spec) const;
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -36,6 +36,7 @@
   job.Record = record;
   job.Payload = std::exchange(job.Record.Spec.Payload, {});
   job.RecordRevision = revision;
+  updateQueue(job);
   PassNeeded = true;
   if (record.Cancelled && !job.hasEnded())
     endJob(job, JobState::Cancelled, now);
--- a/src/libs/jobs/jobscheduler_speeds.cpp
+++ b/src/libs/jobs/jobscheduler_speeds.cpp
@@ -32,7 +32,7 @@
   // speed of their workers; only their progress does.
   if (!spec.Gang)
     compareSpeed(id, task, task.RunDuration);
-  Estimates.recordTaskDuration(job.Record.Spec.Queue,
+  Estimates.recordTaskDuration(job.QueueKey,
                                absl::Milliseconds(spec.EstimateMs),
                                task.RunDuration / slownessOfRun(job, id, task));
 }
--- a/src/libs/jobs/jobservice.cpp
+++ b/src/libs/jobs/jobservice.cpp
@@ -120,7 +120,7 @@
       answer.State = visibleState(*job);
   }
   if (result == CallResult::Ok && call->Name == "queue")
-    answer.Waiting = View.waitingJobCount(call->Queue.Name);
+    answer.Waiting = countWaitingJobs(call);
   deliver(call, std::move(answer));
 }
 
@@ -204,12 +204,19 @@
 }
 
 bool JobService::isWrittenBy(const CallPtr &call, const JobRecord &record) {
-  return call->WritingOrganisations.count(record.Spec.Organisation) > 0;
+  return call->WritingOrganisations.count(record.Spec.Organisation) > 0 &&
+         (!record.Spec.Address.isKnown() || isAtCalledPath(call, record));
 }
 
+// An id stands for one job of an organisation, in whatever queue it is
+// submitted again: the names of its tasks do not tell queues apart. While its
+// own queue is another one, the call asks for a job that would not run.
 bool JobService::isOwnJob(const CallPtr &call, const JobRecord &record) {
-  return isWrittenBy(call, record) ||
-         (call->IsAuthorised && record.Spec.Organisation == call->Organisation);
+  if (isWrittenBy(call, record))
+    return true;
+  return call->IsAuthorised && record.Spec.Organisation == call->Organisation &&
+         (!record.Spec.Address.isKnown() || isInCalledQueue(call, record) ||
+          call->Config->queueOf(record.Spec) == nullptr);
 }
 
 // The job of an earlier call is the same job. It contradicts NotDone, NoRoom
@@ -242,6 +249,12 @@
   return true;
 }
 
+int JobService::countWaitingJobs(const CallPtr &call) const {
+  return View.waitingJobCount([&call](const JobRecord &record) {
+    return call->Config->isInQueue(record.Spec, call->Queue);
+  });
+}
+
 void JobService::answerQueueLength(const CallPtr &call) {
   if (View.isComplete())
     finish(call, CallResult::Ok);
--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -127,7 +127,8 @@
   JobService &operator=(const JobService &) = delete;
 
   /// Stores spec under its id, with the organisation and queue that access
-  /// identifies. Succeeds also if the organisation submitted that id before.
+  /// identifies. Succeeds also if the organisation has submitted that id to the
+  /// queue before.
   void submit(CallerAccess access, core::JobSpec spec, Done done);
   void state(CallerAccess access, std::string jobId, Done done);
   void cancel(CallerAccess access, std::string jobId, Done done);
@@ -192,7 +193,7 @@
   bool isKnownToBeStored(const CallPtr &call, CallResult result) const;
   /// The record is one that a write of the call may have stored.
   static bool isWrittenBy(const CallPtr &call, const JobRecord &record);
-  /// The record is of the organisation that submits the call.
+  /// The record is of the job that the call submits.
   static bool isOwnJob(const CallPtr &call, const JobRecord &record);
   /// Serves a call that would end with result once more, after a delay, if its
   /// outcome is open and there is time. Returns false if not.
@@ -259,8 +260,8 @@
   void refuseUnstored(const CallPtr &call, bool hasRoom);
   platform::StoreTxn newJobTxn(const CallPtr &call) const;
   /// Whether the job of a submit call may be stored in place of this record.
-  bool mayReplace(const CallPtr &call,
-                  const platform::KeyValue &existing) const;
+  static bool mayReplace(const CallPtr &call,
+                         const platform::KeyValue &existing);
   /// Answers a submit call whose id the store has.
   void finishWithStoredJob(const CallPtr &call,
                            const platform::KeyValue &existing);
@@ -282,6 +283,7 @@
   /// answers the call.
   void fetchProgress(const CallPtr &call);
   void answerQueueLength(const CallPtr &call);
+  int countWaitingJobs(const CallPtr &call) const;
   /// Answers a cancel call.
   void findJobToCancel(const CallPtr &call);
   void writeCancel(const CallPtr &call, JobRecord record, int64_t revision);
@@ -307,9 +309,16 @@
   onTombstoneReply(const CallPtr &call,
                    const platform::StoreReply<platform::StoreTxnReply> &reply);
   void finishBarred(const CallPtr &call);
-  /// The job is in the call's queue, and the queue is public or the job belongs
-  /// to the call's organisation.
-  bool isAccessAllowed(const CallPtr &call, const JobRecord &record) const;
+  /// Where the job of a call is, by the configuration it was checked against.
+  static core::JobAddress addressOf(const CallPtr &call);
+  /// The record is of a job that was submitted to the call's host and path.
+  static bool isAtCalledPath(const CallPtr &call, const JobRecord &record);
+  /// The same, or the job is in the queue that the call reaches.
+  static bool isInCalledQueue(const CallPtr &call, const JobRecord &record);
+  /// The call's caller may see the job and cancel it.
+  static bool isAccessAllowed(const CallPtr &call, const JobRecord &record);
+  /// The cancellation that left the tombstone holds for the call's job, too.
+  static bool isBarredBy(const CallPtr &call, const JobRecord &tombstone);
   /// Answers a state call. If the job has not ended in the view, asks the
   /// leader first, or else waits for a report or the record of its end; see
   /// EndReportDelay and EndRecordWaitLimit.
--- a/src/libs/jobs/jobservice_access.cpp
+++ b/src/libs/jobs/jobservice_access.cpp
@@ -100,10 +100,32 @@
   Config.confirm(onConfirmed, firstTryTimeoutMs());
 }
 
-bool JobService::isAccessAllowed(const CallPtr &call,
-                                 const JobRecord &record) const {
-  return record.Spec.Queue == call->Queue.Name &&
-         (call->Queue.Public || record.Spec.Organisation == call->Organisation);
+core::JobAddress JobService::addressOf(const CallPtr &call) {
+  return {call->Queue.Host, call->Queue.Prefix, call->Access.Path};
+}
+
+bool JobService::isAtCalledPath(const CallPtr &call, const JobRecord &record) {
+  const core::JobAddress &address = record.Spec.Address;
+  return address.Host == call->Access.Host && address.Path == call->Access.Path;
+}
+
+bool JobService::isInCalledQueue(const CallPtr &call, const JobRecord &record) {
+  return isAtCalledPath(call, record) ||
+         call->Config->isInQueue(record.Spec, call->Queue);
+}
+
+// Operators may rename, move, split and join queues: what tells jobs apart for
+// their callers is their organisation and the id. Without a key, the queue has
+// to be one whose jobs anybody may see. A job without an organisation was
+// submitted to such a queue, whatever that is now.
+bool JobService::isAccessAllowed(const CallPtr &call, const JobRecord &record) {
+  const std::string &organisation = record.Spec.Organisation;
+  return organisation.empty() || isBarredBy(call, record);
+}
+
+bool JobService::isBarredBy(const CallPtr &call, const JobRecord &tombstone) {
+  return tombstone.Spec.Organisation == call->Organisation ||
+         (call->Queue.Public && isInCalledQueue(call, tombstone));
 }
 
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -47,6 +47,7 @@
   record.Spec = call->Spec;
   record.Spec.Organisation = call->Organisation;
   record.Spec.Queue = call->Queue.Name;
+  record.Spec.Address = addressOf(call);
   record.Service = call->Queue.Service;
   record.Priority = call->Queue.Priority;
   record.Attempts = std::max(1, call->Queue.Attempts);
@@ -168,14 +169,13 @@
 }
 
 // A cancellation bars only what its caller could have cancelled.
-bool JobService::mayReplace(const CallPtr &call,
-                            const KeyValue &existing) const {
+bool JobService::mayReplace(const CallPtr &call, const KeyValue &existing) {
   const std::optional<JobRecord> record = tryDecodeRecord(existing.Value);
-  return record && record->isTombstone() && !isAccessAllowed(call, *record);
+  return record && record->isTombstone() && !isBarredBy(call, *record);
 }
 
-// The id was submitted before, by this call or an earlier one. That is the same
-// job if it is of the same organisation. No write can replace it.
+// The id was submitted before, by this call or an earlier one. No write can
+// replace it.
 void JobService::finishWithStoredJob(const CallPtr &call,
                                      const KeyValue &existing) {
   const std::optional<JobRecord> record = tryDecodeRecord(existing.Value);
@@ -219,7 +219,7 @@
   const StoredJob *known = View.findTombstone(call->JobId);
   if (known == nullptr)
     writeTombstone(call, 0);
-  else if (isAccessAllowed(call, known->Record))
+  else if (isBarredBy(call, known->Record))
     confirmTombstone(call, known->RecordRevision);
   else
     writeTombstone(call, known->RecordRevision);
@@ -230,6 +230,7 @@
   record.Spec.Id = call->JobId;
   record.Spec.Organisation = call->Organisation;
   record.Spec.Queue = call->Queue.Name;
+  record.Spec.Address = addressOf(call);
   record.Cancelled = true;
   record.DecidedBy = call->CheckedConfig;
   if (!hasRoomFor(record)) {
--- a/src/libs/jobs/jobview.cpp
+++ b/src/libs/jobs/jobview.cpp
@@ -64,13 +64,13 @@
                                                              : nullptr;
 }
 
-int JobView::waitingJobCount(const std::string &queue) const {
+int JobView::waitingJobCount(
+    const std::function<bool(const JobRecord &)> &isInQueue) const {
   return static_cast<int>(
       std::count_if(Jobs.begin(), Jobs.end(), [&](const auto &entry) {
         const StoredJob &job = entry.second;
-        return job.RecordRevision > 0 && job.Record.Spec.Queue == queue &&
-               job.Record.Spec.Repeats == 0 &&
-               job.visibleState() == JobState::Queued;
+        return job.RecordRevision > 0 && job.Record.Spec.Repeats == 0 &&
+               job.visibleState() == JobState::Queued && isInQueue(job.Record);
       }));
 }
 
--- a/src/libs/jobs/jobview.h
+++ b/src/libs/jobs/jobview.h
@@ -81,8 +81,10 @@
   /// not depend on the tasks that run; and what all that were removed took.
   size_t memoryBytes() const { return MemoryBytes; }
   size_t freedBytes() const { return FreedBytes; }
-  /// Number of the queue's jobs that have not started, repeating jobs excluded.
-  int waitingJobCount(const std::string &queue) const;
+  /// Number of the jobs in a queue that have not started, repeating jobs
+  /// excluded.
+  int waitingJobCount(
+      const std::function<bool(const JobRecord &)> &isInQueue) const;
 
 private:
   /// Returns the job, which is added if it is not known.
--- a/src/libs/jobs/planner_urgency.cpp
+++ b/src/libs/jobs/planner_urgency.cpp
@@ -52,7 +52,7 @@
 absl::Duration Planner::deadlineAtRisk(const Job &job,
                                        const JobDeadline &deadline) const {
   const double shorter =
-      1 - Scheduler.Estimates.shortfallFactor(job.Record.Spec.Queue,
+      1 - Scheduler.Estimates.shortfallFactor(job.QueueKey,
                                               Scheduler.Policy.SlackDeviations);
   const double slackShare = std::max(0.0, job.Record.Stretch - 1);
   return deadline.CriticalPath * (shorter * slackShare);
--- a/src/libs/jobs/runmonitor.cpp
+++ b/src/libs/jobs/runmonitor.cpp
@@ -176,7 +176,7 @@
   const absl::Duration duration = bounds->AtLeast;
   const core::StepSpec &spec = job.specOf(id);
   const absl::Duration estimate = absl::Milliseconds(spec.EstimateMs);
-  const std::string &queue = job.Record.Spec.Queue;
+  const std::string &queue = job.QueueKey;
   absl::Duration normalTime =
       Scheduler.Estimates.expectedDuration(queue, estimate);
   bool slow = false;
--- a/src/libs/jobs/scheduledjob.h
+++ b/src/libs/jobs/scheduledjob.h
@@ -146,6 +146,10 @@
   /// Without the job's payload.
   JobRecord Record;
   core::SharedText Payload;
+  /// The service whose workers run it, and the key under which the errors of
+  /// its queue's estimates are learned, by the configuration known now.
+  std::string Service;
+  std::string QueueKey;
   int64_t RecordRevision = 0;
   int64_t ProgressRevision = 0;
   /// Version of the latest progress that takeWrites() returned or that a
--- a/tests/auto/cluster/memorycluster.cpp
+++ b/tests/auto/cluster/memorycluster.cpp
@@ -430,6 +430,11 @@
   return call;
 }
 
+void MemoryCluster::sendCallsTo(const std::string &queue,
+                                const std::string &job) {
+  Specs.try_emplace(job, makeJob(job, 1, 0, 0)).first->second.Queue = queue;
+}
+
 std::string MemoryCluster::queueOf(const std::string &job) const {
   auto it = Specs.find(job);
   return it == Specs.end() ? makeJob(job, 1, 0, 0).Queue : it->second.Queue;
--- a/tests/auto/cluster/memorycluster.h
+++ b/tests/auto/cluster/memorycluster.h
@@ -65,6 +65,8 @@
                                      const std::string &job);
   std::shared_ptr<CallerCall> state(int entry, const std::string &key,
                                     const std::string &job);
+  /// From now on callers send their calls for the job to queue.
+  void sendCallsTo(const std::string &queue, const std::string &job);
   /// Asks how many jobs wait in queue.
   std::shared_ptr<CallerCall> countQueued(int entry, const std::string &key,
                                           const std::string &queue);
--- a/tests/auto/jobs/simsite.cpp
+++ b/tests/auto/jobs/simsite.cpp
@@ -37,6 +37,8 @@
                             int64_t targetMs) {
   core::QueueConfig queue;
   queue.Name = name;
+  queue.Host = "host";
+  queue.Prefix = "/" + name + "/";
   queue.Service = "service";
   queue.Stretch = stretch;
   queue.TargetLatencyMs = targetMs;
@@ -180,6 +182,8 @@
   record.Priority = priority;
   record.Attempts = attempts;
   if (const core::QueueConfig *queue = Config->queue(record.Spec.Queue)) {
+    record.Spec.Address = {queue->Host, queue->Prefix,
+                           queue->Prefix + record.Spec.Id};
     record.Stretch = queue->Stretch;
     record.TargetLatencyMs = queue->TargetLatencyMs;
   }
--- a/tests/auto/jobs/tst_estimates.cpp
+++ b/tests/auto/jobs/tst_estimates.cpp
@@ -28,6 +28,8 @@
   double Error;
   double SlackDeviations;
   bool StopsOthers;
+  /// The operator renames the queue before the last job comes.
+  bool IsQueueRenamed = false;
 };
 
 void PrintTo(const EstimateCase &c, std::ostream *out) { *out << c.Name; }
@@ -40,11 +42,10 @@
     return p;
   }
   UrgentWork() : Site(policy()) {
-    core::SiteConfig config;
-    config.Version = 2;
+    Config.Version = 2;
     for (const char *name : {"urgent", "batch"})
-      config.Queues.push_back(makeQueue(name, 1.5, 250));
-    Site.configure(config);
+      Config.Queues.push_back(makeQueue(name, 1.5, 250));
+    Site.configure(Config);
     Site.WorkTime = [](const core::TaskId &id, const core::StepSpec &step) {
       const bool isLonger = id.Job.rfind("longer", 0) == 0;
       const bool isShorter = id.Job.rfind("shorter", 0) == 0;
@@ -67,16 +68,26 @@
     }
   }
 
+  void renameUrgentQueue(const std::string &name) {
+    ++Config.Version;
+    Config.Queues.front().Name = name;
+    Site.configure(Config);
+  }
+
+  core::SiteConfig Config;
   SimSite Site;
 };
 
 // Guards against urgent jobs that wait for others because their estimates,
 // which are often off, seem to leave them the time.
 TEST_P(UrgentWork, WaitsOnlyIfItHasTheTimeWhateverItsEstimateIsWorth) {
+  std::string urgent = "urgent";
   runEarlierJobs();
+  if (GetParam().IsQueueRenamed)
+    renameUrgentQueue(urgent = "renamed");
   Site.submit(makeWholeWorkerJob("batch", "batch", 3000), 1);
   Site.runFor(absl::Milliseconds(2450));
-  Site.submit(makeWholeWorkerJob("late", "urgent", 2000), 0);
+  Site.submit(makeWholeWorkerJob("late", urgent, 2000), 0);
   Site.runFor(absl::Milliseconds(100));
   const bool stopped =
       std::any_of(Site.Log.begin(), Site.Log.end(), [](const Decision &d) {
@@ -89,6 +100,8 @@
     Table, UrgentWork,
     testing::Values(EstimateCase{"estimates_are_right", 1, 1, false},
                     EstimateCase{"estimates_are_off", 2, 1, true},
+                    EstimateCase{"queue_with_wrong_estimates_is_renamed", 2, 1,
+                                 true, true},
                     EstimateCase{"estimates_are_off_but_trusted", 2, 0, false}),
     [](const auto &test) { return std::string(test.param.Name); });
 
--- a/tests/auto/jobs/tst_jobrecord.cpp
+++ b/tests/auto/jobs/tst_jobrecord.cpp
@@ -47,6 +47,19 @@
   EXPECT_EQ(decodeRecord({bytes.begin(), bytes.end()}).value(), record);
 }
 
+// Guards against jobs that are lost once their queue is renamed, because their
+// address is not recorded; and against records of earlier versions, which have
+// none, that cannot be read.
+TEST(AddressOfAJob, IsReadAsWritten) {
+  for (const core::JobAddress &address :
+       {core::JobAddress(), core::JobAddress{"host", "/jobs/", "/jobs/j"}}) {
+    JobRecord record;
+    record.Spec.Id = "j";
+    record.Spec.Address = address;
+    EXPECT_EQ(decodeRecord(encode(record)).value(), record);
+  }
+}
+
 std::string cborOf(const nlohmann::json &document) {
   const std::vector<uint8_t> bytes = nlohmann::json::to_cbor(document);
   return {bytes.begin(), bytes.end()};
@@ -256,6 +269,9 @@
     {"very_deep", std::string(900000, '\x81') + '\x80'},
     {"text_not_utf8", recordWith("text", "\xff")},
     {"steps_are_no_list", recordWith("steps", 5)},
+    {"address_is_text", recordWith("at", "host/path")},
+    {"address_has_no_path", recordWith("at", {"host", "/jobs/"})},
+    {"address_of_numbers", recordWith("at", {1, 2, 3})},
     {"state_beyond_the_last", progressWith("state", 5)},
     {"state_negative", progressWith("state", -1)},
     {"occurrence_negative",
--- a/tests/auto/jobs/tst_queueservice.cpp
+++ b/tests/auto/jobs/tst_queueservice.cpp
@@ -43,6 +43,32 @@
   EXPECT_EQ(site.workersOf("j"), std::multiset<std::string>{GetParam().Worker});
 }
 
+// Guards against a leader that goes on with the service that a queue had before
+// it was given another name and another service.
+TEST(RenamedQueue, HasItsNewService) {
+  SimSite site;
+  site.addWorker("w-old", "r0").State.Service = "old";
+  site.addWorker("w-new", "r0").State.Service = "new";
+  site.runFor(absl::Milliseconds(600));
+  core::SiteConfig config;
+  config.Version = 2;
+  config.Queues = {makeQueue("q", 1, 0)};
+  config.Queues.front().Name = "q-next";
+  config.Queues.front().Service = "new";
+  core::StepSpec step;
+  step.PerTask = {1000, 1000, 1};
+  step.EstimateMs = 5000;
+  JobRecord record;
+  record.Spec = jobOf("j", step);
+  record.Spec.Address = {"host", "/q/", "/q/j"};
+  record.Service = "old";
+  record.DecidedBy = {100, 1};
+  site.configure(config);
+  site.submitRecord(std::move(record));
+  site.runFor(absl::Seconds(2));
+  EXPECT_EQ(site.workersOf("j"), std::multiset<std::string>{"w-new"});
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Table, QueueService,
     testing::Values(
