The late end of a gang's earlier run takes back the next run of all members

Cause: once the done end of run 1 of one member arrived after run 2 was placed, all members counted as done, and members that are done were left to end by themselves, although their run 2 had not been ordered. At the job's end they were passed over for the same reason, and their orders went out when the store answered.

The end of an earlier run stops the latest run of every member. A start whose task is done or whose job has ended is dropped with a log line of its own, and the end of an earlier run that the latest one's worker lists is no longer taken for that of the latest one.

LateEnd: 6 of 8 rows red before (tasks started after they were done; the two of single tasks held), 8 of 8 pass.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -359,7 +359,7 @@
   /// Applies an end that counts to the task, or to all members of its gang, and
   /// to what is known about its worker.
   void handleRunEnd(Job &job, const core::TaskId &id, Task &task,
-                    endpoints::RunEnd how, const std::string &saved,
+                    const endpoints::EndedTask &end,
                     const WorkerIncarnation &incarnation, absl::Time now);
   /// The run by whose outcome a worker is judged: one for all members of a
   /// gang.
@@ -382,7 +382,9 @@
   void handleAbsentRun(Job &job, const core::TaskId &id, Task &task,
                        const std::string &why, absl::Time now,
                        Settlement settlement = Settlement::Otherwise);
-  void handleGangMemberEnd(Job &job, const core::TaskId &id,
+  /// Applies the end of one member of a run, which is the latest one or an
+  /// earlier one that is done, to the whole gang.
+  void handleGangMemberEnd(Job &job, const core::TaskId &id, int64_t run,
                            endpoints::RunEnd how);
   /// Whether a run that failed before the latest one, or was found absent
   /// before its end was listed, still has to be counted.
--- a/src/libs/jobs/jobscheduler_incarnations.cpp
+++ b/src/libs/jobs/jobscheduler_incarnations.cpp
@@ -71,7 +71,7 @@
   task.StopRequested = false;
   requestStop(id, task, "may begin in its worker's next life");
   if (job.specOf(id).Gang)
-    handleGangMemberEnd(job, id, endpoints::RunEnd::Broken);
+    handleGangMemberEnd(job, id, task.Progress.Run, endpoints::RunEnd::Broken);
 }
 
 // A process of the agent that began after the order does not know all attempts,
--- a/src/libs/jobs/jobscheduler_orders.cpp
+++ b/src/libs/jobs/jobscheduler_orders.cpp
@@ -15,20 +15,24 @@
   return orders;
 }
 
-// Orders a recorded start, unless in the meantime its stop was requested or its
-// worker was lost, cordoned, started to drain, or reduced its capacity. Then
-// the run certainly never started if this would have been the first order; an
-// earlier order may still be carried out.
+// Orders a recorded start, unless in the meantime its stop was requested, the
+// task or its job has ended, or its worker was lost, cordoned, started to
+// drain, or reduced its capacity. Then the run certainly never started if this
+// would have been the first order; an earlier order may still be carried out.
 void JobScheduler::orderStart(Job &job, const TaskId &id, Task &task,
                               absl::Time now) {
   const WorkerView *worker = Workers.find(task.Progress.Worker);
   const bool isFirstOrder = task.Phase == Phase::Recording;
+  const bool isOver = task.Progress.Done || job.hasEnded();
   if (worker == nullptr || worker->State.Draining ||
-      Workers.isCordoned(*worker) || task.StopRequested) {
+      Workers.isCordoned(*worker) || task.StopRequested || isOver) {
+    const bool isForgotten = isOver && !task.StopRequested;
     if (isFirstOrder)
       handleAbsentRun(job, id, task,
-                      "not ordered: its stop was requested or its worker is "
-                      "draining, cordoned or lost",
+                      isForgotten
+                          ? "not ordered: its task or its job has ended"
+                          : "not ordered: its stop was requested or its worker "
+                            "is draining, cordoned or lost",
                       now);
     else
       requestStop(id, task, "no longer wanted there");
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr const char *DoneEarlier = "an earlier run has done the work";
+
 bool hasFailed(const TaskProgress &progress, int64_t run) {
   const std::vector<int64_t> &failed = progress.FailedRuns;
   return std::find(failed.begin(), failed.end(), run) != failed.end();
@@ -301,7 +303,7 @@
     return;
   }
   if (isLatest || end.How == RunEnd::Done)
-    handleRunEnd(job, id, *task, end.How, end.Saved, incarnation, now);
+    handleRunEnd(job, id, *task, end, incarnation, now);
   else
     recordFailedRun(job, id, end.Run);
   checkJobEnd(job, now);
@@ -341,30 +343,32 @@
 }
 
 void JobScheduler::handleRunEnd(Job &job, const TaskId &id, Task &task,
-                                RunEnd how, const std::string &saved,
+                                const endpoints::EndedTask &end,
                                 const WorkerIncarnation &incarnation,
                                 absl::Time now) {
   const core::StepSpec &spec = job.specOf(id);
-  if (how == RunEnd::Done && task.Progress.Worker == incarnation)
+  const bool isLatest =
+      task.Progress.Worker == incarnation && task.Progress.Run == end.Run;
+  if (end.How == RunEnd::Done && isLatest)
     learnTaskDuration(job, id, task, now);
   // An earlier run that was presumed absent may turn out to have completed the
   // task. In that case the current run is stopped.
-  if (task.Progress.Worker == incarnation)
+  if (isLatest)
     unassign(job, id, task, Settlement::ByWorker, now);
   else
-    requestStop(id, task, "an earlier run has done the work");
-  if (!saved.empty())
-    task.Progress.Saved = saved;
-  if (how == RunEnd::Done)
+    requestStop(id, task, DoneEarlier);
+  if (!end.Saved.empty())
+    task.Progress.Saved = end.Saved;
+  if (end.How == RunEnd::Done)
     recordSuccessOn(incarnation, job, id, task, now);
-  if (how == RunEnd::Failed) {
+  if (end.How == RunEnd::Failed) {
     task.FailedOn.insert(incarnation);
     recordFailureOn(incarnation, job, id, task.Progress.Run, now);
     recordFailedRun(job, id, task.Progress.Run);
   }
   if (spec.Gang)
-    handleGangMemberEnd(job, id, how);
-  else if (how == RunEnd::Done && !spec.LongRunning)
+    handleGangMemberEnd(job, id, end.Run, end.How);
+  else if (end.How == RunEnd::Done && !spec.LongRunning)
     task.Progress.Done = true;
 }
 
@@ -391,22 +395,25 @@
       countFailedRun(spec, step[i].Progress, run);
 }
 
-// Applies the end of one member to the whole gang: if it is done, all members
-// are done, unless they are to run on; with any other end the run is over for
-// all of them.
-void JobScheduler::handleGangMemberEnd(Job &job, const TaskId &id, RunEnd how) {
+// If one member is done, all are, unless they are to run on; with any other end
+// the run is over for all of them. Members of a run that is done end by
+// themselves; a later run has to be stopped.
+void JobScheduler::handleGangMemberEnd(Job &job, const TaskId &id, int64_t run,
+                                       RunEnd how) {
   std::vector<Step> &steps = ensureOccurrence(job, id.Occurrence);
   Step &step = steps[static_cast<size_t>(id.Step)];
-  const int64_t run = step[static_cast<size_t>(id.Index)].Progress.Run;
-  const bool isLongRunning = job.specOf(id).LongRunning;
+  const int64_t latest = step[static_cast<size_t>(id.Index)].Progress.Run;
+  const bool isDone = how == RunEnd::Done && !job.specOf(id).LongRunning;
   for (auto &[index, member] : step.objects()) {
-    if (member.Progress.Run != run)
+    if (member.Progress.Run != latest)
       continue;
-    if (how == RunEnd::Done && !isLongRunning)
-      member.Progress.Done = true;
-    if (member.isAssigned() && !member.Progress.Done)
-      requestStop({id.Job, id.Occurrence, id.Step, static_cast<int>(index)},
-                  member, "another member of its gang ended");
+    member.Progress.Done |= isDone;
+    const TaskId memberId{id.Job, id.Occurrence, id.Step,
+                          static_cast<int>(index)};
+    if (run < latest)
+      requestStop(memberId, member, DoneEarlier);
+    else if (!member.Progress.Done)
+      requestStop(memberId, member, "another member of its gang ended");
   }
 }
 
@@ -425,7 +432,7 @@
   PassNeeded = true;
   unassign(job, id, task, settlement, now);
   if (job.specOf(id).Gang)
-    handleGangMemberEnd(job, id, RunEnd::Broken);
+    handleGangMemberEnd(job, id, task.Progress.Run, RunEnd::Broken);
 }
 
 } // namespace oriolebay::jobs
