The next leader stops what still runs of jobs that have ended

What callers saw: the tasks of a cancelled job ran on to their own end (UNASKED) if the leader was lost after it had recorded the cancellation and before the tasks had ended.

Cause: which runs a leader is stopping is not recorded. The next one took the runs of a job that had ended, or of a task that was done, as ones to go on with; only jobs whose end had not been recorded were stopped anew.

Such runs are stopped now when the records are read.

CancelledJob.IsStoppedByTheNextLeader: both tasks ran on before; passes.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -192,6 +192,9 @@
                        const std::vector<StepProgress> &steps, absl::Time now);
   void adoptTask(Job &job, Step &step, size_t index,
                  const TaskProgress &progress, absl::Time now);
+  /// Stops what may run of an adopted job that has ended, or of tasks that are
+  /// done.
+  void stopUnwantedRuns(Job &job);
   /// Null if the job, occurrence, step or index does not exist, or if nothing
   /// of the occurrence has begun.
   Task *findTask(const core::TaskId &id);
--- a/src/libs/jobs/jobscheduler_records.cpp
+++ b/src/libs/jobs/jobscheduler_records.cpp
@@ -65,6 +65,16 @@
     job.FinishedAt = now;
   else if (job.Record.Cancelled)
     endJob(job, JobState::Cancelled, now);
+  stopUnwantedRuns(job);
+}
+
+// The previous leader has not recorded which runs it was stopping.
+void JobScheduler::stopUnwantedRuns(Job &job) {
+  forEachTask(job, [&](const TaskId &id, Task &task) {
+    if (task.Progress.Done || job.hasEnded())
+      requestStop(id, task,
+                  "its task or its job had ended before the election");
+  });
 }
 
 // Earlier versions have recorded the occurrences that had not begun, too.
--- a/tests/auto/jobs/tst_lateends.cpp
+++ b/tests/auto/jobs/tst_lateends.cpp
@@ -124,6 +124,27 @@
     {{"of_single_tasks_that_are_ordered_again"}, false, true, false, 1},
 };
 
+// Guards against tasks of a cancelled job that run on, because the leader that
+// was to stop them is lost.
+TEST(CancelledJob, IsStoppedByTheNextLeader) {
+  SimSite site;
+  addRacks(site, 1);
+  site.configure(configWithGuarantee(48));
+  site.submit(jobOf("j", makeStep(2, WholeWorker, 60000)));
+  site.runFor(absl::Seconds(2));
+  ASSERT_EQ(site.workersOf("j").size(), 2U);
+  for (const char *name : {"w00", "w01", "w02"})
+    site.worker(name).DropsOrders = true;
+  site.cancel("j");
+  site.runFor(absl::Seconds(1));
+  ASSERT_EQ(site.workersOf("j").size(), 2U);
+  site.changeLeader();
+  for (const char *name : {"w00", "w01", "w02"})
+    site.worker(name).DropsOrders = false;
+  site.runFor(absl::Seconds(2));
+  EXPECT_EQ(site.workersOf("j").size(), 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, LateEnd, testing::ValuesIn(LateEndRows),
                          testnames::rowName);
 
