The late end of an earlier run does not stop a task that lasts

What callers saw: a task that lasts, started elsewhere after its worker had been silent, was stopped and began anew once the first worker listed its run as done.

Cause: a done end counts for a task whichever run it is of, as it completes the task. A task that lasts isn't completed by any run.

LastingTask.RunsOnAfterTheLateEndOfAnEarlierRun: one start too many before; passes.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -389,6 +389,9 @@
   /// earlier one that is done, to the whole gang.
   void handleGangMemberEnd(Job &job, const core::TaskId &id, int64_t run,
                            endpoints::RunEnd how);
+  /// Whether the end of an earlier run completes the task.
+  static bool isLateSuccess(const Job &job, const core::TaskId &id,
+                            const endpoints::EndedTask &end);
   /// Whether a run that failed before the latest one, or was found absent
   /// before its end was listed, still has to be counted.
   static bool isLateFailure(const Job &job, const core::TaskId &id,
--- a/src/libs/jobs/jobscheduler_reports.cpp
+++ b/src/libs/jobs/jobscheduler_reports.cpp
@@ -278,7 +278,7 @@
     updateStartOpenUntil(Jobs.at(id.Job), id, *task, now);
   const bool isCounted = task != nullptr && !task->Progress.Done &&
                          end.Run <= task->Progress.Run &&
-                         (isLatest || end.How == RunEnd::Done ||
+                         (isLatest || isLateSuccess(Jobs.at(id.Job), id, end) ||
                           isLateFailure(Jobs.at(id.Job), id, *task, end));
   logDecision(
       Decision::Kind::Ended, id.Job, end.Task, end.Run, incarnation.Id,
@@ -302,7 +302,7 @@
     acknowledgeEnd(job, incarnation, end.Number);
     return;
   }
-  if (isLatest || end.How == RunEnd::Done)
+  if (isLatest || isLateSuccess(job, id, end))
     handleRunEnd(job, id, *task, end, incarnation, now);
   else
     recordFailedRun(job, id, end.Run);
@@ -372,6 +372,11 @@
     task.Progress.Done = true;
 }
 
+bool JobScheduler::isLateSuccess(const Job &job, const TaskId &id,
+                                 const endpoints::EndedTask &end) {
+  return end.How == RunEnd::Done && !job.specOf(id).LongRunning;
+}
+
 // An earlier version recorded how many runs had failed and not which ones. The
 // end may be that of one of them, listed again.
 bool JobScheduler::isLateFailure(const Job &job, const TaskId &id,
--- a/tests/auto/jobs/tst_lateends.cpp
+++ b/tests/auto/jobs/tst_lateends.cpp
@@ -124,6 +124,31 @@
     {{"of_single_tasks_that_are_ordered_again"}, false, true, false, 1},
 };
 
+// Guards against tasks that last and are stopped for nothing, because the end
+// of an earlier run arrives late.
+TEST(LastingTask, RunsOnAfterTheLateEndOfAnEarlierRun) {
+  SimSite site;
+  addRacks(site, 1);
+  site.configure(configWithGuarantee(48));
+  core::StepSpec step = makeStep(1, WholeWorker, 60000);
+  step.LongRunning = true;
+  site.submit(jobOf("j", step));
+  site.runFor(absl::Seconds(1));
+  ASSERT_EQ(site.workersOf("j").size(), 1U);
+  SimSite::Worker &first = site.worker(*site.workersOf("j").begin());
+  first.Partitioned = true;
+  first.Runs.clear();
+  first.Ended.push_back(
+      {first.NextEndNumber++, "j.0.0.0", 1, RunEnd::Done, ""});
+  site.runFor(absl::Seconds(20));
+  ASSERT_EQ(site.workersOf("j").size(), 1U);
+  const int starts = site.starts();
+  first.Partitioned = false;
+  site.runFor(absl::Seconds(5));
+  EXPECT_EQ(site.workersOf("j").size(), 1U);
+  EXPECT_EQ(site.starts(), starts);
+}
+
 // Guards against tasks of a cancelled job that run on, because the leader that
 // was to stop them is lost.
 TEST(CancelledJob, IsStoppedByTheNextLeader) {
