A heartbeat without the worker's start time begins no incarnation

Cause: the missing start time was read as 0, and the probe of the worker did not compare start times where one is 0. So the agent began the incarnation (id, 0) and recorded the real one as ended, whose heartbeats it ignored from then on.

A probe that is answered with another start time than the heartbeat's begins no incarnation now (worker.heartbeat_ignored).

--- a/src/libs/agent/workeragent.h
+++ b/src/libs/agent/workeragent.h
@@ -141,7 +141,8 @@
                             const endpoints::WorkerIncarnation &served,
                             const endpoints::CallOutcome &outcome);
   void recordIncarnationEnd(endpoints::IncarnationEnd end);
-  void logIgnoredHeartbeat(const endpoints::Heartbeat &heartbeat);
+  void logIgnoredHeartbeat(const endpoints::Heartbeat &heartbeat,
+                           const std::string &why);
   bool hasEnded(const endpoints::WorkerIncarnation &incarnation) const;
   void removeIncarnationEnd(const endpoints::WorkerIncarnation &incarnation);
 
--- a/src/libs/agent/workeragent_incarnation.cpp
+++ b/src/libs/agent/workeragent_incarnation.cpp
@@ -46,7 +46,7 @@
   if (heartbeat.Worker.Life == State.Life)
     applyHeartbeat(heartbeat);
   else if (hasEnded(heartbeat.Worker.Life) && !State.Life.empty())
-    logIgnoredHeartbeat(heartbeat);
+    logIgnoredHeartbeat(heartbeat, "that incarnation has ended");
   else
     probeIncarnation(heartbeat);
   return true;
@@ -79,7 +79,8 @@
 // Logs only the first ignored heartbeat of each incarnation. A single delayed
 // heartbeat is common, while many mean that the incarnation is still running
 // although it counts as ended.
-void WorkerAgent::logIgnoredHeartbeat(const Heartbeat &heartbeat) {
+void WorkerAgent::logIgnoredHeartbeat(const Heartbeat &heartbeat,
+                                      const std::string &why) {
   if (!IgnoredIncarnations.insert(heartbeat.Worker.Life).second)
     return;
   logEvent(Event::WorkerHeartbeatIgnored,
@@ -87,7 +88,7 @@
             {"born_ms", heartbeat.Worker.Life.BornMs},
             {"sequence", heartbeat.Sequence},
             {"clock_ms", heartbeat.ClockMs},
-            {"why", "that incarnation has ended"}});
+            {"why", why}});
 }
 
 // A heartbeat that was delayed by a network outage may arrive after its sender
@@ -112,6 +113,12 @@
         }
         if (reply.Outcome.Status != CallStatus::Ok)
           return;
+        // A worker that has a start time names it in each of its heartbeats.
+        if (reply.Outcome.BornMs != heartbeat.Worker.Life.BornMs &&
+            reply.Outcome.BornMs != 0) {
+          logIgnoredHeartbeat(heartbeat, "the worker has another start time");
+          return;
+        }
         beginIncarnation(heartbeat);
         recordWorkerClock(reply.Outcome.ClockMs);
         sendKeepAlive(0);
