--- a/src/libs/jobs/callanswer.h
+++ b/src/libs/jobs/callanswer.h
@@ -22,7 +22,7 @@
   BadKey,
   /// No such job.
   UnknownJob,
-  /// A job of another organisation has this id.
+  /// Another job has this id, or it was cancelled before.
   IdTaken,
   /// The call was not carried out and will not be; the caller should retry
   /// later.
