JobService: the check that access and tombstones share has a name of its own

Reading the change anew: whether a caller may see a job was defined through "is barred by", a question about tombstones. What both ask is whether a record is of the caller: of its organisation, or of the public queue that the call reaches. isOfCaller() says so, and access is that or a job of nobody. A rename and a reordering of functions; the conditions are the same.

--- a/src/libs/jobs/jobservice.h
+++ b/src/libs/jobs/jobservice.h
@@ -315,10 +315,11 @@
   static bool isAtCalledPath(const CallPtr &call, const JobRecord &record);
   /// The same, or the job is in the queue that the call reaches.
   static bool isInCalledQueue(const CallPtr &call, const JobRecord &record);
+  /// The record, of a job or a tombstone, is of the call's organisation or of
+  /// the public queue that the call reaches.
+  static bool isOfCaller(const CallPtr &call, const JobRecord &record);
   /// The call's caller may see the job and cancel it.
   static bool isAccessAllowed(const CallPtr &call, const JobRecord &record);
-  /// The cancellation that left the tombstone holds for the call's job, too.
-  static bool isBarredBy(const CallPtr &call, const JobRecord &tombstone);
   /// Answers a state call. If the job has not ended in the view, asks the
   /// leader first, or else waits for a report or the record of its end; see
   /// EndReportDelay and EndRecordWaitLimit.
--- a/src/libs/jobs/jobservice_access.cpp
+++ b/src/libs/jobs/jobservice_access.cpp
@@ -116,16 +116,16 @@
 
 // Operators may rename, move, split and join queues: what tells jobs apart for
 // their callers is their organisation and the id. Without a key, the queue has
-// to be one whose jobs anybody may see. A job without an organisation was
-// submitted to such a queue, whatever that is now.
-bool JobService::isAccessAllowed(const CallPtr &call, const JobRecord &record) {
-  const std::string &organisation = record.Spec.Organisation;
-  return organisation.empty() || isBarredBy(call, record);
+// to be one whose jobs anybody may see.
+bool JobService::isOfCaller(const CallPtr &call, const JobRecord &record) {
+  return record.Spec.Organisation == call->Organisation ||
+         (call->Queue.Public && isInCalledQueue(call, record));
 }
 
-bool JobService::isBarredBy(const CallPtr &call, const JobRecord &tombstone) {
-  return tombstone.Spec.Organisation == call->Organisation ||
-         (call->Queue.Public && isInCalledQueue(call, tombstone));
+// A job without an organisation was submitted to a public queue, whatever that
+// is now.
+bool JobService::isAccessAllowed(const CallPtr &call, const JobRecord &record) {
+  return record.Spec.Organisation.empty() || isOfCaller(call, record);
 }
 
 } // namespace oriolebay::jobs
--- a/src/libs/jobs/jobservice_writes.cpp
+++ b/src/libs/jobs/jobservice_writes.cpp
@@ -171,7 +171,7 @@
 // A cancellation bars only what its caller could have cancelled.
 bool JobService::mayReplace(const CallPtr &call, const KeyValue &existing) {
   const std::optional<JobRecord> record = tryDecodeRecord(existing.Value);
-  return record && record->isTombstone() && !isBarredBy(call, *record);
+  return record && record->isTombstone() && !isOfCaller(call, *record);
 }
 
 // The id was submitted before, by this call or an earlier one. No write can
@@ -219,7 +219,7 @@
   const StoredJob *known = View.findTombstone(call->JobId);
   if (known == nullptr)
     writeTombstone(call, 0);
-  else if (isBarredBy(call, known->Record))
+  else if (isOfCaller(call, known->Record))
     confirmTombstone(call, known->RecordRevision);
   else
     writeTombstone(call, known->RecordRevision);
